Lay out the project: design, build, base types and module interfaces

Cause: the repository is empty; several people start on it at the same time and need one design, one build and fixed interfaces between the modules.

Ruled out: the CMake file of the CppUTest package (it names an include directory that does not exist); a C++-only project (the package file of Cap'n Proto fails its libatomic check then); the library's default socket options (SO_REUSEPORT lets a second server take the port) and backlog of 5.

Conclusion: modules can be written in parallel against the headers.

--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds, and runs every test.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+scripts/build.sh
+ctest --test-dir build --output-on-failure
--- /dev/null
+++ b/src/claims/claimservice.h
@@ -0,0 +1,85 @@
+#pragma once
+
+// At-most-once execution of non-repeatable requests.
+//
+//   ClaimDecision decision = claims.claim(request, deadline); // blocks up to the deadline
+//   if (decision.kind == ClaimDecisionKind::Won) {
+//       if (!claims.beginDispatch(decision.attemptId, steadyNow()))
+//           return notRun();                    // the validity ended; the claim is withdrawn
+//       StoredOutcome outcome = send(request, decision.fencingNumber);
+//       claims.complete(decision.attemptId, outcome);
+//   }
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "platform/logclient.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace cicadafork {
+
+/// Largest body that is stored for replay to duplicates.
+inline constexpr std::size_t kMaxStoredBodyBytes = 16 * 1024;
+
+struct ClaimRequest
+{
+    std::string workspace;
+    std::string key;           ///< UUIDv7 from the Idempotency-Key header.
+    std::string requestSha256; ///< Over the canonical form of the request.
+};
+
+/// The answer of the endpoint as replayed to duplicates.
+struct StoredOutcome
+{
+    bool ran = true; ///< False: the endpoint stated that it did not execute the request.
+    int status = 0;
+    std::string contentType;
+    std::string body; ///< Empty when it was longer than kMaxStoredBodyBytes.
+    bool truncated = false;
+};
+
+enum class ClaimDecisionKind {
+    Won,         ///< This attempt may dispatch, once.
+    Duplicate,   ///< An earlier attempt finished; outcome is set.
+    InProgress,  ///< An earlier attempt holds the key; come back after retryAfter.
+    MayHaveRun,  ///< An earlier attempt was lost after it may have dispatched.
+    KeyReused,   ///< The key was used with another request.
+    KeyInvalid,  ///< Not a UUIDv7, from the future, or older than the de-duplication window.
+    Unavailable, ///< The log did not answer in time; nothing was dispatched.
+};
+
+struct ClaimDecision
+{
+    ClaimDecisionKind kind = ClaimDecisionKind::Unavailable;
+    std::string attemptId;
+    Offset fencingNumber = 0; ///< Offset of the winning claim, for endpoints that check it.
+    std::optional<StoredOutcome> outcome;
+    Millis retryAfter{1000};
+    Error error; ///< Message and remedy for the caller when not Won and not Duplicate.
+};
+
+class Claims
+{
+public:
+    virtual ~Claims() = default;
+
+    /// Claims a key; blocks up to the deadline. Never throws and never reports Won twice for a key
+    /// unless every earlier winner withdrew before it dispatched.
+    virtual ClaimDecision claim(const ClaimRequest &request, TimePoint deadline) = 0;
+
+    /// Call immediately before the request is written to the endpoint. False: the claim's validity
+    /// has ended (for example because the process was paused), the request must not be sent, and
+    /// the claim is withdrawn.
+    virtual bool beginDispatch(const std::string &attemptId, TimePoint now) = 0;
+
+    /// Records the outcome of a dispatched attempt. Returns at once; the append is retried in the
+    /// background.
+    virtual void complete(const std::string &attemptId, const StoredOutcome &outcome) = 0;
+
+    /// Gives up a won claim that was not dispatched. Returns at once.
+    virtual void withdraw(const std::string &attemptId) = 0;
+};
+
+} // namespace cicadafork
--- /dev/null
+++ b/src/http/client.h
@@ -0,0 +1,53 @@
+#pragma once
+
+// HTTP client calls with explicit timeouts and typed errors.
+//
+//   Result<nlohmann::json> vms = getJson(address, "/vms", Millis(500));
+//
+// For streams use makeHttpClient() and the library's content receiver.
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "http/address.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <string>
+
+namespace cicadafork {
+
+struct HttpTimeouts
+{
+    Millis connect{500};
+    Millis read{1000}; ///< Longest silence while a response is read.
+    Millis write{1000};
+};
+
+/// A client without keep-alive and with TCP_NODELAY.
+std::unique_ptr<httplib::Client> makeHttpClient(const Address &address, HttpTimeouts timeouts);
+
+struct HttpReply
+{
+    int status = 0;
+    std::string body;
+    httplib::Headers headers;
+};
+
+/// GET; fails with Unavailable (no connection, connection lost) or DeadlineExceeded (no answer).
+/// Any HTTP status is a success.
+Result<HttpReply> httpGet(const Address &address, const std::string &path, Millis timeout);
+
+/// POST of a JSON body; fails like httpGet.
+Result<HttpReply> httpPost(const Address &address, const std::string &path, const std::string &body,
+                           Millis timeout, const httplib::Headers &headers = {});
+
+/// GET and parse; a status other than 200 or a body that is not JSON fails with Unavailable.
+Result<nlohmann::json> getJson(const Address &address, const std::string &path, Millis timeout);
+
+/// POST and parse; a status other than 200 or a body that is not JSON fails with Unavailable.
+Result<nlohmann::json> postJson(const Address &address, const std::string &path,
+                                const nlohmann::json &body, Millis timeout);
+
+} // namespace cicadafork
--- /dev/null
+++ b/src/platform/logclient.h
@@ -0,0 +1,74 @@
+#pragma once
+
+// Client of the platform's append-only log service. The offset of a record decides every race.
+//
+//   HttpLogClient log(settings.platform.log);
+//   BOOST_LEAF_AUTO(offset, log.append("config", record, Millis(1000)));
+//
+// An append that fails may still have taken effect: look for the record before writing it again.
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "http/address.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cicadafork {
+
+/// Position of a record in its stream; the first record of a stream has offset 0.
+using Offset = std::uint64_t;
+
+struct LogRecord
+{
+    Offset offset = 0;
+    WallTime time; ///< When the log service stored the record.
+    nlohmann::json data;
+};
+
+struct LogPage
+{
+    Offset first = 0; ///< Oldest offset that the service still keeps.
+    Offset next = 0;  ///< Offset to read from next.
+    std::vector<LogRecord> records;
+    bool expired = false; ///< The requested offset is older than first; records is empty.
+};
+
+class LogClient
+{
+public:
+    virtual ~LogClient() = default;
+
+    /// Appends one record. Fails with DeadlineExceeded or Unavailable; the record may exist then.
+    virtual Result<Offset> append(const std::string &stream, const nlohmann::json &data,
+                                  Millis timeout)
+            = 0;
+
+    /// Reads records from an offset on; waits up to wait for the first one.
+    virtual Result<LogPage> read(const std::string &stream, Offset from, std::size_t limit,
+                                 Millis wait, Millis timeout)
+            = 0;
+};
+
+/// The client over HTTP. Thread-safe.
+class HttpLogClient : public LogClient
+{
+public:
+    explicit HttpLogClient(Address address)
+        : address_(std::move(address))
+    {
+    }
+
+    Result<Offset> append(const std::string &stream, const nlohmann::json &data,
+                          Millis timeout) override;
+    Result<LogPage> read(const std::string &stream, Offset from, std::size_t limit, Millis wait,
+                         Millis timeout) override;
+
+private:
+    Address address_;
+};
+
+} // namespace cicadafork
