Add the operators' query and command language

Cause: operators have to ask what runs, waits or is stuck and change the configuration in one small language over HTTP, on the command line and in files.

Ruled out: a parser generator; the grammar has nine rules and needs no generated code.

--- /dev/null
+++ b/src/query/configrows.cpp
@@ -0,0 +1,58 @@
+#include "query/configrows.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+namespace cicadafork {
+
+namespace {
+
+std::string joined(const std::set<std::string> &values)
+{
+    return fmt::format("{}", fmt::join(values, ","));
+}
+
+std::string utcText(WallTime time)
+{
+    return fmt::format("{:%Y-%m-%dT%H:%M:%S}Z",
+                       fmt::gmtime(std::chrono::system_clock::to_time_t(time)));
+}
+
+} // namespace
+
+ResultTable serviceRows(const Configuration &configuration)
+{
+    ResultTable table{
+            {"id", "kind", "state", "models", "non_repeatable", "priority", "version"}, {}, {}};
+    for (const auto &[id, service] : configuration.services) {
+        table.rows.push_back({id, toString(service.kind), toString(service.state),
+                              joined(service.models), joined(service.nonRepeatable),
+                              toString(service.priority), std::to_string(service.version)});
+    }
+    return table;
+}
+
+ResultTable workspaceRows(const Configuration &configuration)
+{
+    ResultTable table{{"id", "services", "requests_per_second", "share", "version"}, {}, {}};
+    for (const auto &[id, workspace] : configuration.workspaces) {
+        table.rows.push_back(
+                {id, joined(workspace.services), fmt::format("{}", workspace.requestsPerSecond),
+                 fmt::format("{}", workspace.share), std::to_string(workspace.version)});
+    }
+    return table;
+}
+
+ResultTable historyRows(const Configuration &configuration)
+{
+    ResultTable table{{"offset", "time", "operator", "accepted", "command", "reason"}, {}, {}};
+    for (auto entry = configuration.history.rbegin(); entry != configuration.history.rend();
+         ++entry) {
+        table.rows.push_back({std::to_string(entry->offset), utcText(entry->time),
+                              entry->operatorName, entry->accepted ? "yes" : "no", entry->text,
+                              entry->reason});
+    }
+    return table;
+}
+
+} // namespace cicadafork
--- /dev/null
+++ b/src/query/statement.cpp
@@ -0,0 +1,304 @@
+#include "query/statement.h"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <charconv>
+
+namespace cicadafork {
+
+namespace {
+
+struct Token
+{
+    std::string text;
+    std::size_t column = 0;
+    bool quoted = false;
+};
+
+template <class Value>
+struct Keyword
+{
+    const char *text;
+    Value value;
+};
+
+constexpr std::array<Keyword<Subject>, 7> kSubjects = {{{"requests", Subject::Requests},
+                                                        {"services", Subject::Services},
+                                                        {"endpoints", Subject::Endpoints},
+                                                        {"entry-vms", Subject::EntryVms},
+                                                        {"workspaces", Subject::Workspaces},
+                                                        {"configuration", Subject::Configuration},
+                                                        {"history", Subject::History}}};
+
+constexpr std::array<Keyword<Comparison>, 7> kComparisons = {{{"=", Comparison::Equal},
+                                                              {"!=", Comparison::NotEqual},
+                                                              {"<", Comparison::Less},
+                                                              {"<=", Comparison::LessOrEqual},
+                                                              {">", Comparison::Greater},
+                                                              {">=", Comparison::GreaterOrEqual},
+                                                              {"~", Comparison::Contains}}};
+
+constexpr std::array<Keyword<CommandVerb>, 7> kVerbs = {{{"create", CommandVerb::Create},
+                                                         {"change", CommandVerb::Change},
+                                                         {"drain", CommandVerb::Drain},
+                                                         {"undrain", CommandVerb::Undrain},
+                                                         {"stop", CommandVerb::Stop},
+                                                         {"load", CommandVerb::Load},
+                                                         {"role", CommandVerb::Role}}};
+
+constexpr std::array<Keyword<EntityKind>, 3> kKinds = {{{"workspace", EntityKind::Workspace},
+                                                        {"service", EntityKind::Service},
+                                                        {"endpoint", EntityKind::Endpoint}}};
+
+template <class Table>
+auto lookUp(const Table &table, std::string_view text)
+        -> std::optional<decltype(table.front().value)>
+{
+    for (const auto &keyword : table) {
+        if (text == keyword.text)
+            return keyword.value;
+    }
+    return std::nullopt;
+}
+
+template <class Table>
+std::string alternatives(const Table &table)
+{
+    std::string text;
+    for (const auto &keyword : table)
+        text += fmt::format("{}{}", text.empty() ? "" : ", ", keyword.text);
+    return text;
+}
+
+boost::leaf::error_id failAt(std::size_t column, std::string_view problem, std::string remedy)
+{
+    return fail(ErrorCode::InvalidArgument, fmt::format("column {}: {}", column, problem),
+                std::move(remedy));
+}
+
+bool isOperatorCharacter(char character)
+{
+    return std::string_view("=!<>~").find(character) != std::string_view::npos;
+}
+
+bool isSpace(char character)
+{
+    return character == ' ' || character == '\t' || character == '\n' || character == '\r';
+}
+
+Result<Token> readQuoted(std::string_view text, std::size_t &position)
+{
+    Token token{"", position + 1, true};
+    const char quote = text[position++];
+    while (position < text.size() && text[position] != quote)
+        token.text += text[position++];
+    if (position == text.size())
+        return failAt(token.column, "a quoted value does not end", "add the closing quote");
+    ++position;
+    return token;
+}
+
+Token readPlain(std::string_view text, std::size_t &position)
+{
+    Token token{"", position + 1, false};
+    const bool operatorToken = isOperatorCharacter(text[position]);
+    while (position < text.size() && !isSpace(text[position])
+           && isOperatorCharacter(text[position]) == operatorToken)
+        token.text += text[position++];
+    return token;
+}
+
+Result<std::vector<Token>> tokenize(std::string_view text)
+{
+    std::vector<Token> tokens;
+    std::size_t position = 0;
+    while (position < text.size()) {
+        if (isSpace(text[position])) {
+            ++position;
+        } else if (text[position] == '"' || text[position] == '\'') {
+            BOOST_LEAF_AUTO(token, readQuoted(text, position));
+            tokens.push_back(std::move(token));
+        } else {
+            tokens.push_back(readPlain(text, position));
+        }
+    }
+    tokens.push_back({"", text.size() + 1, false});
+    return tokens;
+}
+
+/// Recursive-descent parser over the tokens; the last token is empty and marks the end.
+class Parser
+{
+public:
+    explicit Parser(std::vector<Token> tokens)
+        : tokens_(std::move(tokens))
+    {
+    }
+
+    Result<Statement> parse()
+    {
+        if (accept("show"))
+            return parseShow();
+        if (accept("why"))
+            return parseWhy();
+        return parseCommand();
+    }
+
+private:
+    const Token &peek() const { return tokens_[next_]; }
+    bool atEnd() const { return next_ + 1 == tokens_.size(); }
+
+    bool accept(std::string_view keyword)
+    {
+        if (peek().quoted || peek().text != keyword)
+            return false;
+        ++next_;
+        return true;
+    }
+
+    Result<Token> take(std::string_view what, std::string remedy)
+    {
+        if (atEnd())
+            return failAt(peek().column, fmt::format("{} is missing", what), std::move(remedy));
+        return tokens_[next_++];
+    }
+
+    template <class Table>
+    auto takeKeyword(const Table &table, std::string_view what)
+            -> Result<decltype(table.front().value)>
+    {
+        const std::string remedy = fmt::format("write one of: {}", alternatives(table));
+        BOOST_LEAF_AUTO(token, take(what, remedy));
+        const auto value = lookUp(table, token.text);
+        if (!value || token.quoted)
+            return failAt(token.column, fmt::format("'{}' is not {}", token.text, what), remedy);
+        return *value;
+    }
+
+    Result<std::uint64_t> takeNumber(std::string_view what)
+    {
+        BOOST_LEAF_AUTO(token, take(what, "write a whole number"));
+        std::uint64_t value = 0;
+        const char *end = token.text.data() + token.text.size();
+        const auto parsed = std::from_chars(token.text.data(), end, value);
+        if (parsed.ec != std::errc() || parsed.ptr != end) {
+            return failAt(token.column, fmt::format("'{}' is not a number", token.text),
+                          "write a whole number");
+        }
+        return value;
+    }
+
+    Result<void> expectEnd()
+    {
+        if (!atEnd()) {
+            return failAt(peek().column, fmt::format("unexpected '{}'", peek().text),
+                          "end the statement here, or quote values that contain spaces");
+        }
+        return {};
+    }
+
+    Result<Condition> parseCondition()
+    {
+        BOOST_LEAF_AUTO(field, take("a field name", "write FIELD = VALUE"));
+        BOOST_LEAF_AUTO(comparison, takeKeyword(kComparisons, "a comparison"));
+        BOOST_LEAF_AUTO(value, take("a value", "write FIELD = VALUE"));
+        return Condition{field.text, comparison, value.text, field.column};
+    }
+
+    Result<Statement> parseShow()
+    {
+        ShowStatement show;
+        BOOST_LEAF_ASSIGN(show.subject, takeKeyword(kSubjects, "a subject"));
+        if (accept("where")) {
+            do {
+                BOOST_LEAF_AUTO(condition, parseCondition());
+                show.conditions.push_back(std::move(condition));
+            } while (accept("and"));
+        }
+        if (accept("order")) {
+            if (!accept("by"))
+                return failAt(peek().column, "'by' is missing", "write order by FIELD");
+            BOOST_LEAF_AUTO(field, take("a field name", "write order by FIELD"));
+            show.ordering = Ordering{field.text, accept("desc"), field.column};
+        }
+        if (accept("limit")) {
+            BOOST_LEAF_ASSIGN(show.limit, takeNumber("a limit"));
+        }
+        BOOST_LEAF_CHECK(expectEnd());
+        return Statement(std::move(show));
+    }
+
+    Result<Statement> parseWhy()
+    {
+        BOOST_LEAF_AUTO(id, take("a request id", "write why REQUEST_ID"));
+        BOOST_LEAF_CHECK(expectEnd());
+        return Statement(WhyStatement{id.text});
+    }
+
+    Result<void> parseField(Command &command)
+    {
+        BOOST_LEAF_AUTO(field, take("a field name", "write FIELD=VALUE"));
+        if (!accept("="))
+            return failAt(peek().column, "'=' is missing", "write FIELD=VALUE");
+        BOOST_LEAF_AUTO(value, take("a value", "write FIELD=VALUE, or FIELD=\"\" to empty it"));
+        if (!command.fields.emplace(field.text, value.text).second) {
+            return failAt(field.column, fmt::format("'{}' is given twice", field.text),
+                          "give each field once");
+        }
+        return {};
+    }
+
+    Result<Statement> parseCommand()
+    {
+        CommandStatement statement;
+        Command &command = statement.command;
+        if (atEnd() || !lookUp(kVerbs, peek().text)) {
+            return failAt(peek().column, fmt::format("'{}' starts no statement", peek().text),
+                          fmt::format("start with show, why, {}", alternatives(kVerbs)));
+        }
+        BOOST_LEAF_ASSIGN(command.verb, takeKeyword(kVerbs, "a command"));
+        BOOST_LEAF_ASSIGN(command.kind, takeKeyword(kKinds, "a kind"));
+        BOOST_LEAF_AUTO(id, take("a name", "write the name of the entity"));
+        command.entityId = id.text;
+        while (!atEnd() && !(peek().text == "if" && !peek().quoted))
+            BOOST_LEAF_CHECK(parseField(command));
+        if (accept("if")) {
+            if (!accept("version") || !accept("="))
+                return failAt(peek().column, "'version =' is missing", "write if version = N");
+            BOOST_LEAF_ASSIGN(command.baseVersion, takeNumber("a version"));
+            statement.versionGiven = true;
+        }
+        BOOST_LEAF_CHECK(expectEnd());
+        return Statement(std::move(statement));
+    }
+
+    std::vector<Token> tokens_;
+    std::size_t next_ = 0;
+};
+
+} // namespace
+
+const char *toString(Subject subject)
+{
+    for (const auto &keyword : kSubjects) {
+        if (keyword.value == subject)
+            return keyword.text;
+    }
+    return "";
+}
+
+Result<Statement> parseStatement(std::string_view text)
+{
+    if (text.size() > kMaxStatementBytes) {
+        return failAt(kMaxStatementBytes + 1, "the statement is too long",
+                      fmt::format("use at most {} bytes", kMaxStatementBytes));
+    }
+    BOOST_LEAF_AUTO(tokens, tokenize(text));
+    BOOST_LEAF_AUTO(statement, Parser(std::move(tokens)).parse());
+    if (auto *command = std::get_if<CommandStatement>(&statement))
+        command->command.text = std::string(text);
+    return statement;
+}
+
+} // namespace cicadafork
