Add the ctl and dump commands

Cause: operators need a command line that shows verdicts, tables and the progress of a change by failure domain.

Change: ctl runs a statement or a file, prints tables or JSON, waits until a change is in force at every member that answers; dump prints a daemon's state. Exit codes tell refused, usage and unreachable apart.

Ruled out: waiting inside the daemon; a poll from the command line holds no thread of the daemon.

--- /dev/null
+++ b/src/cli/ctlcommand.cpp
@@ -0,0 +1,278 @@
+#include "cli/ctlcommand.h"
+
+#include "cli/commands.h"
+#include "http/client.h"
+#include "query/resulttable.h"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <thread>
+
+namespace cicadafork {
+
+namespace {
+
+constexpr Millis kWaitPollInterval{200};
+
+struct CtlOptions
+{
+    Address address;
+    std::string credential;
+    std::string operatorName;
+    bool json = false;
+    bool dryRun = false;
+    Millis wait{0};
+    Millis timeout{3000};
+};
+
+int reportError(const std::string &message, const std::string &remedy, ExitCode code)
+{
+    fmt::print(stderr, "error: {}\nremedy: {}\n", message, remedy);
+    return code;
+}
+
+Result<nlohmann::json> runStatement(const CtlOptions &options, const std::string &statement)
+{
+    const nlohmann::json body = {{"statement", statement},
+                                 {"dry_run", options.dryRun},
+                                 {"timeout_ms", options.timeout.count()}};
+    const httplib::Headers headers = {{"Authorization", "Bearer " + options.credential},
+                                      {"X-Operator-Name", options.operatorName}};
+    // The daemon needs its own timeout to name the members that did not answer.
+    constexpr Millis kAnswerMargin{2000};
+    BOOST_LEAF_AUTO(reply, httpPost(options.address, "/v1/operator", body.dump(),
+                                    options.timeout + kAnswerMargin, headers));
+    auto json = nlohmann::json::parse(reply.body, nullptr, false);
+    if (json.is_discarded()) {
+        return fail(ErrorCode::Unavailable,
+                    fmt::format("the daemon answered with status {} and no JSON", reply.status),
+                    "check that the address is the caller address of a cicadafork daemon");
+    }
+    if (json.contains("execution")) {
+        return fail(ErrorCode::PermissionDenied, json.value("detail", "refused"),
+                    json.value("remedy", "check the credential"));
+    }
+    return json;
+}
+
+/// Members in force of a change by failure domain, as "domain 2/3".
+struct ForceProgress
+{
+    bool complete = true;
+    std::string text;
+};
+
+Result<ForceProgress> progressOf(const ResultTable &table, std::uint64_t version)
+{
+    const auto columnOf = [&](const char *name) {
+        return static_cast<std::size_t>(std::find(table.columns.begin(), table.columns.end(), name)
+                                        - table.columns.begin());
+    };
+    const std::size_t domainColumn = columnOf("failure_domain");
+    const std::size_t offsetColumn = columnOf("next_offset");
+    if (domainColumn == table.columns.size() || offsetColumn == table.columns.size()) {
+        return fail(ErrorCode::Unavailable, "the daemon does not report configuration offsets",
+                    "run the same version of cicadafork on all entry VMs");
+    }
+    std::map<std::string, std::pair<int, int>> domains;
+    for (const auto &row : table.rows) {
+        auto &[inForce, members] = domains[row[domainColumn]];
+        ++members;
+        inForce += std::strtoull(row[offsetColumn].c_str(), nullptr, 10) >= version ? 1 : 0;
+    }
+    ForceProgress progress;
+    for (const auto &[domain, counts] : domains) {
+        progress.complete = progress.complete && counts.first == counts.second;
+        progress.text += fmt::format("{}{} {}/{}", progress.text.empty() ? "" : ", ", domain,
+                                     counts.first, counts.second);
+    }
+    return progress;
+}
+
+/// Polls until the version is in force at every member that answers.
+int waitUntilInForce(const CtlOptions &options, std::uint64_t version)
+{
+    const TimePoint deadline = steadyNow() + options.wait;
+    std::string lastText;
+    while (steadyNow() < deadline) {
+        const auto progress = capture([&]() -> Result<ForceProgress> {
+            BOOST_LEAF_AUTO(json, runStatement(options, "show configuration"));
+            BOOST_LEAF_AUTO(table, resultTableFromJson(json.value("table", nlohmann::json())));
+            return progressOf(table, version);
+        });
+        if (progress && progress->text != lastText) {
+            lastText = progress->text;
+            fmt::print(stderr, "in force: {}\n", lastText);
+        }
+        if (progress && progress->complete)
+            return ExitSuccess;
+        std::this_thread::sleep_for(kWaitPollInterval);
+    }
+    return reportError("the change is accepted but not yet in force everywhere",
+                       "run 'show configuration' to see which members are behind", ExitFailure);
+}
+
+int printVerdict(const CtlOptions &options, const nlohmann::json &verdict)
+{
+    if (options.json)
+        fmt::print("{}\n", verdict.dump());
+    if (!verdict.value("accepted", false)) {
+        const auto error = verdict.value("error", nlohmann::json::object());
+        return reportError(error.value("message", "rejected"), error.value("remedy", ""),
+                           ExitFailure);
+    }
+    const auto version = verdict.value("version", std::uint64_t{0});
+    if (!options.json)
+        fmt::print("{}, version {}\n", options.dryRun ? "would be accepted" : "accepted", version);
+    if (options.wait > Millis(0) && !options.dryRun)
+        return waitUntilInForce(options, version);
+    return ExitSuccess;
+}
+
+int printTable(const CtlOptions &options, const nlohmann::json &json)
+{
+    const auto table = capture([&] { return resultTableFromJson(json); });
+    if (!table)
+        return reportError(table.error().message, table.error().remedy, ExitFailure);
+    fmt::print("{}", options.json ? json.dump() + "\n" : formatTable(*table));
+    return ExitSuccess;
+}
+
+int runOne(const CtlOptions &options, const std::string &statement)
+{
+    const auto json = capture([&] { return runStatement(options, statement); });
+    if (!json) {
+        const bool unreachable = json.error().code != ErrorCode::PermissionDenied;
+        return reportError(json.error().message, json.error().remedy,
+                           unreachable ? ExitUnreachable : ExitFailure);
+    }
+    if (json->contains("table"))
+        return printTable(options, json->at("table"));
+    if (json->contains("verdict"))
+        return printVerdict(options, json->at("verdict"));
+    const auto error = json->value("error", nlohmann::json::object());
+    return reportError(error.value("message", "unknown answer"), error.value("remedy", ""),
+                       ExitFailure);
+}
+
+int runFile(const CtlOptions &options, const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return reportError("cannot read " + path, "check the path", ExitUsage);
+    std::string line;
+    while (std::getline(file, line)) {
+        if (line.empty() || line.front() == '#')
+            continue;
+        const int code = runOne(options, line);
+        if (code != ExitSuccess)
+            return code;
+    }
+    return ExitSuccess;
+}
+
+std::string environmentValue(const char *name)
+{
+    const char *value = std::getenv(name);
+    return value ? value : "";
+}
+
+cxxopts::Options ctlCommandLine()
+{
+    cxxopts::Options options("cicadafork ctl", "Runs an operator's statement on a daemon.");
+    options.positional_help("ADDRESS [STATEMENT]");
+    options.add_options()                                                                       //
+            ("address", "caller address of any daemon, IP:PORT", cxxopts::value<std::string>()) //
+            ("statement", "query or command", cxxopts::value<std::string>()->default_value("")) //
+            ("file", "run every line of a file",
+             cxxopts::value<std::string>()->default_value("")) //
+            ("credential",
+             "operator credential; default: environment variable CICADAFORK_CREDENTIAL",
+             cxxopts::value<std::string>()->default_value("")) //
+            ("name", "operator's name for the history; default: environment variable USER",
+             cxxopts::value<std::string>()->default_value("")) //
+            ("json", "print JSON")                             //
+            ("dry-run", "check a command, change nothing")     //
+            ("wait", "seconds to wait until a change is in force everywhere",
+             cxxopts::value<unsigned>()->default_value("0")->implicit_value("10")) //
+            ("timeout", "milliseconds to wait for members",
+             cxxopts::value<unsigned>()->default_value("3000")) //
+            ("help", "print this help");
+    options.parse_positional({"address", "statement"});
+    return options;
+}
+
+Result<CtlOptions> readCtlOptions(const cxxopts::ParseResult &parsed)
+{
+    CtlOptions options;
+    if (parsed.count("address") == 0) {
+        return fail(ErrorCode::InvalidArgument, "the address is missing",
+                    "write cicadafork ctl IP:PORT 'STATEMENT'");
+    }
+    BOOST_LEAF_ASSIGN(options.address, parseAddress(parsed["address"].as<std::string>()));
+    options.credential = parsed["credential"].as<std::string>();
+    if (options.credential.empty())
+        options.credential = environmentValue("CICADAFORK_CREDENTIAL");
+    options.operatorName = parsed["name"].as<std::string>();
+    if (options.operatorName.empty())
+        options.operatorName = environmentValue("USER");
+    options.json = parsed.count("json") > 0;
+    options.dryRun = parsed.count("dry-run") > 0;
+    options.wait = std::chrono::seconds(parsed["wait"].as<unsigned>());
+    options.timeout = Millis(parsed["timeout"].as<unsigned>());
+    return options;
+}
+
+} // namespace
+
+int runCtlCommand(int argc, char **argv)
+{
+    cxxopts::Options commandLine = ctlCommandLine();
+    try {
+        const auto parsed = commandLine.parse(argc, argv);
+        if (parsed.count("help") > 0) {
+            fmt::print("{}", commandLine.help());
+            return ExitSuccess;
+        }
+        const auto options = capture([&] { return readCtlOptions(parsed); });
+        if (!options)
+            return reportError(options.error().message, options.error().remedy, ExitUsage);
+        const auto file = parsed["file"].as<std::string>();
+        if (!file.empty())
+            return runFile(*options, file);
+        return runOne(*options, parsed["statement"].as<std::string>());
+    } catch (const cxxopts::exceptions::exception &exception) {
+        return reportError(exception.what(), "run cicadafork ctl --help", ExitUsage);
+    }
+}
+
+int runDumpCommand(int argc, char **argv)
+{
+    const std::string argument = argc > 1 ? argv[1] : "--help";
+    if (argument == "--help") {
+        fmt::print("usage: cicadafork dump ADDRESS\nPrints the state of a daemon as JSON; the "
+                   "credential comes from CICADAFORK_CREDENTIAL.\n");
+        return argc > 1 ? ExitSuccess : ExitUsage;
+    }
+    const auto address = capture([&] { return parseAddress(argument); });
+    if (!address)
+        return reportError(address.error().message, address.error().remedy, ExitUsage);
+    auto client = makeHttpClient(*address, {});
+    const auto result = client->Get(
+            "/debug/dump",
+            {{"Authorization", "Bearer " + environmentValue("CICADAFORK_CREDENTIAL")}});
+    if (!result) {
+        return reportError("the daemon did not answer", "check the address and that it runs",
+                           ExitUnreachable);
+    }
+    fmt::print("{}\n", result->body);
+    return result->status == 200 ? ExitSuccess : ExitFailure;
+}
+
+} // namespace cicadafork
