Add the VM list client and the configuration fold

The daemon needs the list of VMs and the configuration that operators write to the log.

VmListClient reads GET /vms into typed rows; a malformed row is skipped and counted, a malformed answer is an error. applyRecord() folds the stream: version check per entity, names and values checked, unknown record types skipped, and a command whose id is already in the history has no second effect.

--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -72,8 +72,16 @@
     std::string text; ///< The command as written.
     bool accepted = false;
     std::string reason; ///< Why it was rejected.
+    std::string commandId;
+    ErrorCode code = ErrorCode::Internal; ///< Meaningful when rejected.
+    std::string remedy;
+    std::uint64_t version = 0; ///< Version of the entity after the record.
 };
 
+/// Entries kept in Configuration::history. A verdict is read from there, so the limit also bounds
+/// how many commands may follow before the verdict of one is no longer known.
+inline constexpr std::size_t kHistoryLimit = 256;
+
 struct Configuration
 {
     Offset nextOffset = 0; ///< All records before this offset are folded in.
--- /dev/null
+++ b/src/platform/vmlist.cpp
@@ -0,0 +1,72 @@
+#include "platform/vmlist.h"
+
+#include "http/client.h"
+
+namespace cicadafork {
+
+namespace {
+
+std::optional<Address> readAddress(const nlohmann::json &row, const char *field)
+{
+    const std::string text = row.value(field, "");
+    if (text.empty())
+        return std::nullopt;
+    auto address = capture([&] { return parseAddress(text); });
+    return address ? std::optional<Address>(*address) : std::nullopt;
+}
+
+std::optional<VmRow> readRow(const nlohmann::json &row)
+{
+    VmRow vm;
+    try {
+        vm.id = row.at("id").get<std::string>();
+        const auto kind = row.at("kind").get<std::string>();
+        const auto state = row.at("state").get<std::string>();
+        if (vm.id.empty() || (kind != "entry" && kind != "endpoint"))
+            return std::nullopt;
+        vm.kind = kind == "entry" ? VmKind::Entry : VmKind::Endpoint;
+        vm.leaving = state != "live";
+        vm.domain = row.at("domain").get<std::string>();
+        vm.service = row.value("service", "");
+        const auto address = readAddress(row, "address");
+        if (!address)
+            return std::nullopt;
+        vm.address = *address;
+        vm.peerAddress = readAddress(row, "peer_address");
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+    if (vm.kind == VmKind::Entry && !vm.peerAddress)
+        return std::nullopt;
+    return vm;
+}
+
+} // namespace
+
+Result<VmList> parseVmList(const nlohmann::json &body)
+{
+    const bool valid = body.is_object() && body.contains("version")
+                       && body["version"].is_number_unsigned() && body.contains("vms")
+                       && body["vms"].is_array();
+    if (!valid) {
+        return fail(ErrorCode::Unavailable, "the VM list is malformed",
+                    "check that the VM list address names the platform's VM list service");
+    }
+    VmList list;
+    list.version = body["version"].get<std::uint64_t>();
+    for (const auto &entry : body["vms"]) {
+        if (auto row = readRow(entry))
+            list.vms.push_back(std::move(*row));
+        else
+            ++list.skipped;
+    }
+    return list;
+}
+
+Result<VmList> HttpVmListClient::fetch(Millis timeout)
+{
+    BOOST_LEAF_AUTO(body, getJson(address_, "/vms", timeout));
+    return parseVmList(body);
+}
+
+} // namespace cicadafork
--- /dev/null
+++ b/tests/unit/configstore_test.cpp
@@ -0,0 +1,272 @@
+#include "config/fold.h"
+#include "config/logconfigstore.h"
+#include "support/fakelog.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace cicadafork;
+using test::FakeLog;
+
+namespace {
+
+const std::string kStream = "config";
+
+Command change(const std::string &id, std::uint64_t base, CommandVerb verb = CommandVerb::Change)
+{
+    return {id, "operator", verb, EntityKind::Service, "s", {{"models", "m-" + id}}, base, id};
+}
+
+void append(FakeLog &log, const nlohmann::json &data)
+{
+    CHECK_TRUE(static_cast<bool>(capture([&] { return log.append(kStream, data, Millis(0)); })));
+}
+
+bool readAll(LogConfigStore &store)
+{
+    for (int i = 0; i < 1000; ++i) {
+        const auto before = store.nextOffset();
+        const auto read = capture([&] { return store.readOnce(Millis(0)); });
+        if (read && before && *before == *read)
+            return true;
+    }
+    return false;
+}
+
+/// Appends a create and changes, so that the stream holds count commands, each accepted.
+void fill(FakeLog &log, std::uint64_t count)
+{
+    for (std::uint64_t i = 0; i < count; ++i) {
+        append(log, encodeCommand(change("c" + std::to_string(i), i,
+                                         i == 0 ? CommandVerb::Create : CommandVerb::Change)));
+    }
+}
+
+std::string stateOf(const LogConfigStore &store)
+{
+    return encodeSnapshot(*store.current()).dump();
+}
+
+} // namespace
+
+TEST_GROUP(ConfigStore){};
+
+// Guards against two winners of one version, readers that disagree, and offsets that go back, when
+// answers are lost, records doubled and pushes late, repeated and out of order.
+TEST(ConfigStore, racingOperatorsGetOneWinnerPerVersion)
+{
+    constexpr int kOperators = 4;
+    constexpr int kRounds = 25;
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        FakeLog log(seed);
+        log.faults({.lostAnswers = 0.2,
+                    .lostAppends = 0.1,
+                    .doubledAppends = 0.1,
+                    .failedReads = 0.1});
+        std::vector<std::unique_ptr<LogConfigStore>> stores;
+        std::atomic<int> wentBack = 0;
+        for (int i = 0; i < kOperators; ++i) {
+            stores.push_back(std::make_unique<LogConfigStore>(
+                    log, ConfigStoreOptions{.snapshotInterval = 10,
+                                            .snapshotRetryDelay = Millis(0),
+                                            .pageLimit = 3,
+                                            .retainedRecords = 7}));
+            stores.back()->onChange([&wentBack, last = Offset(0)](const auto &now) mutable {
+                wentBack += now->nextOffset < last;
+                last = now->nextOffset;
+            });
+        }
+        std::mutex mutex;
+        std::map<std::uint64_t, int> winners;
+        std::map<std::string, bool> verdicts;
+        const auto operate = [&](int self) {
+            std::mt19937_64 random(seed * 100 + self);
+            std::vector<ConfigUpdate> old;
+            LogConfigStore &store = *stores[self];
+            for (int round = 0; round < kRounds; ++round) {
+                const auto current = store.current();
+                const bool exists = current && current->services.contains("s");
+                const std::uint64_t base = exists ? current->services.at("s").version : 0;
+                const std::string id = std::to_string(self) + "-" + std::to_string(round);
+                const auto verdict = capture([&] {
+                    return store.submit(
+                            change(id, base, exists ? CommandVerb::Change : CommandVerb::Create),
+                            steadyNow() + Millis(60));
+                });
+                if (verdict) {
+                    const std::lock_guard lock(mutex);
+                    verdicts[id] = verdict->accepted;
+                    winners[base] += verdict->accepted;
+                }
+                store.maintainSnapshots(steadyNow());
+                LogConfigStore &other = *stores[random() % kOperators];
+                old.push_back(other.recordsFrom(random() % (store.nextOffset().value_or(0) + 1)));
+                store.applyPushed(old[random() % old.size()]);
+                store.applyPushed(old[random() % old.size()]);
+            }
+        };
+        std::vector<std::thread> threads;
+        for (int i = 0; i < kOperators; ++i)
+            threads.emplace_back(operate, i);
+        for (std::thread &thread : threads)
+            thread.join();
+        log.faults({});
+
+        // Every command appears in the log at most once per append, and stores agree.
+        LogConfigStore fresh(log, {});
+        CHECK_TRUE(readAll(fresh));
+        for (const auto &store : stores) {
+            CHECK_TRUE(readAll(*store));
+            STRCMP_EQUAL(stateOf(fresh).c_str(), stateOf(*store).c_str());
+        }
+        for (const auto &[base, count] : winners)
+            CHECK_TRUE_TEXT(count <= 1, "two winners of one version");
+        CHECK_EQUAL(0, wentBack.load());
+        CHECK_TRUE_TEXT(verdicts.size() > kRounds, "too few commands got a verdict");
+        for (const auto &[id, accepted] : verdicts) {
+            const auto verdict = findVerdict(*fresh.current(), id);
+            if (verdict)
+                CHECK_EQUAL_TEXT(verdict->accepted, accepted, id.c_str());
+        }
+    }
+}
+
+// Guards against a second append of a command whose answer was lost, and against a definite answer
+// where the outcome is not known.
+TEST(ConfigStore, submitResolvesLostAnswersByReading)
+{
+    struct Case
+    {
+        const char *name;
+        test::FakeLogFaults faults;
+        bool down;
+        std::optional<ErrorCode> error;
+        std::size_t records;
+    };
+    const std::vector<Case> cases = {
+            {"no fault", {}, false, std::nullopt, 1},
+            {"lost answer", {.lostAnswers = 1}, false, std::nullopt, 1},
+            {"doubled record", {.doubledAppends = 1}, false, std::nullopt, 2},
+            {"lost append", {.lostAppends = 1}, false, ErrorCode::DeadlineExceeded, 0},
+            {"log down", {}, true, ErrorCode::Unavailable, 0},
+    };
+    for (const Case &c : cases) {
+        FakeLog log;
+        LogConfigStore store(log, {});
+        log.faults(c.faults);
+        log.setDown(c.down);
+        const auto verdict = capture([&] {
+            return store.submit(change("id", 0, CommandVerb::Create), steadyNow() + Millis(100));
+        });
+        CHECK_EQUAL_TEXT(!c.error.has_value(), static_cast<bool>(verdict), c.name);
+        if (verdict)
+            CHECK_TRUE_TEXT(verdict->accepted, c.name);
+        else
+            CHECK_TRUE_TEXT(verdict.error().code == *c.error, c.name);
+        CHECK_EQUAL_TEXT(c.records, log.records(kStream).size(), c.name);
+    }
+}
+
+// Guards against a start from a snapshot that does not cover expired records.
+TEST(ConfigStore, startUsesTheNewestSnapshotThatCoversExpiredRecords)
+{
+    struct Case
+    {
+        const char *name;
+        Offset expired;
+        bool loads;
+    };
+    // Offsets 0-9 commands, 10 a snapshot of them, 11-14 commands, 15 the first snapshot again.
+    const std::vector<Case> cases = {
+            {"nothing expired", 0, true},
+            {"expired below the snapshot", 7, true},
+            {"expired up to the snapshot", 10, true},
+            {"snapshot expired", 11, false},
+            {"all but the old snapshot", 15, false},
+    };
+    for (const Case &c : cases) {
+        FakeLog log;
+        fill(log, 10);
+        LogConfigStore writer(log, {});
+        CHECK_TRUE(readAll(writer));
+        const auto snapshot = encodeSnapshot(*writer.current());
+        append(log, snapshot);
+        for (int i = 11; i < 15; ++i)
+            append(log, encodeCommand(change("c" + std::to_string(i), i == 11 ? 10 : i)));
+        append(log, snapshot);
+        CHECK_TRUE(readAll(writer));
+        log.expire(kStream, c.expired);
+        LogConfigStore reader(log, {.pageLimit = 4});
+        const auto read = capture([&] { return reader.readOnce(Millis(0)); });
+        CHECK_EQUAL_TEXT(c.loads, static_cast<bool>(read), c.name);
+        CHECK_EQUAL_TEXT(c.loads, reader.current() != nullptr, c.name);
+        if (c.loads)
+            STRCMP_EQUAL_TEXT(stateOf(writer).c_str(), stateOf(reader).c_str(), c.name);
+        // A peer supplies what the log no longer has.
+        reader.applyPushed(writer.recordsFrom(0));
+        STRCMP_EQUAL_TEXT(stateOf(writer).c_str(), stateOf(reader).c_str(), c.name);
+    }
+}
+
+// Guards against a stream without snapshots, and against a burst of them.
+TEST(ConfigStore, snapshotsAreWrittenByOffsetAndByAge)
+{
+    FakeLog log;
+    LogConfigStore store(log, {.snapshotInterval = 10});
+    const TimePoint now = steadyNow();
+    CHECK_FALSE(store.maintainSnapshots(now));
+    fill(log, 9);
+    CHECK_TRUE(readAll(store));
+    CHECK_FALSE(store.maintainSnapshots(now));
+    append(log, encodeCommand(change("x", 9)));
+    CHECK_TRUE(readAll(store));
+    CHECK_TRUE(store.maintainSnapshots(now));
+    CHECK_FALSE(store.maintainSnapshots(now)); // Not read back yet.
+    CHECK_TRUE(readAll(store));
+    CHECK_FALSE(store.maintainSnapshots(now + Millis(10'000)));
+    CHECK_TRUE(store.maintainSnapshots(now + Millis(601'000)));
+    CHECK_EQUAL(12U, log.records(kStream).size());
+    // A process that does not understand all records leaves snapshots to one that does.
+    append(log, nlohmann::json::parse(R"({"type":"future"})"));
+    CHECK_TRUE(readAll(store));
+    CHECK_FALSE(store.maintainSnapshots(now + Millis(9'000'000)));
+}
+
+// Guards against a push that moves the state back, skips a record, or is lost for good.
+TEST(ConfigStore, pushesApplyOnlyForwardAndWithoutGaps)
+{
+    FakeLog log;
+    fill(log, 6);
+    LogConfigStore source(log, {});
+    CHECK_TRUE(readAll(source));
+    FakeLog unreachable;
+    unreachable.setDown(true);
+    LogConfigStore store(unreachable, {});
+    const ConfigUpdate from0 = source.recordsFrom(0);
+    const ConfigUpdate from4 = source.recordsFrom(4);
+    CHECK_FALSE(store.applyPushed(from4)); // No state yet, and records alone leave a gap.
+    CHECK_TRUE(store.applyPushed(
+            {Configuration{}, {from0.records.begin(), from0.records.begin() + 2}}));
+    CHECK_FALSE(store.applyPushed(from4));
+    CHECK_EQUAL(2U, store.nextOffset().value());
+    CHECK_FALSE(store.waitForOffset(6, steadyNow() + Millis(1)));
+    CHECK_TRUE(store.applyPushed(source.recordsFrom(2)));
+    CHECK_FALSE(store.applyPushed(from0));
+    CHECK_FALSE(store.applyPushed({Configuration{}, {}}));
+    CHECK_TRUE(store.waitForOffset(6, steadyNow()));
+    STRCMP_EQUAL(stateOf(source).c_str(), stateOf(store).c_str());
+    CHECK_TRUE(store.recordsFrom(6).records.empty());
+}
+
+TEST(ConfigStore, twoReadersPerDomain)
+{
+    const std::vector<std::string> members = {"a", "b", "c", "d", "e"};
+    int readers = 0;
+    for (const std::string &member : members)
+        readers += isConfigReader(member, members);
+    CHECK_EQUAL(2, readers);
+    CHECK_TRUE(isConfigReader("a", {"a"}));
+    CHECK_FALSE(isConfigReader("z", members));
+}
