Add membership: tables, status polling and digests

Routing and claims need to know which endpoints may be sent to and which daemons are alive, also when the VM list lags or a heartbeat is late.

Systems are free functions over tables; FleetTable adds the mutex. The coordinator of an endpoint polls its status, a backup steps in when the reports stay away, and digests share what each daemon polled itself. The permission to send counts from the request of the status. For a status from a digest, the receiver adds an upper bound of the transit time, which it takes from its own clock value that the sender echoes: without it, a digest held up in a frozen link would renew the permission for an endpoint that had left. Using the sender's wall clock was ruled out, because clocks of VMs differ.

Digests leave out what the peer acknowledged. Coordinators are computed again only when the live members change.

--- /dev/null
+++ b/src/membership/fleettable.cpp
@@ -0,0 +1,300 @@
+#include "membership/fleettable.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace cicadafork {
+
+namespace {
+
+constexpr double kByteSmoothing = 0.1;
+
+std::string stateOf(const EndpointRow &row)
+{
+    if (row.statusLeaving || row.listLeaving)
+        return "leaving";
+    return row.drained ? "drained" : row.reported ? "live" : "unknown";
+}
+
+} // namespace
+
+FleetTable::FleetTable(FleetOptions options)
+    : options_(std::move(options))
+{
+    MemberRow *self = tables_.members.insert(options_.selfId);
+    self->id = options_.selfId;
+    self->self = true;
+    self->domain = options_.selfDomain;
+    self->callerAddress = options_.callerAddress;
+    self->peerAddress = options_.peerAddress;
+    self->incarnation = options_.incarnation;
+}
+
+FleetView FleetTable::view(const std::string &service, TimePoint now) const
+{
+    const std::lock_guard lock(mutex_);
+    FleetView view;
+    view.ownDomain = options_.selfDomain;
+    tables_.endpoints.forEach([&](const auto &, const EndpointRow &row) {
+        if (row.service == service)
+            view.endpoints.push_back(viewOf(row, options_.sendPermission, now));
+    });
+    std::sort(view.endpoints.begin(), view.endpoints.end(),
+              [](const auto &left, const auto &right) { return left.id < right.id; });
+    return view;
+}
+
+std::vector<PeerView> FleetTable::peers(TimePoint now) const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<PeerView> peers;
+    tables_.members.forEach([&](const auto &, const MemberRow &row) {
+        if (row.self)
+            return;
+        const Millis age = row.heard ? std::chrono::duration_cast<Millis>(now - row.lastHeartbeat)
+                                     : Millis::max();
+        peers.push_back({row.id, row.domain, row.callerAddress, row.peerAddress, isAlive(row, now),
+                         row.incarnation, row.configOffset, age});
+    });
+    std::sort(peers.begin(), peers.end(),
+              [](const auto &left, const auto &right) { return left.id < right.id; });
+    return peers;
+}
+
+bool FleetTable::sendPermitted(const std::string &endpointId, TimePoint now) const
+{
+    const std::lock_guard lock(mutex_);
+    const EndpointRow *row = tables_.endpoints.find(endpointId);
+    return row && cicadafork::sendPermitted(*row, options_.sendPermission, now);
+}
+
+void FleetTable::noteSent(const std::string &endpointId, std::uint64_t promptTokens, TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    EndpointRow *row = tables_.endpoints.find(endpointId);
+    if (!row)
+        return;
+    ++row->ownOutstanding;
+    row->sent.push_back({now, promptTokens});
+}
+
+void FleetTable::noteFinished(const std::string &endpointId, const AttemptObservation &observation,
+                              TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    EndpointRow *row = tables_.endpoints.find(endpointId);
+    if (!row)
+        return;
+    row->ownOutstanding -= std::min(row->ownOutstanding, 1U);
+    // Requests of equal size are interchangeable here.
+    const auto sent = std::find_if(row->sent.begin(), row->sent.end(), [&](const SentRecord &s) {
+        return s.tokens == observation.promptTokens;
+    });
+    if (sent != row->sent.end())
+        row->sent.erase(sent);
+    learn(*row, observation, now);
+}
+
+void FleetTable::applyVmList(const VmList &list, TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    cicadafork::applyVmList(tables_, list, now);
+    if (configuration_)
+        applyIntents(tables_, *configuration_);
+}
+
+void FleetTable::applyConfiguration(std::shared_ptr<const Configuration> configuration)
+{
+    const std::lock_guard lock(mutex_);
+    configuration_ = std::move(configuration);
+    applyIntents(tables_, *configuration_);
+    if (MemberRow *self = tables_.members.find(options_.selfId))
+        self->configOffset = configuration_->nextOffset;
+}
+
+void FleetTable::setEjected(const std::string &endpointId, bool ejected)
+{
+    const std::lock_guard lock(mutex_);
+    if (EndpointRow *row = tables_.endpoints.find(endpointId))
+        row->ejected = ejected;
+}
+
+void FleetTable::setLeaving()
+{
+    const std::lock_guard lock(mutex_);
+    leaving_ = true;
+    if (MemberRow *self = tables_.members.find(options_.selfId))
+        self->leaving = true;
+}
+
+void FleetTable::setRequestsInProgress(std::uint32_t requests)
+{
+    const std::lock_guard lock(mutex_);
+    requestsInProgress_ = requests;
+}
+
+std::vector<PollRequest> FleetTable::pollsDue(TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    updateCoordinators(tables_, now);
+    return cicadafork::pollsDue(tables_, options_.selfId, options_.statusInterval, now);
+}
+
+void FleetTable::applyStatus(const std::string &endpointId, const EndpointStatus &status,
+                             TimePoint requested, TimePoint now)
+{
+    bool changed = false;
+    {
+        const std::lock_guard lock(mutex_);
+        EndpointRow *row = tables_.endpoints.find(endpointId);
+        if (!row)
+            return;
+        row->polling = false;
+        const bool before = row->statusLeaving;
+        cicadafork::applyStatus(*row, status, requested, now);
+        row->polledHere = row->polledHere || row->reportAt == requested;
+        changed = before != row->statusLeaving;
+    }
+    if (changed) {
+        logEvent(LogLevel::Info, "endpoint_state_changed",
+                 {{"endpoint", endpointId}, {"state", status.leaving ? "leaving" : "live"}});
+    }
+}
+
+void FleetTable::applyStatusFailure(const std::string &endpointId)
+{
+    const std::lock_guard lock(mutex_);
+    if (EndpointRow *row = tables_.endpoints.find(endpointId))
+        row->polling = false;
+}
+
+Millis FleetTable::heartbeatInterval(TimePoint now) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto targets = heartbeatTargets(tables_, options_.selfId, now);
+    return cicadafork::heartbeatInterval(options_.heartbeatMinimum, targets.size(), digestBytes_,
+                                         options_.controlBytesPerSecond);
+}
+
+std::vector<HeartbeatDue> FleetTable::heartbeatsDue(TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    const auto targets = heartbeatTargets(tables_, options_.selfId, now);
+    const Millis interval
+            = cicadafork::heartbeatInterval(options_.heartbeatMinimum, targets.size(), digestBytes_,
+                                            options_.controlBytesPerSecond);
+    const MemberRow *self = tables_.members.find(options_.selfId);
+    std::vector<HeartbeatDue> due;
+    for (const std::string &id : targets) {
+        MemberRow *peer = tables_.members.find(id);
+        if (!peer || now - peer->lastSent < interval)
+            continue;
+        peer->lastSent = now;
+        Digest digest;
+        digest.memberId = options_.selfId;
+        digest.incarnation = options_.incarnation;
+        digest.sequence = ++sequence_;
+        digest.leaving = leaving_;
+        digest.interval = interval;
+        digest.configOffset = self->configOffset;
+        digest.requestsInProgress = requestsInProgress_;
+        fillDigest(tables_, options_.selfId, id, now, digest);
+        due.push_back({id, peer->peerAddress, std::move(digest), now});
+    }
+    return due;
+}
+
+void FleetTable::noteDigestBytes(std::size_t bytes)
+{
+    const std::lock_guard lock(mutex_);
+    const auto sample = static_cast<double>(bytes);
+    digestBytes_
+            = digestBytes_ == 0 ? sample : digestBytes_ + kByteSmoothing * (sample - digestBytes_);
+}
+
+DigestReply FleetTable::applyDigest(const Digest &digest, TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    cicadafork::applyDigest(tables_, digest, options_.incarnation, now);
+    const MemberRow *self = tables_.members.find(options_.selfId);
+    return {options_.incarnation, std::chrono::duration_cast<Millis>(now.time_since_epoch()),
+            self->configOffset};
+}
+
+void FleetTable::applyReply(const HeartbeatDue &sent, const DigestReply &reply, TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    MemberRow *row = tables_.members.find(sent.peerId);
+    if (!row)
+        return;
+    // A reply of an earlier run says nothing about what the present one knows.
+    const bool sameRun = row->incarnation == reply.incarnation;
+    row->acknowledged = sameRun ? std::max(row->acknowledged, sent.builtAt) : TimePoint{};
+    row->echoIncarnation = reply.incarnation;
+    row->echoClock = reply.clock;
+    row->echoReceived = now;
+}
+
+bool FleetTable::isKnownMember(const std::string &memberId, const std::string &ip) const
+{
+    const std::lock_guard lock(mutex_);
+    const MemberRow *row = tables_.members.find(memberId);
+    return row && !row->self && row->peerAddress.ip == ip;
+}
+
+std::vector<std::string> FleetTable::liveInOwnDomain(TimePoint now) const
+{
+    const std::lock_guard lock(mutex_);
+    return liveMembers(tables_, options_.selfDomain, now);
+}
+
+std::string FleetTable::delegateOfOwnDomain(TimePoint now) const
+{
+    const std::lock_guard lock(mutex_);
+    return delegateOf(tables_, options_.selfDomain, now);
+}
+
+bool FleetTable::isCoordinator(const std::string &endpointId) const
+{
+    const std::lock_guard lock(mutex_);
+    const EndpointRow *row = tables_.endpoints.find(endpointId);
+    return row && row->coordinator == options_.selfId;
+}
+
+nlohmann::json FleetTable::dump(TimePoint now) const
+{
+    const std::lock_guard lock(mutex_);
+    nlohmann::json members = nlohmann::json::array();
+    tables_.members.forEach([&](const auto &, const MemberRow &row) {
+        members.push_back({{"id", row.id},
+                           {"domain", row.domain},
+                           {"alive", isAlive(row, now)},
+                           {"leaving", row.leaving || row.listLeaving},
+                           {"incarnation", row.incarnation},
+                           {"config_offset", row.configOffset},
+                           {"requests", row.requestsInProgress}});
+    });
+    nlohmann::json endpoints = nlohmann::json::array();
+    tables_.endpoints.forEach([&](const auto &, const EndpointRow &row) {
+        const EndpointView view = viewOf(row, options_.sendPermission, now);
+        endpoints.push_back({{"id", row.id},
+                             {"service", row.service},
+                             {"domain", row.domain},
+                             {"state", stateOf(row)},
+                             {"send_permitted", view.sendPermitted},
+                             {"ejected", row.ejected},
+                             {"report_age_ms", row.reported ? view.reportAge.count() : -1},
+                             {"running", view.running},
+                             {"waiting", view.waiting},
+                             {"unreported_requests", view.unreportedRequests},
+                             {"own_outstanding", view.ownOutstanding},
+                             {"prefill_tokens_per_second", view.prefillTokensPerSecond},
+                             {"slow_factor", view.slowFactor}});
+    });
+    return {{"vm_list_version", tables_.listVersion},
+            {"members", members},
+            {"endpoints", endpoints}};
+}
+
+} // namespace cicadafork
--- /dev/null
+++ b/src/membership/statuspoller.cpp
@@ -0,0 +1,59 @@
+#include "membership/statuspoller.h"
+
+#include "http/client.h"
+
+#include <asio/post.hpp>
+
+namespace cicadafork {
+
+Result<EndpointStatus> parseStatus(const nlohmann::json &body, const std::string &endpointId)
+{
+    const auto malformed = [] {
+        return fail(ErrorCode::Unavailable, "the endpoint's status is malformed",
+                    "check that the address in the VM list names the endpoint");
+    };
+    EndpointStatus status;
+    try {
+        const auto state = body.at("state").get<std::string>();
+        const bool answersItself = body.value("endpoint_id", endpointId) == endpointId;
+        if (!answersItself || (state != "live" && state != "leaving"))
+            return malformed();
+        status.leaving = state == "leaving";
+        status.incarnation = body.value("incarnation", "");
+        status.role = body.value("role", "");
+        status.models = body.value("models", std::vector<std::string>{});
+        status.running = body.value("running", 0U);
+        status.waiting = body.value("waiting", 0U);
+        status.waitingTokens = body.value("waiting_tokens", std::uint64_t{0});
+        status.kvUsedTokens = body.value("kv_used_tokens", std::uint64_t{0});
+        status.kvCapacityTokens = body.value("kv_capacity_tokens", std::uint64_t{0});
+        status.reportedAtMs = body.value("reported_at_ms", std::int64_t{0});
+    } catch (const nlohmann::json::exception &) {
+        return malformed();
+    }
+    return status;
+}
+
+void StatusPoller::tick(TimePoint now)
+{
+    for (PollRequest &request : fleet_.pollsDue(now)) {
+        // The steady clock is read again on the pool: a request that waited for a thread must not
+        // count as older than it is.
+        asio::post(pool_, [this, request = std::move(request)] { poll(request); });
+    }
+}
+
+void StatusPoller::poll(const PollRequest &request)
+{
+    const TimePoint requested = steadyNow();
+    const auto status = capture([&]() -> Result<EndpointStatus> {
+        BOOST_LEAF_AUTO(body, getJson(request.address, "/v1/status", options_.timeout));
+        return parseStatus(body, request.endpointId);
+    });
+    if (status)
+        fleet_.applyStatus(request.endpointId, *status, requested, steadyNow());
+    else
+        fleet_.applyStatusFailure(request.endpointId);
+}
+
+} // namespace cicadafork
