Choose endpoints and groups; remember prefixes

Cause: requests need an endpoint, and a prompt larger than one engine's memory needs a group.

Change: the policies round robin, least outstanding, power of two and adaptive; the pool modes; planGroup(); PrefixIndex. FleetView gains the time of the decision, a decision count and the share of tokens in long prompts, so that chooseEndpoint() stays a pure function.

Ruled out: an adaptive policy that scores the whole pool (all processes would choose the endpoint that the last report showed as idle); a faster hash than FNV-1a for prefixes (engines report the FNV-1a digest, and its cost is small against the prefill of the same prompt); a reserved share that counts the endpoints busy with long prompts (with lagged reports, processes would exceed it together), so the share is a fixed subset by hash of the endpoint id.

--- a/src/routing/choose.h
+++ b/src/routing/choose.h
@@ -3,6 +3,10 @@
 // Chooses the endpoint or the group of endpoints for a request.
 //
 //   RouteDecision decision = chooseEndpoint(request, view, settings, prefixIndex, random);
+//
+// The baseline policies (round robin, least outstanding, power of two) look only at what their name
+// says and leave queueing to the engine. The adaptive policy returns Wait when every engine has
+// enough work, so that priorities and fair shares decide in this process and not in the engine.
 
 #include "routing/fleetview.h"
 #include "settings/settings.h"
@@ -11,9 +15,53 @@
 
 class PrefixIndex;
 
+/// Prompts from this size on are long. A tenth of the 1M maximum is too late: at 20,000 tokens/s
+/// a prompt of 32k already holds an engine's prefill for 1.6 s.
+inline constexpr std::uint64_t kLongPromptTokens = 32'768;
+
+/// Share of the endpoints that long prompts may use in pool mode reserved_share.
+inline constexpr double kLongPromptEndpointShare = 0.5;
+
 /// Pure apart from the random generator. At 75 endpoints a decision takes at most 50 us (p99).
 RouteDecision chooseEndpoint(const RouteRequest &request, const FleetView &view,
                              const RoutingSettings &settings, const PrefixIndex &prefixes,
                              Random &random);
 
+/// Smallest set of usable endpoints whose free memory holds the request, in ascending id. Wait when
+/// their capacity suffices but not their free memory; Impossible when the whole service's does not.
+RouteDecision planGroup(const RouteRequest &request, const FleetView &view);
+
+/// KV tokens that the request holds at its end.
+std::uint64_t neededTokens(const RouteRequest &request);
+
+/// Free KV tokens after unreported sends; the maximum value when no limit is known.
+std::uint64_t freeTokens(const EndpointView &endpoint);
+
+/// True when the endpoint may be sent this request now: permitted, not ejected, not excluded, and
+/// it has the model. Entries of EndpointView::models may carry ":adapter" and "@version".
+bool isUsable(const EndpointView &endpoint, const RouteRequest &request);
+
+/// True when no single endpoint of the service can hold the request.
+bool needsGroup(const RouteRequest &request, const FleetView &view);
+
+/// Prefill rate of an endpoint in tokens/s after its slow factor; unknown rates take the average of
+/// the known ones.
+double effectiveRate(const EndpointView &endpoint, double defaultRate);
+double defaultRate(const FleetView &view);
+
+/// Observed prompt tokens of one service, halved every 30 s; gives FleetView::longShare.
+struct TokenLoad
+{
+    double shortTokens = 0;
+    double longTokens = 0;
+    TimePoint updated;
+};
+
+void observePrompt(TokenLoad &load, std::uint64_t promptTokens, TimePoint now);
+double longShare(const TokenLoad &load);
+
+/// Number of endpoints on the long side of a partitioned pool: follows the load share, and leaves
+/// at least one endpoint for each side.
+std::size_t longSideSize(std::size_t endpoints, double longShare);
+
 } // namespace cicadafork
--- a/src/routing/fleetview.h
+++ b/src/routing/fleetview.h
@@ -26,7 +26,8 @@
     bool sendPermitted = false; ///< Fresh status, not leaving, not drained.
     bool ejected = false;       ///< Taken out by outlier detection.
     std::vector<std::string> models;
-    // From the last status report.
+    // From the last status report. A capacity of 0 means that no memory limit is known (a plain
+    // service); kvUsedTokens excludes cache that the engine can evict.
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint64_t waitingTokens = 0; ///< Prompt tokens not yet prefilled.
@@ -47,6 +48,10 @@
 {
     std::string ownDomain;
     std::vector<EndpointView> endpoints; ///< All endpoints of one service.
+    // Set by admission before a decision; the defaults suit tests.
+    TimePoint now;              ///< Time of the decision; ages the entries of the prefix index.
+    std::uint64_t sequence = 0; ///< Decisions for this service so far; round robin counts on it.
+    double longShare = 0.5;     ///< Share of recent prompt tokens that came in long prompts.
 };
 
 struct RouteRequest
--- /dev/null
+++ b/tests/unit/routing_test.cpp
@@ -0,0 +1,335 @@
+#include "routing/choose.h"
+#include "routing/prefixindex.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace cicadafork;
+
+namespace {
+
+EndpointView endpoint(const std::string &id, std::uint64_t used = 0)
+{
+    EndpointView view;
+    view.id = id;
+    view.failureDomain = "a";
+    view.sendPermitted = true;
+    view.models = {"m:adapter@2"};
+    view.kvUsedTokens = used;
+    view.kvCapacityTokens = 100'000;
+    view.prefillTokensPerSecond = 10'000;
+    return view;
+}
+
+FleetView fleetOf(std::size_t count)
+{
+    FleetView view;
+    view.ownDomain = "a";
+    for (std::size_t i = 0; i < count; ++i)
+        view.endpoints.push_back(endpoint("e" + std::to_string(100 + i)));
+    return view;
+}
+
+RouteRequest prompt(std::uint64_t tokens)
+{
+    RouteRequest request;
+    request.model = "m";
+    request.promptTokens = tokens;
+    return request;
+}
+
+} // namespace
+
+TEST_GROUP(Routing)
+{
+    PrefixIndex prefixes;
+    Random random{7};
+    RoutingSettings settings;
+
+    RouteDecision choose(const RouteRequest &request, const FleetView &view)
+    {
+        return chooseEndpoint(request, view, settings, prefixes, random);
+    }
+};
+
+// Guards against work for endpoints that are leaving, ejected, tried before or lack the model.
+TEST(Routing, unusableEndpointsAreNeverChosen)
+{
+    struct Case
+    {
+        const char *name;
+        void (*change)(EndpointView &, RouteRequest &);
+    };
+    const std::vector<Case> cases = {
+            {"no permission", [](EndpointView &e, RouteRequest &) { e.sendPermitted = false; }},
+            {"ejected", [](EndpointView &e, RouteRequest &) { e.ejected = true; }},
+            {"other model",
+             [](EndpointView &e, RouteRequest &) {
+                 e.models = {"m2", "other"};
+             }},
+            {"excluded", [](EndpointView &e, RouteRequest &r) { r.excluded = {e.id}; }},
+    };
+    for (const Case &c : cases) {
+        for (const RoutingPolicy policy :
+             {RoutingPolicy::RoundRobin, RoutingPolicy::LeastOutstanding, RoutingPolicy::PowerOfTwo,
+              RoutingPolicy::Adaptive}) {
+            settings.policy = policy;
+            FleetView view = fleetOf(2);
+            RouteRequest request = prompt(1000);
+            c.change(view.endpoints[0], request);
+            for (int i = 0; i < 20; ++i) {
+                view.sequence = static_cast<std::uint64_t>(i);
+                const RouteDecision decision = choose(request, view);
+                CHECK_TRUE_TEXT(decision.outcome == RouteOutcome::Endpoint, c.name);
+                LONGS_EQUAL_TEXT(1, decision.chosen.front(), c.name);
+            }
+            view.endpoints.pop_back();
+            CHECK_TRUE_TEXT(choose(request, view).outcome == RouteOutcome::NoEndpoint, c.name);
+        }
+    }
+}
+
+// Guards against groups that are too large, out of order (deadlock) or refused without cause.
+TEST(Routing, groupIsTheSmallestSetInAscendingIdOrTellsWhyNot)
+{
+    struct Case
+    {
+        const char *name;
+        std::uint64_t tokens;
+        std::vector<std::uint64_t> used;
+        RouteOutcome outcome;
+        std::vector<std::size_t> chosen;
+    };
+    const std::vector<Case> cases = {
+            {"one endpoint suffices", 100'000, {0, 90'000}, RouteOutcome::Endpoint, {0}},
+            {"two freest of three", 150'000, {0, 60'000, 10'000}, RouteOutcome::Group, {0, 2}},
+            {"three", 210'000, {0, 60'000, 10'000}, RouteOutcome::Group, {0, 1, 2}},
+            {"memory in use", 250'000, {0, 60'000, 10'000}, RouteOutcome::Wait, {}},
+            {"single, memory in use", 50'000, {60'000, 70'000}, RouteOutcome::Wait, {}},
+            {"never", 300'001, {0, 0, 0}, RouteOutcome::Impossible, {}},
+    };
+    for (const Case &c : cases) {
+        FleetView view = fleetOf(c.used.size());
+        for (std::size_t i = 0; i < c.used.size(); ++i)
+            view.endpoints[i].kvUsedTokens = c.used[i];
+        const RouteDecision decision = choose(prompt(c.tokens), view);
+        CHECK_TRUE_TEXT(decision.outcome == c.outcome, c.name);
+        CHECK_TRUE_TEXT(decision.chosen == c.chosen, c.name);
+    }
+}
+
+// Guards against a refusal for good while part of the service is only drained.
+TEST(Routing, groupWaitsForEndpointsThatAreNotUsableNow)
+{
+    FleetView view = fleetOf(3);
+    view.endpoints[2].sendPermitted = false;
+    CHECK_TRUE(choose(prompt(250'000), view).outcome == RouteOutcome::Wait);
+}
+
+TEST(Routing, adaptiveWeighsQueuePrefixDomainAndSlowness)
+{
+    struct Case
+    {
+        const char *name;
+        void (*change)(FleetView &, PrefixIndex &, const RouteRequest &);
+        std::size_t expected;
+    };
+    const std::vector<Case> cases = {
+            {"reported queue",
+             [](FleetView &v, PrefixIndex &, const RouteRequest &) {
+                 v.endpoints[0].waitingTokens = 5000;
+             },
+             1},
+            {"unreported sends",
+             [](FleetView &v, PrefixIndex &, const RouteRequest &) {
+                 v.endpoints[1].unreportedTokens = 5000;
+             },
+             0},
+            {"other failure domain",
+             [](FleetView &v, PrefixIndex &, const RouteRequest &) {
+                 v.endpoints[0].failureDomain = "b";
+             },
+             1},
+            {"slow endpoint",
+             [](FleetView &v, PrefixIndex &, const RouteRequest &) {
+                 v.endpoints[1].slowFactor = 3;
+             },
+             0},
+            {"prefix worth more than a short queue",
+             [](FleetView &v, PrefixIndex &p, const RouteRequest &r) {
+                 p.noteDispatch(v.endpoints[1].id, r.prefixHashes, v.now);
+                 v.endpoints[1].waitingTokens = 1000;
+             },
+             1},
+            {"old prefix worth less than the queue",
+             [](FleetView &v, PrefixIndex &p, const RouteRequest &r) {
+                 p.noteDispatch(v.endpoints[1].id, r.prefixHashes, v.now - 5 * kPrefixHalfLife);
+                 v.endpoints[1].waitingTokens = 1000;
+             },
+             0},
+    };
+    for (const Case &c : cases) {
+        PrefixIndex index;
+        FleetView view = fleetOf(2);
+        view.now = TimePoint(std::chrono::hours(1));
+        RouteRequest request = prompt(4096);
+        request.prefixHashes = prefixHashes(std::string(4 * 4096, 'x'));
+        c.change(view, index, request);
+        const RouteDecision decision = chooseEndpoint(request, view, settings, index, random);
+        LONGS_EQUAL_TEXT(c.expected, decision.chosen.front(), c.name);
+    }
+}
+
+// Guards against herding: processes with lagged reports that all pick the same idle endpoint.
+TEST(Routing, eightChoosersWithLaggedReportsSpread)
+{
+    for (const std::size_t count : {std::size_t{6}, std::size_t{20}}) {
+        FleetView reported = fleetOf(count);
+        for (std::size_t i = 1; i < count; ++i)
+            reported.endpoints[i].waitingTokens = 2000;
+        std::map<std::size_t, int> sent;
+        const int perChooser = 10;
+        for (int chooser = 0; chooser < 8; ++chooser) {
+            FleetView own = reported;
+            Random ownRandom(100 + static_cast<unsigned>(chooser));
+            for (int i = 0; i < perChooser; ++i) {
+                const RouteDecision decision
+                        = chooseEndpoint(prompt(1000), own, settings, prefixes, ownRandom);
+                CHECK_TRUE(decision.outcome == RouteOutcome::Endpoint);
+                EndpointView &chosen = own.endpoints[decision.chosen.front()];
+                chosen.unreportedTokens += 1000;
+                ++chosen.unreportedRequests;
+                ++sent[decision.chosen.front()];
+            }
+        }
+        const double mean = 8.0 * perChooser / static_cast<double>(count);
+        for (const auto &[index, requests] : sent)
+            CHECK_TRUE(requests <= 3 * mean);
+    }
+}
+
+// Guards against a boundary that starves one side or ignores the observed load.
+TEST(Routing, partitionBoundaryFollowsTheTokenLoad)
+{
+    struct Case
+    {
+        const char *name;
+        std::uint64_t shortTokens;
+        std::uint64_t longTokens;
+        std::size_t longSide;
+    };
+    const std::vector<Case> cases = {
+            {"no load yet", 0, 0, 5},
+            {"only short", 10'000, 0, 1},
+            {"only long", 0, 100'000, 9},
+            {"a fifth long", 160'000, 40'000, 2},
+    };
+    for (const Case &c : cases) {
+        TokenLoad load;
+        const TimePoint now{std::chrono::hours(1)};
+        for (std::uint64_t sum = 0; sum < c.shortTokens; sum += 10'000)
+            observePrompt(load, 10'000, now);
+        if (c.longTokens > 0)
+            observePrompt(load, c.longTokens, now);
+        LONGS_EQUAL_TEXT(c.longSide, longSideSize(10, longShare(load)), c.name);
+    }
+}
+
+// Guards against long prompts on every endpoint, and against a side that refuses while the other
+// is idle.
+TEST(Routing, poolModesKeepLongAndShortApartUntilOneSideIsFull)
+{
+    settings.poolMode = PoolMode::Partitioned;
+    FleetView view = fleetOf(10);
+    std::map<std::size_t, int> longs;
+    std::map<std::size_t, int> shorts;
+    for (int i = 0; i < 500; ++i) {
+        ++longs[choose(prompt(40'000), view).chosen.front()];
+        ++shorts[choose(prompt(1000), view).chosen.front()];
+    }
+    LONGS_EQUAL(5, longs.size());
+    LONGS_EQUAL(5, shorts.size());
+    for (const auto &entry : longs) {
+        LONGS_EQUAL(0, shorts.count(entry.first));
+        view.endpoints[entry.first].waitingTokens = 1'000'000;
+    }
+    const RouteDecision spilled = choose(prompt(40'000), view);
+    CHECK_TRUE(spilled.outcome == RouteOutcome::Endpoint);
+    LONGS_EQUAL(1, shorts.count(spilled.chosen.front()));
+
+    settings.poolMode = PoolMode::ReservedShare;
+    view = fleetOf(10);
+    longs.clear();
+    shorts.clear();
+    for (int i = 0; i < 500; ++i) {
+        ++longs[choose(prompt(40'000), view).chosen.front()];
+        ++shorts[choose(prompt(1000), view).chosen.front()];
+    }
+    LONGS_EQUAL(5, longs.size());
+    LONGS_EQUAL(10, shorts.size());
+}
+
+TEST(Routing, roundRobinVisitsEveryEndpointInTurn)
+{
+    settings.policy = RoutingPolicy::RoundRobin;
+    FleetView view = fleetOf(3);
+    std::reverse(view.endpoints.begin(), view.endpoints.end());
+    for (std::uint64_t i = 0; i < 6; ++i) {
+        view.sequence = i;
+        LONGS_EQUAL(2 - i % 3, choose(prompt(1000), view).chosen.front());
+    }
+}
+
+TEST_GROUP(PrefixIndexTest)
+{
+    const TimePoint now{std::chrono::hours(1)};
+};
+
+// Guards against a scheme that reads or stores too much for the largest prompt.
+TEST(PrefixIndexTest, fourMegabytePromptHasFewHashesThatGrowFromTheStart)
+{
+    const std::string large(4 << 20, 'x');
+    const std::vector<std::uint64_t> hashes = prefixHashes(large);
+    LONGS_EQUAL(49, hashes.size());
+    LONGS_EQUAL(1 << 20, prefixTokens(48));
+    std::string changed = large;
+    changed[3000] = 'y';
+    const std::vector<std::uint64_t> other = prefixHashes(changed);
+    for (std::size_t cut = 0; cut < hashes.size(); ++cut)
+        CHECK_EQUAL(prefixTokens(cut) * 4 <= 3000, hashes[cut] == other[cut]);
+    LONGS_EQUAL(0, prefixHashes(std::string(1023, 'x')).size());
+}
+
+// Guards against stale hints: removal, restart, lost events and age must all count.
+TEST(PrefixIndexTest, entriesLoseTheirWorth)
+{
+    PrefixIndex index;
+    const std::vector<std::uint64_t> hashes = prefixHashes(std::string(2048, 'x'));
+    index.noteDispatch("e1", hashes, now);
+    DOUBLES_EQUAL(512, index.find(hashes, now)[0].discountedTokens, 0.01);
+    DOUBLES_EQUAL(256, index.find(hashes, now + kPrefixHalfLife)[0].discountedTokens, 0.01);
+    index.noteGap("e1");
+    DOUBLES_EQUAL(256, index.find(hashes, now)[0].discountedTokens, 0.01);
+    index.noteAdded("e1", hashes.back(), now);
+    DOUBLES_EQUAL(512, index.find(hashes, now)[0].discountedTokens, 0.01);
+    index.noteRemoved("e1", hashes.back());
+    LONGS_EQUAL(448, index.find(hashes, now)[0].tokens);
+    index.forgetEndpoint("e1");
+    LONGS_EQUAL(0, index.find(hashes, now).size());
+    LONGS_EQUAL(0, index.size());
+}
+
+// Guards against growth without bound from many prompts.
+TEST(PrefixIndexTest, oldestRowsGoFirstAtTheLimit)
+{
+    PrefixIndex index(100);
+    for (std::uint64_t hash = 0; hash < 1000; ++hash)
+        index.noteAdded("e1", hash, now);
+    LONGS_EQUAL(100, index.size());
+    LONGS_EQUAL(0, index.find({899}, now).size());
+    LONGS_EQUAL(1, index.find({900}, now).size());
+}
