--- a/standins/fault-proxy/proxy.cpp
+++ b/standins/fault-proxy/proxy.cpp
@@ -114,9 +114,8 @@
     // Bytes that were read before a freeze began wait here, so that none passes during it.
     void delayed(Direction &direction, std::size_t bytes)
     {
-        after(direction, proxy_.faults_.delay, [this, &direction, bytes] {
-            forward(direction, bytes);
-        });
+        after(direction, proxy_.faults_.delay,
+              [this, &direction, bytes] { forward(direction, bytes); });
     }
 
     void forward(Direction &direction, std::size_t bytes)
@@ -132,13 +131,13 @@
         if (last)
             bytes = limit > forwarded_ ? limit - forwarded_ : 0;
         forwarded_ += bytes;
-        asio::async_write(direction.to, asio::buffer(direction.buffer.data(), bytes),
-                          [self = shared_from_this(), &direction, last](asio::error_code error,
-                                                                        std::size_t) {
-                              if (error || last)
-                                  return self->close(false);
-                              self->readNext(direction);
-                          });
+        asio::async_write(
+                direction.to, asio::buffer(direction.buffer.data(), bytes),
+                [self = shared_from_this(), &direction, last](asio::error_code error, std::size_t) {
+                    if (error || last)
+                        return self->close(false);
+                    self->readNext(direction);
+                });
     }
 
     // A close travels on like data: it is lost on a cut or half-open link.
--- a/standins/standin-log/main.cpp
+++ b/standins/standin-log/main.cpp
@@ -78,15 +78,15 @@
     // The announced length is never sent, so that the connection ends without an answer.
     response.body.clear();
     response.set_content_provider(
-            64, "application/json", [](std::size_t, std::size_t, httplib::DataSink &) {
-                return false;
-            });
+            64, "application/json",
+            [](std::size_t, std::size_t, httplib::DataSink &) { return false; });
 }
 
 void read(LogState &log, const httplib::Request &request, httplib::Response &response)
 {
     const std::uint64_t from = numberParameter(request, "from", 0);
-    const std::uint64_t limit = std::min<std::uint64_t>(numberParameter(request, "limit", 100), 10'000);
+    const std::uint64_t limit
+            = std::min<std::uint64_t>(numberParameter(request, "limit", 100), 10'000);
     const Millis wait(std::min<std::uint64_t>(numberParameter(request, "wait_ms", 0), 30'000));
     std::unique_lock lock(log.mutex);
     ++log.reads;
@@ -124,7 +124,8 @@
     FaultGate gate;
     LogState log;
     HttpServer server(serverOptions(flags));
-    installFaults(server, gate, [&](const nlohmann::json &f) { applyFaults(log, f); }, flags);
+    installFaults(
+            server, gate, [&](const nlohmann::json &f) { applyFaults(log, f); }, flags);
     server.routes().Post("/streams/([^/]+)", gate.guard([&](const auto &request, auto &response) {
         append(log, gate, request, response);
     }));
--- a/standins/standin-service/main.cpp
+++ b/standins/standin-service/main.cpp
@@ -84,9 +84,8 @@
         return;
     response.body.clear();
     response.set_content_provider(
-            64, "application/json", [](std::size_t, std::size_t, httplib::DataSink &) {
-                return false;
-            });
+            64, "application/json",
+            [](std::size_t, std::size_t, httplib::DataSink &) { return false; });
 }
 
 nlohmann::json status(const ServiceState &state)
@@ -133,7 +132,8 @@
     if (flags.count("operations") > 0)
         state.operations = flags["operations"].as<std::vector<std::string>>();
     HttpServer server(serverOptions(flags));
-    installFaults(server, gate, [&](const nlohmann::json &f) { applyFaults(state, f); }, flags);
+    installFaults(
+            server, gate, [&](const nlohmann::json &f) { applyFaults(state, f); }, flags);
     server.routes().Post("/v1/services/([^/]+)/([^/]+)",
                          gate.guard([&](const auto &request, auto &response) {
                              execute(state, request, response);
--- a/standins/standin-vmlist/main.cpp
+++ b/standins/standin-vmlist/main.cpp
@@ -33,8 +33,8 @@
     if (!body->contains("vms") || !body->at("vms").is_array())
         return replyJson(response, 400, {{"error", "the body has no array 'vms'"}});
     const std::lock_guard lock(list.mutex);
-    list.pending.push_back({steadyNow() + list.lag,
-                            {{"version", ++list.version}, {"vms", body->at("vms")}}});
+    list.pending.push_back(
+            {steadyNow() + list.lag, {{"version", ++list.version}, {"vms", body->at("vms")}}});
     replyJson(response, 200, {{"version", list.version}});
 }
 
@@ -59,12 +59,13 @@
     FaultGate gate;
     VmListState list;
     HttpServer server(serverOptions(flags));
-    installFaults(server, gate,
-                  [&](const nlohmann::json &faults) {
-                      const std::lock_guard lock(list.mutex);
-                      list.lag = Millis(faults.value("lag_ms", list.lag.count()));
-                  },
-                  flags);
+    installFaults(
+            server, gate,
+            [&](const nlohmann::json &faults) {
+                const std::lock_guard lock(list.mutex);
+                list.lag = Millis(faults.value("lag_ms", list.lag.count()));
+            },
+            flags);
     server.routes().Get("/vms",
                         gate.guard([&](const auto &, auto &response) { show(list, response); }));
     server.routes().Post("/admin/vms", [&](const auto &request, auto &response) {
