Read and check the settings file

Cause: a daemon must not start with a setting that it misread. Change: parseSettings() reads the YAML mapping section by section and reports every problem at once with file, line and remedy: unknown, missing and duplicate keys, units, ranges, conflicting addresses. Ruled out: stopping at the first fault; an operator would correct one fault per start.

--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,203 @@
+#include "settings/settings.h"
+
+#include "settings/settingsreader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+namespace cicadafork {
+
+namespace {
+
+constexpr Millis kHour{3'600'000};
+// Work must stop 3 s after the first sign of a leaving endpoint; 250 ms are kept for the checks.
+constexpr Millis kLongestSendPermission{2750};
+// A permission must survive the loss of one status answer.
+constexpr int kStatusesPerPermission = 2;
+
+bool isName(const std::string &text)
+{
+    return !text.empty() && text.size() <= 64
+           && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+                  return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+              });
+}
+
+bool isSha256(const std::string &text)
+{
+    return text.size() == 64 && text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+void readName(SectionReader &root, const std::string &key, std::string &target,
+              SettingsProblems &problems)
+{
+    root.text(key, target, Presence::Required);
+    if (!target.empty() && !isName(target)) {
+        problems.push_back({root.lineOf(key), fmt::format("'{}' is not a name", key),
+                            "use up to 64 letters, digits, '-', '_' or '.'"});
+    }
+}
+
+void readPlatform(SectionReader section, PlatformSettings &platform)
+{
+    section.address("log", platform.log, Presence::Required);
+    section.address("vm_list", platform.vmList, Presence::Required);
+    section.duration("request_timeout", platform.requestTimeout, Millis(10), Millis(60'000));
+    section.duration("vm_list_interval", platform.vmListInterval, Millis(50), Millis(60'000));
+    section.reportUnknownKeys();
+}
+
+void readLimits(SectionReader section, LimitSettings &limits)
+{
+    section.size("max_streams", limits.maxStreams, 1, 100'000);
+    section.size("max_requests", limits.maxRequests, 1, 1'000'000);
+    section.size("max_queued", limits.maxQueued, 0, 1'000'000);
+    section.size("max_body_bytes", limits.maxBodyBytes, 1024, std::size_t{1} << 30);
+    section.fraction("retry_share", limits.retryShare, 0, 1);
+    section.reportUnknownKeys();
+}
+
+void readTiming(SectionReader section, TimingSettings &timing, SettingsProblems &problems)
+{
+    section.duration("tick", timing.tick, Millis(1), Millis(1000));
+    section.duration("status_interval", timing.statusInterval, Millis(10), Millis(60'000));
+    section.duration("heartbeat_minimum", timing.heartbeatMinimum, Millis(10), Millis(60'000));
+    section.duration("send_permission", timing.sendPermission, Millis(100), kLongestSendPermission);
+    section.duration("claim_validity", timing.claimValidity, Millis(100), Millis(60'000));
+    section.duration("deduplication_window", timing.deduplicationWindow, Millis(1000), 24 * kHour);
+    section.duration("default_request_timeout", timing.defaultRequestTimeout, Millis(10),
+                     24 * kHour);
+    section.duration("max_request_timeout", timing.maxRequestTimeout, Millis(10), 24 * kHour);
+    section.duration("hold_lifetime", timing.holdLifetime, Millis(100), kHour);
+    section.reportUnknownKeys();
+
+    if (timing.statusInterval * kStatusesPerPermission > timing.sendPermission) {
+        problems.push_back({section.lineOf("status_interval"),
+                            "'timing.status_interval' is more than half of "
+                            "'timing.send_permission'",
+                            "lower the interval, so that one lost status does not stop sends"});
+    }
+    if (timing.defaultRequestTimeout > timing.maxRequestTimeout) {
+        problems.push_back({section.lineOf("default_request_timeout"),
+                            "'timing.default_request_timeout' is above "
+                            "'timing.max_request_timeout'",
+                            "lower the default or raise the maximum"});
+    }
+    if (timing.claimValidity >= timing.deduplicationWindow) {
+        problems.push_back({section.lineOf("claim_validity"),
+                            "'timing.claim_validity' is not below 'timing.deduplication_window'",
+                            "lower the validity or raise the window"});
+    }
+}
+
+void readRouting(SectionReader section, RoutingSettings &routing)
+{
+    section.choice("policy", routing.policy,
+                   {{"adaptive", RoutingPolicy::Adaptive},
+                    {"round_robin", RoutingPolicy::RoundRobin},
+                    {"least_outstanding", RoutingPolicy::LeastOutstanding},
+                    {"power_of_two", RoutingPolicy::PowerOfTwo}});
+    section.choice("pool_mode", routing.poolMode,
+                   {{"shared", PoolMode::Shared},
+                    {"partitioned", PoolMode::Partitioned},
+                    {"reserved_share", PoolMode::ReservedShare}});
+    section.reportUnknownKeys();
+}
+
+/// Reports addresses that two keys share: two servers cannot use one address, and a daemon that
+/// is its own platform would wait for itself.
+void checkAddresses(const Settings &settings, const SectionReader &root, SettingsProblems &problems)
+{
+    const std::vector<std::pair<std::string, Address>> addresses
+            = {{"caller_address", settings.callerAddress},
+               {"peer_address", settings.peerAddress},
+               {"platform.log", settings.platform.log},
+               {"platform.vm_list", settings.platform.vmList}};
+    for (std::size_t later = 1; later < addresses.size(); ++later) {
+        for (std::size_t earlier = 0; earlier < later; ++earlier) {
+            if (addresses[later].second.port == 0 || addresses[later] == addresses[earlier]
+                || addresses[later].second != addresses[earlier].second)
+                continue;
+            const std::string topKey
+                    = addresses[later].first.substr(0, addresses[later].first.find('.'));
+            problems.push_back(
+                    {root.lineOf(topKey),
+                     fmt::format("'{}' and '{}' are both {}", addresses[earlier].first,
+                                 addresses[later].first, toString(addresses[later].second)),
+                     "give each its own address or port"});
+        }
+    }
+}
+
+Settings readSettings(const YAML::Node &document, SettingsProblems &problems)
+{
+    Settings settings;
+    SectionReader root(document, "", 1, problems);
+    readName(root, "member_id", settings.memberId, problems);
+    readName(root, "failure_domain", settings.failureDomain, problems);
+    readName(root, "region", settings.region, problems);
+    root.address("caller_address", settings.callerAddress, Presence::Required);
+    root.address("peer_address", settings.peerAddress, Presence::Required);
+    readPlatform(root.section("platform"), settings.platform);
+    readLimits(root.section("limits"), settings.limits);
+    readTiming(root.section("timing"), settings.timing, problems);
+    readRouting(root.section("routing"), settings.routing);
+    root.size("control_bytes_per_second", settings.controlBytesPerSecond, 1000, 1'000'000'000);
+    root.text("operator_credential_sha256", settings.operatorCredentialSha256, Presence::Required);
+    if (!settings.operatorCredentialSha256.empty()
+        && !isSha256(settings.operatorCredentialSha256)) {
+        problems.push_back({root.lineOf("operator_credential_sha256"),
+                            "'operator_credential_sha256' is not a SHA-256 hash",
+                            "write 64 lower-case hex digits, as sha256sum prints them"});
+    }
+    root.choice("log_level", settings.logLevel,
+                {{"debug", LogLevel::Debug},
+                 {"info", LogLevel::Info},
+                 {"warning", LogLevel::Warning},
+                 {"error", LogLevel::Error}});
+    root.reportUnknownKeys();
+    checkAddresses(settings, root, problems);
+    return settings;
+}
+
+} // namespace
+
+Result<Settings> parseSettings(const std::string &text, const std::string &name)
+{
+    SettingsProblems problems;
+    Settings settings;
+    try {
+        settings = readSettings(YAML::Load(text), problems);
+    } catch (const YAML::Exception &exception) {
+        problems.push_back({std::max(exception.mark.line, 0) + 1,
+                            "not valid YAML: " + exception.msg, "correct the syntax"});
+    }
+    if (problems.empty())
+        return settings;
+    std::stable_sort(problems.begin(), problems.end(),
+                     [](const auto &left, const auto &right) { return left.line < right.line; });
+    std::string message;
+    for (const SettingsProblem &problem : problems) {
+        message += fmt::format("{}{}:{}: {}; {}", message.empty() ? "" : "\n", name, problem.line,
+                               problem.problem, problem.remedy);
+    }
+    return fail(ErrorCode::InvalidArgument, message, "correct the settings file");
+}
+
+Result<Settings> loadSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    if (!file || !(text << file.rdbuf())) {
+        return fail(ErrorCode::NotFound,
+                    fmt::format("{}:1: the file cannot be read; check the path and its permissions",
+                                path),
+                    "check the path and its permissions");
+    }
+    return parseSettings(text.str(), path);
+}
+
+} // namespace cicadafork
--- /dev/null
+++ b/src/settings/settingsreader.cpp
@@ -0,0 +1,192 @@
+#include "settings/settingsreader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <set>
+
+namespace cicadafork {
+
+namespace {
+
+struct Unit
+{
+    std::string_view name;
+    std::uint64_t factor;
+};
+
+/// A decimal number followed by one of the units; nothing when it does not fit 63 bits.
+std::optional<std::uint64_t> parseWithUnit(std::string_view text, const std::vector<Unit> &units)
+{
+    std::uint64_t number = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (parsed.ec != std::errc() || parsed.ptr == text.data())
+        return std::nullopt;
+    const std::string_view unit = text.substr(static_cast<std::size_t>(parsed.ptr - text.data()));
+    const std::uint64_t limit = std::numeric_limits<std::int64_t>::max();
+    for (const Unit &candidate : units) {
+        if (candidate.name == unit && number <= limit / candidate.factor)
+            return number * candidate.factor;
+    }
+    return std::nullopt;
+}
+
+int lineOfNode(const YAML::Node &node)
+{
+    return node.Mark().line + 1;
+}
+
+} // namespace
+
+SectionReader::SectionReader(const YAML::Node &node, std::string path, int line,
+                             SettingsProblems &problems)
+    : node_(node)
+    , path_(std::move(path))
+    , line_(line)
+    , problems_(problems)
+{
+    if (node_.IsDefined() && !node_.IsNull() && !node_.IsMap()) {
+        problems_.push_back({line_,
+                             path_.empty() ? "the file is not a mapping"
+                                           : fmt::format("'{}' is not a mapping", path_),
+                             "write one 'key: value' per line"});
+        node_ = YAML::Node();
+    }
+}
+
+std::string SectionReader::fullName(const std::string &key) const
+{
+    return path_.empty() ? key : path_ + "." + key;
+}
+
+void SectionReader::report(const YAML::Node &node, const std::string &key,
+                           const std::string &problem, const std::string &remedy)
+{
+    problems_.push_back({lineOfNode(node), fmt::format("'{}' {}", fullName(key), problem), remedy});
+}
+
+YAML::Node SectionReader::take(const std::string &key, Presence presence)
+{
+    known_.push_back(key);
+    if (node_.IsMap()) {
+        const YAML::Node &map = node_;
+        const YAML::Node found = map[key];
+        if (found.IsDefined())
+            return found;
+    }
+    if (presence == Presence::Required) {
+        problems_.push_back({line_, fmt::format("'{}' is missing", fullName(key)),
+                             fmt::format("add the key '{}'", fullName(key))});
+    }
+    return YAML::Node(YAML::NodeType::Undefined);
+}
+
+int SectionReader::lineOf(const std::string &key) const
+{
+    if (node_.IsMap()) {
+        const YAML::Node found = node_[key];
+        if (found.IsDefined())
+            return lineOfNode(found);
+    }
+    return line_;
+}
+
+void SectionReader::text(const std::string &key, std::string &target, Presence presence)
+{
+    const YAML::Node node = take(key, presence);
+    if (!node)
+        return;
+    if (!node.IsScalar() || node.Scalar().empty())
+        return report(node, key, "is not a text", "write a non-empty text");
+    target = node.Scalar();
+}
+
+void SectionReader::address(const std::string &key, Address &target, Presence presence)
+{
+    const YAML::Node node = take(key, presence);
+    if (!node)
+        return;
+    if (!node.IsScalar())
+        return report(node, key, "is not an address", "write IPV4:PORT");
+    const auto parsed = capture([&] { return parseAddress(node.Scalar()); });
+    if (!parsed)
+        return report(node, key, "is wrong: " + parsed.error().message, parsed.error().remedy);
+    target = *parsed;
+}
+
+void SectionReader::duration(const std::string &key, Millis &target, Millis minimum, Millis maximum)
+{
+    const YAML::Node node = take(key, Presence::Optional);
+    if (!node)
+        return;
+    const auto parsed = node.IsScalar() ? parseWithUnit(node.Scalar(),
+                                                        {{"ms", 1}, {"s", 1000}, {"min", 60'000}})
+                                        : std::nullopt;
+    if (!parsed)
+        return report(node, key, "is not a duration", "write a number with ms, s or min, as in 5s");
+    const Millis value(static_cast<Millis::rep>(*parsed));
+    if (value < minimum || value > maximum) {
+        return report(node, key, "is out of range",
+                      fmt::format("use {}ms to {}ms", minimum.count(), maximum.count()));
+    }
+    target = value;
+}
+
+void SectionReader::size(const std::string &key, std::size_t &target, std::size_t minimum,
+                         std::size_t maximum)
+{
+    const YAML::Node node = take(key, Presence::Optional);
+    if (!node)
+        return;
+    const auto parsed = node.IsScalar() ? parseWithUnit(
+                                node.Scalar(),
+                                {{"", 1}, {"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}})
+                                        : std::nullopt;
+    if (!parsed)
+        return report(node, key, "is not a size", "write a number, or one with KiB, MiB or GiB");
+    if (*parsed < minimum || *parsed > maximum)
+        return report(node, key, "is out of range", fmt::format("use {} to {}", minimum, maximum));
+    target = *parsed;
+}
+
+void SectionReader::fraction(const std::string &key, double &target, double minimum, double maximum)
+{
+    const YAML::Node node = take(key, Presence::Optional);
+    if (!node)
+        return;
+    double value = 0;
+    if (!YAML::convert<double>::decode(node, value) || !std::isfinite(value))
+        return report(node, key, "is not a number", "write a number, as in 0.1");
+    if (value < minimum || value > maximum)
+        return report(node, key, "is out of range", fmt::format("use {} to {}", minimum, maximum));
+    target = value;
+}
+
+SectionReader SectionReader::section(const std::string &key)
+{
+    const YAML::Node node = take(key, Presence::Optional);
+    const bool present = node.IsDefined();
+    return SectionReader(present ? node : YAML::Node(), fullName(key),
+                         present ? lineOfNode(node) : line_, problems_);
+}
+
+void SectionReader::reportUnknownKeys()
+{
+    if (!node_.IsMap())
+        return;
+    std::set<std::string> seen;
+    for (const auto &entry : node_) {
+        const std::string key = entry.first.IsScalar() ? entry.first.Scalar() : "?";
+        if (std::find(known_.begin(), known_.end(), key) == known_.end())
+            report(entry.first, key, "is not a known key", "remove it or correct its spelling");
+        else if (!seen.insert(key).second)
+            report(entry.first, key, "appears twice", "keep one of the two");
+    }
+}
+
+} // namespace cicadafork
--- /dev/null
+++ b/src/settings/settingsreader.h
@@ -0,0 +1,88 @@
+#pragma once
+
+// Internal: reads one mapping of a settings file and collects every problem with its line.
+//
+//   SectionReader limits(node, "limits", line, problems);
+//   limits.size("max_streams", settings.maxStreams, 1, 100'000);
+//   limits.reportUnknownKeys();
+
+#include "base/clock.h"
+#include "http/address.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <cstddef>
+#include <initializer_list>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cicadafork {
+
+struct SettingsProblem
+{
+    int line = 0; ///< 1-based.
+    std::string problem;
+    std::string remedy;
+};
+
+using SettingsProblems = std::vector<SettingsProblem>;
+
+enum class Presence { Required, Optional };
+
+class SectionReader
+{
+public:
+    /// A node that is not a mapping is reported; a null node counts as an empty mapping.
+    SectionReader(const YAML::Node &node, std::string path, int line, SettingsProblems &problems);
+
+    void text(const std::string &key, std::string &target, Presence presence);
+    void address(const std::string &key, Address &target, Presence presence);
+    /// Accepts "250ms", "5s" and "10min".
+    void duration(const std::string &key, Millis &target, Millis minimum, Millis maximum);
+    /// Accepts a number or a number with KiB, MiB or GiB.
+    void size(const std::string &key, std::size_t &target, std::size_t minimum,
+              std::size_t maximum);
+    void fraction(const std::string &key, double &target, double minimum, double maximum);
+
+    template <class Value>
+    void choice(const std::string &key, Value &target,
+                std::initializer_list<std::pair<const char *, Value>> values)
+    {
+        const YAML::Node node = take(key, Presence::Optional);
+        if (!node)
+            return;
+        std::string names;
+        for (const auto &[name, value] : values) {
+            if (node.IsScalar() && node.Scalar() == name) {
+                target = value;
+                return;
+            }
+            names += names.empty() ? name : std::string(", ") + name;
+        }
+        report(node, key, "has an unknown value", "use one of " + names);
+    }
+
+    /// A nested mapping; absent: an empty one.
+    SectionReader section(const std::string &key);
+
+    /// Line of a key, or of the section when the key is absent.
+    int lineOf(const std::string &key) const;
+
+    /// Call after all keys have been read.
+    void reportUnknownKeys();
+
+private:
+    YAML::Node take(const std::string &key, Presence presence);
+    void report(const YAML::Node &node, const std::string &key, const std::string &problem,
+                const std::string &remedy);
+    std::string fullName(const std::string &key) const;
+
+    YAML::Node node_;
+    std::string path_;
+    int line_;
+    SettingsProblems &problems_;
+    std::vector<std::string> known_;
+};
+
+} // namespace cicadafork
