--- a/src/endpoint/attempt.h
+++ b/src/endpoint/attempt.h
@@ -19,6 +19,11 @@
 
 namespace cicadafork {
 
+/// Added to the time until a deadline when a connection waits for bytes. The caller's thread ends a
+/// request at its deadline; with equal times either of the two could come first, and the reported
+/// status would vary.
+inline constexpr Millis kDeadlineGrace{100};
+
 enum class AttemptStatus {
     Refused,   ///< Did not run and will not run: not sent, or the endpoint stated executed:false.
     Failed,    ///< May have run, or may still run.
--- a/src/endpoint/engineclient.cpp
+++ b/src/endpoint/engineclient.cpp
@@ -26,8 +26,8 @@
 std::unique_ptr<httplib::Client> clientUntil(const Address &address, TimePoint deadline)
 {
     const Millis left = remaining(deadline);
-    return makeHttpClient(address,
-                          {std::min(kConnectTimeout, left), left, std::min(kWriteTimeout, left)});
+    return makeHttpClient(address, {std::min(kConnectTimeout, left), left + kDeadlineGrace,
+                                    std::min(kWriteTimeout, left)});
 }
 
 nlohmann::json priorJson(const std::vector<PriorHold> &prior)
--- a/src/endpoint/enginecontrol.cpp
+++ b/src/endpoint/enginecontrol.cpp
@@ -130,7 +130,8 @@
         body["prior"].push_back({{"address", toString(hold.address)}, {"hold_id", hold.holdId}});
     const Millis left = std::max(
             Millis(1), std::chrono::duration_cast<Millis>(request.deadline - steadyNow()));
-    const auto client = makeHttpClient(address_, {std::min(Millis(500), left), left, left});
+    const auto client
+            = makeHttpClient(address_, {std::min(Millis(500), left), left + kDeadlineGrace, left});
     std::string answer;
     int status = 0;
     StoppableRequest call;
--- a/src/endpoint/plainserviceclient.cpp
+++ b/src/endpoint/plainserviceclient.cpp
@@ -61,7 +61,8 @@
 {
     const Millis left = std::max(
             Millis(1), std::chrono::duration_cast<Millis>(request.deadline - steadyNow()));
-    const auto client = makeHttpClient(address_, {std::min(kConnectTimeout, left), left, left});
+    const auto client = makeHttpClient(
+            address_, {std::min(kConnectTimeout, left), left + kDeadlineGrace, left});
     PlainResult result;
     StoppableRequest call;
     call.path = "/v1/call/" + request.operation;
