Keep the throughput of a link when fault-proxy delays it

The proxy read the next piece only after it had delayed and written the one before, so a delay also limited the throughput to 32 KB per delay and token streams saw up to twice the delay. Reading and writing now run side by side over a queue of at most 4 MB with a due time for each piece.

--- a/standins/common/standin.cpp
+++ b/standins/common/standin.cpp
@@ -75,12 +75,12 @@
     return text.empty() || *end != '\0' ? fallback : value;
 }
 
-void addCommonFlags(cxxopts::Options &options)
+void addCommonFlags(cxxopts::Options &options, std::size_t threads)
 {
     options.add_options()("listen", "address and port to listen on",
                           cxxopts::value<std::string>()->default_value("127.0.0.1:9000"))(
             "threads", "concurrent connections",
-            cxxopts::value<std::size_t>()->default_value("256"))(
+            cxxopts::value<std::size_t>()->default_value(std::to_string(threads)))(
             "faults", "faults at start, in the JSON form of POST /admin/faults",
             cxxopts::value<std::string>()->default_value("{}"))("help", "print this text");
 }
--- a/standins/common/standin.h
+++ b/standins/common/standin.h
@@ -60,7 +60,7 @@
                               std::uint64_t fallback);
 
 /// Adds --listen, --threads, --faults and --help.
-void addCommonFlags(cxxopts::Options &options);
+void addCommonFlags(cxxopts::Options &options, std::size_t threads = 256);
 
 /// Parses the command line. Prints the help or the problem and ends the process when it must.
 cxxopts::ParseResult parseFlags(cxxopts::Options &options, int argc, char **argv);
--- a/standins/fault-proxy/proxy.cpp
+++ b/standins/fault-proxy/proxy.cpp
@@ -5,7 +5,9 @@
 #include <asio/write.hpp>
 
 #include <array>
+#include <deque>
 #include <stdexcept>
+#include <vector>
 
 namespace cicadafork::standin {
 
@@ -13,8 +15,8 @@
 
 using Tcp = asio::ip::tcp;
 
-// A frozen direction looks at the fault this often.
-constexpr Millis kFreezePoll{10};
+// A direction that is frozen or full looks at its state this often.
+constexpr Millis kPoll{10};
 
 constexpr std::size_t kBufferBytes = 32 * 1024;
 
@@ -23,22 +25,38 @@
     return {asio::ip::make_address(address.ip), address.port};
 }
 
-// One direction of a connection.
+// Bytes that one direction holds back; the source is not read further above it.
+constexpr std::size_t kMaxQueuedBytes = 4 * 1024 * 1024;
+
+// Bytes that are on their way; no bytes stand for the end of the input.
+struct Piece
+{
+    TimePoint due;
+    std::vector<char> bytes;
+};
+
+// One direction of a connection. Reading and writing run side by side, so that a delay adds latency
+// without limiting the throughput.
 struct Direction
 {
     Direction(asio::io_context &io, Tcp::socket &source, Tcp::socket &sink, bool towardsTarget)
-        : timer(io)
+        : readTimer(io)
+        , writeTimer(io)
         , from(source)
         , to(sink)
         , toTarget(towardsTarget)
     {
     }
 
-    asio::steady_timer timer;
+    asio::steady_timer readTimer;
+    asio::steady_timer writeTimer;
     Tcp::socket &from;
     Tcp::socket &to;
     bool toTarget;
     std::array<char, kBufferBytes> buffer{};
+    std::deque<Piece> queue;
+    std::size_t queuedBytes = 0;
+    bool writing = false;
 };
 
 } // namespace
@@ -77,8 +95,10 @@
                 socket->set_option(asio::socket_base::linger(true, 0), ignored);
             socket->close(ignored);
         }
-        toTarget_.timer.cancel();
-        toClient_.timer.cancel();
+        for (Direction *direction : {&toTarget_, &toClient_}) {
+            direction->readTimer.cancel();
+            direction->writeTimer.cancel();
+        }
         proxy_.connections_.erase(shared_from_this());
     }
 
@@ -89,10 +109,10 @@
     }
 
     template <class Next>
-    void after(Direction &direction, Millis delay, Next next)
+    void at(asio::steady_timer &timer, TimePoint time, Next next)
     {
-        direction.timer.expires_after(delay);
-        direction.timer.async_wait([self = shared_from_this(), next](asio::error_code error) {
+        timer.expires_at(time);
+        timer.async_wait([self = shared_from_this(), next](asio::error_code error) {
             if (!error && self->client_.is_open())
                 next();
         });
@@ -100,50 +120,77 @@
 
     void readNext(Direction &direction)
     {
-        if (proxy_.faults_.freeze)
-            return after(direction, kFreezePoll, [this, &direction] { readNext(direction); });
+        if (proxy_.faults_.freeze || direction.queuedBytes > kMaxQueuedBytes) {
+            return at(direction.readTimer, steadyNow() + kPoll,
+                      [this, &direction] { readNext(direction); });
+        }
         direction.from.async_read_some(
                 asio::buffer(direction.buffer),
                 [self = shared_from_this(), &direction](asio::error_code error, std::size_t bytes) {
-                    if (error)
-                        return self->endOfInput(direction);
-                    self->delayed(direction, bytes);
+                    if (!self->client_.is_open())
+                        return;
+                    const char *data = direction.buffer.data();
+                    self->enqueue(direction, {data, data + (error ? 0 : bytes)});
+                    if (!error)
+                        self->readNext(direction);
                 });
     }
 
-    // Bytes that were read before a freeze began wait here, so that none passes during it.
-    void delayed(Direction &direction, std::size_t bytes)
+    void enqueue(Direction &direction, std::vector<char> bytes)
+    {
+        direction.queuedBytes += bytes.size();
+        direction.queue.push_back({steadyNow() + proxy_.faults_.delay, std::move(bytes)});
+        if (!direction.writing)
+            writeNext(direction);
+    }
+
+    void writeNext(Direction &direction)
     {
-        after(direction, proxy_.faults_.delay,
-              [this, &direction, bytes] { forward(direction, bytes); });
+        direction.writing = !direction.queue.empty();
+        if (!direction.writing)
+            return;
+        at(direction.writeTimer, direction.queue.front().due,
+           [this, &direction] { forward(direction); });
     }
 
-    void forward(Direction &direction, std::size_t bytes)
+    // Bytes that were read before a freeze began wait here, so that none passes during it.
+    void forward(Direction &direction)
     {
         if (proxy_.faults_.freeze) {
-            return after(direction, kFreezePoll,
-                         [this, &direction, bytes] { forward(direction, bytes); });
+            return at(direction.writeTimer, steadyNow() + kPoll,
+                      [this, &direction] { forward(direction); });
         }
+        std::vector<char> bytes = std::move(direction.queue.front().bytes);
+        direction.queue.pop_front();
+        direction.queuedBytes -= bytes.size();
+        if (bytes.empty())
+            return endOfInput(direction);
         if (isCut(direction))
-            return readNext(direction);
+            return writeNext(direction);
+        write(direction, std::move(bytes));
+    }
+
+    void write(Direction &direction, std::vector<char> bytes)
+    {
         const std::uint64_t limit = proxy_.faults_.dropAfterBytes;
-        const bool last = limit != 0 && forwarded_ + bytes >= limit;
+        const bool last = limit != 0 && forwarded_ + bytes.size() >= limit;
         if (last)
-            bytes = limit > forwarded_ ? limit - forwarded_ : 0;
-        forwarded_ += bytes;
-        asio::async_write(
-                direction.to, asio::buffer(direction.buffer.data(), bytes),
-                [self = shared_from_this(), &direction, last](asio::error_code error, std::size_t) {
-                    if (error || last)
-                        return self->close(false);
-                    self->readNext(direction);
-                });
+            bytes.resize(limit > forwarded_ ? limit - forwarded_ : 0);
+        forwarded_ += bytes.size();
+        auto data = std::make_shared<std::vector<char>>(std::move(bytes));
+        asio::async_write(direction.to, asio::buffer(*data),
+                          [self = shared_from_this(), &direction, last,
+                           data](asio::error_code error, std::size_t) {
+                              if (error || last)
+                                  return self->close(false);
+                              self->writeNext(direction);
+                          });
     }
 
     // A close travels on like data: it is lost on a cut or half-open link.
     void endOfInput(Direction &direction)
     {
-        if (!client_.is_open() || proxy_.faults_.halfOpen || isCut(direction))
+        if (proxy_.faults_.halfOpen || isCut(direction))
             return;
         asio::error_code ignored;
         direction.to.shutdown(Tcp::socket::shutdown_send, ignored);
--- a/standins/standin-engine/main.cpp
+++ b/standins/standin-engine/main.cpp
@@ -79,7 +79,8 @@
 int main(int argc, char **argv)
 {
     cxxopts::Options options("standin-engine", "Stand-in of a model engine");
-    addCommonFlags(options);
+    // 1,200 streams and some control calls.
+    addCommonFlags(options, 1300);
     addEngineFlags(options);
     const auto flags = parseFlags(options, argc, argv);
     blockSignals();
@@ -93,9 +94,6 @@
     FaultGate gate;
     EngineServer engine(engineFlags, gate);
     HttpServerOptions serverFlags = serverOptions(flags);
-    // 1,200 streams and some control calls.
-    if (flags.count("threads") == 0)
-        serverFlags.threads = 1300;
     // A segment of 400,000 tokens is 1.6 MB, of which JSON escapes may make several times as much.
     serverFlags.maxBodyBytes = 64 * 1024 * 1024;
     HttpServer server(serverFlags);
--- a/tests/integration/standins_test.cpp
+++ b/tests/integration/standins_test.cpp
@@ -255,7 +255,7 @@
     void setup() override
     {
         cluster = std::make_unique<TestCluster>(
-                ClusterOptions{.engines = 0, .services = 0, .proxied = {"log"}});
+                ClusterOptions{.engines = 0, .services = 0, .proxied = {"log", "weights"}});
         cluster->start();
     }
     void teardown() override
@@ -319,6 +319,19 @@
     CHECK_TRUE(elapsed(start) >= Millis(300));
 }
 
+// Guards against a delay that limits the throughput: sent one after another, the 128 pieces of this
+// download would take 6.4 s.
+TEST(FaultProxy, delayDoesNotLimitTheThroughput)
+{
+    cluster->setFaults(cluster->weights(), {{"model_bytes", 4 * 1024 * 1024}});
+    cluster->setLinkFaults(cluster->weights(), {{"delay_ms", 50}});
+    const TimePoint start = steadyNow();
+    const auto weights = get(cluster->weights().viaProxy, "/weights/m/1");
+    CHECK_TRUE(static_cast<bool>(weights));
+    LONGS_EQUAL(4 * 1024 * 1024, weights->body.size());
+    CHECK_TRUE(elapsed(start) < Millis(1500));
+}
+
 // Guards against faults that only new connections obey.
 TEST(FaultProxy, openConnectionObeysFaults)
 {
