--- /dev/null
+++ b/scripts/generate.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Makes the committed code of the Cap'n Proto schemas again.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+capnp compile -oc++:src/peer --src-prefix=src/peer -I/usr/include src/peer/peer.capnp
