Wire the modules into a daemon

Cause: the modules exist but nothing runs them in one process.

The engine stand-in reports a model with adapter and version as "model:adapter@version", the form that the configuration uses.

Ruled out: one thread for all control work (a slow log would delay heartbeats and status polls).

Conclusion: one binary serves, checks its settings, and answers operators.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,7 +1,11 @@
 #include "cli/commands.h"
 
+#include "cli/ctlcommand.h"
+#include "cli/servecommand.h"
+
 #include <fmt/format.h>
 
+#include <array>
 #include <cstdio>
 #include <string_view>
 
@@ -11,25 +15,48 @@
 
 constexpr const char *kVersion = "0.1.0";
 
-constexpr const char *kUsage = "usage: cicadafork COMMAND [OPTIONS]\n"
-                               "commands: serve, check-config, ctl, dump, load, version\n"
-                               "run 'cicadafork COMMAND --help' for the options of a command\n";
+int printVersion(int, char **)
+{
+    fmt::print("cicadafork {}\n", kVersion);
+    return ExitSuccess;
+}
+
+struct Subcommand
+{
+    const char *name;
+    const char *summary;
+    int (*run)(int argc, char **argv); ///< argv[0] is the name of the subcommand.
+};
+
+constexpr std::array<Subcommand, 5> kSubcommands = {{
+        {"serve", "run the daemon of an entry VM", runServeCommand},
+        {"check-config", "check a settings file", runCheckConfigCommand},
+        {"ctl", "run an operator's query or command", runCtlCommand},
+        {"dump", "print the state of a daemon as JSON", runDumpCommand},
+        {"version", "print the version", printVersion},
+}};
+
+void printUsage(std::FILE *stream)
+{
+    fmt::print(stream, "usage: cicadafork COMMAND [OPTIONS]\n\n");
+    for (const Subcommand &subcommand : kSubcommands)
+        fmt::print(stream, "  {:<14}{}\n", subcommand.name, subcommand.summary);
+    fmt::print(stream, "\nEvery command has --help. Exit codes: 0 success, 1 the command failed, "
+                       "2 wrong arguments or settings, 3 the daemon did not answer.\n");
+}
 
 } // namespace
 
 int runCommandLine(int argc, char **argv)
 {
-    const std::string_view command = argc > 1 ? argv[1] : "";
-    if (command == "version") {
-        fmt::print("cicadafork {}\n", kVersion);
-        return ExitSuccess;
-    }
-    if (command == "--help" || command == "help") {
-        fmt::print("{}", kUsage);
-        return ExitSuccess;
+    const std::string_view name = argc > 1 ? argv[1] : "";
+    for (const Subcommand &subcommand : kSubcommands) {
+        if (name == subcommand.name)
+            return subcommand.run(argc - 1, argv + 1);
     }
-    fmt::print(stderr, "{}", kUsage);
-    return ExitUsage;
+    const bool help = name == "--help" || name == "help";
+    printUsage(help ? stdout : stderr);
+    return help ? ExitSuccess : ExitUsage;
 }
 
 } // namespace cicadafork
--- /dev/null
+++ b/src/daemon/membercalls.cpp
@@ -0,0 +1,160 @@
+#include "daemon/membercalls.h"
+
+#include "base/hash.h"
+
+#include <asio/post.hpp>
+#include <fmt/format.h>
+
+#include <condition_variable>
+#include <memory>
+
+namespace cicadafork {
+
+namespace {
+
+// Shared with the threads that ask, which may answer after the caller has left.
+struct PendingAnswers
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<MemberAnswer> answers;
+    std::size_t missing = 0;
+    std::string firstFound;
+};
+
+PeerTarget targetOf(const PeerView &peer)
+{
+    return {peer.id, peer.peerAddress};
+}
+
+} // namespace
+
+MemberCalls::MemberCalls(FleetTable &fleet, PeerClient &client, StreamDirectory &directory,
+                         Metrics &metrics, MemberCallsOptions options)
+    : fleet_(fleet)
+    , client_(client)
+    , directory_(directory)
+    , options_(std::move(options))
+    , droppedNotes_(metrics.counter("cicadafork_stream_notes_dropped_total",
+                                    "Stream locations not sent because too many were pending"))
+    , pool_(options_.threads)
+{
+}
+
+MemberCalls::~MemberCalls()
+{
+    pool_.join();
+}
+
+void MemberCalls::noteStream(const std::string &requestKey, const std::string &endpointId)
+{
+    const TimePoint now = steadyNow();
+    directory_.note(requestKey, endpointId, now);
+    const auto keepers
+            = streamKeepers(requestKey, options_.failureDomain, fleet_.peers(now), false);
+    for (const PeerView &keeper : keepers) {
+        if (pendingNotes_ >= options_.maxPendingNotes) {
+            droppedNotes_.Increment();
+            continue;
+        }
+        ++pendingNotes_;
+        asio::post(pool_, [this, target = targetOf(keeper), requestKey, endpointId] {
+            // A lost note costs the caller its resume, not its answer.
+            (void)capture([&] {
+                return client_.noteStream(target, requestKey, endpointId, options_.noteTimeout);
+            });
+            --pendingNotes_;
+        });
+    }
+}
+
+std::optional<StreamLocation> MemberCalls::findStream(const std::string &requestKey)
+{
+    const TimePoint now = steadyNow();
+    std::optional<std::string> endpointId = directory_.find(requestKey, now);
+    if (!endpointId) {
+        const std::string found = firstAnswer(
+                streamKeepers(requestKey, options_.failureDomain, fleet_.peers(now), true),
+                requestKey);
+        if (found.empty())
+            return std::nullopt;
+        endpointId = found;
+    }
+    const auto address = fleet_.addressOf(*endpointId);
+    if (!address)
+        return std::nullopt;
+    return StreamLocation{*endpointId, *address};
+}
+
+std::string MemberCalls::firstAnswer(const std::vector<PeerView> &targets,
+                                     const std::string &requestKey)
+{
+    const auto pending = std::make_shared<PendingAnswers>();
+    pending->missing = targets.size();
+    for (const PeerView &peer : targets) {
+        asio::post(pool_, [this, pending, target = targetOf(peer), requestKey] {
+            const auto answer = capture(
+                    [&] { return client_.findStream(target, requestKey, options_.findTimeout); });
+            const std::lock_guard lock(pending->mutex);
+            --pending->missing;
+            if (answer && *answer)
+                pending->firstFound = **answer;
+            pending->changed.notify_all();
+        });
+    }
+    std::unique_lock lock(pending->mutex);
+    pending->changed.wait_for(lock, options_.findTimeout, [&] {
+        return pending->missing == 0 || !pending->firstFound.empty();
+    });
+    return pending->firstFound;
+}
+
+std::optional<std::string> MemberCalls::forwardClaims(std::size_t shard, const std::string &batch,
+                                                      Millis timeout)
+{
+    const TimePoint now = steadyNow();
+    const auto order
+            = rendezvousOrder(fmt::format("claims-{}", shard), fleet_.liveInOwnDomain(now));
+    if (order.empty() || order.front() == options_.selfId)
+        return std::nullopt;
+    for (const PeerView &peer : fleet_.peers(now)) {
+        if (peer.id != order.front())
+            continue;
+        auto answer = capture([&] { return client_.claim(targetOf(peer), batch, timeout); });
+        if (answer)
+            return *answer;
+    }
+    return std::nullopt;
+}
+
+std::vector<MemberAnswer> MemberCalls::askAll(const std::string &query, Millis timeout)
+{
+    const auto pending = std::make_shared<PendingAnswers>();
+    const auto peers = fleet_.peers(steadyNow());
+    for (const PeerView &peer : peers)
+        pending->answers.push_back({peer.id, std::nullopt});
+    for (std::size_t index = 0; index < peers.size(); ++index) {
+        if (!peers[index].alive)
+            continue;
+        {
+            const std::lock_guard lock(pending->mutex);
+            ++pending->missing;
+        }
+        asio::post(pool_, [this, pending, index, target = targetOf(peers[index]), query, timeout] {
+            const auto table = capture([&]() -> Result<ResultTable> {
+                BOOST_LEAF_AUTO(text, client_.runQuery(target, query, timeout));
+                return resultTableFromJson(nlohmann::json::parse(text, nullptr, false));
+            });
+            const std::lock_guard lock(pending->mutex);
+            if (table)
+                pending->answers[index].table = *table;
+            --pending->missing;
+            pending->changed.notify_all();
+        });
+    }
+    std::unique_lock lock(pending->mutex);
+    pending->changed.wait_for(lock, timeout, [&] { return pending->missing == 0; });
+    return pending->answers;
+}
+
+} // namespace cicadafork
--- /dev/null
+++ b/src/daemon/rows.h
@@ -0,0 +1,30 @@
+#pragma once
+
+// Result tables of this daemon's state, for operators' queries.
+
+#include "admission/admission.h"
+#include "frontend/requesttable.h"
+#include "membership/fleet.h"
+#include "query/resulttable.h"
+
+#include <vector>
+
+namespace cicadafork {
+
+/// Shortest time without progress after which a request counts as stuck.
+inline constexpr Millis kStuckMinimum{5000};
+
+/// No progress for longer than twice the expected step time, and for at least kStuckMinimum.
+bool isStuck(const RequestView &request);
+
+ResultTable requestRows(const std::string &memberId, const std::vector<RequestView> &requests);
+/// One row that says which mechanism holds the request, since when and what frees it; no row when
+/// the request is not among them.
+ResultTable explainRows(const std::string &memberId, const std::vector<RequestView> &requests,
+                        const std::string &requestId);
+ResultTable endpointRows(const std::vector<std::pair<std::string, FleetView>> &services);
+ResultTable entryVmRows(const std::vector<PeerView> &peers);
+ResultTable configurationRow(const std::string &memberId, const std::string &failureDomain,
+                             std::optional<Offset> nextOffset, bool ready);
+
+} // namespace cicadafork
--- a/src/frontend/serving.h
+++ b/src/frontend/serving.h
@@ -2,8 +2,7 @@
 
 // Internal: writes one model answer to the caller.
 //
-//   serveAnswer(response, std::make_shared<ServedRequest>(table, request), form, {stream, silence},
-//   counters);
+//   serveAnswer(response, std::make_shared<ServedRequest>(table, request), form, stream, counters);
 
 #include "frontend/chunks.h"
 #include "frontend/requesttable.h"
@@ -41,15 +40,9 @@
     std::shared_ptr<ActiveRequest> request_;
 };
 
-struct ServeOptions
-{
-    bool stream = false;
-    Millis longestSilence{0}; ///< See FrontendHooks.
-};
-
 /// Waits until an endpoint has accepted the request or a definite failure is known; then writes
 /// the problem, the whole answer, or sets the response up to stream.
 void serveAnswer(httplib::Response &response, const std::shared_ptr<ServedRequest> &served,
-                 const AnswerForm &form, ServeOptions options, FrontendCounters &counters);
+                 const AnswerForm &form, bool stream, FrontendCounters &counters);
 
 } // namespace cicadafork
--- a/src/membership/fleettable.cpp
+++ b/src/membership/fleettable.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <set>
 
 namespace cicadafork {
 
@@ -262,6 +263,34 @@
     return row && row->coordinator == options_.selfId;
 }
 
+std::vector<CoordinatedEndpoint> FleetTable::coordinatedEndpoints() const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<CoordinatedEndpoint> found;
+    tables_.endpoints.forEach([&](const auto &, const EndpointRow &row) {
+        const bool leaving = row.listLeaving || row.statusLeaving;
+        if (row.coordinator == options_.selfId && row.reported && !leaving)
+            found.push_back({row.id, row.address, row.service, row.status.models, row.status.role});
+    });
+    return found;
+}
+
+std::optional<Address> FleetTable::addressOf(const std::string &endpointId) const
+{
+    const std::lock_guard lock(mutex_);
+    const EndpointRow *row = tables_.endpoints.find(endpointId);
+    return row ? std::optional(row->address) : std::nullopt;
+}
+
+std::vector<std::string> FleetTable::services() const
+{
+    const std::lock_guard lock(mutex_);
+    std::set<std::string> names;
+    tables_.endpoints.forEach(
+            [&](const auto &, const EndpointRow &row) { names.insert(row.service); });
+    return {names.begin(), names.end()};
+}
+
 nlohmann::json FleetTable::dump(TimePoint now) const
 {
     const std::lock_guard lock(mutex_);
--- a/src/membership/fleettable.h
+++ b/src/membership/fleettable.h
@@ -12,6 +12,7 @@
 #include "membership/systems.h"
 
 #include <mutex>
+#include <optional>
 
 namespace cicadafork {
 
@@ -36,6 +37,16 @@
     TimePoint builtAt;
 };
 
+/// An endpoint that this daemon coordinates, with what it reported last.
+struct CoordinatedEndpoint
+{
+    std::string id;
+    Address address;
+    std::string service;
+    std::vector<std::string> models;
+    std::string role;
+};
+
 /// Thread-safe.
 class FleetTable : public Fleet
 {
@@ -79,6 +90,12 @@
     std::string delegateOfOwnDomain(TimePoint now) const;
     bool isCoordinator(const std::string &endpointId) const;
 
+    /// Endpoints of the own coordination that have reported and are not leaving.
+    std::vector<CoordinatedEndpoint> coordinatedEndpoints() const;
+    std::optional<Address> addressOf(const std::string &endpointId) const;
+    /// Names of the services that have endpoints.
+    std::vector<std::string> services() const;
+
     nlohmann::json dump(TimePoint now) const;
 
 private:
--- a/standins/standin-engine/engineroutes.cpp
+++ b/standins/standin-engine/engineroutes.cpp
@@ -52,7 +52,7 @@
     const std::string adapter = order.value("adapter", "");
     const std::string version = order.value("version", "");
     if (!adapter.empty())
-        name += "+" + adapter;
+        name += ":" + adapter;
     if (!version.empty())
         name += "@" + version;
     return name;
