Let tests partition whole failure domains

A domain that is cut from the others needs a fault on every path between two domains, and the VM list names one address for each VM. With domainLinks, TestCluster gives each domain a VM list of its own whose addresses lead through the fault-proxy of the path. fault-proxy forwards any number of links (--link LISTEN=TARGET) that share one set of faults, so that three domains need nine proxies and not one for each member.

--- a/standins/fault-proxy/main.cpp
+++ b/standins/fault-proxy/main.cpp
@@ -6,24 +6,45 @@
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <cstdio>
 #include <future>
+#include <memory>
+#include <string>
+#include <vector>
 
 using namespace cicadafork;
 using namespace cicadafork::standin;
 
 namespace {
 
-Address addressFlag(const cxxopts::ParseResult &flags, const char *name)
+struct Link
 {
-    const auto address = capture([&] { return parseAddress(flags[name].as<std::string>()); });
+    Address listen;
+    Address target;
+};
+
+Address parseOrExit(const std::string &text)
+{
+    const auto address = capture([&] { return parseAddress(text); });
     if (address)
         return *address;
-    std::fprintf(stderr, "--%s: %s; %s\n", name, address.error().message.c_str(),
+    std::fprintf(stderr, "%s; %s\n", address.error().message.c_str(),
                  address.error().remedy.c_str());
     std::exit(2);
 }
 
+std::vector<Link> linkFlags(const cxxopts::ParseResult &flags)
+{
+    std::vector<Link> links;
+    for (const std::string &text : flags["link"].as<std::vector<std::string>>()) {
+        const std::size_t equals = std::min(text.find('='), text.size() - 1);
+        links.push_back(
+                {parseOrExit(text.substr(0, equals)), parseOrExit(text.substr(equals + 1))});
+    }
+    return links;
+}
+
 // Runs a function on the proxy's thread and waits for it.
 template <class Function>
 void runOn(asio::io_context &io, Function function)
@@ -36,7 +57,7 @@
     done.get_future().wait();
 }
 
-void change(asio::io_context &io, Proxy &proxy, ProxyFaults &faults,
+void change(asio::io_context &io, std::vector<std::unique_ptr<Proxy>> &proxies, ProxyFaults &faults,
             const httplib::Request &request, httplib::Response &response)
 {
     const auto body = jsonBody(request, response);
@@ -49,8 +70,10 @@
         const bool reset = body->value("reset", false);
         runOn(io, [&] {
             faults = next;
-            if (reset)
-                proxy.resetAll();
+            for (auto &proxy : proxies) {
+                if (reset)
+                    proxy->resetAll();
+            }
         });
         replyJson(response, 200, nlohmann::json::object());
     } catch (const std::exception &problem) {
@@ -65,25 +88,26 @@
     cxxopts::Options options("fault-proxy", "TCP proxy that disturbs a link; --listen is the "
                                             "address of POST /admin/faults");
     addCommonFlags(options);
-    options.add_options()("proxy-listen", "address that clients connect to",
-                          cxxopts::value<std::string>())(
-            "target", "address that connections are forwarded to", cxxopts::value<std::string>());
+    options.add_options()("link",
+                          "LISTEN=TARGET addresses of a forwarded link; repeated for several links "
+                          "that share the faults",
+                          cxxopts::value<std::vector<std::string>>());
     const auto flags = parseFlags(options, argc, argv);
     blockSignals();
-    if (flags.count("proxy-listen") == 0 || flags.count("target") == 0) {
-        std::fprintf(stderr, "--proxy-listen and --target are required\n");
+    if (flags.count("link") == 0) {
+        std::fprintf(stderr, "--link is required\n");
         return 2;
     }
-    const Address listen = addressFlag(flags, "proxy-listen");
-    const Address target = addressFlag(flags, "target");
+    const std::vector<Link> links = linkFlags(flags);
     asio::io_context io;
     ProxyFaults faults;
-    std::unique_ptr<Proxy> proxy;
+    std::vector<std::unique_ptr<Proxy>> proxies;
     try {
         applyProxyFaults(faults, nlohmann::json::parse(flags["faults"].as<std::string>()));
-        proxy = std::make_unique<Proxy>(io, listen, target, faults);
+        for (const Link &link : links)
+            proxies.push_back(std::make_unique<Proxy>(io, link.listen, link.target, faults));
     } catch (const std::exception &problem) {
-        std::fprintf(stderr, "%s: %s\n", toString(listen).c_str(), problem.what());
+        std::fprintf(stderr, "cannot forward: %s\n", problem.what());
         return 1;
     }
     auto work = asio::make_work_guard(io);
@@ -91,15 +115,21 @@
     FaultGate gate;
     HttpServer server(serverOptions(flags));
     server.routes().Post("/admin/faults", [&](const auto &request, auto &response) {
-        change(io, *proxy, faults, request, response);
+        change(io, proxies, faults, request, response);
     });
     server.routes().Get("/admin/stats", [&](const auto &, auto &response) {
         std::size_t connections = 0;
-        runOn(io, [&] { connections = proxy->connections(); });
+        runOn(io, [&] {
+            for (auto &proxy : proxies)
+                connections += proxy->connections();
+        });
         replyJson(response, 200, {{"connections", connections}});
     });
     const int status = serveUntilSignal(server, gate, "fault-proxy");
-    runOn(io, [&] { proxy->resetAll(); });
+    runOn(io, [&] {
+        for (auto &proxy : proxies)
+            proxy->resetAll();
+    });
     io.stop();
     thread.join();
     return status;
--- a/tests/integration/standins_test.cpp
+++ b/tests/integration/standins_test.cpp
@@ -372,3 +372,34 @@
     LONGS_EQUAL(400, statusOf(post(cluster->log().proxyAdmin, "/admin/faults",
                                    R"({"cut":"sideways"})")));
 }
+
+TEST_GROUP(DomainLinks){};
+
+// Guards against a partition that also cuts paths inside a domain, between the other domains or to
+// the platform.
+TEST(DomainLinks, partitionCutsOnlyThePathsOfItsDomain)
+{
+    ClusterOptions options;
+    options.engines = 3;
+    options.domainLinks = true;
+    TestCluster cluster(options);
+    cluster.start();
+    auto reaches = [&](const char *domain, const ClusterMember &member, const char *path) {
+        return static_cast<bool>(get(cluster.addressSeenFrom(domain, member), path, kShort));
+    };
+    auto engineReached = [&](const char *domain, std::size_t index) {
+        return reaches(domain, cluster.engine(index), "/v1/status");
+    };
+    CHECK_TRUE(engineReached("domain-1", 1));
+    cluster.cutFromOtherDomains("domain-1", true);
+    CHECK_FALSE(engineReached("domain-1", 1));
+    CHECK_FALSE(engineReached("domain-2", 0));
+    CHECK_TRUE(engineReached("domain-1", 0));
+    CHECK_TRUE(engineReached("domain-2", 2));
+    CHECK_TRUE(reaches("domain-1", cluster.log(), "/admin/stats"));
+    cluster.setPathFaults("domain-1", "platform", {{"cut", "both"}});
+    CHECK_FALSE(reaches("domain-1", cluster.log(), "/admin/stats"));
+    CHECK_TRUE(reaches("domain-2", cluster.log(), "/admin/stats"));
+    cluster.cutFromOtherDomains("domain-1", false);
+    CHECK_TRUE(engineReached("domain-1", 1));
+}
--- a/tests/support/testcluster.cpp
+++ b/tests/support/testcluster.cpp
@@ -29,6 +29,31 @@
     return fmt::format("domain-{}", 1 + number % kFailureDomains);
 }
 
+constexpr const char *kPlatform = "platform";
+constexpr const char *kDaemonProgram = "cicadafork";
+
+std::string vmListId(const std::string &domain)
+{
+    return "vmlist-" + domain;
+}
+
+// Members in the VM list; the others are the platform.
+bool isListed(const ClusterMember &member)
+{
+    return member.program == kDaemonProgram || member.program == "standin-engine"
+           || member.program == "standin-service";
+}
+
+std::unique_ptr<ChildProcess> startFaultProxy(const std::vector<std::string> &arguments,
+                                              const Address &admin, const std::string &errorFile)
+{
+    auto process = std::make_unique<ChildProcess>(binaryDirectory() + "/fault-proxy", arguments,
+                                                  errorFile);
+    if (!eventually(kStartTimeout, [&] { return accepts(admin); }))
+        throw std::runtime_error("fault-proxy does not listen: " + process->errorOutput());
+    return process;
+}
+
 void postFaults(const Address &address, const nlohmann::json &faults)
 {
     const auto reply
@@ -61,6 +86,8 @@
         member.arguments.insert(member.arguments.end(), {"--id", member.id});
     }
     addDaemons();
+    if (options_.domainLinks)
+        addDomainLinks();
 }
 
 TestCluster::~TestCluster()
@@ -106,16 +133,66 @@
 void TestCluster::addDaemons()
 {
     for (std::size_t i = 0; i < options_.daemons; ++i) {
-        ClusterMember &member = add(fmt::format("daemon-{}", i + 1), i, "cicadafork");
+        ClusterMember &member = add(fmt::format("daemon-{}", i + 1), i, kDaemonProgram);
         member.peerAddress = addresses_.next();
-        member.arguments = {"serve", "--config", writeSettings(member)};
+        member.arguments = {"serve", "--config", fmt::format("{}/{}.yaml", directory_, member.id)};
     }
 }
 
+void TestCluster::addDomainLinks()
+{
+    for (std::size_t i = 0; i < kFailureDomains; ++i) {
+        const std::string from = domainName(i);
+        addPath(from, kPlatform, log());
+        addPath(from, kPlatform, add(vmListId(from), i, "standin-vmlist"));
+    }
+    for (std::size_t i = 0; i < kFailureDomains; ++i) {
+        for (const auto &[id, member] : members_) {
+            if (isListed(member) && member.failureDomain != domainName(i))
+                addPath(domainName(i), member.failureDomain, member);
+        }
+    }
+}
+
+void TestCluster::addPath(const std::string &from, const std::string &to,
+                          const ClusterMember &member)
+{
+    DomainLink &link = links_[{from, to}];
+    if (link.arguments.empty()) {
+        link.admin = addresses_.next();
+        link.arguments = {"--listen", toString(link.admin), "--threads", "4"};
+    }
+    auto forward = [&](const Address &target) {
+        const Address listen = addresses_.next();
+        link.arguments.insert(link.arguments.end(),
+                              {"--link", toString(listen) + "=" + toString(target)});
+        return listen;
+    };
+    link.addresses[member.id] = forward(member.viaProxy);
+    if (member.program == kDaemonProgram)
+        link.peerAddresses[member.id] = forward(member.peerAddress);
+}
+
+Address TestCluster::addressSeenFrom(const std::string &domain, const ClusterMember &member) const
+{
+    const bool platform = !isListed(member);
+    const auto link = links_.find({domain, platform ? kPlatform : member.failureDomain});
+    return link == links_.end() ? member.viaProxy : link->second.addresses.at(member.id);
+}
+
+Address TestCluster::peerAddressSeenFrom(const std::string &domain,
+                                         const ClusterMember &member) const
+{
+    const auto link = links_.find({domain, member.failureDomain});
+    return link == links_.end() ? member.peerAddress : link->second.peerAddresses.at(member.id);
+}
+
 std::string TestCluster::writeSettings(const ClusterMember &member)
 {
     std::string path = fmt::format("{}/{}.yaml", directory_, member.id);
     std::ofstream file(path);
+    const std::string &domain = member.failureDomain;
+    const ClusterMember &list = options_.domainLinks ? members_.at(vmListId(domain)) : vmList();
     file << fmt::format("member_id: {}\n"
                         "failure_domain: {}\n"
                         "region: region-1\n"
@@ -129,16 +206,23 @@
                         "operator_credential_sha256: \"{}\"\n"
                         "{}",
                         member.id, member.failureDomain, toString(member.address),
-                        toString(member.peerAddress), toString(log().viaProxy),
-                        toString(vmList().viaProxy), options_.operatorCredentialSha256,
+                        toString(member.peerAddress), toString(addressSeenFrom(domain, log())),
+                        toString(addressSeenFrom(domain, list)), options_.operatorCredentialSha256,
                         options_.extraSettings);
     return path;
 }
 
 void TestCluster::start()
 {
-    for (const char *platform : {"log", "vmlist", "weights"})
-        startMember(members_.at(platform));
+    for (auto &[id, member] : members_) {
+        if (!isListed(member))
+            startMember(member);
+    }
+    for (auto &[ends, link] : links_) {
+        link.process
+                = startFaultProxy(link.arguments, link.admin,
+                                  fmt::format("{}/{}-{}.err", directory_, ends.first, ends.second));
+    }
     publishVmList();
     for (auto &[id, member] : members_) {
         if (!member.process)
@@ -148,6 +232,8 @@
 
 void TestCluster::startMember(ClusterMember &member)
 {
+    if (member.program == kDaemonProgram)
+        writeSettings(member);
     member.process = std::make_unique<ChildProcess>(
             fmt::format("{}/{}", binaryDirectory(), member.program), member.arguments,
             fmt::format("{}/{}.err", directory_, member.id));
@@ -163,14 +249,10 @@
 
 void TestCluster::startProxy(ClusterMember &member)
 {
-    const std::vector<std::string> arguments = {
-            "--listen",       toString(member.proxyAdmin), "--threads", "4",
-            "--proxy-listen", toString(member.viaProxy),   "--target",  toString(member.address)};
-    member.proxy
-            = std::make_unique<ChildProcess>(binaryDirectory() + "/fault-proxy", arguments,
-                                             fmt::format("{}/{}-proxy.err", directory_, member.id));
-    if (!eventually(kStartTimeout, [&] { return accepts(member.proxyAdmin); }))
-        throw std::runtime_error("fault-proxy does not listen: " + member.proxy->errorOutput());
+    const std::string link = toString(member.viaProxy) + "=" + toString(member.address);
+    member.proxy = startFaultProxy(
+            {"--listen", toString(member.proxyAdmin), "--threads", "4", "--link", link},
+            member.proxyAdmin, fmt::format("{}/{}-proxy.err", directory_, member.id));
 }
 
 void TestCluster::restart(ClusterMember &member)
@@ -209,29 +291,52 @@
     states_[member.id] = state;
 }
 
+void TestCluster::setPathFaults(const std::string &from, const std::string &to,
+                                const nlohmann::json &faults)
+{
+    postFaults(links_.at({from, to}).admin, faults);
+}
+
+void TestCluster::cutFromOtherDomains(const std::string &domain, bool cut)
+{
+    for (auto &[ends, link] : links_) {
+        const bool between = ends.first == domain || ends.second == domain;
+        if (between && ends.second != kPlatform)
+            postFaults(link.admin, {{"cut", cut ? "both" : "none"}});
+    }
+}
+
 void TestCluster::publishVmList()
+{
+    publishTo(vmList(), "");
+    for (std::size_t i = 0; options_.domainLinks && i < kFailureDomains; ++i)
+        publishTo(members_.at(vmListId(domainName(i))), domainName(i));
+}
+
+void TestCluster::publishTo(const ClusterMember &list, const std::string &domain)
 {
     nlohmann::json vms = nlohmann::json::array();
     for (const auto &[id, member] : members_) {
-        const bool isDaemon = member.program == "cicadafork";
-        const bool isEngine = member.program == "standin-engine";
-        const bool listed = isDaemon || isEngine || member.program == "standin-service";
-        if (!listed || states_.at(id) == "gone")
+        const bool isDaemon = member.program == kDaemonProgram;
+        if (!isListed(member) || states_.at(id) == "gone")
             continue;
         std::string service;
-        if (!isDaemon)
+        if (!isDaemon) {
+            const bool isEngine = member.program == "standin-engine";
             service = isEngine ? options_.engineService : options_.plainService;
-        vms.push_back({{"id", id},
-                       {"kind", isDaemon ? "entry" : "endpoint"},
-                       {"domain", member.failureDomain},
-                       {"address", toString(member.viaProxy)},
-                       {"peer_address", isDaemon ? toString(member.peerAddress) : ""},
-                       {"service", service},
-                       {"state", states_.at(id)}});
+        }
+        vms.push_back(
+                {{"id", id},
+                 {"kind", isDaemon ? "entry" : "endpoint"},
+                 {"domain", member.failureDomain},
+                 {"address", toString(addressSeenFrom(domain, member))},
+                 {"peer_address", isDaemon ? toString(peerAddressSeenFrom(domain, member)) : ""},
+                 {"service", service},
+                 {"state", states_.at(id)}});
     }
     const nlohmann::json body = {{"vms", vms}};
-    const auto reply = capture(
-            [&] { return postJson(vmList().address, "/admin/vms", body, kAdminTimeout); });
+    const auto reply
+            = capture([&] { return postJson(list.address, "/admin/vms", body, kAdminTimeout); });
     if (!reply)
         throw std::runtime_error(reply.error().message);
 }
--- a/tests/support/testcluster.h
+++ b/tests/support/testcluster.h
@@ -32,6 +32,9 @@
     /// Links with a fault-proxy: names of members, for example "log", "vmlist", "engine-1". Clients
     /// then get the address of the proxy.
     std::vector<std::string> proxied = {};
+    /// Puts a fault-proxy on every path between two failure domains and from each domain to the
+    /// platform. Each domain then has a VM list of its own that names the proxies.
+    bool domainLinks = false;
     /// Put into every daemon's settings file: sections limits, timing and routing.
     std::string extraSettings = {};
     std::string operatorCredentialSha256 = std::string(64, '0');
@@ -51,6 +54,16 @@
     std::unique_ptr<ChildProcess> proxy;
 };
 
+/// All paths from one failure domain to another, or to the platform.
+struct DomainLink
+{
+    Address admin;
+    std::map<std::string, Address> addresses;     ///< Of members, as the domain sees them.
+    std::map<std::string, Address> peerAddresses; ///< Of daemons, as the domain sees them.
+    std::vector<std::string> arguments;
+    std::unique_ptr<ChildProcess> process;
+};
+
 class TestCluster
 {
 public:
@@ -74,6 +87,15 @@
     /// Posts to /admin/faults of the member's proxy.
     void setLinkFaults(const ClusterMember &member, const nlohmann::json &faults);
 
+    /// Faults of the path from one domain ("domain-1") to another or to "platform". Connections
+    /// that the other side opened are on the path of the opposite direction.
+    void setPathFaults(const std::string &from, const std::string &to,
+                       const nlohmann::json &faults);
+    /// Cuts or heals all paths between a domain and the other domains, in both directions.
+    void cutFromOtherDomains(const std::string &domain, bool cut);
+    /// Address of a member as a domain sees it.
+    Address addressSeenFrom(const std::string &domain, const ClusterMember &member) const;
+
     /// Starts a member again after it ended; waits until it listens.
     void restart(ClusterMember &member);
 
@@ -90,6 +112,10 @@
     void addDaemons();
     void startMember(ClusterMember &member);
     void startProxy(ClusterMember &member);
+    void addDomainLinks();
+    void addPath(const std::string &from, const std::string &to, const ClusterMember &member);
+    void publishTo(const ClusterMember &list, const std::string &domain);
+    Address peerAddressSeenFrom(const std::string &domain, const ClusterMember &member) const;
     std::string writeSettings(const ClusterMember &member);
 
     ClusterOptions options_;
@@ -97,6 +123,7 @@
     AddressPool addresses_;
     std::map<std::string, ClusterMember> members_;
     std::map<std::string, std::string> states_;
+    std::map<std::pair<std::string, std::string>, DomainLink> links_; ///< By from and to.
 };
 
 /// True when a TCP connection to the address is accepted.
