Reserve groups all-or-nothing with expiry

Cause: a prompt larger than one engine needs memory at several engines, while other daemons reserve at the same engines and answers are late or lost.

A lease ends itself when renewals are lost for a whole lifetime, counted from the oldest unanswered message, so it never uses memory that the engine has given away.

Ruled out: keeping the held members while waiting for a refused one (holds in a circle until expiry); treating "not found" on release as final (a reservation that is still on its way would be granted afterwards), so releases repeat until the hold must have expired.

--- /dev/null
+++ b/src/routing/grouplease.cpp
@@ -0,0 +1,192 @@
+#include "routing/grouplease.h"
+
+#include <algorithm>
+
+namespace cicadafork {
+
+namespace {
+
+bool mayBeHeld(MemberState state)
+{
+    return state != MemberState::None;
+}
+
+LeaseAction send(GroupLease &lease, std::size_t index, LeaseActionKind kind, TimePoint now)
+{
+    LeaseMember &member = lease.members[index];
+    member.asked = now;
+    if (!member.unanswered) {
+        member.unanswered = true;
+        member.firstUnanswered = now;
+    }
+    if (kind != LeaseActionKind::Release) {
+        // The engine counts from the arrival, which is at most one answer timeout later; a later
+        // arrival finds the lease released, and the hold then ends by its own expiry.
+        member.expires = now + lease.timing.answerTimeout + lease.timing.lifetime;
+    }
+    return {kind, index};
+}
+
+/// Counts from the oldest unanswered message, because the answer may belong to it.
+void confirm(GroupLease &lease, LeaseMember &member)
+{
+    if (member.unanswered)
+        member.heldUntil = member.firstUnanswered + lease.timing.lifetime;
+    member.unanswered = false;
+}
+
+LeaseAction nextRenewal(GroupLease &lease, TimePoint now)
+{
+    for (std::size_t i = 0; i < lease.members.size(); ++i) {
+        const LeaseMember &member = lease.members[i];
+        if (member.state != MemberState::Held)
+            continue;
+        if (now >= member.heldUntil) {
+            // Renewals were lost for a whole lifetime, so the engine may have given the memory
+            // away.
+            lease.refused = true;
+            release(lease);
+            return nextAction(lease, now);
+        }
+        if (now - member.asked >= lease.timing.lifetime / 3)
+            return send(lease, i, LeaseActionKind::Renew, now);
+    }
+    return {};
+}
+
+LeaseAction nextReservation(GroupLease &lease, TimePoint now)
+{
+    // A large group takes longer to reserve than a hold lives, so early members are renewed.
+    const LeaseAction renewal = nextRenewal(lease, now);
+    if (renewal.kind != LeaseActionKind::Nothing || lease.state != LeaseState::Reserving)
+        return renewal;
+    for (std::size_t i = 0; i < lease.members.size(); ++i) {
+        LeaseMember &member = lease.members[i];
+        if (member.state == MemberState::Held)
+            continue;
+        if (member.state == MemberState::Asked) {
+            if (now - member.asked < lease.timing.answerTimeout)
+                return {};
+            lease.refused = true;
+            release(lease);
+            return nextAction(lease, now);
+        }
+        member.state = MemberState::Asked;
+        return send(lease, i, LeaseActionKind::Reserve, now);
+    }
+    lease.state = LeaseState::Held;
+    return {};
+}
+
+LeaseAction nextRelease(GroupLease &lease, TimePoint now)
+{
+    bool open = false;
+    for (std::size_t i = 0; i < lease.members.size(); ++i) {
+        LeaseMember &member = lease.members[i];
+        if (mayBeHeld(member.state) && now >= member.expires)
+            member.state = MemberState::None;
+        if (!mayBeHeld(member.state))
+            continue;
+        open = true;
+        const bool lost = member.state == MemberState::ReleaseSent
+                          && now - member.asked >= lease.timing.answerTimeout;
+        if (member.state == MemberState::ReleaseDue || lost) {
+            member.state = MemberState::ReleaseSent;
+            return send(lease, i, LeaseActionKind::Release, now);
+        }
+    }
+    if (!open)
+        lease.state = LeaseState::Released;
+    return {};
+}
+
+} // namespace
+
+GroupLease startLease(std::vector<std::string> endpoints, const LeaseTiming &timing)
+{
+    std::sort(endpoints.begin(), endpoints.end());
+    endpoints.erase(std::unique(endpoints.begin(), endpoints.end()), endpoints.end());
+    GroupLease lease;
+    lease.timing = timing;
+    for (std::string &endpoint : endpoints) {
+        LeaseMember member;
+        member.endpoint = std::move(endpoint);
+        lease.members.push_back(std::move(member));
+    }
+    return lease;
+}
+
+LeaseAction nextAction(GroupLease &lease, TimePoint now)
+{
+    switch (lease.state) {
+    case LeaseState::Reserving:
+        return nextReservation(lease, now);
+    case LeaseState::Held:
+        return nextRenewal(lease, now);
+    case LeaseState::Releasing:
+        return nextRelease(lease, now);
+    case LeaseState::Released:
+        break;
+    }
+    return {};
+}
+
+void onAnswer(GroupLease &lease, std::size_t index, LeaseActionKind kind, LeaseAnswer answer,
+              TimePoint now)
+{
+    if (index >= lease.members.size())
+        return;
+    LeaseMember &member = lease.members[index];
+    switch (kind) {
+    case LeaseActionKind::Nothing:
+        return;
+    case LeaseActionKind::Reserve:
+        if (answer == LeaseAnswer::Accepted) {
+            if (lease.state == LeaseState::Reserving && member.state == MemberState::Asked) {
+                member.state = MemberState::Held;
+                confirm(lease, member);
+            } else if (lease.state == LeaseState::Released
+                       || (lease.state == LeaseState::Releasing
+                           && member.state == MemberState::None)) {
+                // The engine granted a hold after this lease gave it up.
+                member.state = MemberState::ReleaseDue;
+                member.expires = now + lease.timing.lifetime;
+                lease.state = LeaseState::Releasing;
+            }
+        } else if (lease.state == LeaseState::Reserving && member.state == MemberState::Asked) {
+            member.state = MemberState::None;
+            lease.refused = true;
+            release(lease);
+        }
+        return;
+    case LeaseActionKind::Renew:
+        if (answer == LeaseAnswer::Accepted) {
+            confirm(lease, member);
+        } else if (member.state == MemberState::Held
+                   && (lease.state == LeaseState::Held || lease.state == LeaseState::Reserving)) {
+            member.state = MemberState::None;
+            lease.refused = true;
+            release(lease);
+        }
+        return;
+    case LeaseActionKind::Release:
+        // A reservation that is overtaken by its own release would be granted afterwards, so only
+        // an engine that knew the hold ends it here; otherwise releases repeat until the expiry.
+        if (answer == LeaseAnswer::Accepted && member.state == MemberState::ReleaseSent)
+            member.state = MemberState::None;
+        return;
+    }
+}
+
+void release(GroupLease &lease)
+{
+    if (lease.state == LeaseState::Released)
+        return;
+    lease.state = LeaseState::Releasing;
+    for (LeaseMember &member : lease.members) {
+        if (member.state == MemberState::Asked || member.state == MemberState::Held)
+            member.state = MemberState::ReleaseDue;
+    }
+}
+
+} // namespace cicadafork
