--- a/src/admission/fairqueue.cpp
+++ b/src/admission/fairqueue.cpp
@@ -41,7 +41,7 @@
     const Key key{entry.priority, start, entry.ticket};
     queue.order.insert(key);
     if (entry.group)
-        queue.groups.insert(entry.ticket);
+        queue.groups.emplace(entry.groupOrder, entry.ticket);
     const std::uint64_t ticket = entry.ticket;
     entries_[ticket] = {std::move(entry), key};
     return pushed;
@@ -55,9 +55,10 @@
     const QueueEntry &entry = found->second.entry;
     ServiceQueue &queue = services_[entry.service];
     queue.order.erase(found->second.key);
-    queue.groups.erase(ticket);
+    queue.groups.erase({entry.groupOrder, ticket});
     Flow &flow = queue.flows[entry.priority];
     if (dispatched) {
+        countDispatch(queue, entry.priority);
         flow.virtualTime = std::max(flow.virtualTime, std::get<1>(found->second.key));
         std::erase_if(flow.finish, [&](const auto &f) { return f.second <= flow.virtualTime; });
     }
@@ -79,17 +80,41 @@
     const auto found = services_.find(service);
     if (found == services_.end())
         return tickets;
-    const std::set<std::uint64_t> &groups = found->second.groups;
-    for (const Key &key : found->second.order) {
-        if (tickets.size() >= count)
-            break;
+    const ServiceQueue &queue = found->second;
+    const auto background = queue.order.lower_bound({Priority::Background, 0, 0});
+    const auto normal = queue.order.lower_bound({Priority::Normal, 0, 0});
+    const auto add = [&](const Key &key) {
         const std::uint64_t ticket = std::get<2>(key);
-        if (!groups.contains(ticket) || ticket == *groups.begin())
+        const QueueEntry &entry = entries_.at(ticket).entry;
+        const bool laterGroup = entry.group && queue.groups.begin()->second != ticket;
+        if (tickets.size() < count && !laterGroup)
             tickets.push_back(ticket);
-    }
+    };
+    std::for_each(queue.order.begin(), normal, add);
+    const bool due = background != queue.order.end()
+                     && queue.normalSinceBackground >= kNormalPerBackground;
+    if (due)
+        add(*background);
+    std::for_each(normal, background, add);
+    std::for_each(due ? std::next(background) : background, queue.order.end(), add);
     return tickets;
 }
 
+void FairQueue::countDispatch(ServiceQueue &queue, Priority priority)
+{
+    const bool waiting = queue.order.lower_bound({Priority::Background, 0, 0}) != queue.order.end();
+    if (priority == Priority::Background || !waiting)
+        queue.normalSinceBackground = 0;
+    else if (priority == Priority::Normal)
+        ++queue.normalSinceBackground;
+}
+
+bool FairQueue::hasGroup(const std::string &service) const
+{
+    const auto found = services_.find(service);
+    return found != services_.end() && !found->second.groups.empty();
+}
+
 bool FairQueue::hasService(const std::string &service) const
 {
     return services_.contains(service);
--- a/src/admission/fairqueue.h
+++ b/src/admission/fairqueue.h
@@ -33,12 +33,17 @@
     std::uint64_t promptTokens = 0;
     std::uint64_t maxTokens = 0;
     bool group = false;
+    std::uint64_t groupOrder = 0; ///< Order among groups; a repeated attempt keeps its first one.
     bool retry = false; ///< Already admitted once: may use the whole queue and is not displaced.
     TimePoint queuedAt;
     double passedTokens = 0; ///< Needed tokens of the requests that passed this one.
     std::string reason;      ///< Why it waits.
 };
 
+/// Background requests are served after this many normal ones at the latest, so that a constant
+/// normal load leaves them a twentieth of the dispatches. Nothing goes before urgent requests.
+inline constexpr unsigned kNormalPerBackground = 19;
+
 class FairQueue
 {
 public:
@@ -63,6 +68,7 @@
     /// served first-come.
     std::vector<std::uint64_t> order(const std::string &service, std::size_t count) const;
 
+    bool hasGroup(const std::string &service) const;
     bool hasService(const std::string &service) const;
     /// True when a request of this priority or a more urgent one waits.
     bool blocks(const std::string &service, Priority priority) const;
@@ -83,7 +89,8 @@
     struct ServiceQueue
     {
         std::set<Key> order;
-        std::set<std::uint64_t> groups;
+        std::set<std::pair<std::uint64_t, std::uint64_t>> groups; ///< Group order, ticket.
+        unsigned normalSinceBackground = 0; ///< Counted while background requests wait.
         std::map<Priority, Flow> flows;
     };
     struct Stored
@@ -92,6 +99,7 @@
         Key key;
     };
 
+    static void countDispatch(ServiceQueue &queue, Priority priority);
     std::optional<std::uint64_t> displaceable(const QueueEntry &entry) const;
 
     std::unordered_map<std::uint64_t, Stored> entries_;
--- a/src/admission/queueadmission.cpp
+++ b/src/admission/queueadmission.cpp
@@ -39,6 +39,7 @@
     , services_(kTableRows)
     , rates_(kTableRows)
     , retries_(settings.limits.retryShare, kTableRows)
+    , groups_(kTableRows)
     , placed_(metrics.counter("cicadafork_admission_placed_total", "Attempts given an endpoint"))
     , retriesRefused_(metrics.counter("cicadafork_admission_retries_refused_total",
                                       "Retries refused by the retry budget"))
@@ -71,16 +72,21 @@
         return counted(std::move(*refusal));
     const FleetView view = viewFor(request, now, !request.retry);
     const RouteDecision decision = decide(request.route, view);
+    const bool group = needsGroup(request.route, view);
+    std::uint64_t order = 0;
     double ahead = 0;
     bool blocked = false;
     {
         const std::lock_guard lock(mutex_);
+        if (group && decision.outcome != RouteOutcome::Impossible)
+            order = groupOrder(request.requestId, now);
         if (queue_.hasService(request.service)) {
             ahead = queue_.tokensAhead(request.service, request.route.priority);
             // Urgent requests pass everything but urgent ones. The others queue behind any waiting
             // request, so that the pump can bound what passes it.
             blocked = request.route.priority != Priority::Urgent
-                      || queue_.blocks(request.service, Priority::Urgent);
+                      || queue_.blocks(request.service, Priority::Urgent)
+                      || (group && queue_.hasGroup(request.service));
         }
     }
     const Millis queueing = drainTime(ahead, view, request.route);
@@ -91,7 +97,7 @@
         return counted(std::move(*refusal));
     if (places(decision) && !blocked)
         return commit(request, view, decision, now);
-    return enqueue(request, view, decision, cancelled, now);
+    return enqueue(request, view, decision, order, cancelled, now);
 }
 
 std::optional<Refusal> QueueAdmission::refuseByRate(const PlacementRequest &request, TimePoint now)
@@ -139,6 +145,22 @@
     return view;
 }
 
+/// Place of a group in first-come order. It is kept over attempts, because a group whose
+/// reservation was refused by an engine comes back and must not queue behind later groups.
+std::uint64_t QueueAdmission::groupOrder(const std::string &requestId, TimePoint now)
+{
+    if (groups_.size() >= groups_.limit())
+        groups_.eraseIf([&](const std::string &, const GroupRow &row) {
+            return now - row.seen > settings_.timing.maxRequestTimeout;
+        });
+    GroupRow *row = groups_.insert(requestId);
+    if (row == nullptr)
+        return nextTicket_++;
+    if (row->order == 0)
+        *row = {nextTicket_++, now};
+    return row->order;
+}
+
 /// Leaves out an endpoint that returns from an ejection with a probability of 1 - its traffic
 /// share.
 void QueueAdmission::thinSlowStarters(FleetView &view, TimePoint now)
@@ -193,7 +215,7 @@
 }
 
 PlaceResult QueueAdmission::enqueue(const PlacementRequest &request, const FleetView &view,
-                                    const RouteDecision &decision,
+                                    const RouteDecision &decision, std::uint64_t groupOrder,
                                     const std::function<bool()> &cancelled, TimePoint now)
 {
     const auto waiter = std::make_shared<Waiter>();
@@ -206,7 +228,8 @@
     entry.priority = request.route.priority;
     entry.promptTokens = request.route.promptTokens;
     entry.maxTokens = request.route.maxTokens;
-    entry.group = needsGroup(request.route, view);
+    entry.group = groupOrder != 0;
+    entry.groupOrder = groupOrder;
     entry.retry = request.retry;
     entry.queuedAt = now;
     entry.reason = decision.outcome == RouteOutcome::Wait ? "no endpoint has capacity"
--- a/src/admission/queueadmission.h
+++ b/src/admission/queueadmission.h
@@ -67,13 +67,14 @@
 
     std::optional<Refusal> refuseByRate(const PlacementRequest &request, TimePoint now);
     FleetView viewFor(const PlacementRequest &request, TimePoint now, bool arrival);
+    std::uint64_t groupOrder(const std::string &requestId, TimePoint now);
     void thinSlowStarters(FleetView &view, TimePoint now);
     RouteDecision decide(const RouteRequest &route, const FleetView &view);
     Placement commit(const PlacementRequest &request, const FleetView &view,
                      const RouteDecision &decision, TimePoint now);
     PlaceResult enqueue(const PlacementRequest &request, const FleetView &view,
-                        const RouteDecision &decision, const std::function<bool()> &cancelled,
-                        TimePoint now);
+                        const RouteDecision &decision, std::uint64_t groupOrder,
+                        const std::function<bool()> &cancelled, TimePoint now);
     PlaceResult waitForResult(const WaiterPtr &waiter, const std::function<bool()> &cancelled);
     void pumpService(const std::string &service, TimePoint now);
     bool settle(const WaiterPtr &waiter, bool dispatched, const std::function<PlaceResult()> &make);
@@ -90,6 +91,12 @@
     Table<std::string, ServiceState> services_;
     Table<std::string, TokenBucket> rates_;
     RetryBudget retries_;
+    struct GroupRow
+    {
+        std::uint64_t order = 0;
+        TimePoint seen;
+    };
+    Table<std::string, GroupRow> groups_; ///< By request id.
     std::uint64_t nextTicket_ = 1;
 
     std::mutex pumpMutex_; ///< One pump at a time; never taken while mutex_ is held.
--- a/tests/benchmarks/routing_benchmark.cpp
+++ b/tests/benchmarks/routing_benchmark.cpp
@@ -126,6 +126,13 @@
     });
 }
 
+/// The part of place() that belongs to the fleet.
+void benchmarkViewCopy(benchmark::State &state)
+{
+    const FixedFleet fleet(static_cast<std::size_t>(state.range(0)));
+    measure(state, [&] { benchmark::DoNotOptimize(fleet.view("", steadyNow())); });
+}
+
 void benchmarkPrefixHashes(benchmark::State &state)
 {
     const std::string prompt(static_cast<std::size_t>(state.range(0)), 'x');
@@ -155,4 +162,5 @@
         ->Apply(sizes);
 BENCHMARK(benchmarkGroup)->Apply(sizes);
 BENCHMARK(benchmarkPlace)->Apply(sizes);
+BENCHMARK(benchmarkViewCopy)->Apply(sizes);
 BENCHMARK(benchmarkPrefixHashes)->Arg(4 << 10)->Arg(400 << 10)->Arg(4 << 20);
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -155,12 +155,45 @@
     QueueEntry first = entry(1, "big", Priority::Normal, 500'000);
     QueueEntry second = entry(2, "other", Priority::Urgent, 300'000);
     first.group = second.group = true;
+    // The request of ticket 4 comes back after a refused reservation; it was there first.
+    first.groupOrder = 11;
+    second.groupOrder = 12;
+    QueueEntry returned = entry(4, "back", Priority::Background, 400'000);
+    returned.group = true;
+    returned.groupOrder = 10;
     queue.push(first);
     queue.push(second);
     queue.push(entry(3, "small", Priority::Normal));
-    const std::vector<std::uint64_t> order = queue.order("s", 10);
-    LONGS_EQUAL(2, order.size());
-    CHECK_TRUE(std::find(order.begin(), order.end(), 2) == order.end());
+    CHECK_TRUE(queue.order("s", 10) == (std::vector<std::uint64_t>{1, 3}));
+    queue.push(returned);
+    CHECK_TRUE(queue.order("s", 10) == (std::vector<std::uint64_t>{3, 4}));
+    queue.erase(4, true);
+    queue.erase(1, true);
+    CHECK_TRUE(queue.order("s", 10) == (std::vector<std::uint64_t>{2, 3}));
+}
+
+// Guards against background work that starves behind a normal load above capacity, and against
+// background work that delays urgent requests.
+TEST(Admission, backgroundGetsATwentiethUnderConstantNormalLoad)
+{
+    FairQueue queue(1000);
+    std::uint64_t ticket = 0;
+    std::map<Priority, int> served;
+    for (int step = 0; step < 400; ++step) {
+        if (step < 100)
+            queue.push(entry(++ticket, "b", Priority::Background));
+        queue.push(entry(++ticket, "n", Priority::Normal));
+        if (step % 10 == 0)
+            queue.push(entry(++ticket, "u", Priority::Urgent));
+        const std::uint64_t next = queue.order("s", 1).front();
+        const Priority priority = queue.find(next)->priority;
+        ++served[priority];
+        if (step % 10 == 0)
+            CHECK_TRUE(priority == Priority::Urgent);
+        queue.erase(next, true);
+    }
+    LONGS_EQUAL(18, served[Priority::Background]);
+    LONGS_EQUAL(40, served[Priority::Urgent]);
 }
 
 // Guards against background work that never runs: it is served whenever nothing else waits, and a
