--- /dev/null
+++ b/src/cli/loadcommand.cpp
@@ -0,0 +1,92 @@
+#include "cli/loadcommand.h"
+
+#include "cli/commands.h"
+#include "loadgen/generate.h"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace cicadafork {
+
+namespace {
+
+int usageError(const std::string &message)
+{
+    fmt::print(stderr, "cicadafork load: {}\nrun 'cicadafork load --help' for the options\n",
+               message);
+    return ExitUsage;
+}
+
+/// Accepts a number of seconds or milliseconds with its unit, for example "60s".
+Millis parseDuration(const std::string &text)
+{
+    std::size_t end = 0;
+    const long value = std::stol(text, &end);
+    const std::string unit = text.substr(end);
+    if (value <= 0 || value > 86'400'000 || (unit != "s" && unit != "ms"))
+        throw std::invalid_argument("use a number with the unit s or ms");
+    return unit == "s" ? std::chrono::seconds(value) : Millis(value);
+}
+
+int writeGenerated(const GenerateOptions &options, const std::string &path)
+{
+    const auto trace = capture([&] { return generateTrace(options); });
+    if (!trace)
+        return usageError(fmt::format("{}; {}", trace.error().message, trace.error().remedy));
+    std::ofstream file(path);
+    file << formatTrace(*trace);
+    file.close();
+    if (!file) {
+        fmt::print(stderr, "cicadafork load: cannot write {}; check the directory\n", path);
+        return ExitFailure;
+    }
+    fmt::print(stderr, "{} requests written to {}\n", trace->size(), path);
+    return ExitSuccess;
+}
+
+int runParsed(const cxxopts::ParseResult &parsed)
+{
+    if (!parsed.count("generate") || !parsed.count("write"))
+        return usageError("--generate and --write are needed");
+    GenerateOptions options;
+    options.profile = parsed["generate"].as<std::string>();
+    options.rate = parsed["rate"].as<double>();
+    options.seed = parsed["seed"].as<std::uint64_t>();
+    options.arrivals = parsed["bursty"].as<bool>() ? Arrivals::Bursty : Arrivals::Poisson;
+    try {
+        options.duration = parseDuration(parsed["duration"].as<std::string>());
+    } catch (const std::exception &problem) {
+        return usageError(fmt::format("wrong --duration: {}", problem.what()));
+    }
+    return writeGenerated(options, parsed["write"].as<std::string>());
+}
+
+} // namespace
+
+int runLoadCommand(int argc, char **argv)
+{
+    cxxopts::Options options("cicadafork load", "Generates a trace of requests.");
+    auto add = options.add_options();
+    add("generate", "profile of the trace: karri-ridge or coop", cxxopts::value<std::string>());
+    add("duration", "length, for example 60s", cxxopts::value<std::string>()->default_value("60s"));
+    add("rate", "mean requests per second", cxxopts::value<double>()->default_value("10"));
+    add("bursty", "arrivals in bursts instead of Poisson arrivals");
+    add("seed", "seed of the trace", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("write", "file to write", cxxopts::value<std::string>());
+    add("help", "print this text");
+    try {
+        const auto parsed = options.parse(argc, argv);
+        if (parsed.count("help")) {
+            fmt::print("{}", options.help());
+            return ExitSuccess;
+        }
+        return runParsed(parsed);
+    } catch (const std::exception &problem) {
+        return usageError(problem.what());
+    }
+}
+
+} // namespace cicadafork
