Report goodput and the slowdown of short requests of a load run

Cause: the two users judge a policy by the slowdown of short requests and the useful work done.

Ruled out: the fastest request of the run as the reference of the slowdown; it shrinks when every request of the run is slowed.

Figures: none beyond the tests; not yet run against a daemon.

--- a/src/cli/loadcommand.cpp
+++ b/src/cli/loadcommand.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <fstream>
+#include <optional>
 
 namespace cicadafork {
 
@@ -69,8 +70,13 @@
             return usageError(address.error().message);
         options.targets.push_back(*address);
     }
+    std::optional<double> idealShort;
+    if (parsed.count("ideal-short-ms"))
+        idealShort = parsed["ideal-short-ms"].as<double>();
+    if (idealShort && !(*idealShort > 0))
+        return usageError("--ideal-short-ms must be above 0");
     const auto results = runLoad(*trace, options);
-    const nlohmann::json run = summarise(*trace, results);
+    const nlohmann::json run = summarise(*trace, results, idealShort);
     const auto written = capture([&] {
         return writeReport(run, parsed["seed"].as<std::uint64_t>(),
                            parsed["out"].as<std::string>());
@@ -115,6 +121,8 @@
     add("out", "directory of the report", cxxopts::value<std::string>());
     add("workers", "most requests in progress at once",
         cxxopts::value<std::size_t>()->default_value("512"));
+    add("ideal-short-ms", "unloaded time to first token of 1k prompts, for their slowdown",
+        cxxopts::value<double>());
     add("generate", "profile of the trace: karri-ridge or coop", cxxopts::value<std::string>());
     add("duration", "length, for example 60s", cxxopts::value<std::string>()->default_value("60s"));
     add("rate", "mean requests per second", cxxopts::value<double>()->default_value("10"));
--- a/src/loadgen/runner.cpp
+++ b/src/loadgen/runner.cpp
@@ -18,6 +18,8 @@
 
 /// A daemon answers at the latest 250 ms after the timeout; the rest is for the network.
 constexpr Millis kAnswerGrace{1000};
+/// Time after its timeout at which an answer is overdue (section 1 of the design page).
+constexpr double kOverdueMs = 250;
 
 double millisSince(TimePoint planned)
 {
@@ -200,7 +202,8 @@
     return results;
 }
 
-Json summarise(const std::vector<TraceRequest> &trace, const std::vector<RequestResult> &results)
+Json summarise(const std::vector<TraceRequest> &trace, const std::vector<RequestResult> &results,
+               std::optional<double> idealShortMs)
 {
     std::map<std::string, std::vector<double>> firstTokens{
             {"1k", {}}, {"10k", {}}, {"100k", {}}, {"1m", {}}};
@@ -210,6 +213,9 @@
     int overdue = 0;
     int lateStarts = 0;
     int unexpected = 0;
+    int useful = 0;
+    int failedInTime = 0;
+    double end = 1;
     for (std::size_t i = 0; i < trace.size(); ++i) {
         const RequestResult &result = results[i];
         const char *length = lengthClass(trace[i].promptTokens);
@@ -219,7 +225,14 @@
         ++outcomes[toString(result.outcome)];
         if (result.outcome == RequestOutcome::Refused)
             ++refusals[fmt::format("{} {}", result.status, result.reason)];
-        overdue += result.finished > static_cast<double>(trace[i].timeout.count()) + 250;
+        const auto timeout = static_cast<double>(trace[i].timeout.count());
+        const bool completed = result.outcome == RequestOutcome::Completed;
+        const bool failed = result.outcome == RequestOutcome::Refused
+                            || result.outcome == RequestOutcome::Rejected;
+        useful += completed && result.finished <= timeout;
+        failedInTime += failed && result.finished <= timeout + kOverdueMs;
+        end = std::max(end, static_cast<double>(trace[i].offset.count()) + result.finished);
+        overdue += result.finished > timeout + kOverdueMs;
         lateStarts += result.started > Millis(5);
         unexpected += trace[i].expected != toString(result.outcome);
     }
@@ -232,6 +245,14 @@
                 {"overdue", overdue},
                 {"late_starts", lateStarts},
                 {"unexpected", unexpected}};
+    run["admitted"] = static_cast<int>(trace.size()) - outcomes["refused"] - outcomes["rejected"];
+    run["failed_in_time"] = failedInTime;
+    run["goodput_per_s"] = 1000 * useful / end;
+    run["short_slowdown_p95"] = nullptr;
+    if (idealShortMs && !firstTokens["1k"].empty()) {
+        const double p95 = percentiles(firstTokens["1k"])["p95"];
+        run["short_slowdown_p95"] = p95 / *idealShortMs;
+    }
     for (const auto &[length, values] : firstTokens)
         run["ttft_ms"][length] = percentiles(values);
     for (const auto &[length, values] : gaps)
--- a/src/loadgen/runner.h
+++ b/src/loadgen/runner.h
@@ -44,9 +44,13 @@
 std::vector<RequestResult> runLoad(const std::vector<TraceRequest> &trace,
                                    const LoadOptions &options);
 
-/// One element of "runs" in summary.json, with counts by outcome and refusals by reason.
+/// One element of "runs" in summary.json, with counts by outcome and refusals by reason. Goodput is
+/// whole answers within their timeout per second. The slowdown of short requests is the time to
+/// first token of the 1k class over idealShortMs, the unloaded time; it is null when that is not
+/// known.
 nlohmann::json summarise(const std::vector<TraceRequest> &trace,
-                         const std::vector<RequestResult> &results);
+                         const std::vector<RequestResult> &results,
+                         std::optional<double> idealShortMs = std::nullopt);
 
 const char *toString(RequestOutcome outcome);
 
--- a/tests/unit/loadrunner_test.cpp
+++ b/tests/unit/loadrunner_test.cpp
@@ -120,3 +120,25 @@
     CHECK_FALSE(static_cast<bool>(
             capture([&] { return writeReport(run, 1, "/dev/null/not-a-directory"); })));
 }
+
+// Guards against goodput that counts late or failed answers, and a slowdown without its reference.
+TEST(LoadRunner, goodputAndSlowdownFollowTheirDefinitions)
+{
+    const std::vector<TraceRequest> trace(4, requestFor("any"));
+    std::vector<RequestResult> results(4);
+    for (RequestResult &result : results) {
+        result.outcome = RequestOutcome::Completed;
+        result.firstToken = 50;
+        result.finished = 1000;
+    }
+    results[1].finished = 2001;
+    results[2].finished = 2251;
+    results[3].outcome = RequestOutcome::Refused;
+    const auto run = summarise(trace, results, 25.0);
+    DOUBLES_EQUAL(1000.0 / 2251, run["goodput_per_s"].get<double>(), 0.001);
+    DOUBLES_EQUAL(2, run["short_slowdown_p95"].get<double>(), 0.001);
+    LONGS_EQUAL(1, run["overdue"].get<int>());
+    LONGS_EQUAL(3, run["admitted"].get<int>());
+    LONGS_EQUAL(1, run["failed_in_time"].get<int>());
+    CHECK_TRUE(summarise(trace, results)["short_slowdown_p95"].is_null());
+}
