--- a/src/base/ids.cpp
+++ b/src/base/ids.cpp
@@ -64,6 +64,9 @@
     constexpr std::size_t kVariantIndex = 19;
     if (text[kVersionIndex] != '7' || (hexDigit(text[kVariantIndex]) & 0xc) != 0x8)
         return std::nullopt;
+    // The wall clock counts nanoseconds in 64 bits, which end in the year 2262.
+    if (millis > static_cast<std::uint64_t>(sinceEpoch(WallTime::max()).count()))
+        return std::nullopt;
     return fromEpoch(Millis(millis));
 }
 
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,6 +1,7 @@
 #include "cli/commands.h"
 
 #include "cli/ctlcommand.h"
+#include "cli/loadcommand.h"
 #include "cli/servecommand.h"
 
 #include <fmt/format.h>
@@ -28,11 +29,12 @@
     int (*run)(int argc, char **argv); ///< argv[0] is the name of the subcommand.
 };
 
-constexpr std::array<Subcommand, 5> kSubcommands = {{
+constexpr std::array<Subcommand, 6> kSubcommands = {{
         {"serve", "run the daemon of an entry VM", runServeCommand},
         {"check-config", "check a settings file", runCheckConfigCommand},
         {"ctl", "run an operator's query or command", runCtlCommand},
         {"dump", "print the state of a daemon as JSON", runDumpCommand},
+        {"load", "replay a trace and check every answer", runLoadCommand},
         {"version", "print the version", printVersion},
 }};
 
--- a/standins/standin-service/main.cpp
+++ b/standins/standin-service/main.cpp
@@ -62,8 +62,7 @@
     const std::string key = request.get_header_value("Idempotency-Key");
     if (refused(state, operation, key, fencing, response))
         return;
-    if (state.checkFencing)
-        state.highestFencing[key] = std::max(state.highestFencing[key], fencing);
+    state.highestFencing[key] = std::max(state.highestFencing[key], fencing);
     const std::size_t number = state.executions.size();
     if (number < kMaxExecutions) {
         state.executions.push_back({{"operation", operation},
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -36,8 +36,9 @@
     argv.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errorFile_.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+    if (!errorFile_.empty())
+        posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errorFile_.c_str(),
+                                         O_WRONLY | O_CREAT | O_APPEND, 0644);
     const int error = posix_spawn(&id_, program.c_str(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0)
--- a/tests/support/testcluster.h
+++ b/tests/support/testcluster.h
@@ -104,6 +104,7 @@
     /// "live", "leaving" or "gone"; takes effect with publishVmList().
     void setState(const ClusterMember &member, const std::string &state);
 
+    const std::map<std::string, ClusterMember> &members() const { return members_; }
     const std::string &directory() const { return directory_; }
 
 private:
--- /dev/null
+++ b/tests/tools/cluster.cpp
@@ -0,0 +1,193 @@
+// Starts a small system on loopback, runs a command against it, and ends it again.
+//
+//   cluster --daemons 8 --engines 8 --services 3 --trace traces/coop.jsonl -- COMMAND ARGUMENT...
+//
+// The command finds the caller addresses in CICADAFORK_DAEMONS, the operator's credential in
+// CICADAFORK_CREDENTIAL, and every process of the system in CICADAFORK_MEMBERS (lines "id pid
+// address"). Workspaces and services are created from the trace.
+
+#include "base/hash.h"
+#include "loadgen/trace.h"
+#include "support/eventually.h"
+#include "support/systemclient.h"
+#include "support/testcluster.h"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <map>
+#include <set>
+
+using namespace cicadafork;
+using namespace cicadafork::test;
+
+namespace {
+
+constexpr const char *kModelService = "models";
+constexpr Millis kReadyTimeout{30'000};
+constexpr Millis kCommandLimit{3'600'000};
+
+struct TraceFacts
+{
+    std::set<std::string> models;
+    std::set<std::string> plainServices;
+    std::set<std::string> keyedOperations;
+    std::map<std::string, std::string> credentials; ///< By workspace.
+};
+
+TraceFacts factsOf(const std::vector<TraceRequest> &trace)
+{
+    TraceFacts facts;
+    for (const TraceRequest &request : trace) {
+        facts.credentials[request.workspace] = request.credential;
+        if (request.kind == RequestKind::Completion) {
+            facts.models.insert(request.target);
+            continue;
+        }
+        facts.plainServices.insert(request.target);
+        if (request.keyed)
+            facts.keyedOperations.insert(request.operation);
+    }
+    return facts;
+}
+
+std::string joined(const std::set<std::string> &values)
+{
+    return fmt::format("{}", fmt::join(values, ","));
+}
+
+void configure(const SystemClient &client, const TraceFacts &facts)
+{
+    client.command(fmt::format("create service {} kind=model models=\"{}\"", kModelService,
+                               joined(facts.models)));
+    std::set<std::string> services = facts.plainServices;
+    services.insert(kModelService);
+    for (const std::string &service : facts.plainServices)
+        client.command(fmt::format("create service {} kind=plain non_repeatable=\"{}\"", service,
+                                   joined(facts.keyedOperations)));
+    for (const auto &[workspace, credential] : facts.credentials)
+        client.command(fmt::format("create workspace {} services=\"{}\" credential_sha256={}",
+                                   workspace, joined(services), sha256Hex(credential)));
+}
+
+bool knowsEverything(const SystemClient &client, std::size_t endpoints, std::size_t workspaces)
+{
+    const auto rowsOf = [&](const char *text) {
+        const auto reply = client.statement(text);
+        return reply.contains("table") ? reply["table"]["rows"].size() : 0;
+    };
+    return rowsOf("show endpoints where sendable = yes") == endpoints
+           && rowsOf("show workspaces") == workspaces;
+}
+
+cxxopts::Options commandLine()
+{
+    cxxopts::Options options("cluster", "Runs a command against a small system on loopback.");
+    const auto count
+            = [](const char *value) { return cxxopts::value<std::size_t>()->default_value(value); };
+    const auto text
+            = [](const char *value) { return cxxopts::value<std::string>()->default_value(value); };
+    options.add_options()                                                                  //
+            ("daemons", "number of daemons", count("8"))                                   //
+            ("engines", "number of model engines", count("8"))                             //
+            ("services", "endpoints of the plain service", count("3"))                     //
+            ("time-scale", "speed of the engines", text("20"))                             //
+            ("trace", "trace that names workspaces and models", text(""))                  //
+            ("settings", "YAML added to every daemon's settings", text(""))                //
+            ("engine-flags", "flags added to every engine, separated by spaces", text("")) //
+            ("help", "print this text")                                                    //
+            ("command", "command to run", cxxopts::value<std::vector<std::string>>());
+    options.parse_positional("command");
+    return options;
+}
+
+ClusterOptions clusterOptions(const cxxopts::ParseResult &parsed, const TraceFacts &facts)
+{
+    ClusterOptions options;
+    options.daemons = parsed["daemons"].as<std::size_t>();
+    options.engines = parsed["engines"].as<std::size_t>();
+    options.services = parsed["services"].as<std::size_t>();
+    options.timeScale = std::stod(parsed["time-scale"].as<std::string>());
+    options.engineService = kModelService;
+    if (!facts.plainServices.empty())
+        options.plainService = *facts.plainServices.begin();
+    options.engineFlags = {"--models", joined(facts.models)};
+    std::istringstream flags(parsed["engine-flags"].as<std::string>());
+    for (std::string flag; flags >> flag;)
+        options.engineFlags.push_back(flag);
+    options.extraSettings = parsed["settings"].as<std::string>();
+    options.operatorCredentialSha256 = sha256Hex(kOperatorCredential);
+    return options;
+}
+
+void exportEnvironment(TestCluster &cluster, const ClusterOptions &options)
+{
+    std::string daemons;
+    for (std::size_t i = 0; i < options.daemons; ++i)
+        daemons += fmt::format("{}{}", i == 0 ? "" : " ", toString(cluster.daemon(i).address));
+    std::string members;
+    for (const auto &[id, member] : cluster.members())
+        members += fmt::format("{} {} {}\n", id, member.process->id(), toString(member.address));
+    setenv("CICADAFORK_DAEMONS", daemons.c_str(), 1);
+    setenv("CICADAFORK_MEMBERS", members.c_str(), 1);
+    setenv("CICADAFORK_CREDENTIAL", kOperatorCredential, 1);
+}
+
+int runCommand(const std::vector<std::string> &command)
+{
+    const std::vector<std::string> arguments(command.begin() + 1, command.end());
+    ChildProcess process(command.front(), arguments, "");
+    return process.wait(kCommandLimit).value_or(EXIT_FAILURE);
+}
+
+int run(const cxxopts::ParseResult &parsed)
+{
+    TraceFacts facts{{"tiny"}, {}, {}, {}};
+    const std::string path = parsed["trace"].as<std::string>();
+    if (!path.empty()) {
+        const auto trace = capture([&] { return readTrace(path); });
+        if (!trace) {
+            fmt::print(stderr, "error: {}\nremedy: {}\n", trace.error().message,
+                       trace.error().remedy);
+            return EXIT_FAILURE;
+        }
+        facts = factsOf(*trace);
+    }
+    const ClusterOptions options = clusterOptions(parsed, facts);
+    TestCluster cluster(options);
+    cluster.start();
+    const SystemClient first(cluster.daemon(0).address, kOperatorCredential);
+    if (!eventually(kReadyTimeout, [&] { return first.ready(); }))
+        throw std::runtime_error("the first daemon does not become ready");
+    configure(first, facts);
+    for (std::size_t i = 0; i < options.daemons; ++i) {
+        const SystemClient client(cluster.daemon(i).address, kOperatorCredential);
+        const bool known = eventually(kReadyTimeout, [&] {
+            return knowsEverything(client, options.engines + options.services,
+                                   facts.credentials.size());
+        });
+        if (!known)
+            throw std::runtime_error("a daemon does not know all endpoints and workspaces");
+    }
+    exportEnvironment(cluster, options);
+    return runCommand(parsed["command"].as<std::vector<std::string>>());
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options = commandLine();
+    try {
+        const auto parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0 || parsed.count("command") == 0) {
+            fmt::print("{}", options.help());
+            return parsed.count("help") > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+        }
+        return run(parsed);
+    } catch (const std::exception &exception) {
+        fmt::print(stderr, "error: {}\n", exception.what());
+        return EXIT_FAILURE;
+    }
+}
--- a/tests/unit/base_test.cpp
+++ b/tests/unit/base_test.cpp
@@ -55,6 +55,8 @@
     CHECK_TRUE(read.has_value());
     CHECK_TRUE(*read == now);
     CHECK_FALSE(uuidV7Time("4b6a1cc8-2f7e-4a0e-9f29-4dc1f3a6b8aa").has_value());
+    // Guards against an overflow of the clock by a caller's key from the far future.
+    CHECK_FALSE(uuidV7Time("ffffffff-ffff-7a0e-9f29-4dc1f3a6b8aa").has_value());
 }
 
 // Guards against a table that grows without bound when a stranger sends many keys.
