--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -224,7 +224,7 @@
     const AnswerForm answerForm{caller.requestId, body.model, form, body.maxTokens};
     const bool stream = body.stream;
     startModelRun(active, caller, std::move(body));
-    serveAnswer(response, served, answerForm, stream, counters_);
+    serveAnswer(response, served, answerForm, {stream, hooks_.longestSilence}, counters_);
 }
 
 void Frontend::callService(const httplib::Request &request, httplib::Response &response)
--- a/src/frontend/hooks.h
+++ b/src/frontend/hooks.h
@@ -3,6 +3,7 @@
 // Functions that the daemon injects into the frontend. An empty function is not called. All of
 // them are called from many threads.
 
+#include "base/clock.h"
 #include "http/address.h"
 #include "routing/fleetview.h"
 
@@ -33,6 +34,10 @@
     /// Records which prompt an endpoint has cached now; must not block.
     std::function<void(const EndpointView &endpoint, const std::vector<std::uint64_t> &hashes)>
             notePrefix;
+    /// Tokens come every 36 ms; an engine that is silent for this long after the first one is
+    /// frozen or cut off. Its connection is broken off, and the stream is resumed or fails
+    /// definitely. Tests shorten it.
+    Millis longestSilence{10'000};
 };
 
 } // namespace cicadafork
--- a/src/frontend/problem.cpp
+++ b/src/frontend/problem.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// An abandoned request tells its caller when to come back, also when the endpoint states no time.
+constexpr Millis kRetryAfter{1000};
+
 const char *titleOf(int status)
 {
     switch (status) {
@@ -91,12 +94,15 @@
 
 Problem problemOf(const AttemptResult &result, Execution execution)
 {
-    Problem problem{502,       "endpoint-failed", result.error.message, result.error.remedy,
-                    execution, Millis(0)};
+    Problem problem{502,
+                    "endpoint-failed",
+                    result.error.message,
+                    result.error.remedy,
+                    execution,
+                    std::max(result.retryAfter, kRetryAfter)};
     if (result.status == AttemptStatus::Refused) {
         problem.status = result.httpStatus == 429 ? 429 : 503;
         problem.type = "endpoint-refused";
-        problem.retryAfter = std::max(result.retryAfter, Millis(1000));
     }
     return problem;
 }
@@ -108,7 +114,7 @@
             "the timeout of the request was reached",
             "send the request again with a longer X-Request-Timeout-Ms",
             execution,
-            Millis(0)};
+            kRetryAfter};
 }
 
 nlohmann::json problemJson(const Problem &problem, const std::string &requestId)
--- a/src/frontend/serving.cpp
+++ b/src/frontend/serving.cpp
@@ -8,17 +8,40 @@
 
 // A write is the only way to see that the caller has gone away.
 constexpr Millis kCommentInterval{1000};
-// Tokens come every 36 ms; an engine that is silent for this long after the first one is frozen
-// or cut off. Its connection is broken off, and the stream is resumed or fails definitely.
-constexpr Millis kLongestSilence{10'000};
+/// Breaks off the connection of a stream whose engine has been silent for too long.
+class SilenceWatch
+{
+public:
+    SilenceWatch(Millis limit, FrontendCounters &counters)
+        : limit_(limit)
+        , counters_(counters)
+    {
+    }
+
+    void notePart() { lastPart_ = steadyNow(); }
+
+    void check(ActiveRequest &request)
+    {
+        if (!lastPart_ || steadyNow() - *lastPart_ < limit_)
+            return;
+        counters_.silences.Increment();
+        notePart();
+        request.stop().interrupt();
+    }
+
+private:
+    Millis limit_;
+    FrontendCounters &counters_;
+    std::optional<TimePoint> lastPart_;
+};
 
 class EventWriter
 {
 public:
-    EventWriter(std::shared_ptr<ServedRequest> served, AnswerForm form, FrontendCounters &counters)
+    EventWriter(std::shared_ptr<ServedRequest> served, AnswerForm form, SilenceWatch silence)
         : served_(std::move(served))
         , form_(std::move(form))
-        , counters_(counters)
+        , silence_(silence)
     {
     }
 
@@ -42,10 +65,10 @@
             last = true;
         } else if (taken.parts.empty()) {
             events = ": waiting\n\n";
-            breakSilence(request);
+            silence_.check(request);
         }
         if (!taken.parts.empty())
-            lastPart_ = steadyNow();
+            silence_.notePart();
         if (!sink.write(events.data(), events.size()))
             return false;
         if (last)
@@ -54,28 +77,24 @@
     }
 
 private:
-    void breakSilence(ActiveRequest &request)
-    {
-        if (!lastPart_ || steadyNow() - *lastPart_ < kLongestSilence)
-            return;
-        counters_.silences.Increment();
-        lastPart_ = steadyNow();
-        request.stop().interrupt();
-    }
-
     std::shared_ptr<ServedRequest> served_;
     AnswerForm form_;
-    FrontendCounters &counters_;
-    std::optional<TimePoint> lastPart_;
+    SilenceWatch silence_;
 };
 
-void writeWhole(httplib::Response &response, ServedRequest &served, const AnswerForm &form)
+void writeWhole(httplib::Response &response, ServedRequest &served, const AnswerForm &form,
+                SilenceWatch silence)
 {
     std::string text;
     for (;;) {
-        const auto taken = served->buffer().take(served->facts().deadline);
+        const auto taken = served->buffer().take(
+                std::min(served->facts().deadline, steadyNow() + kCommentInterval));
         for (const StreamPart &part : taken.parts)
             text += part.text;
+        if (taken.parts.empty())
+            silence.check(*served);
+        else
+            silence.notePart();
         if (taken.end && taken.end->problem)
             return writeProblem(response, *taken.end->problem, form.requestId);
         if (taken.end)
@@ -88,7 +107,7 @@
 } // namespace
 
 void serveAnswer(httplib::Response &response, const std::shared_ptr<ServedRequest> &served,
-                 const AnswerForm &form, bool stream, FrontendCounters &counters)
+                 const AnswerForm &form, ServeOptions options, FrontendCounters &counters)
 {
     ActiveRequest &request = **served;
     switch (request.buffer().waitAccepted(request.facts().deadline)) {
@@ -101,9 +120,10 @@
     case StreamBuffer::Start::Accepted:
         break;
     }
-    if (!stream)
-        return writeWhole(response, *served, form);
-    auto writer = std::make_shared<EventWriter>(served, form, counters);
+    const SilenceWatch silence(options.longestSilence, counters);
+    if (!options.stream)
+        return writeWhole(response, *served, form, silence);
+    auto writer = std::make_shared<EventWriter>(served, form, silence);
     response.set_header("Cache-Control", "no-store");
     response.set_chunked_content_provider(
             "text/event-stream",
--- a/src/frontend/serving.h
+++ b/src/frontend/serving.h
@@ -2,7 +2,8 @@
 
 // Internal: writes one model answer to the caller.
 //
-//   serveAnswer(response, std::make_shared<ServedRequest>(table, request), form, stream, counters);
+//   serveAnswer(response, std::make_shared<ServedRequest>(table, request), form, {stream, silence},
+//   counters);
 
 #include "frontend/chunks.h"
 #include "frontend/requesttable.h"
@@ -40,9 +41,15 @@
     std::shared_ptr<ActiveRequest> request_;
 };
 
+struct ServeOptions
+{
+    bool stream = false;
+    Millis longestSilence{0}; ///< See FrontendHooks.
+};
+
 /// Waits until an endpoint has accepted the request or a definite failure is known; then writes
 /// the problem, the whole answer, or sets the response up to stream.
 void serveAnswer(httplib::Response &response, const std::shared_ptr<ServedRequest> &served,
-                 const AnswerForm &form, bool stream, FrontendCounters &counters);
+                 const AnswerForm &form, ServeOptions options, FrontendCounters &counters);
 
 } // namespace cicadafork
--- a/tests/support/fakeengine.cpp
+++ b/tests/support/fakeengine.cpp
@@ -305,6 +305,10 @@
                     case StreamFault::NotJson:
                         data = "text";
                         break;
+                    case StreamFault::Freeze:
+                        for (int i = 0; i < 500 && !isCancelled(id); ++i)
+                            std::this_thread::sleep_for(Millis(10));
+                        break;
                     default:
                         break;
                     }
--- a/tests/support/fakeengine.h
+++ b/tests/support/fakeengine.h
@@ -32,6 +32,7 @@
     Truncated, ///< The connection ends.
     WrongTotal,
     NotJson,
+    Freeze, ///< No event comes for 5 s, unless the request is cancelled.
 };
 
 struct FakeBehaviour
--- a/tests/support/frontendfakes.cpp
+++ b/tests/support/frontendfakes.cpp
@@ -180,6 +180,7 @@
     settings_.limits.maxBodyBytes = 64 * 1024;
     settings_.timing.holdLifetime = Millis(300);
     FrontendHooks hooks;
+    hooks.longestSilence = Millis(500);
     hooks.noteStream = [this](const std::string &key, const EndpointView &endpoint) {
         const std::lock_guard lock(locationMutex);
         locations[key] = {endpoint.id, endpoint.address};
--- a/tests/unit/frontend_test.cpp
+++ b/tests/unit/frontend_test.cpp
@@ -136,6 +136,24 @@
     STRCMP_CONTAINS("cicadafork_engine_mismatches_total 5", fixture.metrics.serialize().c_str());
 }
 
+// Guards against a frozen engine that holds an answer until its timeout.
+TEST(Frontend, silentStreamIsBrokenOffAndResumed)
+{
+    FrontendFixture fixture;
+    fixture.engine(0).set({.fault = StreamFault::Freeze, .faultAt = 2});
+    for (const bool stream : {true, false}) {
+        const TimePoint start = steadyNow();
+        const auto answer = fixture.post("/v1/completions", completionBody(stream));
+        CHECK_TRUE(steadyNow() - start < Millis(3500));
+        LONGS_EQUAL(200, answer->status);
+        const std::string text = stream ? parseStream(answer->body).text
+                                        : nlohmann::json::parse(answer->body)["choices"][0]["text"]
+                                                  .get<std::string>();
+        STRCMP_EQUAL(fakeAnswer("a prompt", 5).c_str(), text.c_str());
+    }
+    STRCMP_CONTAINS("cicadafork_silent_streams_total 2", fixture.metrics.serialize().c_str());
+}
+
 // Guards against a cut answer that looks whole, and against a second engine continuing an answer.
 TEST(Frontend, streamThatCannotBeResumedFailsDefinitely)
 {
