Give up on endpoints without a sign of life before the first token

Cause: a request at an engine that froze before it accepted the request, or before the first token, got its answer at its deadline. Change: on each tick, attempts at endpoints without a token and without a status report for 5 s (twice the life of a permission to send) are interrupted; they are resumed, repeated or fail definitely. The decision is waitsForSilentEndpoint(), a function over the request's view and the report's age. The watch pauses after a pause of this process, when every report is old. Ruled out: a read timeout on the connection, which would also end the prefill of a million tokens; the loss of the permission alone, because a drained endpoint still finishes its work.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -264,12 +264,16 @@
 void Daemon::updatePools()
 {
     const TimePoint now = steadyNow();
+    std::map<std::string, Millis> reportAges;
     for (const std::string &service : fleet_.services()) {
         std::vector<std::string> endpoints;
-        for (const EndpointView &endpoint : fleet_.view(service, now).endpoints)
+        for (const EndpointView &endpoint : fleet_.view(service, now).endpoints) {
             endpoints.push_back(endpoint.id);
+            reportAges[endpoint.id] = endpoint.reportAge;
+        }
         outliers_.setPool(service, std::move(endpoints));
     }
+    frontend_.breakOffSilent(reportAges, now);
 }
 
 void Daemon::runVmList()
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -17,6 +17,9 @@
 // An attempt that is stopped can outlast its caller for a short time.
 constexpr std::size_t kSpareUpstreamThreads = 16;
 constexpr Millis kRetryAfter{1000};
+// An endpoint that has been silent for the life of a permission receives nothing new. Work that is
+// there gets the same time again, because a report can be late on its way through other daemons.
+constexpr int kSilentPermissions = 2;
 
 Problem internalProblem(const char *what, Execution execution)
 {
@@ -117,6 +120,23 @@
     });
 }
 
+void Frontend::breakOffSilent(const std::map<std::string, Millis> &reportAges, TimePoint now)
+{
+    const Millis limit = kSilentPermissions * settings_.timing.sendPermission;
+    if (!watches(silence_, limit, now))
+        return;
+    for (const auto &request : table_.all()) {
+        const RequestView view = request->view(now);
+        const auto age = reportAges.find(view.endpoint);
+        if (view.endpoint.empty()
+            || !waitsForSilentEndpoint(view, age == reportAges.end() ? Millis::max() : age->second,
+                                       limit))
+            continue;
+        counters_.silences.Increment();
+        request->interrupt();
+    }
+}
+
 void Frontend::reject(const httplib::Request &request, httplib::Response &response,
                       const Problem &problem)
 {
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -25,6 +25,7 @@
 #include "frontend/hooks.h"
 #include "frontend/requesttable.h"
 #include "frontend/runcontext.h"
+#include "frontend/silence.h"
 #include "membership/fleet.h"
 #include "settings/settings.h"
 
@@ -32,6 +33,7 @@
 #include <httplib.h>
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -62,6 +64,10 @@
     /// Requests in progress, for operators.
     std::vector<RequestView> requests(TimePoint now) const { return table_.views(now); }
 
+    /// Interrupts attempts at endpoints that give no sign of life; they are resumed, repeated, or
+    /// fail definitely. Call on each tick with the age of each endpoint's last status report.
+    void breakOffSilent(const std::map<std::string, Millis> &reportAges, TimePoint now);
+
 private:
     void complete(const httplib::Request &request, httplib::Response &response,
                   CompletionForm form);
@@ -86,6 +92,7 @@
     HoldKeeper holds_;
     RunContext context_;
     RequestTable table_;
+    SilenceWatchState silence_; ///< Only the thread that ticks uses it.
     std::atomic<bool> draining_{false};
     asio::thread_pool upstream_;
 };
--- a/src/frontend/requesttable.cpp
+++ b/src/frontend/requesttable.cpp
@@ -97,6 +97,16 @@
     return cancelled_;
 }
 
+void ActiveRequest::interrupt()
+{
+    {
+        // The time until the next interrupt starts anew.
+        const std::lock_guard lock(mutex_);
+        progressAt_ = steadyNow();
+    }
+    stop_.interrupt();
+}
+
 bool ActiveRequest::pause(Millis duration)
 {
     std::unique_lock lock(mutex_);
--- a/src/frontend/requesttable.h
+++ b/src/frontend/requesttable.h
@@ -95,6 +95,8 @@
     /// Stops the attempt in progress and forbids further sends; returns what is known then.
     Execution cancel();
     bool cancelled() const;
+    /// Breaks the attempt in progress off without forbidding further sends.
+    void interrupt();
     /// Sleeps; false when the request was cancelled or its deadline passed.
     bool pause(Millis duration);
 
