Make the test system fit for proofs with injected faults

(2) Links between failure domains changed the source address of daemons, so that peers refused each other (peer_refused ... ip=127.0.0.1) and daemons of different domains never spoke in a system with domainLinks. (3) Each platform stand-in had 256 threads and each daemon 2,300; starts failed with "Resource temporarily unavailable" when several systems ran (32,768 threads on the machine).

--- a/standins/fault-proxy/proxy.cpp
+++ b/standins/fault-proxy/proxy.cpp
@@ -75,6 +75,7 @@
 
     void start()
     {
+        keepSourceIp();
         target_.async_connect(proxy_.target_, [self = shared_from_this()](asio::error_code error) {
             if (error)
                 return self->close(true);
@@ -103,6 +104,15 @@
     }
 
 private:
+    // Daemons accept peers by their source address, which a link does not change.
+    void keepSourceIp()
+    {
+        asio::error_code error;
+        const Tcp::endpoint client = client_.remote_endpoint(error);
+        target_.open(Tcp::v4(), error);
+        target_.bind({client.address(), 0}, error);
+    }
+
     bool isCut(const Direction &direction) const
     {
         return direction.toTarget ? proxy_.faults_.cutToTarget : proxy_.faults_.cutToClient;
--- a/tests/support/systemclient.cpp
+++ b/tests/support/systemclient.cpp
@@ -31,6 +31,8 @@
         return;
     result.execution = json.value("execution", "");
     result.problem = json.value("detail", "");
+    if (json.contains("retry_after_ms"))
+        result.retryAfter = fmt::format("{} ms", json["retry_after_ms"].dump());
 }
 
 /// Takes the lines of one streamed completion apart.
--- a/tests/support/systemclient.h
+++ b/tests/support/systemclient.h
@@ -49,12 +49,12 @@
 struct CallResult
 {
     int status = 0;
-    std::string text;      ///< Joined answer of a completion, or the body of a service call.
-    std::string execution; ///< From a problem object: "not_run", "ran" or "may_have_run".
-    std::string problem;   ///< Detail of the problem object.
-    bool done = false;     ///< The stream ended with [DONE], or the body arrived whole.
-    bool replayed = false; ///< The answer is the stored one of an earlier attempt.
-    std::string retryAfter;
+    std::string text;       ///< Joined answer of a completion, or the body of a service call.
+    std::string execution;  ///< From a problem object: "not_run", "ran" or "may_have_run".
+    std::string problem;    ///< Detail of the problem object.
+    bool done = false;      ///< The stream ended with [DONE], or the body arrived whole.
+    bool replayed = false;  ///< The answer is the stored one of an earlier attempt.
+    std::string retryAfter; ///< Of the header, or of the error event that ended a stream.
     Millis firstToken{0};
     Millis duration{0};
     std::string lastEventId;
--- a/tests/support/testcluster.cpp
+++ b/tests/support/testcluster.cpp
@@ -23,6 +23,9 @@
 // Enough for the streams of an integration test; the default of 1,300 would cost each engine
 // memory.
 constexpr const char *kEngineThreads = "160";
+// Daemons hold few connections to the platform. The stand-ins' default of 256 threads each would
+// take a good part of the 32,768 threads that a machine has by default.
+constexpr const char *kPlatformThreads = "64";
 
 std::string domainName(std::size_t number)
 {
@@ -109,6 +112,8 @@
     member.viaProxy = member.address;
     member.program = program;
     member.arguments = {"--listen", toString(member.address)};
+    if (program == "standin-log" || program == "standin-vmlist" || program == "standin-weights")
+        member.arguments.insert(member.arguments.end(), {"--threads", kPlatformThreads});
     const auto &proxied = options_.proxied;
     if (std::find(proxied.begin(), proxied.end(), id) != proxied.end()) {
         member.viaProxy = addresses_.next();
@@ -162,15 +167,19 @@
         link.admin = addresses_.next();
         link.arguments = {"--listen", toString(link.admin), "--threads", "4"};
     }
-    auto forward = [&](const Address &target) {
-        const Address listen = addresses_.next();
+    // The other side accepts a peer by the source address, so that the list must show the peer's
+    // own.
+    auto forward = [&](const Address &target, const std::string &ip = "") {
+        Address listen = addresses_.next();
+        if (!ip.empty())
+            listen.ip = ip;
         link.arguments.insert(link.arguments.end(),
                               {"--link", toString(listen) + "=" + toString(target)});
         return listen;
     };
     link.addresses[member.id] = forward(member.viaProxy);
     if (member.program == kDaemonProgram)
-        link.peerAddresses[member.id] = forward(member.peerAddress);
+        link.peerAddresses[member.id] = forward(member.peerAddress, member.peerAddress.ip);
 }
 
 Address TestCluster::addressSeenFrom(const std::string &domain, const ClusterMember &member) const
