--- a/tests/support/testcluster.cpp
+++ b/tests/support/testcluster.cpp
@@ -20,10 +20,6 @@
 constexpr Millis kStartTimeout{10'000};
 constexpr Millis kAdminTimeout{3'000};
 
-// Enough for the streams of an integration test; the default of 1,300 would cost each engine
-// memory.
-constexpr const char *kEngineThreads = "160";
-
 std::string domainName(std::size_t number)
 {
     return fmt::format("domain-{}", 1 + number % kFailureDomains);
@@ -123,7 +119,7 @@
     for (std::size_t i = 0; i < options_.engines; ++i) {
         ClusterMember &member = add(fmt::format("engine-{}", i + 1), i, "standin-engine");
         auto &arguments = member.arguments;
-        arguments.insert(arguments.end(), {"--id", member.id, "--threads", kEngineThreads,
+        arguments.insert(arguments.end(), {"--id", member.id, "--threads", options_.engineThreads,
                                            "--time-scale", fmt::format("{}", options_.timeScale),
                                            "--weights", toString(weights().viaProxy)});
         arguments.insert(arguments.end(), options_.engineFlags.begin(), options_.engineFlags.end());
--- a/tests/support/testcluster.h
+++ b/tests/support/testcluster.h
@@ -29,6 +29,9 @@
     std::string engineService = "report-writer"; ///< Service name of the engines in the VM list.
     std::string plainService = "gate-calls";
     std::vector<std::string> engineFlags = {}; ///< Added to every engine.
+    /// Connections of each engine. The default suits integration tests; the engine's own default of
+    /// 1,300 would cost each engine memory.
+    std::string engineThreads = "160";
     /// Links with a fault-proxy: names of members, for example "log", "vmlist", "engine-1". Clients
     /// then get the address of the proxy.
     std::vector<std::string> proxied = {};
--- a/tests/tools/cluster.cpp
+++ b/tests/tools/cluster.cpp
@@ -6,81 +6,21 @@
 // CICADAFORK_CREDENTIAL, and every process of the system in CICADAFORK_MEMBERS (lines "id pid
 // address"). Workspaces and services are created from the trace.
 
-#include "base/hash.h"
-#include "loadgen/trace.h"
-#include "support/eventually.h"
-#include "support/systemclient.h"
-#include "support/testcluster.h"
+#include "support/tracecluster.h"
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
 #include <cstdlib>
-#include <map>
-#include <set>
+#include <sstream>
 
 using namespace cicadafork;
 using namespace cicadafork::test;
 
 namespace {
 
-constexpr const char *kModelService = "models";
-constexpr Millis kReadyTimeout{30'000};
 constexpr Millis kCommandLimit{3'600'000};
 
-struct TraceFacts
-{
-    std::set<std::string> models;
-    std::set<std::string> plainServices;
-    std::set<std::string> keyedOperations;
-    std::map<std::string, std::string> credentials; ///< By workspace.
-};
-
-TraceFacts factsOf(const std::vector<TraceRequest> &trace)
-{
-    TraceFacts facts;
-    for (const TraceRequest &request : trace) {
-        facts.credentials[request.workspace] = request.credential;
-        if (request.kind == RequestKind::Completion) {
-            facts.models.insert(request.target);
-            continue;
-        }
-        facts.plainServices.insert(request.target);
-        if (request.keyed)
-            facts.keyedOperations.insert(request.operation);
-    }
-    return facts;
-}
-
-std::string joined(const std::set<std::string> &values)
-{
-    return fmt::format("{}", fmt::join(values, ","));
-}
-
-void configure(const SystemClient &client, const TraceFacts &facts)
-{
-    client.command(fmt::format("create service {} kind=model models=\"{}\"", kModelService,
-                               joined(facts.models)));
-    std::set<std::string> services = facts.plainServices;
-    services.insert(kModelService);
-    for (const std::string &service : facts.plainServices)
-        client.command(fmt::format("create service {} kind=plain non_repeatable=\"{}\"", service,
-                                   joined(facts.keyedOperations)));
-    for (const auto &[workspace, credential] : facts.credentials)
-        client.command(fmt::format("create workspace {} services=\"{}\" credential_sha256={}",
-                                   workspace, joined(services), sha256Hex(credential)));
-}
-
-bool knowsEverything(const SystemClient &client, std::size_t endpoints, std::size_t workspaces)
-{
-    const auto rowsOf = [&](const char *text) {
-        const auto reply = client.statement(text);
-        return reply.contains("table") ? reply["table"]["rows"].size() : 0;
-    };
-    return rowsOf("show endpoints where sendable = yes") == endpoints
-           && rowsOf("show workspaces") == workspaces;
-}
-
 cxxopts::Options commandLine()
 {
     cxxopts::Options options("cluster", "Runs a command against a small system on loopback.");
@@ -104,20 +44,15 @@
 
 ClusterOptions clusterOptions(const cxxopts::ParseResult &parsed, const TraceFacts &facts)
 {
-    ClusterOptions options;
+    ClusterOptions options = traceClusterOptions(facts);
     options.daemons = parsed["daemons"].as<std::size_t>();
     options.engines = parsed["engines"].as<std::size_t>();
     options.services = parsed["services"].as<std::size_t>();
     options.timeScale = std::stod(parsed["time-scale"].as<std::string>());
-    options.engineService = kModelService;
-    if (!facts.plainServices.empty())
-        options.plainService = *facts.plainServices.begin();
-    options.engineFlags = {"--models", joined(facts.models)};
     std::istringstream flags(parsed["engine-flags"].as<std::string>());
     for (std::string flag; flags >> flag;)
         options.engineFlags.push_back(flag);
     options.extraSettings = parsed["settings"].as<std::string>();
-    options.operatorCredentialSha256 = sha256Hex(kOperatorCredential);
     return options;
 }
 
@@ -157,19 +92,7 @@
     const ClusterOptions options = clusterOptions(parsed, facts);
     TestCluster cluster(options);
     cluster.start();
-    const SystemClient first(cluster.daemon(0).address, kOperatorCredential);
-    if (!eventually(kReadyTimeout, [&] { return first.ready(); }))
-        throw std::runtime_error("the first daemon does not become ready");
-    configure(first, facts);
-    for (std::size_t i = 0; i < options.daemons; ++i) {
-        const SystemClient client(cluster.daemon(i).address, kOperatorCredential);
-        const bool known = eventually(kReadyTimeout, [&] {
-            return knowsEverything(client, options.engines + options.services,
-                                   facts.credentials.size());
-        });
-        if (!known)
-            throw std::runtime_error("a daemon does not know all endpoints and workspaces");
-    }
+    configureForTrace(cluster, options, facts);
     exportEnvironment(cluster, options);
     return runCommand(parsed["command"].as<std::vector<std::string>>());
 }
