--- a/tests/support/testcluster.cpp
+++ b/tests/support/testcluster.cpp
@@ -20,9 +20,6 @@
 constexpr Millis kStartTimeout{10'000};
 constexpr Millis kAdminTimeout{3'000};
 
-// Enough for the streams of an integration test; the default of 1,300 would cost each engine
-// memory.
-constexpr const char *kEngineThreads = "160";
 // Daemons hold few connections to the platform. The stand-ins' default of 256 threads each would
 // take a good part of the 32,768 threads that a machine has by default.
 constexpr const char *kPlatformThreads = "64";
@@ -128,7 +125,7 @@
     for (std::size_t i = 0; i < options_.engines; ++i) {
         ClusterMember &member = add(fmt::format("engine-{}", i + 1), i, "standin-engine");
         auto &arguments = member.arguments;
-        arguments.insert(arguments.end(), {"--id", member.id, "--threads", kEngineThreads,
+        arguments.insert(arguments.end(), {"--id", member.id, "--threads", options_.engineThreads,
                                            "--time-scale", fmt::format("{}", options_.timeScale),
                                            "--weights", toString(weights().viaProxy)});
         arguments.insert(arguments.end(), options_.engineFlags.begin(), options_.engineFlags.end());
