Refuse JSON that nests deeper than 64 levels

Cause: the JSON library parses iteratively but copies and writes values recursively. A caller's service call, a log page, a peer's update or an engine's event with deeply nested arrays overflowed the stack of the thread that copied or wrote it. A time of another machine beyond the year 2262 overflowed in the conversion to nanoseconds.

Change: parseJson() counts the depth before it parses and is used for everything that another process sends; fromEpoch() clamps.

Ruled out: a depth check in the parser's callback; it does not stop the parse and is slower.

Conclusion: nesting no longer reaches the recursive functions.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -6,6 +6,7 @@
 //
 // Decisions use the steady clock; the wall clock appears only in records that other machines read.
 
+#include <algorithm>
 #include <chrono>
 
 namespace cicadafork {
@@ -31,9 +32,13 @@
     return std::chrono::duration_cast<Millis>(time.time_since_epoch());
 }
 
+/// A time of another machine can be any number; one that WallTime cannot hold, beyond the year
+/// 2262, becomes the latest or earliest time, since its conversion to nanoseconds overflowed.
 inline WallTime fromEpoch(Millis time)
 {
-    return WallTime(time);
+    const Millis latest = std::chrono::duration_cast<Millis>(WallTime::duration::max());
+    const Millis earliest = std::chrono::duration_cast<Millis>(WallTime::duration::min());
+    return WallTime(std::clamp(time, earliest, latest));
 }
 
 } // namespace cicadafork
--- a/src/claims/claimwire.cpp
+++ b/src/claims/claimwire.cpp
@@ -1,5 +1,6 @@
 #include "claims/claimwire.h"
 
+#include "base/json.h"
 #include "claims/claimfold.h"
 
 #include <array>
@@ -54,7 +55,7 @@
 
 std::optional<ForwardedBatch> decodeForwardedBatch(const std::string &text)
 {
-    const Json data = Json::parse(text, nullptr, false);
+    const Json data = parseJson(text);
     if (!data.is_object() || !data.contains("shard") || !data["shard"].is_number_unsigned()
         || !data.contains("time_ms") || !data["time_ms"].is_number_unsigned())
         return std::nullopt;
@@ -94,7 +95,7 @@
 ForwardedVerdicts decodeForwardedVerdicts(const std::string &text)
 {
     ForwardedVerdicts verdicts;
-    const Json data = Json::parse(text, nullptr, false);
+    const Json data = parseJson(text);
     if (!data.is_object() || !data.contains("verdicts") || !data["verdicts"].is_array())
         return verdicts;
     for (const Json &item : data["verdicts"]) {
--- a/src/cli/ctlcommand.cpp
+++ b/src/cli/ctlcommand.cpp
@@ -1,5 +1,6 @@
 #include "cli/ctlcommand.h"
 
+#include "base/json.h"
 #include "cli/commands.h"
 #include "http/client.h"
 #include "query/resulttable.h"
@@ -48,7 +49,7 @@
     constexpr Millis kAnswerMargin{2000};
     BOOST_LEAF_AUTO(reply, httpPost(options.address, "/v1/operator", body.dump(),
                                     options.timeout + kAnswerMargin, headers));
-    auto json = nlohmann::json::parse(reply.body, nullptr, false);
+    auto json = parseJson(reply.body);
     if (json.is_discarded()) {
         return fail(ErrorCode::Unavailable,
                     fmt::format("the daemon answered with status {} and no JSON", reply.status),
--- a/src/config/codec.cpp
+++ b/src/config/codec.cpp
@@ -1,5 +1,7 @@
 #include "config/codec.h"
 
+#include "base/json.h"
+
 #include <array>
 #include <stdexcept>
 
@@ -202,7 +204,7 @@
         return fail(ErrorCode::InvalidArgument, "malformed configuration update",
                     "check that all daemons run compatible versions");
     };
-    const json data = json::parse(text, nullptr, false);
+    const json data = parseJson(text);
     ConfigUpdate update;
     try {
         if (data.contains("snapshot")) {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "base/ids.h"
+#include "base/json.h"
 #include "base/log.h"
 #include "config/fold.h"
 #include "daemon/rows.h"
@@ -345,7 +346,7 @@
 
 Expected<std::string> Daemon::answerQuery(const std::string &text)
 {
-    const auto query = nlohmann::json::parse(text, nullptr, false);
+    const auto query = parseJson(text);
     if (query.is_object() && query.contains("why") && query["why"].is_string())
         return toJson(explainLocally(query["why"].get<std::string>())).dump();
     if (query.is_object() && query.contains("show")) {
--- a/src/daemon/membercalls.cpp
+++ b/src/daemon/membercalls.cpp
@@ -1,6 +1,7 @@
 #include "daemon/membercalls.h"
 
 #include "base/hash.h"
+#include "base/json.h"
 
 #include <asio/post.hpp>
 #include <fmt/format.h>
@@ -143,7 +144,7 @@
         asio::post(pool_, [this, pending, index, target = targetOf(peers[index]), query, timeout] {
             const auto table = capture([&]() -> Result<ResultTable> {
                 BOOST_LEAF_AUTO(text, client_.runQuery(target, query, timeout));
-                return resultTableFromJson(nlohmann::json::parse(text, nullptr, false));
+                return resultTableFromJson(parseJson(text));
             });
             const std::lock_guard lock(pending->mutex);
             if (table)
--- a/src/daemon/operatorroutes.cpp
+++ b/src/daemon/operatorroutes.cpp
@@ -1,6 +1,7 @@
 #include "daemon/operatorroutes.h"
 
 #include "base/hash.h"
+#include "base/json.h"
 #include "frontend/callerrequest.h"
 #include "frontend/problem.h"
 
@@ -71,7 +72,7 @@
 {
     if (!authorized(request, response))
         return;
-    const auto body = nlohmann::json::parse(request.body, nullptr, false);
+    const auto body = parseJson(request.body);
     const bool valid
             = body.is_object() && body.contains("statement") && body["statement"].is_string();
     if (!valid) {
--- a/src/endpoint/engineclient.cpp
+++ b/src/endpoint/engineclient.cpp
@@ -1,5 +1,6 @@
 #include "endpoint/engineclient.h"
 
+#include "base/json.h"
 #include "endpoint/enginestream.h"
 #include "http/client.h"
 
@@ -157,7 +158,7 @@
 
     void finishRefusal()
     {
-        const auto body = nlohmann::json::parse(errorBody_, nullptr, false);
+        const auto body = parseJson(errorBody_);
         const bool notExecuted = body.is_object() && body.contains("executed")
                                  && body["executed"].is_boolean() && !body["executed"].get<bool>();
         const bool overloaded = result_.httpStatus == 429 || result_.httpStatus == 503;
--- a/src/endpoint/enginecontrol.cpp
+++ b/src/endpoint/enginecontrol.cpp
@@ -1,5 +1,6 @@
 // Calls of EngineClient that are not streams.
 
+#include "base/json.h"
 #include "endpoint/engineclient.h"
 #include "http/client.h"
 
@@ -146,7 +147,7 @@
         return answer.size() < 64 * 1024;
     };
     const CallEnd end = runStoppable(*client, stop, call);
-    const auto parsed = nlohmann::json::parse(answer, nullptr, false);
+    const auto parsed = parseJson(answer);
     if (end == CallEnd::Answered && status == 200 && parsed.is_object()
         && parsed.contains("digest"))
         return parsed["digest"];
--- a/src/endpoint/enginestream.cpp
+++ b/src/endpoint/enginestream.cpp
@@ -1,5 +1,7 @@
 #include "endpoint/enginestream.h"
 
+#include "base/json.h"
+
 #include <fmt/format.h>
 
 namespace cicadafork {
@@ -38,7 +40,7 @@
 {
     if (whole_)
         return reject("an event after the last one");
-    const auto data = nlohmann::json::parse(event.data, nullptr, false);
+    const auto data = parseJson(event.data);
     if (!data.is_object() || !isNumber(data, "attempt") || !isNumber(data, "seq")
         || !data.contains("request_id") || !data["request_id"].is_string())
         return reject("an event that is not in the engine's form");
--- a/src/endpoint/plainserviceclient.cpp
+++ b/src/endpoint/plainserviceclient.cpp
@@ -1,5 +1,6 @@
 #include "endpoint/plainserviceclient.h"
 
+#include "base/json.h"
 #include "http/client.h"
 
 #include <fmt/format.h>
@@ -15,7 +16,7 @@
 
 bool statesNotExecuted(const std::string &body)
 {
-    const auto parsed = nlohmann::json::parse(body, nullptr, false);
+    const auto parsed = parseJson(body);
     return parsed.is_object() && parsed.contains("executed") && parsed["executed"].is_boolean()
            && !parsed["executed"].get<bool>();
 }
--- a/src/frontend/callerrequest.cpp
+++ b/src/frontend/callerrequest.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "base/ids.h"
+#include "base/json.h"
 
 #include <fmt/format.h>
 
@@ -173,7 +174,7 @@
 
 Checked<CompletionBody> readCompletion(const std::string &body, CompletionForm form)
 {
-    const auto parsed = nlohmann::json::parse(body, nullptr, false);
+    const auto parsed = parseJson(body);
     if (!parsed.is_object())
         return badBody("the body is not a JSON object", "send a JSON object in UTF-8");
     CompletionBody completion;
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -1,6 +1,7 @@
 #include "frontend/frontend.h"
 
 #include "base/hash.h"
+#include "base/json.h"
 #include "frontend/modelrun.h"
 #include "frontend/servicerun.h"
 #include "frontend/serving.h"
@@ -244,7 +245,7 @@
     if (service.state != ServiceState::Active)
         return reject(request, response,
                       notAccepting("service-draining", "the service is drained"));
-    const auto body = nlohmann::json::parse(request.body, nullptr, false);
+    const auto body = parseJson(request.body);
     if (!body.is_object()) {
         return reject(request, response,
                       invalidInput("invalid-body", "the body is not a JSON object",
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,7 @@
 #include "http/client.h"
 
+#include "base/json.h"
+
 #include <fmt/format.h>
 
 namespace cicadafork {
@@ -27,7 +29,7 @@
 Result<nlohmann::json> toJson(const Address &address, const std::string &path,
                               const HttpReply &reply)
 {
-    auto parsed = nlohmann::json::parse(reply.body, nullptr, false);
+    auto parsed = parseJson(reply.body);
     if (reply.status == 200 && !parsed.is_discarded())
         return parsed;
     return fail(ErrorCode::Unavailable,
--- a/src/platform/logclient.cpp
+++ b/src/platform/logclient.cpp
@@ -1,5 +1,6 @@
 #include "platform/logclient.h"
 
+#include "base/json.h"
 #include "http/client.h"
 
 #include <fmt/format.h>
@@ -40,7 +41,7 @@
     const std::string path = fmt::format("{}?from={}&limit={}&wait_ms={}", streamPath(stream), from,
                                          limit, wait.count());
     BOOST_LEAF_AUTO(reply, httpGet(address_, path, wait + timeout));
-    const auto body = nlohmann::json::parse(reply.body, nullptr, false);
+    const auto body = parseJson(reply.body);
     const bool known = reply.status == 200 || reply.status == kStatusGone;
     if (!known || !body.is_object() || !body.contains("first"))
         return malformedPage(path);
