Start server and upstream threads on demand

Cause: a daemon with max_streams 1,100 started 2,280 threads at once, because the pools of cpp-httplib and Asio start all their threads when they are made. With several test systems on one machine 32,355 of its 32,768 threads were in use, and threads could not be started any more.

Change: a pool that starts a thread when no idle one is left and ends it after 10 idle seconds, used by the HTTP server and by the frontend's attempts. A thread that cannot be started leaves the task queued.

Ruled out: smaller limits in the tests only; the entry VMs are small as well.

--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -6,7 +6,6 @@
 #include "frontend/servicerun.h"
 #include "frontend/serving.h"
 
-#include <asio/post.hpp>
 #include <fmt/format.h>
 
 #include <future>
@@ -192,7 +191,7 @@
                    caller.workspace->share,
                    caller.workspace->requestsPerSecond,
                    caller.traceparent};
-    asio::post(upstream_, [this, request, work = std::move(work), from = caller.lastEventId] {
+    upstream_.post([this, request, work = std::move(work), from = caller.lastEventId] {
         try {
             if (!from)
                 return ModelRun(context_, *request, work).run();
@@ -293,7 +292,7 @@
 
     auto promise = std::make_shared<std::promise<ServiceAnswer>>();
     auto future = promise->get_future();
-    asio::post(upstream_, [this, active, promise, work = std::move(work)] {
+    upstream_.post([this, active, promise, work = std::move(work)] {
         try {
             promise->set_value(runServiceCall(context_, *active, work));
         } catch (const std::exception &exception) {
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -18,6 +18,7 @@
 
 #include "admission/admission.h"
 #include "base/metrics.h"
+#include "base/threadpool.h"
 #include "claims/claimservice.h"
 #include "config/configstore.h"
 #include "frontend/callerrequest.h"
@@ -29,7 +30,6 @@
 #include "membership/fleet.h"
 #include "settings/settings.h"
 
-#include <asio/thread_pool.hpp>
 #include <httplib.h>
 
 #include <atomic>
@@ -94,7 +94,7 @@
     RequestTable table_;
     SilenceWatchState silence_; ///< Only the thread that ticks uses it.
     std::atomic<bool> draining_{false};
-    asio::thread_pool upstream_;
+    ThreadPool upstream_;
 };
 
 } // namespace cicadafork
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,7 @@
 #include "http/server.h"
 
+#include "base/threadpool.h"
+
 #include <fmt/format.h>
 #include <sys/socket.h>
 
@@ -14,13 +16,28 @@
 // A connection is reused for any number of requests; the idle timeout ends it.
 constexpr std::size_t kKeepAliveMaxCount = 1'000'000;
 
+class ServerThreads : public httplib::TaskQueue
+{
+public:
+    explicit ServerThreads(std::size_t threads)
+        : pool_(threads)
+    {
+    }
+
+    void enqueue(std::function<void()> task) override { pool_.post(std::move(task)); }
+    void shutdown() override { pool_.join(); }
+
+private:
+    ThreadPool pool_;
+};
+
 } // namespace
 
 HttpServer::HttpServer(HttpServerOptions options)
     : options_(std::move(options))
 {
     const std::size_t threads = options_.threads;
-    server_.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+    server_.new_task_queue = [threads] { return new ServerThreads(threads); };
     server_.set_socket_options([this](socket_t socket) {
         listenSocket_ = socket;
         // The library's default adds SO_REUSEPORT, which lets a second server bind the same port.
--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -14,7 +14,6 @@
 #include <filesystem>
 
 // After the other headers, because it defines new as a macro.
-#include <CppUTest/TestHarness.h>
 
 using namespace cicadafork;
 using namespace cicadafork::bench;
@@ -85,8 +84,6 @@
 
 int main(int argc, char **argv)
 {
-    // The leak detector of the test library replaces new and delete, and is not safe with threads.
-    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
     cxxopts::Options options = commandLine();
     try {
         const auto parsed = options.parse(argc, argv);
