Refuse keys whose claims may have expired in the log

Cause: a reader that starts after records have expired could not know their claims, yet let their keys win: a second execution, when the log keeps records for less than the de-duplication window.

Change: after a gap the fold refuses every key that is not newer than the first retained record plus the clock skew; for a stream without retained records, the configured retention gives the bound. The setting platform.log_retention is checked against the window.

Ruled out: trusting the setting alone; a log that drops records earlier than agreed would break the guarantee without a sign.

Two tests changed: readerMovesPastExpiredRecords now gives the expired records an old time, because records that were written within the skew must be refused; the wrong variant "starts at the end of the stream" now also states that nothing was skipped, as the gap rule had made it safe.

Conclusion: absence from the log is taken as proof only for keys that the log can still show.

--- a/src/claims/claimfold.cpp
+++ b/src/claims/claimfold.cpp
@@ -40,6 +40,7 @@
     if (record.offset < next_)
         return verdicts;
     next_ = record.offset + 1;
+    closeGap(record.time);
     logTime_ = std::max(logTime_, record.time);
     expireRows();
     for (const ClaimLogEntry &entry : decodeClaimBatch(record.data)) {
@@ -60,7 +61,25 @@
 
 void ClaimFold::skipTo(Offset first)
 {
-    next_ = std::max(next_, first);
+    if (first <= next_)
+        return;
+    next_ = first;
+    gap_ = true;
+}
+
+void ClaimFold::noteNothingRetained(WallTime expiredBefore)
+{
+    closeGap(expiredBefore);
+}
+
+void ClaimFold::closeGap(WallTime expiredBefore)
+{
+    if (!gap_)
+        return;
+    gap_ = false;
+    // A claim is appended at most a clock skew before its key was created by the caller's clock.
+    const WallTime bound = expiredBefore + limits_.keys.skew;
+    refusedUpTo_ = std::max(refusedUpTo_.value_or(bound), bound);
 }
 
 const ClaimHolder *ClaimFold::holder(const ClaimKey &key) const
--- a/src/claims/claimfold.h
+++ b/src/claims/claimfold.h
@@ -67,8 +67,12 @@
     /// Applies one record and returns the verdicts on the claims that it holds. A record below
     /// next() was applied before and changes nothing.
     std::vector<ClaimVerdict> apply(const LogRecord &record);
-    /// Moves past records that have expired in the log; older offsets change nothing.
+    /// Moves past records that have expired in the log; older offsets change nothing. The expired
+    /// records may hold claims of every key that is older than the first record after them, so that
+    /// those keys are refused from then on.
     void skipTo(Offset first);
+    /// States that no record follows the expired ones yet, and that they were older than a time.
+    void noteNothingRetained(WallTime expiredBefore);
 
     Offset next() const { return next_; }
     /// Latest time seen in a record.
@@ -85,6 +89,7 @@
     ClaimRow *rowFor(const ClaimKey &key);
     void expireRows();
     void limitBodies();
+    void closeGap(WallTime expiredBefore);
 
     ClaimFoldLimits limits_;
     Table<std::string, ClaimRow> rows_;
@@ -93,7 +98,10 @@
     std::size_t bodyBytes_ = 0;
     Offset next_ = 0;
     WallTime logTime_;
-    std::optional<WallTime> refusedUpTo_; ///< Newest key that was refused at the limit.
+    /// Keys without a row are refused when they are not newer than this: one was refused at the
+    /// limit, or records that may hold their claims have expired.
+    std::optional<WallTime> refusedUpTo_;
+    bool gap_ = false; ///< Records were skipped, and no later one has been seen.
 };
 
 /// The decision on a claim that did not win, from the holder that the fold has now. logTime is the
--- a/src/claims/logclaims.h
+++ b/src/claims/logclaims.h
@@ -27,6 +27,7 @@
     Millis batchDelay{20};
     Millis logTimeout{1000};
     Millis forwardTimeout{300};
+    Millis logRetention{3'600'000}; ///< The log keeps records at least this long.
     std::size_t maxAttempts = 4096; ///< Attempts of this process that have not ended.
     ClaimFoldLimits fold;
     ClaimWriterLimits writer;
--- a/src/claims/logclaimsbatch.cpp
+++ b/src/claims/logclaimsbatch.cpp
@@ -185,6 +185,8 @@
 {
     if (page.expired)
         shard.fold.skipTo(page.first);
+    else if (page.records.empty())
+        shard.fold.noteNothingRetained(wallNow() - settings_.logRetention);
     for (const LogRecord &record : page.records) {
         for (const ClaimVerdict &verdict : shard.fold.apply(record))
             deliver(shard, verdict);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -131,6 +131,7 @@
     claims.incarnation = incarnation_;
     claims.validity = settings_.timing.claimValidity;
     claims.logTimeout = settings_.platform.requestTimeout;
+    claims.logRetention = settings_.platform.logRetention;
     claims.fold.keys.window = settings_.timing.deduplicationWindow;
     return claims;
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr Millis kClaimClockSkew{5000};
 constexpr Millis kHour{3'600'000};
 // Work must stop 3 s after the first sign of a leaving endpoint; 250 ms are kept for the checks.
 constexpr Millis kLongestSendPermission{2750};
@@ -47,6 +48,7 @@
     section.address("vm_list", platform.vmList, Presence::Required);
     section.duration("request_timeout", platform.requestTimeout, Millis(10), Millis(60'000));
     section.duration("vm_list_interval", platform.vmListInterval, Millis(50), Millis(60'000));
+    section.duration("log_retention", platform.logRetention, Millis(1000), 24 * 365 * kHour);
     section.reportUnknownKeys();
 }
 
@@ -132,6 +134,19 @@
     }
 }
 
+/// A key that is still valid must not outlive its claims in the log, or it could win again. The
+/// clocks of callers may be ahead by the skew.
+void checkRetention(const Settings &settings, const SectionReader &root, SettingsProblems &problems)
+{
+    const Millis needed = settings.timing.deduplicationWindow + kClaimClockSkew;
+    if (settings.platform.logRetention > needed)
+        return;
+    problems.push_back({root.lineOf("platform"),
+                        "'platform.log_retention' does not exceed 'timing.deduplication_window' "
+                        "and the clock skew of 5 s",
+                        "shorten the window, or raise the retention of the log and this value"});
+}
+
 Settings readSettings(const YAML::Node &document, SettingsProblems &problems)
 {
     Settings settings;
@@ -160,6 +175,7 @@
                  {"error", LogLevel::Error}});
     root.reportUnknownKeys();
     checkAddresses(settings, root, problems);
+    checkRetention(settings, root, problems);
     return settings;
 }
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -28,6 +28,8 @@
     Address vmList;
     Millis requestTimeout{1000};
     Millis vmListInterval{1000};
+    /// The log keeps records at least this long; must exceed the de-duplication window.
+    Millis logRetention{3'600'000};
 };
 
 struct LimitSettings
--- a/tests/unit/claiminterleaving_test.cpp
+++ b/tests/unit/claiminterleaving_test.cpp
@@ -125,6 +125,9 @@
         front.limit = now() + Millis(500 + pick(4500));
         front.id = fmt::format("attempt-{}", fronts_.size());
         front.fold.skipTo(variant_ == Variant::StartAtTail ? log_.size() : first_);
+        // The wrong reader takes the end of the stream for its beginning.
+        if (variant_ == Variant::StartAtTail)
+            front.fold.noteNothingRetained(WallTime{});
         ClaimEntry entry{front.attempt.key, "sha",       front.id, "m", "1", wall(),
                          kValidity,         kRequestTime};
         flights_.push_back({{entry}, fronts_.size(), true});
--- a/tests/unit/claimservice_test.cpp
+++ b/tests/unit/claimservice_test.cpp
@@ -241,6 +241,8 @@
     const ClaimRequest request = freshRequest();
     for (int i = 0; i < 5; ++i)
         (void)capture([&] { return log.append(streamOf(request), {{"old", i}}, Millis(10)); });
+    // Records expire because they are old; the key is newer than all of them.
+    log.age(streamOf(request), Millis(60'000));
     log.expire(streamOf(request), 4);
     LogClaims claims(log, testSettings());
     CHECK_TRUE(claims.warmUp(in(1000)));
--- a/tests/unit/claimtestlog.h
+++ b/tests/unit/claimtestlog.h
@@ -110,6 +110,14 @@
         std::erase_if(streams_[stream], [&](const LogRecord &r) { return r.offset < first; });
     }
 
+    /// Makes the records that are there older.
+    void age(const std::string &stream, Millis by)
+    {
+        std::lock_guard lock(mutex_);
+        for (LogRecord &record : streams_[stream])
+            record.time -= by;
+    }
+
     std::vector<LogRecord> records(const std::string &stream)
     {
         std::lock_guard lock(mutex_);
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -78,6 +78,8 @@
             {"bad policy", kValid + "routing: {policy: random}\n", "use one of adaptive"},
             {"status too rare", kValid + "timing: {status_interval: 2s}\n", "more than half"},
             {"default above maximum", kValid + "timing: {max_request_timeout: 1s}\n", "above"},
+            {"claims expire before their keys", kValid + "timing: {deduplication_window: 120min}\n",
+             "'platform.log_retention' does not exceed"},
             {"not a mapping", kValid + "limits: 5\n", "'limits' is not a mapping"},
             {"bad yaml", kValid + "limits: {\n", "not valid YAML"},
             {"bad hash", "operator_credential_sha256: 12\n", "is not a SHA-256 hash"},
