Make the late-start check independent of the machine's load

Cause: latencyCountsFromThePlannedTime expected exactly two late starts of three; on a busy machine the first request starts more than 5 ms late as well (seen once: 3).

Change: the test counts late starts from the results and compares with the report, and still requires that the two requests that had to wait are counted. The bound has a name.

Ruled out: a larger bound; it would only make the failure rarer.

Conclusion: the same rule is checked.

--- a/src/loadgen/runner.cpp
+++ b/src/loadgen/runner.cpp
@@ -233,7 +233,7 @@
         failedInTime += failed && result.finished <= timeout + kOverdueMs;
         end = std::max(end, static_cast<double>(trace[i].offset.count()) + result.finished);
         overdue += result.finished > timeout + kOverdueMs;
-        lateStarts += result.started > Millis(5);
+        lateStarts += result.started > kLateStart;
         unexpected += trace[i].expected != toString(result.outcome);
     }
     Json run = {{"requests", trace.size()},
--- a/src/loadgen/runner.h
+++ b/src/loadgen/runner.h
@@ -13,6 +13,9 @@
 
 namespace cicadafork {
 
+/// A request that starts later than this after its planned time is reported as a late start.
+inline constexpr Millis kLateStart{5};
+
 enum class RequestOutcome {
     Completed,  ///< The whole answer, or a call's status 2xx.
     Refused,    ///< 429, 503 or 504.
--- a/tests/unit/loadrunner_test.cpp
+++ b/tests/unit/loadrunner_test.cpp
@@ -2,6 +2,8 @@
 #include "loadgen/report.h"
 #include "loadgen/runner.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace cicadafork;
@@ -103,7 +105,11 @@
     const auto results = runLoad(trace, options);
     CHECK(*results[2].firstToken >= 300);
     CHECK(results[2].started >= Millis(200));
-    LONGS_EQUAL(2, summarise(trace, results)["late_starts"].get<int>());
+    // The first request may start late too, when the machine is busy.
+    const auto late = std::count_if(results.begin(), results.end(),
+                                    [](const auto &result) { return result.started > kLateStart; });
+    CHECK(late >= 2);
+    LONGS_EQUAL(late, summarise(trace, results)["late_starts"].get<int>());
 }
 
 // Guards against a report that fails when a length class has no requests.
