--- a/tests/support/proofsystem.cpp
+++ b/tests/support/proofsystem.cpp
@@ -14,14 +14,16 @@
 constexpr Millis kAdminTimeout{2'000};
 
 // The default of 1,100 streams would cost each daemon some 2,300 threads.
-constexpr const char *kLimits = "limits:\n  max_streams: 100\n";
+constexpr const char *kLimits = "limits:\n  max_streams: 24\n";
+constexpr const char *kEngineThreads = "40";
 
 ClusterOptions completed(ClusterOptions options)
 {
     options.extraSettings += kLimits;
     options.engineService = kModelService;
     options.plainService = kPlainService;
-    options.engineFlags.insert(options.engineFlags.end(), {"--models", "tiny"});
+    options.engineFlags.insert(options.engineFlags.end(),
+                               {"--models", "tiny", "--threads", kEngineThreads});
     options.operatorCredentialSha256 = sha256Hex(kOperatorCredential);
     return options;
 }
--- a/tests/support/systemclient.cpp
+++ b/tests/support/systemclient.cpp
@@ -63,7 +63,7 @@
     bool readLine(const std::string &line, const std::function<bool(const std::string &)> &onEvent)
     {
         if (line.starts_with("id: "))
-            result_.lastEventId = line.substr(4);
+            eventId_ = line.substr(4);
         if (line.starts_with("event: error"))
             error_ = true;
         if (!line.starts_with("data: "))
@@ -85,12 +85,16 @@
         if (!text.empty() && result_.text.empty())
             result_.firstToken = std::chrono::duration_cast<Millis>(steadyNow() - begin_);
         result_.text += text;
+        // An id counts when its text has arrived too.
+        if (!eventId_.empty())
+            result_.lastEventId = eventId_;
         return !onEvent || onEvent(text);
     }
 
     CallResult &result_;
     TimePoint begin_;
     std::string pending_;
+    std::string eventId_;
     bool error_ = false;
 };
 
--- a/tests/support/testcluster.cpp
+++ b/tests/support/testcluster.cpp
@@ -23,9 +23,9 @@
 // Enough for the streams of an integration test; the default of 1,300 would cost each engine
 // memory.
 constexpr const char *kEngineThreads = "160";
-// Daemons hold few connections to the platform. The stand-ins' default of 256 threads each would
-// take a good part of the 32,768 threads that a machine has by default.
-constexpr const char *kPlatformThreads = "64";
+// Daemons hold few connections to the platform and to services. The stand-ins' default of 256
+// threads each would take a good part of the 32,768 threads that a machine has by default.
+constexpr const char *kOtherThreads = "32";
 
 std::string domainName(std::size_t number)
 {
@@ -112,8 +112,8 @@
     member.viaProxy = member.address;
     member.program = program;
     member.arguments = {"--listen", toString(member.address)};
-    if (program == "standin-log" || program == "standin-vmlist" || program == "standin-weights")
-        member.arguments.insert(member.arguments.end(), {"--threads", kPlatformThreads});
+    if (program != "standin-engine" && program != kDaemonProgram)
+        member.arguments.insert(member.arguments.end(), {"--threads", kOtherThreads});
     const auto &proxied = options_.proxied;
     if (std::find(proxied.begin(), proxied.end(), id) != proxied.end()) {
         member.viaProxy = addresses_.next();
