--- a/standins/standin-engine/engineroutes.cpp
+++ b/standins/standin-engine/engineroutes.cpp
@@ -205,7 +205,7 @@
         lastLoad_ = loadFigures();
     published_ = {{"endpoint_id", options_.id},
                   {"incarnation", incarnation_},
-                  {"state", faults_.leaving ? "leaving" : "live"},
+                  {"state", faults_.leaving || faults_.announceLeaving ? "leaving" : "live"},
                   {"role", role_},
                   {"models", models_},
                   {"loading", loading_},
--- a/standins/standin-engine/engineserver.cpp
+++ b/standins/standin-engine/engineserver.cpp
@@ -93,6 +93,7 @@
     faults_.gapEvery = faults.value("gap_every", faults_.gapEvery);
     faults_.ignoreFencing = faults.value("ignore_fencing", faults_.ignoreFencing);
     faults_.leaving = faults.value("leaving", faults_.leaving);
+    faults_.announceLeaving = faults.value("announce_leaving", faults_.announceLeaving);
     engine_.slowFactor = faults.value("slow_factor", engine_.slowFactor);
 }
 
--- a/standins/standin-engine/engineserver.h
+++ b/standins/standin-engine/engineserver.h
@@ -40,7 +40,8 @@
     bool staleLoad = false;     ///< The load figures of the status keep their values.
     std::uint64_t gapEvery = 0; ///< Every Nth cache event is missing; 0 is off.
     bool ignoreFencing = false;
-    bool leaving = false;
+    bool leaving = false;         ///< The status says so, and new work is refused.
+    bool announceLeaving = false; ///< The status says so, but new work is still accepted.
 };
 
 struct Execution
--- a/standins/standin-service/main.cpp
+++ b/standins/standin-service/main.cpp
@@ -29,7 +29,8 @@
     bool refuse = false;
     bool loseAnswers = false;
     bool checkFencing = false;
-    bool leaving = false;
+    bool leaving = false;         ///< The status says so, and new work is refused.
+    bool announceLeaving = false; ///< The status says so, but new work is still accepted.
     /// By idempotency key: numbers of different keys come from different streams of the log.
     std::map<std::string, std::uint64_t> highestFencing;
     std::size_t running = 0;
@@ -94,7 +95,7 @@
 {
     return {{"endpoint_id", state.id},
             {"incarnation", state.incarnation},
-            {"state", state.leaving ? "leaving" : "live"},
+            {"state", state.leaving || state.announceLeaving ? "leaving" : "live"},
             {"role", "service"},
             {"models", nlohmann::json::array()},
             {"running", state.running},
@@ -113,6 +114,7 @@
     state.loseAnswers = faults.value("lose_answers", state.loseAnswers);
     state.checkFencing = faults.value("check_fencing", state.checkFencing);
     state.leaving = faults.value("leaving", state.leaving);
+    state.announceLeaving = faults.value("announce_leaving", state.announceLeaving);
 }
 
 } // namespace
