--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -55,19 +55,28 @@
     return options;
 }
 
-PeerClientOptions peerClientOptions(const Settings &settings, const std::string &incarnation)
+PeerClientOptions peerClientOptions(const Settings &settings, const std::string &incarnation,
+                                    Metrics &metrics)
 {
     PeerClientOptions options;
     options.self = {settings.memberId, incarnation};
     options.sourceIp = settings.peerAddress.ip;
+    options.meters.connections = makeTrafficMeter(metrics, "peer");
+    options.meters.heartbeats = makeTrafficMeter(metrics, "peer_heartbeat");
+    options.meters.configuration = makeTrafficMeter(metrics, "peer_configuration");
+    options.meters.claims = makeTrafficMeter(metrics, "peer_claims");
+    options.meters.streams = makeTrafficMeter(metrics, "peer_streams");
+    options.meters.queries = makeTrafficMeter(metrics, "peer_queries");
     return options;
 }
 
-PeerServerOptions peerServerOptions(const Settings &settings, const std::string &incarnation)
+PeerServerOptions peerServerOptions(const Settings &settings, const std::string &incarnation,
+                                    Metrics &metrics)
 {
     PeerServerOptions options;
     options.self = {settings.memberId, incarnation};
     options.address = settings.peerAddress;
+    options.meter = makeTrafficMeter(metrics, "peer");
     return options;
 }
 
@@ -83,15 +92,16 @@
 Daemon::Daemon(Settings settings)
     : settings_(std::move(settings))
     , incarnation_(newUuidV7(wallNow()))
-    , log_(settings_.platform.log)
-    , vmList_(settings_.platform.vmList)
+    , log_(settings_.platform.log,
+           {makeTrafficMeter(metrics_, "log_append"), makeTrafficMeter(metrics_, "log_read")})
+    , vmList_(settings_.platform.vmList, makeTrafficMeter(metrics_, "vm_list"))
     , fleet_(fleetOptions(settings_, incarnation_))
     , store_(log_, storeOptions(settings_))
     , outliers_(kMaxEndpoints, [this](const std::string &endpointId,
                                       bool ejected) { fleet_.setEjected(endpointId, ejected); })
     , observedFleet_(fleet_, outliers_)
     , admission_(observedFleet_, settings_, prefixes_, metrics_, randomSeed(), &outliers_)
-    , client_(loop_, peerClientOptions(settings_, incarnation_))
+    , client_(loop_, peerClientOptions(settings_, incarnation_, metrics_))
     , calls_(fleet_, client_, directory_, metrics_,
              {.selfId = settings_.memberId, .failureDomain = settings_.failureDomain})
     , claims_(log_, claimsSettings(),
@@ -103,10 +113,10 @@
     , operatorService_(store_, operatorHooks())
     , operatorRoutes_(settings_, operatorService_, metrics_, routeHooks())
     , server_(serverOptions(settings_))
-    , peerServer_(loop_, peerServerOptions(settings_, incarnation_), peerHandlers())
+    , peerServer_(loop_, peerServerOptions(settings_, incarnation_, metrics_), peerHandlers())
     , sync_(store_, fleet_, client_, {.selfId = settings_.memberId})
     , heartbeats_(fleet_, client_, kHeartbeatTimeout)
-    , poller_(fleet_, endpointPool_, {})
+    , poller_(fleet_, endpointPool_, {.meter = makeTrafficMeter(metrics_, "endpoint_status")})
     , care_(fleet_, store_, endpointPool_, metrics_,
             {.selfId = settings_.memberId, .selfIncarnation = incarnation_})
     , endpointPool_(kEndpointThreads)
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -24,6 +24,31 @@
             "check that the server at this address runs and can be reached");
 }
 
+/// Bytes of header lines: name, colon, space, value, line end.
+std::size_t headerBytes(const httplib::Headers &headers)
+{
+    std::size_t bytes = 0;
+    for (const auto &[name, value] : headers)
+        bytes += name.size() + value.size() + 4;
+    return bytes;
+}
+
+/// Counts a call; an answer that did not arrive whole counts with the request only.
+void count(const TrafficMeter &meter, const std::string &path, const std::string &body,
+           const httplib::Result &result, const httplib::Headers &headers)
+{
+    // Request line, and the headers that the library adds: Host, User-Agent, Accept, Connection
+    // and, with a body, Content-Type and Content-Length.
+    constexpr std::size_t kRequestBytes = 120;
+    constexpr std::size_t kBodyHeaderBytes = 55;
+    constexpr std::size_t kStatusLineBytes = 19;
+    meter.addMessage();
+    meter.addSent(kRequestBytes + path.size() + headerBytes(headers)
+                  + (body.empty() ? 0 : kBodyHeaderBytes + body.size()));
+    if (result)
+        meter.addReceived(kStatusLineBytes + headerBytes(result->headers) + result->body.size());
+}
+
 Result<nlohmann::json> toJson(const Address &address, const std::string &path,
                               const HttpReply &reply)
 {
@@ -48,29 +73,37 @@
     return client;
 }
 
-Result<HttpReply> httpGet(const Address &address, const std::string &path, Millis timeout)
+Result<HttpReply> httpGet(const Address &address, const std::string &path, Millis timeout,
+                          const TrafficMeter &meter, const httplib::Headers &headers)
 {
     auto client = makeHttpClient(address, singleTimeout(timeout));
-    return toReply(address, path, client->Get(path));
+    const auto result = client->Get(path, headers);
+    count(meter, path, "", result, headers);
+    return toReply(address, path, result);
 }
 
 Result<HttpReply> httpPost(const Address &address, const std::string &path, const std::string &body,
-                           Millis timeout, const httplib::Headers &headers)
+                           Millis timeout, const httplib::Headers &headers,
+                           const TrafficMeter &meter)
 {
     auto client = makeHttpClient(address, singleTimeout(timeout));
-    return toReply(address, path, client->Post(path, headers, body, "application/json"));
+    const auto result = client->Post(path, headers, body, "application/json");
+    count(meter, path, body, result, headers);
+    return toReply(address, path, result);
 }
 
-Result<nlohmann::json> getJson(const Address &address, const std::string &path, Millis timeout)
+Result<nlohmann::json> getJson(const Address &address, const std::string &path, Millis timeout,
+                               const TrafficMeter &meter)
 {
-    BOOST_LEAF_AUTO(reply, httpGet(address, path, timeout));
+    BOOST_LEAF_AUTO(reply, httpGet(address, path, timeout, meter));
     return toJson(address, path, reply);
 }
 
 Result<nlohmann::json> postJson(const Address &address, const std::string &path,
-                                const nlohmann::json &body, Millis timeout)
+                                const nlohmann::json &body, Millis timeout,
+                                const TrafficMeter &meter)
 {
-    BOOST_LEAF_AUTO(reply, httpPost(address, path, body.dump(), timeout));
+    BOOST_LEAF_AUTO(reply, httpPost(address, path, body.dump(), timeout, {}, meter));
     return toJson(address, path, reply);
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/traffic.h"
 #include "http/address.h"
 
 #include <httplib.h>
@@ -37,17 +38,21 @@
 
 /// GET; fails with Unavailable (no connection, connection lost) or DeadlineExceeded (no answer).
 /// Any HTTP status is a success.
-Result<HttpReply> httpGet(const Address &address, const std::string &path, Millis timeout);
+Result<HttpReply> httpGet(const Address &address, const std::string &path, Millis timeout,
+                          const TrafficMeter &meter = {}, const httplib::Headers &headers = {});
 
 /// POST of a JSON body; fails like httpGet.
 Result<HttpReply> httpPost(const Address &address, const std::string &path, const std::string &body,
-                           Millis timeout, const httplib::Headers &headers = {});
+                           Millis timeout, const httplib::Headers &headers = {},
+                           const TrafficMeter &meter = {});
 
 /// GET and parse; a status other than 200 or a body that is not JSON fails with Unavailable.
-Result<nlohmann::json> getJson(const Address &address, const std::string &path, Millis timeout);
+Result<nlohmann::json> getJson(const Address &address, const std::string &path, Millis timeout,
+                               const TrafficMeter &meter = {});
 
 /// POST and parse; a status other than 200 or a body that is not JSON fails with Unavailable.
 Result<nlohmann::json> postJson(const Address &address, const std::string &path,
-                                const nlohmann::json &body, Millis timeout);
+                                const nlohmann::json &body, Millis timeout,
+                                const TrafficMeter &meter = {});
 
 } // namespace cicadafork
--- a/src/membership/statuspoller.cpp
+++ b/src/membership/statuspoller.cpp
@@ -47,7 +47,8 @@
 {
     const TimePoint requested = steadyNow();
     const auto status = capture([&]() -> Result<EndpointStatus> {
-        BOOST_LEAF_AUTO(body, getJson(request.address, "/v1/status", options_.timeout));
+        BOOST_LEAF_AUTO(body,
+                        getJson(request.address, "/v1/status", options_.timeout, options_.meter));
         return parseStatus(body, request.endpointId);
     });
     if (status)
--- a/src/membership/statuspoller.h
+++ b/src/membership/statuspoller.h
@@ -8,6 +8,7 @@
 // The pool must have enough threads that silent endpoints, which each hold a thread for the
 // timeout, do not delay the others. Join the pool before the poller or the fleet is destroyed.
 
+#include "base/traffic.h"
 #include "membership/fleettable.h"
 
 #include <asio/thread_pool.hpp>
@@ -21,6 +22,7 @@
 struct StatusPollerOptions
 {
     Millis timeout{500};
+    TrafficMeter meter = {};
 };
 
 class StatusPoller
--- a/src/peer/peerclient.cpp
+++ b/src/peer/peerclient.cpp
@@ -7,6 +7,7 @@
 
 #include "base/log.h"
 #include "peer/convert.h"
+#include "peer/countedstream.h"
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/io.h>
@@ -210,7 +211,8 @@
     {
         capnp::ReaderOptions limits;
         limits.traversalLimitInWords = kMaxMessageWords;
-        auto connection = kj::refcounted<Connection>(kj::mv(stream), limits);
+        auto connection = kj::refcounted<Connection>(
+                kj::heap<CountedStream>(kj::mv(stream), options_.meters.connections), limits);
         auto hello = connection->bootstrap().helloRequest();
         hello.setVersion(wire::PROTOCOL_VERSION);
         hello.setMemberId(toKj(options_.self.memberId));
@@ -304,6 +306,7 @@
 
 void PeerClient::heartbeat(const HeartbeatDue &due, Millis timeout, HeartbeatCallback done)
 {
+    options_.meters.heartbeats.addMessage();
     loop_.run([&] {
         auto call = [digest = due.digest](wire::Peer::Client &peer) {
             auto request = peer.heartbeatRequest();
@@ -324,6 +327,7 @@
 void PeerClient::pushConfigAsync(const PeerTarget &target, const std::string &update,
                                  Millis timeout, std::function<void(const Expected<Offset> &)> done)
 {
+    options_.meters.configuration.addMessage();
     loop_.run([&] {
         auto call = [update](wire::Peer::Client &peer) { return sendUpdate(peer, update); };
         state_->addTask(
@@ -335,6 +339,7 @@
 Result<Offset> PeerClient::pushConfig(const PeerTarget &target, const std::string &update,
                                       Millis timeout)
 {
+    options_.meters.configuration.addMessage();
     return toResult(loop_.run([&] {
         return state_->start<Offset>(target, timeout, [update](wire::Peer::Client &peer) {
             return sendUpdate(peer, update);
@@ -344,6 +349,7 @@
 
 Result<std::string> PeerClient::pullConfig(const PeerTarget &target, Offset from, Millis timeout)
 {
+    options_.meters.configuration.addMessage();
     return toResult(loop_.run([&] {
         return state_->start<std::string>(target, timeout, [from](wire::Peer::Client &peer) {
             auto request = peer.pullConfigRequest();
@@ -356,6 +362,7 @@
 Result<std::string> PeerClient::claim(const PeerTarget &target, const std::string &batch,
                                       Millis timeout)
 {
+    options_.meters.claims.addMessage();
     return flatten(loop_.run([&] {
         return state_->start<Expected<std::string>>(
                 target, timeout, [batch](wire::Peer::Client &peer) {
@@ -371,6 +378,7 @@
 Result<void> PeerClient::noteStream(const PeerTarget &target, const std::string &requestId,
                                     const std::string &endpointId, Millis timeout)
 {
+    options_.meters.streams.addMessage();
     auto outcome = loop_.run([&] {
         return state_->start<Done>(target, timeout,
                                    [requestId, endpointId](wire::Peer::Client &peer) {
@@ -388,6 +396,7 @@
 Result<std::optional<std::string>>
 PeerClient::findStream(const PeerTarget &target, const std::string &requestId, Millis timeout)
 {
+    options_.meters.streams.addMessage();
     auto outcome = loop_.run([&] {
         return state_->start<std::string>(target, timeout, [requestId](wire::Peer::Client &peer) {
             auto request = peer.findStreamRequest();
@@ -404,6 +413,7 @@
 Result<std::string> PeerClient::runQuery(const PeerTarget &target, const std::string &text,
                                          Millis timeout)
 {
+    options_.meters.queries.addMessage();
     return flatten(loop_.run([&] {
         return state_->start<Expected<std::string>>(
                 target, timeout, [text](wire::Peer::Client &peer) {
@@ -417,6 +427,7 @@
 
 Result<std::string> PeerClient::dump(const PeerTarget &target, Millis timeout)
 {
+    options_.meters.queries.addMessage();
     return flatten(loop_.run([&] {
         return state_->start<Expected<std::string>>(target, timeout, [](wire::Peer::Client &peer) {
             return peer.dumpRequest().send().then(
--- a/src/peer/peerclient.h
+++ b/src/peer/peerclient.h
@@ -21,6 +21,17 @@
 
 namespace cicadafork {
 
+/// Messages by kind; the bytes of all kinds share the meter of the connections.
+struct PeerMeters
+{
+    TrafficMeter connections;
+    TrafficMeter heartbeats;
+    TrafficMeter configuration;
+    TrafficMeter claims;
+    TrafficMeter streams;
+    TrafficMeter queries;
+};
+
 struct PeerTarget
 {
     std::string id;
@@ -35,6 +46,7 @@
     Millis backoffMinimum{50};
     Millis backoffMaximum{1000}; ///< Well below the 6 s in which configuration must spread.
     std::size_t maxLinks = 1024;
+    PeerMeters meters = {};
 };
 
 struct HeartbeatAnswer
--- a/src/peer/peerserver.cpp
+++ b/src/peer/peerserver.cpp
@@ -7,6 +7,7 @@
 
 #include "base/log.h"
 #include "peer/convert.h"
+#include "peer/countedstream.h"
 
 #include <asio/post.hpp>
 #include <asio/thread_pool.hpp>
@@ -297,7 +298,8 @@
         capnp::ReaderOptions limits;
         limits.traversalLimitInWords = kMaxMessageWords;
         const std::uint64_t id = ++lastId_;
-        auto connection = kj::heap<ServerConnection>(kj::mv(stream), context, limits);
+        auto connection = kj::heap<ServerConnection>(
+                kj::heap<CountedStream>(kj::mv(stream), options_.meter), context, limits);
         tasks_.add(connection->network.onDisconnect().then([this, id] { connections_.erase(id); }));
         connections_.emplace(id, kj::mv(connection));
     }
--- a/src/peer/peerserver.h
+++ b/src/peer/peerserver.h
@@ -11,6 +11,7 @@
 //   BOOST_LEAF_CHECK(server.start());
 
 #include "base/error.h"
+#include "base/traffic.h"
 #include "http/address.h"
 #include "membership/digest.h"
 #include "peer/peerloop.h"
@@ -55,6 +56,7 @@
     std::size_t maxConnections = 2048;
     /// A connection without a call for this long is closed; heartbeats keep the others alive.
     Millis idleTimeout{30'000};
+    TrafficMeter meter = {}; ///< Of the bytes of all connections.
 };
 
 class PeerServer
--- a/src/platform/logclient.cpp
+++ b/src/platform/logclient.cpp
@@ -26,7 +26,7 @@
 Result<Offset> HttpLogClient::append(const std::string &stream, const nlohmann::json &data,
                                      Millis timeout)
 {
-    BOOST_LEAF_AUTO(reply, postJson(address_, streamPath(stream), data, timeout));
+    BOOST_LEAF_AUTO(reply, postJson(address_, streamPath(stream), data, timeout, meters_.append));
     if (!reply.contains("offset") || !reply["offset"].is_number_unsigned()) {
         return fail(ErrorCode::Unavailable, "log answered an append without an offset",
                     "check that the log address names the platform's log service");
@@ -39,7 +39,7 @@
 {
     const std::string path = fmt::format("{}?from={}&limit={}&wait_ms={}", streamPath(stream), from,
                                          limit, wait.count());
-    BOOST_LEAF_AUTO(reply, httpGet(address_, path, wait + timeout));
+    BOOST_LEAF_AUTO(reply, httpGet(address_, path, wait + timeout, meters_.read));
     const auto body = nlohmann::json::parse(reply.body, nullptr, false);
     const bool known = reply.status == 200 || reply.status == kStatusGone;
     if (!known || !body.is_object() || !body.contains("first"))
--- a/src/platform/logclient.h
+++ b/src/platform/logclient.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/traffic.h"
 #include "http/address.h"
 
 #include <nlohmann/json.hpp>
@@ -53,12 +54,19 @@
             = 0;
 };
 
+struct LogMeters
+{
+    TrafficMeter append;
+    TrafficMeter read;
+};
+
 /// The client over HTTP. Thread-safe.
 class HttpLogClient : public LogClient
 {
 public:
-    explicit HttpLogClient(Address address)
+    explicit HttpLogClient(Address address, LogMeters meters = {})
         : address_(std::move(address))
+        , meters_(meters)
     {
     }
 
@@ -69,6 +77,7 @@
 
 private:
     Address address_;
+    LogMeters meters_;
 };
 
 } // namespace cicadafork
--- a/src/platform/vmlist.cpp
+++ b/src/platform/vmlist.cpp
@@ -65,7 +65,7 @@
 
 Result<VmList> HttpVmListClient::fetch(Millis timeout)
 {
-    BOOST_LEAF_AUTO(body, getJson(address_, "/vms", timeout));
+    BOOST_LEAF_AUTO(body, getJson(address_, "/vms", timeout, meter_));
     return parseVmList(body);
 }
 
--- a/src/platform/vmlist.h
+++ b/src/platform/vmlist.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/traffic.h"
 #include "http/address.h"
 
 #include <nlohmann/json.hpp>
@@ -57,8 +58,9 @@
 class HttpVmListClient : public VmListClient
 {
 public:
-    explicit HttpVmListClient(Address address)
+    explicit HttpVmListClient(Address address, TrafficMeter meter = {})
         : address_(std::move(address))
+        , meter_(meter)
     {
     }
 
@@ -66,6 +68,7 @@
 
 private:
     Address address_;
+    TrafficMeter meter_;
 };
 
 } // namespace cicadafork
--- a/standins/standin-service/main.cpp
+++ b/standins/standin-service/main.cpp
@@ -8,7 +8,9 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <mutex>
+#include <stdexcept>
 #include <vector>
 
 using namespace cicadafork;
@@ -115,6 +117,42 @@
     state.leaving = faults.value("leaving", state.leaving);
 }
 
+// An endpoint that only reports its status, for measurements with many endpoints.
+std::unique_ptr<HttpServer> startStatusOnly(const std::string &text,
+                                            const std::vector<std::string> &models)
+{
+    // Two connections at a time: the coordinator's and, while it changes, the backup's.
+    constexpr std::size_t kThreads = 2;
+    const std::size_t separator = text.find('=');
+    const std::string id = text.substr(0, separator);
+    const auto address = capture([&] { return parseAddress(text.substr(separator + 1)); });
+    if (separator == std::string::npos || !address)
+        throw std::invalid_argument("--status-only needs ID=ADDRESS, not " + text);
+    auto server = std::make_unique<HttpServer>(
+            HttpServerOptions{.address = *address, .threads = kThreads});
+    const nlohmann::json fixed = {{"endpoint_id", id},
+                                  {"incarnation", id + "-1"},
+                                  {"state", "live"},
+                                  {"role", "mixed"},
+                                  {"models", models},
+                                  {"running", 72},
+                                  {"waiting", 3},
+                                  {"waiting_tokens", 9000},
+                                  {"kv_used_tokens", 800'000},
+                                  {"kv_capacity_tokens", 1'500'000}};
+    server->routes().Get("/v1/status", [fixed](const auto &, auto &response) {
+        nlohmann::json body = fixed;
+        body["reported_at_ms"] = sinceEpoch(wallNow()).count();
+        replyJson(response, 200, body);
+    });
+    server->routes().Get("/v1/holds", [](const auto &, auto &response) {
+        replyJson(response, 200, {{"holds", nlohmann::json::array()}});
+    });
+    if (!capture([&] { return server->start(); }))
+        throw std::runtime_error("cannot listen on " + text);
+    return server;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -124,6 +162,10 @@
     options.add_options()("id", "endpoint id",
                           cxxopts::value<std::string>()->default_value("service-1"))(
             "operations", "known operations, separated by commas; none means all",
+            cxxopts::value<std::vector<std::string>>())(
+            "status-only", "further endpoint ID=ADDRESS that only reports its status; repeatable",
+            cxxopts::value<std::vector<std::string>>())(
+            "models", "models that these endpoints report, separated by commas",
             cxxopts::value<std::vector<std::string>>());
     const auto flags = parseFlags(options, argc, argv);
     blockSignals();
@@ -147,5 +189,12 @@
         const std::lock_guard lock(state.mutex);
         replyJson(response, 200, {{"executions", state.executions}});
     });
+    std::vector<std::string> models;
+    if (flags.count("models") > 0)
+        models = flags["models"].as<std::vector<std::string>>();
+    std::vector<std::unique_ptr<HttpServer>> statusOnly;
+    for (std::size_t i = 0; i < flags.count("status-only"); ++i)
+        statusOnly.push_back(
+                startStatusOnly(flags["status-only"].as<std::vector<std::string>>()[i], models));
     return serveUntilSignal(server, gate, "standin-service");
 }
