Send less in heartbeats and ask for the VM list by its tag

Cause: every daemon fetched the whole VM list each second, every report repeated models and role, and a delegate put all far members into every tenth digest and all far endpoints into every one. The count of digests was shared by all peers: when the number of peers has a factor in common with ten, some peers never got a member summary. Each tick copied all endpoints, and each digest sorted all members. Change: GET /vms carries If-None-Match (the stand-in answers 304). A report leaves out incarnation, role, models and capacity once the peer has acknowledged them, and repeats them with every fourth digest; a receiver takes a brief report only if the hash of these details is the one that it knows. A delegate passes on at most four members and four endpoints per digest, in turn per peer; leaving endpoints always go. Pools and endpoint care run every 200 ms. Heartbeats of one tick take one change of threads. The protocol version is raised, because version 1 misreads a brief report. Ruled out: readers of the VM list that push to others, as more state for the same effect.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -7,14 +7,18 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <random>
 
 namespace cicadafork {
 
 namespace {
 
-// Health checks and operators must find a thread while all streams are in use.
-constexpr std::size_t kSpareServerThreads = 64;
+// Health checks and operators must find a thread while all streams are in use. A daemon for few
+// streams keeps fewer: the thread ids of one machine run out at 32,768 in all.
+constexpr std::size_t kMinSpareServerThreads = 8;
+constexpr std::size_t kMaxSpareServerThreads = 64;
+constexpr std::size_t kStreamsPerSpareThread = 16;
 // A silent endpoint holds a thread for the status timeout; 16 carry 32 such endpoints at the
 // default interval.
 constexpr std::size_t kEndpointThreads = 16;
@@ -24,6 +28,9 @@
 constexpr Millis kDrainPoll{20};
 constexpr Millis kClaimFlushTimeout{5000};
 constexpr Millis kVmListPoll{50};
+// Orders, sweeps and pools tolerate this delay. At every tick of 20 ms, copying 600 endpoints alone
+// would take more than the control plane's share of a core.
+constexpr Millis kSlowTick{200};
 
 std::uint64_t randomSeed()
 {
@@ -50,7 +57,9 @@
 {
     HttpServerOptions options;
     options.address = settings.callerAddress;
-    options.threads = settings.limits.maxStreams + kSpareServerThreads;
+    options.threads = settings.limits.maxStreams
+                      + std::clamp(settings.limits.maxStreams / kStreamsPerSpareThread,
+                                   kMinSpareServerThreads, kMaxSpareServerThreads);
     options.maxBodyBytes = settings.limits.maxBodyBytes;
     return options;
 }
@@ -264,8 +273,11 @@
     fleet_.setRequestsInProgress(static_cast<std::uint32_t>(frontend_.requests(now).size()));
     poller_.tick(now);
     heartbeats_.tick(now);
-    care_.tick(now);
-    updatePools();
+    if (now >= nextSlowTick_) {
+        care_.tick(now);
+        updatePools();
+        nextSlowTick_ = now + kSlowTick;
+    }
     outliers_.tick(now);
     admission_.pump(now);
     directory_.tick(now);
@@ -273,13 +285,8 @@
 
 void Daemon::updatePools()
 {
-    const TimePoint now = steadyNow();
-    for (const std::string &service : fleet_.services()) {
-        std::vector<std::string> endpoints;
-        for (const EndpointView &endpoint : fleet_.view(service, now).endpoints)
-            endpoints.push_back(endpoint.id);
+    for (auto &[service, endpoints] : fleet_.endpointIds())
         outliers_.setPool(service, std::move(endpoints));
-    }
 }
 
 void Daemon::runVmList()
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -103,6 +103,7 @@
 
     asio::io_context control_;
     asio::steady_timer tickTimer_{control_};
+    TimePoint nextSlowTick_{}; ///< Used by the control thread only.
     std::thread controlThread_;
     std::thread vmListThread_;
     std::thread readerThread_;
--- a/src/membership/digest.h
+++ b/src/membership/digest.h
@@ -35,6 +35,9 @@
     std::string endpointId;
     Millis age{0}; ///< Since the report was requested, at the time of sending.
     EndpointStatus status;
+    /// The status lacks what rarely changes (see detailsHash()); the receiver knows it by its hash.
+    bool brief = false;
+    std::uint64_t detailsHash = 0;
 };
 
 /// Requests that a daemon sent to an endpoint since the report it knows, not yet finished.
--- a/src/membership/fleettable.cpp
+++ b/src/membership/fleettable.cpp
@@ -162,8 +162,11 @@
             return;
         row->polling = false;
         const bool before = row->statusLeaving;
+        const bool polledBefore = row->polledHere;
         cicadafork::applyStatus(*row, status, requested, now);
         row->polledHere = row->polledHere || row->reportAt == requested;
+        if (row->polledHere && !polledBefore)
+            row->detailsAt = now;
         changed = before != row->statusLeaving;
     }
     if (changed) {
@@ -198,6 +201,7 @@
                                             options_.controlBytesPerSecond);
     nextHeartbeatCheck_ = now + interval / kHeartbeatChecksPerInterval;
     const MemberRow *self = tables_.members.find(options_.selfId);
+    const bool relays = isRelay(tables_, options_.selfId, now);
     std::vector<HeartbeatDue> due;
     for (const std::string &id : targets) {
         MemberRow *peer = tables_.members.find(id);
@@ -212,7 +216,7 @@
         digest.interval = interval;
         digest.configOffset = self->configOffset;
         digest.requestsInProgress = requestsInProgress_;
-        fillDigest(tables_, options_.selfId, id, now, digest);
+        fillDigest(tables_, options_.selfId, id, relays, now, digest);
         due.push_back({id, peer->peerAddress, std::move(digest), now});
     }
     return due;
@@ -303,6 +307,18 @@
     return {names.begin(), names.end()};
 }
 
+std::map<std::string, std::vector<std::string>> FleetTable::endpointIds() const
+{
+    const std::lock_guard lock(mutex_);
+    std::map<std::string, std::vector<std::string>> ids;
+    tables_.endpoints.forEach([&](const std::string &id, const EndpointRow &row) {
+        ids[row.service].push_back(id);
+    });
+    for (auto &[service, endpoints] : ids)
+        std::sort(endpoints.begin(), endpoints.end());
+    return ids;
+}
+
 nlohmann::json FleetTable::dump(TimePoint now) const
 {
     const std::lock_guard lock(mutex_);
--- a/src/membership/fleettable.h
+++ b/src/membership/fleettable.h
@@ -95,6 +95,8 @@
     std::optional<Address> addressOf(const std::string &endpointId) const;
     /// Names of the services that have endpoints.
     std::vector<std::string> services() const;
+    /// Ids of the endpoints by service, each in ascending order.
+    std::map<std::string, std::vector<std::string>> endpointIds() const;
 
     nlohmann::json dump(TimePoint now) const;
 
--- a/src/membership/systems.cpp
+++ b/src/membership/systems.cpp
@@ -11,10 +11,13 @@
 namespace {
 
 constexpr int kMissedHeartbeats = 3;
-/// Delegates pass on members only with every tenth digest, over two hops, so that these rows live
-/// longer than the ones heard directly.
-constexpr std::uint64_t kMemberSummaryEvery = 10;
+/// Members and endpoints that a delegate passes on with one digest; about 900 bytes.
+constexpr std::size_t kRelayedPerDigest = 4;
+/// Members are passed on in turn and over two hops, so that these rows live longer than the ones
+/// heard directly: at least this long, and longer where a turn takes more time.
 constexpr Millis kRelayedMemberLife{10'000};
+/// A receiver that lacks the details of a brief report gets them with the next full digest.
+constexpr std::uint64_t kFullDigestEvery = 4;
 /// A member that left the list and is silent for this long is forgotten.
 constexpr Millis kForgetAfter{30'000};
 /// A list service that restarts its versions is believed again after this time.
@@ -96,7 +99,15 @@
     return clock - sent;
 }
 
-void applySummary(FleetTables &tables, const MemberSummary &summary, Millis transit, TimePoint now)
+/// Life of a member that a delegate passes on in turn with all others.
+Millis relayedLife(const FleetTables &tables, Millis interval)
+{
+    const auto turns = static_cast<std::int64_t>(tables.members.size() / kRelayedPerDigest + 1);
+    return std::max(kRelayedMemberLife, kMissedHeartbeats * turns * interval);
+}
+
+void applySummary(FleetTables &tables, const MemberSummary &summary, Millis transit,
+                  Millis interval, TimePoint now)
 {
     MemberRow *row = tables.members.find(summary.id);
     const TimePoint heardAt = now - transit - summary.age;
@@ -108,14 +119,28 @@
     row->incarnation = summary.incarnation;
     row->heard = true;
     row->lastHeartbeat = heardAt;
-    row->life = kRelayedMemberLife;
+    row->life = relayedLife(tables, interval);
     row->leaving = summary.leaving;
     row->configOffset = std::max(row->configOffset, summary.configOffset);
 }
 
+/// Up to kRelayedPerDigest of the ids, in ascending order after the last one and round again.
+std::vector<std::string> nextInTurn(std::vector<std::string> ids, std::string &last)
+{
+    std::sort(ids.begin(), ids.end());
+    const auto begin = std::upper_bound(ids.begin(), ids.end(), last);
+    std::rotate(ids.begin(), begin, ids.end());
+    ids.resize(std::min(ids.size(), kRelayedPerDigest));
+    if (!ids.empty())
+        last = ids.back();
+    return ids;
+}
+
 std::size_t listedMembers(const MemberTable &members)
 {
-    return sortedIds(members, [](const MemberRow &row) { return row.listed || row.self; }).size();
+    std::size_t count = 0;
+    members.forEach([&](const auto &, const MemberRow &row) { count += row.listed || row.self; });
+    return count;
 }
 
 /// The delegate of another domain, or a candidate that changes with time while none is alive.
@@ -226,6 +251,14 @@
     return due;
 }
 
+std::uint64_t detailsHash(const EndpointStatus &status)
+{
+    std::string text = status.incarnation + '\n' + status.role;
+    for (const std::string &model : status.models)
+        text += '\n' + model;
+    return fnv1a64(text, status.kvCapacityTokens);
+}
+
 void applyStatus(EndpointRow &row, const EndpointStatus &status, TimePoint reportAt, TimePoint now)
 {
     if (status.leaving) {
@@ -238,6 +271,10 @@
     }
     if (row.reported && reportAt <= row.reportAt)
         return;
+    const std::uint64_t details = detailsHash(status);
+    if (!row.reported || details != row.detailsHash)
+        row.detailsAt = now;
+    row.detailsHash = details;
     row.reported = true;
     row.status = status;
     row.reportAt = reportAt;
@@ -279,9 +316,19 @@
     const std::optional<Millis> transit = transitBound(digest, selfIncarnation, now);
     for (const EndpointReport &report : digest.reports) {
         EndpointRow *endpoint = tables.endpoints.find(report.endpointId);
-        if (endpoint && (transit || report.status.leaving))
-            applyStatus(*endpoint, report.status, now - transit.value_or(kReportLife) - report.age,
-                        now);
+        if (!endpoint || (!transit && !report.status.leaving))
+            continue;
+        EndpointStatus status = report.status;
+        if (report.brief) {
+            const bool known = endpoint->reported && endpoint->detailsHash == report.detailsHash;
+            if (!known && !status.leaving)
+                continue;
+            status.incarnation = endpoint->status.incarnation;
+            status.role = endpoint->status.role;
+            status.models = endpoint->status.models;
+            status.kvCapacityTokens = endpoint->status.kvCapacityTokens;
+        }
+        applyStatus(*endpoint, status, now - transit.value_or(kReportLife) - report.age, now);
     }
     tables.endpoints.forEach(
             [&](const auto &, EndpointRow &endpoint) { endpoint.peerSent.erase(digest.memberId); });
@@ -291,7 +338,7 @@
     }
     for (const MemberSummary &summary : digest.members) {
         if (transit)
-            applySummary(tables, summary, *transit, now);
+            applySummary(tables, summary, *transit, digest.interval, now);
     }
     return true;
 }
@@ -324,20 +371,39 @@
     return targets;
 }
 
-void fillDigest(const FleetTables &tables, const std::string &selfId, const std::string &peerId,
-                TimePoint now, Digest &digest)
+bool isRelay(const FleetTables &tables, const std::string &selfId, TimePoint now)
 {
     const MemberRow *self = tables.members.find(selfId);
-    const MemberRow *peer = tables.members.find(peerId);
-    if (peer) {
-        digest.echoIncarnation = peer->echoIncarnation;
-        digest.echoClock = peer->echoClock;
-        digest.echoAge = since(peer->echoReceived, now);
-    }
-    const bool relays = listedMembers(tables.members) > kFullMeshMembers
-                        && delegateOf(tables, self->domain, now) == selfId;
+    return listedMembers(tables.members) > kFullMeshMembers
+           && delegateOf(tables, self->domain, now) == selfId;
+}
+
+void fillDigest(FleetTables &tables, const std::string &selfId, const std::string &peerId,
+                bool relays, TimePoint now, Digest &digest)
+{
+    const MemberRow *self = tables.members.find(selfId);
+    MemberRow *peer = tables.members.find(peerId);
+    if (!peer)
+        return;
+    digest.echoIncarnation = peer->echoIncarnation;
+    digest.echoClock = peer->echoClock;
+    digest.echoAge = since(peer->echoReceived, now);
+    const bool full = ++peer->digests % kFullDigestEvery == 0 || peer->acknowledged == TimePoint{};
     // A delegate passes on its own domain to other domains, and these to its own domain.
-    const bool crossDomain = peer && peer->domain != self->domain;
+    const bool crossDomain = peer->domain != self->domain;
+    std::vector<std::string> relayed;
+    const auto addReport = [&](const std::string &id, const EndpointRow &row) {
+        EndpointReport report{id, since(row.reportAt, now), row.status};
+        report.detailsHash = row.detailsHash;
+        report.brief = !full && row.detailsAt < peer->acknowledged;
+        if (report.brief) {
+            report.status.incarnation.clear();
+            report.status.role.clear();
+            report.status.models.clear();
+            report.status.kvCapacityTokens = 0;
+        }
+        digest.reports.push_back(std::move(report));
+    };
     tables.endpoints.forEach([&](const std::string &id, const EndpointRow &row) {
         if (!row.sent.empty()) {
             SentLoad load{id, static_cast<std::uint32_t>(row.sent.size()), 0};
@@ -347,18 +413,26 @@
         }
         const bool passedOn = relays && (row.domain == self->domain) == crossDomain;
         const bool fresh = row.reported && since(row.reportAt, now) < kReportLife;
-        const bool lacking = !peer || row.updatedAt >= peer->acknowledged;
-        if ((row.polledHere || passedOn) && lacking && (fresh || row.status.leaving))
-            digest.reports.push_back({id, since(row.reportAt, now), row.status});
+        const bool lacking = row.updatedAt >= peer->acknowledged;
+        if (!lacking || (!fresh && !row.status.leaving))
+            return;
+        if (row.polledHere || (passedOn && row.status.leaving))
+            addReport(id, row);
+        else if (passedOn)
+            relayed.push_back(id);
     });
-    if (!relays || digest.sequence % kMemberSummaryEvery != 0)
+    for (const std::string &id : nextInTurn(std::move(relayed), peer->relayedEndpoint))
+        addReport(id, *tables.endpoints.find(id));
+    if (!relays)
         return;
-    tables.members.forEach([&](const std::string &id, const MemberRow &row) {
-        if (row.self || !isAlive(row, now) || (row.domain == self->domain) != crossDomain)
-            return;
+    auto members = sortedIds(tables.members, [&](const MemberRow &row) {
+        return !row.self && isAlive(row, now) && (row.domain == self->domain) == crossDomain;
+    });
+    for (const std::string &id : nextInTurn(std::move(members), peer->relayedMember)) {
+        const MemberRow &row = *tables.members.find(id);
         digest.members.push_back({id, row.incarnation, since(row.lastHeartbeat, now), row.leaving,
                                   row.configOffset});
-    });
+    }
 }
 
 Millis heartbeatInterval(Millis minimum, std::size_t peers, double bytesPerDigest,
--- a/src/membership/systems.h
+++ b/src/membership/systems.h
@@ -42,6 +42,9 @@
 std::vector<PollRequest> pollsDue(FleetTables &tables, const std::string &selfId, Millis interval,
                                   TimePoint now);
 
+/// Hash of what rarely changes in a status: incarnation, role, models and capacity.
+std::uint64_t detailsHash(const EndpointStatus &status);
+
 /// Takes over a status. reportAt is when it was requested, or an earlier time when it came in a
 /// digest. A leaving status always counts; a live one only when it is newer than what is known.
 void applyStatus(EndpointRow &row, const EndpointStatus &status, TimePoint reportAt, TimePoint now);
@@ -63,8 +66,13 @@
 
 /// What this member tells a peer: the statuses that the peer has not acknowledged, and all own
 /// unreported requests. The caller fills the fields about itself.
-void fillDigest(const FleetTables &tables, const std::string &selfId, const std::string &peerId,
-                TimePoint now, Digest &digest);
+/// Part of what a delegate passes on goes with each digest, in turn: in full, the 525 endpoints and
+/// 315 members of seven other domains would take 60 times the byte budget.
+void fillDigest(FleetTables &tables, const std::string &selfId, const std::string &peerId,
+                bool relays, TimePoint now, Digest &digest);
+
+/// Whether this member passes on what it knows, as delegate of its domain.
+bool isRelay(const FleetTables &tables, const std::string &selfId, TimePoint now);
 
 /// max(minimum, peers x bytes / budget).
 Millis heartbeatInterval(Millis minimum, std::size_t peers, double bytesPerDigest,
--- a/src/membership/tables.h
+++ b/src/membership/tables.h
@@ -34,6 +34,9 @@
     TimePoint echoReceived{};
     TimePoint lastSent{};
     TimePoint acknowledged{}; ///< The peer has what was known before this time.
+    std::uint64_t digests = 0;   ///< Sent to this peer.
+    std::string relayedEndpoint; ///< Last one passed on to this peer; the next digest goes on here.
+    std::string relayedMember;   ///< The same for members.
 };
 
 struct SentRecord
@@ -64,6 +67,8 @@
     TimePoint reportAt{};    ///< When the newest status was requested; never later than its truth.
     TimePoint updatedAt{};   ///< When this process took over the status.
     bool polledHere = false; ///< The status was requested by this process.
+    std::uint64_t detailsHash = 0; ///< Of the status, see detailsHash().
+    TimePoint detailsAt{};         ///< When it changed, or when this process began to report it.
     bool statusLeaving = false;
     TimePoint leavingSeen{};
     std::string coordinator;
--- a/src/peer/convert.cpp
+++ b/src/peer/convert.cpp
@@ -15,12 +15,17 @@
 
 void writeStatus(const EndpointStatus &status, wire::EndpointStatus::Builder out)
 {
-    out.setIncarnation(toKj(status.incarnation));
+    // An absent text takes no room and reads as empty.
+    if (!status.incarnation.empty())
+        out.setIncarnation(toKj(status.incarnation));
     out.setLeaving(status.leaving);
-    out.setRole(toKj(status.role));
-    auto models = out.initModels(status.models.size());
-    for (std::size_t i = 0; i < status.models.size(); ++i)
-        models.set(i, toKj(status.models[i]));
+    if (!status.role.empty())
+        out.setRole(toKj(status.role));
+    if (!status.models.empty()) {
+        auto models = out.initModels(status.models.size());
+        for (std::size_t i = 0; i < status.models.size(); ++i)
+            models.set(i, toKj(status.models[i]));
+    }
     out.setRunning(status.running);
     out.setWaiting(status.waiting);
     out.setWaitingTokens(status.waitingTokens);
@@ -65,6 +70,8 @@
         reports[i].setEndpointId(toKj(digest.reports[i].endpointId));
         reports[i].setAgeMs(toWireAge(digest.reports[i].age));
         writeStatus(digest.reports[i].status, reports[i].initStatus());
+        reports[i].setBrief(digest.reports[i].brief);
+        reports[i].setDetailsHash(digest.reports[i].detailsHash);
     }
     auto sent = out.initSent(digest.sent.size());
     for (std::size_t i = 0; i < digest.sent.size(); ++i) {
@@ -97,7 +104,8 @@
     digest.echoAge = Millis(in.getEchoAgeMs());
     for (auto report : in.getReports()) {
         digest.reports.push_back({fromKj(report.getEndpointId()), Millis(report.getAgeMs()),
-                                  readStatus(report.getStatus())});
+                                  readStatus(report.getStatus()), report.getBrief(),
+                                  report.getDetailsHash()});
     }
     for (auto sent : in.getSent()) {
         digest.sent.push_back({fromKj(sent.getEndpointId()), sent.getRequests(), sent.getTokens()});
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -5,9 +5,10 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("cicadafork::wire");
 
-const protocolVersion :UInt32 = 1;
+const protocolVersion :UInt32 = 2;
 # Oldest version that this one can talk to.
-const oldestVersion :UInt32 = 1;
+const oldestVersion :UInt32 = 2;
+# Version 1 reads a brief report as one of an endpoint without models.
 
 interface Bootstrap {
   # The first message of a connection. Fails unless the member is known at the caller's address.
@@ -57,6 +58,9 @@
   endpointId @0 :Text;
   ageMs @1 :UInt32;
   status @2 :EndpointStatus;
+  # The status lacks incarnation, role, models and capacity: they are those with this hash.
+  brief @3 :Bool;
+  detailsHash @4 :UInt64;
 }
 
 struct SentLoad {
--- a/src/peer/peerclient.cpp
+++ b/src/peer/peerclient.cpp
@@ -304,23 +304,32 @@
     loop_.run([&] { state_ = nullptr; });
 }
 
-void PeerClient::heartbeat(const HeartbeatDue &due, Millis timeout, HeartbeatCallback done)
+void PeerClient::heartbeats(const std::vector<HeartbeatDue> &due, Millis timeout,
+                            HeartbeatCallback done)
 {
-    options_.meters.heartbeats.addMessage();
+    if (due.empty())
+        return;
     loop_.run([&] {
-        auto call = [digest = due.digest](wire::Peer::Client &peer) {
-            auto request = peer.heartbeatRequest();
-            writeDigest(digest, request.initDigest());
-            const std::size_t bytes = request.getDigest().totalSize().wordCount * 8 + kFrameBytes;
-            return request.send().then([bytes](auto &&answer) {
-                return HeartbeatAnswer{readReply(answer.getReply()), bytes};
-            });
-        };
-        state_->addTask(
-                state_->start<HeartbeatAnswer>({due.peerId, due.address}, timeout, kj::mv(call))
-                        .then([done = std::move(done)](Expected<HeartbeatAnswer> answer) {
-                            done(answer);
-                        }));
+        for (const HeartbeatDue &one : due) {
+            options_.meters.heartbeats.addMessage();
+            // Only what an answer needs is kept, not the digest.
+            const HeartbeatDue sent{one.peerId, one.address, {}, one.builtAt};
+            auto call = [digest = one.digest](wire::Peer::Client &peer) {
+                auto request = peer.heartbeatRequest();
+                writeDigest(digest, request.initDigest());
+                const std::size_t bytes
+                        = request.getDigest().totalSize().wordCount * 8 + kFrameBytes;
+                return request.send().then([bytes](auto &&answer) {
+                    return HeartbeatAnswer{readReply(answer.getReply()), bytes};
+                });
+            };
+            state_->addTask(
+                    state_->start<HeartbeatAnswer>({one.peerId, one.address}, timeout,
+                                                   kj::mv(call))
+                            .then([done, sent](const Expected<HeartbeatAnswer> &answer) {
+                                done(sent, answer);
+                            }));
+        }
     });
 }
 
--- a/src/peer/peerclient.h
+++ b/src/peer/peerclient.h
@@ -59,15 +59,16 @@
 class PeerClient
 {
 public:
-    using HeartbeatCallback = std::function<void(const Expected<HeartbeatAnswer> &)>;
+    using HeartbeatCallback = std::function<void(const HeartbeatDue &, const Expected<HeartbeatAnswer> &)>;
 
     PeerClient(PeerLoop &loop, PeerClientOptions options);
     ~PeerClient();
     PeerClient(const PeerClient &) = delete;
     PeerClient &operator=(const PeerClient &) = delete;
 
-    /// Starts a heartbeat and returns. The callback runs on the RPC thread and must not block.
-    void heartbeat(const HeartbeatDue &due, Millis timeout, HeartbeatCallback done);
+    /// Starts heartbeats and returns. The callback runs on the RPC thread and must not block. All
+    /// of them take one change of threads.
+    void heartbeats(const std::vector<HeartbeatDue> &due, Millis timeout, HeartbeatCallback done);
 
     /// The same as a push in the background, for readers that push to many peers.
     void pushConfigAsync(const PeerTarget &target, const std::string &update, Millis timeout,
--- a/src/platform/vmlist.cpp
+++ b/src/platform/vmlist.cpp
@@ -65,8 +65,24 @@
 
 Result<VmList> HttpVmListClient::fetch(Millis timeout)
 {
-    BOOST_LEAF_AUTO(body, getJson(address_, "/vms", timeout, meter_));
-    return parseVmList(body);
+    constexpr int kStatusOk = 200;
+    constexpr int kStatusNotModified = 304;
+    httplib::Headers headers;
+    {
+        const std::lock_guard lock(mutex_);
+        if (!validator_.empty())
+            headers.emplace("If-None-Match", validator_);
+    }
+    BOOST_LEAF_AUTO(reply, httpGet(address_, "/vms", timeout, meter_, headers));
+    const std::lock_guard lock(mutex_);
+    if (reply.status == kStatusNotModified && !headers.empty())
+        return newest_;
+    const auto body = nlohmann::json::parse(reply.body, nullptr, false);
+    BOOST_LEAF_AUTO(list, parseVmList(reply.status == kStatusOk ? body : nlohmann::json()));
+    const auto validator = reply.headers.find("ETag");
+    validator_ = validator == reply.headers.end() ? std::string() : validator->second;
+    newest_ = validator_.empty() ? VmList{} : list;
+    return list;
 }
 
 } // namespace cicadafork
--- a/src/platform/vmlist.h
+++ b/src/platform/vmlist.h
@@ -15,6 +15,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -54,7 +55,9 @@
     virtual Result<VmList> fetch(Millis timeout) = 0;
 };
 
-/// The client over HTTP. Thread-safe.
+/// The client over HTTP. Thread-safe. It sends the entity tag of the list that it has, so that a
+/// service that knows the tag answers 304 without the list: 960 rows are 168 KB, and one list per
+/// second would take eight times the byte budget of a daemon.
 class HttpVmListClient : public VmListClient
 {
 public:
@@ -69,6 +72,9 @@
 private:
     Address address_;
     TrafficMeter meter_;
+    std::mutex mutex_;
+    std::string validator_; ///< Entity tag of the newest list; empty when the service gives none.
+    VmList newest_;
 };
 
 } // namespace cicadafork
--- a/standins/standin-service/main.cpp
+++ b/standins/standin-service/main.cpp
@@ -121,8 +121,8 @@
 std::unique_ptr<HttpServer> startStatusOnly(const std::string &text,
                                             const std::vector<std::string> &models)
 {
-    // Two connections at a time: the coordinator's and, while it changes, the backup's.
-    constexpr std::size_t kThreads = 2;
+    // Connections are short; a second one waits. Hundreds of endpoints share one process.
+    constexpr std::size_t kThreads = 1;
     const std::size_t separator = text.find('=');
     const std::string id = text.substr(0, separator);
     const auto address = capture([&] { return parseAddress(text.substr(separator + 1)); });
--- a/standins/standin-vmlist/main.cpp
+++ b/standins/standin-vmlist/main.cpp
@@ -2,6 +2,8 @@
 
 #include "common/standin.h"
 
+#include <fmt/format.h>
+
 #include <deque>
 #include <mutex>
 
@@ -19,6 +21,7 @@
 struct VmListState
 {
     std::mutex mutex;
+    std::int64_t run = sinceEpoch(wallNow()).count();
     std::uint64_t version = 0;
     Millis lag{0};
     nlohmann::json visible = {{"version", 0}, {"vms", nlohmann::json::array()}};
@@ -38,13 +41,20 @@
     replyJson(response, 200, {{"version", list.version}});
 }
 
-void show(VmListState &list, httplib::Response &response)
+void show(VmListState &list, const httplib::Request &request, httplib::Response &response)
 {
     const std::lock_guard lock(list.mutex);
     while (!list.pending.empty() && list.pending.front().visibleAt <= steadyNow()) {
         list.visible = std::move(list.pending.front().body);
         list.pending.pop_front();
     }
+    // The tag names this run too, because versions start again with it.
+    const std::string tag = fmt::format("\"{}-{}\"", list.run, list.visible["version"].dump());
+    response.set_header("ETag", tag);
+    if (request.get_header_value("If-None-Match") == tag) {
+        response.status = 304;
+        return;
+    }
     replyJson(response, 200, list.visible);
 }
 
@@ -67,7 +77,9 @@
             },
             flags);
     server.routes().Get("/vms",
-                        gate.guard([&](const auto &, auto &response) { show(list, response); }));
+                        gate.guard([&](const auto &request, auto &response) {
+                            show(list, request, response);
+                        }));
     server.routes().Post("/admin/vms", [&](const auto &request, auto &response) {
         replace(list, request, response);
     });
--- a/tests/tools/capacitysystem.cpp
+++ b/tests/tools/capacitysystem.cpp
@@ -25,6 +25,9 @@
 constexpr Millis kStartTimeout{40'000};
 constexpr Millis kRequestTimeout{2'000};
 constexpr Millis kInForcePoll{10};
+constexpr Millis kRoomTimeout{15'000};
+constexpr std::size_t kPlatformThreads = 250;
+constexpr std::size_t kSpareThreads = 300; ///< Left to other programs.
 constexpr const char *kService = "models";
 
 double processorSeconds(pid_t process)
@@ -45,6 +48,20 @@
     return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1024 * 1024);
 }
 
+/// Thread ids that are still free on this machine; other programs use them too.
+std::size_t freeThreadIds()
+{
+    std::size_t limit = 0;
+    std::ifstream("/proc/sys/kernel/pid_max") >> limit;
+    std::ifstream file("/proc/loadavg"); // "0.00 0.01 0.05 running/threads last"
+    std::string text;
+    std::getline(file, text);
+    const std::size_t slash = text.find('/');
+    const std::size_t used
+            = slash == std::string::npos ? limit : std::stoul(text.substr(slash + 1));
+    return limit > used ? limit - used : 0;
+}
+
 std::map<std::string, double> metricsOf(const Address &address)
 {
     std::map<std::string, double> metrics;
@@ -134,7 +151,7 @@
 {
     const auto start = [&](const char *name, const Address &address) {
         platform_.push_back(std::make_unique<ChildProcess>(
-                program(name), std::vector<std::string>{"--listen", toString(address)},
+                program(name), std::vector<std::string>{"--listen", toString(address), "--threads", "96"},
                 fmt::format("{}/{}.err", directory_, name)));
         if (!eventually(kStartTimeout, [&] { return accepts(address); }))
             throw std::runtime_error(std::string(name) + " does not listen");
@@ -256,6 +273,14 @@
 
 void CapacitySystem::start()
 {
+    // A daemon has a thread per stream in two pools, and about 90 others.
+    const std::size_t needed = daemons_.size() * (90 + 2 * options_.streams) + 2 * endpoints_.size()
+                               + kPlatformThreads;
+    if (!eventually(kRoomTimeout, [&] { return freeThreadIds() > needed + kSpareThreads; })) {
+        throw std::runtime_error(fmt::format("{} threads are needed, {} ids are free on this "
+                                             "machine; run fewer things at once",
+                                             needed, freeThreadIds()));
+    }
     startPlatform();
     startEndpoints();
     publish();
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -109,8 +109,8 @@
                                     const Digest &digest)
 {
     std::promise<Expected<HeartbeatAnswer>> answer;
-    from.client->heartbeat({to.target().id, to.target().address, digest, steadyNow()}, timeout,
-                           [&](const auto &result) { answer.set_value(result); });
+    from.client->heartbeats({{to.target().id, to.target().address, digest, steadyNow()}}, timeout,
+                            [&](const auto &, const auto &result) { answer.set_value(result); });
     return answer.get_future().get();
 }
 
--- a/tests/unit/vmlist_test.cpp
+++ b/tests/unit/vmlist_test.cpp
@@ -1,4 +1,6 @@
+#include "http/server.h"
 #include "platform/vmlist.h"
+#include "support/network.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -59,3 +61,47 @@
         CHECK_FALSE_TEXT(static_cast<bool>(list), body);
     }
 }
+
+// Guards against a list that is sent in full every second, against an old list that is kept after a
+// change, and against a service without entity tags.
+TEST(VmList, unchangedListIsAskedForByItsTag)
+{
+    struct Step
+    {
+        const char *name;
+        const char *tag;
+        std::uint64_t version;
+        int status;
+    };
+    const Step steps[] = {
+            {"first", "\"a\"", 1, 200},          {"unchanged", "\"a\"", 1, 304},
+            {"changed", "\"b\"", 2, 200},        {"unchanged again", "\"b\"", 2, 304},
+            {"service without a tag", "", 3, 200}, {"still without", "", 4, 200},
+    };
+    test::AddressPool addresses;
+    const Address address = addresses.next();
+    Step current{};
+    int answered = 0;
+    HttpServer server({.address = address, .threads = 2});
+    server.routes().Get("/vms", [&](const auto &request, auto &response) {
+        const std::string tag = current.tag;
+        const bool known = !tag.empty() && request.get_header_value("If-None-Match") == tag;
+        response.status = answered = known ? 304 : 200;
+        if (!tag.empty())
+            response.set_header("ETag", tag);
+        if (!known)
+            response.set_content(nlohmann::json{{"version", current.version},
+                                                {"vms", nlohmann::json::array()}}
+                                         .dump(),
+                                 "application/json");
+    });
+    CHECK_TRUE(static_cast<bool>(capture([&] { return server.start(); })));
+    HttpVmListClient client(address);
+    for (const Step &step : steps) {
+        current = step;
+        const auto list = capture([&] { return client.fetch(Millis(1000)); });
+        CHECK_TRUE_TEXT(static_cast<bool>(list), step.name);
+        CHECK_EQUAL_TEXT(step.version, list->version, step.name);
+        CHECK_EQUAL_TEXT(step.status, answered, step.name);
+    }
+}
