--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,23 +8,32 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <random>
 
 namespace cicadafork {
 
 namespace {
 
-// Health checks and operators must find a thread while all streams are in use.
-constexpr std::size_t kSpareServerThreads = 64;
+// Health checks and operators must find a thread while all streams are in use. A daemon for few
+// streams keeps fewer: the thread ids of one machine run out at 32,768 in all.
+constexpr std::size_t kMinSpareServerThreads = 8;
+constexpr std::size_t kMaxSpareServerThreads = 64;
+constexpr std::size_t kStreamsPerSpareThread = 16;
 // A silent endpoint holds a thread for the status timeout; 16 carry 32 such endpoints at the
 // default interval.
 constexpr std::size_t kEndpointThreads = 16;
 constexpr Millis kHeartbeatTimeout{1000};
+// Measured with scripts/capacity.sh at 8 daemons: 19.5 KB/s sent for 32.5 heartbeats per second.
+constexpr double kAssumedDigestBytes = 600;
 // The platform's balancer needs to see the failed readiness before the listener closes.
 constexpr Millis kReadinessLead{500};
 constexpr Millis kDrainPoll{20};
 constexpr Millis kClaimFlushTimeout{5000};
 constexpr Millis kVmListPoll{50};
+// Orders, sweeps and pools tolerate this delay. At every tick of 20 ms, copying 600 endpoints alone
+// would take more than the control plane's share of a core.
+constexpr Millis kSlowTick{200};
 
 std::uint64_t randomSeed()
 {
@@ -44,6 +53,7 @@
     options.statusInterval = settings.timing.statusInterval;
     options.heartbeatMinimum = settings.timing.heartbeatMinimum;
     options.controlBytesPerSecond = settings.controlBytesPerSecond;
+    options.assumedDigestBytes = kAssumedDigestBytes;
     return options;
 }
 
@@ -51,24 +61,35 @@
 {
     HttpServerOptions options;
     options.address = settings.callerAddress;
-    options.threads = settings.limits.maxStreams + kSpareServerThreads;
+    options.threads = settings.limits.maxStreams
+                      + std::clamp(settings.limits.maxStreams / kStreamsPerSpareThread,
+                                   kMinSpareServerThreads, kMaxSpareServerThreads);
     options.maxBodyBytes = settings.limits.maxBodyBytes;
     return options;
 }
 
-PeerClientOptions peerClientOptions(const Settings &settings, const std::string &incarnation)
+PeerClientOptions peerClientOptions(const Settings &settings, const std::string &incarnation,
+                                    Metrics &metrics)
 {
     PeerClientOptions options;
     options.self = {settings.memberId, incarnation};
     options.sourceIp = settings.peerAddress.ip;
+    options.meters.connections = makeTrafficMeter(metrics, "peer");
+    options.meters.heartbeats = makeTrafficMeter(metrics, "peer_heartbeat");
+    options.meters.configuration = makeTrafficMeter(metrics, "peer_configuration");
+    options.meters.claims = makeTrafficMeter(metrics, "peer_claims");
+    options.meters.streams = makeTrafficMeter(metrics, "peer_streams");
+    options.meters.queries = makeTrafficMeter(metrics, "peer_queries");
     return options;
 }
 
-PeerServerOptions peerServerOptions(const Settings &settings, const std::string &incarnation)
+PeerServerOptions peerServerOptions(const Settings &settings, const std::string &incarnation,
+                                    Metrics &metrics)
 {
     PeerServerOptions options;
     options.self = {settings.memberId, incarnation};
     options.address = settings.peerAddress;
+    options.meter = makeTrafficMeter(metrics, "peer");
     return options;
 }
 
@@ -84,15 +105,16 @@
 Daemon::Daemon(Settings settings)
     : settings_(std::move(settings))
     , incarnation_(newUuidV7(wallNow()))
-    , log_(settings_.platform.log)
-    , vmList_(settings_.platform.vmList)
+    , log_(settings_.platform.log,
+           {makeTrafficMeter(metrics_, "log_append"), makeTrafficMeter(metrics_, "log_read")})
+    , vmList_(settings_.platform.vmList, makeTrafficMeter(metrics_, "vm_list"))
     , fleet_(fleetOptions(settings_, incarnation_))
     , store_(log_, storeOptions(settings_))
     , outliers_(kMaxEndpoints, [this](const std::string &endpointId,
                                       bool ejected) { fleet_.setEjected(endpointId, ejected); })
     , observedFleet_(fleet_, outliers_)
     , admission_(observedFleet_, settings_, prefixes_, metrics_, randomSeed(), &outliers_)
-    , client_(loop_, peerClientOptions(settings_, incarnation_))
+    , client_(loop_, peerClientOptions(settings_, incarnation_, metrics_))
     , calls_(fleet_, client_, directory_, metrics_,
              {.selfId = settings_.memberId, .failureDomain = settings_.failureDomain})
     , claims_(log_, claimsSettings(),
@@ -104,10 +126,10 @@
     , operatorService_(store_, operatorHooks())
     , operatorRoutes_(settings_, operatorService_, metrics_, routeHooks())
     , server_(serverOptions(settings_))
-    , peerServer_(loop_, peerServerOptions(settings_, incarnation_), peerHandlers())
+    , peerServer_(loop_, peerServerOptions(settings_, incarnation_, metrics_), peerHandlers())
     , sync_(store_, fleet_, client_, {.selfId = settings_.memberId})
     , heartbeats_(fleet_, client_, kHeartbeatTimeout)
-    , poller_(fleet_, endpointPool_, {})
+    , poller_(fleet_, endpointPool_, {.meter = makeTrafficMeter(metrics_, "endpoint_status")})
     , care_(fleet_, store_, endpointPool_, metrics_,
             {.selfId = settings_.memberId, .selfIncarnation = incarnation_})
     , endpointPool_(kEndpointThreads)
@@ -256,8 +278,12 @@
     fleet_.setRequestsInProgress(static_cast<std::uint32_t>(frontend_.requests(now).size()));
     poller_.tick(now);
     heartbeats_.tick(now);
-    care_.tick(now);
-    updatePools();
+    if (now >= nextSlowTick_) {
+        care_.tick(now);
+        updatePools();
+        breakOffSilent(now);
+        nextSlowTick_ = now + kSlowTick;
+    }
     outliers_.tick(now);
     admission_.pump(now);
     directory_.tick(now);
@@ -265,15 +291,16 @@
 
 void Daemon::updatePools()
 {
-    const TimePoint now = steadyNow();
+    for (auto &[service, endpoints] : fleet_.endpointIds())
+        outliers_.setPool(service, std::move(endpoints));
+}
+
+void Daemon::breakOffSilent(TimePoint now)
+{
     std::map<std::string, Millis> reportAges;
     for (const std::string &service : fleet_.services()) {
-        std::vector<std::string> endpoints;
-        for (const EndpointView &endpoint : fleet_.view(service, now).endpoints) {
-            endpoints.push_back(endpoint.id);
+        for (const EndpointView &endpoint : fleet_.view(service, now).endpoints)
             reportAges[endpoint.id] = endpoint.reportAge;
-        }
-        outliers_.setPool(service, std::move(endpoints));
     }
     frontend_.breakOffSilent(reportAges, now);
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -62,6 +62,7 @@
     void scheduleTick();
     void tick(TimePoint now);
     void updatePools();
+    void breakOffSilent(TimePoint now);
     void runVmList();
     void startThreads();
     void stopThreads();
@@ -103,6 +104,7 @@
 
     asio::io_context control_;
     asio::steady_timer tickTimer_{control_};
+    TimePoint nextSlowTick_{}; ///< Used by the control thread only.
     std::thread controlThread_;
     std::thread vmListThread_;
     std::thread readerThread_;
--- a/src/membership/fleettable.h
+++ b/src/membership/fleettable.h
@@ -27,6 +27,9 @@
     Millis statusInterval{250};
     Millis heartbeatMinimum{100};
     std::size_t controlBytesPerSecond = 21'000;
+    /// Size of a digest until one was answered. With 0, a daemon that starts among 44 peers sends
+    /// 440 heartbeats per second until then, and goes on with it where overload delays the answers.
+    double assumedDigestBytes = 0;
 };
 
 struct HeartbeatDue
@@ -95,6 +98,8 @@
     std::optional<Address> addressOf(const std::string &endpointId) const;
     /// Names of the services that have endpoints.
     std::vector<std::string> services() const;
+    /// Ids of the endpoints by service, each in ascending order.
+    std::map<std::string, std::vector<std::string>> endpointIds() const;
 
     nlohmann::json dump(TimePoint now) const;
 
--- a/src/peer/peer.capnp.h
+++ b/src/peer/peer.capnp.h
@@ -55,8 +55,8 @@
 namespace cicadafork {
 namespace wire {
 
-static constexpr ::uint32_t PROTOCOL_VERSION = 1u;
-static constexpr ::uint32_t OLDEST_VERSION = 1u;
+static constexpr ::uint32_t PROTOCOL_VERSION = 2u;
+static constexpr ::uint32_t OLDEST_VERSION = 2u;
 struct Bootstrap
 {
     Bootstrap() = delete;
@@ -553,7 +553,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(9945d495461744d5, 1, 2)
+        CAPNP_DECLARE_STRUCT_HEADER(9945d495461744d5, 2, 2)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -2988,6 +2988,10 @@
     inline bool hasStatus() const;
     inline ::cicadafork::wire::EndpointStatus::Reader getStatus() const;
 
+    inline bool getBrief() const;
+
+    inline ::uint64_t getDetailsHash() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -3040,6 +3044,12 @@
     inline void adoptStatus(::capnp::Orphan<::cicadafork::wire::EndpointStatus> &&value);
     inline ::capnp::Orphan<::cicadafork::wire::EndpointStatus> disownStatus();
 
+    inline bool getBrief();
+    inline void setBrief(bool value);
+
+    inline ::uint64_t getDetailsHash();
+    inline void setDetailsHash(::uint64_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -5034,6 +5044,34 @@
             _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool EndpointReport::Reader::getBrief() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool EndpointReport::Builder::getBrief()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void EndpointReport::Builder::setBrief(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t EndpointReport::Reader::getDetailsHash() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t EndpointReport::Builder::getDetailsHash()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EndpointReport::Builder::setDetailsHash(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SentLoad::Reader::hasEndpointId() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/platform/vmlist.h
+++ b/src/platform/vmlist.h
@@ -9,11 +9,13 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/traffic.h"
 #include "http/address.h"
 
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -53,12 +55,15 @@
     virtual Result<VmList> fetch(Millis timeout) = 0;
 };
 
-/// The client over HTTP. Thread-safe.
+/// The client over HTTP. Thread-safe. It sends the entity tag of the list that it has, so that a
+/// service that knows the tag answers 304 without the list: 960 rows are 168 KB, and one list per
+/// second would take eight times the byte budget of a daemon.
 class HttpVmListClient : public VmListClient
 {
 public:
-    explicit HttpVmListClient(Address address)
+    explicit HttpVmListClient(Address address, TrafficMeter meter = {})
         : address_(std::move(address))
+        , meter_(meter)
     {
     }
 
@@ -66,6 +71,10 @@
 
 private:
     Address address_;
+    TrafficMeter meter_;
+    std::mutex mutex_;
+    std::string validator_; ///< Entity tag of the newest list; empty when the service gives none.
+    VmList newest_;
 };
 
 } // namespace cicadafork
