--- a/src/peer/peerserver.cpp
+++ b/src/peer/peerserver.cpp
@@ -273,11 +273,13 @@
     kj::Promise<void> acceptNext()
     {
         return listener_->accept()
-                .then([this](kj::Own<kj::AsyncIoStream> stream) { add(kj::mv(stream)); },
-                      [](kj::Exception &&exception) {
-                          logEvent(LogLevel::Warning, "peer_accept_failed",
-                                   {{"error", exception.getDescription().cStr()}});
-                      })
+                .then([this](kj::Own<kj::AsyncIoStream> stream) { add(kj::mv(stream)); })
+                // Also failures of add(): a client that closed at once has no peer name, and that
+                // ended the loop, so that the daemon accepted no peer any more.
+                .catch_([](kj::Exception &&exception) {
+                    logEvent(LogLevel::Warning, "peer_accept_failed",
+                             {{"error", exception.getDescription().cStr()}});
+                })
                 .then([this] { return acceptNext(); });
     }
 
