--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -43,8 +43,11 @@
     fmt::print(stream, "usage: cicadafork COMMAND [OPTIONS]\n\n");
     for (const Subcommand &subcommand : kSubcommands)
         fmt::print(stream, "  {:<14}{}\n", subcommand.name, subcommand.summary);
-    fmt::print(stream, "\nEvery command has --help. Exit codes: 0 success, 1 the command failed, "
-                       "2 wrong arguments or settings, 3 the daemon did not answer.\n");
+    fmt::print(stream,
+               "\nEvery command has --help. Exit codes: 0 success, 1 the command failed, "
+               "2 wrong arguments, statement or settings, 3 the daemon or the log did not answer "
+               "(nothing changed), 4 accepted but not yet in force everywhere, 5 outcome "
+               "unknown: look at the history.\n");
 }
 
 } // namespace
--- a/src/cli/ctlcommand.cpp
+++ b/src/cli/ctlcommand.cpp
@@ -4,6 +4,7 @@
 #include "cli/commands.h"
 #include "http/client.h"
 #include "query/resulttable.h"
+#include "query/statement.h"
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
@@ -62,11 +63,28 @@
     return json;
 }
 
+/// What a failed statement means for a script.
+ExitCode exitCodeOf(const std::string &errorCode)
+{
+    if (errorCode == toString(ErrorCode::InvalidArgument))
+        return ExitUsage;
+    if (errorCode == toString(ErrorCode::Unavailable))
+        return ExitUnreachable;
+    return errorCode == toString(ErrorCode::DeadlineExceeded) ? ExitUnknown : ExitFailure;
+}
+
+int reportJsonError(const nlohmann::json &error)
+{
+    return reportError(error.value("message", "unknown answer"), error.value("remedy", ""),
+                       exitCodeOf(error.value("code", "")));
+}
+
 /// Members in force of a change by failure domain, as "domain 2/3".
 struct ForceProgress
 {
     bool complete = true;
     std::string text;
+    std::string behind; ///< Members that do not have the change, or did not answer.
 };
 
 Result<ForceProgress> progressOf(const ResultTable &table, std::uint64_t version)
@@ -81,13 +99,20 @@
         return fail(ErrorCode::Unavailable, "the daemon does not report configuration offsets",
                     "run the same version of cicadafork on all entry VMs");
     }
+    const std::size_t memberColumn = columnOf("entry_vm");
     std::map<std::string, std::pair<int, int>> domains;
+    std::string behind;
     for (const auto &row : table.rows) {
         auto &[inForce, members] = domains[row[domainColumn]];
         ++members;
-        inForce += std::strtoull(row[offsetColumn].c_str(), nullptr, 10) >= version ? 1 : 0;
+        // A member that did not answer has "unknown", which counts as 0.
+        const bool reached = std::strtoull(row[offsetColumn].c_str(), nullptr, 10) >= version;
+        inForce += reached ? 1 : 0;
+        if (!reached && memberColumn < row.size())
+            behind += fmt::format("{}{}", behind.empty() ? "" : ", ", row[memberColumn]);
     }
     ForceProgress progress;
+    progress.behind = behind;
     for (const auto &[domain, counts] : domains) {
         progress.complete = progress.complete && counts.first == counts.second;
         progress.text += fmt::format("{}{} {}/{}", progress.text.empty() ? "" : ", ", domain,
@@ -96,11 +121,12 @@
     return progress;
 }
 
-/// Polls until the version is in force at every member that answers.
+/// Polls until the version is in force at every listed member.
 int waitUntilInForce(const CtlOptions &options, std::uint64_t version)
 {
     const TimePoint deadline = steadyNow() + options.wait;
     std::string lastText;
+    std::string behind = "no daemon answered";
     while (steadyNow() < deadline) {
         const auto progress = capture([&]() -> Result<ForceProgress> {
             BOOST_LEAF_AUTO(json, runStatement(options, "show configuration"));
@@ -111,69 +137,119 @@
             lastText = progress->text;
             fmt::print(stderr, "in force: {}\n", lastText);
         }
+        if (progress)
+            behind = progress->behind;
         if (progress && progress->complete)
             return ExitSuccess;
         std::this_thread::sleep_for(kWaitPollInterval);
     }
-    return reportError("the change is accepted but not yet in force everywhere",
-                       "run 'show configuration' to see which members are behind", ExitFailure);
+    return reportError(
+            fmt::format("accepted, but not in force everywhere after {} s; behind or silent: {}",
+                        options.wait.count() / 1000, behind),
+            "the change takes force when these members can be reached, or ends with them; watch "
+            "'show configuration'",
+            ExitNotInForce);
 }
 
-int printVerdict(const CtlOptions &options, const nlohmann::json &verdict)
+int printVerdict(const CtlOptions &options, const nlohmann::json &verdict,
+                 const std::vector<std::string> &notes)
 {
     if (options.json)
         fmt::print("{}\n", verdict.dump());
     if (!verdict.value("accepted", false)) {
-        const auto error = verdict.value("error", nlohmann::json::object());
-        return reportError(error.value("message", "rejected"), error.value("remedy", ""),
-                           ExitFailure);
+        return reportJsonError(verdict.value("error", nlohmann::json::object()));
     }
+    for (const std::string &note : notes)
+        fmt::print(stderr, "note: {}\n", note);
     const auto version = verdict.value("version", std::uint64_t{0});
     if (!options.json)
-        fmt::print("{}, version {}\n", options.dryRun ? "would be accepted" : "accepted", version);
+        fmt::print("{}\n", options.dryRun ? "would be accepted; nothing was changed"
+                                          : fmt::format("accepted, version {}", version));
     if (options.wait > Millis(0) && !options.dryRun)
         return waitUntilInForce(options, version);
     return ExitSuccess;
 }
 
-int printTable(const CtlOptions &options, const nlohmann::json &json)
+/// Keeps the columns that fit a terminal when the statement names none.
+void keepShortColumns(ResultTable &table, const ShowStatement &show)
+{
+    if (!show.columns.empty() || show.allColumns)
+        return;
+    ShowStatement selection;
+    selection.limit = table.rows.size();
+    for (const std::string &column : shortColumns(show.subject))
+        selection.columns.push_back({column, 0});
+    // A daemon of another version may lack a column; the whole table is shown then.
+    (void)capture([&] { return applyShow(table, selection); });
+}
+
+int printTable(const CtlOptions &options, const nlohmann::json &json, const ShowStatement *show)
 {
-    const auto table = capture([&] { return resultTableFromJson(json); });
+    auto table = capture([&] { return resultTableFromJson(json); });
     if (!table)
         return reportError(table.error().message, table.error().remedy, ExitFailure);
-    fmt::print("{}", options.json ? json.dump() + "\n" : formatTable(*table));
+    if (options.json) {
+        fmt::print("{}\n", json.dump());
+        return ExitSuccess;
+    }
+    if (show)
+        keepShortColumns(*table, *show);
+    fmt::print("{}", show ? formatTable(*table) : formatRecords(*table));
     return ExitSuccess;
 }
 
-int runOne(const CtlOptions &options, const std::string &statement)
+/// An answer that was lost says nothing about a command that was sent.
+int reportUnanswered(const Error &error, bool command)
 {
-    const auto json = capture([&] { return runStatement(options, statement); });
-    if (!json) {
-        const bool unreachable = json.error().code != ErrorCode::PermissionDenied;
-        return reportError(json.error().message, json.error().remedy,
-                           unreachable ? ExitUnreachable : ExitFailure);
+    if (error.code == ErrorCode::PermissionDenied)
+        return reportError(error.message, error.remedy, ExitFailure);
+    if (!command || error.message.find("connection") != std::string::npos)
+        return reportError(error.message, error.remedy, ExitUnreachable);
+    return reportError(error.message + "; the command may have been accepted",
+                       "look at 'show history' through another daemon before you repeat it",
+                       ExitUnknown);
+}
+
+int runOne(const CtlOptions &options, const std::string &text)
+{
+    // Parsed here first, so that a typing error needs no daemon.
+    const auto statement = capture([&] { return parseStatement(text); });
+    if (!statement) {
+        return reportError(fmt::format("{}\n  {}", statement.error().message, text),
+                           statement.error().remedy, ExitUsage);
     }
+    const auto *show = std::get_if<ShowStatement>(&*statement);
+    const bool command = std::holds_alternative<CommandStatement>(*statement);
+    const auto json = capture([&] { return runStatement(options, text); });
+    if (!json)
+        return reportUnanswered(json.error(), command);
     if (json->contains("table"))
-        return printTable(options, json->at("table"));
-    if (json->contains("verdict"))
-        return printVerdict(options, json->at("verdict"));
-    const auto error = json->value("error", nlohmann::json::object());
-    return reportError(error.value("message", "unknown answer"), error.value("remedy", ""),
-                       ExitFailure);
+        return printTable(options, json->at("table"), show);
+    if (json->contains("verdict")) {
+        return printVerdict(options, json->at("verdict"),
+                            json->value("notes", std::vector<std::string>()));
+    }
+    return reportJsonError(json->value("error", nlohmann::json::object()));
 }
 
 int runFile(const CtlOptions &options, const std::string &path)
 {
     std::ifstream file(path);
-    if (!file)
+    if (path != "-" && !file)
         return reportError("cannot read " + path, "check the path", ExitUsage);
+    std::istream &input = path == "-" ? std::cin : file;
     std::string line;
-    while (std::getline(file, line)) {
-        if (line.empty() || line.front() == '#')
+    for (int number = 1; std::getline(input, line); ++number) {
+        const std::size_t begin = line.find_first_not_of(" \t\r");
+        if (begin == std::string::npos || line[begin] == '#')
+            continue;
+        const std::string statement
+                = line.substr(begin, line.find_last_not_of(" \t\r") - begin + 1);
+        const int code = runOne(options, statement);
+        if (code == ExitSuccess)
             continue;
-        const int code = runOne(options, line);
-        if (code != ExitSuccess)
-            return code;
+        fmt::print(stderr, "stopped at {}:{}; the lines after it were not run\n", path, number);
+        return code;
     }
     return ExitSuccess;
 }
@@ -191,7 +267,7 @@
     options.add_options()                                                                       //
             ("address", "caller address of any daemon, IP:PORT", cxxopts::value<std::string>()) //
             ("statement", "query or command", cxxopts::value<std::string>()->default_value("")) //
-            ("file", "run every line of a file",
+            ("file", "run every line of a file, - for standard input; stops at the first failure",
              cxxopts::value<std::string>()->default_value("")) //
             ("credential",
              "operator credential; default: environment variable CICADAFORK_CREDENTIAL",
@@ -200,7 +276,7 @@
              cxxopts::value<std::string>()->default_value("")) //
             ("json", "print JSON")                             //
             ("dry-run", "check a command, change nothing")     //
-            ("wait", "seconds to wait until a change is in force everywhere",
+            ("wait", "wait until a change is in force everywhere; seconds with =, as in --wait=30",
              cxxopts::value<unsigned>()->default_value("0")->implicit_value("10")) //
             ("timeout", "milliseconds to wait for members",
              cxxopts::value<unsigned>()->default_value("3000")) //
@@ -238,16 +314,26 @@
     try {
         const auto parsed = commandLine.parse(argc, argv);
         if (parsed.count("help") > 0) {
-            fmt::print("{}", commandLine.help());
+            fmt::print("{}\n{}", commandLine.help(), grammarText());
             return ExitSuccess;
         }
+        if (!parsed.unmatched().empty()) {
+            return reportError(fmt::format("unexpected argument '{}'", parsed.unmatched().front()),
+                               "quote the statement as one argument, and write --wait=SECONDS",
+                               ExitUsage);
+        }
         const auto options = capture([&] { return readCtlOptions(parsed); });
         if (!options)
             return reportError(options.error().message, options.error().remedy, ExitUsage);
         const auto file = parsed["file"].as<std::string>();
-        if (!file.empty())
-            return runFile(*options, file);
-        return runOne(*options, parsed["statement"].as<std::string>());
+        const auto statement = parsed["statement"].as<std::string>();
+        if (file.empty() == statement.empty()) {
+            return reportError(file.empty() ? "the statement is missing"
+                                            : "both a statement and --file are given",
+                               "write cicadafork ctl IP:PORT 'show services', or --file=FILE",
+                               ExitUsage);
+        }
+        return file.empty() ? runOne(*options, statement) : runFile(*options, file);
     } catch (const cxxopts::exceptions::exception &exception) {
         return reportError(exception.what(), "run cicadafork ctl --help", ExitUsage);
     }
--- a/src/config/fold.cpp
+++ b/src/config/fold.cpp
@@ -78,7 +78,7 @@
     const bool valid = error == std::errc() && rest == end && std::isfinite(number)
                        && (number > 0 || (zeroAllowed && number == 0));
     if (!valid) {
-        return invalid(fmt::format("{} is not valid: '{}'", field, text),
+        return invalid(fmt::format("{} cannot be '{}'; it is {}", field, text, out),
                        zeroAllowed ? "give a number of at least 0" : "give a number above 0");
     }
     out = number;
@@ -124,13 +124,15 @@
     if (name == "priority") {
         const auto priority = parsePriority(value);
         if (!priority)
-            return invalid("unknown priority '" + value + "'", "use urgent, normal or background");
+            return invalid(fmt::format("priority cannot be '{}'; it is {}", value,
+                                       toString(service.priority)),
+                           "use urgent, normal or background");
         service.priority = *priority;
         return std::nullopt;
     }
     if (name == "kind") {
         if (value != "model" && value != "plain")
-            return invalid("unknown service kind '" + value + "'", "use model or plain");
+            return invalid(fmt::format("kind cannot be '{}'", value), "use model or plain");
         service.kind = value == "model" ? ServiceKind::Model : ServiceKind::Plain;
         return std::nullopt;
     }
@@ -145,7 +147,8 @@
     if (name != "role")
         return unknownField(EntityKind::Endpoint, name, "models, role");
     if (!value.empty() && value != "mixed" && value != "prefill" && value != "decode")
-        return invalid("unknown role '" + value + "'", "use mixed, prefill or decode");
+        return invalid(fmt::format("role cannot be '{}'; it is '{}'", value, intent.role),
+                       "use mixed, prefill or decode");
     intent.role = value;
     return std::nullopt;
 }
@@ -178,7 +181,8 @@
         return invalid("a workspace needs credential_sha256", "add the hash of its credential");
     for (const auto &[id, other] : configuration.workspaces) {
         if (id != workspace.id && other.credentialSha256 == workspace.credentialSha256)
-            return invalid("the credential is in use by another workspace", "give a new one");
+            return invalid("credential_sha256: the credential is in use by another workspace",
+                           "give this workspace a credential of its own");
     }
     return std::nullopt;
 }
@@ -189,7 +193,9 @@
     case CommandVerb::Create:
     case CommandVerb::Change:
         if (command.verb == CommandVerb::Change && command.fields.contains("kind"))
-            return invalid("the kind of a service cannot be changed", "create a new service");
+            return invalid(fmt::format("kind of service '{}' is {} and cannot be changed",
+                                       service.id, toString(service.kind)),
+                           "create a new service");
         return setFields(service, command.fields);
     case CommandVerb::Drain:
         service.state = ServiceState::Draining;
@@ -236,7 +242,18 @@
     return command.verb == CommandVerb::Create || command.kind == EntityKind::Endpoint;
 }
 
-Problem checkVersion(const Command &command, std::uint64_t current)
+/// Who made a version; two operators that change one entity need to talk to each other.
+std::string changedBy(const Configuration &configuration, std::uint64_t version)
+{
+    for (const ChangeHistoryEntry &entry : configuration.history) {
+        if (entry.accepted && entry.version == version && !entry.operatorName.empty())
+            return fmt::format(", last changed by {}", entry.operatorName);
+    }
+    return "";
+}
+
+Problem checkVersion(const Configuration &configuration, const Command &command,
+                     std::uint64_t current)
 {
     if (current == 0 && !createsEntity(command)) {
         return Error{ErrorCode::NotFound,
@@ -247,11 +264,11 @@
     if (!exists && command.baseVersion == current)
         return std::nullopt;
     return Error{ErrorCode::Conflict,
-                 exists ? fmt::format("{} '{}' exists at version {}", toString(command.kind),
-                                      command.entityId, current)
-                        : fmt::format("{} '{}' is at version {}, the command was based on {}",
+                 exists ? fmt::format("{} '{}' exists at version {}{}", toString(command.kind),
+                                      command.entityId, current, changedBy(configuration, current))
+                        : fmt::format("{} '{}' is at version {}{}; the command was based on {}",
                                       toString(command.kind), command.entityId, current,
-                                      command.baseVersion),
+                                      changedBy(configuration, current), command.baseVersion),
                  "look at the current state and send the command again if it still applies"};
 }
 
@@ -262,7 +279,7 @@
     const auto found = entities.find(command.entityId);
     Entity next = found == entities.end() ? Entity{} : found->second;
     const std::uint64_t current = next.version;
-    Problem problem = checkVersion(command, current);
+    Problem problem = checkVersion(configuration, command, current);
     if (!problem && !isName(command.entityId))
         problem = invalid("the id is not valid", "use letters, digits and . _ - / : @");
     next.id = command.entityId;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -116,6 +116,7 @@
 {
     store_.onChange([this](const std::shared_ptr<const Configuration> &configuration) {
         fleet_.applyConfiguration(configuration);
+        frontend_.endStopped(*configuration);
     });
 }
 
@@ -328,20 +329,32 @@
     if (subject == Subject::Requests)
         return requestRows(settings_.memberId, frontend_.requests(now));
     if (subject == Subject::EntryVms)
-        return entryVmRows(fleet_.peers(now));
+        return entryVmRows(allMembers(now));
     if (subject == Subject::Endpoints) {
         std::vector<std::pair<std::string, FleetView>> views;
         for (const std::string &service : fleet_.services())
             views.emplace_back(service, fleet_.view(service, now));
-        return endpointRows(views);
+        return endpointRows(views, store_.current().get(), settings_.timing.sendPermission);
     }
     return configurationRow(settings_.memberId, settings_.failureDomain, store_.nextOffset(),
                             !notReadyReason());
 }
 
+std::vector<PeerView> Daemon::allMembers(TimePoint now) const
+{
+    std::vector<PeerView> members = fleet_.peers(now);
+    members.push_back({settings_.memberId, settings_.failureDomain, settings_.callerAddress,
+                       settings_.peerAddress, true, incarnation_, store_.nextOffset().value_or(0),
+                       Millis(0)});
+    std::ranges::sort(members, {}, &PeerView::id);
+    return members;
+}
+
 ResultTable Daemon::explainLocally(const std::string &requestId)
 {
-    return explainRows(settings_.memberId, frontend_.requests(steadyNow()), requestId);
+    const TimePoint now = steadyNow();
+    return explainRows(settings_.memberId, frontend_.requests(now), admission_.queued(now),
+                       requestId);
 }
 
 Expected<std::string> Daemon::answerQuery(const std::string &text)
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -68,6 +68,8 @@
 
     ResultTable localRows(Subject subject);
     ResultTable explainLocally(const std::string &requestId);
+    /// Peers and this daemon.
+    std::vector<PeerView> allMembers(TimePoint now) const;
     Expected<std::string> answerQuery(const std::string &text);
     Verdict previewCommand(const Command &command) const;
     nlohmann::json dump();
--- a/src/daemon/membercalls.cpp
+++ b/src/daemon/membercalls.cpp
@@ -6,6 +6,7 @@
 #include <asio/post.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <condition_variable>
 #include <memory>
 
@@ -39,12 +40,14 @@
     , droppedNotes_(metrics.counter("cicadafork_stream_notes_dropped_total",
                                     "Stream locations not sent because too many were pending"))
     , pool_(options_.threads)
+    , queryPool_(options_.queryThreads)
 {
 }
 
 MemberCalls::~MemberCalls()
 {
     pool_.join();
+    queryPool_.join();
 }
 
 void MemberCalls::noteStream(const std::string &requestKey, const std::string &endpointId)
@@ -130,20 +133,27 @@
 
 std::vector<MemberAnswer> MemberCalls::askAll(const std::string &query, Millis timeout)
 {
+    const TimePoint start = steadyNow();
     const auto pending = std::make_shared<PendingAnswers>();
-    const auto peers = fleet_.peers(steadyNow());
+    auto peers = fleet_.peers(start);
+    // Suspects last, so that they do not take the threads from members that answer at once.
+    std::stable_partition(peers.begin(), peers.end(), [](const auto &peer) { return peer.alive; });
     for (const PeerView &peer : peers)
-        pending->answers.push_back({peer.id, std::nullopt});
+        pending->answers.push_back({peer.id, peer.failureDomain, std::nullopt});
+    pending->missing = peers.size();
+    bool anySlow = false;
     for (std::size_t index = 0; index < peers.size(); ++index) {
-        if (!peers[index].alive)
-            continue;
-        {
-            const std::lock_guard lock(pending->mutex);
-            ++pending->missing;
-        }
-        asio::post(pool_, [this, pending, index, target = targetOf(peers[index]), query, timeout] {
+        const Millis wait
+                = peers[index].alive ? timeout : std::min(timeout, options_.suspectTimeout);
+        anySlow = anySlow || peers[index].alive;
+        const TimePoint deadline = start + wait;
+        asio::post(queryPool_, [this, pending, index, target = targetOf(peers[index]), query,
+                                deadline] {
+            const Millis left = std::chrono::duration_cast<Millis>(deadline - steadyNow());
             const auto table = capture([&]() -> Result<ResultTable> {
-                BOOST_LEAF_AUTO(text, client_.runQuery(target, query, timeout));
+                if (left <= Millis(0))
+                    return fail(ErrorCode::DeadlineExceeded, "no time was left", "ask again");
+                BOOST_LEAF_AUTO(text, client_.runQuery(target, query, left));
                 return resultTableFromJson(parseJson(text));
             });
             const std::lock_guard lock(pending->mutex);
@@ -154,8 +164,12 @@
         });
     }
     std::unique_lock lock(pending->mutex);
-    pending->changed.wait_for(lock, timeout, [&] { return pending->missing == 0; });
-    return pending->answers;
+    const Millis longest = anySlow ? timeout : std::min(timeout, options_.suspectTimeout);
+    pending->changed.wait_until(lock, start + longest, [&] { return pending->missing == 0; });
+    auto answers = pending->answers;
+    lock.unlock();
+    std::ranges::sort(answers, {}, &MemberAnswer::memberId);
+    return answers;
 }
 
 } // namespace cicadafork
--- a/src/daemon/membercalls.h
+++ b/src/daemon/membercalls.h
@@ -25,7 +25,9 @@
     std::string failureDomain;
     Millis noteTimeout{500};
     Millis findTimeout{200};
+    Millis suspectTimeout{500}; ///< Wait of a query for a member not known to be alive.
     std::size_t threads = 8;
+    std::size_t queryThreads = 16;
     std::size_t maxPendingNotes = 1024; ///< Further notes are dropped and counted.
 };
 
@@ -48,8 +50,9 @@
     std::optional<std::string> forwardClaims(std::size_t shard, const std::string &batch,
                                              Millis timeout);
 
-    /// Sends a query to every other member at the same time. Dead members are not asked; like those
-    /// that miss the timeout they come back without a table.
+    /// Sends a query to every other member at the same time. Members that are not known to be alive
+    /// are tried for a short time, since a daemon that has just started knows none. Members that
+    /// miss the timeout come back without a table.
     std::vector<MemberAnswer> askAll(const std::string &query, Millis timeout);
 
 private:
@@ -63,6 +66,8 @@
     std::atomic<std::size_t> pendingNotes_{0};
     prometheus::Counter &droppedNotes_;
     asio::thread_pool pool_;
+    /// Queries wait for frozen members, which must not delay the callers' resumes.
+    asio::thread_pool queryPool_;
 };
 
 } // namespace cicadafork
--- a/src/daemon/operatorroutes.cpp
+++ b/src/daemon/operatorroutes.cpp
@@ -22,6 +22,14 @@
                          "application/json");
 }
 
+/// The name goes into the log as JSON, which holds UTF-8 only, and onto operators' terminals.
+bool isOperatorName(const std::string &name)
+{
+    return name.size() <= kMaxOperatorNameBytes && std::ranges::all_of(name, [](char character) {
+               return character > ' ' && character <= '~';
+           });
+}
+
 } // namespace
 
 OperatorRoutes::OperatorRoutes(const Settings &settings, OperatorService &service, Metrics &metrics,
@@ -62,8 +70,11 @@
     if (bearer && constantTimeEqual(hash, settings_.operatorCredentialSha256))
         return true;
     writeProblem(response,
-                 invalidInput("operator-credential", "this needs the operator's credential",
-                              "send Authorization: Bearer with the operator's credential", 401),
+                 invalidInput("operator-credential",
+                              "the operator's credential is missing or wrong",
+                              "set CICADAFORK_CREDENTIAL, or send Authorization: Bearer with the "
+                              "operator's credential",
+                              401),
                  requestIdOf(request));
     return false;
 }
@@ -84,8 +95,16 @@
     }
     OperatorRequest statement;
     statement.text = body["statement"].get<std::string>();
-    statement.operatorName
-            = request.get_header_value("X-Operator-Name").substr(0, kMaxOperatorNameBytes);
+    statement.operatorName = request.get_header_value("X-Operator-Name");
+    if (!isOperatorName(statement.operatorName)) {
+        writeProblem(response,
+                     invalidInput("invalid-header", "X-Operator-Name is not a name",
+                                  "send up to 64 printable ASCII characters without spaces"),
+                     requestIdOf(request));
+        return;
+    }
+    if (statement.operatorName.empty())
+        statement.operatorName = "unnamed";
     const auto dryRun = body.find("dry_run");
     statement.dryRun = dryRun != body.end() && dryRun->is_boolean() && dryRun->get<bool>();
     const auto timeout = body.find("timeout_ms");
--- a/src/daemon/rows.h
+++ b/src/daemon/rows.h
@@ -14,15 +14,19 @@
 /// Shortest time without progress after which a request counts as stuck.
 inline constexpr Millis kStuckMinimum{5000};
 
-/// No progress for longer than twice the expected step time, and for at least kStuckMinimum.
+/// No progress for longer than twice the expected step time, and for at least kStuckMinimum. The
+/// step is the first token while the request is dispatched or prefilled, else a token or a retry,
+/// which takes less than the minimum.
 bool isStuck(const RequestView &request);
 
 ResultTable requestRows(const std::string &memberId, const std::vector<RequestView> &requests);
 /// One row that says which mechanism holds the request, since when and what frees it; no row when
-/// the request is not among them.
+/// the request is not among them. The queue names the reasons of requests that wait in it.
 ResultTable explainRows(const std::string &memberId, const std::vector<RequestView> &requests,
-                        const std::string &requestId);
-ResultTable endpointRows(const std::vector<std::pair<std::string, FleetView>> &services);
+                        const std::vector<QueuedRequestView> &queue, const std::string &requestId);
+/// The configuration tells a drained endpoint from one that is away; it may be null.
+ResultTable endpointRows(const std::vector<std::pair<std::string, FleetView>> &services,
+                         const Configuration *configuration, Millis sendPermission);
 ResultTable entryVmRows(const std::vector<PeerView> &peers);
 ResultTable configurationRow(const std::string &memberId, const std::string &failureDomain,
                              std::optional<Offset> nextOffset, bool ready);
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -9,6 +9,7 @@
 #include <asio/post.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <future>
 
 namespace cicadafork {
@@ -73,6 +74,21 @@
             {"tokens_delivered", view.tokensDelivered}};
 }
 
+/// A stopped service of the workspace, or 404: a workspace must not learn which services exist
+/// beside its own.
+Problem noServiceForModel(const CallerContext &caller, const std::string &model)
+{
+    for (const std::string &id : caller.workspace->services) {
+        const auto found = caller.configuration->services.find(id);
+        if (found != caller.configuration->services.end() && found->second.models.contains(model))
+            return serviceProblem(id, found->second.state, Execution::NotRun);
+    }
+    return invalidInput("unknown-model", "this workspace may call no service with such a model",
+                        "choose a model of GET /v1/models, or ask an operator to add its service "
+                        "to this workspace",
+                        404);
+}
+
 } // namespace
 
 Frontend::Frontend(const Settings &settings, const ConfigStore &configuration, Fleet &fleet,
@@ -97,6 +113,21 @@
     upstream_.join();
 }
 
+void Frontend::endStopped(const Configuration &configuration)
+{
+    const bool anyStopped = std::ranges::any_of(configuration.services, [](const auto &entry) {
+        return entry.second.state == ServiceState::Stopped;
+    });
+    if (!anyStopped)
+        return;
+    for (const auto &request : table_.all()) {
+        const auto service = configuration.services.find(request->facts().service);
+        if (service != configuration.services.end()
+            && service->second.state == ServiceState::Stopped)
+            request->endWaiting();
+    }
+}
+
 void Frontend::registerRoutes(httplib::Server &server)
 {
     server.Post("/v1/completions", [this](const auto &request, auto &response) {
@@ -146,6 +177,8 @@
     switch (table_.add(request)) {
     case AddOutcome::Added:
         response.set_header("X-Request-Id", caller.requestId);
+        // A stop that came after the caller's configuration was read did not see this row.
+        endStopped(*configuration_.current());
         return request;
     case AddOutcome::AlreadyRunning:
         problem = {409,
@@ -204,14 +237,11 @@
     CompletionBody &body = std::get<CompletionBody>(parsed);
     const Service *service
             = findServiceForModel(*caller.configuration, *caller.workspace, body.model);
-    if (!service) {
-        return reject(request, response,
-                      invalidInput("unknown-model", "the workspace has no such model",
-                                   "choose a model of GET /v1/models", 404));
-    }
+    if (!service)
+        return reject(request, response, noServiceForModel(caller, body.model));
     if (service->state != ServiceState::Active)
         return reject(request, response,
-                      notAccepting("service-draining", "the service is drained"));
+                      serviceProblem(service->id, service->state, Execution::NotRun));
     if (caller.lastEventId && !body.stream) {
         return reject(request, response,
                       invalidInput("invalid-header", "Last-Event-ID needs a streamed answer",
@@ -238,13 +268,16 @@
     if (found == caller.configuration->services.end() || found->second.kind != ServiceKind::Plain
         || caller.workspace->services.count(found->first) == 0) {
         return reject(request, response,
-                      invalidInput("unknown-service", "the workspace has no such plain service",
-                                   "check the name of the service", 404));
+                      invalidInput("unknown-service",
+                                   "this workspace may call no such plain service",
+                                   "check the name, or ask an operator to add the service to this "
+                                   "workspace",
+                                   404));
     }
     const Service &service = found->second;
     if (service.state != ServiceState::Active)
         return reject(request, response,
-                      notAccepting("service-draining", "the service is drained"));
+                      serviceProblem(service.id, service.state, Execution::NotRun));
     const auto body = parseJson(request.body);
     if (!body.is_object()) {
         return reject(request, response,
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -50,6 +50,10 @@
     Frontend &operator=(const Frontend &) = delete;
 
     /// Adds the caller routes, and problem objects for errors that the library itself answers.
+    /// Ends the requests that wait for an endpoint of a stopped service. Those at an endpoint
+    /// finish.
+    void endStopped(const Configuration &configuration);
+
     void registerRoutes(httplib::Server &server);
 
     /// New requests get 503 not_run from now on; those in progress continue.
--- a/src/frontend/modelrun.cpp
+++ b/src/frontend/modelrun.cpp
@@ -72,9 +72,13 @@
     while (next == Next::Again) {
         ++attempt_;
         request_.setState(RequestState::Queued, "admission: capacity of the service's endpoints");
-        const PlaceResult placed = context_.admission.place(
-                placementRequest(), [this] { return request_.cancelled(); });
+        const PlaceResult placed = context_.admission.place(placementRequest(), [this] {
+            return request_.cancelled() || request_.waitingEnded();
+        });
         if (const auto *refusal = std::get_if<Refusal>(&placed)) {
+            if (request_.waitingEnded())
+                lastProblem_ = serviceProblem(request_.facts().service, ServiceState::Stopped,
+                                              request_.execution());
             end(lastProblem_ ? lastProblem_ : problemOf(*refusal, request_.execution()));
             return;
         }
@@ -97,7 +101,9 @@
         noteFinished(placement, AttemptStatus::Cancelled);
         request_.setState(RequestState::Retrying, "memory of a group of engines");
         if (!request_.pause(std::max(kMemoryPauseMinimum, context_.admission.retryDelay(attempt_))))
-            end(deadlineProblem(request_.execution()));
+            end(request_.waitingEnded() ? serviceProblem(
+                        request_.facts().service, ServiceState::Stopped, request_.execution())
+                                        : deadlineProblem(request_.execution()));
         else
             return Next::Again;
         return Next::Done;
--- a/src/frontend/problem.cpp
+++ b/src/frontend/problem.cpp
@@ -1,5 +1,7 @@
 #include "frontend/problem.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace cicadafork {
@@ -101,6 +103,18 @@
     return problem;
 }
 
+Problem serviceProblem(const std::string &serviceId, ServiceState state, Execution execution)
+{
+    const bool stopped = state == ServiceState::Stopped;
+    return {503,
+            stopped ? "service-stopped" : "service-draining",
+            fmt::format("the service '{}' is {} and takes no new requests", serviceId,
+                        toString(state)),
+            "use another service, or ask an operator to undrain this one",
+            execution,
+            Millis(stopped ? 60'000 : 10'000)};
+}
+
 Problem deadlineProblem(Execution execution)
 {
     return {504,
--- a/src/frontend/problem.h
+++ b/src/frontend/problem.h
@@ -34,6 +34,9 @@
 /// The problem of a request whose last attempt did not complete.
 Problem problemOf(const AttemptResult &result, Execution execution);
 
+/// The service takes no new requests. Draining and stopped services answer 503, since an operator
+/// can start them again.
+Problem serviceProblem(const std::string &serviceId, ServiceState state, Execution execution);
 Problem deadlineProblem(Execution execution);
 
 nlohmann::json problemJson(const Problem &problem, const std::string &requestId);
--- a/src/frontend/requesttable.cpp
+++ b/src/frontend/requesttable.cpp
@@ -101,8 +101,21 @@
 {
     std::unique_lock lock(mutex_);
     const TimePoint until = std::min(steadyNow() + duration, facts_.deadline);
-    cancelChanged_.wait_until(lock, until, [this] { return cancelled_; });
-    return !cancelled_ && steadyNow() < facts_.deadline;
+    cancelChanged_.wait_until(lock, until, [this] { return cancelled_ || waitingEnded_; });
+    return !cancelled_ && !waitingEnded_ && steadyNow() < facts_.deadline;
+}
+
+void ActiveRequest::endWaiting()
+{
+    const std::lock_guard lock(mutex_);
+    waitingEnded_ = true;
+    cancelChanged_.notify_all();
+}
+
+bool ActiveRequest::waitingEnded() const
+{
+    const std::lock_guard lock(mutex_);
+    return waitingEnded_;
 }
 
 void ActiveRequest::setState(RequestState state, std::string waitsFor, const std::string &endpoint)
@@ -142,6 +155,8 @@
     view.inState = between(stateSince_, now);
     view.sinceProgress = between(progressAt_, now);
     view.untilDeadline = between(now, facts_.deadline);
+    if (view.state == RequestState::Streaming && buffer_.full())
+        view.waitsFor = "the caller, which does not read the answer";
     return view;
 }
 
--- a/src/frontend/requesttable.h
+++ b/src/frontend/requesttable.h
@@ -95,7 +95,12 @@
     /// Stops the attempt in progress and forbids further sends; returns what is known then.
     Execution cancel();
     bool cancelled() const;
-    /// Sleeps; false when the request was cancelled or its deadline passed.
+
+    /// The request's service was stopped: no further attempt starts. An attempt in progress ends
+    /// by itself.
+    void endWaiting();
+    bool waitingEnded() const;
+    /// Sleeps; false when the request was cancelled, its service stopped or its deadline passed.
     bool pause(Millis duration);
 
     void setState(RequestState state, std::string waitsFor, const std::string &endpoint = "");
@@ -111,6 +116,7 @@
     mutable std::mutex mutex_;
     std::condition_variable cancelChanged_;
     bool cancelled_ = false;
+    bool waitingEnded_ = false;
     bool sending_ = false;
     bool inDoubt_ = false; ///< An attempt ended that may have run.
     RequestView view_;
--- a/src/frontend/servicerun.cpp
+++ b/src/frontend/servicerun.cpp
@@ -154,9 +154,13 @@
         std::optional<ServiceAnswer> last;
         for (unsigned attempt = 1;; ++attempt) {
             request_.setState(RequestState::Queued, "admission: capacity of the endpoints");
-            const PlaceResult placed = context_.admission.place(
-                    placementRequest(attempt), [this] { return request_.cancelled(); });
+            const PlaceResult placed = context_.admission.place(placementRequest(attempt), [this] {
+                return request_.cancelled() || request_.waitingEnded();
+            });
             if (const auto *refusal = std::get_if<Refusal>(&placed)) {
+                if (!last && request_.waitingEnded())
+                    return answerWith(serviceProblem(request_.facts().service,
+                                                     ServiceState::Stopped, request_.execution()));
                 ServiceAnswer refused
                         = last ? *last
                                : answerWith(cicadafork::problemOf(*refusal, request_.execution()));
--- a/src/frontend/streambuffer.cpp
+++ b/src/frontend/streambuffer.cpp
@@ -50,6 +50,12 @@
     return taken;
 }
 
+bool StreamBuffer::full() const
+{
+    const std::lock_guard lock(mutex_);
+    return parts_.size() >= capacity_;
+}
+
 void StreamBuffer::close()
 {
     const std::lock_guard lock(mutex_);
--- a/src/frontend/streambuffer.h
+++ b/src/frontend/streambuffer.h
@@ -58,12 +58,13 @@
     Start waitAccepted(TimePoint deadline);
     /// Waits until a part or the end is there, or until the time; then both fields are empty.
     Taken take(TimePoint until);
+    bool full() const;
     /// The consumer is gone: push() returns false from now on.
     void close();
 
 private:
     const std::size_t capacity_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::vector<StreamPart> parts_;
     std::optional<StreamEnd> end_;
--- a/src/query/configrows.cpp
+++ b/src/query/configrows.cpp
@@ -18,6 +18,23 @@
                        fmt::gmtime(std::chrono::system_clock::to_time_t(time)));
 }
 
+/// The command without the hash of a credential, which would fill a line and helps an attacker who
+/// guesses credentials.
+std::string withoutHashes(std::string text)
+{
+    constexpr std::size_t kHashDigits = 64;
+    constexpr std::size_t kShownDigits = 8;
+    std::size_t begin = 0;
+    while ((begin = text.find_first_of("0123456789abcdef", begin)) != std::string::npos) {
+        const std::size_t end
+                = std::min(text.find_first_not_of("0123456789abcdef", begin), text.size());
+        if (end - begin == kHashDigits)
+            text.replace(begin, kHashDigits, text.substr(begin, kShownDigits) + "...");
+        begin = std::min(end, text.size());
+    }
+    return text;
+}
+
 } // namespace
 
 ResultTable serviceRows(const Configuration &configuration)
@@ -49,8 +66,8 @@
     for (auto entry = configuration.history.rbegin(); entry != configuration.history.rend();
          ++entry) {
         table.rows.push_back({std::to_string(entry->offset), utcText(entry->time),
-                              entry->operatorName, entry->accepted ? "yes" : "no", entry->text,
-                              entry->reason});
+                              entry->operatorName, entry->accepted ? "yes" : "no",
+                              withoutHashes(entry->text), entry->reason});
     }
     return table;
 }
--- a/src/query/operatorservice.cpp
+++ b/src/query/operatorservice.cpp
@@ -3,6 +3,11 @@
 #include "base/ids.h"
 #include "query/configrows.h"
 
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <sstream>
+
 namespace cicadafork {
 
 namespace {
@@ -28,6 +33,32 @@
     return table;
 }
 
+/// Members that did not answer get a row, so that a change is not taken as in force everywhere
+/// without them.
+void addUnknownOffsets(ResultTable &table, const std::vector<MemberAnswer> &answers)
+{
+    for (const MemberAnswer &answer : answers) {
+        if (!answer.table)
+            table.rows.push_back({answer.memberId, answer.failureDomain, "unknown", "unknown"});
+    }
+}
+
+/// Services that a workspace names and that do not exist; the order of creation is free, so that
+/// this is no error.
+std::vector<std::string> notesOn(const Configuration &configuration, const Command &command)
+{
+    std::vector<std::string> notes;
+    const auto field = command.fields.find("services");
+    if (command.kind != EntityKind::Workspace || field == command.fields.end())
+        return notes;
+    std::istringstream names(field->second);
+    for (std::string name; std::getline(names, name, ',');) {
+        if (!configuration.services.contains(name))
+            notes.push_back(fmt::format("there is no service '{}' yet", name));
+    }
+    return notes;
+}
+
 /// Version of the entity that a command names; 0 when it does not exist.
 std::uint64_t currentVersion(const Configuration &configuration, const Command &command)
 {
@@ -46,6 +77,11 @@
     return 0;
 }
 
+bool hasRow(const ResultTable &table, const std::string &id)
+{
+    return std::ranges::any_of(table.rows, [&](const auto &row) { return row.front() == id; });
+}
+
 nlohmann::json errorJson(const Error &error)
 {
     return {{"code", toString(error.code)}, {"message", error.message}, {"remedy", error.remedy}};
@@ -63,16 +99,23 @@
 {
     auto statement = capture([&] { return parseStatement(request.text); });
     if (!statement)
-        return {statement.error()};
+        return {statement.error(), {}};
     const auto reply = [](const auto &outcome) {
-        return outcome ? OperatorReply{*outcome} : OperatorReply{outcome.error()};
+        return outcome ? OperatorReply{*outcome, {}} : OperatorReply{outcome.error(), {}};
     };
     if (const auto *showStatement = std::get_if<ShowStatement>(&*statement))
         return reply(capture([&] { return show(*showStatement, request.timeout); }));
     if (const auto *whyStatement = std::get_if<WhyStatement>(&*statement))
         return reply(capture([&] { return why(*whyStatement, request.timeout); }));
     auto command = std::get<CommandStatement>(std::move(*statement));
-    return reply(capture([&] { return change(std::move(command), request); }));
+    std::vector<std::string> notes;
+    if (const auto configuration = store_.current())
+        notes = notesOn(*configuration, command.command);
+    OperatorReply answer = reply(capture([&] { return change(std::move(command), request); }));
+    const auto *verdict = std::get_if<Verdict>(&answer.body);
+    if (verdict && verdict->accepted)
+        answer.notes = std::move(notes);
+    return answer;
 }
 
 Result<ResultTable> OperatorService::show(const ShowStatement &statement, Millis timeout)
@@ -100,6 +143,8 @@
     case Subject::Configuration: {
         const auto answers = hooks_.askMembers(statement.subject, timeout);
         BOOST_LEAF_ASSIGN(table, mergeAnswers(hooks_.localRows(statement.subject), answers));
+        if (statement.subject == Subject::Configuration)
+            addUnknownOffsets(table, answers);
         break;
     }
     }
@@ -112,7 +157,18 @@
     ResultTable local = hooks_.explainLocally(statement.requestId);
     if (!local.rows.empty())
         return local;
-    return mergeAnswers(std::move(local), hooks_.askMembersWhy(statement.requestId, timeout));
+    BOOST_LEAF_AUTO(found, mergeAnswers(std::move(local),
+                                        hooks_.askMembersWhy(statement.requestId, timeout)));
+    if (!found.rows.empty())
+        return found;
+    return fail(ErrorCode::NotFound,
+                fmt::format("no request '{}' is in progress at the members that answered{}",
+                            statement.requestId,
+                            found.unanswered.empty()
+                                    ? ""
+                                    : fmt::format("; no answer from: {}",
+                                                  fmt::join(found.unanswered, ", "))),
+                "list the ids with 'show requests'; a request that has ended is not kept");
 }
 
 Result<Verdict> OperatorService::change(CommandStatement statement, const OperatorRequest &request)
@@ -123,6 +179,14 @@
     command.operatorName = request.operatorName;
     if (!statement.versionGiven)
         command.baseVersion = currentVersion(*configuration, command);
+    // An order creates the intent of its endpoint, so that a typing error would be accepted.
+    if (command.kind == EntityKind::Endpoint && !command.entityId.empty()
+        && !configuration->endpointIntents.contains(command.entityId)
+        && !hasRow(hooks_.localRows(Subject::Endpoints), command.entityId)) {
+        return fail(ErrorCode::NotFound,
+                    fmt::format("endpoint '{}' is not in the VM list", command.entityId),
+                    "list the endpoints with 'show endpoints'");
+    }
     if (request.dryRun)
         return hooks_.preview(command);
     return store_.submit(command, steadyNow() + request.timeout);
@@ -138,7 +202,10 @@
                                {"version", verdict->version}};
         if (!verdict->accepted)
             json["error"] = errorJson(verdict->error);
-        return {{"verdict", json}};
+        nlohmann::json answer = {{"verdict", std::move(json)}};
+        if (!reply.notes.empty())
+            answer["notes"] = reply.notes;
+        return answer;
     }
     return {{"error", errorJson(std::get<Error>(reply.body))}};
 }
--- a/src/query/operatorservice.h
+++ b/src/query/operatorservice.h
@@ -29,6 +29,7 @@
 struct MemberAnswer
 {
     std::string memberId;
+    std::string failureDomain;
     std::optional<ResultTable> table;
 };
 
@@ -50,6 +51,7 @@
 struct OperatorReply
 {
     std::variant<ResultTable, Verdict, Error> body;
+    std::vector<std::string> notes; ///< What the operator may have overlooked in a command.
 };
 
 class OperatorService
@@ -68,7 +70,7 @@
     OperatorHooks hooks_;
 };
 
-/// The reply as JSON: {"table":…}, {"verdict":…} or {"error":…}.
+/// The reply as JSON: {"table":…}, {"verdict":…} or {"error":…}, with "notes" if there are any.
 nlohmann::json toJson(const OperatorReply &reply);
 
 } // namespace cicadafork
--- a/src/query/resulttable.cpp
+++ b/src/query/resulttable.cpp
@@ -62,6 +62,39 @@
                 fmt::format("use one of: {}", fmt::join(table.columns, ", ")));
 }
 
+Result<void> selectColumns(ResultTable &table, const std::vector<ColumnName> &columns)
+{
+    if (columns.empty())
+        return {};
+    ResultTable selected;
+    selected.rows.resize(table.rows.size());
+    for (const ColumnName &name : columns) {
+        BOOST_LEAF_AUTO(index, columnIndex(table, name.field, name.column));
+        selected.columns.push_back(name.field);
+        for (std::size_t row = 0; row < table.rows.size(); ++row)
+            selected.rows[row].push_back(table.rows[row][index]);
+    }
+    table.columns = std::move(selected.columns);
+    table.rows = std::move(selected.rows);
+    return {};
+}
+
+/// Values can come from strangers; control characters would change the reader's terminal.
+std::string printable(std::string text)
+{
+    std::replace_if(
+            text.begin(), text.end(),
+            [](unsigned char character) { return character < ' ' || character == 0x7f; }, ' ');
+    return text;
+}
+
+std::string unansweredLine(const ResultTable &table)
+{
+    if (table.unanswered.empty())
+        return "";
+    return fmt::format("no answer from: {}\n", fmt::join(table.unanswered, ", "));
+}
+
 } // namespace
 
 Result<void> applyShow(ResultTable &table, const ShowStatement &show)
@@ -82,7 +115,7 @@
     }
     if (table.rows.size() > show.limit)
         table.rows.resize(show.limit);
-    return {};
+    return selectColumns(table, show.columns);
 }
 
 Result<void> mergeRows(ResultTable &table, const ResultTable &other)
@@ -108,18 +141,31 @@
     const auto appendLine = [&](const std::vector<std::string> &values) {
         std::string line;
         for (std::size_t column = 0; column < values.size(); ++column)
-            fmt::format_to(std::back_inserter(line), "{:<{}}  ", values[column], widths[column]);
+            fmt::format_to(std::back_inserter(line), "{:<{}}  ", printable(values[column]),
+                           widths[column]);
         line.erase(line.find_last_not_of(' ') + 1);
         text += line + '\n';
     };
     appendLine(table.columns);
     for (const auto &row : table.rows)
         appendLine(row);
-    fmt::format_to(std::back_inserter(text), "{} rows\n", table.rows.size());
-    if (!table.unanswered.empty())
-        fmt::format_to(std::back_inserter(text), "no answer from: {}\n",
-                       fmt::join(table.unanswered, ", "));
-    return text;
+    fmt::format_to(std::back_inserter(text), "{} row{}\n", table.rows.size(),
+                   table.rows.size() == 1 ? "" : "s");
+    return text + unansweredLine(table);
+}
+
+std::string formatRecords(const ResultTable &table)
+{
+    std::size_t width = 0;
+    for (const std::string &column : table.columns)
+        width = std::max(width, column.size());
+    std::string text;
+    for (const auto &row : table.rows) {
+        for (std::size_t column = 0; column < row.size(); ++column)
+            fmt::format_to(std::back_inserter(text), "{:<{}}  {}\n", table.columns[column] + ":",
+                           width + 1, printable(row[column]));
+    }
+    return text + unansweredLine(table);
 }
 
 nlohmann::json toJson(const ResultTable &table)
--- a/src/query/statement.cpp
+++ b/src/query/statement.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -206,10 +207,30 @@
         return Condition{field.text, comparison, value.text, field.column};
     }
 
+    Result<void> parseColumns(ShowStatement &show)
+    {
+        const std::string remedy = "write columns all, or columns FIELD,FIELD without spaces";
+        BOOST_LEAF_AUTO(list, take("a field name", remedy));
+        show.allColumns = list.text == "all";
+        if (show.allColumns)
+            return {};
+        std::size_t begin = 0;
+        while (begin <= list.text.size()) {
+            const std::size_t end = std::min(list.text.find(',', begin), list.text.size());
+            if (end == begin)
+                return failAt(list.column + begin, "a field name is missing", remedy);
+            show.columns.push_back({list.text.substr(begin, end - begin), list.column + begin});
+            begin = end + 1;
+        }
+        return {};
+    }
+
     Result<Statement> parseShow()
     {
         ShowStatement show;
         BOOST_LEAF_ASSIGN(show.subject, takeKeyword(kSubjects, "a subject"));
+        if (accept("columns"))
+            BOOST_LEAF_CHECK(parseColumns(show));
         if (accept("where")) {
             do {
                 BOOST_LEAF_AUTO(condition, parseCondition());
@@ -254,7 +275,9 @@
         CommandStatement statement;
         Command &command = statement.command;
         if (atEnd() || !lookUp(kVerbs, peek().text)) {
-            return failAt(peek().column, fmt::format("'{}' starts no statement", peek().text),
+            return failAt(peek().column,
+                          atEnd() ? "the statement is empty"
+                                  : fmt::format("'{}' starts no statement", peek().text),
                           fmt::format("start with show, why, {}", alternatives(kVerbs)));
         }
         BOOST_LEAF_ASSIGN(command.verb, takeKeyword(kVerbs, "a command"));
@@ -288,6 +311,50 @@
     return "";
 }
 
+std::vector<std::string> shortColumns(Subject subject)
+{
+    switch (subject) {
+    case Subject::Requests:
+        return {"id", "workspace", "service", "state", "endpoint", "idle_ms", "entry_vm"};
+    case Subject::Endpoints:
+        return {"id", "service", "failure_domain", "state", "running", "waiting", "report_age_ms"};
+    case Subject::EntryVms:
+        return {"id",    "failure_domain",   "caller_address",
+                "alive", "heartbeat_age_ms", "next_offset"};
+    case Subject::Services:
+    case Subject::Workspaces:
+    case Subject::Configuration:
+    case Subject::History:
+        break;
+    }
+    return {};
+}
+
+const char *grammarText()
+{
+    return R"(Statements (keywords are lower case, values with spaces or commas are quoted):
+  show SUBJECT [columns all | columns FIELD,FIELD] [where FIELD OP VALUE {and FIELD OP VALUE}]
+       [order by FIELD [desc]] [limit N]
+       SUBJECT: requests services endpoints entry-vms workspaces configuration history
+       OP: = != < <= > >= ~ (contains)
+  why REQUEST_ID
+  create workspace ID credential_sha256=HEX [services=A,B] [requests_per_second=N] [share=N]
+  create service ID kind=model models=A,B [priority=urgent|normal|background]
+         [adapters="MODEL=ADAPTER"] [model_versions="MODEL=VERSION"]
+  create service ID kind=plain [non_repeatable=OPERATION,OPERATION]
+  change workspace|service ID FIELD=VALUE {FIELD=VALUE}
+  drain service|endpoint ID      no new requests; those in progress finish
+  undrain service|endpoint ID    also starts a stopped service again
+  stop service ID                also ends the requests that wait
+  load endpoint ID models=MODEL[:ADAPTER][@VERSION],...
+  role endpoint ID role=mixed|prefill|decode
+  A command may end with "if version = N": it is refused when the entity has another version.
+Examples:
+  show requests where state = stuck and workspace = depot order by idle_ms desc
+  change service reports priority=urgent if version = 12
+)";
+}
+
 Result<Statement> parseStatement(std::string_view text)
 {
     if (text.size() > kMaxStatementBytes) {
--- a/src/query/statement.h
+++ b/src/query/statement.h
@@ -7,8 +7,9 @@
 // Grammar (keywords are lower case, values with spaces are quoted):
 //
 //   statement := show | why | command
-//   show      := "show" subject ["where" condition {"and" condition}]
-//                ["order" "by" field ["desc"]] ["limit" number]
+//   show      := "show" subject ["columns" ("all" | field {"," field})]
+//                ["where" condition {"and" condition}] ["order" "by" field ["desc"]]
+//                ["limit" number]
 //   why       := "why" request-id
 //   subject   := "requests" | "services" | "endpoints" | "entry-vms" | "workspaces"
 //                | "configuration" | "history"
@@ -49,9 +50,17 @@
     std::size_t column = 0;
 };
 
+struct ColumnName
+{
+    std::string field;
+    std::size_t column = 0; ///< Where it stands in the statement, from 1.
+};
+
 struct ShowStatement
 {
     Subject subject = Subject::Requests;
+    std::vector<ColumnName> columns; ///< In this order; empty: all.
+    bool allColumns = false;         ///< The statement said "columns all".
     std::vector<Condition> conditions;
     std::optional<Ordering> ordering;
     std::size_t limit = 1000; ///< Rows returned at most.
@@ -79,4 +88,11 @@
 /// there.
 Result<Statement> parseStatement(std::string_view text);
 
+/// Columns that a terminal shows when the statement names none; empty: all. A full row of a request
+/// is 300 characters wide.
+std::vector<std::string> shortColumns(Subject subject);
+
+/// The grammar with examples, for help texts.
+const char *grammarText();
+
 } // namespace cicadafork
--- a/tests/tools/cluster.cpp
+++ b/tests/tools/cluster.cpp
@@ -96,6 +96,7 @@
             ("trace", "trace that names workspaces and models", text(""))                  //
             ("settings", "YAML added to every daemon's settings", text(""))                //
             ("engine-flags", "flags added to every engine, separated by spaces", text("")) //
+            ("empty", "create no service and no workspace")                                //
             ("help", "print this text")                                                    //
             ("command", "command to run", cxxopts::value<std::vector<std::string>>());
     options.parse_positional("command");
@@ -160,7 +161,8 @@
     const SystemClient first(cluster.daemon(0).address, kOperatorCredential);
     if (!eventually(kReadyTimeout, [&] { return first.ready(); }))
         throw std::runtime_error("the first daemon does not become ready");
-    configure(first, facts);
+    if (parsed.count("empty") == 0)
+        configure(first, facts);
     for (std::size_t i = 0; i < options.daemons; ++i) {
         const SystemClient client(cluster.daemon(i).address, kOperatorCredential);
         const bool known = eventually(kReadyTimeout, [&] {
--- a/tests/unit/query_test.cpp
+++ b/tests/unit/query_test.cpp
@@ -57,6 +57,8 @@
             {"create service x kind=\"model", "column 23:"},
             {"change service x if version 3", "column 29:"},
             {"why", "column 4:"},
+            {"show requests columns", "column 22:"},
+            {"show requests columns id,,state", "column 26:"},
     };
     for (const Case &c : cases) {
         const auto parsed = capture([&] { return parseStatement(c.text); });
@@ -123,6 +125,22 @@
     }
 }
 
+// Guards against tables that are too wide to read, and against a selection that loses the columns
+// which the conditions need.
+TEST(Query, columnsAreSelectedAfterConditions)
+{
+    const auto parsed = capture([] {
+        return parseStatement("show requests columns tokens,id where state = stuck order by id");
+    });
+    ResultTable table = sampleTable();
+    CHECK_TRUE(static_cast<bool>(
+            capture([&] { return applyShow(table, std::get<ShowStatement>(*parsed)); })));
+    CHECK_TRUE(table.columns == (std::vector<std::string>{"tokens", "id"}));
+    CHECK_TRUE(table.rows.front() == (std::vector<std::string>{"900", "a"}));
+    STRCMP_EQUAL("tokens:  900\nid:      a\ntokens:  20\nid:      c\n",
+                 formatRecords(table).c_str());
+}
+
 TEST(Query, unknownFieldIsReportedWithTheKnownOnes)
 {
     ResultTable table = sampleTable();
