Add the operators' page, table gauges, and counters of the log and of claims

Cause: operators had no page on settings, metrics, alarms and outages; bounded tables lacked gauges; claims and log calls were not counted.

Gauges cicadafork_table_rows and _limit by table; counters of claims by verdict and of log calls and failures by operation, as decorators around the log client and the claims.

Conclusion: the page cannot lose a setting or metric unnoticed.

--- a/src/claims/logclaims.cpp
+++ b/src/claims/logclaims.cpp
@@ -194,4 +194,20 @@
     return true;
 }
 
+std::size_t LogClaims::attempts()
+{
+    const std::lock_guard lock(attemptsMutex_);
+    return attempts_.size();
+}
+
+std::size_t LogClaims::foldedKeys()
+{
+    std::size_t keys = 0;
+    for (Shard &shard : shards_) {
+        const std::lock_guard lock(shard.mutex);
+        keys += shard.fold.size();
+    }
+    return keys;
+}
+
 } // namespace cicadafork
--- a/src/claims/logclaims.h
+++ b/src/claims/logclaims.h
@@ -57,6 +57,11 @@
     bool flush(TimePoint deadline) { return writer_.flush(deadline); }
 
     std::size_t droppedRecords() const { return writer_.dropped(); }
+    std::size_t attempts();
+    std::size_t attemptsLimit() const { return settings_.maxAttempts; }
+    /// Rows of all shards' folds.
+    std::size_t foldedKeys();
+    std::size_t foldedKeysLimit() const { return kClaimShards * settings_.fold.maxKeys; }
     bool logAvailable() const { return !breaker_.open(); }
 
 private:
--- a/src/cli/ctlcommand.cpp
+++ b/src/cli/ctlcommand.cpp
@@ -165,6 +165,8 @@
     if (!options.json)
         fmt::print("{}\n", options.dryRun ? "would be accepted; nothing was changed"
                                           : fmt::format("accepted, version {}", version));
+    // Before the progress of --wait, which goes to standard error.
+    std::fflush(stdout);
     if (options.wait > Millis(0) && !options.dryRun)
         return waitUntilInForce(options, version);
     return ExitSuccess;
--- a/src/cli/servecommand.cpp
+++ b/src/cli/servecommand.cpp
@@ -2,6 +2,7 @@
 
 #include "cli/commands.h"
 #include "daemon/daemon.h"
+#include "settings/settingsdescription.h"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -84,9 +85,14 @@
 int runCheckConfigCommand(int argc, char **argv)
 {
     const std::string path = argc > 1 ? argv[1] : "";
+    if (path == "--describe") {
+        fmt::print("{}", settingsTable(describeSettings()));
+        return ExitSuccess;
+    }
     if (path.empty() || path == "--help") {
-        fmt::print("usage: cicadafork check-config FILE\nChecks a settings file and prints every "
-                   "problem.\n");
+        fmt::print("usage: cicadafork check-config FILE\n       cicadafork check-config "
+                   "--describe\nChecks a settings file and prints every problem; --describe prints "
+                   "every setting with unit, range and default.\n");
         return path.empty() ? ExitUsage : ExitSuccess;
     }
     const auto settings = capture([&] { return loadSettings(path); });
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -85,9 +85,10 @@
     : settings_(std::move(settings))
     , incarnation_(newUuidV7(wallNow()))
     , log_(settings_.platform.log)
+    , countedLog_(log_, metrics_)
     , vmList_(settings_.platform.vmList)
     , fleet_(fleetOptions(settings_, incarnation_))
-    , store_(log_, storeOptions(settings_))
+    , store_(countedLog_, storeOptions(settings_))
     , outliers_(kMaxEndpoints, [this](const std::string &endpointId,
                                       bool ejected) { fleet_.setEjected(endpointId, ejected); })
     , observedFleet_(fleet_, outliers_)
@@ -95,12 +96,13 @@
     , client_(loop_, peerClientOptions(settings_, incarnation_))
     , calls_(fleet_, client_, directory_, metrics_,
              {.selfId = settings_.memberId, .failureDomain = settings_.failureDomain})
-    , claims_(log_, claimsSettings(),
+    , claims_(countedLog_, claimsSettings(),
               [this](std::size_t shard, const std::string &batch, Millis timeout) {
                   return calls_.forwardClaims(shard, batch, timeout);
               })
-    , frontend_(settings_, store_, observedFleet_, admission_, claims_, metrics_, incarnation_,
-                frontendHooks())
+    , countedClaims_(claims_, metrics_)
+    , frontend_(settings_, store_, observedFleet_, admission_, countedClaims_, metrics_,
+                incarnation_, frontendHooks())
     , operatorService_(store_, operatorHooks())
     , operatorRoutes_(settings_, operatorService_, metrics_, routeHooks())
     , server_(serverOptions(settings_))
@@ -441,8 +443,33 @@
         static_cast<double>(store_.nextOffset().value_or(0)));
     set("cicadafork_log_available", "1 while calls to the log succeed",
         claims_.logAvailable() ? 1 : 0);
+    updateTableGauges(now);
     set("cicadafork_claim_records_dropped", "Outcomes and withdrawals that could not be stored",
         static_cast<double>(claims_.droppedRecords()));
 }
 
+void Daemon::updateTableGauges(TimePoint now)
+{
+    const auto set = [this](const char *table, std::size_t rows, std::size_t limit) {
+        metrics_.gauge("cicadafork_table_rows", "Rows of a bounded table", {{"table", table}})
+                .Set(static_cast<double>(rows));
+        metrics_.gauge("cicadafork_table_limit", "Limit of a bounded table", {{"table", table}})
+                .Set(static_cast<double>(limit));
+    };
+    std::size_t endpoints = 0;
+    for (const std::string &service : fleet_.services())
+        endpoints += fleet_.view(service, now).endpoints.size();
+    set("requests", frontend_.requests(now).size(), settings_.limits.maxRequests);
+    set("queue", admission_.queued(now).size(), settings_.limits.maxQueued);
+    set("members", fleet_.peers(now).size() + 1, kMaxMembers);
+    set("endpoints", endpoints, kMaxEndpoints);
+    set("stream_locations", directory_.size(), kStreamDirectoryRows);
+    set("prefix_index", prefixes_.size(), prefixes_.limit());
+    set("claim_attempts", claims_.attempts(), claims_.attemptsLimit());
+    set("claim_keys", claims_.foldedKeys(), claims_.foldedKeysLimit());
+    set("peer_connections", peerServer_.connections(), PeerServerOptions().maxConnections);
+    const auto configuration = store_.current();
+    set("history", configuration ? configuration->history.size() : 0, kHistoryLimit);
+}
+
 } // namespace cicadafork
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -15,6 +15,7 @@
 #include "base/metrics.h"
 #include "claims/logclaims.h"
 #include "config/logconfigstore.h"
+#include "daemon/countedplatform.h"
 #include "daemon/endpointcare.h"
 #include "daemon/membercalls.h"
 #include "daemon/observedfleet.h"
@@ -75,11 +76,13 @@
     nlohmann::json dump();
     std::optional<std::string> notReadyReason() const;
     void updateGauges();
+    void updateTableGauges(TimePoint now);
 
     const Settings settings_;
     const std::string incarnation_;
     Metrics metrics_;
     HttpLogClient log_;
+    CountedLog countedLog_;
     HttpVmListClient vmList_;
     FleetTable fleet_;
     LogConfigStore store_;
@@ -92,6 +95,7 @@
     PeerClient client_;
     MemberCalls calls_;
     LogClaims claims_;
+    CountedClaims countedClaims_;
     Frontend frontend_;
     OperatorService operatorService_;
     OperatorRoutes operatorRoutes_;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -132,10 +132,11 @@
     }
 }
 
-Settings readSettings(const YAML::Node &document, SettingsProblems &problems)
+Settings readSettings(const YAML::Node &document, SettingsProblems &problems,
+                      std::vector<SettingDescription> *descriptions = nullptr)
 {
     Settings settings;
-    SectionReader root(document, "", 1, problems);
+    SectionReader root(document, "", 1, problems, descriptions);
     readName(root, "member_id", settings.memberId, problems);
     readName(root, "failure_domain", settings.failureDomain, problems);
     readName(root, "region", settings.region, problems);
@@ -187,6 +188,24 @@
     return fail(ErrorCode::InvalidArgument, message, "correct the settings file");
 }
 
+std::vector<SettingDescription> describeSettings()
+{
+    SettingsProblems problems;
+    std::vector<SettingDescription> descriptions;
+    readSettings(YAML::Node(), problems, &descriptions);
+    return descriptions;
+}
+
+std::string settingsTable(const std::vector<SettingDescription> &settings)
+{
+    std::string text;
+    for (const SettingDescription &setting : settings) {
+        text += fmt::format("| `{}` | {} | {} | {} |\n", setting.name, setting.unit, setting.range,
+                            setting.defaultValue);
+    }
+    return text;
+}
+
 Result<Settings> loadSettings(const std::string &path)
 {
     std::ifstream file(path);
--- a/src/settings/settingsreader.cpp
+++ b/src/settings/settingsreader.cpp
@@ -44,11 +44,13 @@
 } // namespace
 
 SectionReader::SectionReader(const YAML::Node &node, std::string path, int line,
-                             SettingsProblems &problems)
+                             SettingsProblems &problems,
+                             std::vector<SettingDescription> *descriptions)
     : node_(node)
     , path_(std::move(path))
     , line_(line)
     , problems_(problems)
+    , descriptions_(descriptions)
 {
     if (node_.IsDefined() && !node_.IsNull() && !node_.IsMap()) {
         problems_.push_back({line_,
@@ -70,6 +72,13 @@
     problems_.push_back({lineOfNode(node), fmt::format("'{}' {}", fullName(key), problem), remedy});
 }
 
+void SectionReader::describe(const std::string &key, const std::string &unit,
+                             const std::string &range, const std::string &defaultValue)
+{
+    if (descriptions_)
+        descriptions_->push_back({fullName(key), unit, range, defaultValue});
+}
+
 YAML::Node SectionReader::take(const std::string &key, Presence presence)
 {
     known_.push_back(key);
@@ -98,6 +107,7 @@
 
 void SectionReader::text(const std::string &key, std::string &target, Presence presence)
 {
+    describe(key, "text", "not empty", presence == Presence::Required ? "required" : target);
     const YAML::Node node = take(key, presence);
     if (!node)
         return;
@@ -108,6 +118,8 @@
 
 void SectionReader::address(const std::string &key, Address &target, Presence presence)
 {
+    describe(key, "IPV4:PORT", "any",
+             presence == Presence::Required ? "required" : toString(target));
     const YAML::Node node = take(key, presence);
     if (!node)
         return;
@@ -121,6 +133,9 @@
 
 void SectionReader::duration(const std::string &key, Millis &target, Millis minimum, Millis maximum)
 {
+    describe(key, "duration (ms, s, min)",
+             fmt::format("{}ms to {}ms", minimum.count(), maximum.count()),
+             fmt::format("{}ms", target.count()));
     const YAML::Node node = take(key, Presence::Optional);
     if (!node)
         return;
@@ -140,6 +155,8 @@
 void SectionReader::size(const std::string &key, std::size_t &target, std::size_t minimum,
                          std::size_t maximum)
 {
+    describe(key, "number (KiB, MiB, GiB)", fmt::format("{} to {}", minimum, maximum),
+             std::to_string(target));
     const YAML::Node node = take(key, Presence::Optional);
     if (!node)
         return;
@@ -156,6 +173,7 @@
 
 void SectionReader::fraction(const std::string &key, double &target, double minimum, double maximum)
 {
+    describe(key, "fraction", fmt::format("{} to {}", minimum, maximum), fmt::format("{}", target));
     const YAML::Node node = take(key, Presence::Optional);
     if (!node)
         return;
@@ -172,7 +190,7 @@
     const YAML::Node node = take(key, Presence::Optional);
     const bool present = node.IsDefined();
     return SectionReader(present ? node : YAML::Node(), fullName(key),
-                         present ? lineOfNode(node) : line_, problems_);
+                         present ? lineOfNode(node) : line_, problems_, descriptions_);
 }
 
 void SectionReader::reportUnknownKeys()
--- a/src/settings/settingsreader.h
+++ b/src/settings/settingsreader.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "http/address.h"
+#include "settings/settingsdescription.h"
 
 #include <yaml-cpp/yaml.h>
 
@@ -34,7 +35,9 @@
 {
 public:
     /// A node that is not a mapping is reported; a null node counts as an empty mapping.
-    SectionReader(const YAML::Node &node, std::string path, int line, SettingsProblems &problems);
+    /// Descriptions, when given, receive every key that is read, with its default.
+    SectionReader(const YAML::Node &node, std::string path, int line, SettingsProblems &problems,
+                  std::vector<SettingDescription> *descriptions = nullptr);
 
     void text(const std::string &key, std::string &target, Presence presence);
     void address(const std::string &key, Address &target, Presence presence);
@@ -49,6 +52,14 @@
     void choice(const std::string &key, Value &target,
                 std::initializer_list<std::pair<const char *, Value>> values)
     {
+        std::string known;
+        std::string present;
+        for (const auto &[name, value] : values) {
+            known += known.empty() ? name : std::string(", ") + name;
+            if (value == target)
+                present = name;
+        }
+        describe(key, "word", known, present);
         const YAML::Node node = take(key, Presence::Optional);
         if (!node)
             return;
@@ -73,6 +84,8 @@
     void reportUnknownKeys();
 
 private:
+    void describe(const std::string &key, const std::string &unit, const std::string &range,
+                  const std::string &defaultValue);
     YAML::Node take(const std::string &key, Presence presence);
     void report(const YAML::Node &node, const std::string &key, const std::string &problem,
                 const std::string &remedy);
@@ -82,6 +95,7 @@
     std::string path_;
     int line_;
     SettingsProblems &problems_;
+    std::vector<SettingDescription> *descriptions_;
     std::vector<std::string> known_;
 };
 
--- a/tests/integration/operators_test.cpp
+++ b/tests/integration/operators_test.cpp
@@ -1,6 +1,7 @@
 // What an operator does, through the real command line, against real processes.
 
 #include "base/hash.h"
+#include "http/client.h"
 #include "query/resulttable.h"
 #include "support/environment.h"
 #include "support/eventually.h"
@@ -187,6 +188,43 @@
                     "no credential hash in the history");
 }
 
+// Guards against a metric that operators cannot look up, and against a credential in the dump or in
+// a log.
+TEST(Operators, metricsAreDocumentedAndDumpsHoldNoCredential)
+{
+    createAll();
+    LONGS_EQUAL(200, client(0).complete({.prompt = "a prompt"}).status);
+    const std::string page = contentOf(binaryDirectory() + "/../docs/OPERATING.md");
+    CHECK_FALSE(page.empty());
+    const auto metrics
+            = capture([&] { return httpGet(cluster.daemon(0).address, "/metrics", Millis(2000)); });
+    CHECK_TRUE(static_cast<bool>(metrics));
+    std::istringstream lines(metrics->body);
+    std::size_t names = 0;
+    for (std::string line; std::getline(lines, line);) {
+        if (!line.starts_with("# HELP "))
+            continue;
+        const std::string name = line.substr(7, line.find(' ', 7) - 7);
+        CHECK_TRUE_TEXT(page.find("`" + name + "`") != std::string::npos, name.c_str());
+        ++names;
+    }
+    CHECK_TRUE(names > 20);
+    const std::string file = cluster.directory() + "/dump";
+    ChildProcess dump("/bin/sh",
+                      {"-c", fmt::format("CICADAFORK_CREDENTIAL={} {}/cicadafork dump {} >{}",
+                                         kOperatorCredential, binaryDirectory(),
+                                         toString(cluster.daemon(0).address), file)},
+                      "");
+    LONGS_EQUAL(0, dump.wait(kCommandLimit).value_or(-1));
+    const std::string texts[] = {contentOf(file), cluster.daemon(0).process->errorOutput()};
+    for (const std::string &text : texts) {
+        CHECK_FALSE(text.empty());
+        for (const char *secret : {kCallerCredential, kOperatorCredential})
+            CHECK_TRUE_TEXT(text.find(secret) == std::string::npos, secret);
+        CHECK_TRUE(text.find(sha256Hex(kCallerCredential)) == std::string::npos);
+    }
+}
+
 // Guards against two operators who both believe that their change was made.
 TEST(Operators, exactlyOneOfTwoRacingOperatorsWins)
 {
