--- a/tests/unit/frontendlimits_test.cpp
+++ b/tests/unit/frontendlimits_test.cpp
@@ -1,10 +1,18 @@
 #include "support/frontendfakes.h"
 
-#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <atomic>
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
+
+// Last, because it replaces new by a macro that the standard headers do not survive.
+#include <CppUTest/TestHarness.h>
 
 using namespace cicadafork;
 using namespace cicadafork::test;
@@ -49,3 +57,39 @@
     STRCMP_CONTAINS("not_run", (*waiting)->body.c_str());
     CHECK_FALSE((*waiting)->get_header_value("Retry-After").empty());
 }
+
+// Guards against idle connections, and requests that stop in the middle, that hold server threads
+// for long. A connection that sends a byte now and then is not bounded; docs/OPERATING.md says so.
+TEST(FrontendLimits, silentConnectionsAreClosed)
+{
+    FrontendFixture fixture;
+    const std::string starts[] = {"", "POST /v1/completions HTTP/1.1\r\nHost: x\r\n",
+                                  "POST /v1/completions HTTP/1.1\r\nContent-Length: 100\r\n\r\n{"};
+    std::vector<std::thread> callers;
+    std::atomic<int> closed{0};
+    const TimePoint begin = steadyNow();
+    for (const std::string &start : starts) {
+        callers.emplace_back([&fixture, &closed, start] {
+            const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+            sockaddr_in target{};
+            target.sin_family = AF_INET;
+            target.sin_port = htons(fixture.address().port);
+            inet_pton(AF_INET, fixture.address().ip.c_str(), &target.sin_addr);
+            const timeval limit{20, 0};
+            setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+            char buffer[4096];
+            if (connect(socket, reinterpret_cast<sockaddr *>(&target), sizeof target) == 0) {
+                (void)!send(socket, start.data(), start.size(), MSG_NOSIGNAL);
+                ssize_t received = 0;
+                while ((received = recv(socket, buffer, sizeof buffer, 0)) > 0)
+                    continue;
+                closed += received == 0 ? 1 : 0;
+            }
+            close(socket);
+        });
+    }
+    for (std::thread &caller : callers)
+        caller.join();
+    LONGS_EQUAL(3, closed);
+    CHECK_TRUE(steadyNow() - begin < Millis(15'000));
+}
