--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -15,6 +15,7 @@
 #include "base/metrics.h"
 #include "claims/logclaims.h"
 #include "config/logconfigstore.h"
+#include "daemon/countedplatform.h"
 #include "daemon/endpointcare.h"
 #include "daemon/membercalls.h"
 #include "daemon/observedfleet.h"
@@ -69,16 +70,20 @@
 
     ResultTable localRows(Subject subject);
     ResultTable explainLocally(const std::string &requestId);
+    /// Peers and this daemon.
+    std::vector<PeerView> allMembers(TimePoint now) const;
     Expected<std::string> answerQuery(const std::string &text);
     Verdict previewCommand(const Command &command) const;
     nlohmann::json dump();
     std::optional<std::string> notReadyReason() const;
     void updateGauges();
+    void updateTableGauges(TimePoint now);
 
     const Settings settings_;
     const std::string incarnation_;
     Metrics metrics_;
     HttpLogClient log_;
+    CountedLog countedLog_;
     HttpVmListClient vmList_;
     FleetTable fleet_;
     LogConfigStore store_;
@@ -91,6 +96,7 @@
     PeerClient client_;
     MemberCalls calls_;
     LogClaims claims_;
+    CountedClaims countedClaims_;
     Frontend frontend_;
     OperatorService operatorService_;
     OperatorRoutes operatorRoutes_;
--- a/tests/tools/cluster.cpp
+++ b/tests/tools/cluster.cpp
@@ -6,6 +6,8 @@
 // CICADAFORK_CREDENTIAL, and every process of the system in CICADAFORK_MEMBERS (lines "id pid
 // address"). Workspaces and services are created from the trace.
 
+#include "support/eventually.h"
+#include "support/systemclient.h"
 #include "support/tracecluster.h"
 
 #include <cxxopts.hpp>
@@ -19,6 +21,7 @@
 
 namespace {
 
+constexpr Millis kReadyTimeout{30'000};
 constexpr Millis kCommandLimit{3'600'000};
 
 cxxopts::Options commandLine()
@@ -36,6 +39,7 @@
             ("trace", "trace that names workspaces and models", text(""))                  //
             ("settings", "YAML added to every daemon's settings", text(""))                //
             ("engine-flags", "flags added to every engine, separated by spaces", text("")) //
+            ("empty", "create no service and no workspace")                                //
             ("help", "print this text")                                                    //
             ("command", "command to run", cxxopts::value<std::vector<std::string>>());
     options.parse_positional("command");
@@ -92,7 +96,13 @@
     const ClusterOptions options = clusterOptions(parsed, facts);
     TestCluster cluster(options);
     cluster.start();
-    configureForTrace(cluster, options, facts);
+    if (parsed.count("empty") == 0) {
+        configureForTrace(cluster, options, facts);
+    } else {
+        const SystemClient first(cluster.daemon(0).address, kOperatorCredential);
+        if (!eventually(kReadyTimeout, [&] { return first.ready(); }))
+            throw std::runtime_error("the first daemon does not become ready");
+    }
     exportEnvironment(cluster, options);
     return runCommand(parsed["command"].as<std::vector<std::string>>());
 }
