--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -34,9 +34,11 @@
     echo "$name: not run, the time is used up" | tee -a "$out/skipped.txt"
     return
   fi
-  if ! timeout 90 build/capacity --name "$name" "$@" >>"$lines" 2>"$out/error.txt"; then
+  if ! timeout 90 build/capacity --name "$name" "$@" >"$out/line.json" 2>"$out/error.txt"; then
     echo "$name: not run, $(tail -n 1 "$out/error.txt")" | tee -a "$out/skipped.txt"
+    return
   fi
+  cat "$out/line.json" >>"$lines"
 }
 
 : >"$out/skipped.txt"
--- a/src/membership/fleettable.cpp
+++ b/src/membership/fleettable.cpp
@@ -312,9 +312,8 @@
 {
     const std::lock_guard lock(mutex_);
     std::map<std::string, std::vector<std::string>> ids;
-    tables_.endpoints.forEach([&](const std::string &id, const EndpointRow &row) {
-        ids[row.service].push_back(id);
-    });
+    tables_.endpoints.forEach(
+            [&](const std::string &id, const EndpointRow &row) { ids[row.service].push_back(id); });
     for (auto &[service, endpoints] : ids)
         std::sort(endpoints.begin(), endpoints.end());
     return ids;
--- a/src/membership/fleettable.h
+++ b/src/membership/fleettable.h
@@ -27,8 +27,8 @@
     Millis statusInterval{250};
     Millis heartbeatMinimum{100};
     std::size_t controlBytesPerSecond = 21'000;
-    /// Size of a digest until one was answered. With 0, a daemon that starts among 44 peers sends 440
-    /// heartbeats per second until then, and goes on with it where overload delays the answers.
+    /// Size of a digest until one was answered. With 0, a daemon that starts among 44 peers sends
+    /// 440 heartbeats per second until then, and goes on with it where overload delays the answers.
     double assumedDigestBytes = 0;
 };
 
--- a/src/membership/tables.h
+++ b/src/membership/tables.h
@@ -33,7 +33,7 @@
     Millis echoClock{0};
     TimePoint echoReceived{};
     TimePoint lastSent{};
-    TimePoint acknowledged{}; ///< The peer has what was known before this time.
+    TimePoint acknowledged{};    ///< The peer has what was known before this time.
     std::uint64_t digests = 0;   ///< Sent to this peer.
     std::string relayedEndpoint; ///< Last one passed on to this peer; the next digest goes on here.
     std::string relayedMember;   ///< The same for members.
--- a/src/peer/peer.capnp.h
+++ b/src/peer/peer.capnp.h
@@ -6,14 +6,13 @@
 #include <capnp/generated-header-support.h>
 #include <kj/windows-sanity.h>
 #if !CAPNP_LITE
-#include <capnp/capability.h>
-#endif  // !CAPNP_LITE
+    #include <capnp/capability.h>
+#endif // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+    #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -50,4793 +49,5655 @@
 CAPNP_DECLARE_SCHEMA(863682058e18ed12);
 CAPNP_DECLARE_SCHEMA(99ced81ddf22c7a7);
 
-}  // namespace schemas
-}  // namespace capnp
+} // namespace schemas
+} // namespace capnp
 
 namespace cicadafork {
 namespace wire {
 
-static constexpr  ::uint32_t PROTOCOL_VERSION = 2u;
-static constexpr  ::uint32_t OLDEST_VERSION = 2u;
-struct Bootstrap {
-  Bootstrap() = delete;
+static constexpr ::uint32_t PROTOCOL_VERSION = 2u;
+static constexpr ::uint32_t OLDEST_VERSION = 2u;
+struct Bootstrap
+{
+    Bootstrap() = delete;
 
 #if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
-
-  struct HelloParams;
-  struct HelloResults;
-
-  #if !CAPNP_LITE
-  struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(fe3384cdf8887cdd)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-  };
-  #endif  // !CAPNP_LITE
+    class Client;
+    class Server;
+#endif // !CAPNP_LITE
+
+    struct HelloParams;
+    struct HelloResults;
+
+#if !CAPNP_LITE
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_INTERFACE_HEADER(fe3384cdf8887cdd)
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+    };
+#endif // !CAPNP_LITE
 };
 
-struct Bootstrap::HelloParams {
-  HelloParams() = delete;
+struct Bootstrap::HelloParams
+{
+    HelloParams() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dbc21ffa4540390c, 1, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(dbc21ffa4540390c, 1, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Bootstrap::HelloResults {
-  HelloResults() = delete;
+struct Bootstrap::HelloResults
+{
+    HelloResults() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ec5592b4ab2a8c57, 1, 3)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(ec5592b4ab2a8c57, 1, 3)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer {
-  Peer() = delete;
+struct Peer
+{
+    Peer() = delete;
+
+#if !CAPNP_LITE
+    class Client;
+    class Server;
+#endif // !CAPNP_LITE
+
+    struct HeartbeatParams;
+    struct HeartbeatResults;
+    struct PushConfigParams;
+    struct PushConfigResults;
+    struct PullConfigParams;
+    struct PullConfigResults;
+    struct ClaimParams;
+    struct ClaimResults;
+    struct NoteStreamParams;
+    struct NoteStreamResults;
+    struct FindStreamParams;
+    struct FindStreamResults;
+    struct RunQueryParams;
+    struct RunQueryResults;
+    struct DumpParams;
+    struct DumpResults;
 
 #if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
-
-  struct HeartbeatParams;
-  struct HeartbeatResults;
-  struct PushConfigParams;
-  struct PushConfigResults;
-  struct PullConfigParams;
-  struct PullConfigResults;
-  struct ClaimParams;
-  struct ClaimResults;
-  struct NoteStreamParams;
-  struct NoteStreamResults;
-  struct FindStreamParams;
-  struct FindStreamResults;
-  struct RunQueryParams;
-  struct RunQueryResults;
-  struct DumpParams;
-  struct DumpResults;
-
-  #if !CAPNP_LITE
-  struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(cccac74f697672d8)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-  };
-  #endif  // !CAPNP_LITE
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_INTERFACE_HEADER(cccac74f697672d8)
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+    };
+#endif // !CAPNP_LITE
 };
 
-struct Peer::HeartbeatParams {
-  HeartbeatParams() = delete;
+struct Peer::HeartbeatParams
+{
+    HeartbeatParams() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bbb2445bedee57eb, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(bbb2445bedee57eb, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::HeartbeatResults {
-  HeartbeatResults() = delete;
+struct Peer::HeartbeatResults
+{
+    HeartbeatResults() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae4f35dc83061b49, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(ae4f35dc83061b49, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::PushConfigParams {
-  PushConfigParams() = delete;
+struct Peer::PushConfigParams
+{
+    PushConfigParams() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dcf0517c007246d9, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(dcf0517c007246d9, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::PushConfigResults {
-  PushConfigResults() = delete;
+struct Peer::PushConfigResults
+{
+    PushConfigResults() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd5034988512d5a0, 1, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(bd5034988512d5a0, 1, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::PullConfigParams {
-  PullConfigParams() = delete;
+struct Peer::PullConfigParams
+{
+    PullConfigParams() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b6d6de777b77c289, 1, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(b6d6de777b77c289, 1, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::PullConfigResults {
-  PullConfigResults() = delete;
+struct Peer::PullConfigResults
+{
+    PullConfigResults() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(af87693810567cf4, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(af87693810567cf4, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::ClaimParams {
-  ClaimParams() = delete;
+struct Peer::ClaimParams
+{
+    ClaimParams() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8a65f49206a45eb4, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(8a65f49206a45eb4, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::ClaimResults {
-  ClaimResults() = delete;
+struct Peer::ClaimResults
+{
+    ClaimResults() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c4ce8650a06ab91e, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(c4ce8650a06ab91e, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::NoteStreamParams {
-  NoteStreamParams() = delete;
+struct Peer::NoteStreamParams
+{
+    NoteStreamParams() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d9155f9c3d321d2e, 0, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(d9155f9c3d321d2e, 0, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::NoteStreamResults {
-  NoteStreamResults() = delete;
+struct Peer::NoteStreamResults
+{
+    NoteStreamResults() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bef5c345c2bdf0a7, 0, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(bef5c345c2bdf0a7, 0, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::FindStreamParams {
-  FindStreamParams() = delete;
+struct Peer::FindStreamParams
+{
+    FindStreamParams() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db93311a153f4755, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(db93311a153f4755, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::FindStreamResults {
-  FindStreamResults() = delete;
+struct Peer::FindStreamResults
+{
+    FindStreamResults() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e8aa8e1939454c27, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(e8aa8e1939454c27, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::RunQueryParams {
-  RunQueryParams() = delete;
+struct Peer::RunQueryParams
+{
+    RunQueryParams() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(de1b7ecb5c45dafa, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(de1b7ecb5c45dafa, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::RunQueryResults {
-  RunQueryResults() = delete;
+struct Peer::RunQueryResults
+{
+    RunQueryResults() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b783bc882b8b0c0f, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(b783bc882b8b0c0f, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::DumpParams {
-  DumpParams() = delete;
+struct Peer::DumpParams
+{
+    DumpParams() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c388860f92908248, 0, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(c388860f92908248, 0, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Peer::DumpResults {
-  DumpResults() = delete;
+struct Peer::DumpResults
+{
+    DumpResults() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fa161c29d3f2bd05, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(fa161c29d3f2bd05, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Outcome {
-  Outcome() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-  enum Which: uint16_t {
-    VALUE,
-    ERROR,
-  };
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8272f2d7e7f818be, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+struct Outcome
+{
+    Outcome() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+    enum Which : uint16_t {
+        VALUE,
+        ERROR,
+    };
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(8272f2d7e7f818be, 1, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Error {
-  Error() = delete;
+struct Error
+{
+    Error() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a0f345c7b325f4d2, 1, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(a0f345c7b325f4d2, 1, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct EndpointStatus {
-  EndpointStatus() = delete;
+struct EndpointStatus
+{
+    EndpointStatus() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d5a85330adaa622a, 6, 3)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(d5a85330adaa622a, 6, 3)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct EndpointReport {
-  EndpointReport() = delete;
+struct EndpointReport
+{
+    EndpointReport() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9945d495461744d5, 2, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(9945d495461744d5, 2, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct SentLoad {
-  SentLoad() = delete;
+struct SentLoad
+{
+    SentLoad() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a7651e3196f23364, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(a7651e3196f23364, 2, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct MemberSummary {
-  MemberSummary() = delete;
+struct MemberSummary
+{
+    MemberSummary() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9ecba188b071eca3, 2, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(9ecba188b071eca3, 2, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Digest {
-  Digest() = delete;
+struct Digest
+{
+    Digest() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(863682058e18ed12, 5, 6)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(863682058e18ed12, 5, 6)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct DigestReply {
-  DigestReply() = delete;
+struct DigestReply
+{
+    DigestReply() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(99ced81ddf22c7a7, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(99ced81ddf22c7a7, 2, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 // =======================================================================================
 
 #if !CAPNP_LITE
-class Bootstrap::Client
-    : public virtual ::capnp::Capability::Client {
+class Bootstrap::Client : public virtual ::capnp::Capability::Client
+{
 public:
-  typedef Bootstrap Calls;
-  typedef Bootstrap Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::cicadafork::wire::Bootstrap::HelloParams,  ::cicadafork::wire::Bootstrap::HelloResults> helloRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+    typedef Bootstrap Calls;
+    typedef Bootstrap Reads;
+
+    Client(decltype(nullptr));
+    explicit Client(::kj::Own<::capnp::ClientHook> &&hook);
+    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Server *>()>>
+    Client(::kj::Own<_t> &&server);
+    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Client *>()>>
+    Client(::kj::Promise<_t> &&promise);
+    Client(::kj::Exception &&exception);
+    Client(Client &) = default;
+    Client(Client &&) = default;
+    Client &operator=(Client &other);
+    Client &operator=(Client &&other);
+
+    ::capnp::Request<::cicadafork::wire::Bootstrap::HelloParams,
+                     ::cicadafork::wire::Bootstrap::HelloResults>
+    helloRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
-  Client() = default;
+    Client() = default;
 };
 
-class Bootstrap::Server
-    : public virtual ::capnp::Capability::Server {
+class Bootstrap::Server : public virtual ::capnp::Capability::Server
+{
 public:
-  typedef Bootstrap Serves;
+    typedef Bootstrap Serves;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCall(uint64_t interfaceId, uint16_t methodId,
+                 ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
 
 protected:
-  typedef  ::cicadafork::wire::Bootstrap::HelloParams HelloParams;
-  typedef  ::cicadafork::wire::Bootstrap::HelloResults HelloResults;
-  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
-  virtual ::kj::Promise<void> hello(HelloContext context);
-
-  inline  ::cicadafork::wire::Bootstrap::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::cicadafork::wire::Bootstrap>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+    typedef ::cicadafork::wire::Bootstrap::HelloParams HelloParams;
+    typedef ::cicadafork::wire::Bootstrap::HelloResults HelloResults;
+    typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
+    virtual ::kj::Promise<void> hello(HelloContext context);
+
+    inline ::cicadafork::wire::Bootstrap::Client thisCap()
+    {
+        return ::capnp::Capability::Server::thisCap()
+                .template castAs<::cicadafork::wire::Bootstrap>();
+    }
+
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCallInternal(uint16_t methodId,
+                         ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Bootstrap::HelloParams::Reader {
+class Bootstrap::HelloParams::Reader
+{
 public:
-  typedef HelloParams Reads;
+    typedef HelloParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getVersion() const;
+    inline ::uint32_t getVersion() const;
 
-  inline bool hasMemberId() const;
-  inline  ::capnp::Text::Reader getMemberId() const;
+    inline bool hasMemberId() const;
+    inline ::capnp::Text::Reader getMemberId() const;
 
-  inline bool hasIncarnation() const;
-  inline  ::capnp::Text::Reader getIncarnation() const;
+    inline bool hasIncarnation() const;
+    inline ::capnp::Text::Reader getIncarnation() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Bootstrap::HelloParams::Builder {
+class Bootstrap::HelloParams::Builder
+{
 public:
-  typedef HelloParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef HelloParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint32_t getVersion();
-  inline void setVersion( ::uint32_t value);
-
-  inline bool hasMemberId();
-  inline  ::capnp::Text::Builder getMemberId();
-  inline void setMemberId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMemberId(unsigned int size);
-  inline void adoptMemberId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMemberId();
-
-  inline bool hasIncarnation();
-  inline  ::capnp::Text::Builder getIncarnation();
-  inline void setIncarnation( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
-  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint32_t getVersion();
+    inline void setVersion(::uint32_t value);
+
+    inline bool hasMemberId();
+    inline ::capnp::Text::Builder getMemberId();
+    inline void setMemberId(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initMemberId(unsigned int size);
+    inline void adoptMemberId(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownMemberId();
+
+    inline bool hasIncarnation();
+    inline ::capnp::Text::Builder getIncarnation();
+    inline void setIncarnation(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initIncarnation(unsigned int size);
+    inline void adoptIncarnation(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownIncarnation();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Bootstrap::HelloParams::Pipeline {
+class Bootstrap::HelloParams::Pipeline
+{
 public:
-  typedef HelloParams Pipelines;
+    typedef HelloParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Bootstrap::HelloResults::Reader {
+class Bootstrap::HelloResults::Reader
+{
 public:
-  typedef HelloResults Reads;
+    typedef HelloResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getVersion() const;
+    inline ::uint32_t getVersion() const;
 
-  inline bool hasMemberId() const;
-  inline  ::capnp::Text::Reader getMemberId() const;
+    inline bool hasMemberId() const;
+    inline ::capnp::Text::Reader getMemberId() const;
 
-  inline bool hasIncarnation() const;
-  inline  ::capnp::Text::Reader getIncarnation() const;
+    inline bool hasIncarnation() const;
+    inline ::capnp::Text::Reader getIncarnation() const;
 
-  inline bool hasPeer() const;
+    inline bool hasPeer() const;
 #if !CAPNP_LITE
-  inline  ::cicadafork::wire::Peer::Client getPeer() const;
-#endif  // !CAPNP_LITE
+    inline ::cicadafork::wire::Peer::Client getPeer() const;
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Bootstrap::HelloResults::Builder {
+class Bootstrap::HelloResults::Builder
+{
 public:
-  typedef HelloResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef HelloResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint32_t getVersion();
-  inline void setVersion( ::uint32_t value);
-
-  inline bool hasMemberId();
-  inline  ::capnp::Text::Builder getMemberId();
-  inline void setMemberId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMemberId(unsigned int size);
-  inline void adoptMemberId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMemberId();
-
-  inline bool hasIncarnation();
-  inline  ::capnp::Text::Builder getIncarnation();
-  inline void setIncarnation( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
-  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
-
-  inline bool hasPeer();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint32_t getVersion();
+    inline void setVersion(::uint32_t value);
+
+    inline bool hasMemberId();
+    inline ::capnp::Text::Builder getMemberId();
+    inline void setMemberId(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initMemberId(unsigned int size);
+    inline void adoptMemberId(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownMemberId();
+
+    inline bool hasIncarnation();
+    inline ::capnp::Text::Builder getIncarnation();
+    inline void setIncarnation(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initIncarnation(unsigned int size);
+    inline void adoptIncarnation(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownIncarnation();
+
+    inline bool hasPeer();
 #if !CAPNP_LITE
-  inline  ::cicadafork::wire::Peer::Client getPeer();
-  inline void setPeer( ::cicadafork::wire::Peer::Client&& value);
-  inline void setPeer( ::cicadafork::wire::Peer::Client& value);
-  inline void adoptPeer(::capnp::Orphan< ::cicadafork::wire::Peer>&& value);
-  inline ::capnp::Orphan< ::cicadafork::wire::Peer> disownPeer();
-#endif  // !CAPNP_LITE
+    inline ::cicadafork::wire::Peer::Client getPeer();
+    inline void setPeer(::cicadafork::wire::Peer::Client &&value);
+    inline void setPeer(::cicadafork::wire::Peer::Client &value);
+    inline void adoptPeer(::capnp::Orphan<::cicadafork::wire::Peer> &&value);
+    inline ::capnp::Orphan<::cicadafork::wire::Peer> disownPeer();
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Bootstrap::HelloResults::Pipeline {
+class Bootstrap::HelloResults::Pipeline
+{
 public:
-  typedef HelloResults Pipelines;
+    typedef HelloResults Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline ::cicadafork::wire::Peer::Client getPeer();
 
-  inline  ::cicadafork::wire::Peer::Client getPeer();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
+class Peer::Client : public virtual ::capnp::Capability::Client
+{
 public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::cicadafork::wire::Peer::HeartbeatParams,  ::cicadafork::wire::Peer::HeartbeatResults> heartbeatRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadafork::wire::Peer::PushConfigParams,  ::cicadafork::wire::Peer::PushConfigResults> pushConfigRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadafork::wire::Peer::PullConfigParams,  ::cicadafork::wire::Peer::PullConfigResults> pullConfigRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadafork::wire::Peer::ClaimParams,  ::cicadafork::wire::Peer::ClaimResults> claimRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadafork::wire::Peer::NoteStreamParams,  ::cicadafork::wire::Peer::NoteStreamResults> noteStreamRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadafork::wire::Peer::FindStreamParams,  ::cicadafork::wire::Peer::FindStreamResults> findStreamRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadafork::wire::Peer::RunQueryParams,  ::cicadafork::wire::Peer::RunQueryResults> runQueryRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadafork::wire::Peer::DumpParams,  ::cicadafork::wire::Peer::DumpResults> dumpRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+    typedef Peer Calls;
+    typedef Peer Reads;
+
+    Client(decltype(nullptr));
+    explicit Client(::kj::Own<::capnp::ClientHook> &&hook);
+    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Server *>()>>
+    Client(::kj::Own<_t> &&server);
+    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Client *>()>>
+    Client(::kj::Promise<_t> &&promise);
+    Client(::kj::Exception &&exception);
+    Client(Client &) = default;
+    Client(Client &&) = default;
+    Client &operator=(Client &other);
+    Client &operator=(Client &&other);
+
+    ::capnp::Request<::cicadafork::wire::Peer::HeartbeatParams,
+                     ::cicadafork::wire::Peer::HeartbeatResults>
+    heartbeatRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::cicadafork::wire::Peer::PushConfigParams,
+                     ::cicadafork::wire::Peer::PushConfigResults>
+    pushConfigRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::cicadafork::wire::Peer::PullConfigParams,
+                     ::cicadafork::wire::Peer::PullConfigResults>
+    pullConfigRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::cicadafork::wire::Peer::ClaimParams, ::cicadafork::wire::Peer::ClaimResults>
+    claimRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::cicadafork::wire::Peer::NoteStreamParams,
+                     ::cicadafork::wire::Peer::NoteStreamResults>
+    noteStreamRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::cicadafork::wire::Peer::FindStreamParams,
+                     ::cicadafork::wire::Peer::FindStreamResults>
+    findStreamRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::cicadafork::wire::Peer::RunQueryParams,
+                     ::cicadafork::wire::Peer::RunQueryResults>
+    runQueryRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::cicadafork::wire::Peer::DumpParams, ::cicadafork::wire::Peer::DumpResults>
+    dumpRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
-  Client() = default;
+    Client() = default;
 };
 
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
+class Peer::Server : public virtual ::capnp::Capability::Server
+{
 public:
-  typedef Peer Serves;
+    typedef Peer Serves;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCall(uint64_t interfaceId, uint16_t methodId,
+                 ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
 
 protected:
-  typedef  ::cicadafork::wire::Peer::HeartbeatParams HeartbeatParams;
-  typedef  ::cicadafork::wire::Peer::HeartbeatResults HeartbeatResults;
-  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
-  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
-  typedef  ::cicadafork::wire::Peer::PushConfigParams PushConfigParams;
-  typedef  ::cicadafork::wire::Peer::PushConfigResults PushConfigResults;
-  typedef ::capnp::CallContext<PushConfigParams, PushConfigResults> PushConfigContext;
-  virtual ::kj::Promise<void> pushConfig(PushConfigContext context);
-  typedef  ::cicadafork::wire::Peer::PullConfigParams PullConfigParams;
-  typedef  ::cicadafork::wire::Peer::PullConfigResults PullConfigResults;
-  typedef ::capnp::CallContext<PullConfigParams, PullConfigResults> PullConfigContext;
-  virtual ::kj::Promise<void> pullConfig(PullConfigContext context);
-  typedef  ::cicadafork::wire::Peer::ClaimParams ClaimParams;
-  typedef  ::cicadafork::wire::Peer::ClaimResults ClaimResults;
-  typedef ::capnp::CallContext<ClaimParams, ClaimResults> ClaimContext;
-  virtual ::kj::Promise<void> claim(ClaimContext context);
-  typedef  ::cicadafork::wire::Peer::NoteStreamParams NoteStreamParams;
-  typedef  ::cicadafork::wire::Peer::NoteStreamResults NoteStreamResults;
-  typedef ::capnp::CallContext<NoteStreamParams, NoteStreamResults> NoteStreamContext;
-  virtual ::kj::Promise<void> noteStream(NoteStreamContext context);
-  typedef  ::cicadafork::wire::Peer::FindStreamParams FindStreamParams;
-  typedef  ::cicadafork::wire::Peer::FindStreamResults FindStreamResults;
-  typedef ::capnp::CallContext<FindStreamParams, FindStreamResults> FindStreamContext;
-  virtual ::kj::Promise<void> findStream(FindStreamContext context);
-  typedef  ::cicadafork::wire::Peer::RunQueryParams RunQueryParams;
-  typedef  ::cicadafork::wire::Peer::RunQueryResults RunQueryResults;
-  typedef ::capnp::CallContext<RunQueryParams, RunQueryResults> RunQueryContext;
-  virtual ::kj::Promise<void> runQuery(RunQueryContext context);
-  typedef  ::cicadafork::wire::Peer::DumpParams DumpParams;
-  typedef  ::cicadafork::wire::Peer::DumpResults DumpResults;
-  typedef ::capnp::CallContext<DumpParams, DumpResults> DumpContext;
-  virtual ::kj::Promise<void> dump(DumpContext context);
-
-  inline  ::cicadafork::wire::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::cicadafork::wire::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+    typedef ::cicadafork::wire::Peer::HeartbeatParams HeartbeatParams;
+    typedef ::cicadafork::wire::Peer::HeartbeatResults HeartbeatResults;
+    typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
+    virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
+    typedef ::cicadafork::wire::Peer::PushConfigParams PushConfigParams;
+    typedef ::cicadafork::wire::Peer::PushConfigResults PushConfigResults;
+    typedef ::capnp::CallContext<PushConfigParams, PushConfigResults> PushConfigContext;
+    virtual ::kj::Promise<void> pushConfig(PushConfigContext context);
+    typedef ::cicadafork::wire::Peer::PullConfigParams PullConfigParams;
+    typedef ::cicadafork::wire::Peer::PullConfigResults PullConfigResults;
+    typedef ::capnp::CallContext<PullConfigParams, PullConfigResults> PullConfigContext;
+    virtual ::kj::Promise<void> pullConfig(PullConfigContext context);
+    typedef ::cicadafork::wire::Peer::ClaimParams ClaimParams;
+    typedef ::cicadafork::wire::Peer::ClaimResults ClaimResults;
+    typedef ::capnp::CallContext<ClaimParams, ClaimResults> ClaimContext;
+    virtual ::kj::Promise<void> claim(ClaimContext context);
+    typedef ::cicadafork::wire::Peer::NoteStreamParams NoteStreamParams;
+    typedef ::cicadafork::wire::Peer::NoteStreamResults NoteStreamResults;
+    typedef ::capnp::CallContext<NoteStreamParams, NoteStreamResults> NoteStreamContext;
+    virtual ::kj::Promise<void> noteStream(NoteStreamContext context);
+    typedef ::cicadafork::wire::Peer::FindStreamParams FindStreamParams;
+    typedef ::cicadafork::wire::Peer::FindStreamResults FindStreamResults;
+    typedef ::capnp::CallContext<FindStreamParams, FindStreamResults> FindStreamContext;
+    virtual ::kj::Promise<void> findStream(FindStreamContext context);
+    typedef ::cicadafork::wire::Peer::RunQueryParams RunQueryParams;
+    typedef ::cicadafork::wire::Peer::RunQueryResults RunQueryResults;
+    typedef ::capnp::CallContext<RunQueryParams, RunQueryResults> RunQueryContext;
+    virtual ::kj::Promise<void> runQuery(RunQueryContext context);
+    typedef ::cicadafork::wire::Peer::DumpParams DumpParams;
+    typedef ::cicadafork::wire::Peer::DumpResults DumpResults;
+    typedef ::capnp::CallContext<DumpParams, DumpResults> DumpContext;
+    virtual ::kj::Promise<void> dump(DumpContext context);
+
+    inline ::cicadafork::wire::Peer::Client thisCap()
+    {
+        return ::capnp::Capability::Server::thisCap().template castAs<::cicadafork::wire::Peer>();
+    }
+
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCallInternal(uint16_t methodId,
+                         ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::HeartbeatParams::Reader {
+class Peer::HeartbeatParams::Reader
+{
 public:
-  typedef HeartbeatParams Reads;
+    typedef HeartbeatParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasDigest() const;
-  inline  ::cicadafork::wire::Digest::Reader getDigest() const;
+    inline bool hasDigest() const;
+    inline ::cicadafork::wire::Digest::Reader getDigest() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatParams::Builder {
+class Peer::HeartbeatParams::Builder
+{
 public:
-  typedef HeartbeatParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef HeartbeatParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasDigest();
-  inline  ::cicadafork::wire::Digest::Builder getDigest();
-  inline void setDigest( ::cicadafork::wire::Digest::Reader value);
-  inline  ::cicadafork::wire::Digest::Builder initDigest();
-  inline void adoptDigest(::capnp::Orphan< ::cicadafork::wire::Digest>&& value);
-  inline ::capnp::Orphan< ::cicadafork::wire::Digest> disownDigest();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasDigest();
+    inline ::cicadafork::wire::Digest::Builder getDigest();
+    inline void setDigest(::cicadafork::wire::Digest::Reader value);
+    inline ::cicadafork::wire::Digest::Builder initDigest();
+    inline void adoptDigest(::capnp::Orphan<::cicadafork::wire::Digest> &&value);
+    inline ::capnp::Orphan<::cicadafork::wire::Digest> disownDigest();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatParams::Pipeline {
+class Peer::HeartbeatParams::Pipeline
+{
 public:
-  typedef HeartbeatParams Pipelines;
+    typedef HeartbeatParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+    inline ::cicadafork::wire::Digest::Pipeline getDigest();
 
-  inline  ::cicadafork::wire::Digest::Pipeline getDigest();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::HeartbeatResults::Reader {
+class Peer::HeartbeatResults::Reader
+{
 public:
-  typedef HeartbeatResults Reads;
+    typedef HeartbeatResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::cicadafork::wire::DigestReply::Reader getReply() const;
+    inline bool hasReply() const;
+    inline ::cicadafork::wire::DigestReply::Reader getReply() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatResults::Builder {
+class Peer::HeartbeatResults::Builder
+{
 public:
-  typedef HeartbeatResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef HeartbeatResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasReply();
-  inline  ::cicadafork::wire::DigestReply::Builder getReply();
-  inline void setReply( ::cicadafork::wire::DigestReply::Reader value);
-  inline  ::cicadafork::wire::DigestReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::cicadafork::wire::DigestReply>&& value);
-  inline ::capnp::Orphan< ::cicadafork::wire::DigestReply> disownReply();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasReply();
+    inline ::cicadafork::wire::DigestReply::Builder getReply();
+    inline void setReply(::cicadafork::wire::DigestReply::Reader value);
+    inline ::cicadafork::wire::DigestReply::Builder initReply();
+    inline void adoptReply(::capnp::Orphan<::cicadafork::wire::DigestReply> &&value);
+    inline ::capnp::Orphan<::cicadafork::wire::DigestReply> disownReply();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatResults::Pipeline {
+class Peer::HeartbeatResults::Pipeline
+{
 public:
-  typedef HeartbeatResults Pipelines;
+    typedef HeartbeatResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+    inline ::cicadafork::wire::DigestReply::Pipeline getReply();
 
-  inline  ::cicadafork::wire::DigestReply::Pipeline getReply();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::PushConfigParams::Reader {
+class Peer::PushConfigParams::Reader
+{
 public:
-  typedef PushConfigParams Reads;
+    typedef PushConfigParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasUpdate() const;
-  inline  ::capnp::Text::Reader getUpdate() const;
+    inline bool hasUpdate() const;
+    inline ::capnp::Text::Reader getUpdate() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::PushConfigParams::Builder {
+class Peer::PushConfigParams::Builder
+{
 public:
-  typedef PushConfigParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef PushConfigParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasUpdate();
-  inline  ::capnp::Text::Builder getUpdate();
-  inline void setUpdate( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initUpdate(unsigned int size);
-  inline void adoptUpdate(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownUpdate();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasUpdate();
+    inline ::capnp::Text::Builder getUpdate();
+    inline void setUpdate(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initUpdate(unsigned int size);
+    inline void adoptUpdate(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownUpdate();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::PushConfigParams::Pipeline {
+class Peer::PushConfigParams::Pipeline
+{
 public:
-  typedef PushConfigParams Pipelines;
+    typedef PushConfigParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::PushConfigResults::Reader {
+class Peer::PushConfigResults::Reader
+{
 public:
-  typedef PushConfigResults Reads;
+    typedef PushConfigResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getNextOffset() const;
+    inline ::uint64_t getNextOffset() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::PushConfigResults::Builder {
+class Peer::PushConfigResults::Builder
+{
 public:
-  typedef PushConfigResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef PushConfigResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getNextOffset();
-  inline void setNextOffset( ::uint64_t value);
+    inline ::uint64_t getNextOffset();
+    inline void setNextOffset(::uint64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::PushConfigResults::Pipeline {
+class Peer::PushConfigResults::Pipeline
+{
 public:
-  typedef PushConfigResults Pipelines;
+    typedef PushConfigResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::PullConfigParams::Reader {
+class Peer::PullConfigParams::Reader
+{
 public:
-  typedef PullConfigParams Reads;
+    typedef PullConfigParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getFrom() const;
+    inline ::uint64_t getFrom() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::PullConfigParams::Builder {
+class Peer::PullConfigParams::Builder
+{
 public:
-  typedef PullConfigParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef PullConfigParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getFrom();
-  inline void setFrom( ::uint64_t value);
+    inline ::uint64_t getFrom();
+    inline void setFrom(::uint64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::PullConfigParams::Pipeline {
+class Peer::PullConfigParams::Pipeline
+{
 public:
-  typedef PullConfigParams Pipelines;
+    typedef PullConfigParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::PullConfigResults::Reader {
+class Peer::PullConfigResults::Reader
+{
 public:
-  typedef PullConfigResults Reads;
+    typedef PullConfigResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasUpdate() const;
-  inline  ::capnp::Text::Reader getUpdate() const;
+    inline bool hasUpdate() const;
+    inline ::capnp::Text::Reader getUpdate() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::PullConfigResults::Builder {
+class Peer::PullConfigResults::Builder
+{
 public:
-  typedef PullConfigResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef PullConfigResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasUpdate();
-  inline  ::capnp::Text::Builder getUpdate();
-  inline void setUpdate( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initUpdate(unsigned int size);
-  inline void adoptUpdate(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownUpdate();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasUpdate();
+    inline ::capnp::Text::Builder getUpdate();
+    inline void setUpdate(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initUpdate(unsigned int size);
+    inline void adoptUpdate(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownUpdate();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::PullConfigResults::Pipeline {
+class Peer::PullConfigResults::Pipeline
+{
 public:
-  typedef PullConfigResults Pipelines;
+    typedef PullConfigResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::ClaimParams::Reader {
+class Peer::ClaimParams::Reader
+{
 public:
-  typedef ClaimParams Reads;
+    typedef ClaimParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasBatch() const;
-  inline  ::capnp::Data::Reader getBatch() const;
+    inline bool hasBatch() const;
+    inline ::capnp::Data::Reader getBatch() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::ClaimParams::Builder {
+class Peer::ClaimParams::Builder
+{
 public:
-  typedef ClaimParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef ClaimParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasBatch();
-  inline  ::capnp::Data::Builder getBatch();
-  inline void setBatch( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBatch(unsigned int size);
-  inline void adoptBatch(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBatch();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasBatch();
+    inline ::capnp::Data::Builder getBatch();
+    inline void setBatch(::capnp::Data::Reader value);
+    inline ::capnp::Data::Builder initBatch(unsigned int size);
+    inline void adoptBatch(::capnp::Orphan<::capnp::Data> &&value);
+    inline ::capnp::Orphan<::capnp::Data> disownBatch();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::ClaimParams::Pipeline {
+class Peer::ClaimParams::Pipeline
+{
 public:
-  typedef ClaimParams Pipelines;
+    typedef ClaimParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::ClaimResults::Reader {
+class Peer::ClaimResults::Reader
+{
 public:
-  typedef ClaimResults Reads;
+    typedef ClaimResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasOutcome() const;
-  inline  ::cicadafork::wire::Outcome::Reader getOutcome() const;
+    inline bool hasOutcome() const;
+    inline ::cicadafork::wire::Outcome::Reader getOutcome() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::ClaimResults::Builder {
+class Peer::ClaimResults::Builder
+{
 public:
-  typedef ClaimResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef ClaimResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasOutcome();
-  inline  ::cicadafork::wire::Outcome::Builder getOutcome();
-  inline void setOutcome( ::cicadafork::wire::Outcome::Reader value);
-  inline  ::cicadafork::wire::Outcome::Builder initOutcome();
-  inline void adoptOutcome(::capnp::Orphan< ::cicadafork::wire::Outcome>&& value);
-  inline ::capnp::Orphan< ::cicadafork::wire::Outcome> disownOutcome();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasOutcome();
+    inline ::cicadafork::wire::Outcome::Builder getOutcome();
+    inline void setOutcome(::cicadafork::wire::Outcome::Reader value);
+    inline ::cicadafork::wire::Outcome::Builder initOutcome();
+    inline void adoptOutcome(::capnp::Orphan<::cicadafork::wire::Outcome> &&value);
+    inline ::capnp::Orphan<::cicadafork::wire::Outcome> disownOutcome();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::ClaimResults::Pipeline {
+class Peer::ClaimResults::Pipeline
+{
 public:
-  typedef ClaimResults Pipelines;
+    typedef ClaimResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+    inline ::cicadafork::wire::Outcome::Pipeline getOutcome();
 
-  inline  ::cicadafork::wire::Outcome::Pipeline getOutcome();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::NoteStreamParams::Reader {
+class Peer::NoteStreamParams::Reader
+{
 public:
-  typedef NoteStreamParams Reads;
+    typedef NoteStreamParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
+    inline bool hasRequestId() const;
+    inline ::capnp::Text::Reader getRequestId() const;
 
-  inline bool hasEndpointId() const;
-  inline  ::capnp::Text::Reader getEndpointId() const;
+    inline bool hasEndpointId() const;
+    inline ::capnp::Text::Reader getEndpointId() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::NoteStreamParams::Builder {
+class Peer::NoteStreamParams::Builder
+{
 public:
-  typedef NoteStreamParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef NoteStreamParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
-
-  inline bool hasEndpointId();
-  inline  ::capnp::Text::Builder getEndpointId();
-  inline void setEndpointId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpointId(unsigned int size);
-  inline void adoptEndpointId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpointId();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasRequestId();
+    inline ::capnp::Text::Builder getRequestId();
+    inline void setRequestId(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initRequestId(unsigned int size);
+    inline void adoptRequestId(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownRequestId();
+
+    inline bool hasEndpointId();
+    inline ::capnp::Text::Builder getEndpointId();
+    inline void setEndpointId(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initEndpointId(unsigned int size);
+    inline void adoptEndpointId(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownEndpointId();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::NoteStreamParams::Pipeline {
+class Peer::NoteStreamParams::Pipeline
+{
 public:
-  typedef NoteStreamParams Pipelines;
+    typedef NoteStreamParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::NoteStreamResults::Reader {
+class Peer::NoteStreamResults::Reader
+{
 public:
-  typedef NoteStreamResults Reads;
+    typedef NoteStreamResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::NoteStreamResults::Builder {
+class Peer::NoteStreamResults::Builder
+{
 public:
-  typedef NoteStreamResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef NoteStreamResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::NoteStreamResults::Pipeline {
+class Peer::NoteStreamResults::Pipeline
+{
 public:
-  typedef NoteStreamResults Pipelines;
+    typedef NoteStreamResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::FindStreamParams::Reader {
+class Peer::FindStreamParams::Reader
+{
 public:
-  typedef FindStreamParams Reads;
+    typedef FindStreamParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
+    inline bool hasRequestId() const;
+    inline ::capnp::Text::Reader getRequestId() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::FindStreamParams::Builder {
+class Peer::FindStreamParams::Builder
+{
 public:
-  typedef FindStreamParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef FindStreamParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasRequestId();
+    inline ::capnp::Text::Builder getRequestId();
+    inline void setRequestId(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initRequestId(unsigned int size);
+    inline void adoptRequestId(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownRequestId();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::FindStreamParams::Pipeline {
+class Peer::FindStreamParams::Pipeline
+{
 public:
-  typedef FindStreamParams Pipelines;
+    typedef FindStreamParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::FindStreamResults::Reader {
+class Peer::FindStreamResults::Reader
+{
 public:
-  typedef FindStreamResults Reads;
+    typedef FindStreamResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasEndpointId() const;
-  inline  ::capnp::Text::Reader getEndpointId() const;
+    inline bool hasEndpointId() const;
+    inline ::capnp::Text::Reader getEndpointId() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::FindStreamResults::Builder {
+class Peer::FindStreamResults::Builder
+{
 public:
-  typedef FindStreamResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef FindStreamResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasEndpointId();
-  inline  ::capnp::Text::Builder getEndpointId();
-  inline void setEndpointId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpointId(unsigned int size);
-  inline void adoptEndpointId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpointId();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasEndpointId();
+    inline ::capnp::Text::Builder getEndpointId();
+    inline void setEndpointId(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initEndpointId(unsigned int size);
+    inline void adoptEndpointId(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownEndpointId();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::FindStreamResults::Pipeline {
+class Peer::FindStreamResults::Pipeline
+{
 public:
-  typedef FindStreamResults Pipelines;
+    typedef FindStreamResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::RunQueryParams::Reader {
+class Peer::RunQueryParams::Reader
+{
 public:
-  typedef RunQueryParams Reads;
+    typedef RunQueryParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasText() const;
-  inline  ::capnp::Text::Reader getText() const;
+    inline bool hasText() const;
+    inline ::capnp::Text::Reader getText() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::RunQueryParams::Builder {
+class Peer::RunQueryParams::Builder
+{
 public:
-  typedef RunQueryParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef RunQueryParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasText();
-  inline  ::capnp::Text::Builder getText();
-  inline void setText( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownText();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasText();
+    inline ::capnp::Text::Builder getText();
+    inline void setText(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initText(unsigned int size);
+    inline void adoptText(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownText();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::RunQueryParams::Pipeline {
+class Peer::RunQueryParams::Pipeline
+{
 public:
-  typedef RunQueryParams Pipelines;
+    typedef RunQueryParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::RunQueryResults::Reader {
+class Peer::RunQueryResults::Reader
+{
 public:
-  typedef RunQueryResults Reads;
+    typedef RunQueryResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasOutcome() const;
-  inline  ::cicadafork::wire::Outcome::Reader getOutcome() const;
+    inline bool hasOutcome() const;
+    inline ::cicadafork::wire::Outcome::Reader getOutcome() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::RunQueryResults::Builder {
+class Peer::RunQueryResults::Builder
+{
 public:
-  typedef RunQueryResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef RunQueryResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasOutcome();
-  inline  ::cicadafork::wire::Outcome::Builder getOutcome();
-  inline void setOutcome( ::cicadafork::wire::Outcome::Reader value);
-  inline  ::cicadafork::wire::Outcome::Builder initOutcome();
-  inline void adoptOutcome(::capnp::Orphan< ::cicadafork::wire::Outcome>&& value);
-  inline ::capnp::Orphan< ::cicadafork::wire::Outcome> disownOutcome();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasOutcome();
+    inline ::cicadafork::wire::Outcome::Builder getOutcome();
+    inline void setOutcome(::cicadafork::wire::Outcome::Reader value);
+    inline ::cicadafork::wire::Outcome::Builder initOutcome();
+    inline void adoptOutcome(::capnp::Orphan<::cicadafork::wire::Outcome> &&value);
+    inline ::capnp::Orphan<::cicadafork::wire::Outcome> disownOutcome();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::RunQueryResults::Pipeline {
+class Peer::RunQueryResults::Pipeline
+{
 public:
-  typedef RunQueryResults Pipelines;
+    typedef RunQueryResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+    inline ::cicadafork::wire::Outcome::Pipeline getOutcome();
 
-  inline  ::cicadafork::wire::Outcome::Pipeline getOutcome();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::DumpParams::Reader {
+class Peer::DumpParams::Reader
+{
 public:
-  typedef DumpParams Reads;
+    typedef DumpParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::DumpParams::Builder {
+class Peer::DumpParams::Builder
+{
 public:
-  typedef DumpParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef DumpParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::DumpParams::Pipeline {
+class Peer::DumpParams::Pipeline
+{
 public:
-  typedef DumpParams Pipelines;
+    typedef DumpParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::DumpResults::Reader {
+class Peer::DumpResults::Reader
+{
 public:
-  typedef DumpResults Reads;
+    typedef DumpResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasOutcome() const;
-  inline  ::cicadafork::wire::Outcome::Reader getOutcome() const;
+    inline bool hasOutcome() const;
+    inline ::cicadafork::wire::Outcome::Reader getOutcome() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::DumpResults::Builder {
+class Peer::DumpResults::Builder
+{
 public:
-  typedef DumpResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef DumpResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasOutcome();
-  inline  ::cicadafork::wire::Outcome::Builder getOutcome();
-  inline void setOutcome( ::cicadafork::wire::Outcome::Reader value);
-  inline  ::cicadafork::wire::Outcome::Builder initOutcome();
-  inline void adoptOutcome(::capnp::Orphan< ::cicadafork::wire::Outcome>&& value);
-  inline ::capnp::Orphan< ::cicadafork::wire::Outcome> disownOutcome();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasOutcome();
+    inline ::cicadafork::wire::Outcome::Builder getOutcome();
+    inline void setOutcome(::cicadafork::wire::Outcome::Reader value);
+    inline ::cicadafork::wire::Outcome::Builder initOutcome();
+    inline void adoptOutcome(::capnp::Orphan<::cicadafork::wire::Outcome> &&value);
+    inline ::capnp::Orphan<::cicadafork::wire::Outcome> disownOutcome();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::DumpResults::Pipeline {
+class Peer::DumpResults::Pipeline
+{
 public:
-  typedef DumpResults Pipelines;
+    typedef DumpResults Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline ::cicadafork::wire::Outcome::Pipeline getOutcome();
 
-  inline  ::cicadafork::wire::Outcome::Pipeline getOutcome();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Outcome::Reader {
+class Outcome::Reader
+{
 public:
-  typedef Outcome Reads;
+    typedef Outcome Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isValue() const;
-  inline bool hasValue() const;
-  inline  ::capnp::Data::Reader getValue() const;
+    inline Which which() const;
+    inline bool isValue() const;
+    inline bool hasValue() const;
+    inline ::capnp::Data::Reader getValue() const;
 
-  inline bool isError() const;
-  inline bool hasError() const;
-  inline  ::cicadafork::wire::Error::Reader getError() const;
+    inline bool isError() const;
+    inline bool hasError() const;
+    inline ::cicadafork::wire::Error::Reader getError() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Outcome::Builder {
+class Outcome::Builder
+{
 public:
-  typedef Outcome Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Outcome Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline Which which();
-  inline bool isValue();
-  inline bool hasValue();
-  inline  ::capnp::Data::Builder getValue();
-  inline void setValue( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownValue();
-
-  inline bool isError();
-  inline bool hasError();
-  inline  ::cicadafork::wire::Error::Builder getError();
-  inline void setError( ::cicadafork::wire::Error::Reader value);
-  inline  ::cicadafork::wire::Error::Builder initError();
-  inline void adoptError(::capnp::Orphan< ::cicadafork::wire::Error>&& value);
-  inline ::capnp::Orphan< ::cicadafork::wire::Error> disownError();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline Which which();
+    inline bool isValue();
+    inline bool hasValue();
+    inline ::capnp::Data::Builder getValue();
+    inline void setValue(::capnp::Data::Reader value);
+    inline ::capnp::Data::Builder initValue(unsigned int size);
+    inline void adoptValue(::capnp::Orphan<::capnp::Data> &&value);
+    inline ::capnp::Orphan<::capnp::Data> disownValue();
+
+    inline bool isError();
+    inline bool hasError();
+    inline ::cicadafork::wire::Error::Builder getError();
+    inline void setError(::cicadafork::wire::Error::Reader value);
+    inline ::cicadafork::wire::Error::Builder initError();
+    inline void adoptError(::capnp::Orphan<::cicadafork::wire::Error> &&value);
+    inline ::capnp::Orphan<::cicadafork::wire::Error> disownError();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Outcome::Pipeline {
+class Outcome::Pipeline
+{
 public:
-  typedef Outcome Pipelines;
+    typedef Outcome Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Error::Reader {
+class Error::Reader
+{
 public:
-  typedef Error Reads;
+    typedef Error Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint16_t getCode() const;
+    inline ::uint16_t getCode() const;
 
-  inline bool hasMessage() const;
-  inline  ::capnp::Text::Reader getMessage() const;
+    inline bool hasMessage() const;
+    inline ::capnp::Text::Reader getMessage() const;
 
-  inline bool hasRemedy() const;
-  inline  ::capnp::Text::Reader getRemedy() const;
+    inline bool hasRemedy() const;
+    inline ::capnp::Text::Reader getRemedy() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Error::Builder {
+class Error::Builder
+{
 public:
-  typedef Error Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Error Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint16_t getCode();
-  inline void setCode( ::uint16_t value);
-
-  inline bool hasMessage();
-  inline  ::capnp::Text::Builder getMessage();
-  inline void setMessage( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMessage(unsigned int size);
-  inline void adoptMessage(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMessage();
-
-  inline bool hasRemedy();
-  inline  ::capnp::Text::Builder getRemedy();
-  inline void setRemedy( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRemedy(unsigned int size);
-  inline void adoptRemedy(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRemedy();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint16_t getCode();
+    inline void setCode(::uint16_t value);
+
+    inline bool hasMessage();
+    inline ::capnp::Text::Builder getMessage();
+    inline void setMessage(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initMessage(unsigned int size);
+    inline void adoptMessage(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownMessage();
+
+    inline bool hasRemedy();
+    inline ::capnp::Text::Builder getRemedy();
+    inline void setRemedy(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initRemedy(unsigned int size);
+    inline void adoptRemedy(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownRemedy();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Error::Pipeline {
+class Error::Pipeline
+{
 public:
-  typedef Error Pipelines;
+    typedef Error Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class EndpointStatus::Reader {
+class EndpointStatus::Reader
+{
 public:
-  typedef EndpointStatus Reads;
+    typedef EndpointStatus Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasIncarnation() const;
-  inline  ::capnp::Text::Reader getIncarnation() const;
+    inline bool hasIncarnation() const;
+    inline ::capnp::Text::Reader getIncarnation() const;
 
-  inline bool getLeaving() const;
+    inline bool getLeaving() const;
 
-  inline bool hasRole() const;
-  inline  ::capnp::Text::Reader getRole() const;
+    inline bool hasRole() const;
+    inline ::capnp::Text::Reader getRole() const;
 
-  inline bool hasModels() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getModels() const;
+    inline bool hasModels() const;
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getModels() const;
 
-  inline  ::uint32_t getRunning() const;
+    inline ::uint32_t getRunning() const;
 
-  inline  ::uint32_t getWaiting() const;
+    inline ::uint32_t getWaiting() const;
 
-  inline  ::uint64_t getWaitingTokens() const;
+    inline ::uint64_t getWaitingTokens() const;
 
-  inline  ::uint64_t getKvUsedTokens() const;
+    inline ::uint64_t getKvUsedTokens() const;
 
-  inline  ::uint64_t getKvCapacityTokens() const;
+    inline ::uint64_t getKvCapacityTokens() const;
 
-  inline  ::int64_t getReportedAtMs() const;
+    inline ::int64_t getReportedAtMs() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class EndpointStatus::Builder {
+class EndpointStatus::Builder
+{
 public:
-  typedef EndpointStatus Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef EndpointStatus Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasIncarnation();
-  inline  ::capnp::Text::Builder getIncarnation();
-  inline void setIncarnation( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
-  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
-
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
-
-  inline bool hasRole();
-  inline  ::capnp::Text::Builder getRole();
-  inline void setRole( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRole(unsigned int size);
-  inline void adoptRole(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRole();
-
-  inline bool hasModels();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getModels();
-  inline void setModels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setModels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initModels(unsigned int size);
-  inline void adoptModels(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownModels();
-
-  inline  ::uint32_t getRunning();
-  inline void setRunning( ::uint32_t value);
-
-  inline  ::uint32_t getWaiting();
-  inline void setWaiting( ::uint32_t value);
-
-  inline  ::uint64_t getWaitingTokens();
-  inline void setWaitingTokens( ::uint64_t value);
-
-  inline  ::uint64_t getKvUsedTokens();
-  inline void setKvUsedTokens( ::uint64_t value);
-
-  inline  ::uint64_t getKvCapacityTokens();
-  inline void setKvCapacityTokens( ::uint64_t value);
-
-  inline  ::int64_t getReportedAtMs();
-  inline void setReportedAtMs( ::int64_t value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasIncarnation();
+    inline ::capnp::Text::Builder getIncarnation();
+    inline void setIncarnation(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initIncarnation(unsigned int size);
+    inline void adoptIncarnation(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownIncarnation();
+
+    inline bool getLeaving();
+    inline void setLeaving(bool value);
+
+    inline bool hasRole();
+    inline ::capnp::Text::Builder getRole();
+    inline void setRole(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initRole(unsigned int size);
+    inline void adoptRole(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownRole();
+
+    inline bool hasModels();
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getModels();
+    inline void setModels(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+    inline void setModels(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initModels(unsigned int size);
+    inline void
+    adoptModels(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownModels();
+
+    inline ::uint32_t getRunning();
+    inline void setRunning(::uint32_t value);
+
+    inline ::uint32_t getWaiting();
+    inline void setWaiting(::uint32_t value);
+
+    inline ::uint64_t getWaitingTokens();
+    inline void setWaitingTokens(::uint64_t value);
+
+    inline ::uint64_t getKvUsedTokens();
+    inline void setKvUsedTokens(::uint64_t value);
+
+    inline ::uint64_t getKvCapacityTokens();
+    inline void setKvCapacityTokens(::uint64_t value);
+
+    inline ::int64_t getReportedAtMs();
+    inline void setReportedAtMs(::int64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class EndpointStatus::Pipeline {
+class EndpointStatus::Pipeline
+{
 public:
-  typedef EndpointStatus Pipelines;
+    typedef EndpointStatus Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class EndpointReport::Reader {
+class EndpointReport::Reader
+{
 public:
-  typedef EndpointReport Reads;
+    typedef EndpointReport Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasEndpointId() const;
-  inline  ::capnp::Text::Reader getEndpointId() const;
+    inline bool hasEndpointId() const;
+    inline ::capnp::Text::Reader getEndpointId() const;
 
-  inline  ::uint32_t getAgeMs() const;
+    inline ::uint32_t getAgeMs() const;
 
-  inline bool hasStatus() const;
-  inline  ::cicadafork::wire::EndpointStatus::Reader getStatus() const;
+    inline bool hasStatus() const;
+    inline ::cicadafork::wire::EndpointStatus::Reader getStatus() const;
 
-  inline bool getBrief() const;
+    inline bool getBrief() const;
 
-  inline  ::uint64_t getDetailsHash() const;
+    inline ::uint64_t getDetailsHash() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class EndpointReport::Builder {
+class EndpointReport::Builder
+{
 public:
-  typedef EndpointReport Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef EndpointReport Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasEndpointId();
-  inline  ::capnp::Text::Builder getEndpointId();
-  inline void setEndpointId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpointId(unsigned int size);
-  inline void adoptEndpointId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpointId();
-
-  inline  ::uint32_t getAgeMs();
-  inline void setAgeMs( ::uint32_t value);
-
-  inline bool hasStatus();
-  inline  ::cicadafork::wire::EndpointStatus::Builder getStatus();
-  inline void setStatus( ::cicadafork::wire::EndpointStatus::Reader value);
-  inline  ::cicadafork::wire::EndpointStatus::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::cicadafork::wire::EndpointStatus>&& value);
-  inline ::capnp::Orphan< ::cicadafork::wire::EndpointStatus> disownStatus();
-
-  inline bool getBrief();
-  inline void setBrief(bool value);
-
-  inline  ::uint64_t getDetailsHash();
-  inline void setDetailsHash( ::uint64_t value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasEndpointId();
+    inline ::capnp::Text::Builder getEndpointId();
+    inline void setEndpointId(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initEndpointId(unsigned int size);
+    inline void adoptEndpointId(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownEndpointId();
+
+    inline ::uint32_t getAgeMs();
+    inline void setAgeMs(::uint32_t value);
+
+    inline bool hasStatus();
+    inline ::cicadafork::wire::EndpointStatus::Builder getStatus();
+    inline void setStatus(::cicadafork::wire::EndpointStatus::Reader value);
+    inline ::cicadafork::wire::EndpointStatus::Builder initStatus();
+    inline void adoptStatus(::capnp::Orphan<::cicadafork::wire::EndpointStatus> &&value);
+    inline ::capnp::Orphan<::cicadafork::wire::EndpointStatus> disownStatus();
+
+    inline bool getBrief();
+    inline void setBrief(bool value);
+
+    inline ::uint64_t getDetailsHash();
+    inline void setDetailsHash(::uint64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class EndpointReport::Pipeline {
+class EndpointReport::Pipeline
+{
 public:
-  typedef EndpointReport Pipelines;
+    typedef EndpointReport Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline ::cicadafork::wire::EndpointStatus::Pipeline getStatus();
 
-  inline  ::cicadafork::wire::EndpointStatus::Pipeline getStatus();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class SentLoad::Reader {
+class SentLoad::Reader
+{
 public:
-  typedef SentLoad Reads;
+    typedef SentLoad Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasEndpointId() const;
-  inline  ::capnp::Text::Reader getEndpointId() const;
+    inline bool hasEndpointId() const;
+    inline ::capnp::Text::Reader getEndpointId() const;
 
-  inline  ::uint32_t getRequests() const;
+    inline ::uint32_t getRequests() const;
 
-  inline  ::uint64_t getTokens() const;
+    inline ::uint64_t getTokens() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class SentLoad::Builder {
+class SentLoad::Builder
+{
 public:
-  typedef SentLoad Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef SentLoad Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasEndpointId();
-  inline  ::capnp::Text::Builder getEndpointId();
-  inline void setEndpointId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpointId(unsigned int size);
-  inline void adoptEndpointId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpointId();
+    inline bool hasEndpointId();
+    inline ::capnp::Text::Builder getEndpointId();
+    inline void setEndpointId(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initEndpointId(unsigned int size);
+    inline void adoptEndpointId(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownEndpointId();
 
-  inline  ::uint32_t getRequests();
-  inline void setRequests( ::uint32_t value);
+    inline ::uint32_t getRequests();
+    inline void setRequests(::uint32_t value);
 
-  inline  ::uint64_t getTokens();
-  inline void setTokens( ::uint64_t value);
+    inline ::uint64_t getTokens();
+    inline void setTokens(::uint64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SentLoad::Pipeline {
+class SentLoad::Pipeline
+{
 public:
-  typedef SentLoad Pipelines;
+    typedef SentLoad Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class MemberSummary::Reader {
+class MemberSummary::Reader
+{
 public:
-  typedef MemberSummary Reads;
+    typedef MemberSummary Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
+    inline bool hasId() const;
+    inline ::capnp::Text::Reader getId() const;
 
-  inline bool hasIncarnation() const;
-  inline  ::capnp::Text::Reader getIncarnation() const;
+    inline bool hasIncarnation() const;
+    inline ::capnp::Text::Reader getIncarnation() const;
 
-  inline  ::uint32_t getAgeMs() const;
+    inline ::uint32_t getAgeMs() const;
 
-  inline bool getLeaving() const;
+    inline bool getLeaving() const;
 
-  inline  ::uint64_t getConfigOffset() const;
+    inline ::uint64_t getConfigOffset() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class MemberSummary::Builder {
+class MemberSummary::Builder
+{
 public:
-  typedef MemberSummary Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef MemberSummary Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
-
-  inline bool hasIncarnation();
-  inline  ::capnp::Text::Builder getIncarnation();
-  inline void setIncarnation( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
-  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
-
-  inline  ::uint32_t getAgeMs();
-  inline void setAgeMs( ::uint32_t value);
-
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
-
-  inline  ::uint64_t getConfigOffset();
-  inline void setConfigOffset( ::uint64_t value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasId();
+    inline ::capnp::Text::Builder getId();
+    inline void setId(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initId(unsigned int size);
+    inline void adoptId(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownId();
+
+    inline bool hasIncarnation();
+    inline ::capnp::Text::Builder getIncarnation();
+    inline void setIncarnation(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initIncarnation(unsigned int size);
+    inline void adoptIncarnation(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownIncarnation();
+
+    inline ::uint32_t getAgeMs();
+    inline void setAgeMs(::uint32_t value);
+
+    inline bool getLeaving();
+    inline void setLeaving(bool value);
+
+    inline ::uint64_t getConfigOffset();
+    inline void setConfigOffset(::uint64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class MemberSummary::Pipeline {
+class MemberSummary::Pipeline
+{
 public:
-  typedef MemberSummary Pipelines;
+    typedef MemberSummary Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Digest::Reader {
+class Digest::Reader
+{
 public:
-  typedef Digest Reads;
+    typedef Digest Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasMemberId() const;
-  inline  ::capnp::Text::Reader getMemberId() const;
+    inline bool hasMemberId() const;
+    inline ::capnp::Text::Reader getMemberId() const;
 
-  inline bool hasIncarnation() const;
-  inline  ::capnp::Text::Reader getIncarnation() const;
+    inline bool hasIncarnation() const;
+    inline ::capnp::Text::Reader getIncarnation() const;
 
-  inline  ::uint64_t getSequence() const;
+    inline ::uint64_t getSequence() const;
 
-  inline bool getLeaving() const;
+    inline bool getLeaving() const;
 
-  inline  ::uint32_t getIntervalMs() const;
+    inline ::uint32_t getIntervalMs() const;
 
-  inline  ::uint64_t getConfigOffset() const;
+    inline ::uint64_t getConfigOffset() const;
 
-  inline  ::uint32_t getRequestsInProgress() const;
+    inline ::uint32_t getRequestsInProgress() const;
 
-  inline bool hasEchoIncarnation() const;
-  inline  ::capnp::Text::Reader getEchoIncarnation() const;
+    inline bool hasEchoIncarnation() const;
+    inline ::capnp::Text::Reader getEchoIncarnation() const;
 
-  inline  ::int64_t getEchoClockMs() const;
+    inline ::int64_t getEchoClockMs() const;
 
-  inline  ::uint32_t getEchoAgeMs() const;
+    inline ::uint32_t getEchoAgeMs() const;
 
-  inline bool hasReports() const;
-  inline  ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>::Reader getReports() const;
+    inline bool hasReports() const;
+    inline ::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>::Reader
+    getReports() const;
 
-  inline bool hasSent() const;
-  inline  ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>::Reader getSent() const;
+    inline bool hasSent() const;
+    inline ::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>::Reader
+    getSent() const;
 
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+    inline bool hasMembers() const;
+    inline ::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>::Reader
+    getMembers() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Digest::Builder {
+class Digest::Builder
+{
 public:
-  typedef Digest Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Digest Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasMemberId();
-  inline  ::capnp::Text::Builder getMemberId();
-  inline void setMemberId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMemberId(unsigned int size);
-  inline void adoptMemberId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMemberId();
-
-  inline bool hasIncarnation();
-  inline  ::capnp::Text::Builder getIncarnation();
-  inline void setIncarnation( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
-  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
-
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
-
-  inline  ::uint32_t getIntervalMs();
-  inline void setIntervalMs( ::uint32_t value);
-
-  inline  ::uint64_t getConfigOffset();
-  inline void setConfigOffset( ::uint64_t value);
-
-  inline  ::uint32_t getRequestsInProgress();
-  inline void setRequestsInProgress( ::uint32_t value);
-
-  inline bool hasEchoIncarnation();
-  inline  ::capnp::Text::Builder getEchoIncarnation();
-  inline void setEchoIncarnation( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEchoIncarnation(unsigned int size);
-  inline void adoptEchoIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEchoIncarnation();
-
-  inline  ::int64_t getEchoClockMs();
-  inline void setEchoClockMs( ::int64_t value);
-
-  inline  ::uint32_t getEchoAgeMs();
-  inline void setEchoAgeMs( ::uint32_t value);
-
-  inline bool hasReports();
-  inline  ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>::Builder getReports();
-  inline void setReports( ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>::Builder initReports(unsigned int size);
-  inline void adoptReports(::capnp::Orphan< ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>> disownReports();
-
-  inline bool hasSent();
-  inline  ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>::Builder getSent();
-  inline void setSent( ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>::Builder initSent(unsigned int size);
-  inline void adoptSent(::capnp::Orphan< ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>> disownSent();
-
-  inline bool hasMembers();
-  inline  ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>> disownMembers();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasMemberId();
+    inline ::capnp::Text::Builder getMemberId();
+    inline void setMemberId(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initMemberId(unsigned int size);
+    inline void adoptMemberId(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownMemberId();
+
+    inline bool hasIncarnation();
+    inline ::capnp::Text::Builder getIncarnation();
+    inline void setIncarnation(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initIncarnation(unsigned int size);
+    inline void adoptIncarnation(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownIncarnation();
+
+    inline ::uint64_t getSequence();
+    inline void setSequence(::uint64_t value);
+
+    inline bool getLeaving();
+    inline void setLeaving(bool value);
+
+    inline ::uint32_t getIntervalMs();
+    inline void setIntervalMs(::uint32_t value);
+
+    inline ::uint64_t getConfigOffset();
+    inline void setConfigOffset(::uint64_t value);
+
+    inline ::uint32_t getRequestsInProgress();
+    inline void setRequestsInProgress(::uint32_t value);
+
+    inline bool hasEchoIncarnation();
+    inline ::capnp::Text::Builder getEchoIncarnation();
+    inline void setEchoIncarnation(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initEchoIncarnation(unsigned int size);
+    inline void adoptEchoIncarnation(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownEchoIncarnation();
+
+    inline ::int64_t getEchoClockMs();
+    inline void setEchoClockMs(::int64_t value);
+
+    inline ::uint32_t getEchoAgeMs();
+    inline void setEchoAgeMs(::uint32_t value);
+
+    inline bool hasReports();
+    inline ::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>::Builder
+    getReports();
+    inline void setReports(
+            ::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>::Builder
+    initReports(unsigned int size);
+    inline void
+    adoptReports(::capnp::Orphan<
+                 ::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>>
+    disownReports();
+
+    inline bool hasSent();
+    inline ::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>::Builder getSent();
+    inline void
+    setSent(::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>::Builder
+    initSent(unsigned int size);
+    inline void
+    adoptSent(::capnp::Orphan<::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>>
+                      &&value);
+    inline ::capnp::Orphan<::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>>
+    disownSent();
+
+    inline bool hasMembers();
+    inline ::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>::Builder
+    getMembers();
+    inline void setMembers(
+            ::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>::Builder
+    initMembers(unsigned int size);
+    inline void adoptMembers(
+            ::capnp::Orphan<::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>>
+                    &&value);
+    inline ::capnp::Orphan<::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>>
+    disownMembers();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Digest::Pipeline {
+class Digest::Pipeline
+{
 public:
-  typedef Digest Pipelines;
+    typedef Digest Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class DigestReply::Reader {
+class DigestReply::Reader
+{
 public:
-  typedef DigestReply Reads;
+    typedef DigestReply Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasIncarnation() const;
-  inline  ::capnp::Text::Reader getIncarnation() const;
+    inline bool hasIncarnation() const;
+    inline ::capnp::Text::Reader getIncarnation() const;
 
-  inline  ::int64_t getClockMs() const;
+    inline ::int64_t getClockMs() const;
 
-  inline  ::uint64_t getConfigOffset() const;
+    inline ::uint64_t getConfigOffset() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class DigestReply::Builder {
+class DigestReply::Builder
+{
 public:
-  typedef DigestReply Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef DigestReply Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasIncarnation();
-  inline  ::capnp::Text::Builder getIncarnation();
-  inline void setIncarnation( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
-  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
+    inline bool hasIncarnation();
+    inline ::capnp::Text::Builder getIncarnation();
+    inline void setIncarnation(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initIncarnation(unsigned int size);
+    inline void adoptIncarnation(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownIncarnation();
 
-  inline  ::int64_t getClockMs();
-  inline void setClockMs( ::int64_t value);
+    inline ::int64_t getClockMs();
+    inline void setClockMs(::int64_t value);
 
-  inline  ::uint64_t getConfigOffset();
-  inline void setConfigOffset( ::uint64_t value);
+    inline ::uint64_t getConfigOffset();
+    inline void setConfigOffset(::uint64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class DigestReply::Pipeline {
+class DigestReply::Pipeline
+{
 public:
-  typedef DigestReply Pipelines;
+    typedef DigestReply Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
