-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 // =======================================================================================
 
 #if !CAPNP_LITE
 inline Bootstrap::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Bootstrap::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+    : ::capnp::Capability::Client(nullptr)
+{
+}
+inline Bootstrap::Client::Client(::kj::Own<::capnp::ClientHook> &&hook)
+    : ::capnp::Capability::Client(::kj::mv(hook))
+{
+}
 template <typename _t, typename>
-inline Bootstrap::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
+inline Bootstrap::Client::Client(::kj::Own<_t> &&server)
+    : ::capnp::Capability::Client(::kj::mv(server))
+{
+}
 template <typename _t, typename>
-inline Bootstrap::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Bootstrap::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::cicadafork::wire::Bootstrap::Client& Bootstrap::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
+inline Bootstrap::Client::Client(::kj::Promise<_t> &&promise)
+    : ::capnp::Capability::Client(::kj::mv(promise))
+{
+}
+inline Bootstrap::Client::Client(::kj::Exception &&exception)
+    : ::capnp::Capability::Client(::kj::mv(exception))
+{
+}
+inline ::cicadafork::wire::Bootstrap::Client &Bootstrap::Client::operator=(Client &other)
+{
+    ::capnp::Capability::Client::operator=(other);
+    return *this;
 }
-inline  ::cicadafork::wire::Bootstrap::Client& Bootstrap::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+inline ::cicadafork::wire::Bootstrap::Client &Bootstrap::Client::operator=(Client &&other)
+{
+    ::capnp::Capability::Client::operator=(kj::mv(other));
+    return *this;
 }
 
-#endif  // !CAPNP_LITE
-inline  ::uint32_t Bootstrap::HelloParams::Reader::getVersion() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+#endif // !CAPNP_LITE
+inline ::uint32_t Bootstrap::HelloParams::Reader::getVersion() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Bootstrap::HelloParams::Builder::getVersion() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Bootstrap::HelloParams::Builder::getVersion()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Bootstrap::HelloParams::Builder::setVersion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Bootstrap::HelloParams::Builder::setVersion(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Bootstrap::HelloParams::Reader::hasMemberId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Bootstrap::HelloParams::Reader::hasMemberId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Bootstrap::HelloParams::Builder::hasMemberId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Bootstrap::HelloParams::Builder::hasMemberId()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Bootstrap::HelloParams::Reader::getMemberId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Bootstrap::HelloParams::Reader::getMemberId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Bootstrap::HelloParams::Builder::getMemberId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Bootstrap::HelloParams::Builder::getMemberId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Bootstrap::HelloParams::Builder::setMemberId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Bootstrap::HelloParams::Builder::setMemberId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Bootstrap::HelloParams::Builder::initMemberId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Bootstrap::HelloParams::Builder::initMemberId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Bootstrap::HelloParams::Builder::adoptMemberId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Bootstrap::HelloParams::Builder::adoptMemberId(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Bootstrap::HelloParams::Builder::disownMemberId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Bootstrap::HelloParams::Builder::disownMemberId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Bootstrap::HelloParams::Reader::hasIncarnation() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Bootstrap::HelloParams::Builder::hasIncarnation() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Bootstrap::HelloParams::Reader::hasIncarnation() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Bootstrap::HelloParams::Reader::getIncarnation() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline bool Bootstrap::HelloParams::Builder::hasIncarnation()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Builder Bootstrap::HelloParams::Builder::getIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Bootstrap::HelloParams::Reader::getIncarnation() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Bootstrap::HelloParams::Builder::setIncarnation( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline ::capnp::Text::Builder Bootstrap::HelloParams::Builder::getIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Bootstrap::HelloParams::Builder::initIncarnation(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void Bootstrap::HelloParams::Builder::setIncarnation(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Bootstrap::HelloParams::Builder::initIncarnation(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void
+Bootstrap::HelloParams::Builder::adoptIncarnation(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Bootstrap::HelloParams::Builder::adoptIncarnation(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Bootstrap::HelloParams::Builder::disownIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t Bootstrap::HelloResults::Reader::getVersion() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan<::capnp::Text> Bootstrap::HelloParams::Builder::disownIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Bootstrap::HelloResults::Builder::getVersion() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Bootstrap::HelloResults::Builder::setVersion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::uint32_t Bootstrap::HelloResults::Reader::getVersion() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Bootstrap::HelloResults::Reader::hasMemberId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline ::uint32_t Bootstrap::HelloResults::Builder::getVersion()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Bootstrap::HelloResults::Builder::hasMemberId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline void Bootstrap::HelloResults::Builder::setVersion(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Bootstrap::HelloResults::Reader::hasMemberId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Bootstrap::HelloResults::Builder::hasMemberId()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Bootstrap::HelloResults::Reader::getMemberId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Bootstrap::HelloResults::Builder::getMemberId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Bootstrap::HelloResults::Builder::setMemberId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Bootstrap::HelloResults::Builder::initMemberId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Bootstrap::HelloResults::Builder::adoptMemberId(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::capnp::Text::Reader Bootstrap::HelloResults::Reader::getMemberId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Bootstrap::HelloResults::Builder::getMemberId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Bootstrap::HelloResults::Builder::setMemberId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Bootstrap::HelloResults::Builder::initMemberId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Bootstrap::HelloResults::Builder::adoptMemberId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Bootstrap::HelloResults::Builder::disownMemberId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Bootstrap::HelloResults::Builder::disownMemberId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Bootstrap::HelloResults::Reader::hasIncarnation() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Bootstrap::HelloResults::Builder::hasIncarnation() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Bootstrap::HelloResults::Reader::hasIncarnation() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Bootstrap::HelloResults::Reader::getIncarnation() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline bool Bootstrap::HelloResults::Builder::hasIncarnation()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Bootstrap::HelloResults::Reader::getIncarnation() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Bootstrap::HelloResults::Builder::getIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Bootstrap::HelloResults::Builder::getIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Bootstrap::HelloResults::Builder::setIncarnation(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void Bootstrap::HelloResults::Builder::setIncarnation( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline ::capnp::Text::Builder Bootstrap::HelloResults::Builder::initIncarnation(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline  ::capnp::Text::Builder Bootstrap::HelloResults::Builder::initIncarnation(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void
+Bootstrap::HelloResults::Builder::adoptIncarnation(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Bootstrap::HelloResults::Builder::adoptIncarnation(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Bootstrap::HelloResults::Builder::disownIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Bootstrap::HelloResults::Builder::disownIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Bootstrap::HelloResults::Reader::hasPeer() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool Bootstrap::HelloResults::Reader::hasPeer() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Bootstrap::HelloResults::Builder::hasPeer() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool Bootstrap::HelloResults::Builder::hasPeer()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline  ::cicadafork::wire::Peer::Client Bootstrap::HelloResults::Reader::getPeer() const {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Peer>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::cicadafork::wire::Peer::Client Bootstrap::HelloResults::Builder::getPeer() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Peer>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::cicadafork::wire::Peer::Client Bootstrap::HelloResults::Pipeline::getPeer() {
-  return  ::cicadafork::wire::Peer::Client(_typeless.getPointerField(2).asCap());
-}
-inline void Bootstrap::HelloResults::Builder::setPeer( ::cicadafork::wire::Peer::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::Peer>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(cap));
-}
-inline void Bootstrap::HelloResults::Builder::setPeer( ::cicadafork::wire::Peer::Client& cap) {
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::Peer>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), cap);
-}
-inline void Bootstrap::HelloResults::Builder::adoptPeer(
-    ::capnp::Orphan< ::cicadafork::wire::Peer>&& value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::Peer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::cicadafork::wire::Peer> Bootstrap::HelloResults::Builder::disownPeer() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Peer>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-#endif  // !CAPNP_LITE
+inline ::cicadafork::wire::Peer::Client Bootstrap::HelloResults::Reader::getPeer() const
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Peer>::get(
+            _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::cicadafork::wire::Peer::Client Bootstrap::HelloResults::Builder::getPeer()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Peer>::get(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::cicadafork::wire::Peer::Client Bootstrap::HelloResults::Pipeline::getPeer()
+{
+    return ::cicadafork::wire::Peer::Client(_typeless.getPointerField(2).asCap());
+}
+inline void Bootstrap::HelloResults::Builder::setPeer(::cicadafork::wire::Peer::Client &&cap)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::wire::Peer>::set(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Bootstrap::HelloResults::Builder::setPeer(::cicadafork::wire::Peer::Client &cap)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::wire::Peer>::set(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), cap);
+}
+inline void
+Bootstrap::HelloResults::Builder::adoptPeer(::capnp::Orphan<::cicadafork::wire::Peer> &&value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::wire::Peer>::adopt(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::cicadafork::wire::Peer> Bootstrap::HelloResults::Builder::disownPeer()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Peer>::disown(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#endif // !CAPNP_LITE
 
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Peer::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Peer::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Peer::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Peer::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::cicadafork::wire::Peer::Client& Peer::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::cicadafork::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+    : ::capnp::Capability::Client(nullptr)
+{
 }
-
-#endif  // !CAPNP_LITE
-inline bool Peer::HeartbeatParams::Reader::hasDigest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::HeartbeatParams::Builder::hasDigest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::cicadafork::wire::Digest::Reader Peer::HeartbeatParams::Reader::getDigest() const {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Digest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline Peer::Client::Client(::kj::Own<::capnp::ClientHook> &&hook)
+    : ::capnp::Capability::Client(::kj::mv(hook))
+{
 }
-inline  ::cicadafork::wire::Digest::Builder Peer::HeartbeatParams::Builder::getDigest() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Digest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::cicadafork::wire::Digest::Pipeline Peer::HeartbeatParams::Pipeline::getDigest() {
-  return  ::cicadafork::wire::Digest::Pipeline(_typeless.getPointerField(0));
+template <typename _t, typename>
+inline Peer::Client::Client(::kj::Own<_t> &&server)
+    : ::capnp::Capability::Client(::kj::mv(server))
+{
 }
-#endif  // !CAPNP_LITE
-inline void Peer::HeartbeatParams::Builder::setDigest( ::cicadafork::wire::Digest::Reader value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::Digest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+template <typename _t, typename>
+inline Peer::Client::Client(::kj::Promise<_t> &&promise)
+    : ::capnp::Capability::Client(::kj::mv(promise))
+{
 }
-inline  ::cicadafork::wire::Digest::Builder Peer::HeartbeatParams::Builder::initDigest() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Digest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline Peer::Client::Client(::kj::Exception &&exception)
+    : ::capnp::Capability::Client(::kj::mv(exception))
+{
 }
-inline void Peer::HeartbeatParams::Builder::adoptDigest(
-    ::capnp::Orphan< ::cicadafork::wire::Digest>&& value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::Digest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline ::cicadafork::wire::Peer::Client &Peer::Client::operator=(Client &other)
+{
+    ::capnp::Capability::Client::operator=(other);
+    return *this;
 }
-inline ::capnp::Orphan< ::cicadafork::wire::Digest> Peer::HeartbeatParams::Builder::disownDigest() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Digest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::cicadafork::wire::Peer::Client &Peer::Client::operator=(Client &&other)
+{
+    ::capnp::Capability::Client::operator=(kj::mv(other));
+    return *this;
 }
 
-inline bool Peer::HeartbeatResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+#endif // !CAPNP_LITE
+inline bool Peer::HeartbeatParams::Reader::hasDigest() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::HeartbeatResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::HeartbeatParams::Builder::hasDigest()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cicadafork::wire::DigestReply::Reader Peer::HeartbeatResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::DigestReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::cicadafork::wire::Digest::Reader Peer::HeartbeatParams::Reader::getDigest() const
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Digest>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::cicadafork::wire::DigestReply::Builder Peer::HeartbeatResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::DigestReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::cicadafork::wire::Digest::Builder Peer::HeartbeatParams::Builder::getDigest()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Digest>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::cicadafork::wire::Digest::Pipeline Peer::HeartbeatParams::Pipeline::getDigest()
+{
+    return ::cicadafork::wire::Digest::Pipeline(_typeless.getPointerField(0));
+}
+#endif // !CAPNP_LITE
+inline void Peer::HeartbeatParams::Builder::setDigest(::cicadafork::wire::Digest::Reader value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::wire::Digest>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::cicadafork::wire::Digest::Builder Peer::HeartbeatParams::Builder::initDigest()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Digest>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+Peer::HeartbeatParams::Builder::adoptDigest(::capnp::Orphan<::cicadafork::wire::Digest> &&value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::wire::Digest>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::cicadafork::wire::Digest> Peer::HeartbeatParams::Builder::disownDigest()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Digest>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::HeartbeatResults::Reader::hasReply() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::HeartbeatResults::Builder::hasReply()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::cicadafork::wire::DigestReply::Reader Peer::HeartbeatResults::Reader::getReply() const
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::DigestReply>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::cicadafork::wire::DigestReply::Builder Peer::HeartbeatResults::Builder::getReply()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::DigestReply>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::cicadafork::wire::DigestReply::Pipeline Peer::HeartbeatResults::Pipeline::getReply() {
-  return  ::cicadafork::wire::DigestReply::Pipeline(_typeless.getPointerField(0));
+inline ::cicadafork::wire::DigestReply::Pipeline Peer::HeartbeatResults::Pipeline::getReply()
+{
+    return ::cicadafork::wire::DigestReply::Pipeline(_typeless.getPointerField(0));
 }
-#endif  // !CAPNP_LITE
-inline void Peer::HeartbeatResults::Builder::setReply( ::cicadafork::wire::DigestReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::DigestReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif // !CAPNP_LITE
+inline void Peer::HeartbeatResults::Builder::setReply(::cicadafork::wire::DigestReply::Reader value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::wire::DigestReply>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::cicadafork::wire::DigestReply::Builder Peer::HeartbeatResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::DigestReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::cicadafork::wire::DigestReply::Builder Peer::HeartbeatResults::Builder::initReply()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::DigestReply>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::HeartbeatResults::Builder::adoptReply(
-    ::capnp::Orphan< ::cicadafork::wire::DigestReply>&& value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::DigestReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+        ::capnp::Orphan<::cicadafork::wire::DigestReply> &&value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::wire::DigestReply>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::cicadafork::wire::DigestReply> Peer::HeartbeatResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::DigestReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::cicadafork::wire::DigestReply>
+Peer::HeartbeatResults::Builder::disownReply()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::DigestReply>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::PushConfigParams::Reader::hasUpdate() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::PushConfigParams::Reader::hasUpdate() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::PushConfigParams::Builder::hasUpdate() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::PushConfigParams::Builder::hasUpdate()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::PushConfigParams::Reader::getUpdate() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Peer::PushConfigParams::Reader::getUpdate() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::PushConfigParams::Builder::getUpdate() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Peer::PushConfigParams::Builder::getUpdate()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::PushConfigParams::Builder::setUpdate( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::PushConfigParams::Builder::setUpdate(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::PushConfigParams::Builder::initUpdate(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Peer::PushConfigParams::Builder::initUpdate(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::PushConfigParams::Builder::adoptUpdate(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::PushConfigParams::Builder::adoptUpdate(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::PushConfigParams::Builder::disownUpdate() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Peer::PushConfigParams::Builder::disownUpdate()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Peer::PushConfigResults::Reader::getNextOffset() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Peer::PushConfigResults::Reader::getNextOffset() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::PushConfigResults::Builder::getNextOffset() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Peer::PushConfigResults::Builder::getNextOffset()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::PushConfigResults::Builder::setNextOffset( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Peer::PushConfigResults::Builder::setNextOffset(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Peer::PullConfigParams::Reader::getFrom() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Peer::PullConfigParams::Reader::getFrom() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::PullConfigParams::Builder::getFrom() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Peer::PullConfigParams::Builder::getFrom()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::PullConfigParams::Builder::setFrom( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Peer::PullConfigParams::Builder::setFrom(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::PullConfigResults::Reader::hasUpdate() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::PullConfigResults::Reader::hasUpdate() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::PullConfigResults::Builder::hasUpdate() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::PullConfigResults::Builder::hasUpdate()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::PullConfigResults::Reader::getUpdate() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Peer::PullConfigResults::Reader::getUpdate() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::PullConfigResults::Builder::getUpdate() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Peer::PullConfigResults::Builder::getUpdate()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::PullConfigResults::Builder::setUpdate( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::PullConfigResults::Builder::setUpdate(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::PullConfigResults::Builder::initUpdate(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Peer::PullConfigResults::Builder::initUpdate(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::PullConfigResults::Builder::adoptUpdate(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::PullConfigResults::Builder::adoptUpdate(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::PullConfigResults::Builder::disownUpdate() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Peer::PullConfigResults::Builder::disownUpdate()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::ClaimParams::Reader::hasBatch() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ClaimParams::Reader::hasBatch() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ClaimParams::Builder::hasBatch() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ClaimParams::Builder::hasBatch()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Peer::ClaimParams::Reader::getBatch() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Data::Reader Peer::ClaimParams::Reader::getBatch() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Peer::ClaimParams::Builder::getBatch() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Data::Builder Peer::ClaimParams::Builder::getBatch()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ClaimParams::Builder::setBatch( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::ClaimParams::Builder::setBatch(::capnp::Data::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Data>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Peer::ClaimParams::Builder::initBatch(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Data::Builder Peer::ClaimParams::Builder::initBatch(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::ClaimParams::Builder::adoptBatch(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::ClaimParams::Builder::adoptBatch(::capnp::Orphan<::capnp::Data> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Peer::ClaimParams::Builder::disownBatch() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Data> Peer::ClaimParams::Builder::disownBatch()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::ClaimResults::Reader::hasOutcome() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ClaimResults::Reader::hasOutcome() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ClaimResults::Builder::hasOutcome() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ClaimResults::Builder::hasOutcome()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cicadafork::wire::Outcome::Reader Peer::ClaimResults::Reader::getOutcome() const {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::cicadafork::wire::Outcome::Reader Peer::ClaimResults::Reader::getOutcome() const
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::cicadafork::wire::Outcome::Builder Peer::ClaimResults::Builder::getOutcome() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::cicadafork::wire::Outcome::Builder Peer::ClaimResults::Builder::getOutcome()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::cicadafork::wire::Outcome::Pipeline Peer::ClaimResults::Pipeline::getOutcome() {
-  return  ::cicadafork::wire::Outcome::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::ClaimResults::Builder::setOutcome( ::cicadafork::wire::Outcome::Reader value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::cicadafork::wire::Outcome::Builder Peer::ClaimResults::Builder::initOutcome() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::ClaimResults::Builder::adoptOutcome(
-    ::capnp::Orphan< ::cicadafork::wire::Outcome>&& value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::cicadafork::wire::Outcome> Peer::ClaimResults::Builder::disownOutcome() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::NoteStreamParams::Reader::hasRequestId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::NoteStreamParams::Builder::hasRequestId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Peer::NoteStreamParams::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Peer::NoteStreamParams::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::NoteStreamParams::Builder::setRequestId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Peer::NoteStreamParams::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Peer::NoteStreamParams::Builder::adoptRequestId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Peer::NoteStreamParams::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::NoteStreamParams::Reader::hasEndpointId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::NoteStreamParams::Builder::hasEndpointId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Peer::NoteStreamParams::Reader::getEndpointId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Peer::NoteStreamParams::Builder::getEndpointId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Peer::NoteStreamParams::Builder::setEndpointId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Peer::NoteStreamParams::Builder::initEndpointId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Peer::NoteStreamParams::Builder::adoptEndpointId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Peer::NoteStreamParams::Builder::disownEndpointId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::FindStreamParams::Reader::hasRequestId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::FindStreamParams::Builder::hasRequestId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Peer::FindStreamParams::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Peer::FindStreamParams::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::FindStreamParams::Builder::setRequestId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Peer::FindStreamParams::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Peer::FindStreamParams::Builder::adoptRequestId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Peer::FindStreamParams::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::FindStreamResults::Reader::hasEndpointId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::FindStreamResults::Builder::hasEndpointId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Peer::FindStreamResults::Reader::getEndpointId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Peer::FindStreamResults::Builder::getEndpointId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::FindStreamResults::Builder::setEndpointId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Peer::FindStreamResults::Builder::initEndpointId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Peer::FindStreamResults::Builder::adoptEndpointId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Peer::FindStreamResults::Builder::disownEndpointId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::RunQueryParams::Reader::hasText() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::RunQueryParams::Builder::hasText() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Peer::RunQueryParams::Reader::getText() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Peer::RunQueryParams::Builder::getText() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::RunQueryParams::Builder::setText( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Peer::RunQueryParams::Builder::initText(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Peer::RunQueryParams::Builder::adoptText(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Peer::RunQueryParams::Builder::disownText() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::RunQueryResults::Reader::hasOutcome() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::RunQueryResults::Builder::hasOutcome() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::cicadafork::wire::Outcome::Reader Peer::RunQueryResults::Reader::getOutcome() const {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::cicadafork::wire::Outcome::Builder Peer::RunQueryResults::Builder::getOutcome() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::cicadafork::wire::Outcome::Pipeline Peer::ClaimResults::Pipeline::getOutcome()
+{
+    return ::cicadafork::wire::Outcome::Pipeline(_typeless.getPointerField(0));
+}
+#endif // !CAPNP_LITE
+inline void Peer::ClaimResults::Builder::setOutcome(::cicadafork::wire::Outcome::Reader value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::cicadafork::wire::Outcome::Builder Peer::ClaimResults::Builder::initOutcome()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+Peer::ClaimResults::Builder::adoptOutcome(::capnp::Orphan<::cicadafork::wire::Outcome> &&value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::cicadafork::wire::Outcome> Peer::ClaimResults::Builder::disownOutcome()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::NoteStreamParams::Reader::hasRequestId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::NoteStreamParams::Builder::hasRequestId()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Peer::NoteStreamParams::Reader::getRequestId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Peer::NoteStreamParams::Builder::getRequestId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::NoteStreamParams::Builder::setRequestId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Peer::NoteStreamParams::Builder::initRequestId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::NoteStreamParams::Builder::adoptRequestId(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Peer::NoteStreamParams::Builder::disownRequestId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::NoteStreamParams::Reader::hasEndpointId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::NoteStreamParams::Builder::hasEndpointId()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Peer::NoteStreamParams::Reader::getEndpointId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Peer::NoteStreamParams::Builder::getEndpointId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::NoteStreamParams::Builder::setEndpointId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Peer::NoteStreamParams::Builder::initEndpointId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::NoteStreamParams::Builder::adoptEndpointId(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Peer::NoteStreamParams::Builder::disownEndpointId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::FindStreamParams::Reader::hasRequestId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FindStreamParams::Builder::hasRequestId()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Peer::FindStreamParams::Reader::getRequestId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Peer::FindStreamParams::Builder::getRequestId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::FindStreamParams::Builder::setRequestId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Peer::FindStreamParams::Builder::initRequestId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::FindStreamParams::Builder::adoptRequestId(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Peer::FindStreamParams::Builder::disownRequestId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::FindStreamResults::Reader::hasEndpointId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FindStreamResults::Builder::hasEndpointId()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Peer::FindStreamResults::Reader::getEndpointId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Peer::FindStreamResults::Builder::getEndpointId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::FindStreamResults::Builder::setEndpointId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Peer::FindStreamResults::Builder::initEndpointId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void
+Peer::FindStreamResults::Builder::adoptEndpointId(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Peer::FindStreamResults::Builder::disownEndpointId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::RunQueryParams::Reader::hasText() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::RunQueryParams::Builder::hasText()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Peer::RunQueryParams::Reader::getText() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Peer::RunQueryParams::Builder::getText()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::RunQueryParams::Builder::setText(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Peer::RunQueryParams::Builder::initText(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::RunQueryParams::Builder::adoptText(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Peer::RunQueryParams::Builder::disownText()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::RunQueryResults::Reader::hasOutcome() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::RunQueryResults::Builder::hasOutcome()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::cicadafork::wire::Outcome::Reader Peer::RunQueryResults::Reader::getOutcome() const
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::cicadafork::wire::Outcome::Builder Peer::RunQueryResults::Builder::getOutcome()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::cicadafork::wire::Outcome::Pipeline Peer::RunQueryResults::Pipeline::getOutcome() {
-  return  ::cicadafork::wire::Outcome::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::RunQueryResults::Builder::setOutcome( ::cicadafork::wire::Outcome::Reader value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::cicadafork::wire::Outcome::Builder Peer::RunQueryResults::Builder::initOutcome() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::RunQueryResults::Builder::adoptOutcome(
-    ::capnp::Orphan< ::cicadafork::wire::Outcome>&& value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::cicadafork::wire::Outcome> Peer::RunQueryResults::Builder::disownOutcome() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::DumpResults::Reader::hasOutcome() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::DumpResults::Builder::hasOutcome() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::cicadafork::wire::Outcome::Reader Peer::DumpResults::Reader::getOutcome() const {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::cicadafork::wire::Outcome::Builder Peer::DumpResults::Builder::getOutcome() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::cicadafork::wire::Outcome::Pipeline Peer::RunQueryResults::Pipeline::getOutcome()
+{
+    return ::cicadafork::wire::Outcome::Pipeline(_typeless.getPointerField(0));
+}
+#endif // !CAPNP_LITE
+inline void Peer::RunQueryResults::Builder::setOutcome(::cicadafork::wire::Outcome::Reader value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::cicadafork::wire::Outcome::Builder Peer::RunQueryResults::Builder::initOutcome()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+Peer::RunQueryResults::Builder::adoptOutcome(::capnp::Orphan<::cicadafork::wire::Outcome> &&value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::cicadafork::wire::Outcome> Peer::RunQueryResults::Builder::disownOutcome()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::DumpResults::Reader::hasOutcome() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::DumpResults::Builder::hasOutcome()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::cicadafork::wire::Outcome::Reader Peer::DumpResults::Reader::getOutcome() const
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::cicadafork::wire::Outcome::Builder Peer::DumpResults::Builder::getOutcome()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::cicadafork::wire::Outcome::Pipeline Peer::DumpResults::Pipeline::getOutcome() {
-  return  ::cicadafork::wire::Outcome::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::DumpResults::Builder::setOutcome( ::cicadafork::wire::Outcome::Reader value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::cicadafork::wire::Outcome::Builder Peer::DumpResults::Builder::initOutcome() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::DumpResults::Builder::adoptOutcome(
-    ::capnp::Orphan< ::cicadafork::wire::Outcome>&& value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::cicadafork::wire::Outcome> Peer::DumpResults::Builder::disownOutcome() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Outcome>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::cicadafork::wire::Outcome::Which Outcome::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline  ::cicadafork::wire::Outcome::Which Outcome::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool Outcome::Reader::isValue() const {
-  return which() == Outcome::VALUE;
-}
-inline bool Outcome::Builder::isValue() {
-  return which() == Outcome::VALUE;
-}
-inline bool Outcome::Reader::hasValue() const {
-  if (which() != Outcome::VALUE) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Outcome::Builder::hasValue() {
-  if (which() != Outcome::VALUE) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader Outcome::Reader::getValue() const {
-  KJ_IREQUIRE((which() == Outcome::VALUE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder Outcome::Builder::getValue() {
-  KJ_IREQUIRE((which() == Outcome::VALUE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Outcome::Builder::setValue( ::capnp::Data::Reader value) {
-  _builder.setDataField<Outcome::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Outcome::VALUE);
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder Outcome::Builder::initValue(unsigned int size) {
-  _builder.setDataField<Outcome::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Outcome::VALUE);
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Outcome::Builder::adoptValue(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  _builder.setDataField<Outcome::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Outcome::VALUE);
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> Outcome::Builder::disownValue() {
-  KJ_IREQUIRE((which() == Outcome::VALUE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Outcome::Reader::isError() const {
-  return which() == Outcome::ERROR;
-}
-inline bool Outcome::Builder::isError() {
-  return which() == Outcome::ERROR;
-}
-inline bool Outcome::Reader::hasError() const {
-  if (which() != Outcome::ERROR) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Outcome::Builder::hasError() {
-  if (which() != Outcome::ERROR) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::cicadafork::wire::Error::Reader Outcome::Reader::getError() const {
-  KJ_IREQUIRE((which() == Outcome::ERROR),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Error>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::cicadafork::wire::Error::Builder Outcome::Builder::getError() {
-  KJ_IREQUIRE((which() == Outcome::ERROR),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Error>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Outcome::Builder::setError( ::cicadafork::wire::Error::Reader value) {
-  _builder.setDataField<Outcome::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Outcome::ERROR);
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::Error>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::cicadafork::wire::Error::Builder Outcome::Builder::initError() {
-  _builder.setDataField<Outcome::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Outcome::ERROR);
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Error>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Outcome::Builder::adoptError(
-    ::capnp::Orphan< ::cicadafork::wire::Error>&& value) {
-  _builder.setDataField<Outcome::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Outcome::ERROR);
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::Error>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::cicadafork::wire::Error> Outcome::Builder::disownError() {
-  KJ_IREQUIRE((which() == Outcome::ERROR),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::Error>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint16_t Error::Reader::getCode() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t Error::Builder::getCode() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Error::Builder::setCode( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Error::Reader::hasMessage() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Error::Builder::hasMessage() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Error::Reader::getMessage() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Error::Builder::getMessage() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::cicadafork::wire::Outcome::Pipeline Peer::DumpResults::Pipeline::getOutcome()
+{
+    return ::cicadafork::wire::Outcome::Pipeline(_typeless.getPointerField(0));
+}
+#endif // !CAPNP_LITE
+inline void Peer::DumpResults::Builder::setOutcome(::cicadafork::wire::Outcome::Reader value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::cicadafork::wire::Outcome::Builder Peer::DumpResults::Builder::initOutcome()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+Peer::DumpResults::Builder::adoptOutcome(::capnp::Orphan<::cicadafork::wire::Outcome> &&value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::cicadafork::wire::Outcome> Peer::DumpResults::Builder::disownOutcome()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Outcome>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::cicadafork::wire::Outcome::Which Outcome::Reader::which() const
+{
+    return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline ::cicadafork::wire::Outcome::Which Outcome::Builder::which()
+{
+    return _builder.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Outcome::Reader::isValue() const
+{
+    return which() == Outcome::VALUE;
+}
+inline bool Outcome::Builder::isValue()
+{
+    return which() == Outcome::VALUE;
+}
+inline bool Outcome::Reader::hasValue() const
+{
+    if (which() != Outcome::VALUE)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Outcome::Builder::hasValue()
+{
+    if (which() != Outcome::VALUE)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Data::Reader Outcome::Reader::getValue() const
+{
+    KJ_IREQUIRE((which() == Outcome::VALUE), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Data::Builder Outcome::Builder::getValue()
+{
+    KJ_IREQUIRE((which() == Outcome::VALUE), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Outcome::Builder::setValue(::capnp::Data::Reader value)
+{
+    _builder.setDataField<Outcome::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                          Outcome::VALUE);
+    ::capnp::_::PointerHelpers<::capnp::Data>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Data::Builder Outcome::Builder::initValue(unsigned int size)
+{
+    _builder.setDataField<Outcome::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                          Outcome::VALUE);
+    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Outcome::Builder::adoptValue(::capnp::Orphan<::capnp::Data> &&value)
+{
+    _builder.setDataField<Outcome::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                          Outcome::VALUE);
+    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Data> Outcome::Builder::disownValue()
+{
+    KJ_IREQUIRE((which() == Outcome::VALUE), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Outcome::Reader::isError() const
+{
+    return which() == Outcome::ERROR;
+}
+inline bool Outcome::Builder::isError()
+{
+    return which() == Outcome::ERROR;
+}
+inline bool Outcome::Reader::hasError() const
+{
+    if (which() != Outcome::ERROR)
+        return false;
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Outcome::Builder::hasError()
+{
+    if (which() != Outcome::ERROR)
+        return false;
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::cicadafork::wire::Error::Reader Outcome::Reader::getError() const
+{
+    KJ_IREQUIRE((which() == Outcome::ERROR), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Error>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::cicadafork::wire::Error::Builder Outcome::Builder::getError()
+{
+    KJ_IREQUIRE((which() == Outcome::ERROR), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Error>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Outcome::Builder::setError(::cicadafork::wire::Error::Reader value)
+{
+    _builder.setDataField<Outcome::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                          Outcome::ERROR);
+    ::capnp::_::PointerHelpers<::cicadafork::wire::Error>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::cicadafork::wire::Error::Builder Outcome::Builder::initError()
+{
+    _builder.setDataField<Outcome::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                          Outcome::ERROR);
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Error>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Outcome::Builder::adoptError(::capnp::Orphan<::cicadafork::wire::Error> &&value)
+{
+    _builder.setDataField<Outcome::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                          Outcome::ERROR);
+    ::capnp::_::PointerHelpers<::cicadafork::wire::Error>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::cicadafork::wire::Error> Outcome::Builder::disownError()
+{
+    KJ_IREQUIRE((which() == Outcome::ERROR), "Must check which() before get()ing a union member.");
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::Error>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint16_t Error::Reader::getCode() const
+{
+    return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t Error::Builder::getCode()
+{
+    return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Error::Builder::setCode(::uint16_t value)
+{
+    _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Error::Reader::hasMessage() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Error::Builder::hasMessage()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Error::Reader::getMessage() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Error::Builder::getMessage()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Error::Builder::setMessage(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Error::Builder::initMessage(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Error::Builder::adoptMessage(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Error::Builder::disownMessage()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Error::Reader::hasRemedy() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Error::Builder::hasRemedy()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Error::Reader::getRemedy() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Error::Builder::getRemedy()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Error::Builder::setRemedy(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Error::Builder::initRemedy(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Error::Builder::adoptRemedy(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Error::Builder::setMessage( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Error::Builder::initMessage(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Error::Builder::adoptMessage(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Error::Builder::disownMessage() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Error::Builder::disownRemedy()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Error::Reader::hasRemedy() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Error::Builder::hasRemedy() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool EndpointStatus::Reader::hasIncarnation() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Error::Reader::getRemedy() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline bool EndpointStatus::Builder::hasIncarnation()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Builder Error::Builder::getRemedy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Error::Builder::setRemedy( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Error::Builder::initRemedy(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Error::Builder::adoptRemedy(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Error::Builder::disownRemedy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool EndpointStatus::Reader::hasIncarnation() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool EndpointStatus::Builder::hasIncarnation() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader EndpointStatus::Reader::getIncarnation() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder EndpointStatus::Builder::getIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void EndpointStatus::Builder::setIncarnation( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder EndpointStatus::Builder::initIncarnation(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void EndpointStatus::Builder::adoptIncarnation(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> EndpointStatus::Builder::disownIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool EndpointStatus::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool EndpointStatus::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::capnp::Text::Reader EndpointStatus::Reader::getIncarnation() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder EndpointStatus::Builder::getIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EndpointStatus::Builder::setIncarnation(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder EndpointStatus::Builder::initIncarnation(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EndpointStatus::Builder::adoptIncarnation(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> EndpointStatus::Builder::disownIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EndpointStatus::Reader::getLeaving() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool EndpointStatus::Builder::getLeaving()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EndpointStatus::Builder::setLeaving(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EndpointStatus::Reader::hasRole() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointStatus::Builder::hasRole()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader EndpointStatus::Reader::getRole() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder EndpointStatus::Builder::getRole()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EndpointStatus::Builder::setRole(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder EndpointStatus::Builder::initRole(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void EndpointStatus::Builder::adoptRole(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> EndpointStatus::Builder::disownRole()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool EndpointStatus::Reader::hasModels() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointStatus::Builder::hasModels()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+EndpointStatus::Reader::getModels() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+            _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+EndpointStatus::Builder::getModels()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void
+EndpointStatus::Builder::setModels(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void EndpointStatus::Builder::setModels(::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void EndpointStatus::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool EndpointStatus::Reader::hasRole() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool EndpointStatus::Builder::hasRole() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader EndpointStatus::Reader::getRole() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder EndpointStatus::Builder::getRole() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void EndpointStatus::Builder::setRole( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder EndpointStatus::Builder::initRole(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void EndpointStatus::Builder::adoptRole(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> EndpointStatus::Builder::disownRole() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool EndpointStatus::Reader::hasModels() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool EndpointStatus::Builder::hasModels() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader EndpointStatus::Reader::getModels() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EndpointStatus::Builder::getModels() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void EndpointStatus::Builder::setModels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline void EndpointStatus::Builder::setModels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EndpointStatus::Builder::initModels(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+EndpointStatus::Builder::initModels(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void EndpointStatus::Builder::adoptModels(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+        ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> EndpointStatus::Builder::disownModels() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+EndpointStatus::Builder::disownModels()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t EndpointStatus::Reader::getRunning() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointStatus::Reader::getRunning() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointStatus::Builder::getRunning() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointStatus::Builder::getRunning()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void EndpointStatus::Builder::setRunning( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void EndpointStatus::Builder::setRunning(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t EndpointStatus::Reader::getWaiting() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointStatus::Reader::getWaiting() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointStatus::Builder::getWaiting() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointStatus::Builder::getWaiting()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void EndpointStatus::Builder::setWaiting( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void EndpointStatus::Builder::setWaiting(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t EndpointStatus::Reader::getWaitingTokens() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t EndpointStatus::Reader::getWaitingTokens() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t EndpointStatus::Builder::getWaitingTokens() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t EndpointStatus::Builder::getWaitingTokens()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void EndpointStatus::Builder::setWaitingTokens( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void EndpointStatus::Builder::setWaitingTokens(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t EndpointStatus::Reader::getKvUsedTokens() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t EndpointStatus::Reader::getKvUsedTokens() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t EndpointStatus::Builder::getKvUsedTokens() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t EndpointStatus::Builder::getKvUsedTokens()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void EndpointStatus::Builder::setKvUsedTokens( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void EndpointStatus::Builder::setKvUsedTokens(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t EndpointStatus::Reader::getKvCapacityTokens() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint64_t EndpointStatus::Reader::getKvCapacityTokens() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t EndpointStatus::Builder::getKvCapacityTokens() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint64_t EndpointStatus::Builder::getKvCapacityTokens()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void EndpointStatus::Builder::setKvCapacityTokens( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void EndpointStatus::Builder::setKvCapacityTokens(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t EndpointStatus::Reader::getReportedAtMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::int64_t EndpointStatus::Reader::getReportedAtMs() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t EndpointStatus::Builder::getReportedAtMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::int64_t EndpointStatus::Builder::getReportedAtMs()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void EndpointStatus::Builder::setReportedAtMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void EndpointStatus::Builder::setReportedAtMs(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EndpointReport::Reader::hasEndpointId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool EndpointReport::Reader::hasEndpointId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EndpointReport::Builder::hasEndpointId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool EndpointReport::Builder::hasEndpointId()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EndpointReport::Reader::getEndpointId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader EndpointReport::Reader::getEndpointId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EndpointReport::Builder::getEndpointId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder EndpointReport::Builder::getEndpointId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EndpointReport::Builder::setEndpointId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void EndpointReport::Builder::setEndpointId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EndpointReport::Builder::initEndpointId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder EndpointReport::Builder::initEndpointId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void EndpointReport::Builder::adoptEndpointId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void EndpointReport::Builder::adoptEndpointId(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EndpointReport::Builder::disownEndpointId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> EndpointReport::Builder::disownEndpointId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t EndpointReport::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointReport::Reader::getAgeMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointReport::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointReport::Builder::getAgeMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EndpointReport::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void EndpointReport::Builder::setAgeMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EndpointReport::Reader::hasStatus() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool EndpointReport::Reader::hasStatus() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool EndpointReport::Builder::hasStatus() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool EndpointReport::Builder::hasStatus()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cicadafork::wire::EndpointStatus::Reader EndpointReport::Reader::getStatus() const {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::EndpointStatus>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::cicadafork::wire::EndpointStatus::Reader EndpointReport::Reader::getStatus() const
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::EndpointStatus>::get(
+            _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::cicadafork::wire::EndpointStatus::Builder EndpointReport::Builder::getStatus() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::EndpointStatus>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::cicadafork::wire::EndpointStatus::Builder EndpointReport::Builder::getStatus()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::EndpointStatus>::get(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::cicadafork::wire::EndpointStatus::Pipeline EndpointReport::Pipeline::getStatus() {
-  return  ::cicadafork::wire::EndpointStatus::Pipeline(_typeless.getPointerField(1));
+inline ::cicadafork::wire::EndpointStatus::Pipeline EndpointReport::Pipeline::getStatus()
+{
+    return ::cicadafork::wire::EndpointStatus::Pipeline(_typeless.getPointerField(1));
 }
-#endif  // !CAPNP_LITE
-inline void EndpointReport::Builder::setStatus( ::cicadafork::wire::EndpointStatus::Reader value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::EndpointStatus>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+#endif // !CAPNP_LITE
+inline void EndpointReport::Builder::setStatus(::cicadafork::wire::EndpointStatus::Reader value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::wire::EndpointStatus>::set(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::cicadafork::wire::EndpointStatus::Builder EndpointReport::Builder::initStatus() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::EndpointStatus>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::cicadafork::wire::EndpointStatus::Builder EndpointReport::Builder::initStatus()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::EndpointStatus>::init(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void EndpointReport::Builder::adoptStatus(
-    ::capnp::Orphan< ::cicadafork::wire::EndpointStatus>&& value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::wire::EndpointStatus>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void
+EndpointReport::Builder::adoptStatus(::capnp::Orphan<::cicadafork::wire::EndpointStatus> &&value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::wire::EndpointStatus>::adopt(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::cicadafork::wire::EndpointStatus> EndpointReport::Builder::disownStatus() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::wire::EndpointStatus>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::cicadafork::wire::EndpointStatus> EndpointReport::Builder::disownStatus()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::wire::EndpointStatus>::disown(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool EndpointReport::Reader::getBrief() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline bool EndpointReport::Reader::getBrief() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline bool EndpointReport::Builder::getBrief() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline bool EndpointReport::Builder::getBrief()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void EndpointReport::Builder::setBrief(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+inline void EndpointReport::Builder::setBrief(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t EndpointReport::Reader::getDetailsHash() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t EndpointReport::Reader::getDetailsHash() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t EndpointReport::Builder::getDetailsHash() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t EndpointReport::Builder::getDetailsHash()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void EndpointReport::Builder::setDetailsHash( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void EndpointReport::Builder::setDetailsHash(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SentLoad::Reader::hasEndpointId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool SentLoad::Reader::hasEndpointId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SentLoad::Builder::hasEndpointId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool SentLoad::Builder::hasEndpointId()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SentLoad::Reader::getEndpointId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader SentLoad::Reader::getEndpointId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SentLoad::Builder::getEndpointId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder SentLoad::Builder::getEndpointId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SentLoad::Builder::setEndpointId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void SentLoad::Builder::setEndpointId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SentLoad::Builder::initEndpointId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder SentLoad::Builder::initEndpointId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SentLoad::Builder::adoptEndpointId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void SentLoad::Builder::adoptEndpointId(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SentLoad::Builder::disownEndpointId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> SentLoad::Builder::disownEndpointId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t SentLoad::Reader::getRequests() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t SentLoad::Reader::getRequests() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t SentLoad::Builder::getRequests() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t SentLoad::Builder::getRequests()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SentLoad::Builder::setRequests( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void SentLoad::Builder::setRequests(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t SentLoad::Reader::getTokens() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t SentLoad::Reader::getTokens() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SentLoad::Builder::getTokens() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t SentLoad::Builder::getTokens()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void SentLoad::Builder::setTokens( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void SentLoad::Builder::setTokens(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberSummary::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool MemberSummary::Reader::hasId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberSummary::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool MemberSummary::Builder::hasId()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberSummary::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader MemberSummary::Reader::getId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberSummary::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder MemberSummary::Builder::getId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MemberSummary::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void MemberSummary::Builder::setId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MemberSummary::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder MemberSummary::Builder::initId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void MemberSummary::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void MemberSummary::Builder::adoptId(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberSummary::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> MemberSummary::Builder::disownId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool MemberSummary::Reader::hasIncarnation() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool MemberSummary::Reader::hasIncarnation() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberSummary::Builder::hasIncarnation() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool MemberSummary::Builder::hasIncarnation()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberSummary::Reader::getIncarnation() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader MemberSummary::Reader::getIncarnation() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberSummary::Builder::getIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder MemberSummary::Builder::getIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void MemberSummary::Builder::setIncarnation( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void MemberSummary::Builder::setIncarnation(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MemberSummary::Builder::initIncarnation(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder MemberSummary::Builder::initIncarnation(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void MemberSummary::Builder::adoptIncarnation(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void MemberSummary::Builder::adoptIncarnation(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberSummary::Builder::disownIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> MemberSummary::Builder::disownIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t MemberSummary::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t MemberSummary::Reader::getAgeMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t MemberSummary::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t MemberSummary::Builder::getAgeMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MemberSummary::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void MemberSummary::Builder::setAgeMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberSummary::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline bool MemberSummary::Reader::getLeaving() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline bool MemberSummary::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline bool MemberSummary::Builder::getLeaving()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void MemberSummary::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+inline void MemberSummary::Builder::setLeaving(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t MemberSummary::Reader::getConfigOffset() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t MemberSummary::Reader::getConfigOffset() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MemberSummary::Builder::getConfigOffset() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t MemberSummary::Builder::getConfigOffset()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MemberSummary::Builder::setConfigOffset( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void MemberSummary::Builder::setConfigOffset(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Digest::Reader::hasMemberId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Digest::Reader::hasMemberId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Digest::Builder::hasMemberId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Digest::Builder::hasMemberId()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Digest::Reader::getMemberId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Digest::Reader::getMemberId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Digest::Builder::getMemberId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Digest::Builder::getMemberId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Digest::Builder::setMemberId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Digest::Builder::setMemberId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Digest::Builder::initMemberId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Digest::Builder::initMemberId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Digest::Builder::adoptMemberId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Digest::Builder::adoptMemberId(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Digest::Builder::disownMemberId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Digest::Builder::disownMemberId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Digest::Reader::hasIncarnation() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Digest::Reader::hasIncarnation() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Digest::Builder::hasIncarnation() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Digest::Builder::hasIncarnation()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Digest::Reader::getIncarnation() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Digest::Reader::getIncarnation() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Digest::Builder::getIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Digest::Builder::getIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Digest::Builder::setIncarnation( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Digest::Builder::setIncarnation(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Digest::Builder::initIncarnation(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Digest::Builder::initIncarnation(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Digest::Builder::adoptIncarnation(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Digest::Builder::adoptIncarnation(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Digest::Builder::disownIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Digest::Builder::disownIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Digest::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Digest::Reader::getSequence() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Digest::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Digest::Builder::getSequence()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Digest::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Digest::Builder::setSequence(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Digest::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool Digest::Reader::getLeaving() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool Digest::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool Digest::Builder::getLeaving()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void Digest::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void Digest::Builder::setLeaving(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Digest::Reader::getIntervalMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t Digest::Reader::getIntervalMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Digest::Builder::getIntervalMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t Digest::Builder::getIntervalMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Digest::Builder::setIntervalMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Digest::Builder::setIntervalMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Digest::Reader::getConfigOffset() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Digest::Reader::getConfigOffset() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Digest::Builder::getConfigOffset() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Digest::Builder::getConfigOffset()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Digest::Builder::setConfigOffset( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Digest::Builder::setConfigOffset(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Digest::Reader::getRequestsInProgress() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint32_t Digest::Reader::getRequestsInProgress() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Digest::Builder::getRequestsInProgress() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint32_t Digest::Builder::getRequestsInProgress()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Digest::Builder::setRequestsInProgress( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void Digest::Builder::setRequestsInProgress(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Digest::Reader::hasEchoIncarnation() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool Digest::Reader::hasEchoIncarnation() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Digest::Builder::hasEchoIncarnation() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool Digest::Builder::hasEchoIncarnation()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Digest::Reader::getEchoIncarnation() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Digest::Reader::getEchoIncarnation() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Digest::Builder::getEchoIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Digest::Builder::getEchoIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Digest::Builder::setEchoIncarnation( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Digest::Builder::setEchoIncarnation(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Digest::Builder::initEchoIncarnation(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Digest::Builder::initEchoIncarnation(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Digest::Builder::adoptEchoIncarnation(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Digest::Builder::adoptEchoIncarnation(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Digest::Builder::disownEchoIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Digest::Builder::disownEchoIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Digest::Reader::getEchoClockMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::int64_t Digest::Reader::getEchoClockMs() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Digest::Builder::getEchoClockMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::int64_t Digest::Builder::getEchoClockMs()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Digest::Builder::setEchoClockMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Digest::Builder::setEchoClockMs(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Digest::Reader::getEchoAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline ::uint32_t Digest::Reader::getEchoAgeMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Digest::Builder::getEchoAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline ::uint32_t Digest::Builder::getEchoAgeMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void Digest::Builder::setEchoAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline void Digest::Builder::setEchoAgeMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Digest::Reader::hasReports() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool Digest::Reader::hasReports() const
+{
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Digest::Builder::hasReports() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool Digest::Builder::hasReports()
+{
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getReports() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>::Reader
+Digest::Reader::getReports() const
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>>::
+            get(_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getReports() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>::Builder
+Digest::Builder::getReports()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>>::
+            get(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Digest::Builder::setReports( ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Digest::Builder::setReports(
+        ::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>>::
+            set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initReports(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>::Builder
+Digest::Builder::initReports(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>>::
+            init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void Digest::Builder::adoptReports(
-    ::capnp::Orphan< ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>> Digest::Builder::disownReports() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::EndpointReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline bool Digest::Reader::hasSent() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool Digest::Builder::hasSent() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getSent() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getSent() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void Digest::Builder::setSent( ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initSent(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+        ::capnp::Orphan<::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>>
+                &&value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>>::
+            adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+                  kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>>
+Digest::Builder::disownReports()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::wire::EndpointReport, ::capnp::Kind::STRUCT>>::
+            disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Digest::Reader::hasSent() const
+{
+    return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasSent()
+{
+    return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>::Reader
+Digest::Reader::getSent() const
+{
+    return ::capnp::_::
+            PointerHelpers<::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>>::get(
+                    _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>::Builder
+Digest::Builder::getSent()
+{
+    return ::capnp::_::
+            PointerHelpers<::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>>::get(
+                    _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::setSent(
+        ::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>>::
+            set(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>::Builder
+Digest::Builder::initSent(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>>::
+            init(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void Digest::Builder::adoptSent(
-    ::capnp::Orphan< ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>> Digest::Builder::disownSent() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::SentLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-
-inline bool Digest::Reader::hasMembers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline bool Digest::Builder::hasMembers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void Digest::Builder::setMembers( ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+        ::capnp::Orphan<::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>>::
+            adopt(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+                  kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>>
+Digest::Builder::disownSent()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::wire::SentLoad, ::capnp::Kind::STRUCT>>::
+            disown(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Digest::Reader::hasMembers() const
+{
+    return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasMembers()
+{
+    return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>::Reader
+Digest::Reader::getMembers() const
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>>::
+            get(_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>::Builder
+Digest::Builder::getMembers()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>>::
+            get(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::setMembers(
+        ::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>>::
+            set(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>::Builder
+Digest::Builder::initMembers(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>>::
+            init(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void Digest::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+        ::capnp::Orphan<::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>>
+                &&value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>>::
+            adopt(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+                  kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>> Digest::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::wire::MemberSummary,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>>
+Digest::Builder::disownMembers()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::wire::MemberSummary, ::capnp::Kind::STRUCT>>::
+            disown(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool DigestReply::Reader::hasIncarnation() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool DigestReply::Reader::hasIncarnation() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool DigestReply::Builder::hasIncarnation() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool DigestReply::Builder::hasIncarnation()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader DigestReply::Reader::getIncarnation() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader DigestReply::Reader::getIncarnation() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder DigestReply::Builder::getIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder DigestReply::Builder::getIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void DigestReply::Builder::setIncarnation( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void DigestReply::Builder::setIncarnation(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder DigestReply::Builder::initIncarnation(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder DigestReply::Builder::initIncarnation(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void DigestReply::Builder::adoptIncarnation(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void DigestReply::Builder::adoptIncarnation(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> DigestReply::Builder::disownIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> DigestReply::Builder::disownIncarnation()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t DigestReply::Reader::getClockMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int64_t DigestReply::Reader::getClockMs() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t DigestReply::Builder::getClockMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int64_t DigestReply::Builder::getClockMs()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void DigestReply::Builder::setClockMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void DigestReply::Builder::setClockMs(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t DigestReply::Reader::getConfigOffset() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t DigestReply::Reader::getConfigOffset() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t DigestReply::Builder::getConfigOffset() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t DigestReply::Builder::getConfigOffset()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void DigestReply::Builder::setConfigOffset( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void DigestReply::Builder::setConfigOffset(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-}  // namespace
-}  // namespace
+} // namespace wire
+} // namespace cicadafork
 
 CAPNP_END_HEADER
-
--- a/src/peer/peerclient.cpp
+++ b/src/peer/peerclient.cpp
@@ -324,8 +324,7 @@
                 });
             };
             state_->addTask(
-                    state_->start<HeartbeatAnswer>({one.peerId, one.address}, timeout,
-                                                   kj::mv(call))
+                    state_->start<HeartbeatAnswer>({one.peerId, one.address}, timeout, kj::mv(call))
                             .then([done, sent](const Expected<HeartbeatAnswer> &answer) {
                                 done(sent, answer);
                             }));
--- a/src/peer/peerclient.h
+++ b/src/peer/peerclient.h
@@ -59,7 +59,8 @@
 class PeerClient
 {
 public:
-    using HeartbeatCallback = std::function<void(const HeartbeatDue &, const Expected<HeartbeatAnswer> &)>;
+    using HeartbeatCallback
+            = std::function<void(const HeartbeatDue &, const Expected<HeartbeatAnswer> &)>;
 
     PeerClient(PeerLoop &loop, PeerClientOptions options);
     ~PeerClient();
--- a/standins/standin-vmlist/main.cpp
+++ b/standins/standin-vmlist/main.cpp
@@ -76,10 +76,9 @@
                 list.lag = Millis(faults.value("lag_ms", list.lag.count()));
             },
             flags);
-    server.routes().Get("/vms",
-                        gate.guard([&](const auto &request, auto &response) {
-                            show(list, request, response);
-                        }));
+    server.routes().Get("/vms", gate.guard([&](const auto &request, auto &response) {
+        show(list, request, response);
+    }));
     server.routes().Post("/admin/vms", [&](const auto &request, auto &response) {
         replace(list, request, response);
     });
--- a/tests/tools/capacity.cpp
+++ b/tests/tools/capacity.cpp
@@ -9,6 +9,7 @@
 #include "http/client.h"
 #include "support/systemclient.h"
 
+#include <CppUTest/TestHarness.h>
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
@@ -73,6 +74,10 @@
                             * 100 / seconds);
         memory.push_back(after.daemons[i].residentMegabytes);
     }
+    std::vector<double> alive;
+    for (std::size_t i = 0; i < count; ++i)
+        alive.push_back(after.daemons[i].metrics.at("cicadafork_peers_alive"));
+    line["peers_alive"] = summaryOf(alive);
     line["core_percent"] = summaryOf(processor);
     line["memory_mb"] = summaryOf(memory);
     for (const char *direction : {"sent", "received"}) {
@@ -271,6 +276,8 @@
 
 int main(int argc, char **argv)
 {
+    // The leak detector of the test library is not made for threads.
+    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
     cxxopts::Options options = commandLine();
     try {
         const auto parsed = options.parse(argc, argv);
--- a/tests/tools/capacitysystem.h
+++ b/tests/tools/capacitysystem.h
@@ -50,7 +50,8 @@
     explicit CapacitySystem(CapacityOptions options);
     ~CapacitySystem();
 
-    /// Starts everything and waits until each daemon knows all endpoints and the configuration.
+    /// Starts everything and waits until each daemon knows its peers and the configuration, or
+    /// until 20 s have passed. Throws std::runtime_error when a daemon is not ready.
     void start();
 
     Sample sample() const;
