--- a/src/loadgen/runner.cpp
+++ b/src/loadgen/runner.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <atomic>
 #include <map>
+#include <system_error>
 #include <thread>
 
 namespace cicadafork {
@@ -186,12 +187,22 @@
     const TimePoint begin = steadyNow() + Millis(50);
     std::vector<std::thread> workers;
     for (std::size_t i = 0; i < std::min(options.workers, trace.size()); ++i) {
-        workers.emplace_back([&] {
-            for (std::size_t index; (index = next++) < trace.size(); ++finished) {
-                const Address &target = options.targets[index % options.targets.size()];
-                results[index] = sendRequest(trace[index], target, begin + trace[index].offset);
-            }
-        });
+        try {
+            workers.emplace_back([&] {
+                for (std::size_t index; (index = next++) < trace.size(); ++finished) {
+                    const Address &target = options.targets[index % options.targets.size()];
+                    results[index] = sendRequest(trace[index], target, begin + trace[index].offset);
+                }
+            });
+        } catch (const std::system_error &error) {
+            // The machine has no more threads. The workers that run go on; too few of them show as
+            // late starts.
+            fmt::print(stderr, "cicadafork load: {} of {} workers started: {}\n", i,
+                       options.workers, error.what());
+            if (workers.empty())
+                throw;
+            break;
+        }
     }
     while (options.progress && finished < trace.size()) {
         std::this_thread::sleep_for(Millis(1000));
--- a/tests/support/cpuusage.cpp
+++ b/tests/support/cpuusage.cpp
@@ -30,4 +30,13 @@
     return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
+std::size_t residentBytes(pid_t process)
+{
+    std::ifstream file(fmt::format("/proc/{}/statm", process));
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 } // namespace cicadafork::test
--- a/tests/support/testcluster.cpp
+++ b/tests/support/testcluster.cpp
@@ -105,6 +105,8 @@
     member.viaProxy = member.address;
     member.program = program;
     member.arguments = {"--listen", toString(member.address)};
+    if (!options_.otherThreads.empty() && program != kDaemonProgram && program != "standin-engine")
+        member.arguments.insert(member.arguments.end(), {"--threads", options_.otherThreads});
     const auto &proxied = options_.proxied;
     if (std::find(proxied.begin(), proxied.end(), id) != proxied.end()) {
         member.viaProxy = addresses_.next();
--- a/tests/support/testcluster.h
+++ b/tests/support/testcluster.h
@@ -32,6 +32,8 @@
     /// Connections of each engine. The default suits integration tests; the engine's own default of
     /// 1,300 would cost each engine memory.
     std::string engineThreads = "160";
+    /// Connections of each plain service, log, VM list and weight store; empty: their own default.
+    std::string otherThreads = {};
     /// Links with a fault-proxy: names of members, for example "log", "vmlist", "engine-1". Clients
     /// then get the address of the proxy.
     std::vector<std::string> proxied = {};
