--- a/tests/support/testcluster.cpp
+++ b/tests/support/testcluster.cpp
@@ -20,10 +20,6 @@
 constexpr Millis kStartTimeout{10'000};
 constexpr Millis kAdminTimeout{3'000};
 
-// Daemons hold few connections to the platform and to services. The stand-ins' default of 256
-// threads each would take a good part of the 32,768 threads that a machine has by default.
-constexpr const char *kOtherThreads = "32";
-
 std::string domainName(std::size_t number)
 {
     return fmt::format("domain-{}", 1 + number % kFailureDomains);
@@ -109,8 +105,8 @@
     member.viaProxy = member.address;
     member.program = program;
     member.arguments = {"--listen", toString(member.address)};
-    if (program != "standin-engine" && program != kDaemonProgram)
-        member.arguments.insert(member.arguments.end(), {"--threads", kOtherThreads});
+    if (program != kDaemonProgram && program != "standin-engine")
+        member.arguments.insert(member.arguments.end(), {"--threads", options_.otherThreads});
     const auto &proxied = options_.proxied;
     if (std::find(proxied.begin(), proxied.end(), id) != proxied.end()) {
         member.viaProxy = addresses_.next();
--- a/tests/tools/capacity.cpp
+++ b/tests/tools/capacity.cpp
@@ -9,7 +9,6 @@
 #include "http/client.h"
 #include "support/systemclient.h"
 
-#include <CppUTest/TestHarness.h>
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
@@ -276,8 +275,6 @@
 
 int main(int argc, char **argv)
 {
-    // The leak detector of the test library is not made for threads.
-    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
     cxxopts::Options options = commandLine();
     try {
         const auto parsed = options.parse(argc, argv);
