--- a/tests/unit/peerfuzz_test.cpp
+++ b/tests/unit/peerfuzz_test.cpp
@@ -21,8 +21,8 @@
 
 namespace {
 
-constexpr Address kServer{"127.78.0.1", 23'310};
-constexpr Address kRecorder{"127.78.0.2", 23'311};
+const Address kServer{"127.78.0.1", 23'310};
+const Address kRecorder{"127.78.0.2", 23'311};
 constexpr std::size_t kConnections = 32;
 
 sockaddr_in socketAddress(const Address &address)
