--- a/tests/tools/cluster.cpp
+++ b/tests/tools/cluster.cpp
@@ -15,6 +15,8 @@
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
+#include <csignal>
+
 #include <cstdlib>
 #include <map>
 #include <set>
@@ -180,6 +182,9 @@
 
 int main(int argc, char **argv)
 {
+    // Ctrl-C ends the command; this program then ends the processes, which would else be left
+    // behind. The handler is not inherited by the programs that are started.
+    std::signal(SIGINT, [](int) {});
     cxxopts::Options options = commandLine();
     try {
         const auto parsed = options.parse(argc, argv);
