--- a/tests/unit/daemon_test.cpp
+++ b/tests/unit/daemon_test.cpp
@@ -90,6 +90,7 @@
     };
     for (const Case &c : cases) {
         RequestView view;
+        view.state = RequestState::Dispatched;
         view.sinceProgress = c.sinceProgress;
         view.expectedFirstToken = c.expectedFirstToken;
         CHECK_EQUAL(c.stuck, isStuck(view));
