State not_run only when no attempt of the key can have run

Cause: a refusal described this attempt only. With the log down, a duplicate got not_run although an earlier attempt with the same key may have run at another entry VM. The same held for refusals before the claim (shutdown, unknown service, full request table), for keyed repeatable calls and models, and for a key that was used with another request. During an outage the claims module also dropped a holder of the key that it had read before.

Change: the header X-Attempt: 1 states the caller's first attempt. Without it, a keyed request counts as in doubt until its claim is won; every refusal before that says may_have_run. A claim that was read before outweighs the caller's statement. A claim that waits ends when the circuit breaker opens, so that the request that meets the outage first is refused after three failures instead of after its validity of 5 s.

Ruled out: not_run for 4xx of keyed requests as before. Nothing is known there about attempts elsewhere. A malformed key keeps not_run, because it is refused everywhere.

--- a/src/claims/claimfold.cpp
+++ b/src/claims/claimfold.cpp
@@ -214,7 +214,8 @@
                 "an earlier attempt with this idempotency key ended without an outcome",
                 "check at the service whether the request ran"};
     case ClaimDecisionKind::KeyReused:
-        return {ErrorCode::InvalidArgument, "the idempotency key was used with another request",
+        return {ErrorCode::InvalidArgument,
+                "the idempotency key was used with another request; this one was not sent",
                 "use a new key for a new request"};
     case ClaimDecisionKind::KeyInvalid:
         return {ErrorCode::InvalidArgument,
--- a/src/claims/claimservice.h
+++ b/src/claims/claimservice.h
@@ -47,7 +47,7 @@
     MayHaveRun,  ///< An earlier attempt was lost after it may have dispatched.
     KeyReused,   ///< The key was used with another request.
     KeyInvalid,  ///< Not a UUIDv7, from the future, or older than the de-duplication window.
-    Unavailable, ///< The log did not answer in time; nothing was dispatched.
+    Unavailable, ///< This attempt was not dispatched; nothing is known about earlier ones.
 };
 
 struct ClaimDecision
--- a/src/claims/logclaims.cpp
+++ b/src/claims/logclaims.cpp
@@ -67,7 +67,28 @@
     submit(shard, {entry}, false, limit);
     std::optional<ClaimDecision> decision = resolve(shard, entry.attemptId, limit);
     removeWaiters(shard, {entry});
-    return settle(entry.attemptId, entry.key, std::move(decision));
+    ClaimDecision settled = settle(entry.attemptId, entry.key, std::move(decision));
+    if (settled.kind == ClaimDecisionKind::Unavailable) {
+        if (std::optional<ClaimDecision> known = decideByKnownHolder(shard, entry))
+            return *known;
+    }
+    return settled;
+}
+
+/// The decision against the holder that was read before the log stopped answering.
+std::optional<ClaimDecision> LogClaims::decideByKnownHolder(std::size_t shard,
+                                                            const ClaimEntry &entry)
+{
+    Shard &state = shards_[shard];
+    std::lock_guard lock(state.mutex);
+    const ClaimHolder *holder = state.fold.holder(entry.key);
+    if (!holder || holder->attemptId == entry.attemptId)
+        return std::nullopt;
+    // The local clock may be ahead of the log's clock by the allowed skew.
+    const WallTime logTime = std::max(state.fold.logTime(), wallNow() - settings_.fold.keys.skew);
+    ClaimDecision decision = decideAgainstHolder(holder, entry.requestSha256, logTime);
+    decision.attemptId = entry.attemptId;
+    return decision;
 }
 
 /// Decides without an append where the stream already shows the answer.
@@ -82,18 +103,12 @@
         held = holder != nullptr;
         if (held && holder->outcome)
             return decideAgainstHolder(holder, entry.requestSha256, state.fold.logTime());
-        if (breaker_.open() || (!held && state.fold.refuses(entry.key)))
+        if (!held && (breaker_.open() || state.fold.refuses(entry.key)))
             return decisionOf(ClaimDecisionKind::Unavailable);
     }
-    if (!held || !catchUp(shard, limit))
-        return std::nullopt;
-    std::lock_guard lock(state.mutex);
-    const ClaimHolder *holder = state.fold.holder(entry.key);
-    if (!holder)
+    if (!held || (!breaker_.open() && !catchUp(shard, limit)))
         return std::nullopt;
-    // The local clock may be ahead of the log's clock by the allowed skew.
-    const WallTime logTime = std::max(state.fold.logTime(), wallNow() - settings_.fold.keys.skew);
-    return decideAgainstHolder(holder, entry.requestSha256, logTime);
+    return decideByKnownHolder(shard, entry);
 }
 
 bool LogClaims::insertAttempt(const ClaimEntry &entry, TimePoint started)
--- a/src/claims/logclaims.h
+++ b/src/claims/logclaims.h
@@ -85,6 +85,7 @@
 
     std::optional<ClaimDecision> decideEarly(std::size_t shard, const ClaimEntry &entry,
                                              TimePoint limit);
+    std::optional<ClaimDecision> decideByKnownHolder(std::size_t shard, const ClaimEntry &entry);
     ClaimDecision settle(const std::string &attemptId, const ClaimKey &key,
                          std::optional<ClaimDecision> decision);
     bool insertAttempt(const ClaimEntry &entry, TimePoint started);
--- a/src/claims/logclaimsbatch.cpp
+++ b/src/claims/logclaimsbatch.cpp
@@ -117,7 +117,8 @@
     });
 }
 
-/// Reads the stream until it holds the verdict on the attempt; nothing when the limit passed first.
+/// Reads the stream until it holds the verdict on the attempt; nothing when the limit passed or the
+/// circuit breaker opened first.
 std::optional<ClaimDecision> LogClaims::resolve(std::size_t shard, const std::string &attemptId,
                                                 TimePoint limit)
 {
@@ -131,8 +132,12 @@
             return std::nullopt;
         if (!waiter.sent || state.reading)
             state.changed.wait_until(lock, limit);
-        else if (!readPage(shard, lock, kReadWait, limit))
+        else if (!readPage(shard, lock, kReadWait, limit)) {
+            // During an outage the caller is refused at once; its claim is withdrawn.
+            if (breaker_.open())
+                return std::nullopt;
             state.changed.wait_until(lock, std::min(limit, steadyNow() + kReadRetryDelay));
+        }
     }
 }
 
--- a/src/frontend/callerrequest.cpp
+++ b/src/frontend/callerrequest.cpp
@@ -75,6 +75,13 @@
     context.idempotencyKey = request.get_header_value("Idempotency-Key");
     if (request.has_header("Idempotency-Key") && !uuidV7Time(context.idempotencyKey))
         return badHeader("Idempotency-Key", "send a UUIDv7");
+    if (request.has_header("X-Attempt")) {
+        const auto attempt = parseNumber(request.get_header_value("X-Attempt"));
+        if (!attempt || *attempt == 0)
+            return badHeader("X-Attempt", "send 1 for the first attempt with a key, 2 and more for "
+                                          "repeated ones");
+    }
+    context.earlierAttemptPossible = earlierAttemptPossible(request);
     context.traceparent = request.get_header_value("traceparent");
     if (context.traceparent.size() > kMaxTraceparentBytes)
         return badHeader("traceparent", "send a W3C trace context");
@@ -124,6 +131,18 @@
 
 } // namespace
 
+bool earlierAttemptPossible(const httplib::Request &request)
+{
+    return uuidV7Time(request.get_header_value("Idempotency-Key")).has_value()
+           && request.get_header_value("X-Attempt") != "1";
+}
+
+Execution executionForKey(Execution ofThisAttempt, bool earlierAttemptPossible)
+{
+    return ofThisAttempt == Execution::NotRun && earlierAttemptPossible ? Execution::MayHaveRun
+                                                                        : ofThisAttempt;
+}
+
 std::uint64_t countTokens(std::size_t bytes)
 {
     return (bytes + 3) / 4;
--- a/src/frontend/callerrequest.h
+++ b/src/frontend/callerrequest.h
@@ -33,6 +33,7 @@
     TimePoint deadline;
     std::optional<std::uint64_t> lastEventId;
     std::string idempotencyKey;
+    bool earlierAttemptPossible = false; ///< See earlierAttemptPossible().
     std::string traceparent;
 };
 
@@ -53,6 +54,15 @@
 
 Checked<CompletionBody> readCompletion(const std::string &body, CompletionForm form);
 
+/// An earlier attempt with the idempotency key may have run: the request has a well-formed key and
+/// does not state with "X-Attempt: 1" that it is the caller's first attempt. A key that is not well
+/// formed is refused everywhere.
+bool earlierAttemptPossible(const httplib::Request &request);
+
+/// What a refusal that knows nothing about the key may state: not_run becomes may_have_run when an
+/// earlier attempt is possible.
+Execution executionForKey(Execution ofThisAttempt, bool earlierAttemptPossible);
+
 /// Tokens of a prompt: 4 bytes of UTF-8 count as one, rounded up.
 std::uint64_t countTokens(std::size_t bytes);
 
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -54,6 +54,7 @@
         problem.detail = "there is nothing at this path for this method";
         problem.remedy = "check the path and the method";
     }
+    problem.execution = executionForKey(problem.execution, earlierAttemptPossible(request));
     writeProblem(response, problem, requestIdOf(request));
 }
 
@@ -117,9 +118,9 @@
     });
 }
 
-void Frontend::reject(const httplib::Request &request, httplib::Response &response,
-                      const Problem &problem)
+void Frontend::reject(const httplib::Request &request, httplib::Response &response, Problem problem)
 {
+    problem.execution = executionForKey(problem.execution, earlierAttemptPossible(request));
     counters_.rejected.Increment();
     if (draining_)
         response.set_header("Connection", "close");
@@ -140,7 +141,7 @@
     auto request = std::make_shared<ActiveRequest>(
             RequestFacts{caller.requestId, caller.workspace->id, service.id, model,
                          caller.priority.value_or(service.priority), promptTokens, caller.started,
-                         caller.deadline});
+                         caller.deadline, caller.earlierAttemptPossible});
     Problem problem = notAccepting("too-many-requests", "the request table is full");
     switch (table_.add(request)) {
     case AddOutcome::Added:
@@ -157,6 +158,7 @@
     case AddOutcome::Full:
         break;
     }
+    problem.execution = executionForKey(problem.execution, caller.earlierAttemptPossible);
     counters_.rejected.Increment();
     writeProblem(response, problem, caller.requestId);
     return nullptr;
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -8,7 +8,7 @@
 //                      .maxBodyBytes = settings.limits.maxBodyBytes});
 //   frontend.registerRoutes(server.routes());
 //   ...
-//   frontend.beginDrain();             // readiness fails, new requests get 503 not_run
+//   frontend.beginDrain();             // readiness fails, new requests get 503
 //   while (!frontend.drained()) ...
 //   server.stop();                     // before the frontend is destroyed
 //
@@ -52,7 +52,7 @@
     /// Adds the caller routes, and problem objects for errors that the library itself answers.
     void registerRoutes(httplib::Server &server);
 
-    /// New requests get 503 not_run from now on; those in progress continue.
+    /// New requests get 503 from now on; those in progress continue.
     void beginDrain() { draining_ = true; }
     /// True while new requests are accepted; the daemon adds its own conditions.
     bool accepting() const { return !draining_; }
@@ -76,8 +76,7 @@
                                          httplib::Response &response);
     void startModelRun(const std::shared_ptr<ActiveRequest> &request, const CallerContext &caller,
                        CompletionBody body);
-    void reject(const httplib::Request &request, httplib::Response &response,
-                const Problem &problem);
+    void reject(const httplib::Request &request, httplib::Response &response, Problem problem);
 
     const Settings &settings_;
     const ConfigStore &configuration_;
--- a/src/frontend/requesttable.cpp
+++ b/src/frontend/requesttable.cpp
@@ -42,6 +42,7 @@
 ActiveRequest::ActiveRequest(RequestFacts facts)
     : facts_(std::move(facts))
     , key_(requestKey(facts_.workspace, facts_.requestId))
+    , inDoubt_(facts_.earlierAttemptPossible)
     , stateSince_(facts_.started)
     , progressAt_(facts_.started)
 {
@@ -63,6 +64,12 @@
     return true;
 }
 
+void ActiveRequest::excludeEarlierAttempts()
+{
+    const std::lock_guard lock(mutex_);
+    inDoubt_ = false;
+}
+
 void ActiveRequest::attemptEnded(AttemptStatus status)
 {
     const std::lock_guard lock(mutex_);
--- a/src/frontend/requesttable.h
+++ b/src/frontend/requesttable.h
@@ -66,6 +66,7 @@
     std::uint64_t promptTokens = 0;
     TimePoint started;
     TimePoint deadline;
+    bool earlierAttemptPossible = false; ///< With the same idempotency key, see CallerContext.
 };
 
 /// Identity towards engines and peers. The workspace is a part of it, so that no workspace can
@@ -88,6 +89,8 @@
 
     /// Call immediately before a send. False after cancel(): do not send.
     bool beginSend();
+    /// Call when the claim was won: no earlier attempt with the key was dispatched.
+    void excludeEarlierAttempts();
     /// Call after each attempt that began to send.
     void attemptEnded(AttemptStatus status);
     Execution execution() const;
@@ -112,7 +115,7 @@
     std::condition_variable cancelChanged_;
     bool cancelled_ = false;
     bool sending_ = false;
-    bool inDoubt_ = false; ///< An attempt ended that may have run.
+    bool inDoubt_; ///< An ended attempt, or an earlier one with the key, may have run.
     RequestView view_;
     TimePoint stateSince_;
     TimePoint progressAt_;
--- a/src/frontend/servicerun.cpp
+++ b/src/frontend/servicerun.cpp
@@ -49,13 +49,14 @@
     return answer;
 }
 
-Problem problemOf(const ClaimDecision &decision)
+/// execution is what is known without the decision.
+Problem problemOf(const ClaimDecision &decision, Execution execution)
 {
     Problem problem{503,
                     "claim",
                     decision.error.message,
                     decision.error.remedy,
-                    Execution::NotRun,
+                    execution,
                     decision.retryAfter};
     switch (decision.kind) {
     case ClaimDecisionKind::InProgress:
@@ -68,14 +69,13 @@
     case ClaimDecisionKind::KeyReused:
         problem.status = 422;
         problem.type = "key-reused";
+        problem.execution = Execution::MayHaveRun;
         problem.retryAfter = Millis(0);
         break;
     case ClaimDecisionKind::KeyInvalid:
         problem.status = 400;
         problem.type = "key-invalid";
         problem.retryAfter = Millis(0);
-        // The log keeps no record of a key that is too old: an earlier request may have run.
-        problem.execution = Execution::MayHaveRun;
         break;
     default:
         problem.type = "log-unavailable";
@@ -119,7 +119,8 @@
                 return replay(*claim_.outcome);
             }
             if (claim_.kind != ClaimDecisionKind::Won)
-                return answerWith(problemOf(claim_));
+                return answerWith(problemOf(claim_, request_.execution()));
+            request_.excludeEarlierAttempts();
         }
         ServiceAnswer answer = runAttempts();
         // A claim that was never dispatched must not block the key.
--- a/src/loadgen/runner.cpp
+++ b/src/loadgen/runner.cpp
@@ -83,8 +83,11 @@
     http.set_header("Content-Type", "application/json");
     http.set_header("X-Priority", request.priority);
     http.set_header("X-Request-Timeout-Ms", std::to_string(request.timeout.count()));
-    if (request.keyed)
+    if (request.keyed) {
+        // Every key is new and the load is never repeated.
         http.set_header("Idempotency-Key", newUuidV7(wallNow()));
+        http.set_header("X-Attempt", "1");
+    }
     const Json body = call ? Json{{"text", prompt}}
                            : Json{{"model", request.target},
                                   {"prompt", prompt},
--- a/tests/support/frontendfakes.cpp
+++ b/tests/support/frontendfakes.cpp
@@ -111,6 +111,7 @@
 
 ClaimDecision FakeClaims::claim(const ClaimRequest &request, TimePoint)
 {
+    std::this_thread::sleep_for(delay);
     const std::lock_guard lock(mutex_);
     ++claims_;
     ClaimDecision decision;
--- a/tests/support/frontendfakes.h
+++ b/tests/support/frontendfakes.h
@@ -77,6 +77,7 @@
     void withdraw(const std::string &attemptId) override;
 
     std::atomic<bool> unavailable{false};
+    Millis delay{0}; ///< Before the answer of claim(); set before use.
     std::atomic<bool> validityEnded{false};
     std::size_t claimCount() const;
     std::size_t withdrawals() const;
