--- a/tests/support/systemclient.cpp
+++ b/tests/support/systemclient.cpp
@@ -31,6 +31,8 @@
         return;
     result.execution = json.value("execution", "");
     result.problem = json.value("detail", "");
+    if (json.contains("retry_after_ms"))
+        result.retryAfter = fmt::format("{} ms", json["retry_after_ms"].dump());
 }
 
 /// Takes the lines of one streamed completion apart.
@@ -185,6 +187,10 @@
     auto headers = headersOf(call.credential, call.timeout);
     if (!call.idempotencyKey.empty())
         headers.emplace("Idempotency-Key", call.idempotencyKey);
+    if (!call.attempt.empty())
+        headers.emplace("X-Attempt", call.attempt);
+    if (!call.requestId.empty())
+        headers.emplace("X-Request-Id", call.requestId);
     const auto reply = capture([&] {
         return httpPost(address_, fmt::format("/v1/services/{}/{}", call.service, call.operation),
                         call.body, call.timeout + kClientMargin, headers);
--- a/tests/unit/frontendnotrun_test.cpp
+++ b/tests/unit/frontendnotrun_test.cpp
@@ -51,7 +51,7 @@
     const char *const model = R"({"model":"m","prompt":"a"})";
     const std::vector<Case> cases = {
             {"log down", Fault::LogDown, "/v1/services/gate/open", "{}", 503, true},
-            {"log silent", Fault::LogSilent, "/v1/services/gate/open", "{}", 504, false},
+            {"log silent", Fault::LogSilent, "/v1/services/gate/open", "{}", 504, true},
             {"draining", Fault::Draining, "/v1/services/gate/open", "{}", 503, true},
             {"unknown service", Fault::UnknownService, "/v1/services/x/open", "{}", 404, false},
             {"repeatable", Fault::Refused, "/v1/services/gate/read", "{}", 503, true},
