--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -58,6 +58,7 @@
         problem.detail = "there is nothing at this path for this method";
         problem.remedy = "check the path and the method";
     }
+    problem.execution = executionForKey(problem.execution, earlierAttemptPossible(request));
     writeProblem(response, problem, requestIdOf(request));
 }
 
@@ -168,9 +169,9 @@
     }
 }
 
-void Frontend::reject(const httplib::Request &request, httplib::Response &response,
-                      const Problem &problem)
+void Frontend::reject(const httplib::Request &request, httplib::Response &response, Problem problem)
 {
+    problem.execution = executionForKey(problem.execution, earlierAttemptPossible(request));
     counters_.rejected.Increment();
     if (draining_)
         response.set_header("Connection", "close");
@@ -191,7 +192,7 @@
     auto request = std::make_shared<ActiveRequest>(
             RequestFacts{caller.requestId, caller.workspace->id, service.id, model,
                          caller.priority.value_or(service.priority), promptTokens, caller.started,
-                         caller.deadline});
+                         caller.deadline, caller.earlierAttemptPossible});
     Problem problem = notAccepting("too-many-requests", "the request table is full");
     switch (table_.add(request)) {
     case AddOutcome::Added:
@@ -210,6 +211,7 @@
     case AddOutcome::Full:
         break;
     }
+    problem.execution = executionForKey(problem.execution, caller.earlierAttemptPossible);
     counters_.rejected.Increment();
     writeProblem(response, problem, caller.requestId);
     return nullptr;
--- a/tests/support/systemclient.cpp
+++ b/tests/support/systemclient.cpp
@@ -191,6 +191,10 @@
     auto headers = headersOf(call.credential, call.timeout);
     if (!call.idempotencyKey.empty())
         headers.emplace("Idempotency-Key", call.idempotencyKey);
+    if (!call.attempt.empty())
+        headers.emplace("X-Attempt", call.attempt);
+    if (!call.requestId.empty())
+        headers.emplace("X-Request-Id", call.requestId);
     const auto reply = capture([&] {
         return httpPost(address_, fmt::format("/v1/services/{}/{}", call.service, call.operation),
                         call.body, call.timeout + kClientMargin, headers);
--- a/tests/support/systemclient.h
+++ b/tests/support/systemclient.h
@@ -41,6 +41,8 @@
     std::string operation;
     std::string body = "{}";
     std::string idempotencyKey = {};
+    std::string attempt = {}; ///< Header X-Attempt; not sent when empty.
+    std::string requestId = {};
     Millis timeout{10'000};
     std::string credential = kCallerCredential;
 };
