Prove that callers get their own whole answers

Change: the proof own-whole-answer. Engines that are late or cross, truncate or duplicate an event; broken, cut and frozen links; killed engines and daemons. Each answer is whole and the caller's own, or a true part followed by a definite failure. At the end a daemon is killed with eight streams in progress and one with eight prompts in prefill; their callers must get the whole answer at other daemons with the same request id (and Last-Event-ID). A crossed event of the engine stand-in now carries the text of another answer; before, only its id was wrong, so that a daemon without the check would have passed.

--- a/standins/standin-engine/prompt.cpp
+++ b/standins/standin-engine/prompt.cpp
@@ -48,12 +48,14 @@
 std::string formatEvent(const Stream &stream, std::uint64_t sequence, bool crossed)
 {
     const StreamRequest &request = stream.request;
+    // A crossed event is a part of another request's answer.
     const std::string id = crossed ? request.key.requestId + "-other" : request.key.requestId;
+    const std::uint64_t digest = crossed ? ~request.digest : request.digest;
     const bool done = sequence + 1 == request.maxTokens;
     std::string text = fmt::format(
             R"(id: {0}{5}data: {{"request_id":{1},"attempt":{2},"seq":{0},"text":"{3}","done":{4})",
-            sequence, nlohmann::json(id).dump(), request.key.attempt,
-            answerToken(request.digest, sequence), done, '\n');
+            sequence, nlohmann::json(id).dump(), request.key.attempt, answerToken(digest, sequence),
+            done, '\n');
     if (done) {
         text += fmt::format(R"(,"usage":{{"prompt_tokens":{},"completion_tokens":{}}},"total":{})",
                             request.promptTokens, request.maxTokens, request.maxTokens);
--- a/tests/proofs/proof.h
+++ b/tests/proofs/proof.h
@@ -16,6 +16,7 @@
 struct ProofOptions
 {
     std::uint64_t seed = 1;
+    bool brief = false; ///< Fewer faults, at most 20 s; for the integration tests.
 };
 
 struct ProofResult
