Let a repeated request pass the attempts of a front that died

Cause: a front numbers its attempts from 1. When a daemon dies, its caller repeats the request with the same X-Request-Id at another daemon; if that one chooses the same engine, the engine answers 409 "this attempt is known" and the caller got 502 may_have_run. Change: on a 409 before acceptance the front cancels the earlier attempt and goes on with the next number at once, without using the retry budget and without blame of the engine, at most three times. The execution stays may_have_run, because the earlier front's attempt ran. Ruled out: numbers that start at random, because the engine resumes the stream with the highest number. Also known: two fronts that serve the same request id at the same time end each other's attempts; the later one wins. Each ends with a whole answer or a definite failure.

--- a/src/frontend/modelrun.cpp
+++ b/src/frontend/modelrun.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr unsigned kMaxAttempts = 3;
+// Attempts of an earlier front that an engine may know.
+constexpr unsigned kMaxKnownAttempts = kMaxAttempts;
 constexpr int kMaxResumes = 2;
 constexpr Millis kResumePause{50};
 constexpr Millis kMemoryPauseMinimum{20};
@@ -16,6 +18,13 @@
 // Before a retry the old attempt is cancelled once; a dead engine must not delay the retry longer.
 constexpr Millis kCancelBeforeRetry{200};
 
+/// The engine knows this attempt number: an earlier front of the request, whose caller has come
+/// here since, has used it. This attempt did not run.
+bool isKnownAttempt(const AttemptResult &result)
+{
+    return result.httpStatus == 409 && !result.accepted;
+}
+
 } // namespace
 
 FrontendCounters::FrontendCounters(Metrics &metrics)
@@ -102,7 +111,7 @@
             return Next::Again;
         return Next::Done;
     }
-    noteFinished(placement, result->status);
+    noteFinished(placement, isKnownAttempt(*result) ? AttemptStatus::Cancelled : result->status);
     request_.attemptEnded(result->status);
     if (result->status == AttemptStatus::Completed) {
         end(std::nullopt);
@@ -114,9 +123,15 @@
 ModelRun::Next ModelRun::afterFailure(const Placement &placement, const AttemptResult &result)
 {
     const bool cancelled = request_.cancelled();
+    if (!cancelled && isKnownAttempt(result) && knownAttempts_ < kMaxKnownAttempts) {
+        // Nobody waits for the earlier front's answer any more; its memory is freed.
+        ++knownAttempts_;
+        cancelAt(placement, 1, kCancelBeforeRetry);
+        return Next::Again;
+    }
     lastProblem_ = problemOf(result, request_.execution());
     const bool mayRetry
-            = !cancelled && delivered_ == 0 && attempt_ < kMaxAttempts
+            = !cancelled && delivered_ == 0 && attempt_ < kMaxAttempts + knownAttempts_
               && context_.admission.takeRetry(request_.facts().workspace, request_.facts().service);
     if (!mayRetry)
         end(lastProblem_);
--- a/src/frontend/modelrun.h
+++ b/src/frontend/modelrun.h
@@ -55,6 +55,7 @@
     const ModelWork &work_;
     RouteRequest route_;
     unsigned attempt_ = 0;
+    unsigned knownAttempts_ = 0; ///< Attempts whose number an earlier front has used.
     bool placed_ = false;
     std::optional<Problem> lastProblem_;
     std::uint64_t delivered_ = 0;
--- a/tests/support/fakeengine.cpp
+++ b/tests/support/fakeengine.cpp
@@ -239,6 +239,10 @@
     const auto body = nlohmann::json::parse(request.body);
     if (refuse(response))
         return;
+    if (body["attempt"].get<unsigned>() <= behaviour().knownAttempts) {
+        response.status = 409;
+        return response.set_content(R"({"error":"known"})", "application/json");
+    }
     const std::string id = body["request_id"];
     {
         const std::lock_guard lock(mutex_);
--- a/tests/support/fakeengine.h
+++ b/tests/support/fakeengine.h
@@ -47,6 +47,7 @@
     Millis tokenDelay{0};  ///< Before each token.
     bool refuseHolds = false;
     bool failPrefill = false;
+    unsigned knownAttempts = 0; ///< Attempts up to this number were sent by an earlier front: 409.
 };
 
 /// A port of 127.0.0.1 that no socket uses at the moment.
