State when to come back after a lost call, and bound what one pause counts for

Change: an unknown outcome carries Retry-After: 1; the same key may be sent again, as it never runs twice. A slow-factor sample counts as 10 at most instead of 100.

Ruled out: leaving Retry-After out because the outcome may stay unknown; the caller then guesses when to ask.

Tests failed first: nonRepeatableCallsAreSentAtMostOnce ("500": no Retry-After) and onePauseDoesNotMakeAnEndpointSlow. Both pass now; Frontend, FrontendNotRun, Membership and RoutingLoad pass.

--- a/src/frontend/servicerun.cpp
+++ b/src/frontend/servicerun.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr unsigned kMaxAttempts = 3;
+/// The same key may be sent again after this time: it never runs twice, and the outcome may be
+/// known.
+constexpr Millis kUnknownRetryAfter{1000};
 
 ServiceAnswer answerWith(Problem problem)
 {
@@ -22,7 +25,7 @@
             "the operation was sent and no whole answer arrived",
             "check whether the operation ran; do not send it under a new key before",
             Execution::MayHaveRun,
-            Millis(0)};
+            kUnknownRetryAfter};
 }
 
 Problem notRun(const Error &error)
--- a/src/membership/learning.cpp
+++ b/src/membership/learning.cpp
@@ -15,7 +15,9 @@
 constexpr double kRateRise = 0.3;
 constexpr double kRateFall = 0.05;
 constexpr double kSlowSmoothing = 0.1;
-constexpr double kMaxSlowSample = 100;
+/// A longer pause is a freeze and not a speed: at 100, one pause counted as a slowdown by 11, and
+/// long prompts were refused for tens of seconds.
+constexpr double kMaxSlowSample = 10;
 constexpr Millis kSlowHalfLife{10'000};
 
 Millis since(TimePoint then, TimePoint now)
--- a/tests/unit/frontendattempts_test.cpp
+++ b/tests/unit/frontendattempts_test.cpp
@@ -265,6 +265,8 @@
         const auto answer = fixture.post("/v1/services/gate/open", "{}", headers);
         LONGS_EQUAL_TEXT(c.status, answer->status, c.name);
         STRCMP_EQUAL_TEXT(c.execution, executionOf(answer).c_str(), c.name);
+        // A caller of an abandoned request must learn when to come back, with the same key.
+        CHECK_TRUE_TEXT(answer->has_header("Retry-After"), c.name);
         LONGS_EQUAL_TEXT(c.sends, fixture.engine(0).callHeaders().size(), c.name);
         CHECK_TRUE_TEXT(FrontendFixture::eventually(
                                 [&] { return fixture.claims.withdrawals() == c.withdrawals; }),
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -441,3 +441,13 @@
         CHECK_EQUAL_TEXT(c.valid, static_cast<bool>(status), c.body);
     }
 }
+
+// Guards against one pause of an endpoint that counts as a lasting slowdown: long prompts would be
+// refused for tens of seconds because they seem unable to finish in time.
+TEST(Membership, onePauseDoesNotMakeAnEndpointSlow)
+{
+    EndpointRow row;
+    const AttemptObservation paused{true, 100, Millis(1'000), Millis(5)};
+    learn(row, paused, at(1'000));
+    CHECK_TRUE(currentSlowFactor(row, at(1'000)) < 2);
+}
