--- a/tests/overhead/main.cpp
+++ b/tests/overhead/main.cpp
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <cstdio>
 #include <cstdlib>
+#include <map>
 #include <thread>
 
 // After the other headers, because it defines new as a macro.
@@ -144,6 +145,13 @@
                static_cast<double>(before) / 1e6, static_cast<double>(most) / 1e6,
                static_cast<double>(most - before) / 1e3 / kStreams,
                (cpuSeconds(daemon) - cpuBefore) / wall);
+    std::map<std::string, int> reasons;
+    for (const RequestResult &result : results) {
+        if (result.outcome != RequestOutcome::Completed)
+            ++reasons[fmt::format("status {}: {}", result.status, result.reason)];
+    }
+    for (const auto &[reason, count] : reasons)
+        fmt::print("  not whole: {} with {}\n", count, reason);
     const bool met = completed == kStreams && together;
     fmt::print("  target: none refused or broken: {}\n", met ? "met" : "MISSED");
     return met;
