Share the fleet fixture of the membership tests

Cause: splitting the digest tests into their own file copied the fixture of simulated fleets, 35 identical lines. Change: tests/support/fleetfixture.h holds it once; no assertion changes. Conclusion: one fixture serves both.

--- a/tests/unit/membershipdigest_test.cpp
+++ b/tests/unit/membershipdigest_test.cpp
@@ -2,53 +2,17 @@
 
 #include "membership/fleettable.h"
 
+#include "support/fleetfixture.h"
+
 #include <CppUTest/TestHarness.h>
 
 #include <set>
 
 using namespace cicadafork;
+using namespace cicadafork::test;
 
 namespace {
 
-/// Start of the simulated time; far enough from the epoch that ages can be subtracted.
-const TimePoint kStart = TimePoint(std::chrono::hours(1000));
-
-TimePoint at(int millis)
-{
-    return kStart + Millis(millis);
-}
-
-VmRow entry(const std::string &id, const std::string &domain)
-{
-    return {id, VmKind::Entry, domain, {"127.0.0.1", 80}, Address{"127.0.1." + id.substr(1), 81},
-            "", false};
-}
-
-VmRow endpoint(const std::string &id, const std::string &domain, bool leaving = false)
-{
-    return {id, VmKind::Endpoint, domain, {"127.0.0.9", 90}, std::nullopt, "service", leaving};
-}
-
-/// Entry VMs m1..mN spread over domains d0..d2, and the endpoints e0, e1, e2, one in each domain.
-VmList fleetList(std::uint64_t version, int members)
-{
-    VmList list{version, {}, 0};
-    for (int i = 1; i <= members; ++i)
-        list.vms.push_back(entry("m" + std::to_string(i), "d" + std::to_string(i % 3)));
-    for (const char *id : {"0", "1", "2"})
-        list.vms.push_back(endpoint(std::string("e") + id, std::string("d") + id));
-    return list;
-}
-
-std::unique_ptr<FleetTable> makeFleet(int self, const std::string &incarnation = "i1")
-{
-    FleetOptions options;
-    options.selfId = "m" + std::to_string(self);
-    options.selfDomain = "d" + std::to_string(self % 3);
-    options.incarnation = incarnation;
-    return std::make_unique<FleetTable>(options);
-}
-
 EndpointStatus live()
 {
     EndpointStatus status;
