End a test program's cluster with the program, and keep a failed check to its test

Cause: children were started with posix_spawn and kept the output pipe of the test program. When the program aborted, 15 of them lived on and ctest waited for the pipe. The abort came from std::thread objects that were joinable while a failed check unwound its test.

Threads of tests are std::jthread. The stuck-request test now says what its caller and the last query saw when it fails.

Ruled out: process groups and a broad kill, which end processes that the test did not start.

--- a/tests/integration/enginestandin_test.cpp
+++ b/tests/integration/enginestandin_test.cpp
@@ -162,7 +162,7 @@
 
 TEST(EngineStandin, promptWithoutMemoryGets429AndDoesNotRun)
 {
-    std::thread first([&] { stream(engine, completion("big", 9000), kTimeout, 2000); });
+    std::jthread first([&] { stream(engine, completion("big", 9000), kTimeout, 2000); });
     CHECK_TRUE(eventually(kTimeout, [&] { return memory("live_tokens") >= 9000; }));
     const HttpReply refused = post(engine, "/v1/completions", completion("second", 2000));
     first.join();
@@ -196,7 +196,7 @@
 TEST(EngineStandin, cancelEndsTheStreamAndFreesItsMemory)
 {
     Answer answer;
-    std::thread reader([&] { answer = stream(engine, completion("r1", 3000)); });
+    std::jthread reader([&] { answer = stream(engine, completion("r1", 3000)); });
     CHECK_TRUE(eventually(kTimeout, [&] { return memory("live_tokens") > 0; }));
     const auto reply = post(engine, "/v1/cancel", {{"request_id", "r1"}, {"attempt", 1}});
     reader.join();
@@ -285,7 +285,7 @@
 TEST(EngineStandin, staleLoadKeepsTheFiguresOfTheStatus)
 {
     fault({{"stale_load", true}});
-    std::thread reader([&] { stream(engine, completion("r1", 3000), kTimeout, 6000); });
+    std::jthread reader([&] { stream(engine, completion("r1", 3000), kTimeout, 6000); });
     CHECK_TRUE(eventually(kTimeout, [&] { return memory("live_tokens") > 0; }));
     std::this_thread::sleep_for(Millis(400));
     LONGS_EQUAL(0, getBody(engine, "/v1/status")["running"].get<int>());
@@ -299,7 +299,7 @@
 TEST(EngineStandin, leavingEngineFinishesItsStreamsAndTakesNoNewOnes)
 {
     Answer answer;
-    std::thread reader([&] { answer = stream(engine, completion("r1", 100)); });
+    std::jthread reader([&] { answer = stream(engine, completion("r1", 100)); });
     CHECK_TRUE(eventually(kTimeout, [&] { return memory("live_tokens") > 0; }));
     cluster->engine(0).process->sendSignal(SIGTERM);
     CHECK_TRUE(eventually(kTimeout,
@@ -321,7 +321,7 @@
     big.start();
     const Address address = big.engine(0).address;
     std::atomic<int> whole{0};
-    std::vector<std::thread> readers;
+    std::vector<std::jthread> readers;
     for (int i = 0; i < kStreams; ++i) {
         readers.emplace_back([&, i] {
             const auto answer = stream(address, completion("r" + std::to_string(i), 100));
@@ -335,7 +335,7 @@
         most = std::max(most, streams.value("live_streams", std::uint64_t{0}));
         return whole == kStreams;
     });
-    for (std::thread &reader : readers)
+    for (std::jthread &reader : readers)
         reader.join();
     LONGS_EQUAL(kStreams, whole.load());
     LONGS_EQUAL(kStreams, most);
--- a/tests/integration/operators_test.cpp
+++ b/tests/integration/operators_test.cpp
@@ -94,7 +94,7 @@
                 "CICADAFORK_CREDENTIAL={} exec {}/cicadafork ctl {} {} >{}.out 2>{}.err",
                 kOperatorCredential, binaryDirectory(), toString(cluster.daemon(daemon).address),
                 arguments, base, base);
-        ChildProcess process("/bin/sh", {"-c", command}, "");
+        ChildProcess process("/bin/sh", {"-c", command}, "/dev/null");
         CtlResult result;
         result.code = process.wait(kCommandLimit).value_or(-1);
         result.out = contentOf(base + ".out");
@@ -237,8 +237,8 @@
                                                     "priority={} if version = {}'",
                                                     name, priority, version));
     };
-    std::thread first([&] { race(0, "ana", "urgent"); });
-    std::thread second([&] { race(1, "ben", "normal"); });
+    std::jthread first([&] { race(0, "ana", "urgent"); });
+    std::jthread second([&] { race(1, "ben", "normal"); });
     first.join();
     second.join();
     LONGS_EQUAL_TEXT(1, results[0].code + results[1].code,
@@ -258,17 +258,25 @@
     for (std::size_t i = 0; i < 3; ++i)
         cluster.engine(i).process->sendSignal(SIGSTOP);
     CallResult dispatched;
-    std::thread caller([&] {
+    std::atomic<bool> answered{false};
+    std::jthread caller([&] {
         dispatched = client(2).complete(
                 {.prompt = "a prompt", .timeout = Millis(30'000), .requestId = "frozen-1"});
+        answered = true;
     });
-    CHECK_TRUE_TEXT(
-            eventually(Millis(15'000),
-                       [&] {
-                           return ctl(0, "'show requests where state = stuck'").out.find("frozen-1")
-                                  != std::string::npos;
-                       }),
-            "the request is shown as stuck by another daemon");
+    std::string lastRows;
+    const bool shown = eventually(Millis(15'000), [&] {
+        lastRows = ctl(0, "'show requests'").out;
+        return ctl(0, "'show requests where state = stuck'").out.find("frozen-1")
+               != std::string::npos;
+    });
+    // What the caller and the last query saw tells a refusal from a query that missed a member.
+    const std::string seen
+            = answered ? fmt::format("answered {}: {}", dispatched.status, dispatched.problem)
+                       : "no answer yet";
+    CHECK_TRUE_TEXT(shown, fmt::format("the request is shown as stuck by another daemon; {}\n{}",
+                                       seen, lastRows)
+                                   .c_str());
     const CtlResult why = succeed(0, "'why frozen-1'");
     for (const char *part : {"held_by:", "first token", "freed_by:", "since_ms:"})
         STRCMP_CONTAINS(part, why.out.c_str());
--- a/tests/integration/standins_test.cpp
+++ b/tests/integration/standins_test.cpp
@@ -96,7 +96,7 @@
 TEST(PlatformStandins, logReadWaitsForARecord)
 {
     const TimePoint start = steadyNow();
-    std::thread writer([&] {
+    std::jthread writer([&] {
         std::this_thread::sleep_for(Millis(200));
         append("1");
     });
@@ -342,7 +342,7 @@
     CHECK_FALSE(static_cast<bool>(client->Get("/admin/stats")));
     fault({{"freeze", false}});
     CHECK_TRUE(static_cast<bool>(client->Get("/admin/stats")));
-    std::thread resetter([&] {
+    std::jthread resetter([&] {
         std::this_thread::sleep_for(Millis(100));
         fault({{"reset", true}});
     });
@@ -357,7 +357,7 @@
 {
     fault({{"half_open", true}});
     const TimePoint start = steadyNow();
-    std::thread killer([&] {
+    std::jthread killer([&] {
         std::this_thread::sleep_for(Millis(100));
         cluster->log().process->sendSignal(SIGKILL);
     });
--- a/tests/proofs/atmostonce.cpp
+++ b/tests/proofs/atmostonce.cpp
@@ -44,7 +44,7 @@
 void repeatLate(KeyedLoad &load, const std::vector<CallRecord> &calls, std::size_t daemons,
                 Judgement &judgement)
 {
-    std::vector<std::thread> threads;
+    std::vector<std::jthread> threads;
     for (std::size_t thread = 0; thread < kLateThreads; ++thread) {
         threads.emplace_back([&, thread] {
             for (std::size_t i = thread; i < calls.size(); i += kLateThreads) {
@@ -57,7 +57,7 @@
             }
         });
     }
-    for (std::thread &thread : threads)
+    for (std::jthread &thread : threads)
         thread.join();
 }
 
--- a/tests/proofs/configurationholds.cpp
+++ b/tests/proofs/configurationholds.cpp
@@ -72,7 +72,7 @@
     void stopWatching()
     {
         stopping_ = true;
-        for (std::thread &watcher : watchers_)
+        for (std::jthread &watcher : watchers_)
             watcher.join();
         watchers_.clear();
     }
@@ -259,7 +259,7 @@
     ProofSystem system_;
     ConfigWatch watch_;
     std::vector<Disturbance> disturbances_;
-    std::vector<std::thread> watchers_;
+    std::vector<std::jthread> watchers_;
     std::atomic<bool> stopping_{false};
     std::atomic<std::uint64_t> values_{1};
     std::uint64_t faults_ = 0;
--- a/tests/proofs/enginememory.cpp
+++ b/tests/proofs/enginememory.cpp
@@ -131,7 +131,7 @@
         call.requestId = newUuidV7(wallNow());
         std::atomic<bool> decoding{false};
         std::atomic<bool> ended{false};
-        std::thread caller([&] {
+        std::jthread caller([&] {
             groupResult_ = system_.client(index).complete(call, [&](const std::string &) {
                 decoding = true;
                 return true;
@@ -177,7 +177,7 @@
     {
         const TimePoint begin = steadyNow();
         std::atomic<bool> over{false};
-        std::vector<std::thread> witnesses;
+        std::vector<std::jthread> witnesses;
         for (std::size_t i = 0; i < system_.engines(); ++i)
             witnesses.emplace_back([&, i] { witness(i, over); });
         std::string difference;
@@ -188,7 +188,7 @@
         });
         freedAfter_ = std::chrono::duration_cast<Millis>(steadyNow() - begin);
         over = true;
-        for (std::thread &thread : witnesses)
+        for (std::jthread &thread : witnesses)
             thread.join();
         if (!equal)
             violations_.push_back(difference + witnessEnds_);
--- a/tests/proofs/finishintime.cpp
+++ b/tests/proofs/finishintime.cpp
@@ -153,7 +153,7 @@
 {
     std::mutex mutex;
     Millis longest{0};
-    std::vector<std::thread> threads;
+    std::vector<std::jthread> threads;
     for (std::size_t i = 0; i < 2 * system.daemons(); ++i) {
         threads.emplace_back([&, i] {
             CompletionCall call;
@@ -166,7 +166,7 @@
             longest = std::max(longest, result.duration);
         });
     }
-    for (std::thread &thread : threads)
+    for (std::jthread &thread : threads)
         thread.join();
     return longest;
 }
--- a/tests/proofs/gracefulshutdown.cpp
+++ b/tests/proofs/gracefulshutdown.cpp
@@ -135,7 +135,7 @@
         ClusterMember &daemon = system_.cluster().daemon(index);
         std::atomic<bool> over{false};
         Probe probe;
-        std::thread prober([&] { probe = watch(daemon.address, over); });
+        std::jthread prober([&] { probe = watch(daemon.address, over); });
         const TimePoint signalAt = steadyNow();
         daemon.process->sendSignal(SIGTERM);
         ++signals_;
@@ -216,7 +216,7 @@
     void secondSignal(std::size_t index)
     {
         ClusterMember &daemon = system_.cluster().daemon(index);
-        std::vector<std::thread> streams;
+        std::vector<std::jthread> streams;
         for (std::size_t i = 0; i < 4; ++i) {
             streams.emplace_back([this, index, i] {
                 CompletionCall call;
@@ -241,7 +241,7 @@
                                               "{}",
                                               daemon.id, endedAfter_.count(),
                                               status ? std::to_string(*status) : "(runs)"));
-        for (std::thread &thread : streams)
+        for (std::jthread &thread : streams)
             thread.join();
         system_.cluster().restart(daemon);
         system_.awaitSendable(index, system_.engines() + kServices, Millis(10'000));
--- a/tests/proofs/ownwholeanswer.cpp
+++ b/tests/proofs/ownwholeanswer.cpp
@@ -185,7 +185,7 @@
     {
         awaitCalm();
         std::atomic<std::size_t> begun{0};
-        std::vector<std::thread> threads;
+        std::vector<std::jthread> threads;
         std::vector<CompletionCall> calls(kStreamsOfKilledDaemon);
         std::vector<Whole> results(kStreamsOfKilledDaemon);
         for (std::size_t i = 0; i < kStreamsOfKilledDaemon; ++i) {
@@ -208,7 +208,7 @@
         else
             std::this_thread::sleep_for(Millis(400));
         plan_.kill(system_.cluster().daemon(index));
-        for (std::thread &thread : threads)
+        for (std::jthread &thread : threads)
             thread.join();
         plan_.heal();
         for (std::size_t i = 0; i < kStreamsOfKilledDaemon; ++i) {
--- a/tests/support/fakelog.h
+++ b/tests/support/fakelog.h
@@ -7,7 +7,7 @@
 //
 // Thread-safe. The same seed and the same sequence of calls give the same faults.
 
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 
 #include <algorithm>
 #include <condition_variable>
--- a/tests/support/keyedload.cpp
+++ b/tests/support/keyedload.cpp
@@ -77,10 +77,10 @@
 
 /// On a machine without a free thread the duplicate is left out; an exception would end the program
 /// and leave its children behind.
-std::thread startOrSkip(std::function<void()> call)
+std::jthread startOrSkip(std::function<void()> call)
 {
     try {
-        return std::thread(std::move(call));
+        return std::jthread(std::move(call));
     } catch (const std::system_error &) {
         return {};
     }
@@ -146,7 +146,7 @@
     for (std::size_t i = 0; i < attempts; ++i) {
         const Millis timeout = between(random, 200, 2500);
         const std::string number = states ? std::to_string(i + 1) : "";
-        std::thread duplicate;
+        std::jthread duplicate;
         if (doubled) {
             const std::size_t other = pick(random, kDaemons);
             duplicate = startOrSkip(
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -18,8 +18,9 @@
 class ChildProcess
 {
 public:
-    /// Starts the program with standard error in a file; with an empty name it shares this
-    /// program's standard error. Throws std::system_error on failure.
+    /// Starts the program with its output in a file; with an empty name it shares this program's
+    /// output. The child gets SIGKILL when this program ends, however it ends. Throws
+    /// std::system_error on failure.
     ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
                  std::string errorFile);
     /// Sends SIGKILL to a program that still runs and collects it.
--- a/tests/support/proofsystem.cpp
+++ b/tests/support/proofsystem.cpp
@@ -90,7 +90,7 @@
 void CallerPool::stop()
 {
     stopping_ = true;
-    for (std::thread &thread : threads_)
+    for (std::jthread &thread : threads_)
         thread.join();
     threads_.clear();
 }
--- a/tests/support/proofsystem.h
+++ b/tests/support/proofsystem.h
@@ -66,7 +66,7 @@
 
 private:
     std::atomic<bool> stopping_{false};
-    std::vector<std::thread> threads_;
+    std::vector<std::jthread> threads_;
 };
 
 /// Times at which a member was killed or frozen, to tell whose callers cannot have been answered.
--- a/tests/unit/claimservice_test.cpp
+++ b/tests/unit/claimservice_test.cpp
@@ -195,13 +195,13 @@
             requests.push_back(request);
     }
     std::atomic<int> won{0};
-    std::vector<std::thread> threads;
+    std::vector<std::jthread> threads;
     for (const ClaimRequest &request : requests) {
         threads.emplace_back([&claims, &won, request] {
             won += claims.claim(request, in(900)).kind == ClaimDecisionKind::Won;
         });
     }
-    for (std::thread &thread : threads)
+    for (std::jthread &thread : threads)
         thread.join();
     LONGS_EQUAL(8, won);
     CHECK(log.appends() <= 2);
@@ -276,14 +276,14 @@
         LogClaims second(log, testSettings());
         const ClaimRequest request = freshRequest();
         std::atomic<int> won{0};
-        std::vector<std::thread> threads;
+        std::vector<std::jthread> threads;
         for (int i = 0; i < 6; ++i) {
             threads.emplace_back([&, i] {
                 LogClaims &claims = i % 2 ? first : second;
                 won += claims.claim(request, in(900)).kind == ClaimDecisionKind::Won;
             });
         }
-        for (std::thread &thread : threads)
+        for (std::jthread &thread : threads)
             thread.join();
         LONGS_EQUAL(1, won);
     }
--- a/tests/unit/claimtestlog.h
+++ b/tests/unit/claimtestlog.h
@@ -7,7 +7,7 @@
 //
 // Thread-safe.
 
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 
 #include <condition_variable>
 #include <deque>
--- a/tests/unit/configstore_test.cpp
+++ b/tests/unit/configstore_test.cpp
@@ -107,10 +107,10 @@
                 store.applyPushed(old[random() % old.size()]);
             }
         };
-        std::vector<std::thread> threads;
+        std::vector<std::jthread> threads;
         for (int i = 0; i < kOperators; ++i)
             threads.emplace_back(operate, i);
-        for (std::thread &thread : threads)
+        for (std::jthread &thread : threads)
             thread.join();
         log.faults({});
 
--- a/tests/unit/configsync_test.cpp
+++ b/tests/unit/configsync_test.cpp
@@ -59,7 +59,7 @@
     ~Daemon()
     {
         stopping = true;
-        for (std::thread &thread : threads)
+        for (std::jthread &thread : threads)
             thread.join();
         server->stop();
     }
@@ -113,7 +113,7 @@
     std::unique_ptr<PeerClient> client;
     std::unique_ptr<Heartbeats> heartbeats;
     std::unique_ptr<ConfigSync> sync;
-    std::vector<std::thread> threads;
+    std::vector<std::jthread> threads;
 };
 
 Command create(const std::string &id)
--- a/tests/unit/endpoint_test.cpp
+++ b/tests/unit/endpoint_test.cpp
@@ -137,7 +137,7 @@
 TEST(Endpoint, silentEngineIsStoppedFromAnotherThread)
 {
     engine.set({.acceptDelay = Millis(3000)});
-    std::thread stopper([&] {
+    std::jthread stopper([&] {
         std::this_thread::sleep_for(Millis(100));
         stop.stop();
     });
--- a/tests/unit/frontend_test.cpp
+++ b/tests/unit/frontend_test.cpp
@@ -232,7 +232,7 @@
     FrontendFixture fixture;
     fixture.engine(0).set({.tokenDelay = Millis(40)});
     std::string body;
-    std::thread caller(
+    std::jthread caller(
             [&] { body = fixture.post("/v1/completions", completionBody(true, 10))->body; });
     CHECK_TRUE(FrontendFixture::eventually([&] { return fixture.executions() == 1; }));
     fixture.frontend().beginDrain();
@@ -253,7 +253,7 @@
 {
     FrontendFixture fixture;
     fixture.engine(0).set({.tokenDelay = Millis(60)});
-    std::thread caller([&] {
+    std::jthread caller([&] {
         fixture.post("/v1/completions", completionBody(true, 12), {{"X-Request-Id", "seen"}});
     });
     CHECK_TRUE(FrontendFixture::eventually([&] {
--- a/tests/unit/frontendattempts_test.cpp
+++ b/tests/unit/frontendattempts_test.cpp
@@ -299,7 +299,7 @@
     CHECK_TRUE(buffer.push({1, "b"}));
     std::atomic<bool> returned{false};
     bool accepted = true;
-    std::thread producer([&] {
+    std::jthread producer([&] {
         accepted = buffer.push({2, "c"});
         returned = true;
     });
--- a/tests/unit/frontendlimits_test.cpp
+++ b/tests/unit/frontendlimits_test.cpp
@@ -39,7 +39,7 @@
     FrontendFixture fixture;
     fixture.admission.queueForever = true;
     std::optional<httplib::Result> waiting;
-    std::thread caller([&] {
+    std::jthread caller([&] {
         waiting.emplace(fixture.post("/v1/completions", completionBody(true),
                                      {{"X-Request-Timeout-Ms", "20000"}}));
     });
@@ -65,7 +65,7 @@
     FrontendFixture fixture;
     const std::string starts[] = {"", "POST /v1/completions HTTP/1.1\r\nHost: x\r\n",
                                   "POST /v1/completions HTTP/1.1\r\nContent-Length: 100\r\n\r\n{"};
-    std::vector<std::thread> callers;
+    std::vector<std::jthread> callers;
     std::atomic<int> closed{0};
     const TimePoint begin = steadyNow();
     for (const std::string &start : starts) {
@@ -88,7 +88,7 @@
             close(socket);
         });
     }
-    for (std::thread &caller : callers)
+    for (std::jthread &caller : callers)
         caller.join();
     LONGS_EQUAL(3, closed);
     CHECK_TRUE(steadyNow() - begin < Millis(15'000));
--- a/tests/unit/frontendload_test.cpp
+++ b/tests/unit/frontendload_test.cpp
@@ -23,7 +23,7 @@
     const std::string expected = fakeAnswer("a prompt", kTokens);
     std::atomic<int> refused{0};
     std::atomic<int> broken{0};
-    std::vector<std::thread> callers;
+    std::vector<std::jthread> callers;
     for (std::size_t i = 0; i < kStreams; ++i) {
         callers.emplace_back([&] {
             const auto answer = fixture.post("/v1/completions", completionBody(true, kTokens));
@@ -39,7 +39,7 @@
         most = std::max(most, fixture.frontend().requests(steadyNow()).size());
         std::this_thread::sleep_for(Millis(20));
     }
-    for (std::thread &caller : callers)
+    for (std::jthread &caller : callers)
         caller.join();
     LONGS_EQUAL(0, refused);
     LONGS_EQUAL(0, broken);
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -79,7 +79,7 @@
     void freeze(std::shared_future<void> until)
     {
         std::promise<void> frozen;
-        freezer = std::thread([this, until, &frozen] {
+        freezer = std::jthread([this, until, &frozen] {
             loop.run([&] {
                 frozen.set_value();
                 until.wait();
@@ -99,7 +99,7 @@
     std::atomic<int> claimDelay = 0;
     Digest last;
     std::map<std::string, std::string> streams;
-    std::thread freezer;
+    std::jthread freezer;
     PeerLoop loop;
     std::unique_ptr<PeerServer> server;
     std::unique_ptr<PeerClient> client;
--- a/tests/unit/peerfuzz_test.cpp
+++ b/tests/unit/peerfuzz_test.cpp
@@ -44,7 +44,7 @@
     if (bind(listener, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0)
         return "";
     listen(listener, 1);
-    std::thread caller([&] {
+    std::jthread caller([&] {
         (void)capture([&] { return client.runQuery({"m2", kRecorder}, "{}", Millis(400)); });
     });
     const int connection = accept(listener, nullptr, nullptr);
--- a/tests/unit/queueadmission_test.cpp
+++ b/tests/unit/queueadmission_test.cpp
@@ -107,13 +107,13 @@
     Settings settings;
     PrefixIndex prefixes;
     Metrics metrics;
-    std::vector<std::thread> threads;
+    std::vector<std::jthread> threads;
     std::mutex mutex;
     std::map<std::string, PlaceResult> results;
 
     void teardown() override
     {
-        for (std::thread &thread : threads)
+        for (std::jthread &thread : threads)
             thread.join();
     }
 
@@ -301,7 +301,7 @@
     constexpr int kRequests = 30;
     std::atomic<int> succeeded{0};
     std::atomic<int> refused{0};
-    std::vector<std::thread> callers;
+    std::vector<std::jthread> callers;
     for (int t = 0; t < kThreads; ++t) {
         callers.emplace_back([&, t] {
             for (int i = 0; i < kRequests; ++i) {
@@ -325,7 +325,7 @@
             }
         });
     }
-    for (std::thread &caller : callers)
+    for (std::jthread &caller : callers)
         caller.join();
     LONGS_EQUAL(kThreads * kRequests, succeeded + refused);
     LONGS_EQUAL(succeeded, fleet.sent());
--- a/tests/unit/vmlist_test.cpp
+++ b/tests/unit/vmlist_test.cpp
@@ -1,5 +1,5 @@
 #include "http/server.h"
-#include "platform/vmlist.h"
+#include "logservice/vmlist.h"
 #include "support/network.h"
 
 #include <CppUTest/TestHarness.h>
