Let joint reads overtake others only within their slack, and log the longest pause

Change: every job carries when its first event stops being on time; an endpoint takes a joint part only if the reads that it overtakes can wait for it.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -68,6 +68,8 @@
     bool refusedWhileFull = false;
     std::optional<std::uint64_t> lastEventId; ///< Of the last event sent to the caller.
     std::uint64_t eventsRelayed = 0;
+    TimePoint lastEvent{};
+    FloatMillis longestGap{0}; ///< Between two events sent to the caller.
     TimePoint lastProgress{};
     asio::steady_timer timer;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -357,6 +357,8 @@
               {"outcome", outcome},
               {"status", std::to_string(status)},
               {"took_ms", fmt::format("{:.1f}", took.count())},
+              {"longest_gap_ms", fmt::format("{:.0f}", exchange.longestGap.count())},
+              {"gap_limit_ms", std::to_string(exchange.route.maxEventGap.count())},
               {"events", std::to_string(exchange.eventsRelayed)}});
     endAttempt(exchange);
     exchange.caller->onGone(nullptr);
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -191,6 +191,7 @@
         job.maxEventGap = exchange.route.maxEventGap;
     job.placed = now;
     job.readBy = now + std::chrono::duration_cast<SteadyClock::duration>(placement.firstEvent);
+    job.dueBy = exchange.objective;
     job.expires = exchange.deadline + kJobMargin;
     job.parts.push_back({placement.head, placement.read, true});
 
@@ -300,6 +301,10 @@
         if (exchange.eventsRelayed == 0 || !board_.find(attempt.job)
             || !board_.find(attempt.job)->started)
             noteFirstAnswer(exchange);
+        const TimePoint now = steadyNow();
+        if (exchange.eventsRelayed > 0)
+            exchange.longestGap = std::max(exchange.longestGap, FloatMillis(now - exchange.lastEvent));
+        exchange.lastEvent = now;
         ++exchange.eventsRelayed;
         exchange.caller->write(event);
         if (!exchange.attempt)
--- a/src/gateway/loadboard.cpp
+++ b/src/gateway/loadboard.cpp
@@ -21,12 +21,29 @@
     ended(job.id);
     if (jobs_.size() >= limit_)
         return false;
+    if (job.parts.size() > 1 && !job.started)
+        delayOthers(job);
     for (const JobPart &part : job.parts)
         byEndpoint_[part.endpoint].push_back(job.id);
     jobs_.emplace(job.id, job);
     return true;
 }
 
+void LoadBoard::delayOthers(const Job &job)
+{
+    for (const JobPart &part : job.parts) {
+        const auto row = byEndpoint_.find(part.endpoint);
+        if (row == byEndpoint_.end())
+            continue;
+        for (const JobId &id : row->second) {
+            Job &other = jobs_.at(id);
+            const bool reading = !other.started && job.placed < other.readBy;
+            if (reading && other.parts.size() == 1)
+                other.readBy += std::chrono::duration_cast<SteadyClock::duration>(part.read);
+        }
+    }
+}
+
 void LoadBoard::started(const JobId &id, TimePoint now)
 {
     const auto found = jobs_.find(id);
@@ -114,6 +131,8 @@
         for (const JobPart &part : job.parts) {
             if (part.endpoint != endpoint)
                 continue;
+            if (reading && job.dueBy > TimePoint{})
+                load.readSlack = std::min(load.readSlack, FloatMillis(job.dueBy - job.readBy));
             if (reading)
                 load.pendingRead += std::min(part.read, FloatMillis(job.readBy - now));
             if (!part.writes) {
--- a/src/gateway/loadboard.h
+++ b/src/gateway/loadboard.h
@@ -53,6 +53,7 @@
     Millis maxEventGap{0}; ///< Longest pause that its stream tolerates; 0 when it is no stream.
     TimePoint placed{};
     TimePoint readBy{}; ///< Expected end of reading; later it counts as writing.
+    TimePoint dueBy{};  ///< When its first event stops being on time.
     TimePoint expires{};
     bool started = false;
 };
@@ -66,6 +67,8 @@
     std::uint64_t contextTokens = 0; ///< Of writers.
     std::uint64_t memoryTokens = 0;  ///< Promised to all requests that it has received.
     Millis strictestGap = Millis::max();
+    /// Reading that can go before the endpoint's own without making a first event late.
+    FloatMillis readSlack = FloatMillis::max();
 };
 
 class LoadBoard
@@ -73,7 +76,8 @@
 public:
     explicit LoadBoard(std::size_t limit);
 
-    /// Adds or replaces a job. False when the table is full.
+    /// Adds or replaces a job. False when the table is full. A job with several parts is read before
+    /// the others at its endpoints, which end their reading later for it.
     bool place(const Job &job);
     void started(const JobId &id, TimePoint now);
     void ended(const JobId &id);
@@ -93,6 +97,7 @@
 
 private:
     void unlink(const Job &job);
+    void delayOthers(const Job &job);
 
     std::size_t limit_;
     std::unordered_map<JobId, Job, JobIdHash> jobs_;
--- a/src/gateway/mesh.capnp
+++ b/src/gateway/mesh.capnp
@@ -20,6 +20,8 @@
   readInMicros @4 :UInt32;
   started @5 :Bool;
   parts @6 :List(Part);
+  # Time until its first event stops being on time.
+  dueInMicros @7 :UInt32;
 }
 
 struct Member {
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -51,6 +51,7 @@
     target.setAnswerTokens(job.answerTokens);
     target.setMaxEventGapMs(static_cast<std::uint32_t>(job.maxEventGap.count()));
     target.setReadInMicros(toMicros(FloatMillis(job.readBy - now)));
+    target.setDueInMicros(toMicros(FloatMillis(job.dueBy - now)));
     target.setStarted(job.started);
     auto parts = target.initParts(static_cast<unsigned>(job.parts.size()));
     for (unsigned i = 0; i < job.parts.size(); ++i) {
@@ -69,6 +70,7 @@
     job.maxEventGap = Millis(source.getMaxEventGapMs());
     job.placed = now;
     job.readBy = now + Micros(source.getReadInMicros());
+    job.dueBy = now + Micros(source.getDueInMicros());
     job.started = source.getStarted();
     job.expires = now + kJobLifetime;
     for (const auto part : source.getParts()) {
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -43,9 +43,13 @@
            + endpoint.pace * endpoint.load.pendingRead;
 }
 
-/// The streams on the endpoint tolerate a pass that also reads the part.
-bool tolerates(const EngineModel &engine, const EndpointView &endpoint, FloatMillis part)
+/// The streams on the endpoint tolerate a pass that also reads the part, and reads that it would
+/// overtake can wait for it.
+bool tolerates(const EngineModel &engine, const EndpointView &endpoint, FloatMillis part,
+               bool overtakes)
 {
+    if (overtakes && part > endpoint.load.readSlack)
+        return false;
     if (endpoint.load.strictestGap == Millis::max())
         return true;
     const FloatMillis pass
@@ -115,7 +119,7 @@
     std::vector<Candidate> candidates;
     for (const EndpointView &endpoint : endpoints) {
         if (!endpoint.usable || endpoint.load.helping >= endpoint.slots
-            || !tolerates(engine, endpoint, part))
+            || !tolerates(engine, endpoint, part, readers > 1))
             continue;
         candidates.push_back(
                 {&endpoint, backlog(engine, endpoint), canHead(request, engine, endpoint)});
