Model that the newest joint part is read before all other reads

Change: a joint read does not wait for pending reads, and delays every read in progress at its endpoints, which must have the slack.

--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -200,9 +200,11 @@
     dispatch.workspace = exchange.workspace;
     dispatch.deadline = std::chrono::duration_cast<Millis>(exchange.deadline - now);
     dispatch.lastEventId = exchange.lastEventId;
+    std::string helperIds;
     for (const EndpointKey helper : placement.helpers) {
         if (const EndpointRow *row = endpoints_.find(helper)) {
             dispatch.helpers.push_back(toString(row->record.address));
+            helperIds += (helperIds.empty() ? "" : ",") + row->record.id;
             job.parts.push_back({helper, placement.read, false});
         }
     }
@@ -223,7 +225,7 @@
              {{"request", exchange.requestId},
               {"route", exchange.route.name},
               {"endpoint", attempt->endpointId},
-              {"helpers", std::to_string(dispatch.helpers.size())},
+              {"helpers", helperIds},
               {"prompt_tokens", std::to_string(exchange.fields.promptTokens)},
               {"expected_ms", fmt::format("{:.0f}", placement.firstEvent.count())},
               {"waited_ms", fmt::format("{:.1f}", FloatMillis(now - exchange.began).count())},
--- a/src/gateway/loadboard.cpp
+++ b/src/gateway/loadboard.cpp
@@ -31,6 +31,7 @@
 
 void LoadBoard::delayOthers(const Job &job)
 {
+    std::vector<JobId> delayed;
     for (const JobPart &part : job.parts) {
         const auto row = byEndpoint_.find(part.endpoint);
         if (row == byEndpoint_.end())
@@ -38,8 +39,11 @@
         for (const JobId &id : row->second) {
             Job &other = jobs_.at(id);
             const bool reading = !other.started && job.placed < other.readBy;
-            if (reading && other.parts.size() == 1)
-                other.readBy += std::chrono::duration_cast<SteadyClock::duration>(part.read);
+            // Parts are read side by side, so a job that shares several endpoints waits once.
+            if (!reading || std::ranges::find(delayed, id) != delayed.end())
+                continue;
+            delayed.push_back(id);
+            other.readBy += std::chrono::duration_cast<SteadyClock::duration>(part.read);
         }
     }
 }
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -37,10 +37,12 @@
                          endpoint.load.contextTokens + addedContext);
 }
 
-FloatMillis backlog(const EngineModel &engine, const EndpointView &endpoint)
+/// Time before the endpoint begins to read. A part of a joint read goes before all other reads,
+/// earlier joint ones included.
+FloatMillis backlog(const EngineModel &engine, const EndpointView &endpoint, bool joint)
 {
-    return kPassInProgress * passOf(engine, endpoint, 0, 0)
-           + endpoint.pace * endpoint.load.pendingRead;
+    const FloatMillis pass = kPassInProgress * passOf(engine, endpoint, 0, 0);
+    return joint ? pass : pass + endpoint.pace * endpoint.load.pendingRead;
 }
 
 /// The streams on the endpoint tolerate a pass that also reads the part, and reads that it would
@@ -122,7 +124,7 @@
             || !tolerates(engine, endpoint, part, readers > 1))
             continue;
         candidates.push_back(
-                {&endpoint, backlog(engine, endpoint), canHead(request, engine, endpoint)});
+                {&endpoint, backlog(engine, endpoint, readers > 1), canHead(request, engine, endpoint)});
     }
     Plan best;
     if (candidates.size() < readers)
