--- a/src/cli/gatewaycommand.cpp
+++ b/src/cli/gatewaycommand.cpp
@@ -5,6 +5,7 @@
 #include "cli/commands.h"
 #include "gateway/gateway.h"
 #include "platform/headers.h"
+#include "platform/orderclient.h"
 #include "platform/records.h"
 #include "platform/settingsfile.h"
 #include "platform/storeclient.h"
@@ -103,9 +104,11 @@
     setLogLevel(settings->logLevel);
     setLogContext(fmt::format("member={}", settings->member));
     UpstreamPool pool(context, {});
-    platform::StoreClient store(context, pool, settings->store);
+    platform::Calls calls(context, pool);
+    platform::StoreClient store(calls, settings->store);
+    platform::OrderClient orders(calls);
     gateway::Gateway gateway(context, *settings, platform::wireProtocol(), platform::storeLayout(),
-                             store.calls(), pool);
+                             store.calls(), orders.calls(), pool);
     const auto started = capture([&] { return gateway.start(); });
     if (!started) {
         logEvent(LogLevel::Error, "start_failed",
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -9,6 +9,7 @@
 
 #include "gateway/loadboard.h"
 #include "gateway/protocol.h"
+#include "gateway/reservation.h"
 #include "net/server.h"
 #include "net/upstream.h"
 
@@ -41,7 +42,9 @@
     HttpResponseHead head;
     ReplyFields reply;
     std::string body; ///< Of an answer that is sent whole; else the part of an unfinished event.
-    std::unique_ptr<UpstreamCall> call;
+    std::vector<DispatchHelper> helpers;
+    std::unique_ptr<Reservation> reservation; ///< Of memory at helpers; may be null.
+    std::unique_ptr<UpstreamCall> call;       ///< Null until the memory is held.
 };
 
 struct Exchange
@@ -60,6 +63,7 @@
     TimePoint objective{};
     TimePoint deadline{}; ///< The caller's or the route's, whichever is first.
     TimePoint giveUpWaiting{};
+    TimePoint notBefore{}; ///< Of the next attempt.
     ExchangeState state = ExchangeState::Waiting;
     std::unique_ptr<Attempt> attempt;
     std::vector<EndpointKey> tried;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -74,12 +74,13 @@
 } // namespace
 
 Gateway::Gateway(asio::io_context &context, GatewaySettings settings, WireProtocol protocol,
-                 StoreLayout layout, StoreCalls store, UpstreamPool &pool)
+                 StoreLayout layout, StoreCalls store, OrderCalls orders, UpstreamPool &pool)
     : context_(context)
     , settings_(std::move(settings))
     , protocol_(protocol)
     , layout_(std::move(layout))
     , store_(std::move(store))
+    , orders_(std::move(orders))
     , pool_(pool)
     , incarnation_(randomNumber())
     , counters_(metrics_)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -34,7 +34,7 @@
 {
 public:
     Gateway(asio::io_context &context, GatewaySettings settings, WireProtocol protocol,
-            StoreLayout layout, StoreCalls store, UpstreamPool &pool);
+            StoreLayout layout, StoreCalls store, OrderCalls orders, UpstreamPool &pool);
     ~Gateway();
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
@@ -69,6 +69,9 @@
     bool tryPlace(Exchange &exchange);
     Placement place(const Exchange &exchange, std::vector<EndpointView> &views);
     void send(Exchange &exchange, const Placement &placement);
+    void announceJob(const Exchange &exchange, const Placement &placement);
+    void reserve(Exchange &exchange, const Placement &placement);
+    void startCall(Exchange &exchange);
     HeadVerdict onHead(std::uint64_t id, HttpResponseHead &&head);
     void onBody(std::uint64_t id, std::string_view bytes);
     void onEnd(std::uint64_t id, UpstreamEnd end);
@@ -116,6 +119,7 @@
     WireProtocol protocol_;
     StoreLayout layout_;
     StoreCalls store_;
+    OrderCalls orders_;
     UpstreamPool &pool_;
     std::uint64_t incarnation_;
 
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -28,6 +28,8 @@
 constexpr double kExpectedTwice = 2;
 // A peer's job that nobody mentions any more counts until then.
 constexpr Millis kJobMargin{2000};
+// Pause after memory could not be reserved, for other requests to end.
+constexpr Millis kMemoryPause{150};
 // Expected time of a call to a service without an engine model.
 constexpr FloatMillis kUsualCall{30};
 // Pump at most this often; requests that wait are looked at in order, the first ones first.
@@ -73,6 +75,8 @@
 
 bool Gateway::tryPlace(Exchange &exchange)
 {
+    if (steadyNow() < exchange.notBefore)
+        return false;
     std::vector<EndpointView> views;
     const Placement placement = place(exchange, views);
     switch (placement.outcome) {
@@ -181,9 +185,51 @@
     attempt->sent = now;
     attempt->expected = placement.firstEvent > FloatMillis(0) ? placement.firstEvent : kUsualCall;
     attempt->job = {incarnation_, ++nextJob_};
+    const std::string ticket
+            = fmt::format("{:016x}-{}", incarnation_, attempt->job.number);
+    std::string helperIds;
+    for (const EndpointKey helper : placement.helpers) {
+        const EndpointRow *row = endpoints_.find(helper);
+        if (!row)
+            continue;
+        const bool holds = attempt->helpers.size() < placement.holders;
+        attempt->helpers.push_back({row->record.address, holds ? ticket : std::string()});
+        if (!helperIds.empty())
+            helperIds += ',';
+        helperIds += row->record.id;
+    }
+    exchange.attempt = std::move(attempt);
+    announceJob(exchange, placement);
+    logEvent(LogLevel::Info, "sent",
+             {{"request", exchange.requestId},
+              {"route", exchange.route.name},
+              {"endpoint", exchange.attempt->endpointId},
+              {"helpers", helperIds},
+              {"holders", std::to_string(placement.holders)},
+              {"prompt_tokens", std::to_string(exchange.fields.promptTokens)},
+              {"expected_ms", fmt::format("{:.0f}", placement.firstEvent.count())},
+              {"waited_ms",
+               fmt::format("{:.1f}", FloatMillis(now - exchange.began).count())},
+              {"reason", placement.reason},
+              {"send", std::to_string(exchange.sends + 1)},
+              {"config", std::to_string(exchange.config->version)}});
+    ++exchange.sends;
+    exchange.tried.push_back(placement.head);
+    exchange.lastProgress = now;
+    if (exchange.state == ExchangeState::Waiting)
+        exchange.state = ExchangeState::Sent;
+    if (placement.holders > 0)
+        reserve(exchange, placement);
+    else
+        startCall(exchange);
+    armTimer(exchange);
+}
 
+void Gateway::announceJob(const Exchange &exchange, const Placement &placement)
+{
+    const TimePoint now = steadyNow();
     Job job;
-    job.id = attempt->job;
+    job.id = exchange.attempt->job;
     job.promptTokens = static_cast<std::uint32_t>(exchange.fields.promptTokens);
     job.answerTokens = static_cast<std::uint32_t>(
             exchange.fields.answerHint.value_or(exchange.fields.maxAnswerTokens));
@@ -193,24 +239,48 @@
     job.readBy = now + std::chrono::duration_cast<SteadyClock::duration>(placement.firstEvent);
     job.dueBy = exchange.objective;
     job.expires = exchange.deadline + kJobMargin;
-    job.parts.push_back({placement.head, placement.read, true});
+    const auto memory = static_cast<std::uint32_t>(placement.tokensEach);
+    job.parts.push_back({placement.head, placement.read, true, memory});
+    for (std::size_t i = 0; i < placement.helpers.size(); ++i)
+        job.parts.push_back({placement.helpers[i], placement.read, false,
+                             i < placement.holders ? memory : 0});
+    board_.place(job);
+    mesh_.placed(job);
+}
+
+void Gateway::reserve(Exchange &exchange, const Placement &placement)
+{
+    Attempt &attempt = *exchange.attempt;
+    std::vector<ReservationTarget> targets;
+    for (unsigned i = 0; i < placement.holders; ++i) {
+        if (const EndpointRow *row = endpoints_.find(placement.helpers[i]))
+            targets.push_back({row->record.address, row->record.id, placement.tokensEach});
+    }
+    attempt.reservation = std::make_unique<Reservation>(
+            context_, orders_, attempt.helpers.front().ticket, std::move(targets));
+    attempt.reservation->acquire([this, id = exchange.id, job = attempt.job](bool held) {
+        Exchange *waiting = find(id);
+        if (!waiting || !waiting->attempt || !(waiting->attempt->job == job))
+            return;
+        if (held) {
+            startCall(*waiting);
+            return;
+        }
+        --waiting->sends;
+        waiting->notBefore = steadyNow() + kMemoryPause;
+        onAttemptFailed(*waiting, EndpointFailure::Refused, false, "memory_not_reserved");
+    });
+}
 
+void Gateway::startCall(Exchange &exchange)
+{
+    Attempt &attempt = *exchange.attempt;
     DispatchFields dispatch;
-    dispatch.endpointId = attempt->endpointId;
+    dispatch.endpointId = attempt.endpointId;
     dispatch.workspace = exchange.workspace;
-    dispatch.deadline = std::chrono::duration_cast<Millis>(exchange.deadline - now);
+    dispatch.deadline = std::chrono::duration_cast<Millis>(exchange.deadline - steadyNow());
     dispatch.lastEventId = exchange.lastEventId;
-    std::string helperIds;
-    for (const EndpointKey helper : placement.helpers) {
-        if (const EndpointRow *row = endpoints_.find(helper)) {
-            dispatch.helpers.push_back(toString(row->record.address));
-            helperIds += (helperIds.empty() ? "" : ",") + row->record.id;
-            job.parts.push_back({helper, placement.read, false});
-        }
-    }
-    board_.place(job);
-    mesh_.placed(job);
-
+    dispatch.helpers = attempt.helpers;
     HeaderList headers = exchange.request.headers;
     protocol_.prepareForEndpoint(headers, dispatch);
     if (!exchange.request.body.empty() || exchange.request.method != "GET")
@@ -220,32 +290,14 @@
     request.body = exchange.request.body;
     if (!isRepeatable(exchange.route))
         request.maxIdle = kFreshConnection;
-
-    logEvent(LogLevel::Info, "sent",
-             {{"request", exchange.requestId},
-              {"route", exchange.route.name},
-              {"endpoint", attempt->endpointId},
-              {"helpers", helperIds},
-              {"prompt_tokens", std::to_string(exchange.fields.promptTokens)},
-              {"expected_ms", fmt::format("{:.0f}", placement.firstEvent.count())},
-              {"waited_ms", fmt::format("{:.1f}", FloatMillis(now - exchange.began).count())},
-              {"reason", placement.reason},
-              {"send", std::to_string(exchange.sends + 1)},
-              {"config", std::to_string(exchange.config->version)}});
-    ++exchange.sends;
-    exchange.tried.push_back(placement.head);
-    exchange.lastProgress = now;
-    if (exchange.state == ExchangeState::Waiting)
-        exchange.state = ExchangeState::Sent;
     const std::uint64_t id = exchange.id;
     UpstreamHandlers handlers;
-    handlers.head
-            = [this, id](HttpResponseHead &&received) { return onHead(id, std::move(received)); };
+    handlers.head = [this, id](HttpResponseHead &&received) {
+        return onHead(id, std::move(received));
+    };
     handlers.body = [this, id](std::string_view bytes) { onBody(id, bytes); };
     handlers.end = [this, id](UpstreamEnd end) { onEnd(id, end); };
-    attempt->call = pool_.call(attempt->address, std::move(request), std::move(handlers));
-    exchange.attempt = std::move(attempt);
-    armTimer(exchange);
+    attempt.call = pool_.call(attempt.address, std::move(request), std::move(handlers));
 }
 
 HeadVerdict Gateway::onHead(std::uint64_t id, HttpResponseHead &&head)
--- a/src/gateway/loadboard.cpp
+++ b/src/gateway/loadboard.cpp
@@ -139,12 +139,12 @@
                 load.readSlack = std::min(load.readSlack, FloatMillis(job.dueBy - job.readBy));
             if (reading)
                 load.pendingRead += std::min(part.read, FloatMillis(job.readBy - now));
+            load.memoryTokens += part.memoryTokens;
             if (!part.writes) {
                 load.helping += reading ? 1 : 0;
                 continue;
             }
             ++load.sequences;
-            load.memoryTokens += job.promptTokens + job.answerTokens;
             if (job.maxEventGap > Millis(0))
                 load.strictestGap = std::min(load.strictestGap, job.maxEventGap);
             if (!reading) {
--- a/src/gateway/loadboard.h
+++ b/src/gateway/loadboard.h
@@ -42,6 +42,7 @@
     EndpointKey endpoint = 0;
     FloatMillis read{0}; ///< Time to read its part of the prompt.
     bool writes = false; ///< The endpoint that receives the request and writes the answer.
+    std::uint32_t memoryTokens = 0; ///< Memory that the job takes there until it ends.
 };
 
 struct Job
@@ -65,7 +66,7 @@
     unsigned helping = 0; ///< Requests of other endpoints that it reads a part of.
     FloatMillis pendingRead{0};
     std::uint64_t contextTokens = 0; ///< Of writers.
-    std::uint64_t memoryTokens = 0;  ///< Promised to all requests that it has received.
+    std::uint64_t memoryTokens = 0;  ///< Promised to requests.
     Millis strictestGap = Millis::max();
     /// Reading that can go before the endpoint's own without making a first event late.
     FloatMillis readSlack = FloatMillis::max();
--- a/src/gateway/mesh.capnp
+++ b/src/gateway/mesh.capnp
@@ -9,6 +9,7 @@
   endpoint @0 :UInt64;
   readMicros @1 :UInt32;
   writes @2 :Bool;
+  memoryTokens @3 :UInt32;
 }
 
 struct Job {
--- a/src/gateway/mesh.capnp.h
+++ b/src/gateway/mesh.capnp.h
@@ -38,7 +38,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bb0ec75152b5394b, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(bb0ec75152b5394b, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -145,6 +145,8 @@
 
   inline bool getWrites() const;
 
+  inline  ::uint32_t getMemoryTokens() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -182,6 +184,9 @@
   inline bool getWrites();
   inline void setWrites(bool value);
 
+  inline  ::uint32_t getMemoryTokens();
+  inline void setMemoryTokens( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -864,6 +869,20 @@
       ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Part::Reader::getMemoryTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Part::Builder::getMemoryTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Part::Builder::setMemoryTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Job::Reader::getNumber() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -58,6 +58,7 @@
         parts[i].setEndpoint(job.parts[i].endpoint);
         parts[i].setReadMicros(toMicros(job.parts[i].read));
         parts[i].setWrites(job.parts[i].writes);
+        parts[i].setMemoryTokens(job.parts[i].memoryTokens);
     }
 }
 
@@ -76,7 +77,8 @@
     for (const auto part : source.getParts()) {
         if (job.parts.size() >= kMaxParts)
             break;
-        job.parts.push_back({part.getEndpoint(), Micros(part.getReadMicros()), part.getWrites()});
+        job.parts.push_back({part.getEndpoint(), Micros(part.getReadMicros()), part.getWrites(),
+                             part.getMemoryTokens()});
     }
     return job;
 }
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -22,8 +22,12 @@
 constexpr double kPassInProgress = 0.5;
 // Memory is kept for answers that are longer than announced.
 constexpr double kMemoryShare = 0.97;
+// Share of an endpoint's memory that one prompt may take when several endpoints share it.
+constexpr double kGroupShare = 0.8;
 // Way to the endpoint and back.
 constexpr FloatMillis kTravel{3};
+// Part of the estimated answer that is taken as certain when a request is refused for lack of time.
+constexpr double kCertainAnswer = 0.5;
 // Numbers of readers that are tried, least first. The protocol allows 16 helpers.
 constexpr std::array<unsigned, 9> kReaders = {1, 2, 3, 4, 6, 8, 11, 14, 17};
 // Queued calls per slot that a plain endpoint may have before more wait here.
@@ -59,17 +63,23 @@
     return pass <= kGapShare * FloatMillis(endpoint.load.strictestGap);
 }
 
+bool hasMemory(const EngineModel &engine, const EndpointView &endpoint, std::uint64_t tokens)
+{
+    return static_cast<double>(endpoint.load.memoryTokens + tokens)
+           <= kMemoryShare * static_cast<double>(engine.memoryTokens);
+}
+
 bool canHead(const PlacementRequest &request, const EngineModel &engine,
-             const EndpointView &endpoint)
+             const EndpointView &endpoint, std::uint64_t tokens, bool joint)
 {
-    const std::uint64_t tokens = request.promptTokens + request.answerTokens;
-    if (endpoint.load.sequences >= endpoint.slots)
-        return false;
-    if (static_cast<double>(endpoint.load.memoryTokens + tokens)
-        > kMemoryShare * static_cast<double>(engine.memoryTokens))
+    if (endpoint.load.sequences >= endpoint.slots || !hasMemory(engine, endpoint, tokens))
         return false;
     const Millis gap = std::min(request.maxEventGap, endpoint.load.strictestGap);
-    return passOf(engine, endpoint, 1, tokens) <= kGapShare * FloatMillis(gap);
+    FloatMillis pass = passOf(engine, endpoint, 1, tokens);
+    // Reads that a joint part overtakes go on while its answer is written.
+    if (joint)
+        pass += endpoint.pace * endpoint.load.pendingRead;
+    return pass <= kGapShare * FloatMillis(gap);
 }
 
 struct Candidate
@@ -77,6 +87,7 @@
     const EndpointView *endpoint = nullptr;
     FloatMillis backlog{0};
     bool head = false;
+    bool memory = false; ///< Has memory for the share of a holder.
 };
 
 /// Lower is better. Impatient streams go where most of them are; others go where none is.
@@ -113,56 +124,109 @@
     FloatMillis firstEvent{0};
 };
 
-/// The best plan with a given number of readers; without a head when there is none.
-Plan planFor(const PlacementRequest &request, const EngineModel &engine,
-             std::span<const EndpointView> endpoints, unsigned readers, FloatMillis limit)
+struct Division
+{
+    unsigned readers = 1;
+    unsigned holders = 0;         ///< Helpers that hold memory besides the head.
+    std::uint64_t tokensEach = 0; ///< Of the head and each holder.
+};
+
+std::vector<Candidate> candidatesFor(const PlacementRequest &request, const EngineModel &engine,
+                                     std::span<const EndpointView> endpoints,
+                                     const Division &division)
 {
-    const FloatMillis part = readTime(engine, request.promptTokens) / readers;
+    const bool joint = division.readers > 1;
+    const FloatMillis part = readTime(engine, request.promptTokens) / division.readers;
     std::vector<Candidate> candidates;
     for (const EndpointView &endpoint : endpoints) {
         if (!endpoint.usable || endpoint.load.helping >= endpoint.slots
-            || !tolerates(engine, endpoint, part, readers > 1))
+            || !tolerates(engine, endpoint, part, joint))
             continue;
-        candidates.push_back(
-                {&endpoint, backlog(engine, endpoint, readers > 1), canHead(request, engine, endpoint)});
+        candidates.push_back({&endpoint, backlog(engine, endpoint, joint),
+                              canHead(request, engine, endpoint, division.tokensEach, joint),
+                              hasMemory(engine, endpoint, division.tokensEach)});
+    }
+    std::ranges::sort(candidates, readerBefore);
+    return candidates;
+}
+
+/// The helpers for a head: holders of memory first, then the best of the others; empty when there
+/// are not enough.
+std::vector<const Candidate *> helpersFor(const std::vector<Candidate> &candidates,
+                                          std::size_t head, const Division &division)
+{
+    std::vector<const Candidate *> helpers;
+    for (std::size_t i = 0; i < candidates.size() && helpers.size() < division.holders; ++i) {
+        if (i != head && candidates[i].memory)
+            helpers.push_back(&candidates[i]);
+    }
+    if (helpers.size() < division.holders)
+        return {};
+    for (std::size_t i = 0; i < candidates.size() && helpers.size() + 1 < division.readers; ++i) {
+        if (i != head && std::ranges::find(helpers, &candidates[i]) == helpers.end())
+            helpers.push_back(&candidates[i]);
     }
+    return helpers.size() + 1 == division.readers ? helpers : std::vector<const Candidate *>();
+}
+
+/// The best plan for a division; without a head when there is none.
+Plan planFor(const PlacementRequest &request, const EngineModel &engine,
+             std::span<const EndpointView> endpoints, const Division &division, FloatMillis limit)
+{
+    const FloatMillis part = readTime(engine, request.promptTokens) / division.readers;
+    const auto candidates = candidatesFor(request, engine, endpoints, division);
     Plan best;
-    if (candidates.size() < readers)
+    if (candidates.size() < division.readers)
         return best;
-    std::ranges::sort(candidates, readerBefore);
     double bestRank = std::numeric_limits<double>::max();
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const Candidate &head = candidates[index];
-        if (!head.head)
+        const double rank = headRank(request, head);
+        if (!head.head || rank >= bestRank)
+            continue;
+        const auto helpers = helpersFor(candidates, index, division);
+        if (helpers.size() + 1 != division.readers)
             continue;
-        // The helpers are the first of the others.
-        const std::size_t last = index < readers ? readers : readers - 1;
         FloatMillis slowest = head.backlog;
-        for (std::size_t i = 0; i < last; ++i)
-            slowest = std::max(slowest, candidates[i].backlog);
+        for (const Candidate *helper : helpers)
+            slowest = std::max(slowest, helper->backlog);
         const FloatMillis expected = firstEvent(request, engine, *head.endpoint, slowest, part);
-        const double rank = headRank(request, head);
-        if (expected > limit || rank >= bestRank)
+        if (expected > limit)
             continue;
         bestRank = rank;
         best.head = head.endpoint;
         best.firstEvent = expected;
         best.helpers.clear();
-        for (std::size_t i = 0; i < last; ++i) {
-            if (i != index)
-                best.helpers.push_back(candidates[i].endpoint);
-        }
+        for (const Candidate *helper : helpers)
+            best.helpers.push_back(helper->endpoint);
     }
     return best;
 }
 
-Placement toPlacement(const Plan &plan, FloatMillis part, bool onTime)
+/// Divides the memory of a prompt among as few endpoints as can hold it; one when it fits.
+Division memoryDivision(const EngineModel &engine, std::uint64_t tokens)
+{
+    const double each = kGroupShare * static_cast<double>(engine.memoryTokens);
+    Division division;
+    if (tokens <= engine.memoryTokens) {
+        division.tokensEach = tokens;
+        return division;
+    }
+    const auto members = static_cast<unsigned>(std::ceil(static_cast<double>(tokens) / each));
+    division.holders = members - 1;
+    division.tokensEach = tokens / members + 1;
+    return division;
+}
+
+Placement toPlacement(const Plan &plan, const Division &division, FloatMillis part, bool onTime)
 {
     Placement placement;
     placement.outcome = PlacementOutcome::Send;
     placement.head = plan.head->key;
     for (const EndpointView *helper : plan.helpers)
         placement.helpers.push_back(helper->key);
+    placement.holders = division.holders;
+    placement.tokensEach = division.tokensEach;
     placement.read = part;
     placement.firstEvent = plan.firstEvent;
     placement.onTime = onTime;
@@ -200,9 +264,10 @@
                       std::span<const EndpointView> endpoints)
 {
     Placement placement;
-    if (request.promptTokens + request.answerTokens > engine.memoryTokens) {
+    Division division = memoryDivision(engine, request.promptTokens + request.answerTokens);
+    if (division.holders >= std::min<std::size_t>(kReaders.back(), endpoints.size())) {
         placement.outcome = PlacementOutcome::Never;
-        placement.reason = "larger than the memory of an endpoint";
+        placement.reason = "larger than the memory of all endpoints together";
         return placement;
     }
     const FloatMillis whole = readTime(engine, request.promptTokens);
@@ -216,11 +281,12 @@
             = {kObjectiveShare * request.untilObjective, request.untilDeadline - writing};
     for (const FloatMillis limit : limits) {
         for (const unsigned readers : kReaders) {
-            if (whole / readers > limit)
+            if (whole / readers > limit || readers <= division.holders)
                 continue;
-            const Plan plan = planFor(request, engine, endpoints, readers, limit);
+            division.readers = readers;
+            const Plan plan = planFor(request, engine, endpoints, division, limit);
             if (plan.head)
-                return toPlacement(plan, whole / readers, limit == limits[0]);
+                return toPlacement(plan, division, whole / readers, limit == limits[0]);
         }
         // A request that may still be on time waits for that instead of starting late.
         if (request.untilObjective > whole / kReaders.back())
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -28,13 +28,19 @@
     std::optional<std::uint64_t> lastEventId; ///< The stream goes on after this event.
 };
 
+struct DispatchHelper
+{
+    Address address;
+    std::string ticket; ///< Of memory that is reserved there; may be empty.
+};
+
 /// What an endpoint is told besides the caller's own fields.
 struct DispatchFields
 {
     std::string endpointId; ///< Any other endpoint at the address refuses the request.
     std::string workspace;  ///< Empty on routes without one.
     Millis deadline{0};
-    std::vector<std::string> helpers; ///< Addresses of the endpoints that read parts.
+    std::vector<DispatchHelper> helpers; ///< Endpoints that read parts, holders of memory first.
     std::optional<std::uint64_t> lastEventId;
     std::optional<int> urgency; ///< 0 is the most urgent.
 };
@@ -93,6 +99,25 @@
             put;
 };
 
+enum class OrderOutcome {
+    Done,
+    Refused,
+    Unknown, ///< No answer: it may have been carried out, or may be later.
+};
+
+/// Orders to endpoints. Callbacks run later, exactly once.
+struct OrderCalls
+{
+    /// Sets memory aside under a ticket, or renews it.
+    std::function<void(const Address &address, const std::string &endpointId,
+                       const std::string &ticket, std::uint64_t tokens, Millis lease,
+                       Millis timeout, std::function<void(OrderOutcome)> done)>
+            reserve;
+    std::function<void(const Address &address, const std::string &endpointId,
+                       const std::string &ticket, Millis timeout)>
+            release;
+};
+
 /// Meaning of the store's topics and records.
 struct StoreLayout
 {
