Divide the memory of prompts that nearly fill a replica, and log why requests wait

Cause: prompts of 436k to 442k tokens waited for a replica with 97 in 100 of its memory free, and were refused. Change: when no replica has the memory, the prompt is divided among one member more than needed. The line of a queued request counts what keeps each endpoint from taking a part.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -67,7 +67,11 @@
 
     // Endpoints.
     bool tryPlace(Exchange &exchange);
-    Placement place(const Exchange &exchange, std::vector<EndpointView> &views);
+    std::vector<EndpointView> viewsFor(const Exchange &exchange) const;
+    /// The cost model of the endpoints that a request needs; null for plain calls.
+    const EngineModel *engineFor(const Exchange &exchange) const;
+    PlacementRequest placementRequest(const Exchange &exchange) const;
+    Placement place(const Exchange &exchange) const;
     void send(Exchange &exchange, const Placement &placement);
     void announceJob(const Exchange &exchange, const Placement &placement);
     void reserve(Exchange &exchange, const Placement &placement);
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -42,43 +42,62 @@
 
 } // namespace
 
-Placement Gateway::place(const Exchange &exchange, std::vector<EndpointView> &views)
+std::vector<EndpointView> Gateway::viewsFor(const Exchange &exchange) const
 {
     const TimePoint now = steadyNow();
-    views = endpoints_.views(
+    auto views = endpoints_.views(
             exchange.service, settings_.failureDomain, exchange.tried,
             [this](const std::string &domain) { return mesh_.seemsCutOff(domain); }, board_, now);
-    if (views.empty()) {
-        // A service whose endpoints have all been tried: any of them is better than none.
-        views = endpoints_.views(
-                exchange.service, settings_.failureDomain, {}, [](const auto &) { return false; },
-                board_, now);
-    }
-    Placement none;
-    none.reason = "no endpoint is known";
-    if (views.empty())
-        return none;
+    if (!views.empty())
+        return views;
+    // All endpoints of the service have been tried: any of them is better than none.
+    return endpoints_.views(
+            exchange.service, settings_.failureDomain, {}, [](const auto &) { return false; },
+            board_, now);
+}
+
+const EngineModel *Gateway::engineFor(const Exchange &exchange) const
+{
     const auto service = exchange.config->services.find(exchange.service);
-    const bool hasEngine = service != exchange.config->services.end() && service->second.engine;
-    if (!hasEngine || exchange.fields.promptTokens == 0)
-        return placeCall(views, incarnation_ + exchange.id);
+    if (service == exchange.config->services.end() || !service->second.engine
+        || exchange.fields.promptTokens == 0)
+        return nullptr;
+    return &*service->second.engine;
+}
+
+PlacementRequest Gateway::placementRequest(const Exchange &exchange) const
+{
+    const TimePoint now = steadyNow();
     PlacementRequest request;
     request.promptTokens = exchange.fields.promptTokens;
     request.answerTokens = exchange.fields.answerHint.value_or(exchange.fields.maxAnswerTokens);
     request.maxEventGap = exchange.route.maxEventGap;
     request.untilObjective = exchange.objective - now;
+    // A stream that goes on is awaited as eagerly as one that begins.
     if (exchange.state == ExchangeState::Relaying)
         request.untilObjective = FloatMillis(exchange.route.objective);
     request.untilDeadline = exchange.deadline - now;
-    return placeStream(request, *service->second.engine, views);
+    return request;
+}
+
+Placement Gateway::place(const Exchange &exchange) const
+{
+    const std::vector<EndpointView> views = viewsFor(exchange);
+    if (views.empty()) {
+        Placement none;
+        none.reason = "no endpoint is known";
+        return none;
+    }
+    const EngineModel *engine = engineFor(exchange);
+    return engine ? placeStream(placementRequest(exchange), *engine, views)
+                  : placeCall(views, incarnation_ + exchange.id);
 }
 
 bool Gateway::tryPlace(Exchange &exchange)
 {
     if (steadyNow() < exchange.notBefore)
         return false;
-    std::vector<EndpointView> views;
-    const Placement placement = place(exchange, views);
+    const Placement placement = place(exchange);
     switch (placement.outcome) {
     case PlacementOutcome::Send:
         send(exchange, placement);
@@ -107,11 +126,19 @@
             = stream ? std::max(kLongestWait, exchange.route.objective) : kLongestCallWait;
     exchange.giveUpWaiting = now + longest;
     waiting_.push_back(exchange.id);
+    WaitReasons reasons;
+    if (const EngineModel *engine = engineFor(exchange))
+        reasons = explainWait(placementRequest(exchange), *engine, viewsFor(exchange));
     logEvent(LogLevel::Info, "queued",
              {{"request", exchange.requestId},
               {"route", exchange.route.name},
               {"waiting", std::to_string(waiting_.size())},
-              {"prompt_tokens", std::to_string(exchange.fields.promptTokens)}});
+              {"prompt_tokens", std::to_string(exchange.fields.promptTokens)},
+              {"endpoints", std::to_string(reasons.endpoints)},
+              {"unusable", std::to_string(reasons.unusable)},
+              {"others_would_be_late", std::to_string(reasons.slack)},
+              {"others_would_pause", std::to_string(reasons.gap)},
+              {"heads", std::to_string(reasons.heads)}});
     armTimer(exchange);
     pumpSoon();
 }
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -6,6 +6,8 @@
 #include <array>
 #include <cmath>
 #include <limits>
+#include <optional>
+#include <utility>
 
 namespace cicadafork::gateway {
 
@@ -24,6 +26,10 @@
 constexpr double kMemoryShare = 0.97;
 // Share of an endpoint's memory that one prompt may take when several endpoints share it.
 constexpr double kGroupShare = 0.8;
+// A prompt of less than this share of an endpoint's memory is not divided for its memory's sake.
+constexpr double kGroupWorth = 0.4;
+// Members beyond the least number that are tried when memory is scarce.
+constexpr unsigned kMoreMembers = 1;
 // Way to the endpoint and back.
 constexpr FloatMillis kTravel{3};
 // Part of the estimated answer that is taken as certain when a request is refused for lack of time.
@@ -49,20 +55,28 @@
     return joint ? pass : pass + endpoint.pace * endpoint.load.pendingRead;
 }
 
-/// The streams on the endpoint tolerate a pass that also reads the part, and reads that it would
-/// overtake can wait for it.
-bool tolerates(const EngineModel &engine, const EndpointView &endpoint, FloatMillis part,
-               bool overtakes)
+/// The streams on the endpoint tolerate a pass that also reads the part.
+bool keepsGaps(const EngineModel &engine, const EndpointView &endpoint, FloatMillis part)
 {
-    if (overtakes && part > endpoint.load.readSlack)
-        return false;
     if (endpoint.load.strictestGap == Millis::max())
         return true;
-    const FloatMillis pass
-            = passOf(engine, endpoint, 0, 0) + endpoint.pace * (endpoint.load.pendingRead + part);
+    const FloatMillis pass = passOf(engine, endpoint, 0, 0)
+                             + endpoint.pace * (endpoint.load.pendingRead + part);
     return pass <= kGapShare * FloatMillis(endpoint.load.strictestGap);
 }
 
+/// Reads that a joint part would overtake can wait for it.
+bool keepsSlack(const EndpointView &endpoint, FloatMillis part)
+{
+    return part <= endpoint.load.readSlack;
+}
+
+bool canRead(const EngineModel &engine, const EndpointView &endpoint, FloatMillis part, bool joint)
+{
+    return endpoint.usable && endpoint.load.helping < endpoint.slots
+           && (!joint || keepsSlack(endpoint, part)) && keepsGaps(engine, endpoint, part);
+}
+
 bool hasMemory(const EngineModel &engine, const EndpointView &endpoint, std::uint64_t tokens)
 {
     return static_cast<double>(endpoint.load.memoryTokens + tokens)
@@ -122,6 +136,7 @@
     const EndpointView *head = nullptr;
     std::vector<const EndpointView *> helpers;
     FloatMillis firstEvent{0};
+    FloatMillis part{0}; ///< Reading time of each reader.
 };
 
 struct Division
@@ -139,8 +154,7 @@
     const FloatMillis part = readTime(engine, request.promptTokens) / division.readers;
     std::vector<Candidate> candidates;
     for (const EndpointView &endpoint : endpoints) {
-        if (!endpoint.usable || endpoint.load.helping >= endpoint.slots
-            || !tolerates(engine, endpoint, part, joint))
+        if (!canRead(engine, endpoint, part, joint))
             continue;
         candidates.push_back({&endpoint, backlog(engine, endpoint, joint),
                               canHead(request, engine, endpoint, division.tokensEach, joint),
@@ -196,6 +210,7 @@
         bestRank = rank;
         best.head = head.endpoint;
         best.firstEvent = expected;
+        best.part = part;
         best.helpers.clear();
         for (const Candidate *helper : helpers)
             best.helpers.push_back(helper->endpoint);
@@ -218,7 +233,36 @@
     return division;
 }
 
-Placement toPlacement(const Plan &plan, const Division &division, FloatMillis part, bool onTime)
+/// The plan with the fewest readers that keeps the limit, at the least division of memory that is
+/// free.
+std::optional<std::pair<Plan, Division>> divide(const PlacementRequest &request,
+                                                const EngineModel &engine,
+                                                std::span<const EndpointView> endpoints,
+                                                const Division &least, FloatMillis limit)
+{
+    const std::uint64_t tokens = request.promptTokens + request.answerTokens;
+    const FloatMillis whole = readTime(engine, request.promptTokens);
+    for (unsigned more = 0; more <= kMoreMembers; ++more) {
+        Division division = least;
+        division.holders += more;
+        division.tokensEach = tokens / (division.holders + 1) + 1;
+        // A small prompt finds memory without the cost of reservations.
+        if (more > 0
+            && static_cast<double>(tokens) < kGroupWorth * static_cast<double>(engine.memoryTokens))
+            break;
+        for (const unsigned readers : kReaders) {
+            if (whole / readers > limit || readers <= division.holders)
+                continue;
+            division.readers = readers;
+            const Plan plan = planFor(request, engine, endpoints, division, limit);
+            if (plan.head)
+                return std::make_pair(plan, division);
+        }
+    }
+    return std::nullopt;
+}
+
+Placement toPlacement(const Plan &plan, const Division &division, bool onTime)
 {
     Placement placement;
     placement.outcome = PlacementOutcome::Send;
@@ -227,7 +271,7 @@
         placement.helpers.push_back(helper->key);
     placement.holders = division.holders;
     placement.tokensEach = division.tokensEach;
-    placement.read = part;
+    placement.read = plan.part;
     placement.firstEvent = plan.firstEvent;
     placement.onTime = onTime;
     placement.reason = onTime ? "on time" : "late";
@@ -264,7 +308,7 @@
                       std::span<const EndpointView> endpoints)
 {
     Placement placement;
-    Division division = memoryDivision(engine, request.promptTokens + request.answerTokens);
+    const Division division = memoryDivision(engine, request.promptTokens + request.answerTokens);
     if (division.holders >= std::min<std::size_t>(kReaders.back(), endpoints.size())) {
         placement.outcome = PlacementOutcome::Never;
         placement.reason = "larger than the memory of all endpoints together";
@@ -280,14 +324,9 @@
     const FloatMillis limits[]
             = {kObjectiveShare * request.untilObjective, request.untilDeadline - writing};
     for (const FloatMillis limit : limits) {
-        for (const unsigned readers : kReaders) {
-            if (whole / readers > limit || readers <= division.holders)
-                continue;
-            division.readers = readers;
-            const Plan plan = planFor(request, engine, endpoints, division, limit);
-            if (plan.head)
-                return toPlacement(plan, division, whole / readers, limit == limits[0]);
-        }
+        const bool onTime = limit == limits[0];
+        if (const auto found = divide(request, engine, endpoints, division, limit))
+            return toPlacement(found->first, found->second, onTime);
         // A request that may still be on time waits for that instead of starting late.
         if (request.untilObjective > whole / kReaders.back())
             break;
@@ -296,6 +335,26 @@
     return placement;
 }
 
+WaitReasons explainWait(const PlacementRequest &request, const EngineModel &engine,
+                        std::span<const EndpointView> endpoints)
+{
+    WaitReasons reasons;
+    const Division division = memoryDivision(engine, request.promptTokens + request.answerTokens);
+    const FloatMillis part = readTime(engine, request.promptTokens) / kReaders.back();
+    for (const EndpointView &endpoint : endpoints) {
+        ++reasons.endpoints;
+        if (!endpoint.usable || endpoint.load.helping >= endpoint.slots)
+            ++reasons.unusable;
+        else if (!keepsSlack(endpoint, part))
+            ++reasons.slack;
+        else if (!keepsGaps(engine, endpoint, part))
+            ++reasons.gap;
+        else if (canHead(request, engine, endpoint, division.tokensEach, true))
+            ++reasons.heads;
+    }
+    return reasons;
+}
+
 Placement placeCall(std::span<const EndpointView> endpoints, std::uint64_t tieBreaker)
 {
     Placement placement;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -70,6 +70,19 @@
 Placement placeStream(const PlacementRequest &request, const EngineModel &engine,
                       std::span<const EndpointView> endpoints);
 
+/// Why endpoints could not take a part of a request that waits, at the largest number of readers.
+struct WaitReasons
+{
+    unsigned endpoints = 0;
+    unsigned unusable = 0; ///< Suspended, cut off, or helping as many as it can.
+    unsigned slack = 0;    ///< A read that would be overtaken would be late.
+    unsigned gap = 0;      ///< Streams there would pause too long.
+    unsigned heads = 0;    ///< Of the rest, those that could receive the request itself.
+};
+
+WaitReasons explainWait(const PlacementRequest &request, const EngineModel &engine,
+                        std::span<const EndpointView> endpoints);
+
 /// For services without an engine model: the endpoint with the least work for its slots. Wait when
 /// every endpoint has its slots and a short queue taken. The tie breaker differs between daemons.
 Placement placeCall(std::span<const EndpointView> endpoints, std::uint64_t tieBreaker);
