--- a/src/gateway/loadboard.cpp
+++ b/src/gateway/loadboard.cpp
@@ -6,6 +6,40 @@
 
 namespace cicadafork::gateway {
 
+namespace {
+
+// The start of an answer after a longer read is always reported; until then the read goes on.
+constexpr FloatMillis kReportedRead{60};
+// An overdue read counts for so many times its own time more before its report counts as lost.
+constexpr double kOverdueReads = 2;
+// Part of a read that is taken as left when it is overdue.
+constexpr double kOverduePart = 0.15;
+
+FloatMillis longestRead(const Job &job)
+{
+    FloatMillis longest{0};
+    for (const JobPart &part : job.parts)
+        longest = std::max(longest, part.read);
+    return longest;
+}
+
+bool isReading(const Job &job, TimePoint now)
+{
+    if (job.started)
+        return false;
+    if (now < job.readBy)
+        return true;
+    const FloatMillis read = longestRead(job);
+    return read > kReportedRead && FloatMillis(now - job.readBy) < kOverdueReads * read;
+}
+
+FloatMillis remainingRead(const Job &job, const JobPart &part, TimePoint now)
+{
+    return std::clamp(FloatMillis(job.readBy - now), kOverduePart * part.read, part.read);
+}
+
+} // namespace
+
 EndpointKey endpointKey(const EndpointRecord &endpoint)
 {
     return mix64(fnv1a64(endpoint.id) ^ static_cast<std::uint64_t>(endpoint.bornMs));
@@ -38,7 +72,7 @@
             continue;
         for (const JobId &id : row->second) {
             Job &other = jobs_.at(id);
-            const bool reading = !other.started && job.placed < other.readBy;
+            const bool reading = isReading(other, job.placed);
             // Parts are read side by side, so a job that shares several endpoints waits once.
             if (!reading || std::ranges::find(delayed, id) != delayed.end())
                 continue;
@@ -131,14 +165,14 @@
         return load;
     for (const JobId &id : row->second) {
         const Job &job = jobs_.at(id);
-        const bool reading = !job.started && now < job.readBy;
+        const bool reading = isReading(job, now);
         for (const JobPart &part : job.parts) {
             if (part.endpoint != endpoint)
                 continue;
             if (reading && job.dueBy > TimePoint{})
                 load.readSlack = std::min(load.readSlack, FloatMillis(job.dueBy - job.readBy));
             if (reading)
-                load.pendingRead += std::min(part.read, FloatMillis(job.readBy - now));
+                load.pendingRead += remainingRead(job, part, now);
             load.memoryTokens += part.memoryTokens;
             if (!part.writes) {
                 load.helping += reading ? 1 : 0;
