Choose equals apart, and leave slots to requests that can still be on time

Change: ties are broken by the daemon's number; late requests take at most three quarters of an endpoint's slots. Also: cicadafork explain.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,6 +1,7 @@
 #include "cli/commands.h"
 
 #include "cli/ctlcommand.h"
+#include "cli/explaincommand.h"
 #include "cli/gatewaycommand.h"
 #include "cli/loadcommand.h"
 #include "cli/servecommand.h"
@@ -30,11 +31,12 @@
     int (*run)(int argc, char **argv); ///< argv[0] is the name of the subcommand.
 };
 
-constexpr std::array<Subcommand, 7> kSubcommands = {{
+constexpr std::array<Subcommand, 8> kSubcommands = {{
         {"serve", "run the daemon of an entry VM", runServeCommand},
         {"gateway", "run the daemon on the users' platform", runGatewayCommand},
         {"check-config", "check a settings file", runCheckConfigCommand},
         {"ctl", "run an operator's query or command", runCtlCommand},
+        {"explain", "print the story of a request from log files", runExplainCommand},
         {"dump", "print the state of a daemon as JSON", runDumpCommand},
         {"load", "replay a trace and check every answer", runLoadCommand},
         {"version", "print the version", printVersion},
--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -21,6 +21,8 @@
 constexpr double kMaxPace = 20;
 // An endpoint that fails this much more often than the mean of its service is avoided.
 constexpr double kErrorMargin = 0.25;
+// Makes 53 random bits a number from 0 to 0.5.
+constexpr double kTieScale = 0.5 / 9007199254740992.0;
 // Share of a service that may be avoided for its errors.
 constexpr double kMaxAvoidedShare = 0.34;
 
@@ -176,7 +178,7 @@
 
 std::vector<EndpointView>
 EndpointTable::views(const std::string &service, const std::string &ownDomain,
-                     const std::vector<EndpointKey> &excluded,
+                     std::uint64_t daemon, const std::vector<EndpointKey> &excluded,
                      const std::function<bool(const std::string &)> &cutOff, const LoadBoard &board,
                      TimePoint now) const
 {
@@ -200,6 +202,7 @@
         view.load = board.load(row->key, now);
         view.slots = std::max(1U, row->record.slots);
         view.pace = row->pace;
+        view.tie = static_cast<double>(mix64(row->key ^ daemon) >> 11) * kTieScale;
         view.inOwnDomain = row->record.failureDomain == ownDomain;
         view.usable = row->suspendedUntil <= now && !cutOff(row->record.failureDomain);
         if (view.usable && mayAvoid > 0 && row->errorShare > meanError + kErrorMargin) {
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -57,9 +57,10 @@
     const EndpointRow *findById(const std::string &id) const;
     const std::unordered_map<std::string, EndpointRow> &rows() const { return rows_; }
 
-    /// Endpoints of a service that are not draining, suspended or excluded. When nothing else is
+    /// The daemon's number breaks ties. Endpoints of a service that are not draining, suspended or excluded. When nothing else is
     /// left, suspended ones are offered too: a guess is better than a certain refusal.
     std::vector<EndpointView> views(const std::string &service, const std::string &ownDomain,
+                                    std::uint64_t daemon,
                                     const std::vector<EndpointKey> &excluded,
                                     const std::function<bool(const std::string &)> &cutOff,
                                     const LoadBoard &board, TimePoint now) const;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -36,6 +36,9 @@
 constexpr FloatMillis kTravel{3};
 // Part of the estimated answer that is taken as certain when a request is refused for lack of time.
 constexpr double kCertainAnswer = 0.5;
+// Part of an endpoint's slots that requests which are already late may take: the others are kept
+// for those that can still be on time.
+constexpr double kLateSlots = 0.75;
 // Numbers of readers that are tried, least first. The protocol allows 16 helpers.
 constexpr std::array<unsigned, 9> kReaders = {1, 2, 3, 4, 6, 8, 11, 14, 17};
 // Queued calls per slot that a plain endpoint may have before more wait here.
@@ -86,9 +89,10 @@
 }
 
 bool canHead(const PlacementRequest &request, const EngineModel &engine,
-             const EndpointView &endpoint, std::uint64_t tokens, bool joint)
+             const EndpointView &endpoint, std::uint64_t tokens, bool joint, bool late)
 {
-    if (endpoint.load.sequences >= endpoint.slots || !hasMemory(engine, endpoint, tokens))
+    const double places = late ? kLateSlots * endpoint.slots : endpoint.slots;
+    if (endpoint.load.sequences >= places || !hasMemory(engine, endpoint, tokens))
         return false;
     const Millis gap = std::min(request.maxEventGap, endpoint.load.strictestGap);
     FloatMillis pass = passOf(engine, endpoint, 1, tokens);
@@ -110,10 +114,10 @@
 double headRank(const PlacementRequest &request, const Candidate &candidate)
 {
     const EndpointView &endpoint = *candidate.endpoint;
-    const double domain = endpoint.inOwnDomain ? 0 : 0.1;
+    const double domain = (endpoint.inOwnDomain ? 0 : 0.1) + endpoint.tie;
     // Daemons of other domains place at the same moment; in its own domain each collides with few.
     if (request.maxEventGap < kImpatientGap)
-        return (endpoint.inOwnDomain ? 0 : kOtherDomain) - endpoint.load.sequences;
+        return (endpoint.inOwnDomain ? 0 : kOtherDomain) - endpoint.load.sequences + endpoint.tie;
     const bool impatient = endpoint.load.strictestGap < kImpatientGap;
     return domain + (impatient ? 10'000 : 0) + candidate.backlog.count();
 }
@@ -145,7 +149,8 @@
 struct Division
 {
     unsigned readers = 1;
-    unsigned holders = 0;         ///< Helpers that hold memory besides the head.
+    unsigned holders = 0; ///< Helpers that hold memory besides the head.
+    bool late = false;    ///< The first event will not be on time.
     std::uint64_t tokensEach = 0; ///< Of the head and each holder.
 };
 
@@ -160,7 +165,8 @@
         if (!canRead(engine, endpoint, part, joint))
             continue;
         candidates.push_back({&endpoint, backlog(engine, endpoint, joint),
-                              canHead(request, engine, endpoint, division.tokensEach, joint),
+                              canHead(request, engine, endpoint, division.tokensEach, joint,
+                                      division.late),
                               hasMemory(engine, endpoint, division.tokensEach)});
     }
     std::ranges::sort(candidates, readerBefore);
@@ -311,7 +317,7 @@
                       std::span<const EndpointView> endpoints)
 {
     Placement placement;
-    const Division division = memoryDivision(engine, request.promptTokens + request.answerTokens);
+    Division division = memoryDivision(engine, request.promptTokens + request.answerTokens);
     if (division.holders >= std::min<std::size_t>(kReaders.back(), endpoints.size())) {
         placement.outcome = PlacementOutcome::Never;
         placement.reason = "larger than the memory of all endpoints together";
@@ -328,6 +334,7 @@
             = {kObjectiveShare * request.untilObjective, request.untilDeadline - writing};
     for (const FloatMillis limit : limits) {
         const bool onTime = limit == limits[0];
+        division.late = !onTime;
         if (const auto found = divide(request, engine, endpoints, division, limit))
             return toPlacement(found->first, found->second, onTime);
         // A request that may still be on time waits for that instead of starting late.
@@ -352,7 +359,7 @@
             ++reasons.slack;
         else if (!keepsGaps(engine, endpoint, part))
             ++reasons.gap;
-        else if (canHead(request, engine, endpoint, division.tokensEach, true))
+        else if (canHead(request, engine, endpoint, division.tokensEach, true, false))
             ++reasons.heads;
     }
     return reasons;
