Let waiting requests take freed places one after the other

Cause: traces at saturation showed 42 requests of many daemons placed within 7 ms on an endpoint that had just become free (a long read had ended): every daemon saw it at once and placed all that waited. Change: a freed slot belongs for 10 to 60 ms to the daemon whose job left it; a daemon places one waiting request at a time and looks at a random moment within 2 ms for each daemon; new requests for an engine queue behind those that wait.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -84,7 +84,7 @@
     , pool_(pool)
     , incarnation_(randomNumber())
     , counters_(metrics_)
-    , board_(kMaxJobs)
+    , board_(kMaxJobs, incarnation_)
     , endpoints_(kMaxEndpoints)
     , budget_(settings_.retries)
     , mesh_(context, meshOptions(settings_, incarnation_), board_,
@@ -198,7 +198,9 @@
     caller->onGone([this, id] { onCallerGone(id); });
     exchanges_.emplace(id, std::move(admitted));
     budget_.noteRequest(exchange.service, steadyNow());
-    if (tryPlace(exchange))
+    // Requests that wait for an engine go first.
+    const bool behindOthers = engineFor(exchange) != nullptr && !waiting_.empty();
+    if (!behindOthers && tryPlace(exchange))
         return;
     if (find(id))
         wait(exchange);
@@ -371,8 +373,7 @@
     auto last = std::shared_ptr<Exchange>(std::move(found->second));
     exchanges_.erase(found);
     asio::post(context_, [last] {});
-    if (!waiting_.empty())
-        pumpSoon();
+    pumpSoon(true);
 }
 
 void Gateway::shutDown(std::function<void()> done)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -94,7 +94,8 @@
 
     // Waiting requests.
     void wait(Exchange &exchange);
-    void pumpSoon();
+    /// Looks at the waiting requests again; sooner when a slot was freed by a request of ours.
+    void pumpSoon(bool ownSlot = false);
     void pump();
     Millis comeBackIn(const Exchange &exchange) const;
 
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -34,12 +34,21 @@
 constexpr FloatMillis kUsualCall{30};
 // Pump at most this often; requests that wait are looked at in order, the first ones first.
 constexpr Millis kPumpInterval{4};
-constexpr Millis kPumpRetry{15};
+constexpr Millis kPumpSpread{16};
+// Time between the looks of two daemons, so that each knows what the one before has placed.
+constexpr Millis kPumpPerDaemon{2};
 constexpr std::size_t kPumpTries = 24;
 // A request that waits longer than this for an endpoint is told when to come back.
 constexpr Millis kLongestWait{2500};
 constexpr Millis kLongestCallWait{250};
 
+Millis randomMillis(Millis least, Millis most)
+{
+    thread_local std::minstd_rand random{std::random_device{}()};
+    std::uniform_int_distribution<Millis::rep> pick(least.count(), most.count());
+    return Millis(pick(random));
+}
+
 } // namespace
 
 std::vector<EndpointView> Gateway::viewsFor(const Exchange &exchange) const
@@ -144,16 +153,24 @@
     pumpSoon();
 }
 
-void Gateway::pumpSoon()
+void Gateway::pumpSoon(bool ownSlot)
 {
-    if (pumpArmed_ || waiting_.empty())
+    if (waiting_.empty())
+        return;
+    // Every daemon hears of a slot that a peer has freed. Whoever looks first tells the others within
+    // two milliseconds, so they look at different times.
+    const Millis spread = std::max(kPumpSpread, kPumpPerDaemon * static_cast<int>(daemons()));
+    const Millis delay = ownSlot ? kPumpInterval : randomMillis(kPumpInterval, spread);
+    const TimePoint next = steadyNow() + delay;
+    if (pumpArmed_ && pumpTimer_.expiry() <= next)
         return;
     pumpArmed_ = true;
-    pumpTimer_.expires_after(kPumpInterval);
+    pumpTimer_.expires_at(next);
     pumpTimer_.async_wait([this](const asio::error_code &error) {
+        if (error)
+            return;
         pumpArmed_ = false;
-        if (!error)
-            pump();
+        pump();
     });
 }
 
@@ -173,26 +190,22 @@
         Exchange *exchange = find(id);
         if (!exchange || ++tries > kPumpTries)
             continue;
-        if (tryPlace(*exchange))
-            counters_.waitSeconds.Observe(std::chrono::duration<double>(steadyNow() - now).count());
+        if (!tryPlace(*exchange))
+            continue;
+        counters_.waitSeconds.Observe(
+                std::chrono::duration<double>(steadyNow() - exchange->began).count());
+        // One at a time: an endpoint that becomes free is seen by all daemons at once.
+        if (engineFor(*exchange) != nullptr)
+            break;
     }
-    if (waiting_.empty() || pumpArmed_)
-        return;
-    pumpArmed_ = true;
-    pumpTimer_.expires_after(kPumpRetry);
-    pumpTimer_.async_wait([this](const asio::error_code &error) {
-        pumpArmed_ = false;
-        if (!error)
-            pump();
-    });
+    // Time alone changes what can be placed, for example when a request becomes late.
+    pumpSoon(false);
 }
 
 Millis Gateway::comeBackIn(const Exchange &exchange) const
 {
-    thread_local std::minstd_rand random{std::random_device{}()};
-    const bool stream = exchange.route.kind == RouteKind::Stream;
-    std::uniform_int_distribution<Millis::rep> pick(stream ? 300 : 30, stream ? 900 : 90);
-    return Millis(pick(random));
+    return exchange.route.kind == RouteKind::Stream ? randomMillis(Millis(300), Millis(900))
+                                                    : randomMillis(Millis(30), Millis(90));
 }
 
 void Gateway::send(Exchange &exchange, const Placement &placement)
@@ -514,7 +527,7 @@
                      {{"endpoint", exchange.attempt->endpointId}, {"reason", reason}});
         }
         attempt = std::move(exchange.attempt);
-        board_.ended(attempt->job);
+        board_.ended(attempt->job, steadyNow());
         mesh_.ended(attempt->job);
         attempt->call.reset();
     }
@@ -573,7 +586,7 @@
     if (!exchange.attempt)
         return;
     const std::unique_ptr<Attempt> attempt = std::move(exchange.attempt);
-    board_.ended(attempt->job);
+    board_.ended(attempt->job, steadyNow());
     mesh_.ended(attempt->job);
 }
 
--- a/src/gateway/loadboard.cpp
+++ b/src/gateway/loadboard.cpp
@@ -10,6 +10,11 @@
 
 // The start of an answer after a longer read is always reported; until then the read goes on.
 constexpr FloatMillis kReportedRead{60};
+// How long a freed slot belongs to the daemon whose job has left it: it learns of the end a little
+// earlier, and places a waiting request within milliseconds. Afterwards the others follow one by one;
+// each placement is known everywhere within two milliseconds.
+constexpr Millis kLeastGrace{10};
+constexpr Millis kGraceSpread{50};
 // An overdue read counts for so many times its own time more before its report counts as lost.
 constexpr double kOverdueReads = 2;
 // Part of a read that is taken as left when it is overdue.
@@ -45,14 +50,15 @@
     return mix64(fnv1a64(endpoint.id) ^ static_cast<std::uint64_t>(endpoint.bornMs));
 }
 
-LoadBoard::LoadBoard(std::size_t limit)
+LoadBoard::LoadBoard(std::size_t limit, std::uint64_t owner)
     : limit_(limit)
+    , owner_(owner)
 {
 }
 
 bool LoadBoard::place(const Job &job)
 {
-    ended(job.id);
+    remove(job.id);
     if (jobs_.size() >= limit_)
         return false;
     if (job.parts.size() > 1 && !job.started)
@@ -91,7 +97,38 @@
     found->second.readBy = now;
 }
 
-void LoadBoard::ended(const JobId &id)
+void LoadBoard::ended(const JobId &id, TimePoint now)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+        return;
+    if (id.owner != owner_) {
+        for (const JobPart &part : found->second.parts) {
+            if (!part.writes)
+                continue;
+            auto &freed = freed_[part.endpoint];
+            std::erase_if(freed, [&](const FreedSlot &slot) {
+                return now - slot.at > kLeastGrace + kGraceSpread;
+            });
+            freed.push_back({id, now});
+        }
+    }
+    remove(id);
+}
+
+unsigned LoadBoard::reservedSlots(EndpointKey endpoint, TimePoint now) const
+{
+    const auto row = freed_.find(endpoint);
+    if (row == freed_.end())
+        return 0;
+    return static_cast<unsigned>(std::ranges::count_if(row->second, [&](const FreedSlot &slot) {
+        const std::uint64_t random = mix64(owner_ ^ mix64(slot.job.owner + slot.job.number));
+        const Millis spread(static_cast<Millis::rep>(random % kGraceSpread.count()));
+        return now < slot.at + kLeastGrace + spread;
+    }));
+}
+
+void LoadBoard::remove(const JobId &id)
 {
     const auto found = jobs_.find(id);
     if (found == jobs_.end())
@@ -122,7 +159,7 @@
             gone.push_back(id);
     }
     for (const JobId &id : gone)
-        ended(id);
+        remove(id);
 }
 
 void LoadBoard::dropOwner(std::uint64_t owner)
@@ -133,7 +170,7 @@
             gone.push_back(id);
     }
     for (const JobId &id : gone)
-        ended(id);
+        remove(id);
 }
 
 void LoadBoard::dropEndpoint(EndpointKey endpoint)
@@ -143,7 +180,7 @@
         return;
     const std::vector<JobId> ids = row->second;
     for (const JobId &id : ids)
-        ended(id);
+        remove(id);
 }
 
 void LoadBoard::expire(TimePoint now)
@@ -154,12 +191,13 @@
             gone.push_back(id);
     }
     for (const JobId &id : gone)
-        ended(id);
+        remove(id);
 }
 
 EndpointLoad LoadBoard::load(EndpointKey endpoint, TimePoint now) const
 {
     EndpointLoad load;
+    load.sequences = reservedSlots(endpoint, now);
     const auto row = byEndpoint_.find(endpoint);
     if (row == byEndpoint_.end())
         return load;
--- a/src/gateway/loadboard.h
+++ b/src/gateway/loadboard.h
@@ -2,12 +2,16 @@
 
 // The work at each endpoint, as this daemon and its peers have placed it.
 //
-//   LoadBoard board(limit);
+//   LoadBoard board(limit, ownIncarnation);
 //   board.place(job);                  // ours, or told by a peer
 //   board.started(job.id, now);        // its first event arrived
-//   board.ended(job.id);
+//   board.ended(job.id, now);
 //   EndpointLoad load = board.load(endpointKey, engine, now);
 //
+// A slot belongs for a moment to the daemon whose job has left it; the others take it for occupied,
+// each for another time. Without this, all daemons with waiting requests fill the same endpoint at
+// once when several of its streams end together.
+//
 // Endpoints report their load late; what all daemons have sent is known within milliseconds. Lost
 // messages are repaired by full lists of a peer's jobs, and by a lifetime for every job.
 
@@ -75,13 +79,14 @@
 class LoadBoard
 {
 public:
-    explicit LoadBoard(std::size_t limit);
+    /// The owner is the daemon that decides with this board.
+    explicit LoadBoard(std::size_t limit, std::uint64_t owner = 0);
 
     /// Adds or replaces a job. False when the table is full. A job with several parts is read
     /// before the others at its endpoints, which end their reading later for it.
     bool place(const Job &job);
     void started(const JobId &id, TimePoint now);
-    void ended(const JobId &id);
+    void ended(const JobId &id, TimePoint now);
 
     /// Jobs of an owner with numbers from first to last that are not listed have ended.
     void keepOnly(std::uint64_t owner, const std::vector<std::uint32_t> &listed,
@@ -97,10 +102,21 @@
     std::size_t size() const { return jobs_.size(); }
 
 private:
+    struct FreedSlot
+    {
+        JobId job;
+        TimePoint at;
+    };
+
+    void remove(const JobId &id);
     void unlink(const Job &job);
+    /// Slots that still belong to the daemons whose jobs have left them.
+    unsigned reservedSlots(EndpointKey endpoint, TimePoint now) const;
     void delayOthers(const Job &job);
 
     std::size_t limit_;
+    std::uint64_t owner_;
+    std::unordered_map<EndpointKey, std::vector<FreedSlot>> freed_;
     std::unordered_map<JobId, Job, JobIdHash> jobs_;
     std::unordered_map<EndpointKey, std::vector<JobId>> byEndpoint_;
 };
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -501,7 +501,7 @@
         for (const std::uint32_t number : root.getStarted())
             board_.started({incarnation, number}, now);
         for (const std::uint32_t number : root.getEnded())
-            board_.ended({incarnation, number});
+            board_.ended({incarnation, number}, now);
         if (root.getCoversTo() > 0)
             board_.keepOnly(incarnation, listed, root.getCoversFrom(), root.getCoversTo());
         for (const auto member : root.getMembers()) {
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -241,8 +241,8 @@
     load = board.load(7, start + Millis(120));
     LONGS_EQUAL(1, load.writers);
     DOUBLES_EQUAL(0, load.pendingRead.count(), 0.1);
-    board.ended({1, 1});
-    LONGS_EQUAL(0, board.load(7, start).sequences);
+    board.ended({1, 1}, start + Millis(200));
+    LONGS_EQUAL(0, board.load(7, start + Millis(300)).sequences);
 }
 
 // Guards against an overdue long read that passes for a stream, so that more is placed beside it.
@@ -262,6 +262,32 @@
     LONGS_EQUAL(1, board.load(8, start).helping);
 }
 
+// Guards against all daemons that fill an endpoint at once when several of its streams end together.
+TEST(LoadBoard, aFreedSlotBelongsToItsOwnerFirstAndThenToOneAfterTheOther)
+{
+    unsigned atOnce = 0;
+    std::vector<Millis> freeAfter;
+    for (std::uint64_t daemon = 1; daemon <= 88; ++daemon) {
+        LoadBoard mine(100, daemon);
+        Job ending = job(1, {{7, Millis(10), true, 0}}, Millis(20));
+        ending.id.owner = 5;
+        mine.place(ending);
+        mine.ended(ending.id, start);
+        Millis free(0);
+        while (mine.load(7, start + free).sequences > 0)
+            free += Millis(1);
+        if (daemon == 5)
+            LONGS_EQUAL_TEXT(0, free.count(), "its owner may use it at once");
+        else
+            freeAfter.push_back(free);
+        CHECK_TRUE(free <= Millis(60));
+    }
+    for (const Millis free : freeAfter)
+        atOnce = std::max(atOnce, static_cast<unsigned>(std::ranges::count(freeAfter, free)));
+    CHECK_TRUE(*std::ranges::min_element(freeAfter) >= Millis(10));
+    CHECK_TRUE_TEXT(atOnce <= 6, fmt::format("{} of 87 in one millisecond", atOnce).c_str());
+}
+
 TEST(LoadBoard, aFullListEndsTheJobsItDoesNotName)
 {
     for (std::uint32_t number = 1; number <= 4; ++number)
