Give reading duty to those that reach the store, return unused budget, see a cut domain by its replicas

Changes: an attempt that reached nobody gives its budget back; three replicas that cannot be reached speak for their domain for 0.8 s; duty counts members that reach the store, and two more try for each that does not; reserves read every 30 s; a request counts as stuck after 3 s without progress.

--- a/src/cli/explaincommand.cpp
+++ b/src/cli/explaincommand.cpp
@@ -57,7 +57,8 @@
 };
 
 constexpr std::array<ReasonText, 14> kReasons = {{
-        {"no_endpoint", "no endpoint could take it in time; its queued line counts what was in the way"},
+        {"no_endpoint",
+         "no endpoint could take it in time; its queued line counts what was in the way"},
         {"no_connection", "the endpoint could not be reached"},
         {"no_answer", "the connection to the endpoint broke before an answer"},
         {"broken_answer", "the endpoint's answer broke off"},
--- a/src/daemon/rows.h
+++ b/src/daemon/rows.h
@@ -12,7 +12,9 @@
 namespace cicadafork {
 
 /// Shortest time without progress after which a request counts as stuck.
-inline constexpr Millis kStuckMinimum{5000};
+/// It is below the 5 s after which a request at a silent endpoint is broken off: with equal times
+/// an operator could see such a request for one tick only.
+inline constexpr Millis kStuckMinimum{3000};
 
 /// No progress for longer than twice the expected step time, and for at least kStuckMinimum. The
 /// step is the first token while the request is dispatched or prefilled, else a token or a retry,
--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -14,6 +14,10 @@
 constexpr Millis kLongestSuspension{4000};
 // A full endpoint gets this long to work off its queue.
 constexpr Millis kRefusedPause{60};
+// So many endpoints of a failure domain that cannot be reached, with none that answered in between,
+// mean that the domain is cut off; one is tried again after the time.
+constexpr std::size_t kCutEvidence = 3;
+constexpr Millis kCutMemory{800};
 // Weight of a new observation in moving averages.
 constexpr double kErrorWeight = 0.15;
 constexpr double kPaceWeight = 0.25;
@@ -127,6 +131,7 @@
     EndpointRow *found = row(key);
     if (!found)
         return;
+    unreachable_.erase(found->record.failureDomain);
     found->failuresInRow = 0;
     found->suspendedUntil = {};
     found->errorShare *= 1 - kErrorWeight;
@@ -151,6 +156,13 @@
     case EndpointFailure::NoAnswer:
         break;
     }
+    if (failure == EndpointFailure::NoConnection) {
+        Unreachable &domain = unreachable_[found->record.failureDomain];
+        if (now - domain.newest > kCutMemory)
+            domain.endpoints.clear();
+        domain.endpoints.insert(key);
+        domain.newest = now;
+    }
     const bool wasSuspended = found->suspendedUntil > now;
     const unsigned doublings = std::min(found->failuresInRow, 4U);
     ++found->failuresInRow;
@@ -158,6 +170,13 @@
     return !wasSuspended;
 }
 
+bool EndpointTable::seemsCutOff(const std::string &failureDomain, TimePoint now) const
+{
+    const auto found = unreachable_.find(failureDomain);
+    return found != unreachable_.end() && found->second.endpoints.size() >= kCutEvidence
+           && now - found->second.newest <= kCutMemory;
+}
+
 const EndpointRow *EndpointTable::find(EndpointKey key) const
 {
     const auto id = idByKey_.find(key);
@@ -177,8 +196,8 @@
 }
 
 std::vector<EndpointView>
-EndpointTable::views(const std::string &service, const std::string &ownDomain,
-                     std::uint64_t daemon, const std::vector<EndpointKey> &excluded,
+EndpointTable::views(const std::string &service, const std::string &ownDomain, std::uint64_t daemon,
+                     const std::vector<EndpointKey> &excluded,
                      const std::function<bool(const std::string &)> &cutOff, const LoadBoard &board,
                      TimePoint now) const
 {
@@ -204,7 +223,8 @@
         view.pace = row->pace;
         view.tie = static_cast<double>(mix64(row->key ^ daemon) >> 11) * kTieScale;
         view.inOwnDomain = row->record.failureDomain == ownDomain;
-        view.usable = row->suspendedUntil <= now && !cutOff(row->record.failureDomain);
+        view.usable = row->suspendedUntil <= now && !cutOff(row->record.failureDomain)
+                      && !seemsCutOff(row->record.failureDomain, now);
         if (view.usable && mayAvoid > 0 && row->errorShare > meanError + kErrorMargin) {
             view.usable = false;
             --mayAvoid;
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace cicadafork::gateway {
@@ -57,11 +58,11 @@
     const EndpointRow *findById(const std::string &id) const;
     const std::unordered_map<std::string, EndpointRow> &rows() const { return rows_; }
 
-    /// The daemon's number breaks ties. Endpoints of a service that are not draining, suspended or excluded. When nothing else is
-    /// left, suspended ones are offered too: a guess is better than a certain refusal.
+    /// The daemon's number breaks ties. Endpoints of a service that are not draining, suspended or
+    /// excluded. When nothing else is left, suspended ones are offered too: a guess is better than
+    /// a certain refusal.
     std::vector<EndpointView> views(const std::string &service, const std::string &ownDomain,
-                                    std::uint64_t daemon,
-                                    const std::vector<EndpointKey> &excluded,
+                                    std::uint64_t daemon, const std::vector<EndpointKey> &excluded,
                                     const std::function<bool(const std::string &)> &cutOff,
                                     const LoadBoard &board, TimePoint now) const;
     std::size_t size() const { return rows_.size(); }
@@ -72,12 +73,21 @@
     EndpointChange apply(const EndpointRecord &record, TimePoint now);
     void recomputeDigest();
 
+    /// Endpoints of a failure domain that could not be reached since one of them last answered.
+    struct Unreachable
+    {
+        std::unordered_set<EndpointKey> endpoints;
+        TimePoint newest{};
+    };
+
     EndpointRow *row(EndpointKey key);
+    bool seemsCutOff(const std::string &failureDomain, TimePoint now) const;
 
     std::size_t limit_;
     std::uint64_t digest_ = 0;
     std::unordered_map<std::string, EndpointRow> rows_; ///< By id.
     std::unordered_map<EndpointKey, std::string> idByKey_;
+    std::unordered_map<std::string, Unreachable> unreachable_; ///< By failure domain.
 };
 
 } // namespace cicadafork::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,7 +28,7 @@
 // Endpoint records change with every heartbeat, so that waiting for a change gains nothing. Leaving
 // endpoints must be noticed well within 2 s.
 constexpr Millis kEndpointInterval{600};
-constexpr Millis kMemberInterval{10'000};
+constexpr Millis kMemberInterval{60'000};
 // Time in which a caller without a configuration to ask for comes back.
 constexpr Millis kNoConfigPause{300};
 // The balancer takes a machine out of its rotation after two missed checks, one second apart.
@@ -91,7 +91,7 @@
             {.status =
                      [this] {
                          return MeshStatus{config_ ? config_->version : 0, sharedPosition(),
-                                           endpoints_.digest(), draining_};
+                                           endpoints_.digest(), draining_, storeLost_};
                      },
              .loadChanged = [this] { pumpSoon(); },
              .peerChanged = [this](const PeerInfo &peer) { onPeer(peer); },
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -81,6 +81,8 @@
     HeadVerdict onHead(std::uint64_t id, HttpResponseHead &&head);
     void onBody(std::uint64_t id, std::string_view bytes);
     void onEnd(std::uint64_t id, UpstreamEnd end);
+    /// Nothing of the attempt has reached an endpoint.
+    void notSent(Exchange &exchange);
     void relayEvents(Exchange &exchange);
     void beginRelay(Exchange &exchange);
     void answerWhole(Exchange &exchange);
@@ -114,7 +116,6 @@
     void tellPeers();
     /// Few daemons of a failure domain read the store often and tell the others.
     void takeReadingDuty();
-    unsigned readerRank() const;
     std::uint64_t endpointsPosition() const;
     std::uint64_t sharedPosition() const; ///< As peers are told it.
     void pullFrom(const PeerInfo &peer);
@@ -150,6 +151,7 @@
     TopicFollower memberFollower_;
     bool endpointsKnown_ = false;
     bool storeReached_ = false;
+    bool storeLost_ = false; ///< Tried and not reached.
     StoreAbsence absence_;
     std::uint64_t newestPeerPosition_ = 0;
     /// Endpoints whose records vanished around an outage of the store; kept until they may be back.
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -62,8 +62,7 @@
     // All endpoints of the service have been tried: any of them is better than none.
     return endpoints_.views(
             exchange.service, settings_.failureDomain, incarnation_, {},
-            [](const auto &) { return false; },
-            board_, now);
+            [](const auto &) { return false; }, board_, now);
 }
 
 const EngineModel *Gateway::engineFor(const Exchange &exchange) const
@@ -157,8 +156,8 @@
 {
     if (waiting_.empty())
         return;
-    // Every daemon hears of a slot that a peer has freed. Whoever looks first tells the others within
-    // two milliseconds, so they look at different times.
+    // Every daemon hears of a slot that a peer has freed. Whoever looks first tells the others
+    // within two milliseconds, so they look at different times.
     const Millis spread = std::max(kPumpSpread, kPumpPerDaemon * static_cast<int>(daemons()));
     const Millis delay = ownSlot ? kPumpInterval : randomMillis(kPumpInterval, spread);
     const TimePoint next = steadyNow() + delay;
@@ -305,7 +304,7 @@
             startCall(*waiting);
             return;
         }
-        --waiting->sends;
+        notSent(*waiting);
         waiting->notBefore = steadyNow() + kMemoryPause;
         onAttemptFailed(*waiting, EndpointFailure::Refused, false, "memory_not_reserved");
     });
@@ -448,7 +447,7 @@
     Attempt &attempt = *exchange->attempt;
     switch (end) {
     case UpstreamEnd::NotSent:
-        --exchange->sends;
+        notSent(*exchange);
         onAttemptFailed(*exchange, EndpointFailure::NoConnection, false, "no_connection");
         return;
     case UpstreamEnd::NoAnswer:
@@ -471,6 +470,12 @@
         answerWhole(*exchange);
 }
 
+void Gateway::notSent(Exchange &exchange)
+{
+    if (--exchange.sends > 0)
+        budget_.giveBack(exchange.service);
+}
+
 void Gateway::finishRelay(Exchange &exchange)
 {
     Attempt &attempt = *exchange.attempt;
--- a/src/gateway/gatewayknowledge.cpp
+++ b/src/gateway/gatewayknowledge.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "gateway/gateway.h"
 #include "gateway/meshwire.h"
+#include "gateway/readingduty.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
@@ -25,15 +26,6 @@
 constexpr const char *kDumpPath = "/debug/dump";
 // A store that has not answered for so long is away: two missed reads.
 constexpr Millis kStoreSilence{1800};
-// How often endpoints are read: leaving ones must be noticed well within 2 s. Their records change
-// with every heartbeat, so that waiting for a change gains nothing. The first of a failure domain
-// reads most, the second covers its loss, the others rely on them.
-constexpr Millis kFirstReader{600};
-constexpr Millis kSecondReader{1000};
-constexpr Millis kOtherReaders{10'000};
-// How long reads of the configuration wait. A connection that went silent is noticed only after it.
-constexpr Millis kReaderWait{2000};
-constexpr Millis kOtherWait{20'000};
 constexpr Millis kPullPause{250};
 constexpr Millis kRegisterTimeout{1500};
 constexpr Millis kRegisterRetry{1000};
@@ -71,7 +63,8 @@
               {"before", std::to_string(before)},
               {"source", source},
               {"keys", std::to_string(config_->workspaceByKey.size())}});
-    mesh_.announce();
+    if (tellsPeers_)
+        mesh_.announce();
     return true;
 }
 
@@ -113,29 +106,24 @@
     news_.clear();
 }
 
-unsigned Gateway::readerRank() const
+void Gateway::takeReadingDuty()
 {
-    unsigned rank = 0;
+    std::vector<ReaderCandidate> others;
     for (const auto &[ip, peer] : mesh_.peers()) {
-        if (peer.alive && !peer.leaving && peer.failureDomain == settings_.failureDomain
-            && peer.incarnation < incarnation_)
-            ++rank;
+        if (peer.alive && !peer.leaving && peer.failureDomain == settings_.failureDomain)
+            others.push_back({peer.incarnation, peer.storeLost});
     }
-    return rank;
-}
-
-void Gateway::takeReadingDuty()
-{
-    const unsigned rank = readerRank();
-    const Millis interval = rank == 0 ? kFirstReader : rank == 1 ? kSecondReader : kOtherReaders;
-    if (interval == endpointFollower_.interval())
+    const ReadingDuty duty = readingDuty({incarnation_, storeLost_}, others);
+    const ReadingPace pace = readingPace(duty);
+    firstReader_ = duty == ReadingDuty::First;
+    tellsPeers_ = duty != ReadingDuty::Reserve;
+    if (pace.endpointInterval == endpointFollower_.interval())
         return;
-    firstReader_ = rank == 0;
-    tellsPeers_ = rank < 2;
     logEvent(LogLevel::Info, "reading_duty",
-             {{"rank", std::to_string(rank)}, {"interval_ms", std::to_string(interval.count())}});
-    endpointFollower_.setPace(interval, Millis(0));
-    configFollower_.setPace(Millis(0), tellsPeers_ ? kReaderWait : kOtherWait);
+             {{"duty", toString(duty)},
+              {"interval_ms", std::to_string(pace.endpointInterval.count())}});
+    endpointFollower_.setPace(pace.endpointInterval, Millis(0));
+    configFollower_.setPace(pace.configInterval, pace.configWait);
 }
 
 std::uint64_t Gateway::sharedPosition() const
@@ -237,6 +225,7 @@
     if (reached == storeReached_)
         return;
     storeReached_ = reached;
+    storeLost_ = !reached;
     if (reached)
         absence_.back(steadyNow());
     else
@@ -245,6 +234,8 @@
         configFollower_.retryNow();
     logEvent(reached ? LogLevel::Info : LogLevel::Warning, reached ? "store_reached" : "store_lost",
              {{"position", std::to_string(endpointFollower_.position())}});
+    takeReadingDuty();
+    mesh_.announce();
 }
 
 bool Gateway::storeAway() const
--- a/src/gateway/loadboard.cpp
+++ b/src/gateway/loadboard.cpp
@@ -11,8 +11,8 @@
 // The start of an answer after a longer read is always reported; until then the read goes on.
 constexpr FloatMillis kReportedRead{60};
 // How long a freed slot belongs to the daemon whose job has left it: it learns of the end a little
-// earlier, and places a waiting request within milliseconds. Afterwards the others follow one by one;
-// each placement is known everywhere within two milliseconds.
+// earlier, and places a waiting request within milliseconds. Afterwards the others follow one by
+// one; each placement is known everywhere within two milliseconds.
 constexpr Millis kLeastGrace{10};
 constexpr Millis kGraceSpread{50};
 // An overdue read counts for so many times its own time more before its report counts as lost.
--- a/src/gateway/mesh.capnp
+++ b/src/gateway/mesh.capnp
@@ -66,6 +66,8 @@
   leaving @12 :Bool;
   # The receiver is asked to send a heartbeat back.
   wantsReply @13 :Bool;
+  # The store did not answer the sender's last reads.
+  storeLost @16 :Bool;
   # Changes of endpoints that the sender has just read.
   endpointChanges @15 :List(EndpointEntry);
 }
--- a/src/gateway/mesh.capnp.h
+++ b/src/gateway/mesh.capnp.h
@@ -714,6 +714,8 @@
     inline ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>::Reader
     getEndpointChanges() const;
 
+    inline bool getStoreLost() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -854,6 +856,9 @@
             ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>
     disownEndpointChanges();
 
+    inline bool getStoreLost();
+    inline void setStoreLost(bool value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1998,6 +2003,20 @@
             disown(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::getStoreLost() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<258>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Builder::getStoreLost()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<258>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setStoreLost(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<258>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::uint64_t SharedState::Reader::getConfigVersion() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -80,6 +80,7 @@
     root.setEndpointsPosition(status.endpointsPosition);
     root.setEndpointsDigest(status.endpointsDigest);
     root.setLeaving(status.leaving);
+    root.setStoreLost(status.storeLost);
 }
 
 Job readJob(wire::Job::Reader source, std::uint64_t owner, TimePoint now)
@@ -486,7 +487,9 @@
         info->configVersion = std::max(info->configVersion, root.getConfigVersion());
         info->endpointsPosition = root.getEndpointsPosition();
         info->endpointsDigest = root.getEndpointsDigest();
-        const bool changed = !info->alive || info->leaving != root.getLeaving();
+        const bool changed = !info->alive || info->leaving != root.getLeaving()
+                             || info->storeLost != root.getStoreLost();
+        info->storeLost = root.getStoreLost();
         info->leaving = root.getLeaving();
         info->heard = true;
         info->alive = true;
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -60,6 +60,7 @@
     bool heard = false;
     bool alive = false;
     bool leaving = false;
+    bool storeLost = false; ///< The store does not answer it.
 };
 
 /// What a heartbeat says of the sender besides its jobs.
@@ -69,6 +70,7 @@
     std::uint64_t endpointsPosition = 0;
     std::uint64_t endpointsDigest = 0;
     bool leaving = false;
+    bool storeLost = false;
 };
 
 /// A change of an endpoint: the new record, or none when it has left.
@@ -83,7 +85,7 @@
     std::function<MeshStatus()> status;
     /// The work at endpoints changed.
     std::function<void()> loadChanged;
-    /// A peer was heard of again, or not for a while, or is about to leave.
+    /// A peer was heard of again, or not for a while, is about to leave, or lost the store.
     std::function<void(const PeerInfo &)> peerChanged;
     /// A message of the peer arrived.
     std::function<void(const PeerInfo &)> heard;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -149,8 +149,8 @@
 struct Division
 {
     unsigned readers = 1;
-    unsigned holders = 0; ///< Helpers that hold memory besides the head.
-    bool late = false;    ///< The first event will not be on time.
+    unsigned holders = 0;         ///< Helpers that hold memory besides the head.
+    bool late = false;            ///< The first event will not be on time.
     std::uint64_t tokensEach = 0; ///< Of the head and each holder.
 };
 
@@ -164,10 +164,10 @@
     for (const EndpointView &endpoint : endpoints) {
         if (!canRead(engine, endpoint, part, joint))
             continue;
-        candidates.push_back({&endpoint, backlog(engine, endpoint, joint),
-                              canHead(request, engine, endpoint, division.tokensEach, joint,
-                                      division.late),
-                              hasMemory(engine, endpoint, division.tokensEach)});
+        candidates.push_back(
+                {&endpoint, backlog(engine, endpoint, joint),
+                 canHead(request, engine, endpoint, division.tokensEach, joint, division.late),
+                 hasMemory(engine, endpoint, division.tokensEach)});
     }
     std::ranges::sort(candidates, readerBefore);
     return candidates;
--- a/src/gateway/sharedbudget.cpp
+++ b/src/gateway/sharedbudget.cpp
@@ -56,4 +56,11 @@
     return true;
 }
 
+void SharedBudget::giveBack(const std::string &service)
+{
+    const auto found = rows_.find(service);
+    if (found != rows_.end() && !found->second.repeats.empty())
+        found->second.repeats.pop_back();
+}
+
 } // namespace cicadafork::gateway
--- a/src/gateway/sharedbudget.h
+++ b/src/gateway/sharedbudget.h
@@ -31,6 +31,8 @@
     bool available(const std::string &service, std::size_t daemons, TimePoint now);
     /// Takes one second send; false when there is none left.
     bool take(const std::string &service, std::size_t daemons, TimePoint now);
+    /// Gives the newest one back: nothing of it reached an endpoint.
+    void giveBack(const std::string &service);
 
 private:
     struct Row
--- a/src/gateway/topicfollower.cpp
+++ b/src/gateway/topicfollower.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr Millis kRareRetry{4000};
+
 /// Half to all of the given time, so that daemons that failed together do not return together.
 Millis jittered(Millis delay)
 {
@@ -131,7 +133,9 @@
 void TopicFollower::retry(void (TopicFollower::*step)())
 {
     const unsigned doublings = std::min(failures_, 5U) - 1;
-    const Millis delay = std::min(options_.longestRetry, options_.firstRetry * (1 << doublings));
+    // One that reads rarely also tries rarely.
+    const Millis longest = std::max(options_.longestRetry, std::min(options_.interval, kRareRetry));
+    const Millis delay = std::min(longest, options_.firstRetry * (1 << doublings));
     after(jittered(delay), step);
 }
 
--- a/tests/unit/explain_test.cpp
+++ b/tests/unit/explain_test.cpp
@@ -23,14 +23,13 @@
 
 } // namespace
 
-TEST_GROUP(Explain)
-{
-};
+TEST_GROUP(Explain){};
 
 TEST(Explain, readsALineWithQuotesAndATextBefore)
 {
-    const LogLine read = parsed("  12.5 front-1 " + line("sent request=r1 reason=\"on \\\"time\\\"\" "
-                                                         "helpers=\"\" send=2"));
+    const LogLine read = parsed("  12.5 front-1 "
+                                + line("sent request=r1 reason=\"on \\\"time\\\"\" "
+                                       "helpers=\"\" send=2"));
     STRCMP_EQUAL("sent", read.event.c_str());
     STRCMP_EQUAL("r1", read.field("request").c_str());
     STRCMP_EQUAL("on \"time\"", read.field("reason").c_str());
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/endpoints.h"
 #include "gateway/exchange.h"
+#include "gateway/readingduty.h"
 #include "gateway/reservation.h"
 #include "gateway/sharedbudget.h"
 #include "gateway/storeabsence.h"
@@ -11,6 +12,7 @@
 #include <asio/post.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <string>
 #include <thread>
 #include <vector>
@@ -151,6 +153,17 @@
     CHECK_FALSE_TEXT(budget.take("other", 1, kStart), "a service that nobody asked for");
 }
 
+// Seen on the bench: two endpoints that could not be reached used up the budget of a resume.
+TEST(SharedBudget, takesBackWhatReachedNobody)
+{
+    SharedBudget budget({0, 2, Millis(10'000)});
+    budget.noteRequest("maps", kStart);
+    CHECK_TRUE(budget.take("maps", 1, kStart));
+    CHECK_FALSE(budget.take("maps", 1, kStart));
+    budget.giveBack("maps");
+    CHECK_TRUE(budget.take("maps", 1, kStart));
+}
+
 TEST_GROUP(GatewayEndpoints)
 {
     EndpointTable table{100};
@@ -160,7 +173,7 @@
     {
         std::size_t count = 0;
         for (const EndpointView &view : table.views(
-                     "maps", "east", {}, [](const std::string &) { return false; }, board, now))
+                     "maps", "east", 1, {}, [](const std::string &) { return false; }, board, now))
             count += view.usable ? 1 : 0;
         return count;
     }
@@ -174,7 +187,7 @@
     record.state = EndpointState::Draining;
     CHECK_TRUE(table.update(record, kStart) == EndpointChange::Draining);
     CHECK_TRUE(table.views(
-                            "maps", "east", {}, [](const auto &) { return false; }, board, kStart)
+                            "maps", "east", 1, {}, [](const auto &) { return false; }, board, kStart)
                        .empty());
     record.state = EndpointState::Ready;
     record.bornMs = 2;
@@ -218,6 +231,55 @@
     LONGS_EQUAL(1, usable(kStart + Millis(100)));
 }
 
+// Guards against a resume that tries one endpoint of a cut failure domain after the other.
+TEST(GatewayEndpoints, threeThatCannotBeReachedSpeakForTheirFailureDomain)
+{
+    for (const char *id : {"a", "b", "c", "d", "e"}) {
+        EndpointRecord record = endpoint(id);
+        record.failureDomain = id[0] < 'e' ? "west" : "east";
+        table.update(record, kStart);
+    }
+    for (const char *id : {"a", "b"})
+        table.noteFailure(table.findById(id)->key, EndpointFailure::NoConnection, kStart);
+    LONGS_EQUAL(3, usable(kStart));
+    table.noteFailure(table.findById("c")->key, EndpointFailure::NoConnection, kStart);
+    LONGS_EQUAL(1, usable(kStart));
+    LONGS_EQUAL_TEXT(5, usable(kStart + Millis(900)), "tried again");
+    table.noteFailure(table.findById("a")->key, EndpointFailure::NoConnection, kStart);
+    table.noteSuccess(table.findById("d")->key, 1);
+    LONGS_EQUAL_TEXT(2, usable(kStart + Millis(100)), "one has answered");
+}
+
+TEST_GROUP(ReadingDuty){
+        /// Duties of a domain's members, by incarnation; the lost ones are turned away.
+        std::string duties(unsigned members, const std::vector<unsigned> &lost){
+                const auto isLost
+                = [&](unsigned member) { return std::ranges::count(lost, member) > 0; };
+std::string text;
+for (unsigned self = 0; self < members; ++self) {
+    std::vector<ReaderCandidate> others;
+    for (unsigned other = 0; other < members; ++other) {
+        if (other != self)
+            others.push_back({other, isLost(other)});
+    }
+    text += toString(readingDuty({self, isLost(self)}, others))[0];
+}
+return text;
+}
+}
+;
+
+// Guards against a domain in which nobody reads, and against one in which all do.
+TEST(ReadingDuty, fewReadAndMoreTryWhenTheStoreTurnsReadersAway)
+{
+    STRCMP_EQUAL("f", duties(1, {}).c_str());
+    STRCMP_EQUAL("fs", duties(2, {}).c_str());
+    STRCMP_EQUAL("fsrrrr", duties(6, {}).c_str());
+    STRCMP_EQUAL("rfffsr", duties(6, {0}).c_str());
+    STRCMP_EQUAL("rrffff", duties(6, {0, 1}).c_str());
+    STRCMP_EQUAL_TEXT("ffffff", duties(6, {0, 1, 2, 3, 4, 5}).c_str(), "all try again");
+}
+
 TEST_GROUP(StoreAbsence)
 {
     StoreAbsence absence;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -262,7 +262,8 @@
     LONGS_EQUAL(1, board.load(8, start).helping);
 }
 
-// Guards against all daemons that fill an endpoint at once when several of its streams end together.
+// Guards against all daemons that fill an endpoint at once when several of its streams end
+// together.
 TEST(LoadBoard, aFreedSlotBelongsToItsOwnerFirstAndThenToOneAfterTheOther)
 {
     unsigned atOnce = 0;
--- a/tests/unit/rows_test.cpp
+++ b/tests/unit/rows_test.cpp
@@ -21,12 +21,12 @@
         bool stuck;
     };
     const std::vector<Case> cases = {
-            {"short wait", RequestState::Queued, Millis(0), Millis(5000), false},
-            {"long wait", RequestState::Queued, Millis(0), Millis(5001), true},
+            {"short wait", RequestState::Queued, Millis(0), Millis(3000), false},
+            {"long wait", RequestState::Queued, Millis(0), Millis(3001), true},
             {"prefill of a long prompt", RequestState::Dispatched, Millis(60'000), Millis(119'000),
              false},
             {"late first token", RequestState::Dispatched, Millis(60'000), Millis(120'001), true},
-            {"silent stream", RequestState::Streaming, Millis(60'000), Millis(5001), true},
+            {"silent stream", RequestState::Streaming, Millis(60'000), Millis(3001), true},
     };
     for (const Case &c : cases) {
         RequestView request;
