--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "base/log.h"
+#include "gateway/readingduty.h"
 
 #include <asio/post.hpp>
 #include <fmt/format.h>
@@ -22,12 +23,6 @@
 constexpr std::size_t kMaxExchanges = 2048;
 // A failed store call is noticed after this time beyond its own wait.
 constexpr Millis kStoreCallTimeout{900};
-// A read of the configuration waits this long for a change. A connection that went silent is
-// noticed only after it, so it stays near the time in which a change must be in force.
-constexpr Millis kConfigWait{2000};
-// Endpoint records change with every heartbeat, so that waiting for a change gains nothing. Leaving
-// endpoints must be noticed well within 2 s.
-constexpr Millis kEndpointInterval{600};
 constexpr Millis kMemberInterval{60'000};
 // Time in which a caller without a configuration to ask for comes back.
 constexpr Millis kNoConfigPause{300};
@@ -99,14 +94,15 @@
              .endpointNews
              = [this](const PeerInfo &peer,
                       const std::vector<EndpointNews> &news) { onEndpointNews(peer, news); }})
-    , configFollower_(
-              context, store_,
-              {.topic = layout_.configTopic, .wait = kConfigWait, .callTimeout = kStoreCallTimeout},
-              {[this](auto records) { onConfigRecords(records); },
-               [this](auto records) { onConfigRecords(records); }, [](bool) {}})
+    , configFollower_(context, store_,
+                      {.topic = layout_.configTopic,
+                       .wait = readingPace(ReadingDuty::First).configWait,
+                       .callTimeout = kStoreCallTimeout},
+                      {[this](auto records) { onConfigRecords(records); },
+                       [this](auto records) { onConfigRecords(records); }, [](bool) {}})
     , endpointFollower_(context, store_,
                         {.topic = layout_.endpointsTopic,
-                         .interval = kEndpointInterval,
+                         .interval = readingPace(ReadingDuty::First).endpointInterval,
                          .callTimeout = kStoreCallTimeout},
                         {[this](auto records) { onEndpointSnapshot(records); },
                          [this](auto records) { onEndpointChanges(records); },
--- /dev/null
+++ b/src/gateway/gatewayqueue.cpp
@@ -0,0 +1,191 @@
+// Placing requests, and the queue of those that wait for an endpoint.
+
+#include "base/log.h"
+#include "gateway/gateway.h"
+
+#include <asio/post.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <random>
+
+namespace cicadafork::gateway {
+
+namespace {
+
+// Pump at most this often; requests that wait are looked at in order, the first ones first.
+constexpr Millis kPumpInterval{4};
+constexpr Millis kPumpSpread{16};
+// Time between the looks of two daemons, so that each knows what the one before has placed.
+constexpr Millis kPumpPerDaemon{2};
+constexpr std::size_t kPumpTries = 24;
+// A request that waits longer than this for an endpoint is told when to come back.
+constexpr Millis kLongestWait{2500};
+constexpr Millis kLongestCallWait{250};
+
+Millis randomMillis(Millis least, Millis most)
+{
+    thread_local std::minstd_rand random{std::random_device{}()};
+    std::uniform_int_distribution<Millis::rep> pick(least.count(), most.count());
+    return Millis(pick(random));
+}
+
+} // namespace
+
+std::vector<EndpointView> Gateway::viewsFor(const Exchange &exchange) const
+{
+    const TimePoint now = steadyNow();
+    auto views = endpoints_.views(
+            exchange.service, settings_.failureDomain, incarnation_, exchange.tried,
+            [this](const std::string &domain) { return mesh_.seemsCutOff(domain); }, board_, now);
+    if (!views.empty())
+        return views;
+    // All endpoints of the service have been tried: any of them is better than none.
+    return endpoints_.views(
+            exchange.service, settings_.failureDomain, incarnation_, {},
+            [](const auto &) { return false; }, board_, now);
+}
+
+const EngineModel *Gateway::engineFor(const Exchange &exchange) const
+{
+    const auto service = exchange.config->services.find(exchange.service);
+    if (service == exchange.config->services.end() || !service->second.engine
+        || exchange.fields.promptTokens == 0)
+        return nullptr;
+    return &*service->second.engine;
+}
+
+PlacementRequest Gateway::placementRequest(const Exchange &exchange) const
+{
+    const TimePoint now = steadyNow();
+    PlacementRequest request;
+    request.promptTokens = exchange.fields.promptTokens;
+    request.answerTokens = exchange.fields.answerHint.value_or(exchange.fields.maxAnswerTokens);
+    request.maxEventGap = exchange.route.maxEventGap;
+    request.untilObjective = exchange.objective - now;
+    // A stream that goes on is awaited as eagerly as one that begins.
+    if (exchange.state == ExchangeState::Relaying)
+        request.untilObjective = FloatMillis(exchange.route.objective);
+    request.untilDeadline = exchange.deadline - now;
+    return request;
+}
+
+Placement Gateway::place(const Exchange &exchange) const
+{
+    const std::vector<EndpointView> views = viewsFor(exchange);
+    if (views.empty()) {
+        Placement none;
+        none.reason = "no endpoint is known";
+        return none;
+    }
+    const EngineModel *engine = engineFor(exchange);
+    return engine ? placeStream(placementRequest(exchange), *engine, views)
+                  : placeCall(views, incarnation_ + exchange.id);
+}
+
+bool Gateway::tryPlace(Exchange &exchange)
+{
+    if (steadyNow() < exchange.notBefore)
+        return false;
+    const Placement placement = place(exchange);
+    switch (placement.outcome) {
+    case PlacementOutcome::Send:
+        send(exchange, placement);
+        return true;
+    case PlacementOutcome::Never:
+        if (exchange.state == ExchangeState::Relaying)
+            breakOff(exchange, placement.reason);
+        else if (exchange.mayHaveRun)
+            fail(exchange, 502, placement.reason);
+        else
+            refuse(exchange, placement.reason);
+        return false;
+    case PlacementOutcome::Wait:
+        break;
+    }
+    return false;
+}
+
+void Gateway::wait(Exchange &exchange)
+{
+    if (std::ranges::find(waiting_, exchange.id) != waiting_.end())
+        return;
+    const TimePoint now = steadyNow();
+    const bool stream = exchange.route.kind == RouteKind::Stream;
+    const Millis longest
+            = stream ? std::max(kLongestWait, exchange.route.objective) : kLongestCallWait;
+    exchange.giveUpWaiting = now + longest;
+    waiting_.push_back(exchange.id);
+    WaitReasons reasons;
+    if (const EngineModel *engine = engineFor(exchange))
+        reasons = explainWait(placementRequest(exchange), *engine, viewsFor(exchange));
+    logEvent(LogLevel::Info, "queued",
+             {{"request", exchange.requestId},
+              {"route", exchange.route.name},
+              {"waiting", std::to_string(waiting_.size())},
+              {"prompt_tokens", std::to_string(exchange.fields.promptTokens)},
+              {"endpoints", std::to_string(reasons.endpoints)},
+              {"unusable", std::to_string(reasons.unusable)},
+              {"others_would_be_late", std::to_string(reasons.slack)},
+              {"others_would_pause", std::to_string(reasons.gap)},
+              {"heads", std::to_string(reasons.heads)}});
+    armTimer(exchange);
+    pumpSoon();
+}
+
+void Gateway::pumpSoon(bool ownSlot)
+{
+    if (waiting_.empty())
+        return;
+    // Every daemon hears of a slot that a peer has freed. Whoever looks first tells the others
+    // within two milliseconds, so they look at different times.
+    const Millis spread = std::max(kPumpSpread, kPumpPerDaemon * static_cast<int>(daemons()));
+    const Millis delay = ownSlot ? kPumpInterval : randomMillis(kPumpInterval, spread);
+    const TimePoint next = steadyNow() + delay;
+    if (pumpArmed_ && pumpTimer_.expiry() <= next)
+        return;
+    pumpArmed_ = true;
+    pumpTimer_.expires_at(next);
+    pumpTimer_.async_wait([this](const asio::error_code &error) {
+        if (error)
+            return;
+        pumpArmed_ = false;
+        pump();
+    });
+}
+
+void Gateway::pump()
+{
+    const TimePoint now = steadyNow();
+    // Urgent ones first, then those that can still be on time by least slack, then late ones.
+    const auto rank = [&](std::uint64_t id) {
+        const Exchange &exchange = *exchanges_.at(id);
+        const bool late = exchange.objective <= now;
+        return std::make_tuple(exchange.priority, late, exchange.objective);
+    };
+    std::ranges::sort(waiting_, [&](auto left, auto right) { return rank(left) < rank(right); });
+    const std::vector<std::uint64_t> ids = waiting_;
+    std::size_t tries = 0;
+    for (const std::uint64_t id : ids) {
+        Exchange *exchange = find(id);
+        if (!exchange || ++tries > kPumpTries)
+            continue;
+        if (!tryPlace(*exchange))
+            continue;
+        counters_.waitSeconds.Observe(
+                std::chrono::duration<double>(steadyNow() - exchange->began).count());
+        // One at a time: an endpoint that becomes free is seen by all daemons at once.
+        if (engineFor(*exchange) != nullptr)
+            break;
+    }
+    // Time alone changes what can be placed, for example when a request becomes late.
+    pumpSoon(false);
+}
+
+Millis Gateway::comeBackIn(const Exchange &exchange) const
+{
+    return exchange.route.kind == RouteKind::Stream ? randomMillis(Millis(300), Millis(900))
+                                                    : randomMillis(Millis(30), Millis(90));
+}
+
+} // namespace cicadafork::gateway
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -21,9 +21,6 @@
 constexpr std::size_t kJobsPerDatagram = 16;
 constexpr std::size_t kMembersPerDatagram = 3;
 constexpr std::size_t kNewsPerDatagram = 8;
-// The first byte of a datagram: whether its receiver passes it on in its failure domain.
-constexpr char kDirect = 0;
-constexpr char kPassOn = 1;
 // Reads up to this long are expected to end on time; longer ones are reported when they end.
 constexpr FloatMillis kShortRead{60};
 constexpr std::size_t kMaxDatagram = 16 * 1024;
@@ -31,120 +28,9 @@
 constexpr int kReadsPerTurn = 64;
 // Peers that are away are tried at every so many heartbeats.
 constexpr unsigned kSilentEvery = 4;
-// A peer's job that nobody mentions any more ends with the longest timeout of a route.
-constexpr Millis kJobLifetime{20'000};
-// A message that names more parts than one request can have is not ours.
-constexpr std::size_t kMaxParts = 32;
-
-using Micros32 = std::chrono::duration<std::uint32_t, std::micro>;
-
-std::uint32_t toMicros(FloatMillis value)
-{
-    const double micros = std::clamp(value.count() * 1000, 0.0, 4.0e9);
-    return static_cast<std::uint32_t>(micros);
-}
-
-std::string toBytes(capnp::MallocMessageBuilder &message)
-{
-    kj::VectorOutputStream output;
-    capnp::writePackedMessage(output, message);
-    const auto bytes = output.getArray();
-    std::string text(1, kDirect);
-    text.append(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
-    return text;
-}
-
-void fillJob(wire::Job::Builder target, const Job &job, TimePoint now)
-{
-    target.setNumber(job.id.number);
-    target.setPromptTokens(job.promptTokens);
-    target.setAnswerTokens(job.answerTokens);
-    target.setMaxEventGapMs(static_cast<std::uint32_t>(job.maxEventGap.count()));
-    target.setReadInMicros(toMicros(FloatMillis(job.readBy - now)));
-    target.setDueInMicros(toMicros(FloatMillis(job.dueBy - now)));
-    target.setStarted(job.started);
-    auto parts = target.initParts(static_cast<unsigned>(job.parts.size()));
-    for (unsigned i = 0; i < job.parts.size(); ++i) {
-        parts[i].setEndpoint(job.parts[i].endpoint);
-        parts[i].setReadMicros(toMicros(job.parts[i].read));
-        parts[i].setWrites(job.parts[i].writes);
-        parts[i].setMemoryTokens(job.parts[i].memoryTokens);
-    }
-}
-
-void fillStatus(wire::Datagram::Builder root, const MeshOptions &options, const MeshStatus &status)
-{
-    root.setIp(options.ip);
-    root.setIncarnation(options.incarnation);
-    root.setConfigVersion(status.configVersion);
-    root.setEndpointsPosition(status.endpointsPosition);
-    root.setEndpointsDigest(status.endpointsDigest);
-    root.setLeaving(status.leaving);
-    root.setStoreLost(status.storeLost);
-}
-
-Job readJob(wire::Job::Reader source, std::uint64_t owner, TimePoint now)
-{
-    Job job;
-    job.id = {owner, source.getNumber()};
-    job.promptTokens = source.getPromptTokens();
-    job.answerTokens = source.getAnswerTokens();
-    job.maxEventGap = Millis(source.getMaxEventGapMs());
-    job.placed = now;
-    job.readBy = now + Micros(source.getReadInMicros());
-    job.dueBy = now + Micros(source.getDueInMicros());
-    job.started = source.getStarted();
-    job.expires = now + kJobLifetime;
-    for (const auto part : source.getParts()) {
-        if (job.parts.size() >= kMaxParts)
-            break;
-        job.parts.push_back({part.getEndpoint(), Micros(part.getReadMicros()), part.getWrites(),
-                             part.getMemoryTokens()});
-    }
-    return job;
-}
-
-std::vector<EndpointNews> readNews(capnp::List<wire::EndpointEntry>::Reader entries)
-{
-    std::vector<EndpointNews> news;
-    for (const auto entry : entries) {
-        if (entry.getGone())
-            news.push_back({entry.getId(), std::nullopt});
-        else if (auto record = readEndpoint(entry))
-            news.push_back({entry.getId(), std::move(*record)});
-    }
-    return news;
-}
 
 } // namespace
 
-void fillEndpoint(wire::EndpointEntry::Builder entry, const EndpointRecord &record)
-{
-    entry.setId(record.id);
-    entry.setBornMs(record.bornMs);
-    entry.setService(record.service);
-    entry.setAddress(toString(record.address));
-    entry.setFailureDomain(record.failureDomain);
-    entry.setSlots(record.slots);
-    entry.setDraining(record.state == EndpointState::Draining);
-}
-
-std::optional<EndpointRecord> readEndpoint(wire::EndpointEntry::Reader entry)
-{
-    EndpointRecord record;
-    record.id = entry.getId();
-    record.bornMs = entry.getBornMs();
-    record.service = entry.getService();
-    record.failureDomain = entry.getFailureDomain();
-    record.slots = entry.getSlots();
-    record.state = entry.getDraining() ? EndpointState::Draining : EndpointState::Ready;
-    const auto address = capture([&] { return parseAddress(std::string(entry.getAddress())); });
-    if (!address || record.id.empty())
-        return std::nullopt;
-    record.address = *address;
-    return record;
-}
-
 Mesh::Mesh(asio::io_context &context, MeshOptions options, LoadBoard &board, MeshHooks hooks)
     : options_(std::move(options))
     , board_(board)
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -324,7 +324,9 @@
         return placement;
     }
     const FloatMillis whole = readTime(engine, request.promptTokens);
-    const FloatMillis writing = writingTime(engine, request.answerTokens, 1, request.promptTokens);
+    // The estimate of the answer is often far too high.
+    const FloatMillis writing
+            = kCertainAnswer * writingTime(engine, request.answerTokens, 1, request.promptTokens);
     if (whole / kReaders.back() + writing > request.untilDeadline) {
         placement.outcome = PlacementOutcome::Never;
         placement.reason = "too little time is left to read and write it";
--- a/src/gateway/topicfollower.cpp
+++ b/src/gateway/topicfollower.cpp
@@ -21,8 +21,7 @@
 
 TopicFollower::TopicFollower(asio::io_context &context, const StoreCalls &calls,
                              FollowerOptions options, FollowerHooks hooks)
-    : context_(context)
-    , calls_(calls)
+    : calls_(calls)
     , options_(std::move(options))
     , hooks_(std::move(hooks))
     , timer_(context)
--- a/src/gateway/topicfollower.h
+++ b/src/gateway/topicfollower.h
@@ -72,7 +72,6 @@
     void retry(void (TopicFollower::*step)());
     void noteContact(bool reached);
 
-    asio::io_context &context_;
     const StoreCalls &calls_;
     FollowerOptions options_;
     FollowerHooks hooks_;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -286,8 +286,7 @@
 }
 
 CallerServer::CallerServer(asio::io_context &context, ServerOptions options, Handler handler)
-    : context_(context)
-    , options_(std::move(options))
+    : options_(std::move(options))
     , handler_(std::move(handler))
     , acceptor_(context)
     , acceptRetry_(context)
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -135,7 +135,6 @@
 
     void accept();
 
-    asio::io_context &context_;
     ServerOptions options_;
     Handler handler_;
     asio::ip::tcp::acceptor acceptor_;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -351,7 +351,7 @@
 
 std::shared_ptr<UpstreamConnection> UpstreamPool::takeIdle(const Address &address, Millis maxIdle)
 {
-    const auto found = idle_.find(address);
+    const auto found = idle_.find(toString(address));
     if (found == idle_.end())
         return nullptr;
     auto &connections = found->second;
@@ -368,7 +368,7 @@
 
 void UpstreamPool::keep(const std::shared_ptr<UpstreamConnection> &connection)
 {
-    auto &connections = idle_[connection->address];
+    auto &connections = idle_[toString(connection->address)];
     if (connections.size() >= options_.maxIdlePerAddress) {
         connections.front()->close();
         connections.erase(connections.begin());
@@ -378,7 +378,7 @@
 
 void UpstreamPool::dropIdle(UpstreamConnection &connection)
 {
-    const auto found = idle_.find(connection.address);
+    const auto found = idle_.find(toString(connection.address));
     if (found == idle_.end())
         return;
     std::erase_if(found->second, [&](const auto &other) { return other.get() == &connection; });
@@ -386,7 +386,7 @@
 
 void UpstreamPool::forget(const Address &address)
 {
-    const auto found = idle_.find(address);
+    const auto found = idle_.find(toString(address));
     if (found == idle_.end())
         return;
     for (const auto &connection : found->second)
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -23,10 +23,10 @@
 #include <array>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace cicadafork {
@@ -132,7 +132,8 @@
     asio::io_context &context_;
     UpstreamOptions options_;
     UpstreamCounters counters_;
-    std::map<Address, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
+    /// By address as text.
+    std::unordered_map<std::string, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
     std::array<char, 64 * 1024> scratch_;
 };
 
