--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -33,7 +33,9 @@
 
 struct UpstreamOptions
 {
-    Millis connectTimeout{400};
+    /// Connections take a few milliseconds; a call with an objective of 100 ms must still find
+    /// another endpoint when the first one is cut off.
+    Millis connectTimeout{150};
     /// Sent bytes that stay unacknowledged this long end the connection.
     Millis userTimeout{1200};
     /// Idle time before a connection is probed. Memory that is reserved for a request must be given
