Keep one copy of giving up, forwarding, ending an attempt and jitter in the gateway

Found in a last read of the change: the choice between breaking off, failing and refusing stood four times, passing an endpoint's answer on and ending an attempt twice, a random delay twice; three functions had no caller. Each is one function now; behaviour is as before. The integration tests were not run again.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -111,15 +111,8 @@
                       {.topic = layout_.membersTopic,
                        .interval = kMemberInterval,
                        .callTimeout = kStoreCallTimeout},
-                      {[this](auto records) {
-                           for (const StoreRecord &record : records)
-                               mesh_.learn(record.key, record.value.value_or(std::string()));
-                       },
-                       [this](auto records) {
-                           for (const StoreRecord &record : records)
-                               mesh_.learn(record.key, record.value.value_or(std::string()));
-                       },
-                       [](bool) {}})
+                      {[this](auto records) { onMemberRecords(records); },
+                       [this](auto records) { onMemberRecords(records); }, [](bool) {}})
     , doubtTimer_(context)
     , callers_(context, callerOptions(settings_),
                [this](const auto &caller, HttpRequest request) {
@@ -273,21 +266,11 @@
         return;
     const TimePoint now = steadyNow();
     if (now >= exchange->deadline) {
-        if (exchange->state == ExchangeState::Relaying)
-            breakOff(*exchange, "deadline");
-        else if (exchange->attempt || exchange->mayHaveRun)
-            fail(*exchange, 504, "deadline");
-        else
-            refuse(*exchange, "deadline");
+        giveUp(*exchange, 504, "deadline");
         return;
     }
     if (!exchange->attempt && now >= exchange->giveUpWaiting) {
-        if (exchange->state == ExchangeState::Relaying)
-            breakOff(*exchange, "no_endpoint");
-        else if (exchange->mayHaveRun)
-            fail(*exchange, 502, "no_endpoint");
-        else
-            refuse(*exchange, "no_endpoint");
+        giveUp(*exchange, 502, "no_endpoint");
         return;
     }
     if (exchange->attempt && isRepeatable(exchange->route)
@@ -312,6 +295,16 @@
     });
 }
 
+void Gateway::giveUp(Exchange &exchange, int statusIfSent, const char *reason)
+{
+    if (exchange.state == ExchangeState::Relaying)
+        breakOff(exchange, reason);
+    else if (exchange.attempt || exchange.mayHaveRun)
+        fail(exchange, statusIfSent, reason);
+    else
+        refuse(exchange, reason);
+}
+
 void Gateway::refuse(Exchange &exchange, const char *reason)
 {
     const Millis pause = comeBackIn(exchange);
@@ -405,13 +398,7 @@
     for (const auto &[id, exchange] : exchanges_)
         left.push_back(id);
     for (const std::uint64_t id : left) {
-        Exchange &exchange = *exchanges_.at(id);
-        if (exchange.state == ExchangeState::Relaying)
-            breakOff(exchange, "shutting_down");
-        else if (exchange.attempt || exchange.mayHaveRun)
-            fail(exchange, 502, "shutting_down");
-        else
-            refuse(exchange, "shutting_down");
+        giveUp(*exchanges_.at(id), 502, "shutting_down");
     }
     logEvent(LogLevel::Info, "stopped", {{"cut", std::to_string(left.size())}});
     mesh_.stop();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -62,6 +62,9 @@
                                     HttpRequest &&request);
     void onCallerGone(std::uint64_t id);
     void onDeadline(std::uint64_t id);
+    /// Ends the request with its final answer: a stream that has begun breaks off, one that may
+    /// have run fails with the status, any other is refused.
+    void giveUp(Exchange &exchange, int statusIfSent, const char *reason);
     void refuse(Exchange &exchange, const char *reason);
     void fail(Exchange &exchange, int status, const char *reason);
     void breakOff(Exchange &exchange, const char *reason);
@@ -89,7 +92,10 @@
     void finishRelay(Exchange &exchange);
     void onAttemptFailed(Exchange &exchange, EndpointFailure failure, bool mayHaveRun,
                          const char *reason);
-    void endAttempt(Exchange &exchange);
+    /// Takes the attempt off the exchange and tells the load board and the peers; null without one.
+    std::unique_ptr<Attempt> endAttempt(Exchange &exchange);
+    /// The endpoint's answer becomes the caller's, unchanged.
+    void forwardAnswer(Exchange &exchange, Attempt &attempt, const char *outcome);
     void noteFirstAnswer(Exchange &exchange);
     void armTimer(Exchange &exchange);
     Millis silenceLimit(const Exchange &exchange) const;
@@ -102,6 +108,7 @@
     Millis comeBackIn(const Exchange &exchange) const;
 
     // Knowledge.
+    void onMemberRecords(const std::vector<StoreRecord> &records);
     void onConfigRecords(const std::vector<StoreRecord> &records);
     bool applyConfig(const std::string &text, const char *source);
     void onEndpointSnapshot(const std::vector<StoreRecord> &records);
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -342,10 +342,7 @@
     } else {
         endpoints_.noteFailure(attempt.endpoint, EndpointFailure::Error, steadyNow());
     }
-    HeaderList headers = std::move(attempt.head.headers);
-    headers.removeHopByHop();
-    exchange.caller->respond(status, std::move(headers), attempt.body);
-    finish(exchange, success ? "completed" : "endpoint_error", status);
+    forwardAnswer(exchange, attempt, success ? "completed" : "endpoint_error");
 }
 
 void Gateway::onAttemptFailed(Exchange &exchange, EndpointFailure failure, bool mayHaveRun,
@@ -359,9 +356,7 @@
             logEvent(LogLevel::Warning, "endpoint_suspended",
                      {{"endpoint", exchange.attempt->endpointId}, {"reason", reason}});
         }
-        attempt = std::move(exchange.attempt);
-        board_.ended(attempt->job, steadyNow());
-        mesh_.ended(attempt->job);
+        attempt = endAttempt(exchange);
         attempt->call.reset();
     }
     exchange.mayHaveRun = exchange.mayHaveRun || mayHaveRun;
@@ -407,20 +402,26 @@
         fail(exchange, 502, reason);
         return;
     }
-    // The endpoint's own failure is the caller's answer, unchanged.
-    HeaderList headers = std::move(attempt->head.headers);
+    forwardAnswer(exchange, *attempt, "endpoint_error");
+}
+
+void Gateway::forwardAnswer(Exchange &exchange, Attempt &attempt, const char *outcome)
+{
+    const int status = attempt.head.status;
+    HeaderList headers = std::move(attempt.head.headers);
     headers.removeHopByHop();
-    exchange.caller->respond(attempt->head.status, std::move(headers), attempt->body);
-    finish(exchange, "endpoint_error", attempt->head.status);
+    exchange.caller->respond(status, std::move(headers), attempt.body);
+    finish(exchange, outcome, status);
 }
 
-void Gateway::endAttempt(Exchange &exchange)
+std::unique_ptr<Attempt> Gateway::endAttempt(Exchange &exchange)
 {
-    if (!exchange.attempt)
-        return;
-    const std::unique_ptr<Attempt> attempt = std::move(exchange.attempt);
-    board_.ended(attempt->job, steadyNow());
-    mesh_.ended(attempt->job);
+    std::unique_ptr<Attempt> attempt = std::move(exchange.attempt);
+    if (attempt) {
+        board_.ended(attempt->job, steadyNow());
+        mesh_.ended(attempt->job);
+    }
+    return attempt;
 }
 
 Millis Gateway::silenceLimit(const Exchange &exchange) const
--- a/src/gateway/gatewayknowledge.cpp
+++ b/src/gateway/gatewayknowledge.cpp
@@ -42,6 +42,12 @@
     }
 }
 
+void Gateway::onMemberRecords(const std::vector<StoreRecord> &records)
+{
+    for (const StoreRecord &record : records)
+        mesh_.learn(record.key, record.value.value_or(std::string()));
+}
+
 bool Gateway::applyConfig(const std::string &text, const char *source)
 {
     auto decoded = capture([&] { return layout_.readConfig(text); });
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -1,13 +1,13 @@
 // Placing requests, and the queue of those that wait for an endpoint.
 
+#include "base/jitter.h"
 #include "base/log.h"
 #include "gateway/gateway.h"
 
-#include <asio/post.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <random>
+#include <tuple>
 
 namespace cicadafork::gateway {
 
@@ -23,13 +23,6 @@
 constexpr Millis kLongestWait{2500};
 constexpr Millis kLongestCallWait{250};
 
-Millis randomMillis(Millis least, Millis most)
-{
-    thread_local std::minstd_rand random{std::random_device{}()};
-    std::uniform_int_distribution<Millis::rep> pick(least.count(), most.count());
-    return Millis(pick(random));
-}
-
 } // namespace
 
 std::vector<EndpointView> Gateway::viewsFor(const Exchange &exchange) const
@@ -93,12 +86,7 @@
         send(exchange, placement);
         return true;
     case PlacementOutcome::Never:
-        if (exchange.state == ExchangeState::Relaying)
-            breakOff(exchange, placement.reason);
-        else if (exchange.mayHaveRun)
-            fail(exchange, 502, placement.reason);
-        else
-            refuse(exchange, placement.reason);
+        giveUp(exchange, 502, placement.reason);
         return false;
     case PlacementOutcome::Wait:
         break;
--- a/src/gateway/loadboard.cpp
+++ b/src/gateway/loadboard.cpp
@@ -173,16 +173,6 @@
         remove(id);
 }
 
-void LoadBoard::dropEndpoint(EndpointKey endpoint)
-{
-    const auto row = byEndpoint_.find(endpoint);
-    if (row == byEndpoint_.end())
-        return;
-    const std::vector<JobId> ids = row->second;
-    for (const JobId &id : ids)
-        remove(id);
-}
-
 void LoadBoard::expire(TimePoint now)
 {
     std::vector<JobId> gone;
--- a/src/gateway/loadboard.h
+++ b/src/gateway/loadboard.h
@@ -92,7 +92,6 @@
     void keepOnly(std::uint64_t owner, const std::vector<std::uint32_t> &listed,
                   std::uint32_t first, std::uint32_t last);
     void dropOwner(std::uint64_t owner);
-    void dropEndpoint(EndpointKey endpoint);
     /// Removes the jobs whose lifetime has ended.
     void expire(TimePoint now);
 
--- a/src/gateway/topicfollower.cpp
+++ b/src/gateway/topicfollower.cpp
@@ -1,7 +1,8 @@
 #include "gateway/topicfollower.h"
 
+#include "base/jitter.h"
+
 #include <algorithm>
-#include <random>
 
 namespace cicadafork::gateway {
 
@@ -9,14 +10,6 @@
 
 constexpr Millis kRareRetry{4000};
 
-/// Half to all of the given time, so that daemons that failed together do not return together.
-Millis jittered(Millis delay)
-{
-    thread_local std::minstd_rand random{std::random_device{}()};
-    std::uniform_int_distribution<Millis::rep> pick(delay.count() / 2, delay.count());
-    return Millis(pick(random));
-}
-
 } // namespace
 
 TopicFollower::TopicFollower(asio::io_context &context, const StoreCalls &calls,
@@ -135,7 +128,8 @@
     // One that reads rarely also tries rarely.
     const Millis longest = std::max(options_.longestRetry, std::min(options_.interval, kRareRetry));
     const Millis delay = std::min(longest, options_.firstRetry * (1 << doublings));
-    after(jittered(delay), step);
+    // Daemons that failed together do not return together.
+    after(randomMillis(delay / 2, delay), step);
 }
 
 void TopicFollower::noteContact(bool reached)
--- a/src/gateway/topicfollower.h
+++ b/src/gateway/topicfollower.h
@@ -55,7 +55,6 @@
     void retryNow();
     /// Next offset to read; 0 before the first snapshot.
     std::uint64_t position() const { return position_; }
-    bool inContact() const { return failures_ == 0 && bootstrapped_; }
     /// End of the last answered call.
     TimePoint lastContact() const { return lastContact_; }
     /// Changes the pause between two reads and the time that a read may wait. Takes effect at once
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -69,7 +69,6 @@
     void closeWhenIdle();
     /// When the first byte of the current request arrived.
     TimePoint requestBegan() const { return requestBegan_; }
-    bool busy() const { return busy_; }
 
 private:
     void armRead();
