--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -30,8 +30,21 @@
 // Share of a service that may be avoided for its errors.
 constexpr double kMaxAvoidedShare = 0.34;
 
+std::uint64_t digestOf(const EndpointRow &row)
+{
+    const EndpointRecord &record = row.record;
+    std::uint64_t hash = fnv1a64(record.service, row.key);
+    hash = fnv1a64(toString(record.address), hash);
+    return mix64(hash + (record.state == EndpointState::Draining ? 1 : 0));
+}
+
 } // namespace
 
+std::size_t endpointGroup(const std::string &id)
+{
+    return mix64(fnv1a64(id)) % kEndpointGroups;
+}
+
 const char *toString(EndpointChange change)
 {
     switch (change) {
@@ -60,17 +73,36 @@
 
 EndpointChange EndpointTable::update(const EndpointRecord &record, TimePoint now)
 {
+    const auto before = rows_.find(record.id);
+    if (before != rows_.end())
+        takeFromDigest(before->second);
     const EndpointChange change = apply(record, now);
-    if (change != EndpointChange::None)
-        recomputeDigest();
+    const auto after = rows_.find(record.id);
+    if (after != rows_.end())
+        addToDigest(after->second);
     return change;
 }
 
-void EndpointTable::recomputeDigest()
+void EndpointTable::addToDigest(const EndpointRow &row)
 {
-    digest_ = 0;
-    for (const auto &[id, row] : rows_)
-        digest_ += mix64(row.key + (row.record.state == EndpointState::Draining ? 1 : 0));
+    const std::uint64_t part = digestOf(row);
+    digest_ += part;
+    groupSums_[endpointGroup(row.record.id)] += part;
+}
+
+void EndpointTable::takeFromDigest(const EndpointRow &row)
+{
+    const std::uint64_t part = digestOf(row);
+    digest_ -= part;
+    groupSums_[endpointGroup(row.record.id)] -= part;
+}
+
+GroupDigests EndpointTable::groupDigests() const
+{
+    GroupDigests digests{};
+    for (std::size_t i = 0; i < kEndpointGroups; ++i)
+        digests[i] = static_cast<std::uint32_t>(mix64(groupSums_[i]));
+    return digests;
 }
 
 EndpointChange EndpointTable::apply(const EndpointRecord &record, TimePoint now)
@@ -112,9 +144,9 @@
     const auto found = rows_.find(id);
     if (found == rows_.end())
         return EndpointChange::None;
+    takeFromDigest(found->second);
     idByKey_.erase(found->second.key);
     rows_.erase(found);
-    recomputeDigest();
     return EndpointChange::Gone;
 }
 
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -9,6 +9,7 @@
 
 #include "gateway/placement.h"
 
+#include <array>
 #include <functional>
 #include <string>
 #include <unordered_map>
@@ -39,6 +40,13 @@
     TimePoint suspendedUntil{};
 };
 
+/// Endpoints are grouped by a hash of their ids, so that two daemons find and exchange only the
+/// groups in which they differ.
+inline constexpr std::size_t kEndpointGroups = 64;
+using GroupDigests = std::array<std::uint32_t, kEndpointGroups>;
+
+std::size_t endpointGroup(const std::string &id);
+
 class EndpointTable
 {
 public:
@@ -68,10 +76,13 @@
     std::size_t size() const { return rows_.size(); }
     /// The same at two daemons that know the same endpoints in the same states.
     std::uint64_t digest() const { return digest_; }
+    GroupDigests groupDigests() const;
 
 private:
     EndpointChange apply(const EndpointRecord &record, TimePoint now);
-    void recomputeDigest();
+    /// Digests are sums, so that an endpoint's share is added and taken off in constant time.
+    void addToDigest(const EndpointRow &row);
+    void takeFromDigest(const EndpointRow &row);
 
     /// Endpoints of a failure domain that could not be reached since one of them last answered.
     struct Unreachable
@@ -85,6 +96,7 @@
 
     std::size_t limit_;
     std::uint64_t digest_ = 0;
+    std::array<std::uint64_t, kEndpointGroups> groupSums_{};
     std::unordered_map<std::string, EndpointRow> rows_; ///< By id.
     std::unordered_map<EndpointKey, std::string> idByKey_;
     std::unordered_map<std::string, Unreachable> unreachable_; ///< By failure domain.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -93,7 +93,10 @@
              .heard = [this](const PeerInfo &peer) { onPeerHeard(peer); },
              .endpointNews
              = [this](const PeerInfo &peer,
-                      const std::vector<EndpointNews> &news) { onEndpointNews(peer, news); }})
+                      const std::vector<EndpointNews> &news) { onEndpointNews(peer, news); },
+             .configNews = [this](const PeerInfo &peer,
+                                  const ConfigChange &change) { onConfigNews(peer, change); },
+             .alone = [this] { onAlone(); }})
     , configFollower_(context, store_,
                       {.topic = layout_.configTopic,
                        .wait = readingPace(ReadingDuty::First).configWait,
@@ -142,6 +145,7 @@
 {
     for (CallerServer *server : {&callers_, &readiness_, &control_})
         BOOST_LEAF_CHECK(server->start());
+    startedAt_ = steadyNow();
     BOOST_LEAF_CHECK(mesh_.start());
     if (settings_.metricsPort != 0) {
         metricsServer_ = std::make_unique<CallerServer>(
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
 // this class carries them out.
 
 #include "base/metrics.h"
+#include "gateway/confighistory.h"
 #include "gateway/endpoints.h"
 #include "gateway/exchange.h"
 #include "gateway/gatewaymetrics.h"
@@ -120,13 +121,19 @@
     void onPeer(const PeerInfo &peer);
     void onPeerHeard(const PeerInfo &peer);
     void onEndpointNews(const PeerInfo &peer, const std::vector<EndpointNews> &news);
+    void onConfigNews(const PeerInfo &peer, const ConfigChange &change);
+    /// May be cut off from all peers, and so from the readers: reads the store itself.
+    void onAlone();
+    /// The first reads of the store are still to be expected.
+    bool bootstraps(TimePoint now) const;
     void tellPeers();
     /// Few daemons of a failure domain read the store often and tell the others.
     void takeReadingDuty();
     std::uint64_t endpointsPosition() const;
     std::uint64_t sharedPosition() const; ///< As peers are told it.
     void pullFrom(const PeerInfo &peer);
-    std::string sharedState(std::uint64_t knownConfig) const;
+    void answerPull(const std::shared_ptr<CallerConnection> &caller, const std::string &target);
+    std::string sharedState(std::uint64_t knownConfig, std::string_view knownGroups) const;
     void applySharedState(const std::string &bytes, const std::string &peer);
     void registerMember();
     bool storeAway() const;
@@ -152,7 +159,7 @@
     SharedBudget budget_;
     Mesh mesh_;
     std::shared_ptr<const RoutingConfig> config_;
-    std::string configText_;
+    ConfigHistory configs_;
     TopicFollower configFollower_;
     TopicFollower endpointFollower_;
     TopicFollower memberFollower_;
@@ -166,7 +173,15 @@
     asio::steady_timer doubtTimer_;
     std::unique_ptr<UpstreamCall> pull_;
     std::string pullBody_;
+    int pullStatus_ = 0;
     TimePoint lastPull_{};
+    TimePoint missingSince_{}; ///< A peer knows more since then; unset when nothing is missing.
+    TimePoint missingNoted_{};
+    TimePoint lastOwnRead_{}; ///< Of a version that no peer handed over.
+    TimePoint startedAt_{};
+    bool alone_ = false;
+    TimePoint sharedWindow_{}; ///< Second in which sharedBytes_ were handed to peers.
+    std::size_t sharedBytes_ = 0;
     std::uint64_t positionFromPeers_ = 0;
     std::vector<EndpointNews> news_; ///< Read from the store and not yet told to peers.
     bool firstReader_ = true;        ///< Of its failure domain.
--- a/src/gateway/gatewayknowledge.cpp
+++ b/src/gateway/gatewayknowledge.cpp
@@ -2,17 +2,12 @@
 
 #include "base/log.h"
 #include "gateway/gateway.h"
-#include "gateway/meshwire.h"
 #include "gateway/readingduty.h"
 
-#include <capnp/message.h>
-#include <capnp/serialize.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cstdlib>
-#include <cstring>
 #include <set>
 
 namespace cicadafork::gateway {
@@ -20,17 +15,13 @@
 namespace {
 
 constexpr const char *kSharedPath = "/v1/shared";
-constexpr const char *kKnownConfig = "?config=";
 constexpr const char *kFromStore = "store";
 constexpr const char *kMetricsPath = "/metrics";
 constexpr const char *kDumpPath = "/debug/dump";
 // A store that has not answered for so long is away: two missed reads.
 constexpr Millis kStoreSilence{1800};
-constexpr Millis kPullPause{250};
 constexpr Millis kRegisterTimeout{1500};
 constexpr Millis kRegisterRetry{1000};
-// The shared state of 600 endpoints and a large configuration.
-constexpr std::size_t kMaxSharedBytes = 32 * 1024 * 1024;
 
 } // namespace
 
@@ -38,7 +29,7 @@
 {
     for (const StoreRecord &record : records) {
         if (record.key == layout_.configKey && record.value)
-            applyConfig(*record.value, "store");
+            applyConfig(*record.value, kFromStore);
     }
 }
 
@@ -60,7 +51,8 @@
     if (config_ && decoded->version <= before)
         return false;
     config_ = std::make_shared<const RoutingConfig>(std::move(*decoded));
-    configText_ = text;
+    configs_.add(config_->version, text);
+    missingSince_ = {};
     const CallerLimits &limits = config_->limits;
     callers_.setLimits({limits.maxHeaderBytes, limits.maxBodyBytes}, limits.headerTimeout,
                        limits.idleTimeout);
@@ -69,8 +61,14 @@
               {"before", std::to_string(before)},
               {"source", source},
               {"keys", std::to_string(config_->workspaceByKey.size())}});
-    if (tellsPeers_)
-        mesh_.announce();
+    // What a reserve reads, the readers have missed.
+    const bool missedByReaders = before != 0 && std::string_view(source) == kFromStore;
+    if (tellsPeers_ || missedByReaders) {
+        if (const auto change = configs_.changeFrom(before))
+            mesh_.configChanged(*change);
+        else
+            mesh_.announce();
+    }
     return true;
 }
 
@@ -87,9 +85,13 @@
         if (!listed.contains(id))
             applyEndpoint(id, std::nullopt);
     }
-    if (!endpointsKnown_)
+    if (!endpointsKnown_) {
         logEvent(LogLevel::Info, "endpoints_known",
-                 {{"count", std::to_string(endpoints_.size())}, {"source", "store"}});
+                 {{"count", std::to_string(endpoints_.size())}, {"source", kFromStore}});
+        // What is new to a process that starts is known to its peers: hundreds that start together
+        // would tell each other thousands of endpoints.
+        news_.clear();
+    }
     endpointsKnown_ = true;
     tellPeers();
     pumpSoon();
@@ -143,21 +145,6 @@
     return std::max(endpointFollower_.position(), positionFromPeers_);
 }
 
-void Gateway::onEndpointNews(const PeerInfo &peer, const std::vector<EndpointNews> &news)
-{
-    if (peer.endpointsPosition <= endpointsPosition())
-        return;
-    for (const EndpointNews &item : news) {
-        if (item.record)
-            noteEndpointChange(item.id, endpoints_.update(*item.record, steadyNow()), "peer");
-        else
-            removeEndpoint(item.id, "told by a peer that reads the store");
-    }
-    news_.clear();
-    // Another message with the same position may follow; the digest shows whether one was missed.
-    positionFromPeers_ = std::max(positionFromPeers_, peer.endpointsPosition - 1);
-}
-
 void Gateway::applyEndpoint(const std::string &id, const std::optional<std::string> &value)
 {
     if (!value) {
@@ -204,6 +191,9 @@
     const EndpointRow *row = endpoints_.findById(id);
     if (row && std::string_view(source) == kFromStore)
         news_.push_back({id, row->record});
+    // One line counts those that are known from the start.
+    if (!endpointsKnown_ && change == EndpointChange::Joined)
+        return;
     logEvent(LogLevel::Info, "endpoint_changed",
              {{"endpoint", id},
               {"change", toString(change)},
@@ -269,8 +259,12 @@
 
 void Gateway::onPeer(const PeerInfo &peer)
 {
-    const char *event = !peer.alive ? "peer_down" : peer.leaving ? "peer_leaving" : "peer_up";
-    logEvent(LogLevel::Info, event,
+    const char *event = !peer.alive     ? "peer_down"
+                        : peer.leaving  ? "peer_leaving"
+                        : peer.returned ? "peer_up"
+                                        : "peer_met";
+    const bool routine = peer.alive && !peer.leaving && !peer.returned;
+    logEvent(routine ? LogLevel::Debug : LogLevel::Info, event,
              {{"peer", peer.name},
               {"failure_domain", peer.failureDomain},
               {"config", std::to_string(peer.configVersion)}});
@@ -279,123 +273,13 @@
         pumpSoon();
 }
 
-void Gateway::onPeerHeard(const PeerInfo &peer)
-{
-    if (peer.endpointsPosition > newestPeerPosition_) {
-        newestPeerPosition_ = peer.endpointsPosition;
-        absence_.peerRead(steadyNow());
-    }
-    const bool newerConfig = peer.configVersion > (config_ ? config_->version : 0);
-    const bool otherEndpoints = peer.endpointsPosition > endpointsPosition()
-                                && peer.endpointsDigest != endpoints_.digest();
-    const bool readsItself = firstReader_ && endpointsKnown_ && !storeAway();
-    if (!newerConfig && (!otherEndpoints || readsItself))
-        return;
-    const TimePoint now = steadyNow();
-    if (pull_ || now < lastPull_ + kPullPause)
-        return;
-    lastPull_ = now;
-    pullFrom(peer);
-}
-
-void Gateway::pullFrom(const PeerInfo &peer)
-{
-    const Address address{peer.ip, settings_.control.port};
-    HeaderList headers;
-    headers.add("Host", toString(address));
-    pullBody_.clear();
-    UpstreamHandlers handlers;
-    handlers.head = [](HttpResponseHead &&) { return HeadVerdict::Accept; };
-    handlers.body = [this](std::string_view bytes) {
-        if (pullBody_.size() + bytes.size() <= kMaxSharedBytes)
-            pullBody_ += bytes;
-    };
-    handlers.end = [this, name = peer.name](UpstreamEnd end) {
-        const auto call = std::move(pull_);
-        if (end == UpstreamEnd::Complete)
-            applySharedState(pullBody_, name);
-        pullBody_.clear();
-    };
-    pull_ = pool_.call(
-            address,
-            {.head = serializeRequestHead("GET",
-                                          fmt::format("{}{}{}", kSharedPath, kKnownConfig,
-                                                      config_ ? config_->version : 0),
-                                          headers)},
-            std::move(handlers));
-}
-
-std::string Gateway::sharedState(std::uint64_t knownConfig) const
-{
-    capnp::MallocMessageBuilder message;
-    auto root = message.initRoot<wire::SharedState>();
-    root.setConfigVersion(config_ ? config_->version : 0);
-    if (config_ && config_->version > knownConfig)
-        root.setConfigText(configText_);
-    root.setEndpointsPosition(sharedPosition());
-    auto list = root.initEndpoints(static_cast<unsigned>(endpoints_.size()));
-    unsigned index = 0;
-    for (const auto &[id, row] : endpoints_.rows())
-        fillEndpoint(list[index++], row.record);
-    const auto words = capnp::messageToFlatArray(message);
-    const auto bytes = words.asBytes();
-    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
-}
-
-void Gateway::applySharedState(const std::string &bytes, const std::string &peer)
-{
-    try {
-        // The message must be aligned to words.
-        std::vector<capnp::word> words(bytes.size() / sizeof(capnp::word));
-        std::memcpy(words.data(), bytes.data(), words.size() * sizeof(capnp::word));
-        capnp::ReaderOptions options;
-        options.traversalLimitInWords = kMaxSharedBytes;
-        capnp::FlatArrayMessageReader reader(kj::arrayPtr(words.data(), words.size()), options);
-        const auto root = reader.getRoot<wire::SharedState>();
-        if (root.getConfigVersion() > (config_ ? config_->version : 0))
-            applyConfig(root.getConfigText(), "peer");
-        const bool readsItself = firstReader_ && endpointsKnown_ && !storeAway();
-        if (root.getEndpointsPosition() <= endpointsPosition() || readsItself)
-            return;
-        std::set<std::string> listed;
-        for (const auto entry : root.getEndpoints()) {
-            const auto record = readEndpoint(entry);
-            if (!record)
-                continue;
-            listed.insert(record->id);
-            noteEndpointChange(record->id, endpoints_.update(*record, steadyNow()), "peer");
-        }
-        for (const std::string &id : endpoints_.ids()) {
-            if (!listed.contains(id))
-                removeEndpoint(id, "gone at a peer that reads the store");
-        }
-        news_.clear();
-        positionFromPeers_ = root.getEndpointsPosition();
-        endpointsKnown_ = true;
-        logEvent(LogLevel::Info, "endpoints_from_peer",
-                 {{"peer", peer},
-                  {"position", std::to_string(positionFromPeers_)},
-                  {"count", std::to_string(listed.size())}});
-    } catch (const kj::Exception &problem) {
-        logEvent(LogLevel::Warning, "peer_state_unreadable",
-                 {{"peer", peer}, {"error", problem.getDescription().cStr()}});
-    }
-}
-
 void Gateway::onControl(const std::shared_ptr<CallerConnection> &caller, const HttpRequest &request)
 {
     HeaderList headers;
     if (request.method != "GET") {
         caller->respond(405, {}, {});
     } else if (request.target.starts_with(kSharedPath)) {
-        const std::size_t at = request.target.find(kKnownConfig);
-        const std::uint64_t known
-                = at == std::string::npos
-                          ? 0
-                          : std::strtoull(request.target.c_str() + at + std::strlen(kKnownConfig),
-                                          nullptr, 10);
-        headers.add("Content-Type", "application/octet-stream");
-        caller->respond(200, std::move(headers), sharedState(known));
+        answerPull(caller, request.target);
     } else if (request.target == kMetricsPath) {
         headers.add("Content-Type", "text/plain; version=0.0.4");
         caller->respond(200, std::move(headers), metrics_.serialize());
@@ -424,6 +308,8 @@
     json["requests"] = exchanges_.size();
     json["waiting"] = waiting_.size();
     json["jobs"] = board_.size();
+    json["datagrams_sent"] = mesh_.counters().sent;
+    json["datagrams_received"] = mesh_.counters().received;
     for (const auto &[ip, peer] : mesh_.peers()) {
         json["peers"].push_back({{"name", peer.name},
                                  {"ip", ip},
--- /dev/null
+++ b/src/gateway/gatewaysharing.cpp
@@ -0,0 +1,300 @@
+// What the gateway takes from its peers and hands to them.
+
+#include "base/log.h"
+#include "gateway/gateway.h"
+#include "gateway/meshwire.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <fmt/format.h>
+
+#include <charconv>
+#include <cstring>
+#include <set>
+
+namespace cicadafork::gateway {
+
+namespace {
+
+constexpr const char *kFromPeer = "peer";
+constexpr std::string_view kPullPath = "/v1/shared?";
+constexpr std::string_view kConfigParameter = "config=";
+constexpr std::string_view kGroupsParameter = "groups=";
+constexpr std::size_t kHexPerGroup = 8;
+// News travel in datagrams of their own; only what is missing after this time is asked for.
+constexpr Millis kNewsGrace{50};
+// What was noticed to be missing so long ago is another matter.
+constexpr Millis kMissingForgotten{2000};
+constexpr Millis kPullPause{250};
+// A peer that has not answered by then is frozen or cut off; the next one is asked.
+constexpr Millis kPullTimeout{600};
+// A version that no peer has handed over by then is read from the store. A change must be in force
+// within 2 s.
+constexpr Millis kPullPatience{400};
+// The store answers the first reads of a process within this time, unless it is slow or away.
+constexpr Millis kBootstrapGrace{400};
+// The state of 4,096 endpoints and the longest configuration.
+constexpr std::size_t kMaxSharedBytes = 32 * 1024 * 1024;
+// Less than half of what the slowest link (20 Mbit/s) carries, so that answers to callers go on
+// while many daemons start and ask at once.
+constexpr std::size_t kSharedBytesPerSecond = 1024 * 1024;
+
+std::string_view parameter(std::string_view target, std::string_view name)
+{
+    const std::size_t at = target.find(name);
+    if (at == std::string_view::npos)
+        return {};
+    target.remove_prefix(at + name.size());
+    return target.substr(0, target.find('&'));
+}
+
+template <class Number>
+Number numberOr(std::string_view text, Number otherwise, int base = 10)
+{
+    Number number = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number, base);
+    return parsed.ec == std::errc() && parsed.ptr == end ? number : otherwise;
+}
+
+std::string toHex(const GroupDigests &digests)
+{
+    std::string text;
+    for (const std::uint32_t digest : digests)
+        text += fmt::format("{:08x}", digest);
+    return text;
+}
+
+/// The groups that differ from those which the text names; all when it names none.
+std::set<std::uint8_t> differingGroups(std::string_view text, const GroupDigests &own)
+{
+    std::set<std::uint8_t> groups;
+    for (std::size_t i = 0; i < kEndpointGroups; ++i) {
+        const bool named = text.size() == kEndpointGroups * kHexPerGroup;
+        const std::string_view theirs
+                = named ? text.substr(i * kHexPerGroup, kHexPerGroup) : std::string_view();
+        if (numberOr<std::uint32_t>(theirs, ~own[i], 16) != own[i])
+            groups.insert(static_cast<std::uint8_t>(i));
+    }
+    return groups;
+}
+
+} // namespace
+
+void Gateway::onEndpointNews(const PeerInfo &peer, const std::vector<EndpointNews> &news)
+{
+    if (peer.endpointsPosition <= endpointsPosition())
+        return;
+    for (const EndpointNews &item : news) {
+        if (item.record)
+            noteEndpointChange(item.id, endpoints_.update(*item.record, steadyNow()), kFromPeer);
+        else
+            removeEndpoint(item.id, "told by a peer that reads the store");
+    }
+    news_.clear();
+    // Another message with the same position may follow; the digest shows whether one was missed.
+    positionFromPeers_ = std::max(positionFromPeers_, peer.endpointsPosition - 1);
+}
+
+void Gateway::onConfigNews(const PeerInfo &peer, const ConfigChange &change)
+{
+    const std::uint64_t known = configs_.newest();
+    if (change.version <= known || change.base != known)
+        return;
+    const auto text = capture([&] { return configs_.apply(change); });
+    if (text) {
+        applyConfig(*text, kFromPeer);
+        return;
+    }
+    logEvent(LogLevel::Warning, "configuration_change_unusable",
+             {{"peer", peer.name},
+              {"version", std::to_string(change.version)},
+              {"error", text.error().message}});
+}
+
+void Gateway::onAlone()
+{
+    // Readers read anyway, and without the store its retries go on.
+    if (tellsPeers_ || storeLost_)
+        return;
+    if (!alone_)
+        logEvent(LogLevel::Warning, "peers_silent");
+    alone_ = true;
+    configFollower_.retryNow();
+    endpointFollower_.retryNow();
+}
+
+bool Gateway::bootstraps(TimePoint now) const
+{
+    return (!config_ || !endpointsKnown_) && !storeLost_ && now - startedAt_ < kBootstrapGrace;
+}
+
+void Gateway::onPeerHeard(const PeerInfo &peer)
+{
+    alone_ = false;
+    const TimePoint now = steadyNow();
+    if (peer.endpointsPosition > newestPeerPosition_) {
+        newestPeerPosition_ = peer.endpointsPosition;
+        absence_.peerRead(now);
+    }
+    const bool newerConfig = peer.configVersion > configs_.newest();
+    const bool otherEndpoints = peer.endpointsPosition > endpointsPosition()
+                                && peer.endpointsDigest != endpoints_.digest();
+    const bool readsItself = firstReader_ && endpointsKnown_ && !storeAway();
+    if ((!newerConfig && (!otherEndpoints || readsItself)) || bootstraps(now))
+        return;
+    if (now - missingNoted_ > kMissingForgotten)
+        missingSince_ = {};
+    missingNoted_ = now;
+    if (missingSince_ == TimePoint())
+        missingSince_ = now;
+    if (now - missingSince_ < kNewsGrace)
+        return;
+    if (pull_ && now - lastPull_ > kPullTimeout)
+        pull_.reset();
+    if (newerConfig && now - missingSince_ > kPullPatience && now - lastOwnRead_ > kPullPatience) {
+        lastOwnRead_ = now;
+        configFollower_.retryNow();
+    }
+    if (pull_ || now - lastPull_ < kPullPause)
+        return;
+    lastPull_ = now;
+    pullFrom(peer);
+}
+
+void Gateway::pullFrom(const PeerInfo &peer)
+{
+    const Address address{peer.ip, settings_.control.port};
+    HeaderList headers;
+    headers.add("Host", toString(address));
+    pullBody_.clear();
+    UpstreamHandlers handlers;
+    handlers.head = [this](HttpResponseHead &&head) {
+        pullStatus_ = head.status;
+        return HeadVerdict::Accept;
+    };
+    handlers.body = [this](std::string_view bytes) {
+        if (pullBody_.size() + bytes.size() <= kMaxSharedBytes)
+            pullBody_ += bytes;
+    };
+    handlers.end = [this, name = peer.name](UpstreamEnd end) {
+        const auto call = std::move(pull_);
+        if (end == UpstreamEnd::Complete && pullStatus_ == 200)
+            applySharedState(pullBody_, name);
+        else
+            logEvent(LogLevel::Debug, "peer_state_not_given", {{"peer", name}});
+        pullBody_.clear();
+    };
+    const std::string target
+            = fmt::format("{}{}{}&{}{}", kPullPath, kConfigParameter, configs_.newest(),
+                          kGroupsParameter, toHex(endpoints_.groupDigests()));
+    pull_ = pool_.call(address, {.head = serializeRequestHead("GET", target, headers)},
+                       std::move(handlers));
+}
+
+void Gateway::answerPull(const std::shared_ptr<CallerConnection> &caller, const std::string &target)
+{
+    const TimePoint now = steadyNow();
+    if (now - sharedWindow_ >= std::chrono::seconds(1)) {
+        sharedWindow_ = now;
+        sharedBytes_ = 0;
+    }
+    HeaderList headers;
+    if (sharedBytes_ >= kSharedBytesPerSecond) {
+        caller->respond(503, std::move(headers), {});
+        return;
+    }
+    std::string body = sharedState(numberOr<std::uint64_t>(parameter(target, kConfigParameter), 0),
+                                   parameter(target, kGroupsParameter));
+    sharedBytes_ += body.size();
+    headers.add("Content-Type", "application/octet-stream");
+    caller->respond(200, std::move(headers), std::move(body));
+}
+
+std::string Gateway::sharedState(std::uint64_t knownConfig, std::string_view knownGroups) const
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::SharedState>();
+    root.setConfigVersion(configs_.newest());
+    if (configs_.newest() > knownConfig) {
+        if (const auto change = configs_.changeFrom(knownConfig))
+            fillConfigChange(root.initConfigChange(), *change);
+        else
+            root.setConfigText(configs_.newestText());
+    }
+    root.setEndpointsPosition(sharedPosition());
+    const std::set<std::uint8_t> groups = differingGroups(knownGroups, endpoints_.groupDigests());
+    auto groupList = root.initEndpointGroups(static_cast<unsigned>(groups.size()));
+    unsigned index = 0;
+    for (const std::uint8_t group : groups)
+        groupList.set(index++, group);
+    std::vector<const EndpointRecord *> records;
+    for (const auto &[id, row] : endpoints_.rows()) {
+        if (groups.contains(static_cast<std::uint8_t>(endpointGroup(id))))
+            records.push_back(&row.record);
+    }
+    auto list = root.initEndpoints(static_cast<unsigned>(records.size()));
+    index = 0;
+    for (const EndpointRecord *record : records)
+        fillEndpoint(list[index++], *record);
+    const auto words = capnp::messageToFlatArray(message);
+    const auto bytes = words.asBytes();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+void Gateway::applySharedState(const std::string &bytes, const std::string &peer)
+{
+    try {
+        // The message must be aligned to words.
+        std::vector<capnp::word> words(bytes.size() / sizeof(capnp::word));
+        std::memcpy(words.data(), bytes.data(), words.size() * sizeof(capnp::word));
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = kMaxSharedBytes;
+        capnp::FlatArrayMessageReader reader(kj::arrayPtr(words.data(), words.size()), options);
+        const auto root = reader.getRoot<wire::SharedState>();
+        if (root.getConfigVersion() > configs_.newest()) {
+            if (root.hasConfigChange()) {
+                const ConfigChange change = readConfigChange(root.getConfigChange());
+                const auto text = capture([&] { return configs_.apply(change); });
+                if (text)
+                    applyConfig(*text, kFromPeer);
+                else
+                    logEvent(LogLevel::Warning, "configuration_change_unusable",
+                             {{"peer", peer}, {"error", text.error().message}});
+            } else {
+                applyConfig(root.getConfigText(), kFromPeer);
+            }
+        }
+        const bool readsItself = firstReader_ && endpointsKnown_ && !storeAway();
+        if (root.getEndpointsPosition() <= endpointsPosition() || readsItself)
+            return;
+        std::set<std::string> listed;
+        for (const auto entry : root.getEndpoints()) {
+            const auto record = readEndpoint(entry);
+            if (!record)
+                continue;
+            listed.insert(record->id);
+            noteEndpointChange(record->id, endpoints_.update(*record, steadyNow()), kFromPeer);
+        }
+        std::set<std::size_t> groups;
+        for (const std::uint8_t group : root.getEndpointGroups())
+            groups.insert(group);
+        for (const std::string &id : endpoints_.ids()) {
+            if (groups.contains(endpointGroup(id)) && !listed.contains(id))
+                removeEndpoint(id, "gone at a peer that reads the store");
+        }
+        news_.clear();
+        positionFromPeers_ = root.getEndpointsPosition();
+        endpointsKnown_ = true;
+        missingSince_ = {};
+        logEvent(LogLevel::Info, "endpoints_from_peer",
+                 {{"peer", peer},
+                  {"position", std::to_string(positionFromPeers_)},
+                  {"count", std::to_string(listed.size())}});
+    } catch (const kj::Exception &problem) {
+        logEvent(LogLevel::Warning, "peer_state_unreadable",
+                 {{"peer", peer}, {"error", problem.getDescription().cStr()}});
+    }
+}
+
+} // namespace cicadafork::gateway
--- a/src/gateway/mesh.capnp
+++ b/src/gateway/mesh.capnp
@@ -42,6 +42,14 @@
   gone @7 :Bool;
 }
 
+# How a version of the configuration differs from an earlier one.
+struct ConfigChange {
+  base @0 :UInt64;
+  version @1 :UInt64;
+  textHash @2 :UInt64;
+  delta @3 :Data;
+}
+
 struct Datagram {
   # Name and failure domain come with full lists only.
   name @0 :Text;
@@ -70,13 +78,18 @@
   storeLost @16 :Bool;
   # Changes of endpoints that the sender has just read.
   endpointChanges @15 :List(EndpointEntry);
+  # The version of the configuration that the sender has just read.
+  configChange @17 :ConfigChange;
 }
 
-# What a daemon that cannot read the platform's store takes from a peer.
+# What a daemon that misses something takes from a peer.
 struct SharedState {
   configVersion @0 :UInt64;
-  # The record as the platform holds it.
+  # The record as the platform holds it; empty when the difference is there, or nothing is newer.
   configText @1 :Text;
   endpointsPosition @2 :UInt64;
+  # All endpoints of the groups below.
   endpoints @3 :List(EndpointEntry);
+  endpointGroups @4 :List(UInt8);
+  configChange @5 :ConfigChange;
 }
--- a/src/gateway/mesh.capnp.h
+++ b/src/gateway/mesh.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(f26e8467532998a3);
 CAPNP_DECLARE_SCHEMA(c332b625d639f51a);
 CAPNP_DECLARE_SCHEMA(a3865a6a59334413);
+CAPNP_DECLARE_SCHEMA(c0c469537200ea22);
 CAPNP_DECLARE_SCHEMA(b3610eba42785e55);
 CAPNP_DECLARE_SCHEMA(fbecd8eb93bed63a);
 
@@ -109,6 +110,26 @@
     };
 };
 
+struct ConfigChange
+{
+    ConfigChange() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(c0c469537200ea22, 3, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
 struct Datagram
 {
     Datagram() = delete;
@@ -119,7 +140,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 6, 8)
+        CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 6, 9)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -139,7 +160,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(fbecd8eb93bed63a, 2, 2)
+        CAPNP_DECLARE_STRUCT_HEADER(fbecd8eb93bed63a, 2, 4)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -651,6 +672,118 @@
 };
 #endif // !CAPNP_LITE
 
+class ConfigChange::Reader
+{
+public:
+    typedef ConfigChange Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getBase() const;
+
+    inline ::uint64_t getVersion() const;
+
+    inline ::uint64_t getTextHash() const;
+
+    inline bool hasDelta() const;
+    inline ::capnp::Data::Reader getDelta() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class ConfigChange::Builder
+{
+public:
+    typedef ConfigChange Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getBase();
+    inline void setBase(::uint64_t value);
+
+    inline ::uint64_t getVersion();
+    inline void setVersion(::uint64_t value);
+
+    inline ::uint64_t getTextHash();
+    inline void setTextHash(::uint64_t value);
+
+    inline bool hasDelta();
+    inline ::capnp::Data::Builder getDelta();
+    inline void setDelta(::capnp::Data::Reader value);
+    inline ::capnp::Data::Builder initDelta(unsigned int size);
+    inline void adoptDelta(::capnp::Orphan<::capnp::Data> &&value);
+    inline ::capnp::Orphan<::capnp::Data> disownDelta();
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ConfigChange::Pipeline
+{
+public:
+    typedef ConfigChange Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 class Datagram::Reader
 {
 public:
@@ -716,6 +849,9 @@
 
     inline bool getStoreLost() const;
 
+    inline bool hasConfigChange() const;
+    inline ::cicadafork::gateway::wire::ConfigChange::Reader getConfigChange() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -859,6 +995,14 @@
     inline bool getStoreLost();
     inline void setStoreLost(bool value);
 
+    inline bool hasConfigChange();
+    inline ::cicadafork::gateway::wire::ConfigChange::Builder getConfigChange();
+    inline void setConfigChange(::cicadafork::gateway::wire::ConfigChange::Reader value);
+    inline ::cicadafork::gateway::wire::ConfigChange::Builder initConfigChange();
+    inline void
+    adoptConfigChange(::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> &&value);
+    inline ::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> disownConfigChange();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -883,6 +1027,8 @@
     {
     }
 
+    inline ::cicadafork::gateway::wire::ConfigChange::Pipeline getConfigChange();
+
 private:
     ::capnp::AnyPointer::Pipeline _typeless;
     friend class ::capnp::PipelineHook;
@@ -922,6 +1068,12 @@
     inline ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>::Reader
     getEndpoints() const;
 
+    inline bool hasEndpointGroups() const;
+    inline ::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Reader getEndpointGroups() const;
+
+    inline bool hasConfigChange() const;
+    inline ::cicadafork::gateway::wire::ConfigChange::Reader getConfigChange() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -984,6 +1136,25 @@
             ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>
     disownEndpoints();
 
+    inline bool hasEndpointGroups();
+    inline ::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Builder getEndpointGroups();
+    inline void setEndpointGroups(::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+    inline void setEndpointGroups(::kj::ArrayPtr<const ::uint8_t> value);
+    inline ::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Builder
+    initEndpointGroups(unsigned int size);
+    inline void adoptEndpointGroups(
+            ::capnp::Orphan<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>
+    disownEndpointGroups();
+
+    inline bool hasConfigChange();
+    inline ::cicadafork::gateway::wire::ConfigChange::Builder getConfigChange();
+    inline void setConfigChange(::cicadafork::gateway::wire::ConfigChange::Reader value);
+    inline ::cicadafork::gateway::wire::ConfigChange::Builder initConfigChange();
+    inline void
+    adoptConfigChange(::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> &&value);
+    inline ::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> disownConfigChange();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1008,6 +1179,8 @@
     {
     }
 
+    inline ::cicadafork::gateway::wire::ConfigChange::Pipeline getConfigChange();
+
 private:
     ::capnp::AnyPointer::Pipeline _typeless;
     friend class ::capnp::PipelineHook;
@@ -1515,6 +1688,87 @@
     _builder.setDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint64_t ConfigChange::Reader::getBase() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t ConfigChange::Builder::getBase()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ConfigChange::Builder::setBase(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t ConfigChange::Reader::getVersion() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t ConfigChange::Builder::getVersion()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ConfigChange::Builder::setVersion(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t ConfigChange::Reader::getTextHash() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t ConfigChange::Builder::getTextHash()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ConfigChange::Builder::setTextHash(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConfigChange::Reader::hasDelta() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigChange::Builder::hasDelta()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Data::Reader ConfigChange::Reader::getDelta() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Data::Builder ConfigChange::Builder::getDelta()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigChange::Builder::setDelta(::capnp::Data::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Data>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Data::Builder ConfigChange::Builder::initDelta(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ConfigChange::Builder::adoptDelta(::capnp::Orphan<::capnp::Data> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Data> ConfigChange::Builder::disownDelta()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Datagram::Reader::hasName() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2017,6 +2271,54 @@
     _builder.setDataField<bool>(::capnp::bounded<258>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Datagram::Reader::hasConfigChange() const
+{
+    return !_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasConfigChange()
+{
+    return !_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline ::cicadafork::gateway::wire::ConfigChange::Reader Datagram::Reader::getConfigChange() const
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::get(
+            _reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline ::cicadafork::gateway::wire::ConfigChange::Builder Datagram::Builder::getConfigChange()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::get(
+            _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::cicadafork::gateway::wire::ConfigChange::Pipeline Datagram::Pipeline::getConfigChange()
+{
+    return ::cicadafork::gateway::wire::ConfigChange::Pipeline(_typeless.getPointerField(8));
+}
+#endif // !CAPNP_LITE
+inline void
+Datagram::Builder::setConfigChange(::cicadafork::gateway::wire::ConfigChange::Reader value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::set(
+            _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline ::cicadafork::gateway::wire::ConfigChange::Builder Datagram::Builder::initConfigChange()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::init(
+            _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptConfigChange(
+        ::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> &&value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::adopt(
+            _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange>
+Datagram::Builder::disownConfigChange()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::disown(
+            _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline ::uint64_t SharedState::Reader::getConfigVersion() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2139,6 +2441,105 @@
             disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool SharedState::Reader::hasEndpointGroups() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SharedState::Builder::hasEndpointGroups()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Reader
+SharedState::Reader::getEndpointGroups() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Builder
+SharedState::Builder::getEndpointGroups()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SharedState::Builder::setEndpointGroups(
+        ::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void SharedState::Builder::setEndpointGroups(::kj::ArrayPtr<const ::uint8_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Builder
+SharedState::Builder::initEndpointGroups(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>::init(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SharedState::Builder::adoptEndpointGroups(
+        ::capnp::Orphan<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>
+SharedState::Builder::disownEndpointGroups()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>::disown(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool SharedState::Reader::hasConfigChange() const
+{
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool SharedState::Builder::hasConfigChange()
+{
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline ::cicadafork::gateway::wire::ConfigChange::Reader
+SharedState::Reader::getConfigChange() const
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::get(
+            _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline ::cicadafork::gateway::wire::ConfigChange::Builder SharedState::Builder::getConfigChange()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::get(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::cicadafork::gateway::wire::ConfigChange::Pipeline SharedState::Pipeline::getConfigChange()
+{
+    return ::cicadafork::gateway::wire::ConfigChange::Pipeline(_typeless.getPointerField(3));
+}
+#endif // !CAPNP_LITE
+inline void
+SharedState::Builder::setConfigChange(::cicadafork::gateway::wire::ConfigChange::Reader value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::set(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline ::cicadafork::gateway::wire::ConfigChange::Builder SharedState::Builder::initConfigChange()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::init(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void SharedState::Builder::adoptConfigChange(
+        ::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> &&value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::adopt(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange>
+SharedState::Builder::disownConfigChange()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::disown(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 } // namespace wire
 } // namespace gateway
 } // namespace cicadafork
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -21,6 +21,11 @@
 constexpr std::size_t kJobsPerDatagram = 16;
 constexpr std::size_t kMembersPerDatagram = 3;
 constexpr std::size_t kNewsPerDatagram = 8;
+// A larger difference of the configuration is asked for over a connection.
+constexpr std::size_t kMaxPushedDelta = 1100;
+// Peers send heartbeats at different times: so many of them missing in a row are no accident.
+constexpr int kMissedHeartbeats = 4;
+constexpr Millis kMinAlone{500};
 // Reads up to this long are expected to end on time; longer ones are reported when they end.
 constexpr FloatMillis kShortRead{60};
 constexpr std::size_t kMaxDatagram = 16 * 1024;
@@ -57,6 +62,7 @@
                     "choose a port that no other process of this machine uses");
     }
     armRead();
+    lastHeard_ = steadyNow();
     for (const std::string &ip : options_.seedIps) {
         if (ip != options_.ip)
             sendFullList(false, ip, true);
@@ -184,11 +190,27 @@
     }
 }
 
+void Mesh::configChanged(const ConfigChange &change)
+{
+    if (change.delta.size() > kMaxPushedDelta) {
+        announce();
+        return;
+    }
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::Datagram>();
+    fillStatus(root, options_, hooks_.status());
+    fillConfigChange(root.initConfigChange(), change);
+    std::string bytes = toBytes(message);
+    sendToPeers(bytes);
+}
+
 void Mesh::beat()
 {
     const TimePoint now = steadyNow();
     board_.expire(now);
     checkPeers(now);
+    if (!peers_.empty() && now - lastHeard_ > aloneAfter())
+        hooks_.alone();
     flush();
     sendFullList(true, {}, false);
     if (peers_.empty()) {
@@ -216,6 +238,12 @@
     return std::max(options_.silentAfter, options_.silentBeats * beatInterval());
 }
 
+Millis Mesh::aloneAfter() const
+{
+    const auto between = beatInterval() / static_cast<Millis::rep>(peers_.size());
+    return std::max(kMinAlone, kMissedHeartbeats * between);
+}
+
 void Mesh::sendFullList(bool toAll, const std::string &ip, bool wantsReply)
 {
     std::vector<Job> jobs = board_.jobsOf(options_.incarnation);
@@ -370,6 +398,7 @@
             info->failureDomain = root.getFailureDomain();
         }
         info->lastHeard = now;
+        lastHeard_ = now;
         info->configVersion = std::max(info->configVersion, root.getConfigVersion());
         info->endpointsPosition = root.getEndpointsPosition();
         info->endpointsDigest = root.getEndpointsDigest();
@@ -377,6 +406,7 @@
                              || info->storeLost != root.getStoreLost();
         info->storeLost = root.getStoreLost();
         info->leaving = root.getLeaving();
+        info->returned = info->heard && !info->alive;
         info->heard = true;
         info->alive = true;
         if (changed)
@@ -400,6 +430,8 @@
         }
         if (root.hasEndpointChanges())
             hooks_.endpointNews(*info, readNews(root.getEndpointChanges()));
+        if (root.hasConfigChange())
+            hooks_.configNews(*info, readConfigChange(root.getConfigChange()));
         hooks_.heard(*info);
         if (root.getWantsReply())
             sendFullList(false, ip, false);
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -11,6 +11,7 @@
 // it on to its neighbours. Members are found through seeds, through the platform's store (learn())
 // and through each other.
 
+#include "gateway/confighistory.h"
 #include "gateway/loadboard.h"
 #include "http/address.h"
 
@@ -58,6 +59,7 @@
     std::uint64_t endpointsDigest = 0;
     TimePoint lastHeard{};
     bool heard = false;
+    bool returned = false; ///< Was away before it was heard again.
     bool alive = false;
     bool leaving = false;
     bool storeLost = false; ///< The store does not answer it.
@@ -91,6 +93,11 @@
     std::function<void(const PeerInfo &)> heard;
     /// A peer has read changes of endpoints.
     std::function<void(const PeerInfo &, const std::vector<EndpointNews> &)> endpointNews;
+    /// A peer has read a version of the configuration.
+    std::function<void(const PeerInfo &, const ConfigChange &)> configNews;
+    /// No peer was heard for so long that this daemon may be cut off from all of them. Called
+    /// again at every heartbeat.
+    std::function<void()> alone;
 };
 
 struct MeshCounters
@@ -118,11 +125,16 @@
     void ended(const JobId &id);
     /// Tells all peers what was read from the store.
     void endpointsChanged(const std::vector<EndpointNews> &news);
+    /// Tells all peers a version of the configuration; one that does not fit a datagram is only
+    /// announced, and they ask for it.
+    void configChanged(const ConfigChange &change);
     /// Sends the status to all peers now, for example a new version of the configuration.
     void announce();
 
     const std::map<std::string, PeerInfo> &peers() const { return peers_; }
     std::size_t alivePeers() const;
+    /// When any peer was heard last.
+    TimePoint lastHeard() const { return lastHeard_; }
     /// Peers of a failure domain are known, and none of them was heard lately.
     bool seemsCutOff(const std::string &failureDomain) const;
     const MeshCounters &counters() const { return counters_; }
@@ -149,6 +161,8 @@
     void checkPeers(TimePoint now);
     Millis beatInterval() const;
     Millis silenceLimit() const;
+    /// Silence of all peers together after which this daemon may be cut off.
+    Millis aloneAfter() const;
     PeerInfo *peer(const std::string &name, const std::string &ip);
 
     MeshOptions options_;
@@ -163,6 +177,7 @@
     std::uint32_t newestJob_ = 0;
     unsigned beats_ = 0;
     unsigned delegateTurn_ = 0;
+    TimePoint lastHeard_{};
     MeshCounters counters_;
 };
 
--- a/src/gateway/meshwire.cpp
+++ b/src/gateway/meshwire.cpp
@@ -94,6 +94,22 @@
     return news;
 }
 
+void fillConfigChange(wire::ConfigChange::Builder target, const ConfigChange &change)
+{
+    target.setBase(change.base);
+    target.setVersion(change.version);
+    target.setTextHash(change.textHash);
+    target.setDelta(kj::arrayPtr(reinterpret_cast<const kj::byte *>(change.delta.data()),
+                                 change.delta.size()));
+}
+
+ConfigChange readConfigChange(wire::ConfigChange::Reader source)
+{
+    const auto delta = source.getDelta();
+    return {source.getBase(), source.getVersion(), source.getTextHash(),
+            std::string(reinterpret_cast<const char *>(delta.begin()), delta.size())};
+}
+
 void fillEndpoint(wire::EndpointEntry::Builder entry, const EndpointRecord &record)
 {
     entry.setId(record.id);
--- a/src/gateway/meshwire.h
+++ b/src/gateway/meshwire.h
@@ -34,6 +34,9 @@
 /// Nothing when the entry names no endpoint or its address cannot be read.
 std::optional<EndpointRecord> readEndpoint(wire::EndpointEntry::Reader entry);
 
+void fillConfigChange(wire::ConfigChange::Builder target, const ConfigChange &change);
+ConfigChange readConfigChange(wire::ConfigChange::Reader source);
+
 std::vector<EndpointNews> readNews(capnp::List<wire::EndpointEntry>::Reader entries);
 
 } // namespace cicadafork::gateway
--- a/src/gateway/readingduty.cpp
+++ b/src/gateway/readingduty.cpp
@@ -1,21 +1,26 @@
 #include "gateway/readingduty.h"
 
+#include <algorithm>
+
 namespace cicadafork::gateway {
 
 namespace {
 
 // Members that try for each one that the store turns away.
 constexpr unsigned kTriesPerLoss = 2;
+// So many members read or try often, however many are turned away: each takes up to a second to
+// notice it, and the next one in the order takes its place.
+constexpr unsigned kMaxFirst = 4;
+// So many go on trying often when the store serves none; the others hear of its return from them.
+constexpr unsigned kTriesWhenAllLost = 3;
 // Leaving endpoints must be noticed well within 2 s. Their records change with every heartbeat, so
 // that waiting for a change gains nothing.
 constexpr Millis kFirstInterval{600};
 constexpr Millis kSecondInterval{1500};
 // A reserve reads in case that all messages of the others are lost.
-constexpr Millis kReserveInterval{30'000};
-// All wait for changes of the configuration themselves, as a large one would take a machine with a
-// slow link too long to hand to all others. The store holds a read for 30 s at most.
-constexpr Millis kReserveWait{29'000};
-// A connection that went silent is noticed only after the wait.
+constexpr Millis kReserveInterval{60'000};
+// Readers wait for changes of the configuration and tell the others the difference. A connection
+// that went silent is noticed only after the wait.
 constexpr Millis kReaderWait{2000};
 
 } // namespace
@@ -36,19 +41,23 @@
 ReadingDuty readingDuty(const ReaderCandidate &self, const std::vector<ReaderCandidate> &others)
 {
     unsigned before = 0;
+    unsigned lostBefore = 0;
     unsigned lost = 0;
     for (const ReaderCandidate &other : others) {
-        if (other.storeLost)
-            ++lost;
-        else if (other.incarnation < self.incarnation)
-            ++before;
+        const bool earlier = other.incarnation < self.incarnation;
+        lost += other.storeLost ? 1 : 0;
+        lostBefore += other.storeLost && earlier ? 1 : 0;
+        before += !other.storeLost && earlier ? 1 : 0;
     }
     // One that cannot read counts as reserve; its reads go on at the pace of retries.
-    if (self.storeLost && !others.empty() && lost < others.size())
-        return ReadingDuty::Reserve;
-    if (before <= kTriesPerLoss * lost)
+    if (self.storeLost) {
+        return lost == others.size() && lostBefore < kTriesWhenAllLost ? ReadingDuty::First
+                                                                       : ReadingDuty::Reserve;
+    }
+    const unsigned firsts = std::min(1 + kTriesPerLoss * lost, kMaxFirst);
+    if (before < firsts)
         return ReadingDuty::First;
-    return before == kTriesPerLoss * lost + 1 ? ReadingDuty::Second : ReadingDuty::Reserve;
+    return before == firsts ? ReadingDuty::Second : ReadingDuty::Reserve;
 }
 
 ReadingPace readingPace(ReadingDuty duty)
@@ -61,7 +70,7 @@
     case ReadingDuty::Reserve:
         break;
     }
-    return {kReserveInterval, Millis(0), kReserveWait};
+    return {kReserveInterval, kReserveInterval, Millis(0)};
 }
 
 } // namespace cicadafork::gateway
--- a/src/gateway/readingduty.h
+++ b/src/gateway/readingduty.h
@@ -7,8 +7,8 @@
 //
 // Reads are priced and limited, so few daemons read and tell the others. The order is that of the
 // members' incarnation numbers; nobody agrees on it, and two first readers do no harm. Each member
-// that the store turns away makes two more try, so that the ones which it still serves are found
-// within a few seconds.
+// that the store turns away makes two more try, up to a bound, so that the ones which it still
+// serves are found within a few seconds. While it serves none, a few go on trying.
 
 #include "base/clock.h"
 
--- a/src/gateway/topicfollower.cpp
+++ b/src/gateway/topicfollower.cpp
@@ -8,7 +8,10 @@
 
 namespace {
 
-constexpr Millis kRareRetry{4000};
+// A daemon that relies on its peers for what the store holds.
+constexpr Millis kRareRetry{8000};
+// Doublings of a call's timeout after calls that were not answered.
+constexpr unsigned kMaxPatience = 2;
 
 } // namespace
 
@@ -55,7 +58,9 @@
 {
     if (afterKey_.empty())
         collected_.clear();
-    calls_.newest(options_.topic, afterKey_, options_.callTimeout,
+    // Hundreds of processes that start together share what the store hands out in a second.
+    const Millis timeout = options_.callTimeout * (1 << std::min(failures_, kMaxPatience));
+    calls_.newest(options_.topic, afterKey_, timeout,
                   [this, weak = std::weak_ptr(alive_)](StoreFailure failure, StorePage page) {
                       if (!weak.expired())
                           onNewest(failure, std::move(page));
@@ -125,8 +130,9 @@
 void TopicFollower::retry(void (TopicFollower::*step)())
 {
     const unsigned doublings = std::min(failures_, 5U) - 1;
-    // One that reads rarely also tries rarely.
-    const Millis longest = std::max(options_.longestRetry, std::min(options_.interval, kRareRetry));
+    // One that reads rarely also tries rarely, once it knows what there is.
+    const Millis rare = bootstrapped_ ? std::min(options_.interval, kRareRetry) : Millis(0);
+    const Millis longest = std::max(options_.longestRetry, rare);
     const Millis delay = std::min(longest, options_.firstRetry * (1 << doublings));
     // Daemons that failed together do not return together.
     after(randomMillis(delay / 2, delay), step);
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -81,6 +81,7 @@
                              const HttpRequest &request)
 {
     ++calls;
+    ++callsByTopic[parameter(request.target, "topic")];
     if (refuses) {
         caller->respond(503, {}, {});
         return;
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -33,6 +33,7 @@
 
     bool refuses = false; ///< Answers 503, as to machines that are turned away.
     unsigned calls = 0;
+    std::map<std::string, unsigned> callsByTopic;
 
 private:
     struct Record
--- /dev/null
+++ b/tests/unit/gatewaypeers_test.cpp
@@ -0,0 +1,245 @@
+// Several gateways and the store over loopback: who reads the store, and what the others learn.
+
+#include "base/json.h"
+#include "gateway/gateway.h"
+#include "platform/headers.h"
+#include "platform/orderclient.h"
+#include "platform/records.h"
+#include "platform/storeclient.h"
+#include "support/network.h"
+#include "support/platformstandin.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace cicadafork;
+using namespace cicadafork::gateway;
+using namespace cicadafork::test;
+
+namespace {
+
+constexpr Millis kLimit{5000};
+// A change of the configuration must be in force by then.
+constexpr Millis kConfigInForce{2000};
+constexpr const char *kConfigTopic = "keyed.op";
+constexpr const char *kEndpointsTopic = "keyed.servers";
+
+std::string configText(unsigned version, unsigned routes)
+{
+    std::string list;
+    for (unsigned i = 0; i < routes; ++i) {
+        list += fmt::format(R"({}{{"name":"r{}","host":"h","pathPrefix":"/{}/","kind":"safe",
+            "service":"plain","timeoutMs":1500,"targetLatencyMs":300,"maxAttempts":2}})",
+                            i == 0 ? "" : ",", i, i * 7919);
+    }
+    return fmt::format(
+            R"({{"version":{},"services":[{{"name":"plain"}}],"tenants":[],"routes":[{}]}})",
+            version, list);
+}
+
+/// One daemon with its own clients, as in a process of its own.
+struct Daemon
+{
+    Daemon(asio::io_context &context, const GatewaySettings &settings)
+        : pool(context, {})
+        , calls(context, pool)
+        , store(calls, settings.store)
+        , orders(calls)
+        , gateway(context, settings, platform::wireProtocol(), platform::storeLayout(),
+                  store.calls(), orders.calls(), pool)
+    {
+        const auto started = capture([&] { return gateway.start(); });
+        CHECK_TRUE(static_cast<bool>(started));
+    }
+
+    nlohmann::json state() const { return parseJson(gateway.dump()); }
+    std::uint64_t configVersion() const { return state()["config_version"].get<std::uint64_t>(); }
+    std::size_t endpoints() const
+    {
+        const auto json = state();
+        return json.contains("endpoints") ? json["endpoints"].size() : 0;
+    }
+
+    UpstreamPool pool;
+    platform::Calls calls;
+    platform::StoreClient store;
+    platform::OrderClient orders;
+    Gateway gateway;
+};
+
+} // namespace
+
+TEST_GROUP(GatewayPeers)
+{
+    asio::io_context context;
+    AddressPool addresses;
+    Address storeAddress = addresses.next();
+    StoreStandin store{context, storeAddress};
+    std::vector<std::unique_ptr<Daemon>> daemons;
+
+    void setup() override
+    {
+        setLogLevel(LogLevel::Error);
+    }
+
+    void teardown() override
+    {
+        daemons.clear();
+        setLogLevel(LogLevel::Info);
+    }
+
+    template <class Condition>
+    bool runUntil(Condition condition, Millis limit = kLimit)
+    {
+        const TimePoint end = steadyNow() + limit;
+        context.restart();
+        while (!condition() && steadyNow() < end)
+            context.run_one_for(Millis(5));
+        return condition();
+    }
+
+    void run(Millis time)
+    {
+        runUntil([] { return false; }, time);
+    }
+
+    void start(unsigned count)
+    {
+        store.put(kConfigTopic, "config", configText(1, 200));
+        // All machines use the same ports, and the seeds are the first ones.
+        const Address first = addresses.next();
+        std::vector<std::string> ips{first.ip};
+        for (unsigned i = 1; i < count; ++i)
+            ips.push_back(addresses.next().ip);
+        for (unsigned i = 0; i < count; ++i) {
+            GatewaySettings settings;
+            settings.member = fmt::format("front-{}", i + 1);
+            settings.failureDomain = "east";
+            auto port = first.port;
+            for (Address *address :
+                 {&settings.callers, &settings.readiness, &settings.control, &settings.peers})
+                *address = {ips[i], port++};
+            settings.store = storeAddress;
+            settings.seeds = {ips.front()};
+            settings.retries = {0.2, 1000, Millis(10'000)};
+            daemons.push_back(std::make_unique<Daemon>(context, settings));
+        }
+        CHECK_TRUE_TEXT(runUntil([&] { return allHaveConfig(1) && duties() == count; }),
+                        "all know the configuration and each other");
+        run(Millis(700));
+    }
+
+    void putEndpoint(unsigned number)
+    {
+        store.put(kEndpointsTopic, fmt::format("e{}", number),
+                  fmt::format(R"({{"service":"plain","address":"10.0.0.{}:80","zone":"east",
+                      "slots":4,"state":"ready","seq":1,"born":5}})",
+                              number % 250));
+    }
+
+    bool allHaveConfig(std::uint64_t version) const
+    {
+        for (const auto &daemon : daemons) {
+            if (daemon->configVersion() != version)
+                return false;
+        }
+        return true;
+    }
+
+    /// Daemons that have heard of all others.
+    std::size_t duties() const
+    {
+        std::size_t complete = 0;
+        for (const auto &daemon : daemons) {
+            const auto json = daemon->state();
+            std::size_t alive = 0;
+            if (json.contains("peers")) {
+                for (const auto &peer : json["peers"])
+                    alive += peer["alive"].get<bool>() ? 1 : 0;
+            }
+            complete += alive + 1 == daemons.size() ? 1 : 0;
+        }
+        return complete;
+    }
+};
+
+// Guards against a call to the store from every daemon for every change: each one is priced, and
+// 361 daemons would make 361 calls at once.
+TEST(GatewayPeers, aChangeOfTheConfigurationIsReadByTheReadersOnly)
+{
+    constexpr unsigned kDaemons = 6;
+    constexpr unsigned kChanges = 5;
+    start(kDaemons);
+    store.callsByTopic.clear();
+    for (unsigned i = 0; i < kChanges; ++i) {
+        const TimePoint written = steadyNow();
+        store.put(kConfigTopic, "config", configText(2 + i, 200 + i));
+        CHECK_TRUE(runUntil([&] { return allHaveConfig(2 + i); }, kConfigInForce));
+        CHECK_TRUE(steadyNow() - written < kConfigInForce);
+    }
+    // Two readers wait for changes; each may have ended one wait without any besides.
+    constexpr unsigned kReaders = 2;
+    CHECK_TRUE(store.callsByTopic[kConfigTopic] <= kReaders * (kChanges + 1));
+}
+
+// Guards against a version that is known and never comes, because it does not fit a datagram.
+TEST(GatewayPeers, aLargeChangeIsAskedFor)
+{
+    start(4);
+    store.put(kConfigTopic, "config", configText(2, 900));
+    CHECK_TRUE(runUntil([&] { return allHaveConfig(2); }, kConfigInForce));
+}
+
+// Guards against a daemon that waits for peers that it no longer hears.
+TEST(GatewayPeers, aDaemonThatHearsNobodyReadsTheStoreItself)
+{
+    start(4);
+    // Those that are left are reserves in two of four cases, whatever the order is.
+    while (daemons.size() > 1)
+        daemons.pop_back();
+    store.put(kConfigTopic, "config", configText(2, 201));
+    CHECK_TRUE(runUntil([&] { return allHaveConfig(2); }, kConfigInForce));
+}
+
+// Guards against daemons that start together and tell each other everything that they have read.
+TEST(GatewayPeers, aStartTellsPeersNoEndpoints)
+{
+    constexpr unsigned kEndpoints = 400;
+    constexpr unsigned kDaemons = 5;
+    for (unsigned i = 0; i < kEndpoints; ++i)
+        putEndpoint(i);
+    start(kDaemons);
+    // Heartbeats and duties take a few datagrams for each pair; endpoints would take one for each
+    // eight of them.
+    constexpr unsigned kForEachPair = 20;
+    for (const auto &daemon : daemons)
+        CHECK_TRUE(daemon->state()["datagrams_sent"].get<unsigned>()
+                   < kForEachPair * (kDaemons - 1));
+}
+
+// Guards against endpoints that a daemon keeps or lacks, and against telling all of them when one
+// changed.
+TEST(GatewayPeers, endpointsThatDifferAreTakenFromPeers)
+{
+    constexpr unsigned kEndpoints = 200;
+    for (unsigned i = 0; i < kEndpoints; ++i)
+        putEndpoint(i);
+    start(5);
+    store.put(kEndpointsTopic, "e7", std::nullopt);
+    const auto allHave = [&](std::size_t count) {
+        return runUntil(
+                [&] {
+                    for (const auto &daemon : daemons) {
+                        if (daemon->endpoints() != count)
+                            return false;
+                    }
+                    return true;
+                },
+                kConfigInForce);
+    };
+    CHECK_TRUE(allHave(kEndpoints - 1));
+}
