Refuse long prompts that are late while others need the readers; derive their time to come back from the backlog

A read of over 300 ms that can no longer be on time starts only while a quarter of the endpoints has nothing to read; otherwise it is refused at that moment, not run. "Can no longer" counts what a first event takes at least.

--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -23,6 +23,17 @@
 constexpr Millis kLongestWait{2500};
 constexpr Millis kLongestCallWait{250};
 
+// A plain call takes some tens of milliseconds, a short stream about two seconds; a slot becomes
+// free sooner than that.
+constexpr Millis kSoonestCallReturn{30};
+constexpr Millis kLatestCallReturn{90};
+constexpr Millis kSoonestStreamReturn{300};
+constexpr Millis kLatestStreamReturn{900};
+// Callers follow at most a third of the time that they have left: 15 s for the longest prompts.
+constexpr Millis kLongestReturn{4000};
+// The latest return, as a multiple of the time in which endpoints will have read what they have.
+constexpr double kReturnSpread = 1.5;
+
 } // namespace
 
 std::vector<EndpointView> Gateway::viewsFor(const Exchange &exchange) const
@@ -172,8 +183,17 @@
 
 Millis Gateway::comeBackIn(const Exchange &exchange) const
 {
-    return exchange.route.kind == RouteKind::Stream ? randomMillis(Millis(300), Millis(900))
-                                                    : randomMillis(Millis(30), Millis(90));
+    if (exchange.route.kind != RouteKind::Stream)
+        return randomMillis(kSoonestCallReturn, kLatestCallReturn);
+    Millis latest = kLatestStreamReturn;
+    const EngineModel *engine = engineFor(exchange);
+    if (engine && isLongRead(*engine, exchange.fields.promptTokens)) {
+        const FloatMillis backlog = meanBacklog(viewsFor(exchange));
+        latest = std::clamp(std::chrono::duration_cast<Millis>(kReturnSpread * backlog), latest,
+                            kLongestReturn);
+    }
+    // Callers that were refused together do not return together.
+    return randomMillis(std::max(kSoonestStreamReturn, latest / 2), latest);
 }
 
 } // namespace cicadafork::gateway
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -39,6 +39,10 @@
 // Part of an endpoint's slots that requests which are already late may take: the others are kept
 // for those that can still be on time.
 constexpr double kLateSlots = 0.75;
+// A late start of a read longer than this is given up while fewer than this share of the endpoints
+// have nothing to read: it takes them for seconds from requests that can be on time.
+constexpr FloatMillis kLongRead{300};
+constexpr double kSpareReaders = 0.25;
 // Numbers of readers that are tried, least first. The protocol allows 16 helpers.
 constexpr std::array<unsigned, 9> kReaders = {1, 2, 3, 4, 6, 8, 11, 14, 17};
 // Queued calls per slot that a plain endpoint may have before more wait here.
@@ -271,6 +275,14 @@
     return std::nullopt;
 }
 
+bool hasSpareReaders(std::span<const EndpointView> endpoints)
+{
+    const auto spare = std::ranges::count_if(endpoints, [](const EndpointView &endpoint) {
+        return endpoint.usable && endpoint.load.pendingRead <= FloatMillis(0);
+    });
+    return static_cast<double>(spare) >= kSpareReaders * static_cast<double>(endpoints.size());
+}
+
 Placement toPlacement(const Plan &plan, const Division &division, bool onTime)
 {
     Placement placement;
@@ -332,21 +344,41 @@
         placement.reason = "too little time is left to read and write it";
         return placement;
     }
+    const FloatMillis soonest
+            = whole / kReaders.back() + writingPass(engine, 1, request.promptTokens) + kTravel;
     const FloatMillis limits[]
             = {kObjectiveShare * request.untilObjective, request.untilDeadline - writing};
     for (const FloatMillis limit : limits) {
         const bool onTime = limit == limits[0];
         division.late = !onTime;
+        if (!onTime && isLongRead(engine, request.promptTokens) && !hasSpareReaders(endpoints)) {
+            placement.outcome = PlacementOutcome::Never;
+            placement.reason = "late, and others need the readers";
+            return placement;
+        }
         if (const auto found = divide(request, engine, endpoints, division, limit))
             return toPlacement(found->first, found->second, onTime);
         // A request that may still be on time waits for that instead of starting late.
-        if (limits[0] > whole / kReaders.back())
+        if (limits[0] > soonest)
             break;
     }
     placement.reason = "no endpoint can take it without delaying others";
     return placement;
 }
 
+bool isLongRead(const EngineModel &engine, std::uint64_t promptTokens)
+{
+    return readTime(engine, promptTokens) > kLongRead;
+}
+
+FloatMillis meanBacklog(std::span<const EndpointView> endpoints)
+{
+    FloatMillis sum{0};
+    for (const EndpointView &endpoint : endpoints)
+        sum += endpoint.pace * endpoint.load.pendingRead;
+    return endpoints.empty() ? sum : sum / static_cast<double>(endpoints.size());
+}
+
 WaitReasons explainWait(const PlacementRequest &request, const EngineModel &engine,
                         std::span<const EndpointView> endpoints)
 {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -71,6 +71,13 @@
 Placement placeStream(const PlacementRequest &request, const EngineModel &engine,
                       std::span<const EndpointView> endpoints);
 
+/// The read is long enough to compete for readers with others.
+bool isLongRead(const EngineModel &engine, std::uint64_t promptTokens);
+
+/// Mean time that the endpoints will still read what they have: about then, a long prompt that
+/// finds no readers now may find some.
+FloatMillis meanBacklog(std::span<const EndpointView> endpoints);
+
 /// Why endpoints could not take a part of a request that waits, at the largest number of readers.
 struct WaitReasons
 {
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -192,6 +192,42 @@
     CHECK_FALSE(placement.onTime);
 }
 
+// Guards against a long prompt that cannot be on time and takes readers from others that can.
+TEST(Placement, aLateLongReadTakesSpareReadersOnly)
+{
+    struct Case
+    {
+        const char *name;
+        std::uint64_t tokens;
+        unsigned reading; ///< Of 20 endpoints.
+        PlacementOutcome expected;
+    };
+    const Case cases[] = {
+            {"long, all are idle", 300'000, 0, PlacementOutcome::Send},
+            {"long, some are idle", 300'000, 15, PlacementOutcome::Send},
+            {"long, few are idle", 300'000, 16, PlacementOutcome::Never},
+            {"short, few are idle", 5000, 16, PlacementOutcome::Send},
+    };
+    for (const Case &entry : cases) {
+        std::vector<EndpointView> endpoints = idle(20);
+        for (unsigned i = 0; i < entry.reading; ++i)
+            endpoints[i].load.pendingRead = FloatMillis(100);
+        PlacementRequest late = longPrompt(entry.tokens);
+        late.untilObjective = Millis(-100);
+        CHECK_TRUE_TEXT(placeStream(late, engine, endpoints).outcome == entry.expected, entry.name);
+    }
+}
+
+TEST(Placement, theBacklogIsTheMeanOfWhatEndpointsStillRead)
+{
+    DOUBLES_EQUAL(0, meanBacklog({}).count(), 0.1);
+    std::vector<EndpointView> endpoints = idle(4);
+    endpoints[0].load.pendingRead = FloatMillis(1000);
+    endpoints[1].load.pendingRead = FloatMillis(200);
+    endpoints[1].pace = 3;
+    DOUBLES_EQUAL(400, meanBacklog(endpoints).count(), 0.1);
+}
+
 TEST(Placement, callsGoToTheEndpointWithTheLeastWork)
 {
     std::vector<EndpointView> endpoints = {view(1), view(2), view(3)};
