--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -214,6 +214,15 @@
     CHECK_TRUE(table.digest() == other.digest());
     other.remove("c");
     CHECK_TRUE(table.digest() != other.digest());
+    other.update(endpoint("c"), kStart);
+    CHECK_TRUE(table.digest() == other.digest());
+    EndpointRecord moved = endpoint("a");
+    moved.address.port = 81;
+    other.update(moved, kStart);
+    CHECK_TRUE(table.digest() != other.digest());
+    for (std::size_t group = 0; group < kEndpointGroups; ++group)
+        CHECK_EQUAL(group != endpointGroup("a"),
+                    table.groupDigests()[group] == other.groupDigests()[group]);
 }
 
 TEST(GatewayEndpoints, failuresSuspendForGrowingTimesWithAFloor)
--- a/tests/unit/gatewaypeers_test.cpp
+++ b/tests/unit/gatewaypeers_test.cpp
@@ -102,7 +102,7 @@
         return condition();
     }
 
-    void run(Millis time)
+    void serveFor(Millis time)
     {
         runUntil([] { return false; }, time);
     }
@@ -130,7 +130,7 @@
         }
         CHECK_TRUE_TEXT(runUntil([&] { return allHaveConfig(1) && duties() == count; }),
                         "all know the configuration and each other");
-        run(Millis(700));
+        serveFor(Millis(700));
     }
 
     void putEndpoint(unsigned number)
