Keep one copy of what the gateway and its tests wrote twice

Behaviour stays as it is.

- One writeReady for both ends of a connection, one list of parser callbacks, one reader of log_level, one datagram frame in the mesh, one place that applies a difference of the configuration.
- The digest of endpoints is changed by one function, and no longer computed twice for a record that changed nothing.
- The version in force is asked of the history instead of being derived beside it.
- Tests: one loop that runs a context until a condition holds, one cost model of the users' engines.

--- a/src/config/fold.cpp
+++ b/src/config/fold.cpp
@@ -1,11 +1,11 @@
 #include "config/fold.h"
 
+#include "base/number.h"
 #include "config/codec.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 
 namespace cicadafork {
@@ -72,16 +72,14 @@
 
 Problem readNumber(const std::string &field, const std::string &text, bool zeroAllowed, double &out)
 {
-    double number = 0;
-    const char *end = text.data() + text.size();
-    const auto [rest, error] = std::from_chars(text.data(), end, number);
-    const bool valid = error == std::errc() && rest == end && std::isfinite(number)
-                       && (number > 0 || (zeroAllowed && number == 0));
+    const auto number = parseNumber<double>(text);
+    const bool valid
+            = number && std::isfinite(*number) && (*number > 0 || (zeroAllowed && *number == 0));
     if (!valid) {
         return invalid(fmt::format("{} cannot be '{}'; it is {}", field, text, out),
                        zeroAllowed ? "give a number of at least 0" : "give a number above 0");
     }
-    out = number;
+    out = *number;
     return std::nullopt;
 }
 
--- a/src/frontend/callerrequest.cpp
+++ b/src/frontend/callerrequest.cpp
@@ -3,11 +3,11 @@
 #include "base/hash.h"
 #include "base/ids.h"
 #include "base/json.h"
+#include "base/number.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 
 namespace cicadafork {
 
@@ -28,15 +28,6 @@
               });
 }
 
-std::optional<std::uint64_t> parseNumber(const std::string &text)
-{
-    std::uint64_t value = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
-        return std::nullopt;
-    return value;
-}
-
 Problem badHeader(const char *name, std::string remedy)
 {
     return invalidInput("invalid-header", fmt::format("the header {} is wrong", name),
@@ -49,7 +40,7 @@
     timeout = timing.defaultRequestTimeout;
     if (!request.has_header("X-Request-Timeout-Ms"))
         return std::nullopt;
-    const auto value = parseNumber(request.get_header_value("X-Request-Timeout-Ms"));
+    const auto value = parseNumber<std::uint64_t>(request.get_header_value("X-Request-Timeout-Ms"));
     const auto maximum = static_cast<std::uint64_t>(timing.maxRequestTimeout.count());
     if (!value || *value == 0 || *value > maximum) {
         return badHeader("X-Request-Timeout-Ms",
@@ -67,7 +58,7 @@
             return badHeader("X-Priority", "send urgent, normal or background");
     }
     if (request.has_header("Last-Event-ID")) {
-        context.lastEventId = parseNumber(request.get_header_value("Last-Event-ID"));
+        context.lastEventId = parseNumber<std::uint64_t>(request.get_header_value("Last-Event-ID"));
         if (!context.lastEventId || !request.has_header("X-Request-Id")) {
             return badHeader("Last-Event-ID", "send the id of the last event received, together "
                                               "with the X-Request-Id of the broken request");
@@ -77,7 +68,7 @@
     if (request.has_header("Idempotency-Key") && !uuidV7Time(context.idempotencyKey))
         return badHeader("Idempotency-Key", "send a UUIDv7");
     if (request.has_header("X-Attempt")) {
-        const auto attempt = parseNumber(request.get_header_value("X-Attempt"));
+        const auto attempt = parseNumber<std::uint64_t>(request.get_header_value("X-Attempt"));
         if (!attempt || *attempt == 0)
             return badHeader("X-Attempt", "send 1 for the first attempt with a key, 2 and more for "
                                           "repeated ones");
--- a/src/gateway/confighistory.h
+++ b/src/gateway/confighistory.h
@@ -31,8 +31,6 @@
     void add(std::uint64_t version, std::string text);
 
     std::uint64_t newest() const { return texts_.empty() ? 0 : texts_.back().version; }
-    /// The version before the newest; 0 without one.
-    std::uint64_t previous() const { return texts_.size() < 2 ? 0 : texts_.rbegin()[1].version; }
     const std::string &newestText() const;
 
     /// Nothing when the base is not among the versions that are kept.
--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -73,28 +73,18 @@
 
 EndpointChange EndpointTable::update(const EndpointRecord &record, TimePoint now)
 {
-    const auto before = rows_.find(record.id);
-    if (before != rows_.end())
-        takeFromDigest(before->second);
+    const auto found = rows_.find(record.id);
+    const std::uint64_t before = found == rows_.end() ? 0 : digestOf(found->second);
     const EndpointChange change = apply(record, now);
-    const auto after = rows_.find(record.id);
-    if (after != rows_.end())
-        addToDigest(after->second);
+    if (change != EndpointChange::None)
+        changeDigest(record.id, digestOf(rows_.at(record.id)) - before);
     return change;
 }
 
-void EndpointTable::addToDigest(const EndpointRow &row)
-{
-    const std::uint64_t part = digestOf(row);
-    digest_ += part;
-    groupSums_[endpointGroup(row.record.id)] += part;
-}
-
-void EndpointTable::takeFromDigest(const EndpointRow &row)
+void EndpointTable::changeDigest(const std::string &id, std::uint64_t by)
 {
-    const std::uint64_t part = digestOf(row);
-    digest_ -= part;
-    groupSums_[endpointGroup(row.record.id)] -= part;
+    digest_ += by;
+    groupSums_[endpointGroup(id)] += by;
 }
 
 GroupDigests EndpointTable::groupDigests() const
@@ -144,7 +134,7 @@
     const auto found = rows_.find(id);
     if (found == rows_.end())
         return EndpointChange::None;
-    takeFromDigest(found->second);
+    changeDigest(id, 0 - digestOf(found->second));
     idByKey_.erase(found->second.key);
     rows_.erase(found);
     return EndpointChange::Gone;
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -80,9 +80,8 @@
 
 private:
     EndpointChange apply(const EndpointRecord &record, TimePoint now);
-    /// Digests are sums, so that an endpoint's share is added and taken off in constant time.
-    void addToDigest(const EndpointRow &row);
-    void takeFromDigest(const EndpointRow &row);
+    /// Digests are sums, so that the share of an endpoint changes in constant time.
+    void changeDigest(const std::string &id, std::uint64_t by);
 
     /// Endpoints of a failure domain that could not be reached since one of them last answered.
     struct Unreachable
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -85,8 +85,8 @@
     , mesh_(context, meshOptions(settings_, incarnation_), board_,
             {.status =
                      [this] {
-                         return MeshStatus{config_ ? config_->version : 0, sharedPosition(),
-                                           endpoints_.digest(), draining_, storeLost_};
+                         return MeshStatus{configs_.newest(), sharedPosition(), endpoints_.digest(),
+                                           draining_, storeLost_};
                      },
              .loadChanged = [this] { pumpSoon(); },
              .peerChanged = [this](const PeerInfo &peer) { onPeer(peer); },
@@ -208,7 +208,7 @@
                  {{"request", fields.requestId},
                   {"status", std::to_string(status)},
                   {"reason", reason},
-                  {"config", std::to_string(config_ ? config_->version : 0)}});
+                  {"config", std::to_string(configs_.newest())}});
         counters_.outcome(reason).Increment();
         caller->respond(status, protocol_.ownAnswer(fields.requestId, retryAfter), {});
         return nullptr;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -122,6 +122,7 @@
     void onPeerHeard(const PeerInfo &peer);
     void onEndpointNews(const PeerInfo &peer, const std::vector<EndpointNews> &news);
     void onConfigNews(const PeerInfo &peer, const ConfigChange &change);
+    void applyConfigChange(const ConfigChange &change, const std::string &peer);
     /// May be cut off from all peers, and so from the readers: reads the store itself.
     void onAlone();
     /// The first reads of the store are still to be expected.
--- a/src/gateway/gatewayknowledge.cpp
+++ b/src/gateway/gatewayknowledge.cpp
@@ -47,7 +47,7 @@
                  {{"source", source}, {"error", decoded.error().message}});
         return false;
     }
-    const std::uint64_t before = config_ ? config_->version : 0;
+    const std::uint64_t before = configs_.newest();
     if (config_ && decoded->version <= before)
         return false;
     config_ = std::make_shared<const RoutingConfig>(std::move(*decoded));
@@ -259,12 +259,9 @@
 
 void Gateway::onPeer(const PeerInfo &peer)
 {
-    const char *event = !peer.alive     ? "peer_down"
-                        : peer.leaving  ? "peer_leaving"
-                        : peer.returned ? "peer_up"
-                                        : "peer_met";
-    const bool routine = peer.alive && !peer.leaving && !peer.returned;
-    logEvent(routine ? LogLevel::Debug : LogLevel::Info, event,
+    const bool met = peer.alive && !peer.leaving && !peer.returned;
+    const char *event = !peer.alive ? "peer_down" : peer.leaving ? "peer_leaving" : "peer_up";
+    logEvent(met ? LogLevel::Debug : LogLevel::Info, met ? "peer_met" : event,
              {{"peer", peer.name},
               {"failure_domain", peer.failureDomain},
               {"config", std::to_string(peer.configVersion)}});
@@ -301,7 +298,7 @@
     json["member"] = settings_.member;
     json["ready"] = ready();
     json["draining"] = draining_;
-    json["config_version"] = config_ ? config_->version : 0;
+    json["config_version"] = configs_.newest();
     json["store"] = {{"reached", storeReached_},
                      {"endpoints_position", endpointFollower_.position()},
                      {"last_contact_ms_ago", age(endpointFollower_.lastContact())}};
--- a/src/gateway/gatewaysharing.cpp
+++ b/src/gateway/gatewaysharing.cpp
@@ -1,6 +1,7 @@
 // What the gateway takes from its peers and hands to them.
 
 #include "base/log.h"
+#include "base/number.h"
 #include "gateway/gateway.h"
 #include "gateway/meshwire.h"
 
@@ -8,7 +9,6 @@
 #include <capnp/serialize.h>
 #include <fmt/format.h>
 
-#include <charconv>
 #include <cstring>
 #include <set>
 
@@ -48,15 +48,6 @@
     return target.substr(0, target.find('&'));
 }
 
-template <class Number>
-Number numberOr(std::string_view text, Number otherwise, int base = 10)
-{
-    Number number = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, number, base);
-    return parsed.ec == std::errc() && parsed.ptr == end ? number : otherwise;
-}
-
 std::string toHex(const GroupDigests &digests)
 {
     std::string text;
@@ -73,7 +64,7 @@
         const bool named = text.size() == kEndpointGroups * kHexPerGroup;
         const std::string_view theirs
                 = named ? text.substr(i * kHexPerGroup, kHexPerGroup) : std::string_view();
-        if (numberOr<std::uint32_t>(theirs, ~own[i], 16) != own[i])
+        if (parseNumber<std::uint32_t>(theirs, 16) != own[i])
             groups.insert(static_cast<std::uint8_t>(i));
     }
     return groups;
@@ -101,13 +92,18 @@
     const std::uint64_t known = configs_.newest();
     if (change.version <= known || change.base != known)
         return;
+    applyConfigChange(change, peer.name);
+}
+
+void Gateway::applyConfigChange(const ConfigChange &change, const std::string &peer)
+{
     const auto text = capture([&] { return configs_.apply(change); });
     if (text) {
         applyConfig(*text, kFromPeer);
         return;
     }
     logEvent(LogLevel::Warning, "configuration_change_unusable",
-             {{"peer", peer.name},
+             {{"peer", peer},
               {"version", std::to_string(change.version)},
               {"error", text.error().message}});
 }
@@ -204,8 +200,9 @@
         caller->respond(503, std::move(headers), {});
         return;
     }
-    std::string body = sharedState(numberOr<std::uint64_t>(parameter(target, kConfigParameter), 0),
-                                   parameter(target, kGroupsParameter));
+    std::string body = sharedState(
+            parseNumber<std::uint64_t>(parameter(target, kConfigParameter)).value_or(0),
+            parameter(target, kGroupsParameter));
     sharedBytes_ += body.size();
     headers.add("Content-Type", "application/octet-stream");
     caller->respond(200, std::move(headers), std::move(body));
@@ -253,17 +250,10 @@
         capnp::FlatArrayMessageReader reader(kj::arrayPtr(words.data(), words.size()), options);
         const auto root = reader.getRoot<wire::SharedState>();
         if (root.getConfigVersion() > configs_.newest()) {
-            if (root.hasConfigChange()) {
-                const ConfigChange change = readConfigChange(root.getConfigChange());
-                const auto text = capture([&] { return configs_.apply(change); });
-                if (text)
-                    applyConfig(*text, kFromPeer);
-                else
-                    logEvent(LogLevel::Warning, "configuration_change_unusable",
-                             {{"peer", peer}, {"error", text.error().message}});
-            } else {
+            if (root.hasConfigChange())
+                applyConfigChange(readConfigChange(root.getConfigChange()), peer);
+            else
                 applyConfig(root.getConfigText(), kFromPeer);
-            }
         }
         const bool readsItself = firstReader_ && endpointsKnown_ && !storeAway();
         if (root.getEndpointsPosition() <= endpointsPosition() || readsItself)
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -101,6 +101,17 @@
     return &peers_.emplace(ip, std::move(info)).first->second;
 }
 
+template <class Fill>
+void Mesh::tellPeers(Fill fill)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::Datagram>();
+    fillStatus(root, options_, hooks_.status());
+    fill(root);
+    std::string bytes = toBytes(message);
+    sendToPeers(bytes);
+}
+
 void Mesh::placed(const Job &job)
 {
     newestJob_ = std::max(newestJob_, job.id.number);
@@ -152,41 +163,35 @@
     batch_ = {};
     if (peers_.empty() || (batch.jobs.empty() && batch.started.empty() && batch.ended.empty()))
         return;
-    capnp::MallocMessageBuilder message;
-    auto root = message.initRoot<wire::Datagram>();
-    fillStatus(root, options_, hooks_.status());
     const TimePoint now = steadyNow();
-    auto jobs = root.initJobs(static_cast<unsigned>(batch.jobs.size()));
-    for (unsigned i = 0; i < batch.jobs.size(); ++i)
-        fillJob(jobs[i], batch.jobs[i], now);
-    auto started = root.initStarted(static_cast<unsigned>(batch.started.size()));
-    for (unsigned i = 0; i < batch.started.size(); ++i)
-        started.set(i, batch.started[i]);
-    auto ended = root.initEnded(static_cast<unsigned>(batch.ended.size()));
-    for (unsigned i = 0; i < batch.ended.size(); ++i)
-        ended.set(i, batch.ended[i]);
-    std::string bytes = toBytes(message);
-    sendToPeers(bytes);
+    tellPeers([&](wire::Datagram::Builder root) {
+        auto jobs = root.initJobs(static_cast<unsigned>(batch.jobs.size()));
+        for (unsigned i = 0; i < batch.jobs.size(); ++i)
+            fillJob(jobs[i], batch.jobs[i], now);
+        auto started = root.initStarted(static_cast<unsigned>(batch.started.size()));
+        for (unsigned i = 0; i < batch.started.size(); ++i)
+            started.set(i, batch.started[i]);
+        auto ended = root.initEnded(static_cast<unsigned>(batch.ended.size()));
+        for (unsigned i = 0; i < batch.ended.size(); ++i)
+            ended.set(i, batch.ended[i]);
+    });
 }
 
 void Mesh::endpointsChanged(const std::vector<EndpointNews> &news)
 {
     for (std::size_t next = 0; next < news.size(); next += kNewsPerDatagram) {
         const std::size_t count = std::min(kNewsPerDatagram, news.size() - next);
-        capnp::MallocMessageBuilder message;
-        auto root = message.initRoot<wire::Datagram>();
-        fillStatus(root, options_, hooks_.status());
-        auto list = root.initEndpointChanges(static_cast<unsigned>(count));
-        for (std::size_t i = 0; i < count; ++i) {
-            const EndpointNews &item = news[next + i];
-            auto entry = list[static_cast<unsigned>(i)];
-            entry.setId(item.id);
-            entry.setGone(!item.record);
-            if (item.record)
-                fillEndpoint(entry, *item.record);
-        }
-        std::string bytes = toBytes(message);
-        sendToPeers(bytes);
+        tellPeers([&](wire::Datagram::Builder root) {
+            auto list = root.initEndpointChanges(static_cast<unsigned>(count));
+            for (std::size_t i = 0; i < count; ++i) {
+                const EndpointNews &item = news[next + i];
+                auto entry = list[static_cast<unsigned>(i)];
+                entry.setId(item.id);
+                entry.setGone(!item.record);
+                if (item.record)
+                    fillEndpoint(entry, *item.record);
+            }
+        });
     }
 }
 
@@ -196,12 +201,9 @@
         announce();
         return;
     }
-    capnp::MallocMessageBuilder message;
-    auto root = message.initRoot<wire::Datagram>();
-    fillStatus(root, options_, hooks_.status());
-    fillConfigChange(root.initConfigChange(), change);
-    std::string bytes = toBytes(message);
-    sendToPeers(bytes);
+    tellPeers([&](wire::Datagram::Builder root) {
+        fillConfigChange(root.initConfigChange(), change);
+    });
 }
 
 void Mesh::beat()
@@ -331,7 +333,6 @@
     for (const auto &[ip, peer] : peers_) {
         if (peer.alive && peer.failureDomain == options_.failureDomain && ip != origin) {
             send(message, ip);
-            ++counters_.passedOn;
         }
     }
 }
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -105,7 +105,6 @@
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
     std::uint64_t unreadable = 0;
-    std::uint64_t passedOn = 0;
 };
 
 class Mesh
@@ -133,8 +132,6 @@
 
     const std::map<std::string, PeerInfo> &peers() const { return peers_; }
     std::size_t alivePeers() const;
-    /// When any peer was heard last.
-    TimePoint lastHeard() const { return lastHeard_; }
     /// Peers of a failure domain are known, and none of them was heard lately.
     bool seemsCutOff(const std::string &failureDomain) const;
     const MeshCounters &counters() const { return counters_; }
@@ -156,6 +153,9 @@
     void sendFullList(bool toAll, const std::string &ip, bool wantsReply);
     void send(std::string_view message, const std::string &ip);
     void sendToPeers(std::string &message);
+    /// Sends all peers the status and what fill adds to the datagram.
+    template <class Fill>
+    void tellPeers(Fill fill);
     void sendToSilent(const std::string &message);
     void passOn(std::uint8_t *data, std::size_t size, const std::string &origin);
     void checkPeers(TimePoint now);
@@ -177,7 +177,7 @@
     std::uint32_t newestJob_ = 0;
     unsigned beats_ = 0;
     unsigned delegateTurn_ = 0;
-    TimePoint lastHeard_{};
+    TimePoint lastHeard_{}; ///< Of any peer.
     MeshCounters counters_;
 };
 
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -62,11 +62,7 @@
     std::size_t metricsPort = settings.metricsPort;
     root.size("metrics_port", metricsPort, 0, 65'535);
     settings.metricsPort = static_cast<std::uint16_t>(metricsPort);
-    root.choice("log_level", settings.logLevel,
-                {{"debug", LogLevel::Debug},
-                 {"info", LogLevel::Info},
-                 {"warning", LogLevel::Warning},
-                 {"error", LogLevel::Error}});
+    readLogLevel(root, settings.logLevel);
     root.reportUnknownKeys();
     return settings;
 }
--- a/src/http/address.cpp
+++ b/src/http/address.cpp
@@ -1,10 +1,10 @@
 #include "http/address.h"
 
+#include "base/number.h"
+
 #include <asio/ip/address_v4.hpp>
 #include <fmt/format.h>
 
-#include <charconv>
-
 namespace cicadafork {
 
 Result<Address> parseAddress(std::string_view text)
@@ -13,16 +13,12 @@
     if (colon != std::string_view::npos) {
         const std::string ip(text.substr(0, colon));
         const std::string_view portText = text.substr(colon + 1);
-        unsigned port = 0;
-        const auto parsed
-                = std::from_chars(portText.data(), portText.data() + portText.size(), port);
+        const auto port = parseNumber<unsigned>(portText);
         asio::error_code invalidIp;
         asio::ip::make_address_v4(ip, invalidIp);
-        const bool portIsValid = parsed.ec == std::errc()
-                                 && parsed.ptr == portText.data() + portText.size() && port >= 1
-                                 && port <= 65535;
+        const bool portIsValid = port && *port >= 1 && *port <= 65535;
         if (!invalidIp && portIsValid)
-            return Address{ip, static_cast<std::uint16_t>(port)};
+            return Address{ip, static_cast<std::uint16_t>(*port)};
     }
     return fail(ErrorCode::InvalidArgument, fmt::format("'{}' is not an address", text),
                 "write an IPv4 address and a port, for example 127.0.0.1:8080");
--- a/src/net/parser.cpp
+++ b/src/net/parser.cpp
@@ -29,6 +29,21 @@
     lastWasValue = true;
 }
 
+/// What both directions report; requests add their target.
+http_parser_settings messageCallbacks(http_data_cb field, http_data_cb value,
+                                      http_cb headersComplete, http_data_cb body,
+                                      http_cb messageComplete)
+{
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_header_field = field;
+    settings.on_header_value = value;
+    settings.on_headers_complete = headersComplete;
+    settings.on_body = body;
+    settings.on_message_complete = messageComplete;
+    return settings;
+}
+
 bool isTokenCharacter(char character)
 {
     const bool letter = (character >= 'a' && character <= 'z')
@@ -134,18 +149,16 @@
 {
     auto &self = *static_cast<RequestParser *>(parser->data);
     // Trailers of a chunked body are dropped: nothing that was decided on the head may change.
-    if (self.parser_.flags & F_TRAILING)
-        return self.countHeaderBytes(length) ? kContinue : kStop;
-    addName(self.request_.headers, self.lastWasValue_, at, length);
+    if (!(parser->flags & F_TRAILING))
+        addName(self.request_.headers, self.lastWasValue_, at, length);
     return self.countHeaderBytes(length) ? kContinue : kStop;
 }
 
 int RequestParser::onValue(http_parser *parser, const char *at, std::size_t length)
 {
     auto &self = *static_cast<RequestParser *>(parser->data);
-    if (self.parser_.flags & F_TRAILING)
-        return self.countHeaderBytes(length) ? kContinue : kStop;
-    addValue(self.request_.headers, self.lastWasValue_, at, length);
+    if (!(parser->flags & F_TRAILING))
+        addValue(self.request_.headers, self.lastWasValue_, at, length);
     return self.countHeaderBytes(length) ? kContinue : kStop;
 }
 
@@ -186,14 +199,9 @@
 const http_parser_settings &RequestParser::callbacks()
 {
     static const http_parser_settings settings = [] {
-        http_parser_settings value;
-        http_parser_settings_init(&value);
+        http_parser_settings value
+                = messageCallbacks(onField, onValue, onHeadersComplete, onBody, onMessageComplete);
         value.on_url = onUrl;
-        value.on_header_field = onField;
-        value.on_header_value = onValue;
-        value.on_headers_complete = onHeadersComplete;
-        value.on_body = onBody;
-        value.on_message_complete = onMessageComplete;
         return value;
     }();
     return settings;
@@ -299,16 +307,8 @@
 
 const http_parser_settings &ResponseParser::callbacks()
 {
-    static const http_parser_settings settings = [] {
-        http_parser_settings value;
-        http_parser_settings_init(&value);
-        value.on_header_field = onField;
-        value.on_header_value = onValue;
-        value.on_headers_complete = onHeadersComplete;
-        value.on_body = onBody;
-        value.on_message_complete = onMessageComplete;
-        return value;
-    }();
+    static const http_parser_settings settings
+            = messageCallbacks(onField, onValue, onHeadersComplete, onBody, onMessageComplete);
     return settings;
 }
 
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -202,17 +202,10 @@
 {
     if (writing_ || !socket_.is_open())
         return;
-    while (written_ < output_.size()) {
-        asio::error_code error;
-        const std::size_t count = socket_.write_some(
-                asio::buffer(output_.data() + written_, output_.size() - written_), error);
-        written_ += count;
-        if (error == asio::error::would_block)
-            break;
-        if (error) {
-            leave();
-            return;
-        }
+    const asio::error_code error = writeReady(socket_, output_, written_);
+    if (error && error != asio::error::would_block) {
+        leave();
+        return;
     }
     if (written_ == output_.size()) {
         output_.clear();
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -1,5 +1,7 @@
 #include "net/sockets.h"
 
+#include <asio/buffer.hpp>
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -39,4 +41,14 @@
     setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
 }
 
+asio::error_code writeReady(asio::ip::tcp::socket &socket, const std::string &output,
+                            std::size_t &written)
+{
+    asio::error_code error;
+    while (!error && written < output.size())
+        written += socket.write_some(asio::buffer(output.data() + written, output.size() - written),
+                                     error);
+    return error;
+}
+
 } // namespace cicadafork
--- a/src/net/sockets.h
+++ b/src/net/sockets.h
@@ -8,6 +8,9 @@
 
 #include <asio/ip/tcp.hpp>
 
+#include <cstddef>
+#include <string>
+
 namespace cicadafork {
 
 struct SocketTuning
@@ -26,4 +29,9 @@
 /// refuses an option has been closed, which the next operation reports.
 void tuneSocket(asio::ip::tcp::socket &socket, SocketTuning tuning);
 
+/// Writes what the socket takes at once, from written on, which moves along. Ends with would_block
+/// when some is left and the socket takes no more, or with the error of the connection.
+asio::error_code writeReady(asio::ip::tcp::socket &socket, const std::string &output,
+                            std::size_t &written);
+
 } // namespace cicadafork
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -62,7 +62,6 @@
         inCall_ = true;
         parser_.reset();
         if (socket_.is_open()) {
-            ++pool_.counters_.reused;
             // Not from within call(): handlers must not run before the caller holds the call.
             asio::post(pool_.context_, [self = shared_from_this()] { self->send(); });
             return number;
@@ -107,7 +106,6 @@
 private:
     void connect()
     {
-        ++pool_.counters_.connections;
         timer_.expires_after(pool_.options_.connectTimeout);
         timer_.async_wait([weak = weak_from_this()](const asio::error_code &error) {
             const auto self = weak.lock();
@@ -135,18 +133,10 @@
         if (!inCall_)
             return;
         armRead();
-        while (written_ < output_.size()) {
-            asio::error_code error;
-            written_ += socket_.write_some(
-                    asio::buffer(output_.data() + written_, output_.size() - written_), error);
-            if (error == asio::error::would_block) {
-                armWrite();
-                return;
-            }
-            // The server may have answered and closed; the answer is read before the end counts.
-            if (error)
-                return;
-        }
+        // On another error the server may have answered and closed; the answer is read before the
+        // end counts.
+        if (writeReady(socket_, output_, written_) == asio::error::would_block)
+            armWrite();
     }
 
     void armWrite()
@@ -183,8 +173,6 @@
         }
         if (!inCall_) {
             // An idle connection that ends, or that carries an answer nobody waits for.
-            if (!error)
-                ++pool_.counters_.strayAnswers;
             pool_.dropIdle(*this);
             close();
             return;
@@ -226,7 +214,6 @@
                 complete(bytes.size());
                 return;
             }
-            ++pool_.counters_.strayAnswers;
             skipping_ = false;
             parser_.reset();
         }
@@ -235,8 +222,6 @@
 
     void complete(std::size_t bytesLeft)
     {
-        if (bytesLeft > 0)
-            ++pool_.counters_.strayAnswers;
         // A request that is not fully sent would run into the next one.
         reusable_ = parser_.keepAlive() && bytesLeft == 0 && written_ == output_.size();
         end(UpstreamEnd::Complete);
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -99,13 +99,6 @@
     std::uint64_t number_; ///< Of this call among those of the connection.
 };
 
-struct UpstreamCounters
-{
-    std::uint64_t connections = 0;
-    std::uint64_t reused = 0;
-    std::uint64_t strayAnswers = 0; ///< Answers of other requests, and bytes after an answer.
-};
-
 class UpstreamPool
 {
 public:
@@ -122,8 +115,6 @@
     /// Closes idle connections to an address, for example of a server that has gone.
     void forget(const Address &address);
 
-    const UpstreamCounters &counters() const { return counters_; }
-
 private:
     friend class UpstreamConnection;
 
@@ -133,7 +124,6 @@
 
     asio::io_context &context_;
     UpstreamOptions options_;
-    UpstreamCounters counters_;
     /// By address as text.
     std::unordered_map<std::string, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
     std::array<char, 64 * 1024> scratch_;
--- a/src/query/resulttable.cpp
+++ b/src/query/resulttable.cpp
@@ -1,29 +1,20 @@
 #include "query/resulttable.h"
 
+#include "base/number.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 
 namespace cicadafork {
 
 namespace {
 
-std::optional<double> toNumber(const std::string &text)
-{
-    double value = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, value);
-    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end)
-        return std::nullopt;
-    return value;
-}
-
 /// Negative, zero or positive like strcmp.
 int compareValues(const std::string &left, const std::string &right)
 {
-    const auto leftNumber = toNumber(left);
-    const auto rightNumber = toNumber(right);
+    const auto leftNumber = parseNumber<double>(left);
+    const auto rightNumber = parseNumber<double>(right);
     if (leftNumber && rightNumber)
         return *leftNumber < *rightNumber ? -1 : (*leftNumber > *rightNumber ? 1 : 0);
     return left.compare(right);
--- a/src/query/statement.cpp
+++ b/src/query/statement.cpp
@@ -1,10 +1,11 @@
 #include "query/statement.h"
 
+#include "base/number.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace cicadafork {
 
@@ -180,14 +181,12 @@
     Result<std::uint64_t> takeNumber(std::string_view what)
     {
         BOOST_LEAF_AUTO(token, take(what, "write a whole number"));
-        std::uint64_t value = 0;
-        const char *end = token.text.data() + token.text.size();
-        const auto parsed = std::from_chars(token.text.data(), end, value);
-        if (parsed.ec != std::errc() || parsed.ptr != end) {
+        const auto value = parseNumber<std::uint64_t>(token.text);
+        if (!value) {
             return failAt(token.column, fmt::format("'{}' is not a number", token.text),
                           "write a whole number");
         }
-        return value;
+        return *value;
     }
 
     Result<void> expectEnd()
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -168,11 +168,7 @@
                             "'operator_credential_sha256' is not a SHA-256 hash",
                             "write 64 lower-case hex digits, as sha256sum prints them"});
     }
-    root.choice("log_level", settings.logLevel,
-                {{"debug", LogLevel::Debug},
-                 {"info", LogLevel::Info},
-                 {"warning", LogLevel::Warning},
-                 {"error", LogLevel::Error}});
+    readLogLevel(root, settings.logLevel);
     root.reportUnknownKeys();
     checkAddresses(settings, root, problems);
     checkRetention(settings, root, problems);
--- a/src/settings/settingsreader.cpp
+++ b/src/settings/settingsreader.cpp
@@ -209,6 +209,15 @@
     }
 }
 
+void readLogLevel(SectionReader &root, LogLevel &target)
+{
+    root.choice("log_level", target,
+                {{"debug", LogLevel::Debug},
+                 {"info", LogLevel::Info},
+                 {"warning", LogLevel::Warning},
+                 {"error", LogLevel::Error}});
+}
+
 Result<void>
 readSettingsText(const std::string &text, const std::string &name,
                  const std::function<void(const YAML::Node &, SettingsProblems &)> &read)
--- a/src/settings/settingsreader.h
+++ b/src/settings/settingsreader.h
@@ -7,6 +7,7 @@
 //   limits.reportUnknownKeys();
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "http/address.h"
 #include "settings/settingsdescription.h"
 
@@ -100,6 +101,9 @@
     std::vector<std::string> known_;
 };
 
+/// Reads log_level: debug, info, warning or error.
+void readLogLevel(SectionReader &root, LogLevel &target);
+
 /// Parses YAML and lets a function read it; fails with InvalidArgument when there are problems. The
 /// message has one line for each, in the order of the file; name stands for the file.
 Result<void>
--- a/tests/support/eventually.h
+++ b/tests/support/eventually.h
@@ -1,11 +1,14 @@
 #pragma once
 
-// Waits for a condition that another thread or process makes true.
+// Waits for a condition that another thread or process makes true, or work on an event loop.
 //
 //   CHECK_TRUE(eventually(Millis(2000), [&] { return engine.liveTokens() == 0; }));
+//   CHECK_TRUE(eventually(context, Millis(2000), [&] { return gateway.ready(); }));
 
 #include "base/clock.h"
 
+#include <asio/io_context.hpp>
+
 #include <thread>
 
 namespace cicadafork::test {
@@ -25,4 +28,16 @@
     }
 }
 
+/// The same while this thread runs the loop.
+template <class Predicate>
+bool eventually(asio::io_context &context, Millis timeout, Predicate predicate)
+{
+    constexpr Millis kTurn{5};
+    const TimePoint limit = steadyNow() + timeout;
+    context.restart();
+    while (!predicate() && steadyNow() < limit)
+        context.run_one_for(kTurn);
+    return predicate();
+}
+
 } // namespace cicadafork::test
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -5,6 +5,7 @@
 #include "platform/orderclient.h"
 #include "platform/records.h"
 #include "platform/storeclient.h"
+#include "support/eventually.h"
 #include "support/network.h"
 #include "support/platformstandin.h"
 
@@ -96,11 +97,7 @@
     template <class Condition>
     bool runUntil(Condition condition, Millis limit = kLimit)
     {
-        const TimePoint end = steadyNow() + limit;
-        context.restart();
-        while (!condition() && steadyNow() < end)
-            context.run_one_for(Millis(5));
-        return condition();
+        return eventually(context, limit, condition);
     }
 
     ReplicaStandin &addReplica(const std::string &service)
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/loadboard.h"
 #include "gateway/placement.h"
+#include "support/usersengine.h"
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
@@ -15,21 +16,6 @@
 
 namespace {
 
-/// The engines of both users' sites.
-EngineModel engineModel()
-{
-    EngineModel engine;
-    engine.slots = 16;
-    engine.memoryTokens = 450'000;
-    engine.stride = 46;
-    engine.step = FloatMillis(0.925);
-    engine.stepPerSequence = FloatMillis(0.00483);
-    engine.stepPerThousandContext = FloatMillis(0.00254);
-    engine.readTokensPerMs = 256;
-    engine.readPerMillionPairs = FloatMillis(0.0917);
-    return engine;
-}
-
 EndpointView view(EndpointKey key)
 {
     EndpointView endpoint;
@@ -82,7 +68,9 @@
 
 TEST_GROUP(Placement)
 {
-    const EngineModel engine = engineModel();
+    // The engines of both users' sites.
+    const EngineModel engine
+            = test::usersEngine({.slots = 16, .memoryTokens = 450'000, .stride = 46});
 };
 
 // The times that the users' notes give for one reader.
--- a/tests/unit/placementload_test.cpp
+++ b/tests/unit/placementload_test.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/loadboard.h"
 #include "gateway/placement.h"
+#include "support/usersengine.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -23,20 +24,6 @@
 // Endpoints go on with what has begun; nothing new comes.
 constexpr Millis kAfter{10'000};
 
-EngineModel engineModel()
-{
-    EngineModel engine;
-    engine.slots = kSlots;
-    engine.memoryTokens = 382'500;
-    engine.stride = 52;
-    engine.step = FloatMillis(0.925);
-    engine.stepPerSequence = FloatMillis(0.00483);
-    engine.stepPerThousandContext = FloatMillis(0.00254);
-    engine.readTokensPerMs = 256;
-    engine.readPerMillionPairs = FloatMillis(0.0917);
-    return engine;
-}
-
 struct Kind
 {
     double perSecond;
@@ -206,7 +193,8 @@
     }
 
     std::mt19937 random_;
-    EngineModel engine_ = engineModel();
+    EngineModel engine_
+            = test::usersEngine({.slots = kSlots, .memoryTokens = 382'500, .stride = 52});
     LoadBoard board_;
     TimePoint now_{};
     std::vector<Caller> waiting_;
