--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,7 +23,8 @@
 constexpr std::size_t kMaxExchanges = 2048;
 // Added to the time for which a store call itself may wait for records.
 constexpr Millis kStoreCallTimeout{900};
-constexpr Millis kMemberInterval{60'000};
+// Members learn of new ones from each other; this covers members whose messages are all lost.
+constexpr Millis kMemberInterval{300'000};
 // Retry-After of requests that arrive before there is a configuration.
 constexpr Millis kNoConfigRetryAfter{300};
 // The load balancer stops sending requests to an entry VM after two failed readiness checks, one
@@ -102,13 +103,14 @@
              .isolated = [this] { onIsolated(); }})
     , configFollower_(context, store_,
                       {.topic = layout_.configTopic,
-                       .wait = readScheduleFor(ReaderRole::Primary).configWait,
+                       .wait = readScheduleFor(ReaderRole::Standby).configWait,
+                       .interval = readScheduleFor(ReaderRole::Standby).configInterval,
                        .callTimeout = kStoreCallTimeout},
                       {[this](auto records) { onConfigRecords(records); },
                        [this](auto records) { onConfigRecords(records); }, [](bool) {}})
     , endpointFollower_(context, store_,
                         {.topic = layout_.endpointsTopic,
-                         .interval = readScheduleFor(ReaderRole::Primary).endpointInterval,
+                         .interval = readScheduleFor(ReaderRole::Standby).endpointInterval,
                          .callTimeout = kStoreCallTimeout},
                         {[this](auto records) { onEndpointSnapshot(records); },
                          [this](auto records) { onEndpointChanges(records); },
@@ -120,6 +122,7 @@
                       {[this](auto records) { onMemberRecords(records); },
                        [this](auto records) { onMemberRecords(records); }, [](bool) {}})
     , unconfirmedTimer_(context)
+    , roleTimer_(context)
     , callers_(context, callerOptions(settings_),
                [this](const auto &caller, HttpRequest request) {
                    onRequest(caller, std::move(request));
@@ -162,6 +165,11 @@
     endpointFollower_.start();
     memberFollower_.start();
     registerMember();
+    roleTimer_.expires_after(kRoleDelay);
+    roleTimer_.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            updateReaderRole();
+    });
     logEvent(LogLevel::Info, "started",
              {{"callers", toString(settings_.callers)},
               {"incarnation", fmt::format("{:016x}", incarnation_)}});
@@ -178,6 +186,11 @@
     return mesh_.alivePeerCount() + 1;
 }
 
+std::size_t Gateway::domainDaemonCount() const
+{
+    return mesh_.aliveDomainPeerCount() + 1;
+}
+
 Exchange *Gateway::find(std::uint64_t id)
 {
     const auto found = exchanges_.find(id);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -160,6 +160,8 @@
     void onControl(const std::shared_ptr<HttpServerConnection> &caller, const HttpRequest &request);
     Exchange *find(std::uint64_t id);
     std::size_t daemonCount() const;
+    /// Daemons in this failure domain, including this one.
+    std::size_t domainDaemonCount() const;
     void checkDrain();
 
     asio::io_context &context_;
@@ -184,7 +186,9 @@
     TopicFollower memberFollower_;
     bool endpointsKnown_ = false;
     bool storeReached_ = false;
-    bool storeLost_ = false; ///< The store was reached before and no longer is.
+    bool storeLost_ = false;  ///< The last read got no answer.
+    bool registered_ = false; ///< The store has this daemon's own member record.
+    TimePoint lastEarlyRetry_{};
     StoreOutage storeOutage_;
     std::uint64_t newestPeerPosition_ = 0;
     /// Endpoints whose records disappeared around an outage of the store; kept for a while, since
@@ -204,8 +208,9 @@
     std::size_t sharedBytes_ = 0; ///< Bytes of state sent to peers in the window.
     std::uint64_t positionFromPeers_ = 0;
     std::vector<EndpointUpdate> pendingUpdates_; ///< Read from the store, not yet sent to peers.
-    bool isPrimaryReader_ = true;                ///< Role in this failure domain.
-    bool announcesStoreChanges_ = true;          ///< Primary or secondary reader.
+    bool isPrimaryReader_ = false;               ///< Role in this failure domain.
+    bool announcesStoreChanges_ = false;         ///< Primary or secondary reader.
+    asio::steady_timer roleTimer_;
 
     AsyncHttpServer callers_;
     AsyncHttpServer readiness_;
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -23,6 +23,10 @@
 constexpr Millis kStoreSilenceLimit{1800};
 constexpr Millis kRegisterTimeout{1500};
 constexpr Millis kRegisterRetry{1000};
+// When a peer reaches the store again, a daemon that has lost it tries within this time.
+constexpr Millis kEarlyRetrySpread{1000};
+// Shortest time between two such attempts: the store may turn away this daemon and serve others.
+constexpr Millis kMinEarlyRetryInterval{5000};
 
 } // namespace
 
@@ -117,6 +121,8 @@
 
 void Gateway::updateReaderRole()
 {
+    if (steadyNow() - startedAt_ < kRoleDelay)
+        return;
     std::vector<ReaderCandidate> others;
     for (const auto &[ip, peer] : mesh_.peers()) {
         if (peer.alive && !peer.leaving && peer.failureDomain == settings_.failureDomain)
@@ -221,20 +227,30 @@
 
 void Gateway::onStoreContact(bool reached)
 {
-    if (reached == storeReached_)
+    if (reached ? storeReached_ : storeLost_)
         return;
+    const bool regained = reached && storeLost_;
     storeReached_ = reached;
     storeLost_ = !reached;
     if (reached)
         storeOutage_.noteReadSucceeded(steadyNow());
     else
         storeOutage_.noteReadFailed(steadyNow());
-    if (reached)
-        configFollower_.retryNow();
+    // The reads of the endpoints show when the store is available again; further calls would only
+    // add load.
+    for (TopicFollower *follower : {&configFollower_, &memberFollower_}) {
+        if (regained)
+            follower->resume();
+        else if (storeLost_)
+            follower->pause();
+    }
+    if (regained && !registered_)
+        registerMember();
     logEvent(reached ? LogLevel::Info : LogLevel::Warning, reached ? "store_reached" : "store_lost",
              {{"position", std::to_string(endpointFollower_.position())}});
     updateReaderRole();
-    mesh_.sendStatus();
+    if (regained || storeLost_)
+        mesh_.sendStatus();
 }
 
 bool Gateway::isStoreUnavailable() const
@@ -250,7 +266,8 @@
         return;
     store_.put(layout_.membersTopic, settings_.member, settings_.peers.ip, kRegisterTimeout,
                [this](StoreFailure failure) {
-                   if (failure == StoreFailure::None || draining_)
+                   registered_ = failure == StoreFailure::None;
+                   if (registered_ || draining_ || storeLost_)
                        return;
                    drainTimer_.expires_after(kRegisterRetry);
                    drainTimer_.async_wait([this](const asio::error_code &error) {
@@ -271,6 +288,13 @@
     updateReaderRole();
     if (!peer.alive)
         scheduleDispatch();
+    const TimePoint now = steadyNow();
+    const bool mayHaveReturned = storeLost_ && peer.alive && !peer.storeLost
+                                 && peer.failureDomain == settings_.failureDomain;
+    if (!mayHaveReturned || now - lastEarlyRetry_ < kMinEarlyRetryInterval)
+        return;
+    lastEarlyRetry_ = now;
+    endpointFollower_.retryWithin(kEarlyRetrySpread);
 }
 
 void Gateway::onControl(const std::shared_ptr<HttpServerConnection> &caller,
--- a/src/gateway/gatewaypeersync.cpp
+++ b/src/gateway/gatewaypeersync.cpp
@@ -30,7 +30,7 @@
 constexpr Millis kPullTimeout{600};
 // A configuration that no peer has provided by then is read from the store, since a change must be
 // in force within 2 s. Also the minimum time between two such reads.
-constexpr Millis kOwnReadDelay{400};
+constexpr Millis kOwnReadDelay{1000};
 // The store answers the first reads of a process within this time unless it is slow or unavailable.
 // Until then, nothing is pulled from peers.
 constexpr Millis kBootstrapGrace{400};
--- a/src/gateway/readerrole.cpp
+++ b/src/gateway/readerrole.cpp
@@ -11,9 +11,10 @@
 // Limits the primary readers, however many members have lost the store. Each takes up to a second
 // to notice the loss; then the next member in order replaces it.
 constexpr unsigned kMaxPrimaries = 4;
-// Members that keep reading often while none reaches the store. The others learn from them when it
-// is available again.
-constexpr unsigned kPrimariesWhenAllLost = 3;
+// Once this many members have lost the store, it is probably unavailable to all of them: the rest
+// try it one by one instead of kMaxPrimaries at a time. Two of those that have lost it keep trying,
+// and the others learn from them when it is available again.
+constexpr unsigned kLossesOfAnOutage = 8;
 // Endpoints that drain or disappear must be noticed well within 2 s. Endpoint records change with
 // every heartbeat, so waiting for a change would save no reads.
 constexpr Millis kPrimaryInterval{600};
@@ -52,10 +53,14 @@
     }
     // A member that has lost the store is a standby; its reads continue at the retry interval.
     if (self.storeLost) {
-        return lost == others.size() && lostAhead < kPrimariesWhenAllLost ? ReaderRole::Primary
-                                                                          : ReaderRole::Standby;
+        const bool outage = lost == others.size() || lost + 1 >= kLossesOfAnOutage;
+        if (!outage || lostAhead > 1)
+            return ReaderRole::Standby;
+        return lostAhead == 0 ? ReaderRole::Primary : ReaderRole::Secondary;
     }
-    const unsigned primaries = std::min(1 + kExtraPrimariesPerLoss * lost, kMaxPrimaries);
+    const unsigned primaries = lost >= kLossesOfAnOutage
+                                       ? 1
+                                       : std::min(1 + kExtraPrimariesPerLoss * lost, kMaxPrimaries);
     if (healthyAhead < primaries)
         return ReaderRole::Primary;
     return healthyAhead == primaries ? ReaderRole::Secondary : ReaderRole::Standby;
--- a/src/gateway/readerrole.h
+++ b/src/gateway/readerrole.h
@@ -9,7 +9,7 @@
 // the others. Each daemon ranks the members by incarnation number on its own, without a consensus
 // protocol; extra primary readers do no harm. Each member that has lost the store adds two primary
 // readers, up to a limit, so that members which can still reach the store are found within a few
-// seconds. While no member reaches it, a few keep trying.
+// seconds. During an outage a few keep trying.
 
 #include "base/clock.h"
 
@@ -18,6 +18,10 @@
 
 namespace cicadafork::gateway {
 
+/// Time from the start of a daemon until it chooses its role. Daemons that start together would
+/// otherwise all read often, because none of them has heard the others yet.
+constexpr Millis kRoleDelay{500};
+
 enum class ReaderRole {
     Primary,   ///< Reads most often.
     Secondary, ///< Covers the failure of the primary readers.
--- a/src/gateway/topicfollower.cpp
+++ b/src/gateway/topicfollower.cpp
@@ -3,16 +3,41 @@
 #include "base/jitter.h"
 
 #include <algorithm>
+#include <string>
+#include <unordered_set>
+#include <utility>
+#include <vector>
 
 namespace cicadafork::gateway {
 
 namespace {
 
-// Upper limit of the retry delay of a daemon that reads rarely because its peers send it the
-// records.
-constexpr Millis kMaxRareRetryDelay{8000};
+// First and longest retry delay of a daemon that reads rarely because its peers send it the
+// records. During an outage hundreds of such daemons would otherwise call far more often than
+// before it.
+constexpr Millis kFirstRareRetryDelay{4000};
+constexpr Millis kMaxRareRetryDelay{30'000};
 // Limits how often the timeout of a call for the newest records is doubled after failures.
 constexpr unsigned kMaxTimeoutDoublings = 2;
+// Longest delay of the first read after reads have become more frequent. Random, since members that
+// lose the store replace each other as readers one after the other.
+constexpr Millis kMaxFirstReadDelay{600};
+// Limits how often the retry delay is doubled.
+constexpr unsigned kMaxRetryDoublings = 4;
+
+/// Keeps only the newest record of each key, in the order of the log. A follower that has not read
+/// for a while reads older records too, and their states are no longer true.
+void keepNewest(std::vector<StoreRecord> &records)
+{
+    std::unordered_set<std::string> newer;
+    std::vector<StoreRecord> kept;
+    for (auto record = records.rbegin(); record != records.rend(); ++record) {
+        if (newer.insert(record->key).second)
+            kept.push_back(std::move(*record));
+    }
+    std::ranges::reverse(kept);
+    records = std::move(kept);
+}
 
 } // namespace
 
@@ -38,12 +63,32 @@
 
 void TopicFollower::retryNow()
 {
-    alive_ = std::make_shared<bool>(true);
-    timer_.cancel();
-    if (bootstrapped_)
-        readNext();
-    else
-        bootstrap();
+    if (paused_)
+        return;
+    abandonCall();
+    continueReading();
+}
+
+void TopicFollower::retryWithin(Millis limit)
+{
+    const Millis delay = randomMillis(Millis(0), limit);
+    if (paused_ || calling_ || timer_.expiry() <= steadyNow() + delay)
+        return;
+    after(delay, &TopicFollower::continueReading);
+}
+
+void TopicFollower::pause()
+{
+    paused_ = true;
+    abandonCall();
+}
+
+void TopicFollower::resume()
+{
+    if (!paused_)
+        return;
+    paused_ = false;
+    retryNow();
 }
 
 void TopicFollower::setReadTiming(Millis interval, Millis wait)
@@ -52,11 +97,27 @@
     options_.interval = interval;
     options_.wait = wait;
     if (faster && bootstrapped_)
-        retryNow();
+        retryWithin(std::min(interval + wait, kMaxFirstReadDelay));
+}
+
+void TopicFollower::abandonCall()
+{
+    alive_ = std::make_shared<bool>(true);
+    timer_.cancel();
+    calling_ = false;
+}
+
+void TopicFollower::continueReading()
+{
+    if (bootstrapped_)
+        readNext();
+    else
+        bootstrap();
 }
 
 void TopicFollower::bootstrap()
 {
+    calling_ = true;
     if (afterKey_.empty())
         collected_.clear();
     // Hundreds of processes that start together share the rate at which the store serves records,
@@ -96,6 +157,7 @@
 
 void TopicFollower::readNext()
 {
+    calling_ = true;
     calls_.read(options_.topic, position_, options_.wait, options_.wait + options_.callTimeout,
                 [this, weak = std::weak_ptr(alive_)](StoreFailure failure, StorePage page) {
                     if (!weak.expired())
@@ -115,6 +177,7 @@
         return;
     }
     position_ = std::max(position_, page.next);
+    keepNewest(page.records);
     if (!page.records.empty())
         hooks_.changes(std::move(page.records));
     after(options_.interval, &TopicFollower::readNext);
@@ -132,18 +195,21 @@
 
 void TopicFollower::retry(void (TopicFollower::*step)())
 {
-    const unsigned doublings = std::min(failures_, 5U) - 1;
+    const unsigned doublings = std::min(failures_, kMaxRetryDoublings + 1) - 1;
     // A follower with a long read interval also retries less often, but only after its first
     // snapshot.
-    const Millis rare = bootstrapped_ ? std::min(options_.interval, kMaxRareRetryDelay) : Millis(0);
-    const Millis longest = std::max(options_.longestRetry, rare);
-    const Millis delay = std::min(longest, options_.firstRetry * (1 << doublings));
+    const bool rare = bootstrapped_ && options_.interval > options_.longestRetry;
+    const Millis first = rare ? kFirstRareRetryDelay : options_.firstRetry;
+    const Millis longest
+            = rare ? std::min(options_.interval, kMaxRareRetryDelay) : options_.longestRetry;
+    const Millis delay = std::min(longest, first * (1 << doublings));
     // Jitter keeps daemons whose calls failed together from retrying at the same time.
     after(randomMillis(delay / 2, delay), step);
 }
 
 void TopicFollower::noteContact(bool reached)
 {
+    calling_ = false;
     failures_ = reached ? 0 : failures_ + 1;
     if (reached)
         lastContact_ = steadyNow();
--- a/src/gateway/topicfollower.h
+++ b/src/gateway/topicfollower.h
@@ -53,18 +53,27 @@
     void start();
     void stop();
     /// Abandons any call in progress and makes the next call at once. For use when the store has
-    /// become reachable again: a call made before that may never be answered.
+    /// become reachable again: a call made before that may never be answered. Does nothing while
+    /// paused.
     void retryNow();
+    /// The same after a random time up to the limit, unless a call is due or in progress earlier.
+    void retryWithin(Millis limit);
+    /// Abandons any call in progress and makes no more until resume().
+    void pause();
+    /// Makes the next call at once if the follower is paused.
+    void resume();
     /// Next offset to read; 0 before the first snapshot.
     std::uint64_t position() const { return position_; }
     /// When the last answered call ended.
     TimePoint lastContact() const { return lastContact_; }
     /// Sets the pause between two reads and the time that a read may wait. If that makes reads more
-    /// frequent, a new read starts at once; otherwise it applies from the next read on.
+    /// frequent, a new read starts soon; otherwise it applies from the next read on.
     void setReadTiming(Millis interval, Millis wait);
     Millis interval() const { return options_.interval; }
 
 private:
+    void abandonCall();
+    void continueReading();
     void bootstrap();
     void onNewest(StoreFailure failure, StorePage page);
     void readNext();
@@ -83,6 +92,8 @@
     std::uint64_t firstPageEnd_ = 0;
     unsigned failures_ = 0;
     bool bootstrapped_ = false;
+    bool paused_ = false;
+    bool calling_ = false; ///< A call is in progress.
     TimePoint lastContact_{};
     /// Replaced or reset to abandon the call in progress; callbacks of abandoned calls do nothing.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
