Leave a spare slot where short streams are packed, and spread the choices of the daemons

Every daemon packs on the fullest endpoint of its failure domain; with 59 daemons and 49 short prompts a second, several take its last slot before they know of each other (half of the placements of the last 8 ms are not yet known). The next late request then waits for a stream to end.

Change: the last slot of an endpoint comes after less full endpoints; the tie breaker of a daemon is worth up to half of the slots instead of half a sequence; prefills that are pending count against an endpoint. Endpoints for long prompts are ranked by their whole backlog, the own failure domain first, each daemon with its own order of idle ones: before, all daemons took the same idle endpoints.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -22,6 +22,26 @@
 constexpr Millis kShortEventGap{300};
 // Larger than any other difference in rank, so that endpoints in other failure domains come last.
 constexpr double kOtherDomainPenalty = 1000;
+// Pending prefill that counts as much as one sequence less when streams with short event gaps are
+// packed together. Prompts that arrive together would otherwise all queue at the fullest endpoint.
+constexpr FloatMillis kPendingPrefillPerSequence{30};
+// Free slots that a stream with a short event gap leaves at an endpoint if it can. Daemons that
+// place at the same moment would otherwise take the last slot together, and one would wait for
+// another stream to end.
+constexpr unsigned kSpareSlots = 1;
+// What taking a spare slot counts, as a share of the slots: less full endpoints come before it,
+// almost empty ones, which can take long prefills, do not.
+constexpr double kSpareSlotPenalty = 0.6;
+// Range of the tie breaker, as a share of the slots: daemons that place at the same moment choose
+// different endpoints.
+constexpr double kPackingTieShare = 1;
+// The same for prefills, as a time: less than the rest of a pass, so that an endpoint without
+// streams stays first.
+constexpr FloatMillis kPrefillTieRange{20};
+// Added to the time of an endpoint in another failure domain, where other daemons place.
+constexpr FloatMillis kOtherDomainPrefill{20};
+// Added to the time of an endpoint with streams of short event gaps.
+constexpr FloatMillis kShortGapPrefill{10'000};
 // Expected remaining share of the pass that is running when a request arrives.
 constexpr double kRemainingPassShare = 0.5;
 // Share of the KV memory that may be assigned. The rest is for answers longer than announced.
@@ -114,32 +134,40 @@
 {
     const EndpointView *endpoint = nullptr;
     FloatMillis backlog{0};
+    FloatMillis rank{0}; ///< See prefillRank().
     bool head = false;   ///< Can be the head.
     bool memory = false; ///< Has KV memory for the share of a holder.
 };
 
-/// Lower is better. Streams with short event gaps go to the endpoint with the most sequences;
-/// others go to endpoints without such streams.
-double headRank(const PlacementRequest &request, const Candidate &candidate)
+bool hasShortEventGap(const EndpointView &endpoint)
+{
+    return endpoint.load.shortestEventGap < kShortEventGap;
+}
+
+/// Rank of an endpoint for a prefill; lower is better. Idle endpoints of the own failure domain
+/// come first, each daemon with its own order.
+FloatMillis prefillRank(const EngineModel &engine, const EndpointView &endpoint)
 {
-    const EndpointView &endpoint = *candidate.endpoint;
-    const double domain = (endpoint.inOwnDomain ? 0 : 0.1) + endpoint.tieBreaker;
-    // All daemons would choose the fullest endpoint at the same time. Preferring the own failure
-    // domain limits such collisions to the few daemons of a domain.
-    if (request.maxEventGap < kShortEventGap)
-        return (endpoint.inOwnDomain ? 0 : kOtherDomainPenalty) - endpoint.load.sequences
-               + endpoint.tieBreaker;
-    const bool shortGap = endpoint.load.shortestEventGap < kShortEventGap;
-    return domain + (shortGap ? 10'000 : 0) + candidate.backlog.count();
+    return backlog(engine, endpoint, false) + endpoint.tieBreaker * kPrefillTieRange
+           + (endpoint.inOwnDomain ? FloatMillis(0) : kOtherDomainPrefill)
+           + (hasShortEventGap(endpoint) ? kShortGapPrefill : FloatMillis(0));
 }
 
-bool ranksBefore(const Candidate &left, const Candidate &right)
+/// Rank of the head for a stream with a short event gap; lower is better. Such streams go to the
+/// endpoint with the most sequences that has no queue of prefills.
+double packingRank(const EndpointView &endpoint)
+{
+    const bool takesSpareSlot = endpoint.load.sequences + kSpareSlots >= endpoint.slots;
+    return (endpoint.inOwnDomain ? 0 : kOtherDomainPenalty) - endpoint.load.sequences
+           + (takesSpareSlot ? kSpareSlotPenalty * endpoint.slots : 0)
+           + endpoint.slowdown * (endpoint.load.pendingPrefill / kPendingPrefillPerSequence)
+           + endpoint.tieBreaker * kPackingTieShare * endpoint.slots;
+}
+
+double headRank(const PlacementRequest &request, const Candidate &candidate)
 {
-    const bool leftHasShortGap = left.endpoint->load.shortestEventGap < kShortEventGap;
-    const bool rightHasShortGap = right.endpoint->load.shortestEventGap < kShortEventGap;
-    if (leftHasShortGap != rightHasShortGap)
-        return rightHasShortGap;
-    return left.backlog < right.backlog;
+    return request.maxEventGap < kShortEventGap ? packingRank(*candidate.endpoint)
+                                                : candidate.rank.count();
 }
 
 FloatMillis expectedFirstEvent(const PlacementRequest &request, const EngineModel &engine,
@@ -178,11 +206,12 @@
         if (!canPrefill(engine, endpoint, partTime, split))
             continue;
         candidates.push_back({&endpoint, backlog(engine, endpoint, split),
+                              prefillRank(engine, endpoint),
                               canBeHead(request, engine, endpoint, division.kvTokensPerHolder,
                                         split, division.late),
                               hasMemory(engine, endpoint, division.kvTokensPerHolder)});
     }
-    std::ranges::sort(candidates, ranksBefore);
+    std::ranges::sort(candidates, {}, &Candidate::rank);
     return candidates;
 }
 
--- /dev/null
+++ b/tests/support/fleetsimulation.cpp
@@ -0,0 +1,258 @@
+#include "support/fleetsimulation.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cicadafork::test {
+
+using namespace gateway;
+
+namespace {
+
+constexpr Millis kTick{1};
+// Waiting requests are tried again this often.
+constexpr Millis kRetryInterval{10};
+constexpr std::size_t kMaxJobs = 32'768;
+
+SteadyClock::duration toTicks(FloatMillis time)
+{
+    return std::chrono::duration_cast<SteadyClock::duration>(time);
+}
+
+} // namespace
+
+FleetSimulation::FleetSimulation(FleetSimulationOptions options)
+    : options_(std::move(options))
+    , engines_(options_.endpoints)
+{
+    for (unsigned daemon = 0; daemon < options_.daemons; ++daemon)
+        trackers_.push_back(std::make_unique<LoadTracker>(kMaxJobs, daemon + 1));
+}
+
+std::vector<SimulatedRequest> FleetSimulation::run(std::vector<SimulatedRequest> requests)
+{
+    struct Waiting
+    {
+        SimulatedRequest *request = nullptr;
+        unsigned daemon = 0;
+    };
+    std::vector<Waiting> waiting;
+    const TimePoint start{std::chrono::hours(1)};
+    const TimePoint end = start + requests.back().arrival + options_.drainTime;
+    std::size_t next = 0;
+    for (now_ = start; now_ < end; now_ += kTick) {
+        deliverAnnouncements();
+        for (Engine &engine : engines_) {
+            if (engine.busy && engine.passEnd <= now_)
+                endPass(engine);
+        }
+        for (; next < requests.size() && start + requests[next].arrival <= now_; ++next)
+            waiting.push_back({&requests[next], static_cast<unsigned>(next) % options_.daemons});
+        std::erase_if(waiting, [&](const Waiting &entry) {
+            const TimePoint arrived = start + entry.request->arrival;
+            const auto waited = std::chrono::duration_cast<Millis>(now_ - arrived);
+            if (waited > std::max(options_.queueLimit, entry.request->objective)) {
+                entry.request->rejected = true;
+                return true;
+            }
+            return waited % kRetryInterval == Millis(0)
+                   && place(entry.daemon, *entry.request, arrived);
+        });
+        for (Engine &engine : engines_) {
+            if (!engine.busy)
+                beginPass(engine);
+        }
+    }
+    return requests;
+}
+
+bool FleetSimulation::place(unsigned daemon, SimulatedRequest &request, TimePoint arrived)
+{
+    LoadTracker &tracker = *trackers_[daemon];
+    std::vector<EndpointView> views(options_.endpoints);
+    for (unsigned i = 0; i < options_.endpoints; ++i) {
+        views[i].key = i + 1;
+        views[i].slots = options_.slots;
+        views[i].inOwnDomain = true;
+        views[i].load = tracker.load(i + 1, now_);
+        const std::uint64_t random = mix64((i + 1) * 1000 + daemon);
+        views[i].tieBreaker = static_cast<double>(random % 1000) / 2000;
+    }
+    PlacementRequest wanted;
+    wanted.promptTokens = request.promptTokens;
+    wanted.answerTokens = request.answerTokens;
+    wanted.maxEventGap = request.maxEventGap;
+    wanted.untilObjective = arrived + request.objective - now_;
+    wanted.untilDeadline = arrived + request.deadline - now_;
+    const Placement placement = placeStream(wanted, options_.engine, views);
+    if (placement.outcome == PlacementOutcome::Reject)
+        request.rejected = true;
+    if (placement.outcome != PlacementOutcome::Send)
+        return placement.outcome == PlacementOutcome::Reject;
+
+    Job job;
+    job.id = {daemon + 1, ++nextJob_};
+    job.promptTokens = static_cast<std::uint32_t>(request.promptTokens);
+    job.answerTokens = static_cast<std::uint32_t>(request.answerTokens);
+    job.maxEventGap = request.maxEventGap;
+    job.placed = now_;
+    job.expectedPrefillEnd = now_ + toTicks(placement.firstEvent);
+    job.dueBy = arrived + request.objective;
+    job.expires = now_ + std::chrono::minutes(1);
+    const auto memory = static_cast<std::uint32_t>(placement.kvTokensPerHolder);
+    job.parts.push_back({placement.head, placement.prefillTime, true, memory});
+    for (std::size_t i = 0; i < placement.helpers.size(); ++i)
+        job.parts.push_back({placement.helpers[i], placement.prefillTime, false,
+                             i < placement.holders ? memory : 0});
+    tracker.place(job);
+    announce(daemon, Announcement::Kind::Placed, job);
+
+    auto active = std::make_unique<Active>();
+    active->request = &request;
+    active->id = job.id;
+    active->daemon = daemon;
+    active->head = static_cast<unsigned>(placement.head) - 1;
+    active->partsLeft = static_cast<unsigned>(job.parts.size());
+    active->passesLeft = static_cast<unsigned>(std::max(
+            1.0, std::ceil(static_cast<double>(request.answerTokens) / options_.engine.stride)));
+    active->arrived = arrived;
+    for (const JobPart &part : job.parts) {
+        Engine &engine = engines_[part.endpoint - 1];
+        const Read read{active.get(), part.prefillTime, job.parts.size() > 1};
+        if (part.decodes)
+            admit(engine, read);
+        else
+            engine.reads.push_back(read);
+    }
+    active_.emplace(std::make_pair(job.id.owner, job.id.number), std::move(active));
+    return true;
+}
+
+void FleetSimulation::admit(Engine &engine, const Read &read)
+{
+    if (engine.slotsTaken >= options_.slots) {
+        engine.queue.push_back(read);
+        return;
+    }
+    ++engine.slotsTaken;
+    engine.reads.push_back(read);
+}
+
+void FleetSimulation::beginPass(Engine &engine)
+{
+    if (engine.reads.empty() && engine.streams.empty() && engine.starting.empty())
+        return;
+    for (Active *active : engine.starting)
+        engine.streams.push_back(active);
+    engine.starting.clear();
+    std::ranges::stable_sort(engine.reads, {}, [](const Read &read) { return !read.split; });
+    // A pass has time for one chunk of a prompt in each of its steps.
+    const EngineModel &model = options_.engine;
+    FloatMillis budget{static_cast<double>(model.stride) * static_cast<double>(model.chunkTokens)
+                       / model.prefillTokensPerMs};
+    FloatMillis reading{0};
+    while (!engine.reads.empty() && budget > FloatMillis(0)) {
+        Read &read = engine.reads.front();
+        const FloatMillis done = std::min(read.left, budget);
+        read.left -= done;
+        budget -= done;
+        reading += done;
+        if (read.left > FloatMillis(0))
+            break;
+        Active *request = read.request;
+        engine.reads.pop_front();
+        // A prompt that is prefilled by this engine alone is decoded in the same pass.
+        if (request->partsLeft == 1 && &engines_[request->head] == &engine) {
+            request->partsLeft = 0;
+            engine.streams.push_back(request);
+        } else {
+            engine.finishedReads.push_back(request);
+        }
+    }
+    std::uint64_t context = 0;
+    for (const Active *active : engine.streams)
+        context += active->request->promptTokens + active->request->answerTokens / 2;
+    engine.passTime
+            = reading
+              + decodePassTime(model, static_cast<unsigned>(engine.streams.size()), context);
+    engine.passEnd = now_ + toTicks(engine.passTime);
+    engine.busy = true;
+}
+
+void FleetSimulation::endPass(Engine &engine)
+{
+    engine.busy = false;
+    const std::vector<Active *> finished = std::move(engine.finishedReads);
+    engine.finishedReads.clear();
+    const std::vector<Active *> streams = engine.streams;
+    for (Active *active : streams) {
+        emitEvent(*active);
+        if (--active->passesLeft > 0)
+            continue;
+        std::erase(engine.streams, active);
+        --engine.slotsTaken;
+        if (!engine.queue.empty()) {
+            admit(engine, engine.queue.front());
+            engine.queue.pop_front();
+        }
+        Job job;
+        job.id = active->id;
+        trackers_[active->daemon]->ended(active->id, now_);
+        announce(active->daemon, Announcement::Kind::Ended, job);
+        active_.erase({active->id.owner, active->id.number});
+    }
+    for (Active *active : finished) {
+        if (--active->partsLeft == 0)
+            engines_[active->head].starting.push_back(active);
+    }
+}
+
+void FleetSimulation::emitEvent(Active &active)
+{
+    SimulatedRequest &request = *active.request;
+    if (active.decoding) {
+        request.longestGap = std::max(request.longestGap, FloatMillis(now_ - active.lastEvent));
+    } else {
+        active.decoding = true;
+        request.firstEvent = now_ - active.arrived;
+        Job job;
+        job.id = active.id;
+        trackers_[active.daemon]->started(active.id, now_);
+        announce(active.daemon, Announcement::Kind::Started, job);
+    }
+    active.lastEvent = now_;
+}
+
+void FleetSimulation::announce(unsigned from, Announcement::Kind kind, const Job &job)
+{
+    announcements_.push_back({now_ + options_.announcementDelay, from, kind, job});
+}
+
+void FleetSimulation::deliverAnnouncements()
+{
+    for (; !announcements_.empty() && announcements_.front().at <= now_;
+         announcements_.pop_front()) {
+        const Announcement &message = announcements_.front();
+        for (unsigned daemon = 0; daemon < options_.daemons; ++daemon) {
+            if (daemon == message.from)
+                continue;
+            LoadTracker &tracker = *trackers_[daemon];
+            switch (message.kind) {
+            case Announcement::Kind::Placed:
+                tracker.place(message.job);
+                break;
+            case Announcement::Kind::Started:
+                tracker.started(message.job.id, now_);
+                break;
+            case Announcement::Kind::Ended:
+                tracker.ended(message.job.id, now_);
+                break;
+            }
+        }
+    }
+}
+
+} // namespace cicadafork::test
--- /dev/null
+++ b/tests/unit/placementfleet_test.cpp
@@ -0,0 +1,110 @@
+// Plays the load of one failure domain of the largest site against simulated engines and daemons,
+// and checks what callers get.
+
+#include "support/fleetsimulation.h"
+#include "support/productionengine.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+#include <vector>
+
+using namespace cicadafork;
+using namespace cicadafork::gateway;
+using namespace cicadafork::test;
+
+namespace {
+
+struct Kind
+{
+    double perSecond = 0;
+    double meanTokens = 0;
+    double spread = 0; ///< Standard deviation over the mean, of a log-normal distribution.
+    double maxTokens = 0;
+    unsigned answerTokens = 0;
+    Millis maxEventGap{0};
+    Millis objective{0};
+    Millis deadline{0};
+};
+
+// A failure domain of the largest site on a day without incidents.
+constexpr unsigned kEndpoints = 39;
+constexpr unsigned kSlots = 10;
+constexpr unsigned kDaemons = 16;
+constexpr Millis kLength{15'000};
+const Kind kNote{49, 4960, 0.9, 23'800, 1770, Millis(250), Millis(300), Millis(10'000)};
+const Kind kBrief{5.3, 45'000, 0.5, 110'000, 1065, Millis(600), Millis(1500), Millis(10'000)};
+const Kind kReport{1.2, 300'000, 0.55, 440'000, 890, Millis(1000), Millis(4000), Millis(15'000)};
+
+std::vector<SimulatedRequest> arrivals(unsigned seed, std::initializer_list<Kind> kinds)
+{
+    std::mt19937 random(seed);
+    std::vector<SimulatedRequest> requests;
+    for (const Kind &kind : kinds) {
+        const double variance = std::log(1 + kind.spread * kind.spread);
+        std::lognormal_distribution<double> tokens(std::log(kind.meanTokens) - variance / 2,
+                                                   std::sqrt(variance));
+        std::exponential_distribution<double> gap(kind.perSecond / 1000);
+        for (double at = gap(random); at < static_cast<double>(kLength.count());
+             at += gap(random)) {
+            SimulatedRequest request;
+            request.arrival = Millis(static_cast<Millis::rep>(at));
+            request.promptTokens
+                    = static_cast<std::uint64_t>(std::min(tokens(random), kind.maxTokens));
+            request.answerTokens = kind.answerTokens;
+            request.maxEventGap = kind.maxEventGap;
+            request.objective = kind.objective;
+            request.deadline = kind.deadline;
+            requests.push_back(request);
+        }
+    }
+    std::ranges::sort(requests, {}, &SimulatedRequest::arrival);
+    return requests;
+}
+
+double shareOnTime(const std::vector<SimulatedRequest> &requests, const Kind &kind)
+{
+    double total = 0;
+    double onTime = 0;
+    for (const SimulatedRequest &request : requests) {
+        if (request.objective != kind.objective)
+            continue;
+        total += 1;
+        onTime += request.onTime() ? 1 : 0;
+    }
+    return onTime / total;
+}
+
+} // namespace
+
+TEST_GROUP(PlacementFleet){};
+
+// Guards against short prompts that queue for their prefill at the fullest endpoint although others
+// are free, and against daemons that choose the same endpoints for long prompts at the same moment.
+TEST(PlacementFleet, onAQuietDay95In100RequestsOfEachKindAreOnTime)
+{
+    // The users' target for the first token.
+    constexpr double kTarget = 0.95;
+    constexpr unsigned kSeeds = 3;
+    double notes = 0;
+    double briefs = 0;
+    double reports = 0;
+    for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+        FleetSimulation fleet(
+                {.daemons = kDaemons,
+                 .endpoints = kEndpoints,
+                 .slots = kSlots,
+                 .engine
+                 = productionEngine({.slots = kSlots, .kvCapacityTokens = 450'000, .stride = 73})});
+        const auto results = fleet.run(arrivals(seed, {kNote, kBrief, kReport}));
+        notes += shareOnTime(results, kNote) / kSeeds;
+        briefs += shareOnTime(results, kBrief) / kSeeds;
+        reports += shareOnTime(results, kReport) / kSeeds;
+    }
+
+    CHECK_TRUE(notes >= kTarget);
+    CHECK_TRUE(briefs >= kTarget);
+    CHECK_TRUE(reports >= kTarget);
+}
