Announce jobs within the failure domain in large fleets, and report loads to the others

Cause: every daemon handled a datagram for each job of the whole fleet.

Change: in a fleet of more than 128 daemons a job is announced to the failure domains of its daemon and of its endpoints. The daemons that read the store report the load of their domain's endpoints to the other domains every 250 ms. A request goes to another domain only if the own one cannot serve it on time. Smaller fleets work as before.

Also mended: each heartbeat repeats the list of jobs, and a repeated split prefill delayed the expected end of the prefills that it overtakes once more each time.

--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -149,6 +149,24 @@
     return ids;
 }
 
+std::set<std::string> EndpointTable::failureDomains() const
+{
+    std::set<std::string> domains;
+    for (const auto &[id, row] : rows_)
+        domains.insert(row.record.failureDomain);
+    return domains;
+}
+
+std::set<std::string> EndpointTable::failureDomainsOf(const Job &job) const
+{
+    std::set<std::string> domains;
+    for (const JobPart &part : job.parts) {
+        if (const EndpointRow *endpoint = find(part.endpoint))
+            domains.insert(endpoint->record.failureDomain);
+    }
+    return domains;
+}
+
 void EndpointTable::noteSuccess(EndpointKey key, double observedSlowdown)
 {
     EndpointRow *found = row(key);
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <functional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -60,6 +61,9 @@
     /// Returns Gone, or None if the endpoint is unknown.
     EndpointChange remove(const std::string &id);
     std::vector<std::string> ids() const;
+    std::set<std::string> failureDomains() const;
+    /// Those of the endpoints of the job.
+    std::set<std::string> failureDomainsOf(const Job &job) const;
 
     /// `observedSlowdown` is the observed time divided by the expected time.
     void noteSuccess(EndpointKey key, double observedSlowdown);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -137,6 +137,7 @@
                    onControl(caller, request);
                })
     , dispatchTimer_(context)
+    , loadReportTimer_(context)
     , drainTimer_(context)
 {
 }
@@ -165,6 +166,7 @@
     endpointFollower_.start();
     memberFollower_.start();
     registerMember();
+    armLoadReports();
     roleTimer_.expires_after(kRoleDelay);
     roleTimer_.async_wait([this](const asio::error_code &error) {
         if (!error)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -123,6 +123,11 @@
     void dispatchWaiting();
     Millis suggestedRetryAfter(const Exchange &exchange) const;
 
+    // Reports of the endpoints' load to other failure domains of a large fleet, by the daemons that
+    // read the store: a few of each domain.
+    void armLoadReports();
+    void sendLoads();
+
     // Configuration, endpoints, members and peers.
     void onMemberRecords(const std::vector<StoreRecord> &records);
     void onConfigRecords(const std::vector<StoreRecord> &records);
@@ -222,6 +227,8 @@
     std::vector<std::uint64_t> waiting_;
     asio::steady_timer dispatchTimer_;
     bool dispatchScheduled_ = false;
+    asio::steady_timer loadReportTimer_;
+    unsigned loadReportRound_ = 0;
 
     bool draining_ = false;
     TimePoint drainStartedAt_{};
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -95,6 +95,8 @@
     armTimer(exchange);
 }
 
+// Long prefills are few, and a second one on an endpoint delays the first by seconds. So all
+// failure domains hear of them, even in a fleet that announces other jobs only where they matter.
 void Gateway::announceJob(const Exchange &exchange, const Placement &placement)
 {
     const TimePoint now = steadyNow();
@@ -115,8 +117,10 @@
     for (std::size_t i = 0; i < placement.helpers.size(); ++i)
         job.parts.push_back({placement.helpers[i], placement.prefillTime, false,
                              i < placement.holders ? memory : 0});
+    const EngineModel *engine = engineFor(exchange);
+    const bool isLong = engine && isLongPrefill(*engine, exchange.fields.promptTokens);
     loadTracker_.place(job);
-    mesh_.placed(job);
+    mesh_.placed(job, isLong ? endpoints_.failureDomains() : endpoints_.failureDomainsOf(job));
 }
 
 void Gateway::reserve(Exchange &exchange, const Placement &placement)
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -27,6 +27,11 @@
 constexpr Millis kMaxStreamWait{2500};
 constexpr Millis kMaxCallWait{250};
 
+// Time between two reports of the endpoints' load to other failure domains by a primary reader, and
+// the number of such times between those of a secondary reader.
+constexpr Millis kLoadReportInterval{250};
+constexpr unsigned kRoundsPerSecondaryReport = 4;
+
 // Range of Retry-After. A plain call takes some tens of milliseconds and a short stream about two
 // seconds; with several in progress, a slot becomes free sooner than that.
 constexpr Millis kMinCallRetryAfter{30};
@@ -89,8 +94,12 @@
         return none;
     }
     const EngineModel *engine = engineFor(exchange);
-    return engine ? placeStream(placementRequest(exchange), *engine, views)
-                  : placeCall(views, incarnation_ + exchange.id);
+    if (!engine)
+        return placeCall(views, incarnation_ + exchange.id);
+    const PlacementRequest request = placementRequest(exchange);
+    // The load of endpoints in other failure domains is known only with a delay.
+    return mesh_.announcesJobsGlobally() ? placeStream(request, *engine, views)
+                                         : placeStreamInDomainFirst(request, *engine, views);
 }
 
 bool Gateway::tryPlace(Exchange &exchange)
@@ -190,6 +199,33 @@
     scheduleDispatch(false);
 }
 
+void Gateway::armLoadReports()
+{
+    loadReportTimer_.expires_after(kLoadReportInterval);
+    loadReportTimer_.async_wait([this](const asio::error_code &error) {
+        if (error)
+            return;
+        ++loadReportRound_;
+        const bool sends
+                = isPrimaryReader_
+                  || (announcesStoreChanges_ && loadReportRound_ % kRoundsPerSecondaryReport == 0);
+        if (sends && !mesh_.announcesJobsGlobally())
+            sendLoads();
+        armLoadReports();
+    });
+}
+
+void Gateway::sendLoads()
+{
+    const TimePoint now = steadyNow();
+    std::vector<ReportedLoad> loads;
+    for (const auto &[id, row] : endpoints_.rows()) {
+        if (row.record.failureDomain == settings_.failureDomain)
+            loads.push_back({row.key, loadTracker_.load(row.key, now)});
+    }
+    mesh_.sendLoads(loads);
+}
+
 Millis Gateway::suggestedRetryAfter(const Exchange &exchange) const
 {
     if (exchange.route.kind != RouteKind::Stream)
--- a/src/gateway/loadtracker.cpp
+++ b/src/gateway/loadtracker.cpp
@@ -18,6 +18,10 @@
 // by one; each placement is known to all daemons within 2 ms.
 constexpr Millis kMinReservation{10};
 constexpr Millis kReservationSpread{50};
+// A reported load is used for this time: six reports of the primary reader may be lost.
+constexpr Millis kReportLifetime{1500};
+// A report contains the jobs that were placed at least this long before it arrived.
+constexpr Millis kAnnouncementTime{20};
 // The report of a start is assumed lost if a prefill is overdue by this multiple of its time.
 constexpr double kMaxOverdueFactor = 2;
 // Share of a prefill that is assumed to remain, at least, until its start is reported.
@@ -63,17 +67,28 @@
 
 bool LoadTracker::place(const Job &job)
 {
+    const Job *known = find(job.id);
+    // A repeated announcement of a job delays the other prefills no further.
+    if (!known && job.parts.size() > 1 && !job.started)
+        extendOverlappedPrefills(job);
+    Job placed = job;
+    if (known)
+        placed.placed = known->placed;
     remove(job.id);
     if (jobs_.size() >= limit_)
         return false;
-    if (job.parts.size() > 1 && !job.started)
-        extendOverlappedPrefills(job);
     for (const JobPart &part : job.parts)
         byEndpoint_[part.endpoint].push_back(job.id);
-    jobs_.emplace(job.id, job);
+    jobs_.emplace(job.id, std::move(placed));
     return true;
 }
 
+void LoadTracker::report(EndpointKey endpoint, const EndpointLoad &load, TimePoint now)
+{
+    if (reports_.size() < limit_ || reports_.contains(endpoint))
+        reports_[endpoint] = {load, now};
+}
+
 void LoadTracker::extendOverlappedPrefills(const Job &job)
 {
     std::vector<JobId> delayed;
@@ -189,17 +204,30 @@
     }
     for (const JobId &id : removed)
         remove(id);
+    std::erase_if(reports_,
+                  [&](const auto &entry) { return now - entry.second.at > kReportLifetime; });
 }
 
 EndpointLoad LoadTracker::load(EndpointKey endpoint, TimePoint now) const
 {
     EndpointLoad load;
-    load.sequences = reservedSlots(endpoint, now);
+    const auto found = reports_.find(endpoint);
+    const Report *report = found != reports_.end() && now - found->second.at <= kReportLifetime
+                                   ? &found->second
+                                   : nullptr;
+    if (report) {
+        load = report->load;
+        load.pendingPrefill
+                = std::max(FloatMillis(0), load.pendingPrefill - FloatMillis(now - report->at));
+    }
+    load.sequences += reservedSlots(endpoint, now);
     const auto row = byEndpoint_.find(endpoint);
     if (row == byEndpoint_.end())
         return load;
     for (const JobId &id : row->second) {
         const Job &job = jobs_.at(id);
+        if (report && job.placed + kAnnouncementTime <= report->at)
+            continue;
         const bool prefilling = isPrefilling(job, now);
         for (const JobPart &part : job.parts) {
             if (part.endpoint != endpoint)
--- a/src/gateway/loadtracker.h
+++ b/src/gateway/loadtracker.h
@@ -95,15 +95,24 @@
     void removeUnlisted(std::uint64_t owner, const std::vector<std::uint32_t> &listed,
                         std::uint32_t first, std::uint32_t last);
     void removeOwner(std::uint64_t owner);
-    /// Removes the jobs whose expiry time has been reached.
+    /// Removes the jobs whose expiry time has been reached, and old reports.
     void expire(TimePoint now);
 
+    /// Load of an endpoint whose jobs are not all announced to this daemon, as a peer reports it.
+    /// It replaces what the jobs placed earlier add, until it is kReportLifetime old.
+    void report(EndpointKey endpoint, const EndpointLoad &load, TimePoint now);
+
     EndpointLoad load(EndpointKey endpoint, TimePoint now) const;
     const Job *find(const JobId &id) const;
     std::vector<Job> jobsOf(std::uint64_t owner) const;
     std::size_t size() const { return jobs_.size(); }
 
 private:
+    struct Report
+    {
+        EndpointLoad load;
+        TimePoint at{};
+    };
     struct FreedSlot
     {
         JobId job;
@@ -119,6 +128,7 @@
     std::size_t limit_;
     std::uint64_t owner_;
     std::unordered_map<EndpointKey, std::vector<FreedSlot>> freedSlots_;
+    std::unordered_map<EndpointKey, Report> reports_;
     std::unordered_map<JobId, Job, JobIdHash> jobs_;
     std::unordered_map<EndpointKey, std::vector<JobId>> byEndpoint_;
 };
--- a/src/gateway/mesh.capnp
+++ b/src/gateway/mesh.capnp
@@ -42,6 +42,21 @@
   gone @7 :Bool;
 }
 
+# Load of an endpoint of the sender's failure domain, as the sender knows it.
+struct EndpointLoad {
+  endpoint @0 :UInt64;
+  sequences @1 :UInt32;
+  decodingSequences @2 :UInt32;
+  helperPrefills @3 :UInt32;
+  pendingPrefillMicros @4 :UInt32;
+  contextTokens @5 :UInt64;
+  kvTokens @6 :UInt64;
+  # 0 when there is no stream.
+  shortestEventGapMs @7 :UInt32;
+  # The largest value when no prefill is pending.
+  prefillSlackMicros @8 :UInt32;
+}
+
 # The difference between two versions of the configuration.
 struct ConfigChange {
   base @0 :UInt64;
@@ -80,6 +95,8 @@
   endpointChanges @15 :List(EndpointEntry);
   # The change of the configuration that the sender has just read from the store.
   configChange @17 :ConfigChange;
+  # Sent to other failure domains of a large fleet, which do not hear of each job.
+  loads @18 :List(EndpointLoad);
 }
 
 # The answer to a daemon that pulls missing state from a peer.
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t kJobsPerDatagram = 16;
 constexpr std::size_t kMembersPerDatagram = 3;
 constexpr std::size_t kEndpointUpdatesPerDatagram = 8;
+constexpr std::size_t kLoadsPerDatagram = 32;
 // Peers pull a larger change of the configuration over a TCP connection.
 constexpr std::size_t kMaxPushedDelta = 1100;
 // Isolation timeout, in average gaps between the heartbeats of all peers. Peers send at different
@@ -73,7 +74,7 @@
     lastHeard_ = steadyNow();
     for (const std::string &ip : options_.seedIps) {
         if (ip != options_.ip)
-            sendAllJobs(false, ip, true);
+            sendJobsTo(ip, true);
     }
     sendHeartbeat();
     return {};
@@ -92,7 +93,7 @@
     if (ip == options_.ip || peers_.contains(ip))
         return;
     if (peer(name, ip) != nullptr)
-        sendAllJobs(false, ip, true);
+        sendJobsTo(ip, true);
 }
 
 PeerInfo *Mesh::peer(const std::string &name, const std::string &ip)
@@ -110,19 +111,23 @@
 }
 
 template <class Fill>
-void Mesh::sendWithStatus(Fill fill)
+void Mesh::sendWithStatus(const Recipients &recipients, Fill fill)
 {
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<wire::Datagram>();
     fillStatus(root, options_, hooks_.status());
     fill(root);
     std::string bytes = encodeDatagram(message);
-    sendToPeers(bytes);
+    sendToPeers(bytes, recipients);
 }
 
-void Mesh::placed(const Job &job)
+void Mesh::placed(const Job &job, const std::set<std::string> &failureDomains)
 {
     newestJob_ = std::max(newestJob_, job.id.number);
+    std::set<std::string> remote = failureDomains;
+    remote.erase(options_.failureDomain);
+    if (!remote.empty())
+        remoteDomains_[job.id.number] = std::move(remote);
     batch_.jobs.push_back(job);
     flush();
 }
@@ -146,7 +151,7 @@
 void Mesh::sendStatus()
 {
     flush();
-    sendAllJobs(true, {}, false);
+    sendHeartbeatToPeers();
 }
 
 void Mesh::flushSoon()
@@ -172,7 +177,10 @@
     if (peers_.empty() || (batch.jobs.empty() && batch.started.empty() && batch.ended.empty()))
         return;
     const TimePoint now = steadyNow();
-    sendWithStatus([&](wire::Datagram::Builder root) {
+    const Recipients recipients = recipientsOf(batch);
+    for (const std::uint32_t number : batch.ended)
+        remoteDomains_.erase(number);
+    sendWithStatus(recipients, [&](wire::Datagram::Builder root) {
         auto jobs = root.initJobs(static_cast<unsigned>(batch.jobs.size()));
         for (unsigned i = 0; i < batch.jobs.size(); ++i)
             fillJob(jobs[i], batch.jobs[i], now);
@@ -185,11 +193,46 @@
     });
 }
 
+Mesh::Recipients Mesh::recipientsOf(const Batch &batch) const
+{
+    Recipients recipients;
+    if (announcesJobsGlobally())
+        return recipients;
+    recipients.allRemote = false;
+    const auto add = [&](std::uint32_t number) {
+        const auto found = remoteDomains_.find(number);
+        if (found != remoteDomains_.end())
+            recipients.remote.insert(found->second.begin(), found->second.end());
+    };
+    for (const Job &job : batch.jobs)
+        add(job.id.number);
+    std::ranges::for_each(batch.started, add);
+    std::ranges::for_each(batch.ended, add);
+    return recipients;
+}
+
+bool Mesh::announcesJobsGlobally() const
+{
+    return peers_.size() < options_.maxDaemonsWithGlobalJobs;
+}
+
+void Mesh::sendLoads(const std::vector<ReportedLoad> &loads)
+{
+    for (std::size_t next = 0; next < loads.size(); next += kLoadsPerDatagram) {
+        const std::size_t count = std::min(kLoadsPerDatagram, loads.size() - next);
+        sendWithStatus({.own = false}, [&](wire::Datagram::Builder root) {
+            auto list = root.initLoads(static_cast<unsigned>(count));
+            for (unsigned i = 0; i < count; ++i)
+                fillLoad(list[i], loads[next + i]);
+        });
+    }
+}
+
 void Mesh::sendEndpointUpdates(const std::vector<EndpointUpdate> &updates)
 {
     for (std::size_t next = 0; next < updates.size(); next += kEndpointUpdatesPerDatagram) {
         const std::size_t count = std::min(kEndpointUpdatesPerDatagram, updates.size() - next);
-        sendWithStatus([&](wire::Datagram::Builder root) {
+        sendWithStatus({}, [&](wire::Datagram::Builder root) {
             auto list = root.initEndpointChanges(static_cast<unsigned>(count));
             for (std::size_t i = 0; i < count; ++i) {
                 const EndpointUpdate &item = updates[next + i];
@@ -209,7 +252,7 @@
         sendStatus();
         return;
     }
-    sendWithStatus([&](wire::Datagram::Builder root) {
+    sendWithStatus({}, [&](wire::Datagram::Builder root) {
         fillConfigChange(root.initConfigChange(), change);
     });
 }
@@ -222,11 +265,11 @@
     if (!peers_.empty() && now - lastHeard_ > isolationTimeout())
         hooks_.isolated();
     flush();
-    sendAllJobs(true, {}, false);
+    sendHeartbeatToPeers();
     if (peers_.empty()) {
         for (const std::string &ip : options_.seedIps) {
             if (ip != options_.ip)
-                sendAllJobs(false, ip, true);
+                sendJobsTo(ip, true);
         }
     }
     ++heartbeatsSent_;
@@ -255,9 +298,32 @@
     return std::max(kMinIsolationTimeout, kIsolationHeartbeats * averageGap);
 }
 
-void Mesh::sendAllJobs(bool toAll, const std::string &ip, bool wantsReply)
+void Mesh::sendHeartbeatToPeers()
 {
+    const bool retriesFailed = heartbeatsSent_ % kHeartbeatsPerFailedPeerRetry == 0;
     std::vector<Job> jobs = loadTracker_.jobsOf(options_.incarnation);
+    const bool global = announcesJobsGlobally();
+    sendJobList(jobs, false, [&](std::string &message) {
+        if (retriesFailed)
+            sendToFailedPeers(message);
+        sendToPeers(message, {.allRemote = global});
+    });
+    if (global)
+        return;
+    std::erase_if(jobs, [this](const Job &job) { return !remoteDomains_.contains(job.id.number); });
+    sendJobList(std::move(jobs), false,
+                [this](std::string &message) { sendToPeers(message, {.own = false}); });
+}
+
+void Mesh::sendJobsTo(const std::string &ip, bool wantsReply)
+{
+    sendJobList(loadTracker_.jobsOf(options_.incarnation), wantsReply,
+                [&](const std::string &message) { send(message, ip); });
+}
+
+template <class Send>
+void Mesh::sendJobList(std::vector<Job> jobs, bool wantsReply, Send send)
+{
     std::ranges::sort(jobs, {}, [](const Job &job) { return job.id.number; });
     const MeshStatus status = hooks_.status();
     const TimePoint now = steadyNow();
@@ -291,26 +357,22 @@
                 peer = peers_.begin();
         }
         std::string bytes = encodeDatagram(message);
-        if (!toAll)
-            send(bytes, ip);
-        else if (heartbeatsSent_ % kHeartbeatsPerFailedPeerRetry == 0)
-            sendToFailedPeers(bytes);
-        if (toAll)
-            sendToPeers(bytes);
+        send(bytes);
         next += count;
         from = to + 1;
     } while (next < jobs.size());
 }
 
-void Mesh::sendToPeers(std::string &message)
+void Mesh::sendToPeers(std::string &message, const Recipients &recipients)
 {
     std::map<std::string, std::vector<const std::string *>> far;
     for (const auto &[ip, peer] : peers_) {
         if (!peer.alive)
             continue;
-        if (peer.failureDomain == options_.failureDomain || peer.failureDomain.empty())
-            send(message, ip);
-        else
+        if (peer.failureDomain == options_.failureDomain || peer.failureDomain.empty()) {
+            if (recipients.own)
+                send(message, ip);
+        } else if (recipients.allRemote || recipients.remote.contains(peer.failureDomain))
             far[peer.failureDomain].push_back(&ip);
     }
     ++relayRound_;
@@ -433,6 +495,10 @@
         if (root.getCoversTo() > 0)
             loadTracker_.removeUnlisted(incarnation, listed, root.getCoversFrom(),
                                         root.getCoversTo());
+        for (const auto load : root.getLoads()) {
+            const ReportedLoad reported = readLoad(load);
+            loadTracker_.report(reported.endpoint, reported.load, now);
+        }
         for (const auto member : root.getMembers()) {
             const std::string memberIp = member.getIp();
             if (!memberIp.empty())
@@ -444,7 +510,7 @@
             hooks_.configChangeReceived(*info, readConfigChange(root.getConfigChange()));
         hooks_.messageReceived(*info);
         if (root.getWantsReply())
-            sendAllJobs(false, ip, false);
+            sendJobsTo(ip, false);
         hooks_.loadChanged();
     } catch (const std::exception &) {
         ++counters_.malformed;
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -8,7 +8,9 @@
 //   mesh.ended(job.id);      // sent within a few milliseconds, together with others
 //
 // Each message is a single datagram. A remote failure domain with many members gets one copy, which
-// the receiver relays within its domain. Members are discovered through the seeds, through the
+// the receiver relays within its domain. In a large fleet a job is announced only to the failure
+// domains of its daemon and of its endpoints; the others get the load of each endpoint at intervals
+// (sendLoads()). Members are discovered through the seeds, through the
 // platform's store (addPeer()) and through each other's heartbeats.
 
 #include "gateway/confighistory.h"
@@ -23,8 +25,10 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace cicadafork::gateway {
@@ -44,6 +48,9 @@
     int minMissedHeartbeats = 3;         ///< but only after missing this many heartbeats.
     /// A remote failure domain with more peers gets one copy of a message, which is relayed there.
     std::size_t maxDirectPeersPerDomain = 5;
+    /// In a fleet with more daemons, jobs are announced only where they matter: with a datagram for
+    /// each job at each daemon, the cost of a daemon would grow with the load of the whole fleet.
+    std::size_t maxDaemonsWithGlobalJobs = 128;
     Millis removeAfter{30'000}; ///< A peer not heard for this long is forgotten.
     std::size_t maxPeers = 1024;
 };
@@ -75,6 +82,13 @@
     bool storeLost = false;
 };
 
+/// Load of an endpoint, for daemons that are not told of all its jobs.
+struct ReportedLoad
+{
+    EndpointKey endpoint = 0;
+    EndpointLoad load;
+};
+
 /// A change of an endpoint: its new record, or none when it was removed.
 struct EndpointUpdate
 {
@@ -125,9 +139,14 @@
     /// Adds a member that the platform's store lists; known addresses are ignored.
     void addPeer(const std::string &name, const std::string &ip);
 
-    void placed(const Job &job);   ///< Sent at once.
+    /// Sent at once. The domains are those of its endpoints.
+    void placed(const Job &job, const std::set<std::string> &failureDomains = {});
     void started(const JobId &id); ///< Sent with the next batch, as is ended().
     void ended(const JobId &id);
+    /// Sends the other failure domains the load of endpoints of the own one.
+    void sendLoads(const std::vector<ReportedLoad> &loads);
+    /// False in a large fleet, in which daemons hear only of the jobs that concern their domain.
+    bool announcesJobsGlobally() const;
     /// Sends all peers the endpoint updates read from the store.
     void sendEndpointUpdates(const std::vector<EndpointUpdate> &updates);
     /// Sends all peers a change of the configuration. If it does not fit a datagram, only the new
@@ -146,6 +165,13 @@
     const MeshCounters &counters() const { return counters_; }
 
 private:
+    /// The failure domains that get a message.
+    struct Recipients
+    {
+        bool own = true;
+        bool allRemote = true;
+        std::set<std::string> remote = {}; ///< Those that get it if not all do.
+    };
     struct Batch
     {
         std::vector<Job> jobs;
@@ -159,12 +185,18 @@
     void flushSoon();
     void flush();
     void sendHeartbeat();
-    void sendAllJobs(bool toAll, const std::string &ip, bool wantsReply);
+    /// Sends the status and the full list of this daemon's jobs to all peers.
+    void sendHeartbeatToPeers();
+    /// Sends the given jobs as the full list, in one or more datagrams; send gets each.
+    template <class Send>
+    void sendJobList(std::vector<Job> jobs, bool wantsReply, Send send);
+    void sendJobsTo(const std::string &ip, bool wantsReply);
+    Recipients recipientsOf(const Batch &batch) const;
     void send(std::string_view message, const std::string &ip);
-    void sendToPeers(std::string &message);
-    /// Sends all peers a datagram with the status and the contents that fill adds.
+    void sendToPeers(std::string &message, const Recipients &recipients);
+    /// Sends the peers a datagram with the status and the contents that fill adds.
     template <class Fill>
-    void sendWithStatus(Fill fill);
+    void sendWithStatus(const Recipients &recipients, Fill fill);
     void sendToFailedPeers(const std::string &message);
     void relay(std::uint8_t *data, std::size_t size, const std::string &origin);
     void detectFailedPeers(TimePoint now);
@@ -182,6 +214,8 @@
     asio::steady_timer batchTimer_;
     std::map<std::string, PeerInfo> peers_; ///< By IP address; names can move between addresses.
     Batch batch_;
+    /// Remote failure domains of the endpoints of own jobs, by number; only of jobs that have any.
+    std::unordered_map<std::uint32_t, std::set<std::string>> remoteDomains_;
     bool batchArmed_ = false;
     std::uint32_t newestJob_ = 0;
     unsigned heartbeatsSent_ = 0;
--- a/src/gateway/meshwire.cpp
+++ b/src/gateway/meshwire.cpp
@@ -4,6 +4,7 @@
 #include <kj/io.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace cicadafork::gateway {
 
@@ -13,6 +14,8 @@
 constexpr Millis kJobLifetime{20'000};
 // No request has more parts than this; further parts in a message are ignored.
 constexpr std::size_t kMaxParts = 32;
+// Slack of an endpoint without pending prefills.
+constexpr std::uint32_t kNoPrefill = std::numeric_limits<std::uint32_t>::max();
 
 std::uint32_t toMicros(FloatMillis value)
 {
@@ -82,6 +85,41 @@
     return job;
 }
 
+void fillLoad(wire::EndpointLoad::Builder target, const ReportedLoad &reported)
+{
+    const EndpointLoad &load = reported.load;
+    target.setEndpoint(reported.endpoint);
+    target.setSequences(load.sequences);
+    target.setDecodingSequences(load.decodingSequences);
+    target.setHelperPrefills(load.helperPrefills);
+    target.setPendingPrefillMicros(toMicros(load.pendingPrefill));
+    target.setContextTokens(load.contextTokens);
+    target.setKvTokens(load.kvTokens);
+    const bool streams = load.shortestEventGap != Millis::max();
+    target.setShortestEventGapMs(streams ? static_cast<std::uint32_t>(load.shortestEventGap.count())
+                                         : 0);
+    const bool pending = load.prefillSlack != FloatMillis::max();
+    target.setPrefillSlackMicros(pending ? toMicros(load.prefillSlack) : kNoPrefill);
+}
+
+ReportedLoad readLoad(wire::EndpointLoad::Reader source)
+{
+    ReportedLoad reported;
+    reported.endpoint = source.getEndpoint();
+    EndpointLoad &load = reported.load;
+    load.sequences = source.getSequences();
+    load.decodingSequences = source.getDecodingSequences();
+    load.helperPrefills = source.getHelperPrefills();
+    load.pendingPrefill = Micros(source.getPendingPrefillMicros());
+    load.contextTokens = source.getContextTokens();
+    load.kvTokens = source.getKvTokens();
+    if (source.getShortestEventGapMs() > 0)
+        load.shortestEventGap = Millis(source.getShortestEventGapMs());
+    if (source.getPrefillSlackMicros() != kNoPrefill)
+        load.prefillSlack = Micros(source.getPrefillSlackMicros());
+    return reported;
+}
+
 std::vector<EndpointUpdate> readEndpointUpdates(capnp::List<wire::EndpointEntry>::Reader entries)
 {
     std::vector<EndpointUpdate> updates;
--- a/src/gateway/meshwire.h
+++ b/src/gateway/meshwire.h
@@ -30,6 +30,9 @@
 void fillJob(wire::Job::Builder target, const Job &job, TimePoint now);
 Job readJob(wire::Job::Reader source, std::uint64_t owner, TimePoint now);
 
+void fillLoad(wire::EndpointLoad::Builder target, const ReportedLoad &load);
+ReportedLoad readLoad(wire::EndpointLoad::Reader source);
+
 void fillEndpoint(wire::EndpointEntry::Builder entry, const EndpointRecord &record);
 /// Nothing when the entry has no endpoint id or its address cannot be parsed.
 std::optional<EndpointRecord> readEndpoint(wire::EndpointEntry::Reader entry);
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <optional>
 #include <utility>
@@ -412,6 +413,17 @@
     return placement;
 }
 
+Placement placeStreamInDomainFirst(const PlacementRequest &request, const EngineModel &engine,
+                                   std::span<const EndpointView> endpoints)
+{
+    std::vector<EndpointView> own;
+    std::ranges::copy_if(endpoints, std::back_inserter(own), &EndpointView::inOwnDomain);
+    Placement placement = placeStream(request, engine, own);
+    if (placement.outcome == PlacementOutcome::Send && placement.onTime)
+        return placement;
+    return placeStream(request, engine, endpoints);
+}
+
 bool isLongPrefill(const EngineModel &engine, std::uint64_t promptTokens)
 {
     return prefillTime(engine, promptTokens) > kLongPrefill;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -78,6 +78,11 @@
 Placement placeStream(const PlacementRequest &request, const EngineModel &engine,
                       std::span<const EndpointView> endpoints);
 
+/// The same, but uses endpoints of other failure domains only if those of the own one cannot serve
+/// the request on time.
+Placement placeStreamInDomainFirst(const PlacementRequest &request, const EngineModel &engine,
+                                   std::span<const EndpointView> endpoints);
+
 /// The prefill is so long that it occupies endpoints which other long prompts need.
 bool isLongPrefill(const EngineModel &engine, std::uint64_t promptTokens);
 
--- a/tests/unit/meshrelay_test.cpp
+++ b/tests/unit/meshrelay_test.cpp
@@ -1,16 +1,22 @@
-// Choice of the member that relays a message within a remote failure domain.
+// Which daemons of a fleet with several failure domains get a message, and through which member.
 
 #include "base/hash.h"
 #include "gateway/mesh.h"
+#include "support/eventually.h"
+#include "support/network.h"
 
 #include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
 
 #include <algorithm>
+#include <memory>
 #include <set>
+#include <string>
 #include <vector>
 
 using namespace cicadafork;
 using namespace cicadafork::gateway;
+using namespace cicadafork::test;
 
 TEST_GROUP(MeshRelay){};
 
@@ -41,3 +47,139 @@
         used.insert(relayIndex(12345, round, kMembers));
     LONGS_EQUAL(kMembers, used.size());
 }
+
+TEST_GROUP(MeshDomains)
+{
+    struct Member
+    {
+        Member(asio::io_context &context, const MeshOptions &options)
+            : mesh(context, options, tracker,
+                   {.status = [] { return MeshStatus(); },
+                    .loadChanged = [] {},
+                    .peerChanged = [](const PeerInfo &) {},
+                    .messageReceived = [](const PeerInfo &) {},
+                    .endpointUpdatesReceived = [](const PeerInfo &, const auto &) {},
+                    .configChangeReceived = [](const PeerInfo &, const ConfigChange &) {},
+                    .isolated = [] {}})
+        {
+            const auto started = capture([&] { return mesh.start(); });
+            CHECK_TRUE(static_cast<bool>(started));
+        }
+
+        LoadTracker tracker{100};
+        Mesh mesh;
+    };
+
+    static constexpr Millis kLimit{3000};
+    static constexpr EndpointKey kEndpoint = 7;
+    asio::io_context context;
+    AddressPool addresses;
+    std::vector<std::unique_ptr<Member>> members;
+
+    /// Two members in each of the domains "east" and "west", in this order.
+    void start(std::size_t maxDaemonsWithGlobalJobs)
+    {
+        const Address first = addresses.next();
+        for (unsigned i = 0; i < 4; ++i) {
+            MeshOptions options;
+            options.name = fmt::format("m{}", i);
+            options.ip = i == 0 ? first.ip : addresses.next().ip;
+            options.failureDomain = i < 2 ? "east" : "west";
+            options.incarnation = i + 1;
+            options.port = first.port;
+            options.seedIps = {first.ip};
+            options.heartbeatInterval = Millis(100);
+            options.maxDaemonsWithGlobalJobs = maxDaemonsWithGlobalJobs;
+            members.push_back(std::make_unique<Member>(context, options));
+        }
+        CHECK_TRUE(eventually(context, kLimit, [&] {
+            return std::ranges::all_of(
+                    members, [](const auto &member) { return member->mesh.alivePeerCount() == 3; });
+        }));
+    }
+
+    void teardown() override
+    {
+        for (const auto &member : members)
+            member->mesh.stop();
+    }
+
+    /// A job of the first member.
+    void place(std::uint32_t number, const std::set<std::string> &domains)
+    {
+        Job job;
+        job.id = {1, number};
+        job.parts.push_back({kEndpoint, FloatMillis(20), true, 1000});
+        job.expires = steadyNow() + std::chrono::minutes(1);
+        members[0]->tracker.place(job);
+        members[0]->mesh.placed(job, domains);
+    }
+
+    bool knows(unsigned member, std::uint32_t number) const
+    {
+        return members[member]->tracker.find({1, number}) != nullptr;
+    }
+
+    void serveFor(Millis time)
+    {
+        eventually(context, time, [] { return false; });
+    }
+};
+
+// Guards against daemons of a large fleet that handle a datagram for each job of the whole fleet,
+// and against a failure domain that does not hear of a job on its own endpoints.
+TEST(MeshDomains, aLargeFleetAnnouncesJobsOnlyWhereTheyMatter)
+{
+    start(1);
+    place(1, {"east"});
+    place(2, {"east", "west"});
+    CHECK_TRUE(eventually(context, kLimit, [&] { return knows(1, 1) && knows(1, 2); }));
+    CHECK_TRUE(eventually(context, kLimit, [&] { return knows(2, 2) && knows(3, 2); }));
+    serveFor(Millis(300)); // Several heartbeats, which list the jobs.
+    for (const unsigned west : {2U, 3U}) {
+        CHECK_FALSE(knows(west, 1));
+        CHECK_TRUE(knows(west, 2));
+    }
+    members[0]->tracker.ended({1, 2}, steadyNow());
+    members[0]->mesh.ended({1, 2});
+    CHECK_TRUE(eventually(context, kLimit, [&] { return !knows(2, 2) && !knows(3, 2); }));
+}
+
+TEST(MeshDomains, aSmallFleetAnnouncesJobsToAll)
+{
+    start(128);
+    place(1, {"east"});
+    CHECK_TRUE(eventually(context, kLimit, [&] { return knows(2, 1) && knows(3, 1); }));
+}
+
+// Guards against a failure domain that knows nothing of the endpoints of the others.
+TEST(MeshDomains, reportedLoadsReachTheOtherDomainsOnly)
+{
+    start(1);
+    EndpointLoad load;
+    load.sequences = 5;
+    load.decodingSequences = 4;
+    load.helperPrefills = 1;
+    load.pendingPrefill = FloatMillis(400);
+    load.contextTokens = 30'000;
+    load.kvTokens = 40'000;
+    load.shortestEventGap = Millis(250);
+    members[0]->mesh.sendLoads({{kEndpoint, load}, {kEndpoint + 1, {}}});
+    const auto loadAt = [&](unsigned member, EndpointKey endpoint) {
+        return members[member]->tracker.load(endpoint, steadyNow());
+    };
+    for (const unsigned west : {2U, 3U}) {
+        CHECK_TRUE(eventually(context, kLimit, [&] { return loadAt(west, kEndpoint).sequences; }));
+        const EndpointLoad known = loadAt(west, kEndpoint);
+        LONGS_EQUAL(5, known.sequences);
+        LONGS_EQUAL(4, known.decodingSequences);
+        LONGS_EQUAL(1, known.helperPrefills);
+        CHECK_TRUE(known.pendingPrefill <= FloatMillis(400));
+        LONGS_EQUAL(30'000, known.contextTokens);
+        LONGS_EQUAL(40'000, known.kvTokens);
+        CHECK_TRUE(known.shortestEventGap == Millis(250));
+        CHECK_TRUE(known.prefillSlack == FloatMillis::max());
+        CHECK_TRUE(loadAt(west, kEndpoint + 1).shortestEventGap == Millis::max());
+    }
+    LONGS_EQUAL(0, loadAt(1, kEndpoint).sequences);
+}
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -318,6 +318,53 @@
             fmt::format("{} of 87 daemons in the same millisecond", maxSimultaneous).c_str());
 }
 
+// Guards against counting a job twice, and against a report that outlives the daemon that sent it.
+TEST(LoadTracker, aReportReplacesTheJobsPlacedBeforeItUntilItIsOld)
+{
+    constexpr EndpointKey kReported = 77;
+    Job placed;
+    placed.id = {9, 1};
+    placed.parts.push_back({kReported, FloatMillis(20), true, 500});
+    placed.placed = start;
+    placed.expires = start + std::chrono::minutes(1);
+    tracker.place(placed);
+    EndpointLoad load;
+    load.sequences = 4;
+    load.pendingPrefill = FloatMillis(100);
+    tracker.report(kReported, load, start + Millis(50));
+    const EndpointLoad known = tracker.load(kReported, start + Millis(80));
+    LONGS_EQUAL_TEXT(4, known.sequences, "the job is in the report");
+    DOUBLES_EQUAL_TEXT(70, known.pendingPrefill.count(), 0.1, "the endpoint works on");
+    placed.id.number = 2;
+    placed.placed = start + Millis(60);
+    tracker.place(placed);
+    LONGS_EQUAL_TEXT(5, tracker.load(kReported, start + Millis(80)).sequences,
+                     "a job placed after the report is added");
+    LONGS_EQUAL_TEXT(2, tracker.load(kReported, start + Millis(2000)).sequences,
+                     "an old report is not used");
+}
+
+// Guards against full lists of jobs, sent with every heartbeat, that delay other prefills each
+// time.
+TEST(LoadTracker, aRepeatedAnnouncementDelaysOtherPrefillsOnlyOnce)
+{
+    constexpr EndpointKey kShared = 78;
+    Job other;
+    other.id = {9, 1};
+    other.parts.push_back({kShared, FloatMillis(200), true, 500});
+    other.placed = start;
+    other.expectedPrefillEnd = start + Millis(200);
+    other.dueBy = start + Millis(900);
+    other.expires = start + std::chrono::minutes(1);
+    tracker.place(other);
+    Job split = other;
+    split.id = {9, 2};
+    split.parts = {{kShared, FloatMillis(100), false, 0}, {kShared + 1, FloatMillis(100), true, 9}};
+    for (int i = 0; i < 3; ++i)
+        tracker.place(split);
+    CHECK_TRUE(tracker.find(other.id)->expectedPrefillEnd == start + Millis(300));
+}
+
 TEST(LoadTracker, aFullListRemovesTheJobsThatItOmits)
 {
     for (std::uint32_t number = 1; number <= 4; ++number)
