--- a/src/gateway/mesh.capnp.h
+++ b/src/gateway/mesh.capnp.h
@@ -7,10 +7,9 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+    #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -25,2424 +24,2874 @@
 CAPNP_DECLARE_SCHEMA(b3610eba42785e55);
 CAPNP_DECLARE_SCHEMA(fbecd8eb93bed63a);
 
-}  // namespace schemas
-}  // namespace capnp
+} // namespace schemas
+} // namespace capnp
 
 namespace cicadafork {
 namespace gateway {
 namespace wire {
 
-struct Part {
-  Part() = delete;
+struct Part
+{
+    Part() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bb0ec75152b5394b, 3, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(bb0ec75152b5394b, 3, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Job {
-  Job() = delete;
+struct Job
+{
+    Job() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f26e8467532998a3, 4, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(f26e8467532998a3, 4, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Member {
-  Member() = delete;
+struct Member
+{
+    Member() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c332b625d639f51a, 0, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(c332b625d639f51a, 0, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct EndpointEntry {
-  EndpointEntry() = delete;
+struct EndpointEntry
+{
+    EndpointEntry() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a3865a6a59334413, 2, 4)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(a3865a6a59334413, 2, 4)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct EndpointLoad {
-  EndpointLoad() = delete;
+struct EndpointLoad
+{
+    EndpointLoad() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f65420b7efbc4bf4, 6, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(f65420b7efbc4bf4, 6, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct ConfigChange {
-  ConfigChange() = delete;
+struct ConfigChange
+{
+    ConfigChange() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c0c469537200ea22, 3, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(c0c469537200ea22, 3, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct Datagram {
-  Datagram() = delete;
+struct Datagram
+{
+    Datagram() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 6, 10)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 6, 10)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
-struct SharedState {
-  SharedState() = delete;
+struct SharedState
+{
+    SharedState() = delete;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+    class Reader;
+    class Builder;
+    class Pipeline;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fbecd8eb93bed63a, 2, 4)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(fbecd8eb93bed63a, 2, 4)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 // =======================================================================================
 
-class Part::Reader {
+class Part::Reader
+{
 public:
-  typedef Part Reads;
+    typedef Part Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getEndpoint() const;
+    inline ::uint64_t getEndpoint() const;
 
-  inline  ::uint32_t getReadMicros() const;
+    inline ::uint32_t getReadMicros() const;
 
-  inline bool getWrites() const;
+    inline bool getWrites() const;
 
-  inline  ::uint32_t getMemoryTokens() const;
+    inline ::uint32_t getMemoryTokens() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Part::Builder {
+class Part::Builder
+{
 public:
-  typedef Part Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Part Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getEndpoint();
-  inline void setEndpoint( ::uint64_t value);
+    inline ::uint64_t getEndpoint();
+    inline void setEndpoint(::uint64_t value);
 
-  inline  ::uint32_t getReadMicros();
-  inline void setReadMicros( ::uint32_t value);
+    inline ::uint32_t getReadMicros();
+    inline void setReadMicros(::uint32_t value);
 
-  inline bool getWrites();
-  inline void setWrites(bool value);
+    inline bool getWrites();
+    inline void setWrites(bool value);
 
-  inline  ::uint32_t getMemoryTokens();
-  inline void setMemoryTokens( ::uint32_t value);
+    inline ::uint32_t getMemoryTokens();
+    inline void setMemoryTokens(::uint32_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Part::Pipeline {
+class Part::Pipeline
+{
 public:
-  typedef Part Pipelines;
+    typedef Part Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Job::Reader {
+class Job::Reader
+{
 public:
-  typedef Job Reads;
+    typedef Job Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getNumber() const;
+    inline ::uint32_t getNumber() const;
 
-  inline  ::uint32_t getPromptTokens() const;
+    inline ::uint32_t getPromptTokens() const;
 
-  inline  ::uint32_t getAnswerTokens() const;
+    inline ::uint32_t getAnswerTokens() const;
 
-  inline  ::uint32_t getMaxEventGapMs() const;
+    inline ::uint32_t getMaxEventGapMs() const;
 
-  inline  ::uint32_t getReadInMicros() const;
+    inline ::uint32_t getReadInMicros() const;
 
-  inline bool getStarted() const;
+    inline bool getStarted() const;
 
-  inline bool hasParts() const;
-  inline  ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>::Reader getParts() const;
+    inline bool hasParts() const;
+    inline ::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>::Reader
+    getParts() const;
 
-  inline  ::uint32_t getDueInMicros() const;
+    inline ::uint32_t getDueInMicros() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Job::Builder {
+class Job::Builder
+{
 public:
-  typedef Job Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Job Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint32_t getNumber();
-  inline void setNumber( ::uint32_t value);
-
-  inline  ::uint32_t getPromptTokens();
-  inline void setPromptTokens( ::uint32_t value);
-
-  inline  ::uint32_t getAnswerTokens();
-  inline void setAnswerTokens( ::uint32_t value);
-
-  inline  ::uint32_t getMaxEventGapMs();
-  inline void setMaxEventGapMs( ::uint32_t value);
-
-  inline  ::uint32_t getReadInMicros();
-  inline void setReadInMicros( ::uint32_t value);
-
-  inline bool getStarted();
-  inline void setStarted(bool value);
-
-  inline bool hasParts();
-  inline  ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>::Builder getParts();
-  inline void setParts( ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
-  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>> disownParts();
-
-  inline  ::uint32_t getDueInMicros();
-  inline void setDueInMicros( ::uint32_t value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint32_t getNumber();
+    inline void setNumber(::uint32_t value);
+
+    inline ::uint32_t getPromptTokens();
+    inline void setPromptTokens(::uint32_t value);
+
+    inline ::uint32_t getAnswerTokens();
+    inline void setAnswerTokens(::uint32_t value);
+
+    inline ::uint32_t getMaxEventGapMs();
+    inline void setMaxEventGapMs(::uint32_t value);
+
+    inline ::uint32_t getReadInMicros();
+    inline void setReadInMicros(::uint32_t value);
+
+    inline bool getStarted();
+    inline void setStarted(bool value);
+
+    inline bool hasParts();
+    inline ::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>::Builder
+    getParts();
+    inline void
+    setParts(::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>::Builder
+    initParts(unsigned int size);
+    inline void adoptParts(
+            ::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>>
+                    &&value);
+    inline ::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>>
+    disownParts();
+
+    inline ::uint32_t getDueInMicros();
+    inline void setDueInMicros(::uint32_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Job::Pipeline {
+class Job::Pipeline
+{
 public:
-  typedef Job Pipelines;
+    typedef Job Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Member::Reader {
+class Member::Reader
+{
 public:
-  typedef Member Reads;
+    typedef Member Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+    inline bool hasName() const;
+    inline ::capnp::Text::Reader getName() const;
 
-  inline bool hasIp() const;
-  inline  ::capnp::Text::Reader getIp() const;
+    inline bool hasIp() const;
+    inline ::capnp::Text::Reader getIp() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Member::Builder {
+class Member::Builder
+{
 public:
-  typedef Member Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Member Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
-
-  inline bool hasIp();
-  inline  ::capnp::Text::Builder getIp();
-  inline void setIp( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIp(unsigned int size);
-  inline void adoptIp(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIp();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasName();
+    inline ::capnp::Text::Builder getName();
+    inline void setName(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initName(unsigned int size);
+    inline void adoptName(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownName();
+
+    inline bool hasIp();
+    inline ::capnp::Text::Builder getIp();
+    inline void setIp(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initIp(unsigned int size);
+    inline void adoptIp(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownIp();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Member::Pipeline {
+class Member::Pipeline
+{
 public:
-  typedef Member Pipelines;
+    typedef Member Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class EndpointEntry::Reader {
+class EndpointEntry::Reader
+{
 public:
-  typedef EndpointEntry Reads;
+    typedef EndpointEntry Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
+    inline bool hasId() const;
+    inline ::capnp::Text::Reader getId() const;
 
-  inline  ::int64_t getBornMs() const;
+    inline ::int64_t getBornMs() const;
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+    inline bool hasService() const;
+    inline ::capnp::Text::Reader getService() const;
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+    inline bool hasAddress() const;
+    inline ::capnp::Text::Reader getAddress() const;
 
-  inline bool hasFailureDomain() const;
-  inline  ::capnp::Text::Reader getFailureDomain() const;
+    inline bool hasFailureDomain() const;
+    inline ::capnp::Text::Reader getFailureDomain() const;
 
-  inline  ::uint32_t getSlots() const;
+    inline ::uint32_t getSlots() const;
 
-  inline bool getDraining() const;
+    inline bool getDraining() const;
 
-  inline bool getGone() const;
+    inline bool getGone() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class EndpointEntry::Builder {
+class EndpointEntry::Builder
+{
 public:
-  typedef EndpointEntry Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef EndpointEntry Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
-
-  inline  ::int64_t getBornMs();
-  inline void setBornMs( ::int64_t value);
-
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
-
-  inline bool hasFailureDomain();
-  inline  ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
-
-  inline  ::uint32_t getSlots();
-  inline void setSlots( ::uint32_t value);
-
-  inline bool getDraining();
-  inline void setDraining(bool value);
-
-  inline bool getGone();
-  inline void setGone(bool value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasId();
+    inline ::capnp::Text::Builder getId();
+    inline void setId(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initId(unsigned int size);
+    inline void adoptId(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownId();
+
+    inline ::int64_t getBornMs();
+    inline void setBornMs(::int64_t value);
+
+    inline bool hasService();
+    inline ::capnp::Text::Builder getService();
+    inline void setService(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initService(unsigned int size);
+    inline void adoptService(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownService();
+
+    inline bool hasAddress();
+    inline ::capnp::Text::Builder getAddress();
+    inline void setAddress(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initAddress(unsigned int size);
+    inline void adoptAddress(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownAddress();
+
+    inline bool hasFailureDomain();
+    inline ::capnp::Text::Builder getFailureDomain();
+    inline void setFailureDomain(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initFailureDomain(unsigned int size);
+    inline void adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownFailureDomain();
+
+    inline ::uint32_t getSlots();
+    inline void setSlots(::uint32_t value);
+
+    inline bool getDraining();
+    inline void setDraining(bool value);
+
+    inline bool getGone();
+    inline void setGone(bool value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class EndpointEntry::Pipeline {
+class EndpointEntry::Pipeline
+{
 public:
-  typedef EndpointEntry Pipelines;
+    typedef EndpointEntry Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class EndpointLoad::Reader {
+class EndpointLoad::Reader
+{
 public:
-  typedef EndpointLoad Reads;
+    typedef EndpointLoad Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getEndpoint() const;
+    inline ::uint64_t getEndpoint() const;
 
-  inline  ::uint32_t getSequences() const;
+    inline ::uint32_t getSequences() const;
 
-  inline  ::uint32_t getDecodingSequences() const;
+    inline ::uint32_t getDecodingSequences() const;
 
-  inline  ::uint32_t getHelperPrefills() const;
+    inline ::uint32_t getHelperPrefills() const;
 
-  inline  ::uint32_t getPendingPrefillMicros() const;
+    inline ::uint32_t getPendingPrefillMicros() const;
 
-  inline  ::uint64_t getContextTokens() const;
+    inline ::uint64_t getContextTokens() const;
 
-  inline  ::uint64_t getKvTokens() const;
+    inline ::uint64_t getKvTokens() const;
 
-  inline  ::uint32_t getShortestEventGapMs() const;
+    inline ::uint32_t getShortestEventGapMs() const;
 
-  inline  ::uint32_t getPrefillSlackMicros() const;
+    inline ::uint32_t getPrefillSlackMicros() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class EndpointLoad::Builder {
+class EndpointLoad::Builder
+{
 public:
-  typedef EndpointLoad Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef EndpointLoad Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getEndpoint();
-  inline void setEndpoint( ::uint64_t value);
+    inline ::uint64_t getEndpoint();
+    inline void setEndpoint(::uint64_t value);
 
-  inline  ::uint32_t getSequences();
-  inline void setSequences( ::uint32_t value);
+    inline ::uint32_t getSequences();
+    inline void setSequences(::uint32_t value);
 
-  inline  ::uint32_t getDecodingSequences();
-  inline void setDecodingSequences( ::uint32_t value);
+    inline ::uint32_t getDecodingSequences();
+    inline void setDecodingSequences(::uint32_t value);
 
-  inline  ::uint32_t getHelperPrefills();
-  inline void setHelperPrefills( ::uint32_t value);
+    inline ::uint32_t getHelperPrefills();
+    inline void setHelperPrefills(::uint32_t value);
 
-  inline  ::uint32_t getPendingPrefillMicros();
-  inline void setPendingPrefillMicros( ::uint32_t value);
+    inline ::uint32_t getPendingPrefillMicros();
+    inline void setPendingPrefillMicros(::uint32_t value);
 
-  inline  ::uint64_t getContextTokens();
-  inline void setContextTokens( ::uint64_t value);
+    inline ::uint64_t getContextTokens();
+    inline void setContextTokens(::uint64_t value);
 
-  inline  ::uint64_t getKvTokens();
-  inline void setKvTokens( ::uint64_t value);
+    inline ::uint64_t getKvTokens();
+    inline void setKvTokens(::uint64_t value);
 
-  inline  ::uint32_t getShortestEventGapMs();
-  inline void setShortestEventGapMs( ::uint32_t value);
+    inline ::uint32_t getShortestEventGapMs();
+    inline void setShortestEventGapMs(::uint32_t value);
 
-  inline  ::uint32_t getPrefillSlackMicros();
-  inline void setPrefillSlackMicros( ::uint32_t value);
+    inline ::uint32_t getPrefillSlackMicros();
+    inline void setPrefillSlackMicros(::uint32_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class EndpointLoad::Pipeline {
+class EndpointLoad::Pipeline
+{
 public:
-  typedef EndpointLoad Pipelines;
+    typedef EndpointLoad Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class ConfigChange::Reader {
+class ConfigChange::Reader
+{
 public:
-  typedef ConfigChange Reads;
+    typedef ConfigChange Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getBase() const;
+    inline ::uint64_t getBase() const;
 
-  inline  ::uint64_t getVersion() const;
+    inline ::uint64_t getVersion() const;
 
-  inline  ::uint64_t getTextHash() const;
+    inline ::uint64_t getTextHash() const;
 
-  inline bool hasDelta() const;
-  inline  ::capnp::Data::Reader getDelta() const;
+    inline bool hasDelta() const;
+    inline ::capnp::Data::Reader getDelta() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class ConfigChange::Builder {
+class ConfigChange::Builder
+{
 public:
-  typedef ConfigChange Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef ConfigChange Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getBase();
-  inline void setBase( ::uint64_t value);
+    inline ::uint64_t getBase();
+    inline void setBase(::uint64_t value);
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+    inline ::uint64_t getVersion();
+    inline void setVersion(::uint64_t value);
 
-  inline  ::uint64_t getTextHash();
-  inline void setTextHash( ::uint64_t value);
+    inline ::uint64_t getTextHash();
+    inline void setTextHash(::uint64_t value);
 
-  inline bool hasDelta();
-  inline  ::capnp::Data::Builder getDelta();
-  inline void setDelta( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initDelta(unsigned int size);
-  inline void adoptDelta(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownDelta();
+    inline bool hasDelta();
+    inline ::capnp::Data::Builder getDelta();
+    inline void setDelta(::capnp::Data::Reader value);
+    inline ::capnp::Data::Builder initDelta(unsigned int size);
+    inline void adoptDelta(::capnp::Orphan<::capnp::Data> &&value);
+    inline ::capnp::Orphan<::capnp::Data> disownDelta();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class ConfigChange::Pipeline {
+class ConfigChange::Pipeline
+{
 public:
-  typedef ConfigChange Pipelines;
+    typedef ConfigChange Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Datagram::Reader {
+class Datagram::Reader
+{
 public:
-  typedef Datagram Reads;
+    typedef Datagram Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+    inline bool hasName() const;
+    inline ::capnp::Text::Reader getName() const;
 
-  inline bool hasIp() const;
-  inline  ::capnp::Text::Reader getIp() const;
+    inline bool hasIp() const;
+    inline ::capnp::Text::Reader getIp() const;
 
-  inline bool hasFailureDomain() const;
-  inline  ::capnp::Text::Reader getFailureDomain() const;
+    inline bool hasFailureDomain() const;
+    inline ::capnp::Text::Reader getFailureDomain() const;
 
-  inline  ::uint64_t getIncarnation() const;
+    inline ::uint64_t getIncarnation() const;
 
-  inline  ::uint64_t getConfigVersion() const;
+    inline ::uint64_t getConfigVersion() const;
 
-  inline  ::uint64_t getEndpointsPosition() const;
+    inline ::uint64_t getEndpointsPosition() const;
 
-  inline bool hasJobs() const;
-  inline  ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>::Reader getJobs() const;
+    inline bool hasJobs() const;
+    inline ::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>::Reader
+    getJobs() const;
 
-  inline bool hasStarted() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getStarted() const;
+    inline bool hasStarted() const;
+    inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader getStarted() const;
 
-  inline bool hasEnded() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getEnded() const;
+    inline bool hasEnded() const;
+    inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader getEnded() const;
 
-  inline  ::uint32_t getCoversFrom() const;
+    inline ::uint32_t getCoversFrom() const;
 
-  inline  ::uint32_t getCoversTo() const;
+    inline ::uint32_t getCoversTo() const;
 
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+    inline bool hasMembers() const;
+    inline ::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>::Reader
+    getMembers() const;
 
-  inline bool getLeaving() const;
+    inline bool getLeaving() const;
 
-  inline bool getWantsReply() const;
+    inline bool getWantsReply() const;
 
-  inline  ::uint64_t getEndpointsDigest() const;
+    inline ::uint64_t getEndpointsDigest() const;
 
-  inline bool hasEndpointChanges() const;
-  inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Reader getEndpointChanges() const;
+    inline bool hasEndpointChanges() const;
+    inline ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>::Reader
+    getEndpointChanges() const;
 
-  inline bool getStoreLost() const;
+    inline bool getStoreLost() const;
 
-  inline bool hasConfigChange() const;
-  inline  ::cicadafork::gateway::wire::ConfigChange::Reader getConfigChange() const;
+    inline bool hasConfigChange() const;
+    inline ::cicadafork::gateway::wire::ConfigChange::Reader getConfigChange() const;
 
-  inline bool hasLoads() const;
-  inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+    inline bool hasLoads() const;
+    inline ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>::Reader
+    getLoads() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Datagram::Builder {
+class Datagram::Builder
+{
 public:
-  typedef Datagram Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef Datagram Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
-
-  inline bool hasIp();
-  inline  ::capnp::Text::Builder getIp();
-  inline void setIp( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIp(unsigned int size);
-  inline void adoptIp(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIp();
-
-  inline bool hasFailureDomain();
-  inline  ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getConfigVersion();
-  inline void setConfigVersion( ::uint64_t value);
-
-  inline  ::uint64_t getEndpointsPosition();
-  inline void setEndpointsPosition( ::uint64_t value);
-
-  inline bool hasJobs();
-  inline  ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>::Builder getJobs();
-  inline void setJobs( ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>::Builder initJobs(unsigned int size);
-  inline void adoptJobs(::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>> disownJobs();
-
-  inline bool hasStarted();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getStarted();
-  inline void setStarted( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setStarted(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initStarted(unsigned int size);
-  inline void adoptStarted(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownStarted();
-
-  inline bool hasEnded();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getEnded();
-  inline void setEnded( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setEnded(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initEnded(unsigned int size);
-  inline void adoptEnded(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownEnded();
-
-  inline  ::uint32_t getCoversFrom();
-  inline void setCoversFrom( ::uint32_t value);
-
-  inline  ::uint32_t getCoversTo();
-  inline void setCoversTo( ::uint32_t value);
-
-  inline bool hasMembers();
-  inline  ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>> disownMembers();
-
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
-
-  inline bool getWantsReply();
-  inline void setWantsReply(bool value);
-
-  inline  ::uint64_t getEndpointsDigest();
-  inline void setEndpointsDigest( ::uint64_t value);
-
-  inline bool hasEndpointChanges();
-  inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Builder getEndpointChanges();
-  inline void setEndpointChanges( ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Builder initEndpointChanges(unsigned int size);
-  inline void adoptEndpointChanges(::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>> disownEndpointChanges();
-
-  inline bool getStoreLost();
-  inline void setStoreLost(bool value);
-
-  inline bool hasConfigChange();
-  inline  ::cicadafork::gateway::wire::ConfigChange::Builder getConfigChange();
-  inline void setConfigChange( ::cicadafork::gateway::wire::ConfigChange::Reader value);
-  inline  ::cicadafork::gateway::wire::ConfigChange::Builder initConfigChange();
-  inline void adoptConfigChange(::capnp::Orphan< ::cicadafork::gateway::wire::ConfigChange>&& value);
-  inline ::capnp::Orphan< ::cicadafork::gateway::wire::ConfigChange> disownConfigChange();
-
-  inline bool hasLoads();
-  inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
-  inline void setLoads( ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
-  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasName();
+    inline ::capnp::Text::Builder getName();
+    inline void setName(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initName(unsigned int size);
+    inline void adoptName(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownName();
+
+    inline bool hasIp();
+    inline ::capnp::Text::Builder getIp();
+    inline void setIp(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initIp(unsigned int size);
+    inline void adoptIp(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownIp();
+
+    inline bool hasFailureDomain();
+    inline ::capnp::Text::Builder getFailureDomain();
+    inline void setFailureDomain(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initFailureDomain(unsigned int size);
+    inline void adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownFailureDomain();
+
+    inline ::uint64_t getIncarnation();
+    inline void setIncarnation(::uint64_t value);
+
+    inline ::uint64_t getConfigVersion();
+    inline void setConfigVersion(::uint64_t value);
+
+    inline ::uint64_t getEndpointsPosition();
+    inline void setEndpointsPosition(::uint64_t value);
+
+    inline bool hasJobs();
+    inline ::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>::Builder
+    getJobs();
+    inline void
+    setJobs(::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>::Builder
+    initJobs(unsigned int size);
+    inline void adoptJobs(
+            ::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>>
+                    &&value);
+    inline ::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>>
+    disownJobs();
+
+    inline bool hasStarted();
+    inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder getStarted();
+    inline void setStarted(::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+    inline void setStarted(::kj::ArrayPtr<const ::uint32_t> value);
+    inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+    initStarted(unsigned int size);
+    inline void
+    adoptStarted(::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>> disownStarted();
+
+    inline bool hasEnded();
+    inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder getEnded();
+    inline void setEnded(::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+    inline void setEnded(::kj::ArrayPtr<const ::uint32_t> value);
+    inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+    initEnded(unsigned int size);
+    inline void
+    adoptEnded(::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>> disownEnded();
+
+    inline ::uint32_t getCoversFrom();
+    inline void setCoversFrom(::uint32_t value);
+
+    inline ::uint32_t getCoversTo();
+    inline void setCoversTo(::uint32_t value);
+
+    inline bool hasMembers();
+    inline ::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>::Builder
+    getMembers();
+    inline void setMembers(::capnp::List<::cicadafork::gateway::wire::Member,
+                                         ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>::Builder
+    initMembers(unsigned int size);
+    inline void adoptMembers(::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::Member,
+                                                           ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<
+            ::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>>
+    disownMembers();
+
+    inline bool getLeaving();
+    inline void setLeaving(bool value);
+
+    inline bool getWantsReply();
+    inline void setWantsReply(bool value);
+
+    inline ::uint64_t getEndpointsDigest();
+    inline void setEndpointsDigest(::uint64_t value);
+
+    inline bool hasEndpointChanges();
+    inline ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>::Builder
+    getEndpointChanges();
+    inline void setEndpointChanges(::capnp::List<::cicadafork::gateway::wire::EndpointEntry,
+                                                 ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>::Builder
+    initEndpointChanges(unsigned int size);
+    inline void
+    adoptEndpointChanges(::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::EndpointEntry,
+                                                       ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>
+    disownEndpointChanges();
+
+    inline bool getStoreLost();
+    inline void setStoreLost(bool value);
+
+    inline bool hasConfigChange();
+    inline ::cicadafork::gateway::wire::ConfigChange::Builder getConfigChange();
+    inline void setConfigChange(::cicadafork::gateway::wire::ConfigChange::Reader value);
+    inline ::cicadafork::gateway::wire::ConfigChange::Builder initConfigChange();
+    inline void
+    adoptConfigChange(::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> &&value);
+    inline ::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> disownConfigChange();
+
+    inline bool hasLoads();
+    inline ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>::Builder
+    getLoads();
+    inline void setLoads(::capnp::List<::cicadafork::gateway::wire::EndpointLoad,
+                                       ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>::Builder
+    initLoads(unsigned int size);
+    inline void adoptLoads(::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::EndpointLoad,
+                                                         ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>>
+    disownLoads();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Datagram::Pipeline {
+class Datagram::Pipeline
+{
 public:
-  typedef Datagram Pipelines;
+    typedef Datagram Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+    inline ::cicadafork::gateway::wire::ConfigChange::Pipeline getConfigChange();
 
-  inline  ::cicadafork::gateway::wire::ConfigChange::Pipeline getConfigChange();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class SharedState::Reader {
+class SharedState::Reader
+{
 public:
-  typedef SharedState Reads;
+    typedef SharedState Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getConfigVersion() const;
+    inline ::uint64_t getConfigVersion() const;
 
-  inline bool hasConfigText() const;
-  inline  ::capnp::Text::Reader getConfigText() const;
+    inline bool hasConfigText() const;
+    inline ::capnp::Text::Reader getConfigText() const;
 
-  inline  ::uint64_t getEndpointsPosition() const;
+    inline ::uint64_t getEndpointsPosition() const;
 
-  inline bool hasEndpoints() const;
-  inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
+    inline bool hasEndpoints() const;
+    inline ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>::Reader
+    getEndpoints() const;
 
-  inline bool hasEndpointGroups() const;
-  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader getEndpointGroups() const;
+    inline bool hasEndpointGroups() const;
+    inline ::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Reader getEndpointGroups() const;
 
-  inline bool hasConfigChange() const;
-  inline  ::cicadafork::gateway::wire::ConfigChange::Reader getConfigChange() const;
+    inline bool hasConfigChange() const;
+    inline ::cicadafork::gateway::wire::ConfigChange::Reader getConfigChange() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class SharedState::Builder {
+class SharedState::Builder
+{
 public:
-  typedef SharedState Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef SharedState Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getConfigVersion();
-  inline void setConfigVersion( ::uint64_t value);
-
-  inline bool hasConfigText();
-  inline  ::capnp::Text::Builder getConfigText();
-  inline void setConfigText( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initConfigText(unsigned int size);
-  inline void adoptConfigText(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownConfigText();
-
-  inline  ::uint64_t getEndpointsPosition();
-  inline void setEndpointsPosition( ::uint64_t value);
-
-  inline bool hasEndpoints();
-  inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Builder getEndpoints();
-  inline void setEndpoints( ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Builder initEndpoints(unsigned int size);
-  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>> disownEndpoints();
-
-  inline bool hasEndpointGroups();
-  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder getEndpointGroups();
-  inline void setEndpointGroups( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setEndpointGroups(::kj::ArrayPtr<const  ::uint8_t> value);
-  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder initEndpointGroups(unsigned int size);
-  inline void adoptEndpointGroups(::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> disownEndpointGroups();
-
-  inline bool hasConfigChange();
-  inline  ::cicadafork::gateway::wire::ConfigChange::Builder getConfigChange();
-  inline void setConfigChange( ::cicadafork::gateway::wire::ConfigChange::Reader value);
-  inline  ::cicadafork::gateway::wire::ConfigChange::Builder initConfigChange();
-  inline void adoptConfigChange(::capnp::Orphan< ::cicadafork::gateway::wire::ConfigChange>&& value);
-  inline ::capnp::Orphan< ::cicadafork::gateway::wire::ConfigChange> disownConfigChange();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getConfigVersion();
+    inline void setConfigVersion(::uint64_t value);
+
+    inline bool hasConfigText();
+    inline ::capnp::Text::Builder getConfigText();
+    inline void setConfigText(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initConfigText(unsigned int size);
+    inline void adoptConfigText(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownConfigText();
+
+    inline ::uint64_t getEndpointsPosition();
+    inline void setEndpointsPosition(::uint64_t value);
+
+    inline bool hasEndpoints();
+    inline ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>::Builder
+    getEndpoints();
+    inline void setEndpoints(::capnp::List<::cicadafork::gateway::wire::EndpointEntry,
+                                           ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>::Builder
+    initEndpoints(unsigned int size);
+    inline void
+    adoptEndpoints(::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::EndpointEntry,
+                                                 ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>
+    disownEndpoints();
+
+    inline bool hasEndpointGroups();
+    inline ::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Builder getEndpointGroups();
+    inline void setEndpointGroups(::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+    inline void setEndpointGroups(::kj::ArrayPtr<const ::uint8_t> value);
+    inline ::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Builder
+    initEndpointGroups(unsigned int size);
+    inline void adoptEndpointGroups(
+            ::capnp::Orphan<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>
+    disownEndpointGroups();
+
+    inline bool hasConfigChange();
+    inline ::cicadafork::gateway::wire::ConfigChange::Builder getConfigChange();
+    inline void setConfigChange(::cicadafork::gateway::wire::ConfigChange::Reader value);
+    inline ::cicadafork::gateway::wire::ConfigChange::Builder initConfigChange();
+    inline void
+    adoptConfigChange(::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> &&value);
+    inline ::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> disownConfigChange();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SharedState::Pipeline {
+class SharedState::Pipeline
+{
 public:
-  typedef SharedState Pipelines;
+    typedef SharedState Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline ::cicadafork::gateway::wire::ConfigChange::Pipeline getConfigChange();
 
-  inline  ::cicadafork::gateway::wire::ConfigChange::Pipeline getConfigChange();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 // =======================================================================================
 
-inline  ::uint64_t Part::Reader::getEndpoint() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Part::Reader::getEndpoint() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Part::Builder::getEndpoint() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Part::Builder::getEndpoint()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Part::Builder::setEndpoint( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Part::Builder::setEndpoint(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Part::Reader::getReadMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t Part::Reader::getReadMicros() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Part::Builder::getReadMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t Part::Builder::getReadMicros()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Part::Builder::setReadMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Part::Builder::setReadMicros(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Part::Reader::getWrites() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline bool Part::Reader::getWrites() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
 
-inline bool Part::Builder::getWrites() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline bool Part::Builder::getWrites()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
-inline void Part::Builder::setWrites(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+inline void Part::Builder::setWrites(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Part::Reader::getMemoryTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t Part::Reader::getMemoryTokens() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Part::Builder::getMemoryTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t Part::Builder::getMemoryTokens()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Part::Builder::setMemoryTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Part::Builder::setMemoryTokens(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Job::Reader::getNumber() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Job::Reader::getNumber() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Job::Builder::getNumber() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Job::Builder::getNumber()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Job::Builder::setNumber( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Job::Builder::setNumber(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Job::Reader::getPromptTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Job::Reader::getPromptTokens() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Job::Builder::getPromptTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Job::Builder::getPromptTokens()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Job::Builder::setPromptTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Job::Builder::setPromptTokens(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Job::Reader::getAnswerTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t Job::Reader::getAnswerTokens() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Job::Builder::getAnswerTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t Job::Builder::getAnswerTokens()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Job::Builder::setAnswerTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Job::Builder::setAnswerTokens(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Job::Reader::getMaxEventGapMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t Job::Reader::getMaxEventGapMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Job::Builder::getMaxEventGapMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t Job::Builder::getMaxEventGapMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Job::Builder::setMaxEventGapMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Job::Builder::setMaxEventGapMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Job::Reader::getReadInMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t Job::Reader::getReadInMicros() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Job::Builder::getReadInMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t Job::Builder::getReadInMicros()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Job::Builder::setReadInMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Job::Builder::setReadInMicros(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Job::Reader::getStarted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+inline bool Job::Reader::getStarted() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<160>() * ::capnp::ELEMENTS);
 }
 
-inline bool Job::Builder::getStarted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+inline bool Job::Builder::getStarted()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<160>() * ::capnp::ELEMENTS);
 }
-inline void Job::Builder::setStarted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
+inline void Job::Builder::setStarted(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Job::Reader::hasParts() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Job::Reader::hasParts() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Job::Builder::hasParts() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Job::Builder::hasParts()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>::Reader Job::Reader::getParts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>::Reader
+Job::Reader::getParts() const
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>>::
+            get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>::Builder Job::Builder::getParts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>::Builder
+Job::Builder::getParts()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>>::
+            get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Job::Builder::setParts( ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Job::Builder::setParts(
+        ::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>>::
+            set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>::Builder Job::Builder::initParts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>::Builder
+Job::Builder::initParts(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>>::
+            init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Job::Builder::adoptParts(
-    ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>> Job::Builder::disownParts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Part,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t Job::Reader::getDueInMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Job::Builder::getDueInMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
-inline void Job::Builder::setDueInMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Member::Reader::hasName() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Member::Builder::hasName() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Member::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Member::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Member::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Member::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Member::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Member::Reader::hasIp() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Member::Builder::hasIp() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Member::Reader::getIp() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Member::Builder::getIp() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Member::Builder::setIp( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Member::Builder::initIp(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Member::Builder::adoptIp(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownIp() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool EndpointEntry::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool EndpointEntry::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader EndpointEntry::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder EndpointEntry::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void EndpointEntry::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder EndpointEntry::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void EndpointEntry::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> EndpointEntry::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t EndpointEntry::Reader::getBornMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        ::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>>
+                &&value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>>::
+            adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+                  kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>>
+Job::Builder::disownParts()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Part, ::capnp::Kind::STRUCT>>::
+            disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint32_t Job::Reader::getDueInMicros() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t Job::Builder::getDueInMicros()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Job::Builder::setDueInMicros(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::hasName() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasName()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Member::Reader::getName() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Member::Builder::getName()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setName(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Member::Builder::initName(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptName(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Member::Builder::disownName()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t EndpointEntry::Builder::getBornMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void EndpointEntry::Builder::setBornMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool Member::Reader::hasIp() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasIp()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Member::Reader::getIp() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Member::Builder::getIp()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setIp(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Member::Builder::initIp(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptIp(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Member::Builder::disownIp()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool EndpointEntry::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool EndpointEntry::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader EndpointEntry::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder EndpointEntry::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void EndpointEntry::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline bool EndpointEntry::Reader::hasId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Builder EndpointEntry::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline bool EndpointEntry::Builder::hasId()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void EndpointEntry::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Text::Reader EndpointEntry::Reader::getId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder EndpointEntry::Builder::getId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EndpointEntry::Builder::setId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder EndpointEntry::Builder::initId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EndpointEntry::Builder::adoptId(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> EndpointEntry::Builder::disownId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::int64_t EndpointEntry::Reader::getBornMs() const
+{
+    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t EndpointEntry::Builder::getBornMs()
+{
+    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EndpointEntry::Builder::setBornMs(::int64_t value)
+{
+    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EndpointEntry::Reader::hasService() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointEntry::Builder::hasService()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader EndpointEntry::Reader::getService() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder EndpointEntry::Builder::getService()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EndpointEntry::Builder::setService(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder EndpointEntry::Builder::initService(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void EndpointEntry::Builder::adoptService(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EndpointEntry::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> EndpointEntry::Builder::disownService()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool EndpointEntry::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool EndpointEntry::Reader::hasAddress() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool EndpointEntry::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool EndpointEntry::Builder::hasAddress()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EndpointEntry::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader EndpointEntry::Reader::getAddress() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EndpointEntry::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder EndpointEntry::Builder::getAddress()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void EndpointEntry::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void EndpointEntry::Builder::setAddress(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EndpointEntry::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder EndpointEntry::Builder::initAddress(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void EndpointEntry::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void EndpointEntry::Builder::adoptAddress(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EndpointEntry::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> EndpointEntry::Builder::disownAddress()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool EndpointEntry::Reader::hasFailureDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool EndpointEntry::Reader::hasFailureDomain() const
+{
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool EndpointEntry::Builder::hasFailureDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool EndpointEntry::Builder::hasFailureDomain()
+{
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EndpointEntry::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader EndpointEntry::Reader::getFailureDomain() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EndpointEntry::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder EndpointEntry::Builder::getFailureDomain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void EndpointEntry::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void EndpointEntry::Builder::setFailureDomain(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EndpointEntry::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder EndpointEntry::Builder::initFailureDomain(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void EndpointEntry::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void EndpointEntry::Builder::adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EndpointEntry::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> EndpointEntry::Builder::disownFailureDomain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t EndpointEntry::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointEntry::Reader::getSlots() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointEntry::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointEntry::Builder::getSlots()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void EndpointEntry::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void EndpointEntry::Builder::setSlots(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EndpointEntry::Reader::getDraining() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline bool EndpointEntry::Reader::getDraining() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
 
-inline bool EndpointEntry::Builder::getDraining() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline bool EndpointEntry::Builder::getDraining()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
-inline void EndpointEntry::Builder::setDraining(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+inline void EndpointEntry::Builder::setDraining(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EndpointEntry::Reader::getGone() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+inline bool EndpointEntry::Reader::getGone() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS);
 }
 
-inline bool EndpointEntry::Builder::getGone() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+inline bool EndpointEntry::Builder::getGone()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS);
 }
-inline void EndpointEntry::Builder::setGone(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+inline void EndpointEntry::Builder::setGone(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t EndpointLoad::Reader::getEndpoint() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t EndpointLoad::Reader::getEndpoint() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t EndpointLoad::Builder::getEndpoint() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t EndpointLoad::Builder::getEndpoint()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EndpointLoad::Builder::setEndpoint( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void EndpointLoad::Builder::setEndpoint(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t EndpointLoad::Reader::getSequences() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointLoad::Reader::getSequences() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointLoad::Builder::getSequences() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointLoad::Builder::getSequences()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void EndpointLoad::Builder::setSequences( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void EndpointLoad::Builder::setSequences(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t EndpointLoad::Reader::getDecodingSequences() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointLoad::Reader::getDecodingSequences() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointLoad::Builder::getDecodingSequences() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointLoad::Builder::getDecodingSequences()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void EndpointLoad::Builder::setDecodingSequences( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void EndpointLoad::Builder::setDecodingSequences(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t EndpointLoad::Reader::getHelperPrefills() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointLoad::Reader::getHelperPrefills() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointLoad::Builder::getHelperPrefills() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointLoad::Builder::getHelperPrefills()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void EndpointLoad::Builder::setHelperPrefills( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void EndpointLoad::Builder::setHelperPrefills(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t EndpointLoad::Reader::getPendingPrefillMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointLoad::Reader::getPendingPrefillMicros() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointLoad::Builder::getPendingPrefillMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointLoad::Builder::getPendingPrefillMicros()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void EndpointLoad::Builder::setPendingPrefillMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void EndpointLoad::Builder::setPendingPrefillMicros(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t EndpointLoad::Reader::getContextTokens() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t EndpointLoad::Reader::getContextTokens() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t EndpointLoad::Builder::getContextTokens() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t EndpointLoad::Builder::getContextTokens()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void EndpointLoad::Builder::setContextTokens( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void EndpointLoad::Builder::setContextTokens(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t EndpointLoad::Reader::getKvTokens() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint64_t EndpointLoad::Reader::getKvTokens() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t EndpointLoad::Builder::getKvTokens() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint64_t EndpointLoad::Builder::getKvTokens()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void EndpointLoad::Builder::setKvTokens( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void EndpointLoad::Builder::setKvTokens(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t EndpointLoad::Reader::getShortestEventGapMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointLoad::Reader::getShortestEventGapMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointLoad::Builder::getShortestEventGapMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointLoad::Builder::getShortestEventGapMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
-inline void EndpointLoad::Builder::setShortestEventGapMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+inline void EndpointLoad::Builder::setShortestEventGapMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t EndpointLoad::Reader::getPrefillSlackMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointLoad::Reader::getPrefillSlackMicros() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointLoad::Builder::getPrefillSlackMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+inline ::uint32_t EndpointLoad::Builder::getPrefillSlackMicros()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
-inline void EndpointLoad::Builder::setPrefillSlackMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+inline void EndpointLoad::Builder::setPrefillSlackMicros(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConfigChange::Reader::getBase() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t ConfigChange::Reader::getBase() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfigChange::Builder::getBase() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t ConfigChange::Builder::getBase()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConfigChange::Builder::setBase( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ConfigChange::Builder::setBase(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConfigChange::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t ConfigChange::Reader::getVersion() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfigChange::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t ConfigChange::Builder::getVersion()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ConfigChange::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void ConfigChange::Builder::setVersion(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConfigChange::Reader::getTextHash() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t ConfigChange::Reader::getTextHash() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfigChange::Builder::getTextHash() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t ConfigChange::Builder::getTextHash()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ConfigChange::Builder::setTextHash( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void ConfigChange::Builder::setTextHash(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConfigChange::Reader::hasDelta() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ConfigChange::Reader::hasDelta() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigChange::Builder::hasDelta() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ConfigChange::Builder::hasDelta()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader ConfigChange::Reader::getDelta() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Data::Reader ConfigChange::Reader::getDelta() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder ConfigChange::Builder::getDelta() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Data::Builder ConfigChange::Builder::getDelta()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConfigChange::Builder::setDelta( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ConfigChange::Builder::setDelta(::capnp::Data::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Data>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder ConfigChange::Builder::initDelta(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Data::Builder ConfigChange::Builder::initDelta(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ConfigChange::Builder::adoptDelta(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ConfigChange::Builder::adoptDelta(::capnp::Orphan<::capnp::Data> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> ConfigChange::Builder::disownDelta() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Data> ConfigChange::Builder::disownDelta()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::hasName() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Datagram::Reader::hasName() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasName() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Datagram::Builder::hasName()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Datagram::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Datagram::Reader::getName() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Datagram::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Datagram::Builder::getName()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Datagram::Builder::setName(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Datagram::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Datagram::Builder::initName(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Datagram::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Datagram::Builder::adoptName(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Datagram::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Datagram::Builder::disownName()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::hasIp() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Datagram::Reader::hasIp() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasIp() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Datagram::Builder::hasIp()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Datagram::Reader::getIp() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Datagram::Reader::getIp() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Datagram::Builder::getIp() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Datagram::Builder::getIp()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setIp( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Datagram::Builder::setIp(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Datagram::Builder::initIp(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Datagram::Builder::initIp(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Datagram::Builder::adoptIp(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Datagram::Builder::adoptIp(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Datagram::Builder::disownIp() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Datagram::Builder::disownIp()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::hasFailureDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool Datagram::Reader::hasFailureDomain() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasFailureDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool Datagram::Builder::hasFailureDomain()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Datagram::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Datagram::Reader::getFailureDomain() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Datagram::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Datagram::Builder::getFailureDomain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Datagram::Builder::setFailureDomain(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Datagram::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Datagram::Builder::initFailureDomain(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Datagram::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Datagram::Builder::adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Datagram::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Datagram::Builder::disownFailureDomain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Datagram::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Datagram::Reader::getIncarnation() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Datagram::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Datagram::Builder::getIncarnation()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Datagram::Builder::setIncarnation(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Datagram::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Datagram::Reader::getConfigVersion() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Datagram::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Datagram::Builder::getConfigVersion()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setConfigVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Datagram::Builder::setConfigVersion(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Datagram::Reader::getEndpointsPosition() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Datagram::Reader::getEndpointsPosition() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Datagram::Builder::getEndpointsPosition() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Datagram::Builder::getEndpointsPosition()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setEndpointsPosition( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Datagram::Builder::setEndpointsPosition(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Datagram::Reader::hasJobs() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool Datagram::Reader::hasJobs() const
+{
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasJobs() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool Datagram::Builder::hasJobs()
+{
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getJobs() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>::Reader
+Datagram::Reader::getJobs() const
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>>::
+            get(_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getJobs() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>::Builder
+Datagram::Builder::getJobs()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>>::
+            get(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setJobs( ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Datagram::Builder::setJobs(
+        ::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>>::
+            set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initJobs(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>::Builder
+Datagram::Builder::initJobs(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>>::
+            init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void Datagram::Builder::adoptJobs(
-    ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownJobs() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Job,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline bool Datagram::Reader::hasStarted() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool Datagram::Builder::hasStarted() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Datagram::Reader::getStarted() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::Builder::getStarted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::setStarted( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline void Datagram::Builder::setStarted(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::Builder::initStarted(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+        ::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>>
+                &&value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>>::
+            adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+                  kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>>
+Datagram::Builder::disownJobs()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Job, ::capnp::Kind::STRUCT>>::
+            disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::hasStarted() const
+{
+    return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasStarted()
+{
+    return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader
+Datagram::Reader::getStarted() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder Datagram::Builder::getStarted()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void
+Datagram::Builder::setStarted(::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void Datagram::Builder::setStarted(::kj::ArrayPtr<const ::uint32_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+Datagram::Builder::initStarted(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::init(
+            _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void Datagram::Builder::adoptStarted(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Datagram::Builder::disownStarted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-
-inline bool Datagram::Reader::hasEnded() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline bool Datagram::Builder::hasEnded() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Datagram::Reader::getEnded() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::Builder::getEnded() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::setEnded( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline void Datagram::Builder::setEnded(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Datagram::Builder::initEnded(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+        ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+            _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>
+Datagram::Builder::disownStarted()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::disown(
+            _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::hasEnded() const
+{
+    return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasEnded()
+{
+    return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader
+Datagram::Reader::getEnded() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder Datagram::Builder::getEnded()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void
+Datagram::Builder::setEnded(::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void Datagram::Builder::setEnded(::kj::ArrayPtr<const ::uint32_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+Datagram::Builder::initEnded(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::init(
+            _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void Datagram::Builder::adoptEnded(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+        ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+            _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Datagram::Builder::disownEnded() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>
+Datagram::Builder::disownEnded()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::disown(
+            _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Datagram::Reader::getCoversFrom() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint32_t Datagram::Reader::getCoversFrom() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Datagram::Builder::getCoversFrom() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint32_t Datagram::Builder::getCoversFrom()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setCoversFrom( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void Datagram::Builder::setCoversFrom(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Datagram::Reader::getCoversTo() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline ::uint32_t Datagram::Reader::getCoversTo() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Datagram::Builder::getCoversTo() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline ::uint32_t Datagram::Builder::getCoversTo()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setCoversTo( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline void Datagram::Builder::setCoversTo(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Datagram::Reader::hasMembers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+inline bool Datagram::Reader::hasMembers() const
+{
+    return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasMembers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+inline bool Datagram::Builder::hasMembers()
+{
+    return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>::Reader
+Datagram::Reader::getMembers() const
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>>::
+            get(_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>::Builder
+Datagram::Builder::getMembers()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>>::
+            get(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setMembers( ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline void Datagram::Builder::setMembers(
+        ::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>>::
+            set(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>::Builder
+Datagram::Builder::initMembers(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>>::
+            init(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
 inline void Datagram::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+        ::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>>
+                &&value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>>::
+            adopt(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
+                  kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>>
+Datagram::Builder::disownMembers()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Member, ::capnp::Kind::STRUCT>>::
+            disown(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+inline bool Datagram::Reader::getLeaving() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<256>() * ::capnp::ELEMENTS);
 }
 
-inline bool Datagram::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+inline bool Datagram::Builder::getLeaving()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<256>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
+inline void Datagram::Builder::setLeaving(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Datagram::Reader::getWantsReply() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<257>() * ::capnp::ELEMENTS);
+inline bool Datagram::Reader::getWantsReply() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<257>() * ::capnp::ELEMENTS);
 }
 
-inline bool Datagram::Builder::getWantsReply() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<257>() * ::capnp::ELEMENTS);
+inline bool Datagram::Builder::getWantsReply()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<257>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setWantsReply(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<257>() * ::capnp::ELEMENTS, value);
+inline void Datagram::Builder::setWantsReply(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<257>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Datagram::Reader::getEndpointsDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::uint64_t Datagram::Reader::getEndpointsDigest() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Datagram::Builder::getEndpointsDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::uint64_t Datagram::Builder::getEndpointsDigest()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setEndpointsDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void Datagram::Builder::setEndpointsDigest(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Datagram::Reader::hasEndpointChanges() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+inline bool Datagram::Reader::hasEndpointChanges() const
+{
+    return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasEndpointChanges() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+inline bool Datagram::Builder::hasEndpointChanges()
+{
+    return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getEndpointChanges() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>::Reader
+Datagram::Reader::getEndpointChanges() const
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>::
+            get(_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getEndpointChanges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>::Builder
+Datagram::Builder::getEndpointChanges()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>::
+            get(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setEndpointChanges( ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline void
+Datagram::Builder::setEndpointChanges(::capnp::List<::cicadafork::gateway::wire::EndpointEntry,
+                                                    ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>::
+            set(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initEndpointChanges(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>::Builder
+Datagram::Builder::initEndpointChanges(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>::
+            init(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
 inline void Datagram::Builder::adoptEndpointChanges(
-    ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+        ::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::EndpointEntry,
+                                      ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>::
+            adopt(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
+                  kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownEndpointChanges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<
+        ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>
+Datagram::Builder::disownEndpointChanges()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>::
+            disown(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::getStoreLost() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<258>() * ::capnp::ELEMENTS);
+inline bool Datagram::Reader::getStoreLost() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<258>() * ::capnp::ELEMENTS);
 }
 
-inline bool Datagram::Builder::getStoreLost() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<258>() * ::capnp::ELEMENTS);
+inline bool Datagram::Builder::getStoreLost()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<258>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setStoreLost(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<258>() * ::capnp::ELEMENTS, value);
+inline void Datagram::Builder::setStoreLost(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<258>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Datagram::Reader::hasConfigChange() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+inline bool Datagram::Reader::hasConfigChange() const
+{
+    return !_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasConfigChange() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+inline bool Datagram::Builder::hasConfigChange()
+{
+    return !_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cicadafork::gateway::wire::ConfigChange::Reader Datagram::Reader::getConfigChange() const {
-  return ::capnp::_::PointerHelpers< ::cicadafork::gateway::wire::ConfigChange>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline ::cicadafork::gateway::wire::ConfigChange::Reader Datagram::Reader::getConfigChange() const
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::get(
+            _reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline  ::cicadafork::gateway::wire::ConfigChange::Builder Datagram::Builder::getConfigChange() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::gateway::wire::ConfigChange>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline ::cicadafork::gateway::wire::ConfigChange::Builder Datagram::Builder::getConfigChange()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::get(
+            _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::cicadafork::gateway::wire::ConfigChange::Pipeline Datagram::Pipeline::getConfigChange() {
-  return  ::cicadafork::gateway::wire::ConfigChange::Pipeline(_typeless.getPointerField(8));
-}
-#endif  // !CAPNP_LITE
-inline void Datagram::Builder::setConfigChange( ::cicadafork::gateway::wire::ConfigChange::Reader value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::gateway::wire::ConfigChange>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
-}
-inline  ::cicadafork::gateway::wire::ConfigChange::Builder Datagram::Builder::initConfigChange() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::gateway::wire::ConfigChange>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline ::cicadafork::gateway::wire::ConfigChange::Pipeline Datagram::Pipeline::getConfigChange()
+{
+    return ::cicadafork::gateway::wire::ConfigChange::Pipeline(_typeless.getPointerField(8));
+}
+#endif // !CAPNP_LITE
+inline void
+Datagram::Builder::setConfigChange(::cicadafork::gateway::wire::ConfigChange::Reader value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::set(
+            _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline ::cicadafork::gateway::wire::ConfigChange::Builder Datagram::Builder::initConfigChange()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::init(
+            _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 inline void Datagram::Builder::adoptConfigChange(
-    ::capnp::Orphan< ::cicadafork::gateway::wire::ConfigChange>&& value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::gateway::wire::ConfigChange>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::cicadafork::gateway::wire::ConfigChange> Datagram::Builder::disownConfigChange() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::gateway::wire::ConfigChange>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-
-inline bool Datagram::Reader::hasLoads() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
-}
-inline bool Datagram::Builder::hasLoads() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getLoads() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::setLoads( ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initLoads(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+        ::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> &&value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::adopt(
+            _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange>
+Datagram::Builder::disownConfigChange()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::disown(
+            _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::hasLoads() const
+{
+    return !_reader.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasLoads()
+{
+    return !_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>::Reader
+Datagram::Reader::getLoads() const
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>>::
+            get(_reader.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>::Builder
+Datagram::Builder::getLoads()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>>::
+            get(_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setLoads(::capnp::List<::cicadafork::gateway::wire::EndpointLoad,
+                                                      ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>>::
+            set(_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>::Builder
+Datagram::Builder::initLoads(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>>::
+            init(_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS), size);
 }
 inline void Datagram::Builder::adoptLoads(
-    ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t SharedState::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t SharedState::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void SharedState::Builder::setConfigVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool SharedState::Reader::hasConfigText() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool SharedState::Builder::hasConfigText() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader SharedState::Reader::getConfigText() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder SharedState::Builder::getConfigText() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+        ::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::EndpointLoad,
+                                      ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>>::
+            adopt(_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS),
+                  kj::mv(value));
+}
+inline ::capnp::Orphan<
+        ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>>
+Datagram::Builder::disownLoads()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>>::
+            disown(_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t SharedState::Reader::getConfigVersion() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t SharedState::Builder::getConfigVersion()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SharedState::Builder::setConfigVersion(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SharedState::Reader::hasConfigText() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SharedState::Builder::hasConfigText()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader SharedState::Reader::getConfigText() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder SharedState::Builder::getConfigText()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SharedState::Builder::setConfigText(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder SharedState::Builder::initConfigText(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SharedState::Builder::adoptConfigText(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> SharedState::Builder::disownConfigText()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t SharedState::Reader::getEndpointsPosition() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t SharedState::Builder::getEndpointsPosition()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SharedState::Builder::setEndpointsPosition(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SharedState::Reader::hasEndpoints() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SharedState::Builder::hasEndpoints()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>::Reader
+SharedState::Reader::getEndpoints() const
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>::
+            get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>::Builder
+SharedState::Builder::getEndpoints()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>::
+            get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void
+SharedState::Builder::setEndpoints(::capnp::List<::cicadafork::gateway::wire::EndpointEntry,
+                                                 ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>::
+            set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void SharedState::Builder::setConfigText( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder SharedState::Builder::initConfigText(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void SharedState::Builder::adoptConfigText(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> SharedState::Builder::disownConfigText() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t SharedState::Reader::getEndpointsPosition() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t SharedState::Builder::getEndpointsPosition() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void SharedState::Builder::setEndpointsPosition( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool SharedState::Reader::hasEndpoints() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool SharedState::Builder::hasEndpoints() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Reader SharedState::Reader::getEndpoints() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Builder SharedState::Builder::getEndpoints() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void SharedState::Builder::setEndpoints( ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>::Builder SharedState::Builder::initEndpoints(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>::Builder
+SharedState::Builder::initEndpoints(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>::
+            init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void SharedState::Builder::adoptEndpoints(
-    ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>> SharedState::Builder::disownEndpoints() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadafork::gateway::wire::EndpointEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool SharedState::Reader::hasEndpointGroups() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool SharedState::Builder::hasEndpointGroups() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader SharedState::Reader::getEndpointGroups() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder SharedState::Builder::getEndpointGroups() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void SharedState::Builder::setEndpointGroups( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline void SharedState::Builder::setEndpointGroups(::kj::ArrayPtr<const  ::uint8_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder SharedState::Builder::initEndpointGroups(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+        ::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::EndpointEntry,
+                                      ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>::
+            adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+                  kj::mv(value));
+}
+inline ::capnp::Orphan<
+        ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>
+SharedState::Builder::disownEndpoints()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::EndpointEntry, ::capnp::Kind::STRUCT>>::
+            disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool SharedState::Reader::hasEndpointGroups() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SharedState::Builder::hasEndpointGroups()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Reader
+SharedState::Reader::getEndpointGroups() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Builder
+SharedState::Builder::getEndpointGroups()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SharedState::Builder::setEndpointGroups(
+        ::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void SharedState::Builder::setEndpointGroups(::kj::ArrayPtr<const ::uint8_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>::Builder
+SharedState::Builder::initEndpointGroups(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>::init(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void SharedState::Builder::adoptEndpointGroups(
-    ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+        ::capnp::Orphan<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> SharedState::Builder::disownEndpointGroups() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>
+SharedState::Builder::disownEndpointGroups()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint8_t, ::capnp::Kind::PRIMITIVE>>::disown(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool SharedState::Reader::hasConfigChange() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool SharedState::Reader::hasConfigChange() const
+{
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool SharedState::Builder::hasConfigChange() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool SharedState::Builder::hasConfigChange()
+{
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cicadafork::gateway::wire::ConfigChange::Reader SharedState::Reader::getConfigChange() const {
-  return ::capnp::_::PointerHelpers< ::cicadafork::gateway::wire::ConfigChange>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::cicadafork::gateway::wire::ConfigChange::Reader
+SharedState::Reader::getConfigChange() const
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::get(
+            _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::cicadafork::gateway::wire::ConfigChange::Builder SharedState::Builder::getConfigChange() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::gateway::wire::ConfigChange>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
