+inline ::cicadafork::gateway::wire::ConfigChange::Builder SharedState::Builder::getConfigChange()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::get(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::cicadafork::gateway::wire::ConfigChange::Pipeline SharedState::Pipeline::getConfigChange() {
-  return  ::cicadafork::gateway::wire::ConfigChange::Pipeline(_typeless.getPointerField(3));
-}
-#endif  // !CAPNP_LITE
-inline void SharedState::Builder::setConfigChange( ::cicadafork::gateway::wire::ConfigChange::Reader value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::gateway::wire::ConfigChange>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::cicadafork::gateway::wire::ConfigChange::Builder SharedState::Builder::initConfigChange() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::gateway::wire::ConfigChange>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::cicadafork::gateway::wire::ConfigChange::Pipeline SharedState::Pipeline::getConfigChange()
+{
+    return ::cicadafork::gateway::wire::ConfigChange::Pipeline(_typeless.getPointerField(3));
+}
+#endif // !CAPNP_LITE
+inline void
+SharedState::Builder::setConfigChange(::cicadafork::gateway::wire::ConfigChange::Reader value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::set(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline ::cicadafork::gateway::wire::ConfigChange::Builder SharedState::Builder::initConfigChange()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::init(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline void SharedState::Builder::adoptConfigChange(
-    ::capnp::Orphan< ::cicadafork::gateway::wire::ConfigChange>&& value) {
-  ::capnp::_::PointerHelpers< ::cicadafork::gateway::wire::ConfigChange>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+        ::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> &&value)
+{
+    ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::adopt(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::cicadafork::gateway::wire::ConfigChange> SharedState::Builder::disownConfigChange() {
-  return ::capnp::_::PointerHelpers< ::cicadafork::gateway::wire::ConfigChange>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange>
+SharedState::Builder::disownConfigChange()
+{
+    return ::capnp::_::PointerHelpers<::cicadafork::gateway::wire::ConfigChange>::disown(
+            _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-}  // namespace
-}  // namespace
-}  // namespace
+} // namespace wire
+} // namespace gateway
+} // namespace cicadafork
 
 CAPNP_END_HEADER
