--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -191,9 +191,9 @@
     TopicFollower memberFollower_;
     bool endpointsKnown_ = false;
     bool storeReached_ = false;
-    bool storeLost_ = false;  ///< The last read got no answer.
-    bool registered_ = false; ///< The store has this daemon's own member record.
-    TimePoint lastEarlyRetry_{};
+    bool storeLost_ = false;     ///< The last read got no answer.
+    bool registered_ = false;    ///< The store has this daemon's own member record.
+    TimePoint lastEarlyRetry_{}; ///< Last read because a peer had reached the store again.
     StoreOutage storeOutage_;
     std::uint64_t newestPeerPosition_ = 0;
     /// Endpoints whose records disappeared around an outage of the store; kept for a while, since
