--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -106,6 +106,26 @@
     CHECK_TRUE(placement.onTime);
 }
 
+// Guards against daemons that take the last slot of an endpoint at the same moment: all but one of
+// their requests wait there for another stream to end.
+TEST(Placement, shortPromptsTakeTheLastSlotOnlyIfTheOthersAreAlmostEmpty)
+{
+    struct Case
+    {
+        unsigned fullest;
+        unsigned other;
+        EndpointKey head;
+    };
+    const Case cases[] = {{14, 12, 1}, {15, 12, 2}, {15, 7, 2}, {15, 2, 1}, {15, 15, 1}};
+    for (const Case &row : cases) {
+        const std::vector<EndpointView> endpoints
+                = {decodingView(1, row.fullest), decodingView(2, row.other)};
+        const Placement placement = placeStream(shortPrompt(), engine, endpoints);
+        LONGS_EQUAL_TEXT(row.head, placement.head,
+                         fmt::format("{} and {}", row.fullest, row.other).c_str());
+    }
+}
+
 // A long prefill delays the events of all streams on the same endpoint.
 TEST(Placement, longPrefillsAvoidEndpointsWithShortEventGaps)
 {
