Let late prompts over one endpoint's memory start with fewer idle endpoints

Cause: such a prompt needs up to 17 endpoints without streams, is late first, and a late long prompt is refused while less than a quarter of the endpoints are idle. That rule serves the on-time value of the others.

Change: prompts that have to be divided among endpoints need 0.12 of them idle.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -66,6 +66,9 @@
 // time.
 constexpr FloatMillis kLongPrefill{300};
 constexpr double kMinIdleShare = 0.25;
+// The same for prompts that exceed the KV memory of one endpoint. They are seldom on time under
+// load, and with the larger share they would hardly ever be served.
+constexpr double kMinIdleShareIfDivided = 0.12;
 // Numbers of parts of a prefill that are tried. The protocol allows 16 helpers.
 constexpr std::array<unsigned, 9> kPartCounts = {1, 2, 3, 4, 6, 8, 11, 14, 17};
 // Queued calls per slot of a plain endpoint; further calls wait in the gateway.
@@ -318,12 +321,12 @@
     return std::nullopt;
 }
 
-bool hasIdleEndpoints(std::span<const EndpointView> endpoints)
+bool hasIdleEndpoints(std::span<const EndpointView> endpoints, double minShare)
 {
     const auto idle = std::ranges::count_if(endpoints, [](const EndpointView &endpoint) {
         return endpoint.usable && endpoint.load.pendingPrefill <= FloatMillis(0);
     });
-    return static_cast<double>(idle) >= kMinIdleShare * static_cast<double>(endpoints.size());
+    return static_cast<double>(idle) >= minShare * static_cast<double>(endpoints.size());
 }
 
 Placement toPlacement(const Plan &plan, const Division &division, bool onTime)
@@ -397,8 +400,9 @@
     for (const FloatMillis limit : limits) {
         const bool onTime = limit == limits[0];
         division.late = !onTime;
+        const bool divided = division.holders > 0;
         if (!onTime && isLongPrefill(engine, request.promptTokens)
-            && !hasIdleEndpoints(endpoints)) {
+            && !hasIdleEndpoints(endpoints, divided ? kMinIdleShareIfDivided : kMinIdleShare)) {
             placement.outcome = PlacementOutcome::Reject;
             placement.reason = "too late for the objective, and too few endpoints are idle";
             return placement;
--- a/tests/unit/placementfleet_test.cpp
+++ b/tests/unit/placementfleet_test.cpp
@@ -38,7 +38,7 @@
 constexpr Millis kLength{15'000};
 const Kind kNote{49, 4960, 0.9, 23'800, 1770, Millis(250), Millis(300), Millis(10'000)};
 const Kind kBrief{5.3, 45'000, 0.5, 110'000, 1065, Millis(600), Millis(1500), Millis(10'000)};
-const Kind kReport{1.2, 300'000, 0.55, 440'000, 890, Millis(1000), Millis(4000), Millis(15'000)};
+const Kind kReport{1.2, 300'000, 0.55, 1'000'000, 890, Millis(1000), Millis(4000), Millis(15'000)};
 
 std::vector<SimulatedRequest> arrivals(unsigned seed, std::initializer_list<Kind> kinds)
 {
@@ -79,6 +79,35 @@
     return onTime / total;
 }
 
+/// Share of the requests with at least so many prompt tokens that are served, on time or late.
+double shareServed(const std::vector<SimulatedRequest> &requests, const Kind &kind,
+                   std::uint64_t minTokens)
+{
+    double total = 0;
+    double served = 0;
+    for (const SimulatedRequest &request : requests) {
+        if (request.objective != kind.objective || request.promptTokens < minTokens)
+            continue;
+        total += 1;
+        served += request.firstEvent.count() >= 0
+                                  && request.firstEvent <= FloatMillis(request.deadline)
+                          ? 1
+                          : 0;
+    }
+    return served / total;
+}
+
+std::vector<SimulatedRequest> play(unsigned seed, std::initializer_list<Kind> kinds)
+{
+    FleetSimulation fleet({.daemons = kDaemons,
+                           .endpoints = kEndpoints,
+                           .slots = kSlots,
+                           .announcementDelay = kAnnouncementDelay,
+                           .engine = productionEngine(
+                                   {.slots = kSlots, .kvCapacityTokens = 450'000, .stride = 73})});
+    return fleet.run(arrivals(seed, kinds));
+}
+
 } // namespace
 
 TEST_GROUP(PlacementFleet){};
@@ -94,14 +123,7 @@
     double briefs = 0;
     double reports = 0;
     for (unsigned seed = 1; seed <= kSeeds; ++seed) {
-        FleetSimulation fleet(
-                {.daemons = kDaemons,
-                 .endpoints = kEndpoints,
-                 .slots = kSlots,
-                 .announcementDelay = kAnnouncementDelay,
-                 .engine
-                 = productionEngine({.slots = kSlots, .kvCapacityTokens = 450'000, .stride = 73})});
-        const auto results = fleet.run(arrivals(seed, {kNote, kBrief, kReport}));
+        const auto results = play(seed, {kNote, kBrief, kReport});
         notes += shareOnTime(results, kNote) / kSeeds;
         briefs += shareOnTime(results, kBrief) / kSeeds;
         reports += shareOnTime(results, kReport) / kSeeds;
@@ -111,3 +133,30 @@
     CHECK_TRUE(briefs >= kTarget);
     CHECK_TRUE(reports >= kTarget);
 }
+
+// Guards against the starvation of the largest prompts in a burst of reports: they need many
+// endpoints without streams, are the first to be late, and were then refused. Found on the large
+// site, scale-1: of the largest tenth 0.27 were served, of all 0.85.
+TEST(PlacementFleet, inABurstTheLargestPromptsAreServedHalfAsOftenAsAll)
+{
+    // The users' bound for the largest tenth of a kind of request. The simulated daemons neither
+    // crash nor lose messages, so that the share has a margin here.
+    constexpr double kMinRelativeShare = 0.5;
+    constexpr double kMargin = 0.1;
+    constexpr std::uint64_t kLargestTenth = 520'000;
+    constexpr unsigned kSeeds = 8;
+    Kind notes = kNote;
+    Kind briefs = kBrief;
+    Kind reports = kReport;
+    notes.perSecond *= 0.35 * 1.25;
+    briefs.perSecond *= 1.3 * 1.25;
+    reports.perSecond *= 2.8 * 1.25;
+    double all = 0;
+    double largest = 0;
+    for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+        const auto results = play(seed, {notes, briefs, reports});
+        all += shareServed(results, kReport, 0) / kSeeds;
+        largest += shareServed(results, kReport, kLargestTenth) / kSeeds;
+    }
+    CHECK_TRUE(largest >= (kMinRelativeShare + kMargin) * all);
+}
