Test the calls of a start, the order of idle endpoints and the use of other domains; correct comments

Read again as a newcomer: the comment of Mesh::placed() said less than its callers do, a comment named a constant of another file, the head comments of three tests told where the fault was found, and meshrelay_test.cpp tests more than relays. No behaviour changes.

--- a/src/gateway/loadtracker.h
+++ b/src/gateway/loadtracker.h
@@ -99,7 +99,7 @@
     void expire(TimePoint now);
 
     /// Load of an endpoint whose jobs are not all announced to this daemon, as a peer reports it.
-    /// It replaces what the jobs placed earlier add, until it is kReportLifetime old.
+    /// It replaces what the jobs placed earlier add, until it is 1.5 s old.
     void report(EndpointKey endpoint, const EndpointLoad &load, TimePoint now);
 
     EndpointLoad load(EndpointKey endpoint, TimePoint now) const;
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -139,7 +139,8 @@
     /// Adds a member that the platform's store lists; known addresses are ignored.
     void addPeer(const std::string &name, const std::string &ip);
 
-    /// Sent at once. The domains are those of its endpoints.
+    /// Sent at once. In a large fleet only the own and the given failure domains get it, and later
+    /// its start and end.
     void placed(const Job &job, const std::set<std::string> &failureDomains = {});
     void started(const JobId &id); ///< Sent with the next batch, as is ended().
     void ended(const JobId &id);
@@ -214,7 +215,7 @@
     asio::steady_timer batchTimer_;
     std::map<std::string, PeerInfo> peers_; ///< By IP address; names can move between addresses.
     Batch batch_;
-    /// Remote failure domains of the endpoints of own jobs, by number; only of jobs that have any.
+    /// Remote failure domains that are told of an own job, by its number.
     std::unordered_map<std::uint32_t, std::set<std::string>> remoteDomains_;
     bool batchArmed_ = false;
     std::uint32_t newestJob_ = 0;
--- a/tests/support/fleetsimulation.h
+++ b/tests/support/fleetsimulation.h
@@ -60,11 +60,11 @@
 public:
     explicit FleetSimulation(FleetSimulationOptions options);
 
-    /// Requests in the order of arrival. They arrive at the daemons in turn.
+    /// At least one request, in the order of arrival. They arrive at the daemons in turn.
     std::vector<SimulatedRequest> run(std::vector<SimulatedRequest> requests);
 
 private:
-    struct Active; ///< A request that is placed.
+    struct Active;
     struct Read
     {
         Active *request = nullptr;
@@ -83,6 +83,7 @@
         std::vector<Active *> finishedReads; ///< Prefilled in the current pass.
         gateway::FloatMillis passTime{0};
     };
+    /// A request that is placed.
     struct Active
     {
         SimulatedRequest *request = nullptr;
--- a/tests/unit/gatewaypeers_test.cpp
+++ b/tests/unit/gatewaypeers_test.cpp
@@ -243,9 +243,7 @@
     CHECK_TRUE(allHave(kEndpoints - 1));
 }
 
-// Guards against daemons that all retry while the store is unavailable: each call is charged. Found
-// on the large site, scale-1 at a fifth of its size: 600 calls of 63 daemons in the first two
-// seconds of an outage, 35 in two seconds before it.
+// Guards against daemons that all retry while the store is unavailable: each call is charged.
 TEST(GatewayPeers, anOutageOfTheStoreCausesFewCalls)
 {
     constexpr unsigned kDaemons = 12;
@@ -269,3 +267,16 @@
     // Missing records may come back within 2.2 s of the end of an outage.
     CHECK_TRUE(runUntil(allHaveNone, Millis(2200) + kConfigInForce));
 }
+
+// Guards against daemons that all read often after a common start, because none of them has heard
+// the others yet, and against reading the configuration again after the first answer.
+TEST(GatewayPeers, aStartOfAllCallsTheStoreFewTimes)
+{
+    constexpr unsigned kDaemons = 12;
+    // Three reads and a registration of each daemon, and one further read of the readers and of
+    // those that miss a push.
+    constexpr unsigned kMaxCallsPerDaemon = 5;
+    putEndpoint(1);
+    start(kDaemons);
+    CHECK_TRUE(store.calls <= kMaxCallsPerDaemon * kDaemons);
+}
--- a/tests/unit/meshrelay_test.cpp
+++ b/tests/unit/mesh_test.cpp
@@ -22,8 +22,7 @@
 
 // Guards against daemons that start together and all send through the same member: it would have to
 // relay hundreds of heartbeats at once, and what its link and buffers lose makes every daemon of
-// the domain take the senders for failed. Found on the large site, quiet-1: 31,368 peers went down
-// between the start and the first request.
+// the domain take the senders for failed.
 TEST(MeshRelay, daemonsThatStartTogetherUseDifferentMembers)
 {
     constexpr unsigned kSenders = 236;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -126,6 +126,47 @@
     }
 }
 
+// Guards against requests that use endpoints of other failure domains, whose load is known late,
+// and against requests that are late although another domain has room.
+TEST(Placement, otherDomainsAreUsedOnlyIfTheOwnCannotServeOnTime)
+{
+    struct Case
+    {
+        unsigned ownSequences;
+        bool ownUsable;
+        EndpointKey head;
+    };
+    const Case cases[] = {{0, true, 1}, {15, true, 1}, {16, true, 2}, {0, false, 2}};
+    for (const Case &row : cases) {
+        std::vector<EndpointView> endpoints
+                = {decodingView(1, row.ownSequences), decodingView(2, 9)};
+        endpoints[0].usable = row.ownUsable;
+        endpoints[1].inOwnDomain = false;
+        const Placement placement = placeStreamInDomainFirst(shortPrompt(), engine, endpoints);
+        LONGS_EQUAL_TEXT(row.head, placement.head,
+                         fmt::format("{} {}", row.ownSequences, row.ownUsable).c_str());
+    }
+}
+
+// Guards against daemons that choose the same idle endpoints for long prompts at the same moment.
+TEST(Placement, daemonsOrderIdleEndpointsDifferently)
+{
+    std::vector<EndpointView> endpoints = idleEndpoints(12);
+    const auto endpointsOf = [&](bool lowKeysFirst) {
+        for (EndpointView &endpoint : endpoints)
+            endpoint.tieBreaker = (endpoint.key <= 6) == lowKeysFirst ? 0.0 : 0.4;
+        const Placement placement = placeStream(longPrompt(300'000), engine, endpoints);
+        CHECK_FALSE(placement.helpers.empty());
+        std::vector<EndpointKey> used = placement.helpers;
+        used.push_back(placement.head);
+        return used;
+    };
+    for (const EndpointKey key : endpointsOf(true))
+        CHECK_TRUE(key <= 6);
+    for (const EndpointKey key : endpointsOf(false))
+        CHECK_TRUE(key > 6);
+}
+
 // A long prefill delays the events of all streams on the same endpoint.
 TEST(Placement, longPrefillsAvoidEndpointsWithShortEventGaps)
 {
--- a/tests/unit/placementfleet_test.cpp
+++ b/tests/unit/placementfleet_test.cpp
@@ -135,8 +135,7 @@
 }
 
 // Guards against the starvation of the largest prompts in a burst of reports: they need many
-// endpoints without streams, are the first to be late, and were then refused. Found on the large
-// site, scale-1: of the largest tenth 0.27 were served, of all 0.85.
+// endpoints without streams, are the first to be late, and were then refused.
 TEST(PlacementFleet, inABurstTheLargestPromptsAreServedHalfAsOftenAsAll)
 {
     // The users' bound for the largest tenth of a kind of request. The simulated daemons neither
