Log silences, closed connections and unsent answers, to tell the incident's hypotheses apart

A request that ends without an answer left no trace when its connection was closed before it was read, and attempt_failed did not say how long the endpoint had been silent nor how much time was left.

attempt_failed has silent_ms and left_ms; a caller's connection that ends has a counter by reason, and a line when bytes of no complete request had arrived on it; stopped counts connections with unsent bytes. No decision changes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -52,9 +52,12 @@
     return options;
 }
 
-ServerOptions callerOptions(const GatewaySettings &settings)
+ServerOptions
+callerOptions(const GatewaySettings &settings,
+              std::function<void(ConnectionEnd, std::size_t unusedBytes)> connectionEnded)
 {
     ServerOptions options;
+    options.connectionEnded = std::move(connectionEnded);
     options.address = settings.callers;
     options.maxConnections = std::max(
             kMinConnections,
@@ -123,7 +126,11 @@
                        [this](auto records) { onMemberRecords(records); }, [](bool) {}})
     , unconfirmedTimer_(context)
     , roleTimer_(context)
-    , callers_(context, callerOptions(settings_),
+    , callers_(context,
+               callerOptions(settings_,
+                             [this](ConnectionEnd end, std::size_t unusedBytes) {
+                                 onCallerConnectionEnded(end, unusedBytes);
+                             }),
                [this](const auto &caller, HttpRequest request) {
                    onRequest(caller, std::move(request));
                })
@@ -281,6 +288,18 @@
     finish(*exchange, "caller_left", 0);
 }
 
+void Gateway::onCallerConnectionEnded(ConnectionEnd end, std::size_t unusedBytes)
+{
+    counters_.connectionEnd(toString(end)).Increment();
+    if (end == ConnectionEnd::ByCaller || unusedBytes == 0)
+        return;
+    // The caller may have sent a request that this daemon has not read.
+    logEvent(LogLevel::Warning, "caller_connection_ended",
+             {{"reason", toString(end)},
+              {"unused_bytes", std::to_string(unusedBytes)},
+              {"config", std::to_string(configs_.newest())}});
+}
+
 void Gateway::onDeadline(std::uint64_t id)
 {
     Exchange *exchange = find(id);
@@ -424,7 +443,9 @@
     for (const std::uint64_t id : left) {
         endWithError(*exchanges_.at(id), 502, "shutting_down");
     }
-    logEvent(LogLevel::Info, "stopped", {{"cut", std::to_string(left.size())}});
+    logEvent(LogLevel::Info, "stopped",
+             {{"cut", std::to_string(left.size())},
+              {"unsent", std::to_string(callers_.connectionsWithUnsentBytes())}});
     mesh_.stop();
     configFollower_.stop();
     endpointFollower_.stop();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -68,6 +68,7 @@
     std::unique_ptr<Exchange> admit(const std::shared_ptr<HttpServerConnection> &caller,
                                     HttpRequest &&request);
     void onCallerDisconnected(std::uint64_t id);
+    void onCallerConnectionEnded(ConnectionEnd end, std::size_t unusedBytes);
     void onDeadline(std::uint64_t id);
     /// Ends the request unsuccessfully: aborts the stream if events have gone to the caller,
     /// answers statusIfSent if the request is at an endpoint or may have run, and refuses it with
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -389,6 +389,9 @@
               {"status", std::to_string(attempt ? attempt->head.status : 0)},
               {"may_have_run", mayHaveRun ? "yes" : "no"},
               {"sends", std::to_string(exchange.sendCount)},
+              {"silent_ms",
+               fmt::format("{:.0f}", FloatMillis(now - exchange.lastProgressAt).count())},
+              {"left_ms", std::to_string(facts.timeLeft.count())},
               {"again", recovery == Recovery::Retry ? "yes" : "no"}});
     const bool forwardsError = attempt && attempt->headSeen && attempt->head.status >= 400
                                && failure == EndpointFailure::Error;
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -51,4 +51,11 @@
                       "Failed attempts at endpoints", "reason", reason);
 }
 
+prometheus::Counter &GatewayMetrics::connectionEnd(const std::string &reason)
+{
+    return counterFor(connectionEnds_, metrics_,
+                      "cicadafork_gateway_caller_connections_ended_total",
+                      "Callers' connections by why they ended", "reason", reason);
+}
+
 } // namespace cicadafork::gateway
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -5,6 +5,8 @@
 #include <asio/error.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace cicadafork {
 
 namespace {
@@ -24,6 +26,25 @@
 
 } // namespace
 
+const char *toString(ConnectionEnd end)
+{
+    switch (end) {
+    case ConnectionEnd::ByCaller:
+        return "by_caller";
+    case ConnectionEnd::Idle:
+        return "idle";
+    case ConnectionEnd::IncompleteRequest:
+        return "incomplete_request";
+    case ConnectionEnd::AfterLastAnswer:
+        return "after_last_answer";
+    case ConnectionEnd::Draining:
+        return "draining";
+    case ConnectionEnd::Aborted:
+        return "aborted";
+    }
+    return "aborted";
+}
+
 HttpServerConnection::HttpServerConnection(AsyncHttpServer &server, asio::ip::tcp::socket socket,
                                            std::uint64_t id)
     : server_(server)
@@ -122,8 +143,11 @@
     timer_.expires_after(timeout);
     timer_.async_wait([weak = weak_from_this()](const asio::error_code &error) {
         const auto self = weak.lock();
-        if (!error && self && !self->handlingRequest_)
-            self->close();
+        if (error || !self || self->handlingRequest_)
+            return;
+        self->close(self->lingering_          ? ConnectionEnd::AfterLastAnswer
+                    : self->parser_.started() ? ConnectionEnd::IncompleteRequest
+                                              : ConnectionEnd::Idle);
     });
 }
 
@@ -249,7 +273,7 @@
         asio::error_code ignored;
         socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     }
-    close();
+    close(ConnectionEnd::Aborted);
 }
 
 void HttpServerConnection::closeWhenIdle()
@@ -259,24 +283,29 @@
     // Unread bytes in the socket may be the next request, which a close would lose.
     asio::error_code error;
     if (socket_.available(error) == 0 && !error)
-        close();
+        close(lingering_ ? ConnectionEnd::AfterLastAnswer : ConnectionEnd::Draining);
 }
 
 void HttpServerConnection::notifyDisconnect()
 {
     const auto handler = std::move(disconnectHandler_);
     disconnectHandler_ = nullptr;
-    close();
+    close(lingering_ ? ConnectionEnd::AfterLastAnswer : ConnectionEnd::ByCaller);
     if (handler)
         handler();
 }
 
-void HttpServerConnection::close()
+void HttpServerConnection::close(ConnectionEnd end)
 {
     timer_.cancel();
     if (!socket_.is_open())
         return;
     asio::error_code ignored;
+    if (server_.options_.connectionEnded) {
+        // Input is not read while a request is handled or after the last answer.
+        const std::size_t unread = lingering_ ? 0 : socket_.available(ignored);
+        server_.options_.connectionEnded(end, input_.size() + unread);
+    }
     socket_.close(ignored);
     handlingRequest_ = false;
     server_.connections_.erase(id_);
@@ -356,6 +385,14 @@
     }
 }
 
+std::size_t AsyncHttpServer::connectionsWithUnsentBytes() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(connections_, [](const auto &entry) {
+        const auto connection = entry.second.lock();
+        return connection && connection->unsentBytes() > 0;
+    }));
+}
+
 void AsyncHttpServer::closeAll()
 {
     stopListening();
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -30,6 +30,18 @@
 
 namespace cicadafork {
 
+/// Why the server closed a caller's connection, or stopped using it.
+enum class ConnectionEnd {
+    ByCaller,          ///< The caller closed it, or it broke.
+    Idle,              ///< No request arrived within the idle timeout.
+    IncompleteRequest, ///< A request did not arrive in full within the header timeout.
+    AfterLastAnswer,   ///< The answer said that it is the last one of the connection.
+    Draining,          ///< It was idle when the server closed its idle connections.
+    Aborted,           ///< The handler aborted the response, or the server closed all connections.
+};
+
+const char *toString(ConnectionEnd end);
+
 struct ServerOptions
 {
     Address address;
@@ -37,6 +49,9 @@
     Millis headerTimeout{3000}; ///< From the first byte of a request to the end of its body.
     Millis idleTimeout{15'000}; ///< Limit for a connection without a request.
     std::size_t maxConnections = 3500;
+    /// Called for each connection that ends, with the number of bytes received on it that belong to
+    /// no complete request.
+    std::function<void(ConnectionEnd end, std::size_t unusedBytes)> connectionEnded = {};
 };
 
 class AsyncHttpServer;
@@ -82,7 +97,7 @@
     void sendOutput();
     void finishExchange();
     void shutdownAndLinger();
-    void close();
+    void close(ConnectionEnd end);
     void notifyDisconnect();
 
     AsyncHttpServer &server_;
@@ -130,6 +145,8 @@
     /// time that they are started.
     void setLimits(RequestLimits limits, Millis headerTimeout, Millis idleTimeout);
     std::size_t connections() const { return connections_.size(); }
+    /// Connections with response bytes that are not yet written to the socket.
+    std::size_t connectionsWithUnsentBytes() const;
     bool draining() const { return draining_; }
     const ServerOptions &options() const { return options_; }
 
