--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -170,6 +170,11 @@
 void EndpointStandin::onRequest(const std::shared_ptr<HttpServerConnection> &caller,
                                 HttpRequest request)
 {
+    if (steadyNow() < silentUntil_) {
+        const auto held = std::make_shared<HttpRequest>(std::move(request));
+        runAt(silentUntil_, [this, caller, held] { onRequest(caller, std::move(*held)); });
+        return;
+    }
     ++arrivals;
     const std::string *requestId = request.headers.find(platform::kRequestId);
     const std::string *expected = request.headers.find(platform::kExpectInstance);
@@ -223,7 +228,7 @@
         break;
     }
     if (!streams) {
-        caller->respond(200, signedHeaders(name), "answer of " + name);
+        caller->respond(200, signedHeaders(name), "answer of " + name + std::string(padding, '.'));
         return;
     }
     caller->beginStream(200, signedHeaders(name));
@@ -245,10 +250,20 @@
         return;
     }
     caller->write(fmt::format("id: {}\ndata: event {}\n\n", next, next));
-    const auto timer = std::make_shared<asio::steady_timer>(context_, eventGap);
-    timer->async_wait([this, caller, next, breaks, timer](const asio::error_code &error) {
-        if (!error)
-            stream(caller, next + 1, breaks);
+    runAt(steadyNow() + eventGap,
+          [this, caller, next, breaks] { stream(caller, next + 1, breaks); });
+}
+
+void EndpointStandin::runAt(TimePoint time, std::function<void()> step)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(context_, std::max(time, silentUntil_));
+    timer->async_wait([this, timer, step = std::move(step)](const asio::error_code &error) {
+        if (error)
+            return;
+        if (steadyNow() < silentUntil_)
+            runAt(silentUntil_, step);
+        else
+            step();
     });
 }
 
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -15,6 +15,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -90,19 +91,26 @@
 
     EndpointStandin(asio::io_context &context, const Address &address, std::string id);
 
+    /// Reads and writes nothing for a while, with all connections open, and then goes on.
+    void fallSilent(Millis duration) { silentUntil_ = steadyNow() + duration; }
+
     const Address address;
     const std::string id;
     std::deque<EndpointBehaviour> script; ///< For the next requests; Answer once it is empty.
     std::vector<Run> runs;                ///< Requests that were executed, at least in part.
     unsigned arrivals = 0;
     Millis eventGap{3};
+    std::size_t padding = 0; ///< Bytes added to an answer that is no stream.
 
 private:
     void onRequest(const std::shared_ptr<HttpServerConnection> &caller, HttpRequest request);
     void stream(const std::shared_ptr<HttpServerConnection> &caller, unsigned next, bool breaks);
+    /// Runs the step at the given time, or when the silence ends if that is later.
+    void runAt(TimePoint time, std::function<void()> step);
     HeaderList signedHeaders(const std::string &requestId) const;
 
     asio::io_context &context_;
+    TimePoint silentUntil_{};
     AsyncHttpServer server_;
 };
 
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -26,14 +26,21 @@
 // drains.
 constexpr Millis kDrainBound{2000};
 
-std::string configText(unsigned version, const std::string &keys = "\"key\"")
+struct RouteLimits
 {
-    const auto route
-            = [](const char *name, const char *kind, const char *service, const char *extraFields) {
-                  return fmt::format(R"({{"name":"{0}","host":"h","pathPrefix":"/{0}/","kind":"{1}",
-                "service":"{2}","timeoutMs":1500,"targetLatencyMs":300,"maxAttempts":2{3}}})",
-                                     name, kind, service, extraFields);
-              };
+    unsigned timeoutMs = 1500;
+    unsigned maxAttempts = 2;
+};
+
+std::string configText(unsigned version, const std::string &keys = "\"key\"",
+                       RouteLimits limits = {})
+{
+    const auto route = [&](const char *name, const char *kind, const char *service,
+                           const char *extraFields) {
+        return fmt::format(R"({{"name":"{0}","host":"h","pathPrefix":"/{0}/","kind":"{1}",
+                "service":"{2}","timeoutMs":{4},"targetLatencyMs":300,"maxAttempts":{5}{3}}})",
+                           name, kind, service, extraFields, limits.timeoutMs, limits.maxAttempts);
+    };
     return fmt::format(
             R"({{"version":{},"routes":[{},{},{},{}],"services":[{{"name":"plain"}},
                {{"name":"pool","engine":{{"slots":4,"kvCapacity":450000,"stride":4,"step_ms":1,
@@ -126,14 +133,15 @@
         CHECK_TRUE_TEXT(runUntil([&] { return gateway->ready(); }), "the gateway becomes ready");
     }
 
-    std::unique_ptr<Answer> sendRequest(const std::string &route, const std::string &key = "key")
+    std::unique_ptr<Answer> sendRequest(const std::string &route, const std::string &key = "key",
+                                        Millis deadline = Millis(1200))
     {
         auto answer = std::make_unique<Answer>();
         HeaderList headers;
         headers.add("Host", "h");
         headers.add("Request-Id", fmt::format("r{}", ++requests));
         headers.add("Authorization", "Token " + key);
-        headers.add("Deadline-Ms", "1200");
+        headers.add("Deadline-Ms", std::to_string(deadline.count()));
         if (route == "stream" || route == "fixed")
             headers.add("Token-Count", "1000,24");
         Answer &target = *answer;
@@ -296,6 +304,55 @@
                      "an unreadable record removes the endpoint");
 }
 
+// A sound endpoint may pause for a second or so: its answer then arrives late, but whole.
+TEST(GatewayPath, silenceOfASoundEndpointDoesNotEndItsAnswer)
+{
+    struct Case
+    {
+        const char *name;
+        unsigned maxAttempts;
+        double retryShare;
+        unsigned eventsBefore; ///< Events that the caller has when the silence begins.
+    };
+    const Case cases[] = {
+            {"one endpoint allowed, before the first event", 1, 0.2, 0},
+            {"one endpoint allowed, within the stream", 1, 0.2, 2},
+            {"two endpoints allowed, before the first event", 2, 0.2, 0},
+            {"two endpoints allowed, within the stream", 2, 0.2, 2},
+            {"no retries left, before the first event", 2, 0, 0},
+            {"no retries left, within the stream", 2, 0, 2},
+    };
+    constexpr Millis kSilence{1500};
+    constexpr Millis kDeadline{8000};
+    for (int i = 0; i < 2; ++i)
+        addEndpoint("pool").eventGap = Millis(20);
+    publishConfig();
+    unsigned version = 3;
+    for (const Case &row : cases) {
+        store.put("keyed.op", "config",
+                  configText(++version, "\"key\"",
+                             {static_cast<unsigned>(kDeadline.count()), row.maxAttempts}));
+        settings.retries = {row.retryShare, row.retryShare > 0 ? 1000.0 : 0.0, Millis(10'000)};
+        gateway->reload(settings);
+        const std::string inForce = fmt::format("\"config_version\":{}", version);
+        CHECK_TRUE(runUntil([&] { return gateway->dump().find(inForce) != std::string::npos; }));
+        for (const auto &endpoint : endpoints)
+            endpoint->fallSilent(row.eventsBefore == 0 ? kSilence : Millis(0));
+        const auto answer = sendRequest("stream", "key", kDeadline);
+        if (row.eventsBefore > 0) {
+            const std::string begun = fmt::format("id: {}\n", row.eventsBefore);
+            CHECK_TRUE_TEXT(runUntil([&] { return answer->body.find(begun) != std::string::npos; }),
+                            row.name);
+            for (const auto &endpoint : endpoints)
+                endpoint->fallSilent(kSilence);
+        }
+        CHECK_TRUE_TEXT(runUntil([&] { return answer->ended; }, kDeadline), row.name);
+        LONGS_EQUAL_TEXT(200, answer->status, row.name);
+        CHECK_TRUE_TEXT(answer->complete, row.name);
+        STRCMP_EQUAL_TEXT(allEvents().c_str(), answer->body.c_str(), row.name);
+    }
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
@@ -326,6 +383,27 @@
     CHECK_TRUE(runUntil([&] { return done; }));
 }
 
+TEST(GatewayPath, shutdownWaitsForAnswersThatAreNotYetSent)
+{
+    // More than the sockets buffer, and less than the largest answer that the gateway holds.
+    constexpr std::size_t kPadding = 7 * 1024 * 1024;
+    addEndpoint("plain").padding = kPadding;
+    publishConfig();
+    const auto answer = sendRequest("safe");
+    CHECK_TRUE(runUntil([&] { return answer->status == 200; }));
+    callerCalls.back()->pauseReading(true);
+    CHECK_TRUE(
+            runUntil([&] { return gateway->dump().find("\"requests\":0") != std::string::npos; }));
+    bool done = false;
+    gateway->shutDown([&] { done = true; });
+    CHECK_FALSE(runUntil([&] { return done; }, Millis(4500)));
+    callerCalls.back()->pauseReading(false);
+    CHECK_TRUE(runUntil([&] { return done; }));
+    CHECK_TRUE(runUntil([&] { return answer->ended; }));
+    CHECK_TRUE(answer->complete);
+    CHECK_TRUE(answer->body.size() > kPadding);
+}
+
 TEST(GatewayPath, keepsServingWhileTheStoreRefusesCalls)
 {
     addEndpoint("plain");
--- /dev/null
+++ b/tests/unit/netserver_test.cpp
@@ -0,0 +1,124 @@
+// Tests of the event-driven HTTP server over loopback, with blocking sockets as callers.
+
+#include "net/server.h"
+#include "support/eventually.h"
+#include "support/network.h"
+
+#include <CppUTest/TestHarness.h>
+#include <asio/connect.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <fmt/format.h>
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace cicadafork;
+using namespace cicadafork::test;
+
+namespace {
+
+constexpr Millis kIdleTimeout{80};
+constexpr Millis kWaitLimit{3000};
+constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+TEST_GROUP(NetServer)
+{
+    asio::io_context context;
+    AddressPool addresses;
+    Address address = addresses.next();
+    std::string body = "answer";
+    std::unique_ptr<AsyncHttpServer> server;
+    std::vector<asio::ip::tcp::socket> callers;
+
+    void setup() override
+    {
+        server = std::make_unique<AsyncHttpServer>(
+                context, ServerOptions{.address = address, .idleTimeout = kIdleTimeout},
+                [this](const auto &caller, const HttpRequest &) {
+                    // An answer on a later turn of the event loop, as that of an endpoint.
+                    const auto timer = std::make_shared<asio::steady_timer>(context, Millis(5));
+                    timer->async_wait([this, timer, caller](const asio::error_code &) {
+                        caller->respond(200, {}, body);
+                    });
+                });
+        CHECK_TRUE(static_cast<bool>(capture([&] { return server->start(); })));
+    }
+
+    void teardown() override
+    {
+        callers.clear();
+        server.reset();
+    }
+
+    void connect()
+    {
+        callers.emplace_back(context);
+        callers.back().connect({asio::ip::make_address_v4(address.ip), address.port});
+    }
+
+    /// All bytes until the server closes the connection.
+    std::string readAll(asio::ip::tcp::socket & caller)
+    {
+        std::string text;
+        asio::error_code error;
+        asio::read(caller, asio::dynamic_buffer(text), error);
+        return text;
+    }
+};
+
+// The event loop may be busy for longer than the idle timeout, and then finds timer and request
+// together. More connections than one poll of the event loop reports are needed to show this.
+TEST(NetServer, idleTimeoutDoesNotCloseAConnectionWithAnUnreadRequest)
+{
+    struct Case
+    {
+        const char *name;
+        std::size_t firstBytes; ///< Of the request, sent when the timeout ends.
+    };
+    const Case cases[] = {{"whole request", kRequest.size()}, {"part of a request", 10}};
+    constexpr std::size_t kConnections = 400;
+    for (const Case &row : cases) {
+        callers.clear();
+        for (std::size_t i = 0; i < kConnections; ++i)
+            connect();
+        CHECK_TRUE(eventually(context, kWaitLimit,
+                              [&] { return server->connections() >= kConnections; }));
+        std::this_thread::sleep_for(kIdleTimeout + Millis(20));
+        for (auto &caller : callers)
+            asio::write(caller, asio::buffer(kRequest.substr(0, row.firstBytes)));
+        eventually(context, Millis(30), [] { return false; });
+        std::size_t answered = 0;
+        for (auto &caller : callers) {
+            asio::error_code ignored;
+            asio::write(caller, asio::buffer(kRequest.substr(row.firstBytes)), ignored);
+        }
+        eventually(context, Millis(60), [] { return false; });
+        for (auto &caller : callers) {
+            asio::error_code error;
+            answered += caller.available(error) > 0 && !error ? 1 : 0;
+        }
+        LONGS_EQUAL_TEXT(kConnections, answered, row.name);
+        callers.clear();
+        CHECK_TRUE(eventually(context, kWaitLimit, [&] { return server->connections() == 0; }));
+    }
+}
+
+TEST(NetServer, closingAllConnectionsKeepsAnswersThatAreOnTheirWay)
+{
+    body.assign(400'000, 'x');
+    connect();
+    asio::write(callers[0], asio::buffer(kRequest));
+    server->beginDrain();
+    CHECK_TRUE(eventually(context, kWaitLimit, [&] {
+        return server->connections() == 1 && callers[0].available() > 0
+               && server->connectionsWithUnsentBytes() == 0;
+    }));
+    server->closeAll();
+    const std::string answer = readAll(callers[0]);
+    CHECK_TRUE(answer.ends_with(body));
+}
