Let a silent endpoint go on when no other one can take its request over

Callers saw 502, or a stream that broke off, 1.2 s after an endpoint fell silent, with seconds left until their deadline, though the endpoint was sound and went on after 1.5 s. Cause: an attempt without progress for 1.2 s counted as lost whether or not there was anything better. With no further endpoint allowed by the route, or no retries left in the shared budget, giving the attempt up could only end the request; with every endpoint suspended it could only trade one silent endpoint for another.

Silence now suspends the endpoint for new requests and looks for another one that can take the request at once and is not suspended itself; until there is one, the attempt goes on to the deadline, with a new search every 100 ms. When it makes progress again, the suspension ends.

--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -180,6 +180,22 @@
     found->slowdown += kSlowdownWeight * (slowdown - found->slowdown);
 }
 
+void EndpointTable::noteAlive(EndpointKey key)
+{
+    EndpointRow *found = row(key);
+    if (!found)
+        return;
+    unreachable_.erase(found->record.failureDomain);
+    found->consecutiveFailures = 0;
+    found->suspendedUntil = {};
+}
+
+bool EndpointTable::isAvailable(EndpointKey key, TimePoint now) const
+{
+    const EndpointRow *found = find(key);
+    return found && found->record.state == EndpointState::Ready && found->suspendedUntil <= now;
+}
+
 bool EndpointTable::noteFailure(EndpointKey key, EndpointFailure failure, TimePoint now)
 {
     EndpointRow *found = row(key);
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -71,6 +71,11 @@
     /// pause an endpoint briefly, return false.
     bool noteFailure(EndpointKey key, EndpointFailure failure, TimePoint now);
 
+    /// An endpoint that was silent has gone on: ends its suspension.
+    void noteAlive(EndpointKey key);
+    /// True when the endpoint is known, ready and not suspended.
+    bool isAvailable(EndpointKey key, TimePoint now) const;
+
     const EndpointRow *find(EndpointKey key) const;
     const EndpointRow *findById(const std::string &id) const;
     const std::unordered_map<std::string, EndpointRow> &rows() const { return rows_; }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -39,6 +39,10 @@
     bool headSeen = false;
     bool notRun = false;  ///< The endpoint states that it did not run the request.
     bool streams = false; ///< The answer is relayed event by event.
+    /// The endpoint has made no progress for longer than expected. The attempt goes on, since a
+    /// sound endpoint may pause, but it is replaced as soon as another endpoint can take over.
+    bool silent = false;
+    TimePoint nextSilenceCheck{};
     HttpResponseHead head;
     ReplyFields reply;
     std::string body; ///< The whole answer, or for a stream the received part of the next event.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -315,8 +315,9 @@
         return;
     }
     if (exchange->attempt && isRepeatable(exchange->route)
-        && now - exchange->lastProgressAt >= silenceLimit(*exchange)) {
-        onAttemptFailed(*exchange, EndpointFailure::NoAnswer, true, "silent");
+        && now - exchange->lastProgressAt >= silenceLimit(*exchange)
+        && now >= exchange->attempt->nextSilenceCheck) {
+        onSilence(*exchange);
         return;
     }
     armTimer(*exchange);
@@ -328,7 +329,8 @@
     if (!exchange.attempt)
         next = std::min(next, exchange.queueDeadline);
     else if (isRepeatable(exchange.route))
-        next = std::min(next, exchange.lastProgressAt + silenceLimit(exchange));
+        next = std::min(next, std::max(exchange.lastProgressAt + silenceLimit(exchange),
+                                       exchange.attempt->nextSilenceCheck));
     exchange.timer.expires_at(next);
     exchange.timer.async_wait([this, id = exchange.id](const asio::error_code &error) {
         if (!error)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -109,11 +109,16 @@
     /// Detaches the attempt from the exchange and reports its end to the load tracker and the
     /// peers. Returns null when there is no attempt.
     std::unique_ptr<Attempt> endAttempt(Exchange &exchange);
+    FailureFacts failureFacts(const Exchange &exchange, bool attemptMayHaveRun, TimePoint now);
     /// Sends the endpoint's answer to the caller, unchanged except for hop-by-hop headers.
     void forwardAnswer(Exchange &exchange, Attempt &attempt, const char *outcome);
     void noteFirstAnswer(Exchange &exchange);
     void armTimer(Exchange &exchange);
-    /// Time without progress after which the attempt counts as lost.
+    /// Replaces the attempt by one at another endpoint if one can take the request now. Otherwise
+    /// the attempt goes on until the deadline: a silent endpoint may be sound.
+    void onSilence(Exchange &exchange);
+    void noteProgress(Exchange &exchange);
+    /// Time without progress after which another endpoint is tried.
     Millis silenceLimit(const Exchange &exchange) const;
 
     // Waiting requests.
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -22,9 +22,11 @@
 // A request that may not run twice is sent over a new or recently used connection only. If the
 // server closes an idle connection at that moment, it is unknown whether the request ran.
 constexpr Millis kMaxIdleIfUnrepeatable{250};
-// An attempt that may be repeated counts as lost after this time without progress. It is less than
-// the 2 s after which callers disconnect.
+// Another endpoint may take over a repeatable request after this time without progress. It is less
+// than the 2 s after which callers disconnect.
 constexpr Millis kSilenceTimeout{1200};
+// Time between two searches for an endpoint that can take over from a silent one.
+constexpr Millis kSilenceCheckInterval{100};
 // After the first event, the timeout is at least this multiple of the route's largest event gap.
 constexpr int kSilenceGapFactor = 4;
 // Before the first event, this multiple of its expected time is added to the timeout.
@@ -202,7 +204,7 @@
     Exchange *exchange = find(id);
     if (!exchange || !exchange->attempt)
         return;
-    exchange->lastProgressAt = steadyNow();
+    noteProgress(*exchange);
     Attempt &attempt = *exchange->attempt;
     attempt.body += bytes;
     if (attempt.streams) {
@@ -356,6 +358,69 @@
     forwardAnswer(exchange, attempt, success ? "completed" : "endpoint_error");
 }
 
+void Gateway::noteProgress(Exchange &exchange)
+{
+    const TimePoint now = steadyNow();
+    Attempt &attempt = *exchange.attempt;
+    if (attempt.silent) {
+        attempt.silent = false;
+        attempt.nextSilenceCheck = {};
+        endpoints_.noteAlive(attempt.endpoint);
+        logEvent(LogLevel::Info, "endpoint_resumed",
+                 {{"request", exchange.requestId},
+                  {"endpoint", attempt.endpointId},
+                  {"silent_ms",
+                   fmt::format("{:.0f}", FloatMillis(now - exchange.lastProgressAt).count())}});
+    }
+    exchange.lastProgressAt = now;
+}
+
+void Gateway::onSilence(Exchange &exchange)
+{
+    const TimePoint now = steadyNow();
+    Attempt &attempt = *exchange.attempt;
+    const bool firstCheck = !attempt.silent;
+    attempt.silent = true;
+    attempt.nextSilenceCheck = now + kSilenceCheckInterval;
+    if (firstCheck) {
+        // Requests that arrive now go elsewhere.
+        endpoints_.noteFailure(attempt.endpoint, EndpointFailure::NoAnswer, now);
+        counters_.silences.Increment();
+    }
+    Placement placement;
+    if (recoverFrom(failureFacts(exchange, true, now)) == Recovery::Retry)
+        placement = place(exchange);
+    const bool canMove = placement.outcome == PlacementOutcome::Send
+                         && endpoints_.isAvailable(placement.head, now);
+    if (firstCheck || canMove) {
+        logEvent(LogLevel::Info, "endpoint_silent",
+                 {{"request", exchange.requestId},
+                  {"endpoint", attempt.endpointId},
+                  {"silent_ms",
+                   fmt::format("{:.0f}", FloatMillis(now - exchange.lastProgressAt).count())},
+                  {"action", canMove ? "move" : "wait"}});
+    }
+    if (canMove)
+        onAttemptFailed(exchange, EndpointFailure::NoAnswer, true, "silent");
+    else
+        armTimer(exchange);
+}
+
+FailureFacts Gateway::failureFacts(const Exchange &exchange, bool attemptMayHaveRun, TimePoint now)
+{
+    FailureFacts facts;
+    facts.repeatable = isRepeatable(exchange.route);
+    facts.attemptMayHaveRun = attemptMayHaveRun;
+    facts.anyAttemptMayHaveRun = exchange.mayHaveRun || attemptMayHaveRun;
+    facts.relaying = exchange.state == ExchangeState::Relaying;
+    facts.sendCount = exchange.sendCount;
+    facts.maxEndpoints = exchange.route.maxEndpoints;
+    facts.retryBudgetLeft = exchange.sendCount == 0
+                            || retryBudget_.available(exchange.service, daemonCount(), now);
+    facts.timeLeft = std::chrono::duration_cast<Millis>(exchange.deadline - now);
+    return facts;
+}
+
 void Gateway::onAttemptFailed(Exchange &exchange, EndpointFailure failure, bool mayHaveRun,
                               const char *reason)
 {
@@ -371,16 +436,7 @@
         attempt->call.reset();
     }
     exchange.mayHaveRun = exchange.mayHaveRun || mayHaveRun;
-    FailureFacts facts;
-    facts.repeatable = isRepeatable(exchange.route);
-    facts.attemptMayHaveRun = mayHaveRun;
-    facts.anyAttemptMayHaveRun = exchange.mayHaveRun;
-    facts.relaying = exchange.state == ExchangeState::Relaying;
-    facts.sendCount = exchange.sendCount;
-    facts.maxEndpoints = exchange.route.maxEndpoints;
-    facts.retryBudgetLeft = exchange.sendCount == 0
-                            || retryBudget_.available(exchange.service, daemonCount(), now);
-    facts.timeLeft = std::chrono::duration_cast<Millis>(exchange.deadline - now);
+    const FailureFacts facts = failureFacts(exchange, mayHaveRun, now);
     const Recovery recovery = recoverFrom(facts);
     logEvent(LogLevel::Info, "attempt_failed",
              {{"request", exchange.requestId},
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -33,6 +33,8 @@
                                     "Time that requests waited for an endpoint", kBoundsSeconds))
     , resumes(metrics.counter("cicadafork_gateway_resumes_total",
                               "Streams that went on at another endpoint"))
+    , silences(metrics.counter("cicadafork_gateway_silences_total",
+                               "Attempts that made no progress for longer than expected"))
     , cancelled(metrics.counter("cicadafork_gateway_cancelled_total",
                                 "Requests whose caller left before the answer was complete"))
     , metrics_(metrics)
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -27,6 +27,7 @@
     prometheus::Histogram &answerSeconds;
     prometheus::Histogram &waitSeconds;
     prometheus::Counter &resumes;
+    prometheus::Counter &silences;
     prometheus::Counter &cancelled;
 
 private:
