Do not close a caller's connection while a request waits on it unread

Callers saw their connection closed or reset with a whole request on it and no answer. Cause: the idle timer and the arrival of a request can be found by the same poll of a busy event loop, or the timer by an earlier one than the request, as one poll reports a limited number of sockets; and the handler of a timer that was restarted for the request may already be queued. The timer's handler closed the connection without looking.

The handler now ignores a timer that was restarted, and leaves a connection with unread input open until that has been read.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -19,6 +19,8 @@
 // Limit for pipelined input while a request is handled; further bytes stay in the kernel's buffer.
 // Output buffers with more capacity than this are released when they are empty.
 constexpr std::size_t kMaxBufferedBytes = 64 * 1024;
+// Delay until a timeout that found unread input is checked again, after that input has been read.
+constexpr Millis kUnreadInputDelay{1};
 // How long to wait for the caller to close the connection after the last response.
 constexpr Millis kLingerTimeout{1000};
 // Delay after a failed accept, for example when no file descriptors are left.
@@ -143,8 +145,14 @@
     timer_.expires_after(timeout);
     timer_.async_wait([weak = weak_from_this()](const asio::error_code &error) {
         const auto self = weak.lock();
-        if (error || !self || self->handlingRequest_)
+        // cancel() can't stop a handler that is already queued, so the timer may have been
+        // restarted.
+        if (error || !self || self->handlingRequest_ || steadyNow() < self->timer_.expiry())
             return;
+        if (!self->lingering_ && self->hasUnreadInput()) {
+            self->armTimer(kUnreadInputDelay);
+            return;
+        }
         self->close(self->lingering_          ? ConnectionEnd::AfterLastAnswer
                     : self->parser_.started() ? ConnectionEnd::IncompleteRequest
                                               : ConnectionEnd::Idle);
@@ -280,12 +288,17 @@
 {
     if (handlingRequest_ || parser_.started() || !input_.empty())
         return;
-    // Unread bytes in the socket may be the next request, which a close would lose.
-    asio::error_code error;
-    if (socket_.available(error) == 0 && !error)
+    if (!hasUnreadInput())
         close(lingering_ ? ConnectionEnd::AfterLastAnswer : ConnectionEnd::Draining);
 }
 
+bool HttpServerConnection::hasUnreadInput() const
+{
+    // It may be the next request, which a close would lose.
+    asio::error_code error;
+    return socket_.available(error) > 0 && !error;
+}
+
 void HttpServerConnection::notifyDisconnect()
 {
     const auto handler = std::move(disconnectHandler_);
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -99,6 +99,7 @@
     void shutdownAndLinger();
     void close(ConnectionEnd end);
     void notifyDisconnect();
+    bool hasUnreadInput() const;
 
     AsyncHttpServer &server_;
     asio::ip::tcp::socket socket_;
