Do not reset connections whose answer is complete when all are closed

Callers of a stopping daemon could lose the end of an answer that was complete and on its way. Cause: closing all connections resets those without chunked framing, and after a complete answer every connection counted as one; a reset discards what the caller has not received.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -275,9 +275,10 @@
 void HttpServerConnection::abort()
 {
     disconnectHandler_ = nullptr;
-    if (socket_.is_open() && !chunked_) {
+    if (socket_.is_open() && handlingRequest_ && !chunked_) {
         // Close with a TCP reset: after an orderly close, a response that is delimited by the end
-        // of the connection would look complete.
+        // of the connection would look complete. A complete response is not reset, since that would
+        // discard what the caller has not received yet.
         asio::error_code ignored;
         socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     }
