Keep the attempt at a silent endpoint open until the endpoint that takes over has answered

Callers lost a stream, or got 502, when an endpoint fell silent for a second or so, the request moved to another one, and that one failed: the attempt at the silent endpoint, which was sound, had been cancelled, and no endpoint was left to try.

The silent attempt now stays open beside the new one. The first of them that sends an event, or the whole answer, goes on and the other is cancelled; if the new one fails, the silent one is waited for again. Only requests that may run more than once are sent to a second endpoint, as before, and no more endpoints are used than the route allows.

silentEndpointGoesOnWhenTheOneThatTookOverFails (reset, refusal, error and silence of the second endpoint, before the first event and within the stream) failed in its first case with 502; all eight pass.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -70,6 +70,9 @@
     TimePoint notBefore{};     ///< Earliest time of the next attempt.
     ExchangeState state = ExchangeState::Waiting;
     std::unique_ptr<Attempt> attempt;
+    /// An attempt at a silent endpoint that `attempt` is to replace. It stays open until the first
+    /// event or the answer of the other one.
+    std::unique_ptr<Attempt> silentAttempt;
     std::vector<EndpointKey> triedEndpoints;
     unsigned sendCount = 0;  ///< Attempts of which something may have reached an endpoint.
     bool mayHaveRun = false; ///< True after a failed attempt that is not known not to have run.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -398,6 +398,8 @@
               {"gap_limit_ms", std::to_string(exchange.route.maxEventGap.count())},
               {"events", std::to_string(exchange.eventsRelayed)}});
     endAttempt(exchange);
+    if (exchange.silentAttempt)
+        noteJobEnded(*exchange.silentAttempt);
     exchange.caller->onDisconnect(nullptr);
     exchange.timer.cancel();
     std::erase(waiting_, exchange.id);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -94,9 +94,15 @@
     void announceJob(const Exchange &exchange, const Placement &placement);
     void reserve(Exchange &exchange, const Placement &placement);
     void startCall(Exchange &exchange);
-    HeadAction onHead(std::uint64_t id, HttpResponseHead &&head);
-    void onBody(std::uint64_t id, std::string_view bytes);
-    void onEnd(std::uint64_t id, UpstreamOutcome end);
+    HeadAction onHead(std::uint64_t id, const JobId &job, HttpResponseHead &&head);
+    void onBody(std::uint64_t id, const JobId &job, std::string_view bytes);
+    void onEnd(std::uint64_t id, const JobId &job, UpstreamOutcome end);
+    /// The exchange whose current attempt has this job; an attempt at a silent endpoint that goes
+    /// on becomes the current one again.
+    Exchange *findByAttempt(std::uint64_t id, const JobId &job);
+    /// Ends the attempt that replaces the one at the silent endpoint, if there is one.
+    bool returnToSilentAttempt(Exchange &exchange);
+    void dropSilentAttempt(Exchange &exchange);
     /// Takes the attempt out of sendCount and the retry budget, because nothing of it has reached
     /// an endpoint.
     void undoSend(Exchange &exchange);
@@ -109,13 +115,14 @@
     /// Detaches the attempt from the exchange and reports its end to the load tracker and the
     /// peers. Returns null when there is no attempt.
     std::unique_ptr<Attempt> endAttempt(Exchange &exchange);
+    void noteJobEnded(const Attempt &attempt);
     FailureFacts failureFacts(const Exchange &exchange, bool attemptMayHaveRun, TimePoint now);
     /// Sends the endpoint's answer to the caller, unchanged except for hop-by-hop headers.
     void forwardAnswer(Exchange &exchange, Attempt &attempt, const char *outcome);
     void noteFirstAnswer(Exchange &exchange);
     void armTimer(Exchange &exchange);
-    /// Replaces the attempt by one at another endpoint if one can take the request now. Otherwise
-    /// the attempt goes on until the deadline: a silent endpoint may be sound.
+    /// Sends the request to another endpoint if one can take it now. The attempt stays open, until
+    /// the other endpoint answers or the deadline: a silent endpoint may be sound.
     void onSilence(Exchange &exchange);
     void noteProgress(Exchange &exchange);
     /// Time without progress after which another endpoint is tried.
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -168,18 +168,47 @@
     if (!isRepeatable(exchange.route))
         request.maxIdleTime = kMaxIdleIfUnrepeatable;
     const std::uint64_t id = exchange.id;
+    const JobId job = attempt.job;
     UpstreamHandlers handlers;
-    handlers.head
-            = [this, id](HttpResponseHead &&received) { return onHead(id, std::move(received)); };
-    handlers.body = [this, id](std::string_view bytes) { onBody(id, bytes); };
-    handlers.end = [this, id](UpstreamOutcome end) { onEnd(id, end); };
+    handlers.head = [this, id, job](HttpResponseHead &&received) {
+        return onHead(id, job, std::move(received));
+    };
+    handlers.body = [this, id, job](std::string_view bytes) { onBody(id, job, bytes); };
+    handlers.end = [this, id, job](UpstreamOutcome end) { onEnd(id, job, end); };
     attempt.call = pool_.call(attempt.address, std::move(request), std::move(handlers));
 }
 
-HeadAction Gateway::onHead(std::uint64_t id, HttpResponseHead &&head)
+Exchange *Gateway::findByAttempt(std::uint64_t id, const JobId &job)
 {
     Exchange *exchange = find(id);
-    if (!exchange || !exchange->attempt)
+    if (!exchange)
+        return nullptr;
+    if (exchange->silentAttempt && exchange->silentAttempt->job == job)
+        returnToSilentAttempt(*exchange);
+    return exchange->attempt && exchange->attempt->job == job ? exchange : nullptr;
+}
+
+bool Gateway::returnToSilentAttempt(Exchange &exchange)
+{
+    if (!exchange.silentAttempt)
+        return false;
+    endAttempt(exchange);
+    exchange.attempt = std::move(exchange.silentAttempt);
+    return true;
+}
+
+void Gateway::dropSilentAttempt(Exchange &exchange)
+{
+    if (!exchange.silentAttempt)
+        return;
+    noteJobEnded(*exchange.silentAttempt);
+    exchange.silentAttempt.reset();
+}
+
+HeadAction Gateway::onHead(std::uint64_t id, const JobId &job, HttpResponseHead &&head)
+{
+    Exchange *exchange = findByAttempt(id, job);
+    if (!exchange)
         return HeadAction::Skip;
     Attempt &attempt = *exchange->attempt;
     ReplyFields reply = protocol_.readReply(head);
@@ -199,10 +228,10 @@
     return HeadAction::Accept;
 }
 
-void Gateway::onBody(std::uint64_t id, std::string_view bytes)
+void Gateway::onBody(std::uint64_t id, const JobId &job, std::string_view bytes)
 {
-    Exchange *exchange = find(id);
-    if (!exchange || !exchange->attempt)
+    Exchange *exchange = findByAttempt(id, job);
+    if (!exchange)
         return;
     noteProgress(*exchange);
     Attempt &attempt = *exchange->attempt;
@@ -225,6 +254,7 @@
         // sends only later events; one that starts from the beginning repeats the earlier ones.
         if (id && exchange.lastEventId && *id <= *exchange.lastEventId)
             continue;
+        dropSilentAttempt(exchange);
         if (exchange.state != ExchangeState::Relaying)
             beginRelay(exchange);
         if (id)
@@ -279,10 +309,16 @@
     scheduleDispatch();
 }
 
-void Gateway::onEnd(std::uint64_t id, UpstreamOutcome end)
+void Gateway::onEnd(std::uint64_t id, const JobId &job, UpstreamOutcome end)
 {
     Exchange *exchange = find(id);
-    if (!exchange || !exchange->attempt)
+    if (exchange && end != UpstreamOutcome::Complete && exchange->silentAttempt
+        && exchange->silentAttempt->job == job) {
+        dropSilentAttempt(*exchange);
+        return;
+    }
+    exchange = findByAttempt(id, job);
+    if (!exchange)
         return;
     Attempt &attempt = *exchange->attempt;
     switch (end) {
@@ -400,10 +436,15 @@
                    fmt::format("{:.0f}", FloatMillis(now - exchange.lastProgressAt).count())},
                   {"action", canMove ? "move" : "wait"}});
     }
-    if (canMove)
-        onAttemptFailed(exchange, EndpointFailure::NoAnswer, true, "silent");
-    else
+    if (!canMove) {
         armTimer(exchange);
+        return;
+    }
+    counters_.attemptFailure("silent").Increment();
+    dropSilentAttempt(exchange);
+    exchange.mayHaveRun = true;
+    exchange.silentAttempt = std::move(exchange.attempt);
+    send(exchange, placement);
 }
 
 FailureFacts Gateway::failureFacts(const Exchange &exchange, bool attemptMayHaveRun, TimePoint now)
@@ -449,6 +490,10 @@
                fmt::format("{:.0f}", FloatMillis(now - exchange.lastProgressAt).count())},
               {"left_ms", std::to_string(facts.timeLeft.count())},
               {"again", recovery == Recovery::Retry ? "yes" : "no"}});
+    if (returnToSilentAttempt(exchange)) {
+        armTimer(exchange);
+        return;
+    }
     const bool forwardsError = attempt && attempt->headSeen && attempt->head.status >= 400
                                && failure == EndpointFailure::Error;
     switch (recovery) {
@@ -488,13 +533,17 @@
 std::unique_ptr<Attempt> Gateway::endAttempt(Exchange &exchange)
 {
     std::unique_ptr<Attempt> attempt = std::move(exchange.attempt);
-    if (attempt) {
-        loadTracker_.ended(attempt->job, steadyNow());
-        mesh_.ended(attempt->job);
-    }
+    if (attempt)
+        noteJobEnded(*attempt);
     return attempt;
 }
 
+void Gateway::noteJobEnded(const Attempt &attempt)
+{
+    loadTracker_.ended(attempt.job, steadyNow());
+    mesh_.ended(attempt.job);
+}
+
 Millis Gateway::silenceLimit(const Exchange &exchange) const
 {
     const bool began = exchange.eventsRelayed > 0 && exchange.attempt
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -355,6 +355,56 @@
     }
 }
 
+TEST(GatewayPath, silentEndpointGoesOnWhenTheOneThatTookOverFails)
+{
+    struct Case
+    {
+        EndpointBehaviour second;
+        unsigned eventsBefore; ///< Events that the caller has when the silence begins.
+    };
+    const Case cases[] = {
+            {EndpointBehaviour::Resets, 0}, {EndpointBehaviour::Resets, 2},
+            {EndpointBehaviour::NotRun, 0}, {EndpointBehaviour::NotRun, 2},
+            {EndpointBehaviour::Fails, 0},  {EndpointBehaviour::Fails, 2},
+            {EndpointBehaviour::Silent, 0}, {EndpointBehaviour::Silent, 2},
+    };
+    constexpr Millis kSilence{1600};
+    constexpr Millis kDeadline{4000};
+    for (int i = 0; i < 2; ++i)
+        addEndpoint("pool").eventGap = Millis(20);
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 2}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    for (const Case &row : cases) {
+        const std::string text
+                = fmt::format("{} {}", static_cast<int>(row.second), row.eventsBefore);
+        for (const auto &endpoint : endpoints)
+            endpoint->fallSilent(row.eventsBefore == 0 ? kSilence : Millis(0));
+        const unsigned before = endpoints[0]->arrivals;
+        const auto answer = sendRequest("stream", "key", kDeadline);
+        const std::string begun = fmt::format("id: {}\n", row.eventsBefore);
+        CHECK_TRUE(runUntil([&] {
+            return row.eventsBefore == 0 || answer->body.find(begun) != std::string::npos;
+        }));
+        runUntil([] { return false; }, Millis(50));
+        const bool firstIsZero
+                = row.eventsBefore == 0
+                          ? gateway->dump().find("\"endpoint\":\"i-1\"") != std::string::npos
+                          : endpoints[0]->arrivals > before;
+        EndpointStandin &first = *endpoints[firstIsZero ? 0 : 1];
+        EndpointStandin &second = *endpoints[firstIsZero ? 1 : 0];
+        first.fallSilent(kSilence);
+        second.fallSilent(Millis(0));
+        second.script = {row.second};
+        CHECK_TRUE_TEXT(runUntil([&] { return answer->ended; }), text.c_str());
+        LONGS_EQUAL_TEXT(200, answer->status, text.c_str());
+        CHECK_TRUE_TEXT(answer->complete, text.c_str());
+        STRCMP_EQUAL_TEXT(allEvents().c_str(), answer->body.c_str(), text.c_str());
+        CHECK_TRUE_TEXT(second.script.empty(), text.c_str());
+        runUntil([] { return false; }, Millis(300)); // Lets suspensions of endpoints end.
+    }
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
