Keep connections to endpoints that acknowledge nothing for a second or so

Callers got 502, or a stream broke off, exactly 1,200 ms after an endpoint fell silent on the network, with 8.8 s left.

The user timeout is 2,500 ms, so that a dead peer is still found within 3 s; deadPeerDetectionTime() counts the user timeout, which it had ignored.

connectionSurvivesASilenceOfItsPeer failed (1,200 ms against a silence of 2 s) and passes.

--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -21,7 +21,14 @@
 
 std::chrono::seconds deadPeerDetectionTime(SocketTuning tuning)
 {
-    return tuning.keepAliveIdle + kKeepAliveInterval * kKeepAliveProbes;
+    // With a user timeout, the connection ends at the first unanswered probe after it.
+    auto detected = tuning.keepAliveIdle + kKeepAliveInterval;
+    const auto limit = tuning.keepAliveIdle + kKeepAliveInterval * kKeepAliveProbes;
+    if (tuning.userTimeout == Millis(0))
+        return limit;
+    while (detected < tuning.userTimeout)
+        detected += kKeepAliveInterval;
+    return detected;
 }
 
 void tuneSocket(asio::ip::tcp::socket &socket, SocketTuning tuning)
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -36,8 +36,9 @@
     /// Connecting normally takes a few milliseconds. The timeout is short so that a call with a
     /// latency target of 100 ms can move on to another endpoint if the first one is unreachable.
     Millis connectTimeout{150};
-    /// Sent bytes that stay unacknowledged this long end the connection.
-    Millis userTimeout{1200};
+    /// Sent bytes that stay unacknowledged this long end the connection. A sound server may be
+    /// silent for a second or so.
+    Millis userTimeout{2500};
     /// Idle time before the first TCP keep-alive probe. Memory that is reserved for a request must
     /// be released within 4 s after the endpoint that received the request loses power.
     std::chrono::seconds keepAliveIdle{1};
--- a/tests/unit/netparser_test.cpp
+++ b/tests/unit/netparser_test.cpp
@@ -195,6 +195,16 @@
     CHECK_TRUE(deadPeerDetectionTime({options.userTimeout, options.keepAliveIdle}) <= Millis(3000));
 }
 
+// A sound endpoint may neither send nor acknowledge for a second or so.
+TEST(Sockets, connectionSurvivesASilenceOfItsPeer)
+{
+    constexpr Millis kLongestSilence{2000};
+    const UpstreamOptions options;
+    CHECK_TRUE(options.userTimeout > kLongestSilence);
+    CHECK_TRUE(deadPeerDetectionTime({options.userTimeout, options.keepAliveIdle})
+               > kLongestSilence);
+}
+
 TEST_GROUP(HeaderList){};
 
 TEST(HeaderList, removesHopByHopFields)
