Send nothing new to an endpoint that says it leaves

An endpoint now states in every answer that it leaves (Server-Leaving: 1). The gateway ignored the field: it learned of leaving endpoints from the store only, so a daemon without the store went on sending to them.

The adapter decodes the field of every answer, those to orders included. Only "1" is a statement; another value is logged once for each endpoint. A 421 is the answer of another instance and states nothing about the expected one. Idle connections are closed. Peers are told at once, and again with the heartbeats, 16 endpoints each. Renewals and releases of memory go on: a request that runs needs them.

Ruled out: a flag in the record, which the next record of the store would overwrite and which would make the digests of daemons differ.

Tests: before the change GatewayPath.anEndpointThatSaysItLeavesGetsNoFurther- Request failed with 3 arrivals instead of 1 in its first case, and answersToOrdersCountAsStatementsToo with status 200 instead of 503. Those of the table, the mesh, the peers and the adapter use interfaces that did not exist; they pass now. Existing tests changed: the recorded orders of Reservation take the new callback; GatewayPeers has a workspace with a key, so that a test can send requests.

Cap'n Proto allows no holes in the ordinals, so the list is @19.

--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace cicadafork::gateway {
 
@@ -30,6 +31,9 @@
 constexpr double kTieScale = 0.5 / 9007199254740992.0;
 // Largest share of a service's endpoints that may be avoided for their errors.
 constexpr double kMaxAvoidedShare = 0.34;
+// Limit of the remembered statements, as a multiple of that of the endpoints: half of them can
+// belong to instances whose record is gone.
+constexpr std::size_t kStatementsPerEndpoint = 2;
 
 std::uint64_t digestOf(const EndpointRow &row)
 {
@@ -211,6 +215,47 @@
     return !wasSuspended;
 }
 
+EndpointTable::Statement &EndpointTable::statement(EndpointKey key)
+{
+    const auto found = statements_.find(key);
+    if (found != statements_.end())
+        return found->second;
+    if (statements_.size() >= kStatementsPerEndpoint * limit_) {
+        const auto gone = std::ranges::find_if(
+                statementOrder_, [this](EndpointKey old) { return !idByKey_.contains(old); });
+        statements_.erase(*gone);
+        statementOrder_.erase(gone);
+    }
+    statementOrder_.push_back(key);
+    return statements_[key];
+}
+
+bool EndpointTable::noteLeaving(EndpointKey key)
+{
+    return !std::exchange(statement(key).leaving, true);
+}
+
+bool EndpointTable::noteUnreadable(EndpointKey key)
+{
+    return !std::exchange(statement(key).unreadable, true);
+}
+
+bool EndpointTable::isLeaving(EndpointKey key) const
+{
+    const auto found = statements_.find(key);
+    return found != statements_.end() && found->second.leaving;
+}
+
+std::vector<EndpointKey> EndpointTable::leaving() const
+{
+    std::vector<EndpointKey> keys;
+    for (const EndpointKey key : statementOrder_) {
+        if (isLeaving(key) && idByKey_.contains(key))
+            keys.push_back(key);
+    }
+    return keys;
+}
+
 bool EndpointTable::seemsCutOff(const std::string &failureDomain, TimePoint now) const
 {
     const auto found = unreachable_.find(failureDomain);
@@ -248,7 +293,7 @@
     for (const auto &[id, row] : rows_) {
         if (row.record.service != service || row.record.state != EndpointState::Ready)
             continue;
-        if (std::ranges::find(excluded, row.key) != excluded.end())
+        if (isLeaving(row.key) || std::ranges::find(excluded, row.key) != excluded.end())
             continue;
         rows.push_back(&row);
         errorSum += row.errorRate;
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -11,6 +11,7 @@
 #include "gateway/placement.h"
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <set>
 #include <string>
@@ -71,11 +72,22 @@
     /// pause an endpoint briefly, return false.
     bool noteFailure(EndpointKey key, EndpointFailure failure, TimePoint now);
 
+    /// Remembers that this instance of an endpoint has said that it leaves. Returns false if that
+    /// was known. The statement outlives the endpoint's record, because an older record may come
+    /// back, and may precede it.
+    bool noteLeaving(EndpointKey key);
+    /// Returns false if a statement of this instance was unreadable before.
+    bool noteUnreadable(EndpointKey key);
+    bool isLeaving(EndpointKey key) const;
+    /// The known endpoints that have said that they leave.
+    std::vector<EndpointKey> leaving() const;
+
     const EndpointRow *find(EndpointKey key) const;
     const EndpointRow *findById(const std::string &id) const;
     const std::unordered_map<std::string, EndpointRow> &rows() const { return rows_; }
 
-    /// The ready endpoints of a service that are not excluded. Endpoints that are suspended, in an
+    /// The ready endpoints of a service that are not excluded and have not said that they
+    /// leave. Endpoints that are suspended, in an
     /// unreachable failure domain or failing too often are marked as not usable. If that leaves
     /// none, all are marked as usable, because trying one is better than refusing the request.
     /// `daemon` is a number that differs between daemons and varies the tie breakers; `cutOff`
@@ -102,6 +114,14 @@
         TimePoint lastFailure{};
     };
 
+    /// What an instance has said about itself.
+    struct Statement
+    {
+        bool leaving = false;
+        bool unreadable = false;
+    };
+
+    Statement &statement(EndpointKey key);
     EndpointRow *row(EndpointKey key);
     bool seemsCutOff(const std::string &failureDomain, TimePoint now) const;
 
@@ -111,6 +131,8 @@
     std::unordered_map<std::string, EndpointRow> rows_; ///< By id.
     std::unordered_map<EndpointKey, std::string> idByKey_;
     std::unordered_map<std::string, Unreachable> unreachable_; ///< By failure domain.
+    std::unordered_map<EndpointKey, Statement> statements_;
+    std::deque<EndpointKey> statementOrder_; ///< Keys of statements_, oldest first.
 };
 
 } // namespace cicadafork::gateway
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -31,6 +31,7 @@
 struct Attempt
 {
     EndpointKey endpoint = 0;
+    std::vector<EndpointKey> helperKeys;
     std::string endpointId;
     Address address;
     JobId job;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -77,7 +77,7 @@
     , protocol_(protocol)
     , layout_(std::move(layout))
     , store_(std::move(store))
-    , orders_(std::move(orders))
+    , orders_(observed(std::move(orders)))
     , pool_(pool)
     , incarnation_(randomNumber())
     , counters_(metrics_)
@@ -97,6 +97,9 @@
                      [this](const PeerInfo &peer, const std::vector<EndpointUpdate> &updates) {
                          onEndpointUpdates(peer, updates);
                      },
+             .leavingEndpoints = [this] { return endpoints_.leaving(); },
+             .leavingEndpointsReceived
+             = [this](const std::vector<EndpointKey> &keys) { onLeavingEndpoints(keys); },
              .configChangeReceived
              = [this](const PeerInfo &peer,
                       const ConfigChange &change) { onConfigChange(peer, change); },
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -81,6 +81,15 @@
     void finish(Exchange &exchange, const char *outcome, int status);
 
     // Endpoints.
+    /// The orders, with a look at what the endpoints state about themselves in their answers.
+    OrderCalls observed(OrderCalls orders);
+    /// `requestId` is empty if the answer belongs to no request.
+    void noteStatement(EndpointKey endpoint, const EndpointStatement &statement,
+                       const std::string &requestId);
+    /// Returns false if it was known. `source` is where this daemon learned it.
+    bool noteLeaving(EndpointKey endpoint, const char *source, const std::string &requestId);
+    /// False if the endpoint of the attempt or one of its helpers has said that it leaves.
+    bool mayStart(const Attempt &attempt) const;
     /// True when an endpoint was chosen. A request that can never be placed is ended with an error,
     /// so the exchange may no longer exist when this returns false.
     bool tryPlace(Exchange &exchange);
@@ -140,6 +149,7 @@
     void onStoreContact(bool reached);
     void onPeerChanged(const PeerInfo &peer);
     void onPeerMessage(const PeerInfo &peer);
+    void onLeavingEndpoints(const std::vector<EndpointKey> &endpoints);
     void onEndpointUpdates(const PeerInfo &peer, const std::vector<EndpointUpdate> &updates);
     void onConfigChange(const PeerInfo &peer, const ConfigChange &change);
     void applyConfigChange(const ConfigChange &change, const std::string &peer);
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -64,6 +64,7 @@
         if (!row)
             continue;
         const bool holds = attempt->helpers.size() < placement.holders;
+        attempt->helperKeys.push_back(helper);
         attempt->helpers.push_back({row->record.address, holds ? ticket : std::string()});
         if (!helperIds.empty())
             helperIds += ',';
@@ -137,13 +138,15 @@
         Exchange *waiting = find(id);
         if (!waiting || !waiting->attempt || !(waiting->attempt->job == job))
             return;
-        if (held) {
+        const bool accepted = mayStart(*waiting->attempt);
+        if (held && accepted) {
             startCall(*waiting);
             return;
         }
         undoSend(*waiting);
         waiting->notBefore = steadyNow() + kMemoryRetryDelay;
-        onAttemptFailed(*waiting, EndpointFailure::Refused, false, "memory_not_reserved");
+        onAttemptFailed(*waiting, EndpointFailure::Refused, false,
+                        accepted ? "memory_not_reserved" : "endpoint_withdrew");
     });
 }
 
@@ -181,6 +184,7 @@
         return HeadAction::Skip;
     Attempt &attempt = *exchange->attempt;
     ReplyFields reply = protocol_.readReply(head);
+    noteStatement(attempt.endpoint, reply.statement, exchange->requestId);
     if (!reply.requestId.empty() && reply.requestId != exchange->requestId) {
         logEvent(LogLevel::Warning, "stray_answer",
                  {{"request", exchange->requestId},
@@ -283,6 +287,9 @@
     if (!exchange || !exchange->attempt)
         return;
     Attempt &attempt = *exchange->attempt;
+    // The connection of this call is idle now.
+    if (endpoints_.isLeaving(attempt.endpoint))
+        pool_.closeIdle(attempt.address);
     switch (end) {
     case UpstreamOutcome::NotSent:
         undoSend(*exchange);
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -200,6 +200,8 @@
     const EndpointRow *row = endpoints_.findById(id);
     if (row && std::string_view(source) == kFromStore)
         pendingUpdates_.push_back({id, row->record});
+    if (change == EndpointChange::Draining && row && !endpoints_.isLeaving(row->key))
+        counters_.leavingEndpoints("record").Increment();
     // The event endpoints_known counts those from the first read.
     if (!endpointsKnown_ && change == EndpointChange::Joined)
         return;
@@ -349,6 +351,7 @@
                                      {"service", row.record.service},
                                      {"address", toString(row.record.address)},
                                      {"draining", row.record.state == EndpointState::Draining},
+                                     {"leaving", endpoints_.isLeaving(row.key)},
                                      {"suspended", row.suspendedUntil > now},
                                      {"pace", row.slowdown},
                                      {"error_share", row.errorRate},
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -51,4 +51,10 @@
                       "Failed attempts at endpoints", "reason", reason);
 }
 
+prometheus::Counter &GatewayMetrics::leavingEndpoints(const std::string &source)
+{
+    return counterFor(leaving_, metrics_, "cicadafork_gateway_endpoints_leaving_total",
+                      "Endpoints that leave, by where this daemon learned it", "source", source);
+}
+
 } // namespace cicadafork::gateway
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -21,6 +21,8 @@
     prometheus::Counter &outcome(const std::string &name);
     /// Number of attempts at endpoints that failed for this reason.
     prometheus::Counter &attemptFailure(const std::string &reason);
+    /// Number of endpoints learned to leave from this source.
+    prometheus::Counter &leavingEndpoints(const std::string &source);
     prometheus::Histogram &firstEventSeconds;
     prometheus::Histogram &answerSeconds;
     prometheus::Histogram &waitSeconds;
@@ -31,6 +33,7 @@
     Metrics &metrics_;
     std::map<std::string, prometheus::Counter *> outcomes_;
     std::map<std::string, prometheus::Counter *> failures_;
+    std::map<std::string, prometheus::Counter *> leaving_;
 };
 
 } // namespace cicadafork::gateway
--- a/src/gateway/gatewaypeersync.cpp
+++ b/src/gateway/gatewaypeersync.cpp
@@ -89,6 +89,12 @@
     positionFromPeers_ = std::max(positionFromPeers_, peer.endpointsPosition - 1);
 }
 
+void Gateway::onLeavingEndpoints(const std::vector<EndpointKey> &endpoints)
+{
+    for (const EndpointKey endpoint : endpoints)
+        noteLeaving(endpoint, kFromPeer, {});
+}
+
 void Gateway::onConfigChange(const PeerInfo &peer, const ConfigChange &change)
 {
     const std::uint64_t known = configs_.newest();
--- /dev/null
+++ b/src/gateway/gatewaystatements.cpp
@@ -0,0 +1,84 @@
+// Gateway: what endpoints state about themselves in their answers.
+
+#include "base/log.h"
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace cicadafork::gateway {
+
+namespace {
+
+constexpr const char *kFromAnswer = "answer";
+
+} // namespace
+
+OrderCalls Gateway::observed(OrderCalls orders)
+{
+    // The key is that of the instance which the order names; the address may have another one by
+    // the time of the answer.
+    const auto observe = [this](const std::string &endpointId, const Address &address, auto done) {
+        const EndpointRow *row = endpoints_.findById(endpointId);
+        return [this, address, key = row ? std::optional(row->key) : std::nullopt,
+                done = std::move(done)](const OrderReply &reply) {
+            if (key)
+                noteStatement(*key, reply.statement, {});
+            if (reply.statement.leaving)
+                pool_.closeIdle(address);
+            done(reply);
+        };
+    };
+    OrderCalls calls;
+    calls.reserve = [observe, reserve = std::move(orders.reserve)](
+                            const Address &address, const std::string &endpointId,
+                            const std::string &ticket, std::uint64_t tokens, Millis lease,
+                            Millis timeout, std::function<void(const OrderReply &)> done) {
+        reserve(address, endpointId, ticket, tokens, lease, timeout,
+                observe(endpointId, address, std::move(done)));
+    };
+    calls.release = [observe, release = std::move(orders.release)](
+                            const Address &address, const std::string &endpointId,
+                            const std::string &ticket, Millis timeout,
+                            std::function<void(const OrderReply &)> done) {
+        release(address, endpointId, ticket, timeout,
+                observe(endpointId, address, std::move(done)));
+    };
+    return calls;
+}
+
+void Gateway::noteStatement(EndpointKey endpoint, const EndpointStatement &statement,
+                            const std::string &requestId)
+{
+    const EndpointRow *row = endpoints_.find(endpoint);
+    const std::string id = row ? row->record.id : "unknown";
+    if (statement.leaving && noteLeaving(endpoint, kFromAnswer, requestId))
+        mesh_.sendLeavingEndpoints({endpoint});
+    if (!statement.unreadable.empty() && endpoints_.noteUnreadable(endpoint)) {
+        logEvent(LogLevel::Warning, "endpoint_statement_unreadable",
+                 {{"endpoint", id}, {"request", requestId}, {"field", statement.unreadable}});
+    }
+}
+
+bool Gateway::noteLeaving(EndpointKey endpoint, const char *source, const std::string &requestId)
+{
+    if (!endpoints_.noteLeaving(endpoint))
+        return false;
+    counters_.leavingEndpoints(source).Increment();
+    const EndpointRow *row = endpoints_.find(endpoint);
+    if (row)
+        pool_.closeIdle(row->record.address);
+    logEvent(LogLevel::Info, "endpoint_leaving",
+             {{"endpoint", row ? row->record.id : "unknown"},
+              {"request", requestId},
+              {"source", source}});
+    return true;
+}
+
+bool Gateway::mayStart(const Attempt &attempt) const
+{
+    const auto leaves = [&](EndpointKey key) { return endpoints_.isLeaving(key); };
+    return !leaves(attempt.endpoint) && std::ranges::none_of(attempt.helperKeys, leaves);
+}
+
+} // namespace cicadafork::gateway
--- a/src/gateway/mesh.capnp
+++ b/src/gateway/mesh.capnp
@@ -97,6 +97,8 @@
   configChange @17 :ConfigChange;
   # Sent to other failure domains of a large fleet, which do not hear of each job.
   loads @18 :List(EndpointLoad);
+  # Keys of endpoints that have said that they leave. They are hashes of the id and the incarnation.
+  leavingEndpoints @19 :List(UInt64);
 }
 
 # The answer to a daemon that pulls missing state from a peer.
--- a/src/gateway/mesh.capnp.h
+++ b/src/gateway/mesh.capnp.h
@@ -161,7 +161,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 6, 10)
+        CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 6, 11)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -1009,6 +1009,9 @@
     inline ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>::Reader
     getLoads() const;
 
+    inline bool hasLeavingEndpoints() const;
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getLeavingEndpoints() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1173,6 +1176,18 @@
             ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>>
     disownLoads();
 
+    inline bool hasLeavingEndpoints();
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder getLeavingEndpoints();
+    inline void
+    setLeavingEndpoints(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+    inline void setLeavingEndpoints(::kj::ArrayPtr<const ::uint64_t> value);
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+    initLeavingEndpoints(unsigned int size);
+    inline void adoptLeavingEndpoints(
+            ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+    disownLeavingEndpoints();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -2669,6 +2684,56 @@
             disown(_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::hasLeavingEndpoints() const
+{
+    return !_reader.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasLeavingEndpoints()
+{
+    return !_builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+Datagram::Reader::getLeavingEndpoints() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _reader.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+Datagram::Builder::getLeavingEndpoints()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setLeavingEndpoints(
+        ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline void Datagram::Builder::setLeavingEndpoints(::kj::ArrayPtr<const ::uint64_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+Datagram::Builder::initLeavingEndpoints(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+            _builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptLeavingEndpoints(
+        ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+            _builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+Datagram::Builder::disownLeavingEndpoints()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
+            _builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 inline ::uint64_t SharedState::Reader::getConfigVersion() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t kMembersPerDatagram = 3;
 constexpr std::size_t kEndpointUpdatesPerDatagram = 8;
 constexpr std::size_t kLoadsPerDatagram = 32;
+constexpr std::size_t kLeavingEndpointsPerHeartbeat = 16;
 // Peers pull a larger change of the configuration over a TCP connection.
 constexpr std::size_t kMaxPushedDelta = 1100;
 // Isolation timeout, in average gaps between the heartbeats of all peers. Peers send at different
@@ -37,6 +38,13 @@
 // Failed peers get only every n-th heartbeat.
 constexpr unsigned kHeartbeatsPerFailedPeerRetry = 4;
 
+void fillLeavingEndpoints(wire::Datagram::Builder root, const std::vector<EndpointKey> &endpoints)
+{
+    auto list = root.initLeavingEndpoints(static_cast<unsigned>(endpoints.size()));
+    for (unsigned i = 0; i < endpoints.size(); ++i)
+        list.set(i, endpoints[i]);
+}
+
 } // namespace
 
 std::size_t relayIndex(std::uint64_t incarnation, unsigned round, std::size_t members)
@@ -246,6 +254,24 @@
     }
 }
 
+void Mesh::sendLeavingEndpoints(const std::vector<EndpointKey> &endpoints)
+{
+    sendWithStatus({},
+                   [&](wire::Datagram::Builder root) { fillLeavingEndpoints(root, endpoints); });
+}
+
+std::vector<EndpointKey> Mesh::leavingForHeartbeat() const
+{
+    std::vector<EndpointKey> endpoints = hooks_.leavingEndpoints();
+    if (endpoints.size() <= kLeavingEndpointsPerHeartbeat)
+        return endpoints;
+    const std::size_t first = heartbeatsSent_ * kLeavingEndpointsPerHeartbeat % endpoints.size();
+    std::rotate(endpoints.begin(), endpoints.begin() + static_cast<std::ptrdiff_t>(first),
+                endpoints.end());
+    endpoints.resize(kLeavingEndpointsPerHeartbeat);
+    return endpoints;
+}
+
 void Mesh::sendConfigChange(const ConfigChange &change)
 {
     if (change.delta.size() > kMaxPushedDelta) {
@@ -338,6 +364,8 @@
         root.setName(options_.name);
         root.setFailureDomain(options_.failureDomain);
         root.setWantsReply(wantsReply && last);
+        if (last)
+            fillLeavingEndpoints(root, leavingForHeartbeat());
         auto list = root.initJobs(static_cast<unsigned>(count));
         for (std::size_t i = 0; i < count; ++i)
             fillJob(list[static_cast<unsigned>(i)], jobs[next + i], now);
@@ -506,6 +534,12 @@
         }
         if (root.hasEndpointChanges())
             hooks_.endpointUpdatesReceived(*info, readEndpointUpdates(root.getEndpointChanges()));
+        if (root.getLeavingEndpoints().size() > 0) {
+            std::vector<EndpointKey> leaving;
+            for (const EndpointKey endpoint : root.getLeavingEndpoints())
+                leaving.push_back(endpoint);
+            hooks_.leavingEndpointsReceived(leaving);
+        }
         if (root.hasConfigChange())
             hooks_.configChangeReceived(*info, readConfigChange(root.getConfigChange()));
         hooks_.messageReceived(*info);
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -108,6 +108,10 @@
     /// A peer sent endpoint updates that it read from the store.
     std::function<void(const PeerInfo &, const std::vector<EndpointUpdate> &)>
             endpointUpdatesReceived;
+    /// The endpoints that leave as far as this daemon knows; repeated in heartbeats.
+    std::function<std::vector<EndpointKey>()> leavingEndpoints;
+    /// A peer sent endpoints that leave.
+    std::function<void(const std::vector<EndpointKey> &)> leavingEndpointsReceived;
     /// A peer sent a change of the configuration that it read from the store.
     std::function<void(const PeerInfo &, const ConfigChange &)> configChangeReceived;
     /// No peer was heard for the isolation timeout, so this daemon may be cut off from all of
@@ -150,6 +154,8 @@
     bool announcesJobsGlobally() const;
     /// Sends all peers the endpoint updates read from the store.
     void sendEndpointUpdates(const std::vector<EndpointUpdate> &updates);
+    /// Tells all peers of endpoints that have said that they leave.
+    void sendLeavingEndpoints(const std::vector<EndpointKey> &endpoints);
     /// Sends all peers a change of the configuration. If it does not fit a datagram, only the new
     /// version number is sent, and the peers pull the change.
     void sendConfigChange(const ConfigChange &change);
@@ -191,6 +197,8 @@
     /// Sends the given jobs as the full list, in one or more datagrams; send gets each.
     template <class Send>
     void sendJobList(std::vector<Job> jobs, bool wantsReply, Send send);
+    /// Some of the leaving endpoints; successive heartbeats go through all of them.
+    std::vector<EndpointKey> leavingForHeartbeat() const;
     void sendJobsTo(const std::string &ip, bool wantsReply);
     Recipients recipientsOf(const Batch &batch) const;
     void send(std::string_view message, const std::string &ip);
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -47,6 +47,15 @@
     std::optional<int> priority; ///< 0 is the most urgent.
 };
 
+/// What an endpoint states about itself, in an answer of any kind.
+struct EndpointStatement
+{
+    bool leaving = false; ///< It shuts down; new requests must not be sent to it.
+    /// Field with a value that has no meaning and was ignored, for the log; empty when there is
+    /// none.
+    std::string unreadable;
+};
+
 /// What an endpoint states about its answer.
 struct ReplyFields
 {
@@ -55,6 +64,7 @@
     bool notRun = false;        ///< The endpoint states that it did not run the request.
     std::string instance;       ///< Id of the endpoint that answered; empty when not stated.
     std::string faultyEndpoint; ///< Helper that caused the failure; empty when not stated.
+    EndpointStatement statement;
 };
 
 struct WireProtocol
@@ -113,16 +123,23 @@
     Unknown, ///< No answer: it may have been carried out, or may still be.
 };
 
+struct OrderReply
+{
+    OrderOutcome outcome = OrderOutcome::Unknown;
+    EndpointStatement statement;
+};
+
 /// Orders to endpoints. Each callback runs exactly once, and never before the call has returned.
 struct OrderCalls
 {
     /// Reserves memory for the given tokens under a ticket, or renews the lease of the ticket.
     std::function<void(const Address &address, const std::string &endpointId,
                        const std::string &ticket, std::uint64_t tokens, Millis lease,
-                       Millis timeout, std::function<void(OrderOutcome)> done)>
+                       Millis timeout, std::function<void(const OrderReply &)> done)>
             reserve;
     std::function<void(const Address &address, const std::string &endpointId,
-                       const std::string &ticket, Millis timeout)>
+                       const std::string &ticket, Millis timeout,
+                       std::function<void(const OrderReply &)> done)>
             release;
 };
 
--- a/src/gateway/reservation.cpp
+++ b/src/gateway/reservation.cpp
@@ -24,7 +24,8 @@
 Reservation::~Reservation()
 {
     for (const ReservationTarget &target : targets_)
-        orders_.release(target.address, target.endpointId, ticket_, kOrderTimeout);
+        orders_.release(target.address, target.endpointId, ticket_, kOrderTimeout,
+                        [](const OrderReply &) {});
 }
 
 void Reservation::acquire(std::function<void(bool)> done)
@@ -34,9 +35,10 @@
     refused_ = targets_.empty();
     for (const ReservationTarget &target : targets_) {
         orders_.reserve(target.address, target.endpointId, ticket_, target.tokens, kLeaseDuration,
-                        kOrderTimeout, [this, weak = std::weak_ptr(alive_)](OrderOutcome outcome) {
+                        kOrderTimeout,
+                        [this, weak = std::weak_ptr(alive_)](const OrderReply &reply) {
                             if (!weak.expired())
-                                onOrderOutcome(outcome);
+                                onOrderOutcome(reply.outcome);
                         });
     }
     scheduleRenewal();
@@ -67,7 +69,7 @@
     for (const ReservationTarget &target : targets_) {
         // The outcome is ignored: the next renewal makes up for a lost one.
         orders_.reserve(target.address, target.endpointId, ticket_, target.tokens, kLeaseDuration,
-                        kOrderTimeout, [](OrderOutcome) {});
+                        kOrderTimeout, [](const OrderReply &) {});
     }
     scheduleRenewal();
 }
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -159,10 +159,18 @@
     startServer(server_);
 }
 
-HeaderList EndpointStandin::signedHeaders(const std::string &requestId) const
+HeaderList EndpointStandin::plainHeaders(const std::string &requestId) const
 {
     HeaderList headers;
     headers.add(platform::kRequestId, requestId);
+    if (leaving)
+        headers.add(platform::kLeaving, "1");
+    return headers;
+}
+
+HeaderList EndpointStandin::signedHeaders(const std::string &requestId) const
+{
+    HeaderList headers = plainHeaders(requestId);
     headers.add(platform::kSeal, "seal-of-" + id);
     return headers;
 }
@@ -174,8 +182,7 @@
     const std::string *requestId = request.headers.find(platform::kRequestId);
     const std::string *expected = request.headers.find(platform::kExpectInstance);
     const std::string name = requestId ? *requestId : std::string();
-    HeaderList plain;
-    plain.add(platform::kRequestId, name);
+    HeaderList plain = plainHeaders(name);
     if (expected && *expected != id) {
         caller->respond(421, std::move(plain), {});
         return;
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -96,10 +96,12 @@
     std::vector<Run> runs;                ///< Requests that were executed, at least in part.
     unsigned arrivals = 0;
     Millis eventGap{3};
+    bool leaving = false; ///< Says in all its responses that it leaves.
 
 private:
     void onRequest(const std::shared_ptr<HttpServerConnection> &caller, HttpRequest request);
     void stream(const std::shared_ptr<HttpServerConnection> &caller, unsigned next, bool breaks);
+    HeaderList plainHeaders(const std::string &requestId) const;
     HeaderList signedHeaders(const std::string &requestId) const;
 
     asio::io_context &context_;
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -268,6 +268,37 @@
     LONGS_EQUAL_TEXT(2, usable(kStart + Millis(100)), "an endpoint of the domain has answered");
 }
 
+// Guards against requests to an instance that has said that it leaves: because its record is
+// written again, comes back, or every other endpoint is suspended; and against a digest that two
+// daemons can never agree on.
+TEST(GatewayEndpoints, aLeavingInstanceIsNeverUsableAgain)
+{
+    table.update(endpoint("a"), kStart);
+    const EndpointKey key = table.findById("a")->key;
+    const std::uint64_t digest = table.digest();
+    CHECK_TRUE(table.noteLeaving(key));
+    CHECK_FALSE_TEXT(table.noteLeaving(key), "peers are told once");
+    CHECK_TRUE(table.digest() == digest);
+    LONGS_EQUAL(0, usable(kStart));
+    EndpointRecord record = endpoint("a");
+    record.state = EndpointState::Draining;
+    table.update(record, kStart);
+    table.update(endpoint("a"), kStart);
+    LONGS_EQUAL(0, usable(kStart));
+    table.remove("a");
+    LONGS_EQUAL(0, table.leaving().size());
+    table.update(endpoint("a"), kStart);
+    LONGS_EQUAL(0, usable(kStart));
+    LONGS_EQUAL(1, table.leaving().size());
+    table.update(endpoint("a", 2), kStart);
+    LONGS_EQUAL_TEXT(1, usable(kStart), "another instance");
+    // Statements of instances that are gone make room for others.
+    for (EndpointKey other = 1; other <= 1000; ++other)
+        table.noteLeaving(other);
+    CHECK_FALSE(table.isLeaving(key));
+    CHECK_TRUE(table.isLeaving(1000));
+}
+
 // clang-format takes the body of this group for an initializer list.
 // clang-format off
 TEST_GROUP(ReaderRole)
@@ -351,15 +382,16 @@
         OrderCalls orders;
         orders.reserve = [this, &context](const Address &address, const std::string &,
                                           const std::string &ticket, std::uint64_t tokens, Millis,
-                                          Millis, std::function<void(OrderOutcome)> done) {
+                                          Millis, std::function<void(const OrderReply &)> done) {
             calls.push_back(fmt::format("reserve {} {} {}", address.ip, ticket, tokens));
             const OrderOutcome outcome = calls.size() == 2 ? answer : OrderOutcome::Done;
-            asio::post(context, [outcome, done = std::move(done)] { done(outcome); });
-        };
-        orders.release = [this](const Address &address, const std::string &,
-                                const std::string &ticket, Millis) {
-            calls.push_back(fmt::format("release {} {}", address.ip, ticket));
+            asio::post(context, [outcome, done = std::move(done)] { done({outcome, {}}); });
         };
+        orders.release
+                = [this](const Address &address, const std::string &, const std::string &ticket,
+                         Millis, const std::function<void(const OrderReply &)> &) {
+                      calls.push_back(fmt::format("release {} {}", address.ip, ticket));
+                  };
         return orders;
     }
 };
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -1,5 +1,6 @@
 // End-to-end tests of the gateway over loopback, with stand-ins of the endpoints and the store.
 
+#include "base/json.h"
 #include "gateway/gateway.h"
 #include "platform/headers.h"
 #include "platform/orderclient.h"
@@ -35,13 +36,16 @@
                                      name, kind, service, extraFields);
               };
     return fmt::format(
-            R"({{"version":{},"routes":[{},{},{},{}],"services":[{{"name":"plain"}},
+            R"({{"version":{},"routes":[{},{},{},{},{}],"services":[{{"name":"plain"}},
                {{"name":"pool","engine":{{"slots":4,"kvCapacity":450000,"stride":4,"step_ms":1,
+               "read_per_s":256000,"pairs_per_m":0.09}}}},
+               {{"name":"small","engine":{{"slots":4,"kvCapacity":1000,"stride":4,"step_ms":1,
                "read_per_s":256000,"pairs_per_m":0.09}}}}],
                "tenants":[{{"name":"ws","apiKeys":[{}]}}]}})",
             version, route("safe", "safe", "plain", ""), route("once", "unsafe", "plain", ""),
             route("stream", "streaming", "pool", R"(,"resumable":true,"gapGoalMs":200)"),
-            route("fixed", "streaming", "pool", R"(,"resumable":false,"gapGoalMs":200)"), keys);
+            route("fixed", "streaming", "pool", R"(,"resumable":false,"gapGoalMs":200)"),
+            route("split", "streaming", "small", R"(,"resumable":true,"gapGoalMs":200)"), keys);
 }
 
 struct Answer
@@ -112,12 +116,12 @@
     }
 
     void writeRecord(const EndpointStandin &endpoint, const std::string &service,
-                     const std::string &state)
+                     const std::string &state, int bornMs = 5)
     {
         store.put("keyed.servers", endpoint.id,
                   fmt::format(R"({{"service":"{}","address":"{}","zone":"east","slots":4,
-                      "state":"{}","seq":1,"born":5}})",
-                              service, toString(endpoint.address), state));
+                      "state":"{}","seq":1,"born":{}}})",
+                              service, toString(endpoint.address), state, bornMs));
     }
 
     void publishConfig()
@@ -134,7 +138,7 @@
         headers.add("Request-Id", fmt::format("r{}", ++requests));
         headers.add("Authorization", "Token " + key);
         headers.add("Deadline-Ms", "1200");
-        if (route == "stream" || route == "fixed")
+        if (route == "stream" || route == "fixed" || route == "split")
             headers.add("Token-Count", "1000,24");
         Answer &target = *answer;
         callerCalls.push_back(callerPool.call(
@@ -163,6 +167,24 @@
         return answer;
     }
 
+    void waitForEndpoints()
+    {
+        const auto known = [&] {
+            const auto state = parseJson(gateway->dump());
+            return state.contains("endpoints") ? state["endpoints"].size() : 0;
+        };
+        CHECK_TRUE_TEXT(runUntil([&] { return known() == endpoints.size(); }),
+                        "the gateway knows all endpoints");
+    }
+
+    unsigned arrivals() const
+    {
+        unsigned count = 0;
+        for (const auto &endpoint : endpoints)
+            count += endpoint->arrivals;
+        return count;
+    }
+
     std::size_t runs() const
     {
         std::size_t count = 0;
@@ -296,6 +318,57 @@
                      "an unreadable record removes the endpoint");
 }
 
+// Guards against requests to an endpoint that has said in an answer that it leaves, whatever the
+// answer was. The store has no record of it.
+TEST(GatewayPath, anEndpointThatSaysItLeavesGetsNoFurtherRequest)
+{
+    const std::pair<const char *, EndpointBehaviour> cases[] = {
+            {"safe", EndpointBehaviour::Answer},   {"safe", EndpointBehaviour::NotRun},
+            {"safe", EndpointBehaviour::Fails},    {"safe", EndpointBehaviour::StrayFirst},
+            {"stream", EndpointBehaviour::Answer}, {"stream", EndpointBehaviour::BreaksStream},
+    };
+    publishConfig();
+    for (const auto &[route, behaviour] : cases) {
+        const std::string text = fmt::format("{} {}", route, static_cast<int>(behaviour));
+        EndpointStandin &leaving = addEndpoint(route == std::string("safe") ? "plain" : "pool");
+        leaving.leaving = true;
+        leaving.script = {behaviour};
+        waitForEndpoints();
+        const unsigned before = arrivals();
+        for (int i = 0; i < 2; ++i)
+            sendRequestAndWait(route);
+        LONGS_EQUAL_TEXT(1, leaving.arrivals, text.c_str());
+        LONGS_EQUAL_TEXT(before + 1, arrivals(), text.c_str());
+    }
+    CHECK_TRUE_TEXT(
+            runUntil([&] { return !endpoints.front()->runs.back().connection->open(); }, Millis(0)),
+            "the idle connection is closed");
+    // A new record of the same instance does not undo the statement, that of another one does.
+    writeRecord(*endpoints.front(), "plain", "draining");
+    writeRecord(*endpoints.front(), "plain", "ready");
+    runUntil([] { return false; }, kDrainBound);
+    LONGS_EQUAL(503, sendRequestAndWait("safe")->status);
+    endpoints.front()->leaving = false;
+    writeRecord(*endpoints.front(), "plain", "ready", 6);
+    CHECK_TRUE(runUntil([&] { return sendRequestAndWait("safe")->status == 200; }));
+}
+
+// Guards against a prompt that is sent with the help of an endpoint which said that it leaves when
+// its memory was reserved.
+TEST(GatewayPath, answersToOrdersCountAsStatementsToo)
+{
+    for (int i = 0; i < 2; ++i)
+        addEndpoint("small").leaving = true;
+    publishConfig();
+    waitForEndpoints();
+    LONGS_EQUAL(503, sendRequestAndWait("split")->status);
+    for (const auto &endpoint : endpoints) {
+        for (const EndpointStandin::Run &run : endpoint->runs)
+            STRCMP_EQUAL("POST", run.request.method.c_str());
+        CHECK_TRUE_TEXT(endpoint->arrivals <= 2, "one reservation and its release");
+    }
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
--- a/tests/unit/gatewaypeers_test.cpp
+++ b/tests/unit/gatewaypeers_test.cpp
@@ -39,7 +39,8 @@
                             i == 0 ? "" : ",", i, i * 7919);
     }
     return fmt::format(
-            R"({{"version":{},"services":[{{"name":"plain"}}],"tenants":[],"routes":[{}]}})",
+            R"({{"version":{},"services":[{{"name":"plain"}}],"routes":[{}],
+                "tenants":[{{"name":"ws","apiKeys":["key"]}}]}})",
             version, list);
 }
 
@@ -47,7 +48,8 @@
 struct Daemon
 {
     Daemon(asio::io_context &context, const GatewaySettings &settings)
-        : pool(context, {})
+        : callers(settings.callers)
+        , pool(context, {})
         , calls(context, pool)
         , store(calls, settings.store)
         , orders(calls)
@@ -66,6 +68,7 @@
         return json.contains("endpoints") ? json["endpoints"].size() : 0;
     }
 
+    const Address callers;
     UpstreamPool pool;
     platform::HttpCallClient calls;
     platform::StoreClient store;
@@ -243,6 +246,38 @@
     CHECK_TRUE(allHave(kEndpoints - 1));
 }
 
+// Guards against a daemon that sends to an endpoint which has told another daemon that it leaves,
+// while the store says that it is ready or is away.
+TEST(GatewayPeers, peersLearnThatAnEndpointLeaves)
+{
+    EndpointStandin endpoint(context, addresses.next(), "e1");
+    endpoint.leaving = true;
+    store.put(kEndpointsTopic, "e1",
+              fmt::format(R"({{"service":"plain","address":"{}","zone":"east","slots":4,
+                  "state":"ready","seq":1,"born":5}})",
+                          toString(endpoint.address)));
+    start(3);
+    store.refuses = true;
+    HeaderList headers;
+    headers.add("Host", "h");
+    headers.add("Request-Id", "r1");
+    headers.add("Authorization", "Token key");
+    headers.add("Deadline-Ms", "1000");
+    UpstreamPool caller(context, {});
+    const auto call = caller.call(daemons[1]->callers,
+                                  {.head = serializeRequestHead("GET", "/0/x", headers)},
+                                  {.head = [](HttpResponseHead &&) { return HeadAction::Accept; },
+                                   .body = [](std::string_view) {},
+                                   .end = [](UpstreamOutcome) {}});
+    CHECK_TRUE(runUntil([&] {
+        return std::ranges::all_of(daemons, [](const auto &daemon) {
+            const auto endpoints = daemon->state()["endpoints"];
+            return endpoints.size() == 1 && endpoints[0]["leaving"].template get<bool>();
+        });
+    }));
+    LONGS_EQUAL(1, endpoint.arrivals);
+}
+
 // Guards against daemons that all retry while the store is unavailable: each call is charged.
 TEST(GatewayPeers, anOutageOfTheStoreCausesFewCalls)
 {
--- a/tests/unit/mesh_test.cpp
+++ b/tests/unit/mesh_test.cpp
@@ -58,6 +58,9 @@
                     .peerChanged = [](const PeerInfo &) {},
                     .messageReceived = [](const PeerInfo &) {},
                     .endpointUpdatesReceived = [](const PeerInfo &, const auto &) {},
+                    .leavingEndpoints = [this] { return leaving; },
+                    .leavingEndpointsReceived
+                    = [this](const auto &keys) { heard.insert(keys.begin(), keys.end()); },
                     .configChangeReceived = [](const PeerInfo &, const ConfigChange &) {},
                     .isolated = [] {}})
         {
@@ -65,6 +68,8 @@
             CHECK_TRUE(static_cast<bool>(started));
         }
 
+        std::vector<EndpointKey> leaving; ///< Endpoints that this member knows to leave.
+        std::set<EndpointKey> heard;      ///< Those that its peers told it of.
         LoadTracker tracker{100};
         Mesh mesh;
     };
@@ -144,6 +149,20 @@
     CHECK_TRUE(eventually(context, kLimit, [&] { return !knows(2, 2) && !knows(3, 2); }));
 }
 
+// Guards against daemons that miss that an endpoint leaves, because a datagram was lost or more
+// leave than one datagram holds.
+TEST(MeshDomains, leavingEndpointsAreToldAtOnceAndRepeatedInHeartbeats)
+{
+    constexpr EndpointKey kLeaving = 40;
+    start(128);
+    members[0]->mesh.sendLeavingEndpoints({kLeaving + 1});
+    for (EndpointKey key = 1; key <= kLeaving; ++key)
+        members[0]->leaving.push_back(key);
+    for (unsigned i = 1; i < members.size(); ++i)
+        CHECK_TRUE(eventually(context, kLimit,
+                              [&] { return members[i]->heard.size() == kLeaving + 1; }));
+}
+
 TEST(MeshDomains, aSmallFleetAnnouncesJobsToAll)
 {
     start(128);
--- a/tests/unit/platformadapter_test.cpp
+++ b/tests/unit/platformadapter_test.cpp
@@ -249,6 +249,35 @@
     }
 }
 
+// Guards against statements of endpoints that are missed, against values without a meaning that are
+// taken for statements, and against those of another instance at the same address.
+TEST(PlatformHeaders, readsWhatAnEndpointStatesAboutItself)
+{
+    struct Case
+    {
+        int status;
+        const char *field;
+        const char *value;
+        bool leaving;
+        bool unreadable;
+    };
+    const Case cases[] = {
+            {200, "Server-Leaving", "1", true, false}, {503, "server-leaving", "1", true, false},
+            {500, "Server-Leaving", "1", true, false}, {421, "Server-Leaving", "1", false, false},
+            {200, "Server-Leaving", "0", false, true}, {200, "Server-Leaving", "true", false, true},
+            {200, "Server-Leaving", "", false, true},
+    };
+    for (const Case &row : cases) {
+        const std::string text = fmt::format("{} {}: {}", row.status, row.field, row.value);
+        HttpResponseHead head;
+        head.status = row.status;
+        head.headers.add(row.field, row.value);
+        const EndpointStatement statement = protocol.readReply(head).statement;
+        CHECK_EQUAL_TEXT(row.leaving, statement.leaving, text.c_str());
+        CHECK_EQUAL_TEXT(row.unreadable, !statement.unreadable.empty(), text.c_str());
+    }
+}
+
 TEST_GROUP(PlatformNames){};
 
 // Names of the platform's interface may be used only in the adapter (platform/).
@@ -257,7 +286,8 @@
     const char *names[] = {"Response-Seal",   "Not-Run",   "Expect-Instance", "Token-Count",
                            "Deadline-Ms",     "At-Server", "log-newest",      "keyed.op",
                            "targetLatencyMs", "gapGoalMs", "pairs_per_m",     "coldLeftMs",
-                           "holdMs",          "apiKeys",   "Length-Hint",     "Prompt-Prefix"};
+                           "holdMs",          "apiKeys",   "Length-Hint",     "Prompt-Prefix",
+                           "Server-Leaving"};
     const std::filesystem::path source = CICADAFORK_SOURCE_DIR;
     int files = 0;
     for (const auto &entry : std::filesystem::recursive_directory_iterator(source / "src")) {
