Send nothing to an endpoint for the time of its Retry-After

An endpoint that refuses with 503 may add Retry-After: it wants no requests from this daemon for that time. The gateway left such an endpoint out for the 60 ms of any refusal and came back.

Peers are not told: the statement is for one daemon. The adapter reads whole or fractional seconds, capped at ten minutes; dates, negative numbers and other text are logged once for each endpoint and ignored.

If no endpoint of the service accepts requests, decideByAvailability() says whether the request can wait: it is refused at once if the first quiet endpoint accepts requests only after the deadline or the end of its time in the queue, with a Retry-After drawn from the time in which the endpoints accept again. Otherwise it stays in the queue, whose dispatch repeats at most every few tens of milliseconds. endWithError() answers 502, or ends the stream, if the request may have run. While all endpoints leave, requests wait for a new one as before.

Tests: before the change GatewayPath.anEndpointThatAsksForQuiet... failed because Retry-After was shorter than the time asked for, and aRequestThatMayHaveRunIsNotRefused... with 500 instead of 502. The cases of the adapter, the table and the decision use interfaces that did not exist.

--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -235,6 +235,12 @@
     return !std::exchange(statement(key).leaving, true);
 }
 
+void EndpointTable::noteQuiet(EndpointKey key, TimePoint until)
+{
+    TimePoint &quietUntil = statement(key).quietUntil;
+    quietUntil = std::max(quietUntil, until);
+}
+
 bool EndpointTable::noteUnreadable(EndpointKey key)
 {
     return !std::exchange(statement(key).unreadable, true);
@@ -246,6 +252,13 @@
     return found != statements_.end() && found->second.leaving;
 }
 
+bool EndpointTable::accepts(EndpointKey key, TimePoint now) const
+{
+    const auto found = statements_.find(key);
+    return found == statements_.end()
+           || (!found->second.leaving && found->second.quietUntil <= now);
+}
+
 std::vector<EndpointKey> EndpointTable::leaving() const
 {
     std::vector<EndpointKey> keys;
@@ -256,6 +269,26 @@
     return keys;
 }
 
+ServiceAvailability EndpointTable::availability(const std::string &service, TimePoint now) const
+{
+    ServiceAvailability availability;
+    for (const auto &[id, row] : rows_) {
+        if (row.record.service != service || row.record.state != EndpointState::Ready)
+            continue;
+        if (accepts(row.key, now)) {
+            ++availability.accepting;
+        } else if (isLeaving(row.key)) {
+            ++availability.leaving;
+        } else {
+            const TimePoint until = statements_.at(row.key).quietUntil;
+            const bool first = availability.quiet++ == 0;
+            availability.firstAccepts = first ? until : std::min(availability.firstAccepts, until);
+            availability.lastAccepts = std::max(availability.lastAccepts, until);
+        }
+    }
+    return availability;
+}
+
 bool EndpointTable::seemsCutOff(const std::string &failureDomain, TimePoint now) const
 {
     const auto found = unreachable_.find(failureDomain);
@@ -293,7 +326,7 @@
     for (const auto &[id, row] : rows_) {
         if (row.record.service != service || row.record.state != EndpointState::Ready)
             continue;
-        if (isLeaving(row.key) || std::ranges::find(excluded, row.key) != excluded.end())
+        if (!accepts(row.key, now) || std::ranges::find(excluded, row.key) != excluded.end())
             continue;
         rows.push_back(&row);
         errorSum += row.errorRate;
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -8,6 +8,7 @@
 //   std::vector<EndpointView> views =
 //           table.views("maps", ownDomain, daemon, excluded, cutOff, loadTracker, now);
 
+#include "gateway/availability.h"
 #include "gateway/placement.h"
 
 #include <array>
@@ -76,18 +77,23 @@
     /// was known. The statement outlives the endpoint's record, because an older record may come
     /// back, and may precede it.
     bool noteLeaving(EndpointKey key);
+    /// The instance wants no requests until then. An earlier end does not replace a later one.
+    void noteQuiet(EndpointKey key, TimePoint until);
     /// Returns false if a statement of this instance was unreadable before.
     bool noteUnreadable(EndpointKey key);
     bool isLeaving(EndpointKey key) const;
+    /// False while the instance leaves or wants no requests.
+    bool accepts(EndpointKey key, TimePoint now) const;
     /// The known endpoints that have said that they leave.
     std::vector<EndpointKey> leaving() const;
+    ServiceAvailability availability(const std::string &service, TimePoint now) const;
 
     const EndpointRow *find(EndpointKey key) const;
     const EndpointRow *findById(const std::string &id) const;
     const std::unordered_map<std::string, EndpointRow> &rows() const { return rows_; }
 
-    /// The ready endpoints of a service that are not excluded and have not said that they
-    /// leave. Endpoints that are suspended, in an
+    /// The ready endpoints of a service that are not excluded and accept requests as far as they
+    /// have said. Endpoints that are suspended, in an
     /// unreachable failure domain or failing too often are marked as not usable. If that leaves
     /// none, all are marked as usable, because trying one is better than refusing the request.
     /// `daemon` is a number that differs between daemons and varies the tie breakers; `cutOff`
@@ -119,6 +125,7 @@
     {
         bool leaving = false;
         bool unreadable = false;
+        TimePoint quietUntil{};
     };
 
     Statement &statement(EndpointKey key);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -88,8 +88,11 @@
                        const std::string &requestId);
     /// Returns false if it was known. `source` is where this daemon learned it.
     bool noteLeaving(EndpointKey endpoint, const char *source, const std::string &requestId);
-    /// False if the endpoint of the attempt or one of its helpers has said that it leaves.
+    /// False if the endpoint of the attempt or one of its helpers has said that it leaves or wants
+    /// no requests.
     bool mayStart(const Attempt &attempt) const;
+    /// End of the time for which the request can wait for an endpoint.
+    TimePoint giveUpTime(const Exchange &exchange, TimePoint now) const;
     /// True when an endpoint was chosen. A request that can never be placed is ended with an error,
     /// so the exchange may no longer exist when this returns false.
     bool tryPlace(Exchange &exchange);
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -352,6 +352,7 @@
                                      {"address", toString(row.record.address)},
                                      {"draining", row.record.state == EndpointState::Draining},
                                      {"leaving", endpoints_.isLeaving(row.key)},
+                                     {"accepts", endpoints_.accepts(row.key, now)},
                                      {"suspended", row.suspendedUntil > now},
                                      {"pace", row.slowdown},
                                      {"error_share", row.errorRate},
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -35,6 +35,9 @@
                               "Streams that went on at another endpoint"))
     , cancelled(metrics.counter("cicadafork_gateway_cancelled_total",
                                 "Requests whose caller left before the answer was complete"))
+    , quietEndpoints(metrics.counter("cicadafork_gateway_endpoint_quiet_total",
+                                     "Refusals with which an endpoint asked for some time without "
+                                     "requests"))
     , metrics_(metrics)
 {
 }
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -28,6 +28,7 @@
     prometheus::Histogram &waitSeconds;
     prometheus::Counter &resumes;
     prometheus::Counter &cancelled;
+    prometheus::Counter &quietEndpoints;
 
 private:
     Metrics &metrics_;
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -43,6 +43,12 @@
 // For a long prompt, the upper end of the range as a multiple of the mean prefill backlog.
 constexpr double kRetryAfterBacklogFactor = 1.5;
 
+Millis longestWait(const Route &route)
+{
+    return route.kind == RouteKind::Stream ? std::max(kMaxStreamWait, route.objective)
+                                           : kMaxCallWait;
+}
+
 } // namespace
 
 std::vector<EndpointView> Gateway::viewsFor(const Exchange &exchange) const
@@ -102,9 +108,17 @@
                                          : placeStreamInDomainFirst(request, *engine, views);
 }
 
+TimePoint Gateway::giveUpTime(const Exchange &exchange, TimePoint now) const
+{
+    const bool waits = std::ranges::find(waiting_, exchange.id) != waiting_.end();
+    return std::min(exchange.deadline,
+                    waits ? exchange.queueDeadline : now + longestWait(exchange.route));
+}
+
 bool Gateway::tryPlace(Exchange &exchange)
 {
-    if (steadyNow() < exchange.notBefore)
+    const TimePoint now = steadyNow();
+    if (now < exchange.notBefore)
         return false;
     const Placement placement = place(exchange);
     switch (placement.outcome) {
@@ -117,6 +131,10 @@
     case PlacementOutcome::Wait:
         break;
     }
+    const ServiceAvailability availability = endpoints_.availability(exchange.service, now);
+    if (decideByAvailability(availability, giveUpTime(exchange, now))
+        == AvailabilityDecision::Refuse)
+        endWithError(exchange, 502, "endpoints_quiet");
     return false;
 }
 
@@ -125,20 +143,20 @@
     if (std::ranges::find(waiting_, exchange.id) != waiting_.end())
         return;
     const TimePoint now = steadyNow();
-    const bool stream = exchange.route.kind == RouteKind::Stream;
-    const Millis maxWait
-            = stream ? std::max(kMaxStreamWait, exchange.route.objective) : kMaxCallWait;
-    exchange.queueDeadline = now + maxWait;
+    exchange.queueDeadline = now + longestWait(exchange.route);
     waiting_.push_back(exchange.id);
     WaitReasons reasons;
     if (const EngineModel *engine = engineFor(exchange))
         reasons = explainWait(placementRequest(exchange), *engine, viewsFor(exchange));
+    const ServiceAvailability availability = endpoints_.availability(exchange.service, now);
     logEvent(LogLevel::Info, "queued",
              {{"request", exchange.requestId},
               {"route", exchange.route.name},
               {"waiting", std::to_string(waiting_.size())},
               {"prompt_tokens", std::to_string(exchange.fields.promptTokens)},
               {"endpoints", std::to_string(reasons.endpoints)},
+              {"quiet", std::to_string(availability.quiet)},
+              {"leaving", std::to_string(availability.leaving)},
               {"unusable", std::to_string(reasons.unusable)},
               {"others_would_be_late", std::to_string(reasons.slack)},
               {"others_would_pause", std::to_string(reasons.gap)},
@@ -228,7 +246,15 @@
 
 Millis Gateway::suggestedRetryAfter(const Exchange &exchange) const
 {
-    if (exchange.route.kind != RouteKind::Stream)
+    const bool stream = exchange.route.kind == RouteKind::Stream;
+    const TimePoint now = steadyNow();
+    const ServiceAvailability availability = endpoints_.availability(exchange.service, now);
+    if (availability.accepting == 0 && availability.quiet > 0) {
+        const RetryAfterRange range = retryAfterQuiet(
+                availability, stream ? kMaxStreamRetryAfter : kMaxCallRetryAfter, now);
+        return randomMillis(range.earliest, range.latest);
+    }
+    if (!stream)
         return randomMillis(kMinCallRetryAfter, kMaxCallRetryAfter);
     Millis maxRetryAfter = kMaxStreamRetryAfter;
     const EngineModel *engine = engineFor(exchange);
--- a/src/gateway/gatewaystatements.cpp
+++ b/src/gateway/gatewaystatements.cpp
@@ -54,6 +54,14 @@
     const std::string id = row ? row->record.id : "unknown";
     if (statement.leaving && noteLeaving(endpoint, kFromAnswer, requestId))
         mesh_.sendLeavingEndpoints({endpoint});
+    if (statement.quietFor) {
+        endpoints_.noteQuiet(endpoint, steadyNow() + *statement.quietFor);
+        counters_.quietEndpoints.Increment();
+        logEvent(LogLevel::Info, "endpoint_quiet",
+                 {{"endpoint", id},
+                  {"request", requestId},
+                  {"for_ms", std::to_string(statement.quietFor->count())}});
+    }
     if (!statement.unreadable.empty() && endpoints_.noteUnreadable(endpoint)) {
         logEvent(LogLevel::Warning, "endpoint_statement_unreadable",
                  {{"endpoint", id}, {"request", requestId}, {"field", statement.unreadable}});
@@ -77,8 +85,9 @@
 
 bool Gateway::mayStart(const Attempt &attempt) const
 {
-    const auto leaves = [&](EndpointKey key) { return endpoints_.isLeaving(key); };
-    return !leaves(attempt.endpoint) && std::ranges::none_of(attempt.helperKeys, leaves);
+    const TimePoint now = steadyNow();
+    const auto accepts = [&](EndpointKey key) { return endpoints_.accepts(key, now); };
+    return accepts(attempt.endpoint) && std::ranges::all_of(attempt.helperKeys, accepts);
 }
 
 } // namespace cicadafork::gateway
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -50,7 +50,8 @@
 /// What an endpoint states about itself, in an answer of any kind.
 struct EndpointStatement
 {
-    bool leaving = false; ///< It shuts down; new requests must not be sent to it.
+    bool leaving = false;           ///< It shuts down; new requests must not be sent to it.
+    std::optional<Millis> quietFor; ///< With a refusal: it wants no requests for this time.
     /// Field with a value that has no meaning and was ignored, for the log; empty when there is
     /// none.
     std::string unreadable;
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -190,8 +190,11 @@
     const EndpointBehaviour behaviour = script.empty() ? EndpointBehaviour::Answer : script.front();
     if (!script.empty())
         script.pop_front();
-    if (behaviour == EndpointBehaviour::NotRun) {
+    if (behaviour == EndpointBehaviour::NotRun || quietFor) {
         plain.add(platform::kNotRun, "1");
+        if (quietFor)
+            plain.add(platform::kRetryAfter,
+                      fmt::format("{}", std::chrono::duration<double>(*quietFor).count()));
         caller->respond(503, std::move(plain), {});
         return;
     }
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -96,7 +96,8 @@
     std::vector<Run> runs;                ///< Requests that were executed, at least in part.
     unsigned arrivals = 0;
     Millis eventGap{3};
-    bool leaving = false; ///< Says in all its responses that it leaves.
+    bool leaving = false;           ///< Says in all its responses that it leaves.
+    std::optional<Millis> quietFor; ///< Refuses every request and asks for this time without any.
 
 private:
     void onRequest(const std::shared_ptr<HttpServerConnection> &caller, HttpRequest request);
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -299,6 +299,82 @@
     CHECK_TRUE(table.isLeaving(1000));
 }
 
+// Guards against requests to an instance that wants none: by a shorter time stated later, or
+// because every other endpoint is suspended.
+TEST(GatewayEndpoints, aQuietInstanceIsUsableOnlyAfterItsTime)
+{
+    for (const char *id : {"a", "b", "c"})
+        table.update(endpoint(id), kStart);
+    table.noteQuiet(table.findById("a")->key, kStart + Millis(1000));
+    table.noteQuiet(table.findById("a")->key, kStart + Millis(300));
+    table.noteQuiet(table.findById("b")->key, kStart + Millis(2000));
+    table.noteLeaving(table.findById("c")->key);
+    LONGS_EQUAL(0, usable(kStart + Millis(999)));
+    const ServiceAvailability quiet = table.availability("maps", kStart + Millis(999));
+    LONGS_EQUAL(0, quiet.accepting);
+    LONGS_EQUAL(2, quiet.quiet);
+    LONGS_EQUAL(1, quiet.leaving);
+    CHECK_TRUE(quiet.firstAccepts == kStart + Millis(1000));
+    CHECK_TRUE(quiet.lastAccepts == kStart + Millis(2000));
+    LONGS_EQUAL(1, usable(kStart + Millis(1000)));
+    LONGS_EQUAL(1, table.availability("maps", kStart + Millis(1000)).accepting);
+    LONGS_EQUAL(2, usable(kStart + Millis(2000)));
+}
+
+TEST_GROUP(Availability){};
+
+// Guards against callers that wait although no endpoint will take their request in time, and
+// against refusing one that an endpoint would take.
+TEST(Availability, refusesOnlyIfNoEndpointWillAcceptInTime)
+{
+    struct Case
+    {
+        const char *name;
+        unsigned accepting;
+        unsigned quiet;
+        unsigned leaving;
+        Millis firstAccepts;
+        AvailabilityDecision decision;
+    };
+    constexpr Millis kGiveUp{1000};
+    const Case cases[] = {
+            {"one accepts", 1, 3, 1, Millis(5000), AvailabilityDecision::Place},
+            {"quiet until just before", 0, 1, 0, Millis(999), AvailabilityDecision::Wait},
+            {"quiet until the end", 0, 1, 0, kGiveUp, AvailabilityDecision::Refuse},
+            {"quiet for longer", 0, 2, 1, Millis(1500), AvailabilityDecision::Refuse},
+            {"all leave, another may join", 0, 0, 2, Millis(0), AvailabilityDecision::Wait},
+            {"none is known", 0, 0, 0, Millis(0), AvailabilityDecision::Wait},
+    };
+    for (const Case &row : cases) {
+        const ServiceAvailability availability{row.accepting, row.quiet, row.leaving,
+                                               kStart + row.firstAccepts,
+                                               kStart + row.firstAccepts};
+        CHECK_TRUE_TEXT(decideByAvailability(availability, kStart + kGiveUp) == row.decision,
+                        row.name);
+    }
+}
+
+// Guards against callers that come back before an endpoint accepts requests, or all at once when
+// the first one does.
+TEST(Availability, callersComeBackOverTheTimeInWhichEndpointsAcceptAgain)
+{
+    struct Case
+    {
+        Millis first;
+        Millis last;
+        Millis earliest;
+        Millis latest;
+    };
+    for (const Case &row : {Case{Millis(2000), Millis(5000), Millis(2000), Millis(5000)},
+                            Case{Millis(2000), Millis(2000), Millis(2000), Millis(2900)},
+                            Case{Millis(-5), Millis(-5), Millis(0), Millis(900)}}) {
+        const ServiceAvailability availability{0, 2, 0, kStart + row.first, kStart + row.last};
+        const RetryAfterRange range = retryAfterQuiet(availability, Millis(900), kStart);
+        LONGS_EQUAL(row.earliest.count(), range.earliest.count());
+        LONGS_EQUAL(row.latest.count(), range.latest.count());
+    }
+}
+
 // clang-format takes the body of this group for an initializer list.
 // clang-format off
 TEST_GROUP(ReaderRole)
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -353,20 +353,78 @@
     CHECK_TRUE(runUntil([&] { return sendRequestAndWait("safe")->status == 200; }));
 }
 
-// Guards against a prompt that is sent with the help of an endpoint which said that it leaves when
-// its memory was reserved.
+// Guards against a prompt that is sent with the help of an endpoint which said that it leaves, or
+// wants no requests, when its memory was reserved.
 TEST(GatewayPath, answersToOrdersCountAsStatementsToo)
 {
-    for (int i = 0; i < 2; ++i)
-        addEndpoint("small").leaving = true;
+    for (const bool leaving : {true, false}) {
+        endpoints.clear();
+        for (int i = 0; i < 2; ++i) {
+            EndpointStandin &endpoint = addEndpoint("small");
+            endpoint.leaving = leaving;
+            if (!leaving)
+                endpoint.quietFor = Millis(5000);
+        }
+        publishConfig();
+        waitForEndpoints();
+        LONGS_EQUAL(503, sendRequestAndWait("split")->status);
+        for (const auto &endpoint : endpoints) {
+            for (const EndpointStandin::Run &run : endpoint->runs)
+                STRCMP_EQUAL("POST", run.request.method.c_str());
+            CHECK_TRUE_TEXT(endpoint->arrivals <= 2, "one reservation and its release");
+        }
+    }
+}
+
+// Guards against requests to an endpoint that wants none for some time, and against callers that
+// wait although it is known that no endpoint will take their request in time.
+TEST(GatewayPath, anEndpointThatAsksForQuietGetsNothingUntilItsTimeEnds)
+{
+    constexpr Millis kLongQuiet{3000};
+    constexpr Millis kShortQuiet{500};
+    EndpointStandin &endpoint = addEndpoint("pool");
     publishConfig();
-    waitForEndpoints();
-    LONGS_EQUAL(503, sendRequestAndWait("split")->status);
-    for (const auto &endpoint : endpoints) {
-        for (const EndpointStandin::Run &run : endpoint->runs)
-            STRCMP_EQUAL("POST", run.request.method.c_str());
-        CHECK_TRUE_TEXT(endpoint->arrivals <= 2, "one reservation and its release");
+    endpoint.quietFor = kLongQuiet;
+    const TimePoint askedForQuiet = steadyNow();
+    for (int i = 0; i < 3; ++i) {
+        const TimePoint sent = steadyNow();
+        const auto answer = sendRequestAndWait("stream");
+        LONGS_EQUAL(503, answer->status);
+        CHECK_TRUE_TEXT(steadyNow() - sent < kShortQuiet, "refused at once");
+        const std::string *retryAfter = answer->headers.find("Retry-After");
+        CHECK_TRUE(retryAfter != nullptr);
+        CHECK_TRUE_TEXT(steadyNow() + std::chrono::duration<double>(std::stod(*retryAfter))
+                                >= askedForQuiet + kLongQuiet,
+                        "callers come back when the endpoint takes requests again");
     }
+    LONGS_EQUAL(1, endpoint.arrivals);
+    CHECK_TRUE(runUntil([&] { return steadyNow() > askedForQuiet + kLongQuiet; }));
+    endpoint.quietFor = kShortQuiet;
+    const TimePoint sent = steadyNow();
+    const auto answer = sendRequest("stream");
+    CHECK_TRUE(runUntil([&] { return endpoint.arrivals == 2; }));
+    endpoint.quietFor.reset();
+    CHECK_TRUE(runUntil([&] { return answer->ended; }));
+    LONGS_EQUAL(200, answer->status);
+    CHECK_TRUE(steadyNow() - sent >= kShortQuiet);
+    LONGS_EQUAL(3, endpoint.arrivals);
+}
+
+// Guards against the promise that a request has not run, when it may have run at an endpoint before
+// the others asked for quiet.
+TEST(GatewayPath, aRequestThatMayHaveRunIsNotRefusedForQuietEndpoints)
+{
+    EndpointStandin &quiet = addEndpoint("plain");
+    publishConfig();
+    quiet.quietFor = Millis(5000);
+    LONGS_EQUAL(503, sendRequestAndWait("safe")->status);
+    EndpointStandin &failing = addEndpoint("plain");
+    waitForEndpoints();
+    failing.leaving = true;
+    failing.script = {EndpointBehaviour::Fails};
+    LONGS_EQUAL(502, sendRequestAndWait("safe")->status);
+    LONGS_EQUAL(1, quiet.arrivals);
+    LONGS_EQUAL(1, failing.arrivals);
 }
 
 // Guards against endpoints that keep working for a caller that has disconnected.
--- a/tests/unit/platformadapter_test.cpp
+++ b/tests/unit/platformadapter_test.cpp
@@ -259,13 +259,30 @@
         const char *field;
         const char *value;
         bool leaving;
+        std::optional<Millis> quietFor;
         bool unreadable;
     };
     const Case cases[] = {
-            {200, "Server-Leaving", "1", true, false}, {503, "server-leaving", "1", true, false},
-            {500, "Server-Leaving", "1", true, false}, {421, "Server-Leaving", "1", false, false},
-            {200, "Server-Leaving", "0", false, true}, {200, "Server-Leaving", "true", false, true},
-            {200, "Server-Leaving", "", false, true},
+            {200, "Server-Leaving", "1", true, {}, false},
+            {503, "server-leaving", "1", true, {}, false},
+            {500, "Server-Leaving", "1", true, {}, false},
+            {421, "Server-Leaving", "1", false, {}, false},
+            {200, "Server-Leaving", "0", false, {}, true},
+            {200, "Server-Leaving", "true", false, {}, true},
+            {200, "Server-Leaving", "", false, {}, true},
+            {503, "Retry-After", "2", false, Millis(2000), false},
+            {503, "Retry-After", "0.0301", false, Millis(31), false},
+            {503, "Retry-After", "0", false, Millis(0), false},
+            {503, "Retry-After", "1000000000000000000000", false, Millis(600'000), false},
+            {503, "Retry-After", "-1", false, {}, true},
+            {503, "Retry-After", "nan", false, {}, true},
+            {503, "Retry-After", "inf", false, {}, true},
+            {503, "Retry-After", "2 s", false, {}, true},
+            {503, "Retry-After", "", false, {}, true},
+            {503, "Retry-After", "Fri, 04 Dec 2026 07:28:00 GMT", false, {}, true},
+            {429, "Retry-After", "2", false, {}, false},
+            {421, "Retry-After", "2", false, {}, false},
+            {200, "Retry-After", "2", false, {}, false},
     };
     for (const Case &row : cases) {
         const std::string text = fmt::format("{} {}: {}", row.status, row.field, row.value);
@@ -274,6 +291,7 @@
         head.headers.add(row.field, row.value);
         const EndpointStatement statement = protocol.readReply(head).statement;
         CHECK_EQUAL_TEXT(row.leaving, statement.leaving, text.c_str());
+        CHECK_TRUE_TEXT(row.quietFor == statement.quietFor, text.c_str());
         CHECK_EQUAL_TEXT(row.unreadable, !statement.unreadable.empty(), text.c_str());
     }
 }
