Name leaving and quiet endpoints in the story of a request

cicadafork explain printed the lines endpoint_leaving and endpoint_quiet of a request but did not name them in its cause, and did not know the reasons endpoints_quiet and endpoint_withdrew. The new cases of Explain.namesTheCauseOfEachEnd are for this.

--- a/src/cli/explaincommand.cpp
+++ b/src/cli/explaincommand.cpp
@@ -56,7 +56,7 @@
     const char *text;
 };
 
-constexpr std::array<ReasonText, 14> kReasons = {{
+constexpr std::array<ReasonText, 16> kReasons = {{
         {"no_endpoint",
          "no endpoint could take it in time; its queued line counts what was in the way"},
         {"no_connection", "the endpoint could not be reached"},
@@ -65,6 +65,11 @@
         {"silent", "the endpoint sent nothing for longer than its silence limit"},
         {"endpoint_error", "the endpoint answered with a failure of its own"},
         {"endpoint_refused", "the endpoint stated that it did not run the request"},
+        {"endpoints_quiet",
+         "all endpoints that could serve it had asked for quiet (Retry-After) for longer than it "
+         "could wait"},
+        {"endpoint_withdrew",
+         "while memory was reserved for it, an endpoint said that it leaves or wants no requests"},
         {"memory_not_reserved", "memory for a large prompt was not free at the endpoints"},
         {"deadline", "its deadline, or the route's timeout, passed"},
         {"shutting_down", "the daemon's grace period ended"},
@@ -120,7 +125,13 @@
     std::string outcome = "no end is logged: the process ended, or the lines were dropped";
     std::string reason;
     std::string endpoint;
+    std::string statements;
     for (const LogLine &line : story) {
+        if (line.event == "endpoint_leaving")
+            statements += fmt::format("; endpoint {} said that it leaves", line.field("endpoint"));
+        if (line.event == "endpoint_quiet")
+            statements += fmt::format("; endpoint {} wanted no requests for {} ms",
+                                      line.field("endpoint"), line.field("for_ms"));
         const bool decides = line.event == "refused" || line.event == "failed"
                              || line.event == "broken_off" || line.event == "rejected"
                              || line.event == "attempt_failed";
@@ -137,9 +148,9 @@
     if (outcome == "caller_left" && reason.empty())
         return "caller_left: the caller closed its connection";
     if (reason.empty())
-        return outcome;
+        return outcome + statements;
     const std::string where = endpoint.empty() ? "" : fmt::format(" (endpoint {})", endpoint);
-    return fmt::format("{}: {}{}", outcome, reasonText(reason), where);
+    return fmt::format("{}: {}{}{}", outcome, reasonText(reason), where, statements);
 }
 
 int runExplainCommand(int argc, char **argv)
--- a/tests/unit/explain_test.cpp
+++ b/tests/unit/explain_test.cpp
@@ -50,6 +50,12 @@
             {{"broken_off reason=deadline", "ended outcome=broken_off"},
              "broken_off: its deadline, or the route's timeout, passed"},
             {{"ended outcome=caller_left"}, "caller_left: the caller closed its connection"},
+            {{"endpoint_leaving request=r endpoint=i-7 source=answer", "ended outcome=completed"},
+             "completed; endpoint i-7 said that it leaves"},
+            {{"endpoint_quiet request=r endpoint=i-7 for_ms=2000",
+              "attempt_failed reason=endpoint_refused endpoint=i-7",
+              "refused reason=endpoints_quiet", "ended outcome=refused"},
+             "could wait (endpoint i-7); endpoint i-7 wanted no requests for 2000 ms"},
             {{"rejected status=401 reason=unknown_key"}, "rejected with 401: no workspace holds"},
             {{"sent request=r"}, "no end is logged"},
     };
