Look for quiet endpoints only when none accepts a request

Every waiting request that found no place counted all endpoints of the table in each dispatch. anyAccepts() ends at the first endpoint that accepts requests. Endpoints without a record are named by their key in the log.

--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -269,6 +269,15 @@
     return keys;
 }
 
+bool EndpointTable::anyAccepts(const std::string &service, TimePoint now) const
+{
+    return std::ranges::any_of(rows_, [&](const auto &entry) {
+        const EndpointRow &row = entry.second;
+        return row.record.service == service && row.record.state == EndpointState::Ready
+               && accepts(row.key, now);
+    });
+}
+
 ServiceAvailability EndpointTable::availability(const std::string &service, TimePoint now) const
 {
     ServiceAvailability availability;
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -86,6 +86,8 @@
     bool accepts(EndpointKey key, TimePoint now) const;
     /// The known endpoints that have said that they leave.
     std::vector<EndpointKey> leaving() const;
+    /// True if some ready endpoint of the service accepts requests; faster than availability().
+    bool anyAccepts(const std::string &service, TimePoint now) const;
     ServiceAvailability availability(const std::string &service, TimePoint now) const;
 
     const EndpointRow *find(EndpointKey key) const;
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -131,6 +131,8 @@
     case PlacementOutcome::Wait:
         break;
     }
+    if (endpoints_.anyAccepts(exchange.service, now))
+        return false;
     const ServiceAvailability availability = endpoints_.availability(exchange.service, now);
     if (decideByAvailability(availability, giveUpTime(exchange, now))
         == AvailabilityDecision::Refuse)
--- a/src/gateway/gatewaystatements.cpp
+++ b/src/gateway/gatewaystatements.cpp
@@ -3,6 +3,8 @@
 #include "base/log.h"
 #include "gateway/gateway.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <optional>
 
@@ -12,6 +14,13 @@
 
 constexpr const char *kFromAnswer = "answer";
 
+/// Endpoints whose record is not known are named by their key.
+std::string nameOf(const EndpointTable &endpoints, EndpointKey endpoint)
+{
+    const EndpointRow *row = endpoints.find(endpoint);
+    return row ? row->record.id : fmt::format("{:016x}", endpoint);
+}
+
 } // namespace
 
 OrderCalls Gateway::observed(OrderCalls orders)
@@ -50,8 +59,7 @@
 void Gateway::noteStatement(EndpointKey endpoint, const EndpointStatement &statement,
                             const std::string &requestId)
 {
-    const EndpointRow *row = endpoints_.find(endpoint);
-    const std::string id = row ? row->record.id : "unknown";
+    const std::string id = nameOf(endpoints_, endpoint);
     if (statement.leaving && noteLeaving(endpoint, kFromAnswer, requestId))
         mesh_.sendLeavingEndpoints({endpoint});
     if (statement.quietFor) {
@@ -73,11 +81,10 @@
     if (!endpoints_.noteLeaving(endpoint))
         return false;
     counters_.leavingEndpoints(source).Increment();
-    const EndpointRow *row = endpoints_.find(endpoint);
-    if (row)
+    if (const EndpointRow *row = endpoints_.find(endpoint))
         pool_.closeIdle(row->record.address);
     logEvent(LogLevel::Info, "endpoint_leaving",
-             {{"endpoint", row ? row->record.id : "unknown"},
+             {{"endpoint", nameOf(endpoints_, endpoint)},
               {"request", requestId},
               {"source", source}});
     return true;
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -278,6 +278,8 @@
     const std::uint64_t digest = table.digest();
     CHECK_TRUE(table.noteLeaving(key));
     CHECK_FALSE_TEXT(table.noteLeaving(key), "peers are told once");
+    CHECK_TRUE(table.noteUnreadable(key));
+    CHECK_FALSE_TEXT(table.noteUnreadable(key), "logged once");
     CHECK_TRUE(table.digest() == digest);
     LONGS_EQUAL(0, usable(kStart));
     EndpointRecord record = endpoint("a");
@@ -312,6 +314,8 @@
     LONGS_EQUAL(0, usable(kStart + Millis(999)));
     const ServiceAvailability quiet = table.availability("maps", kStart + Millis(999));
     LONGS_EQUAL(0, quiet.accepting);
+    CHECK_FALSE(table.anyAccepts("maps", kStart + Millis(999)));
+    CHECK_TRUE(table.anyAccepts("maps", kStart + Millis(1000)));
     LONGS_EQUAL(2, quiet.quiet);
     LONGS_EQUAL(1, quiet.leaving);
     CHECK_TRUE(quiet.firstAccepts == kStart + Millis(1000));
