--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -8,9 +8,11 @@
 //   std::vector<EndpointView> views =
 //           table.views("maps", ownDomain, daemon, excluded, cutOff, loadTracker, now);
 
+#include "gateway/availability.h"
 #include "gateway/placement.h"
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <set>
 #include <string>
@@ -75,12 +77,29 @@
     void noteAlive(EndpointKey key);
     /// True when the endpoint is known, ready and not suspended.
     bool isAvailable(EndpointKey key, TimePoint now) const;
+    /// Remembers that this instance of an endpoint has said that it leaves. Returns false if that
+    /// was known. The statement outlives the endpoint's record, because an older record may come
+    /// back, and may precede it.
+    bool noteLeaving(EndpointKey key);
+    /// The instance wants no requests until then. An earlier end does not replace a later one.
+    void noteQuiet(EndpointKey key, TimePoint until);
+    /// Returns false if a statement of this instance was unreadable before.
+    bool noteUnreadable(EndpointKey key);
+    bool isLeaving(EndpointKey key) const;
+    /// False while the instance leaves or wants no requests.
+    bool accepts(EndpointKey key, TimePoint now) const;
+    /// The known endpoints that have said that they leave.
+    std::vector<EndpointKey> leaving() const;
+    /// True if some ready endpoint of the service accepts requests; faster than availability().
+    bool anyAccepts(const std::string &service, TimePoint now) const;
+    ServiceAvailability availability(const std::string &service, TimePoint now) const;
 
     const EndpointRow *find(EndpointKey key) const;
     const EndpointRow *findById(const std::string &id) const;
     const std::unordered_map<std::string, EndpointRow> &rows() const { return rows_; }
 
-    /// The ready endpoints of a service that are not excluded. Endpoints that are suspended, in an
+    /// The ready endpoints of a service that are not excluded and accept requests as far as they
+    /// have said. Endpoints that are suspended, in an
     /// unreachable failure domain or failing too often are marked as not usable. If that leaves
     /// none, all are marked as usable, because trying one is better than refusing the request.
     /// `daemon` is a number that differs between daemons and varies the tie breakers; `cutOff`
@@ -107,6 +126,15 @@
         TimePoint lastFailure{};
     };
 
+    /// What an instance has said about itself.
+    struct Statement
+    {
+        bool leaving = false;
+        bool unreadable = false;
+        TimePoint quietUntil{};
+    };
+
+    Statement &statement(EndpointKey key);
     EndpointRow *row(EndpointKey key);
     bool seemsCutOff(const std::string &failureDomain, TimePoint now) const;
 
@@ -116,6 +144,8 @@
     std::unordered_map<std::string, EndpointRow> rows_; ///< By id.
     std::unordered_map<EndpointKey, std::string> idByKey_;
     std::unordered_map<std::string, Unreachable> unreachable_; ///< By failure domain.
+    std::unordered_map<EndpointKey, Statement> statements_;
+    std::deque<EndpointKey> statementOrder_; ///< Keys of statements_, oldest first.
 };
 
 } // namespace cicadafork::gateway
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -66,6 +66,7 @@
         if (!row)
             continue;
         const bool holds = attempt->helpers.size() < placement.holders;
+        attempt->helperKeys.push_back(helper);
         attempt->helpers.push_back({row->record.address, holds ? ticket : std::string()});
         if (!helperIds.empty())
             helperIds += ',';
@@ -139,13 +140,15 @@
         Exchange *waiting = find(id);
         if (!waiting || !waiting->attempt || !(waiting->attempt->job == job))
             return;
-        if (held) {
+        const bool accepted = mayStart(*waiting->attempt);
+        if (held && accepted) {
             startCall(*waiting);
             return;
         }
         undoSend(*waiting);
         waiting->notBefore = steadyNow() + kMemoryRetryDelay;
-        onAttemptFailed(*waiting, EndpointFailure::Refused, false, "memory_not_reserved");
+        onAttemptFailed(*waiting, EndpointFailure::Refused, false,
+                        accepted ? "memory_not_reserved" : "endpoint_withdrew");
     });
 }
 
@@ -212,6 +215,7 @@
         return HeadAction::Skip;
     Attempt &attempt = *exchange->attempt;
     ReplyFields reply = protocol_.readReply(head);
+    noteStatement(attempt.endpoint, reply.statement, exchange->requestId);
     if (!reply.requestId.empty() && reply.requestId != exchange->requestId) {
         logEvent(LogLevel::Warning, "stray_answer",
                  {{"request", exchange->requestId},
@@ -321,6 +325,9 @@
     if (!exchange)
         return;
     Attempt &attempt = *exchange->attempt;
+    // The connection of this call is idle now.
+    if (endpoints_.isLeaving(attempt.endpoint))
+        pool_.closeIdle(attempt.address);
     switch (end) {
     case UpstreamOutcome::NotSent:
         undoSend(*exchange);
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -37,6 +37,9 @@
                                "Attempts that made no progress for longer than expected"))
     , cancelled(metrics.counter("cicadafork_gateway_cancelled_total",
                                 "Requests whose caller left before the answer was complete"))
+    , quietEndpoints(metrics.counter("cicadafork_gateway_endpoint_quiet_total",
+                                     "Refusals with which an endpoint asked for some time without "
+                                     "requests"))
     , metrics_(metrics)
 {
 }
@@ -60,4 +63,10 @@
                       "Callers' connections by why they ended", "reason", reason);
 }
 
+prometheus::Counter &GatewayMetrics::leavingEndpoints(const std::string &source)
+{
+    return counterFor(leaving_, metrics_, "cicadafork_gateway_endpoints_leaving_total",
+                      "Endpoints that leave, by where this daemon learned it", "source", source);
+}
+
 } // namespace cicadafork::gateway
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -23,18 +23,22 @@
     prometheus::Counter &attemptFailure(const std::string &reason);
     /// Number of callers' connections that ended for this reason.
     prometheus::Counter &connectionEnd(const std::string &reason);
+    /// Number of endpoints learned to leave from this source.
+    prometheus::Counter &leavingEndpoints(const std::string &source);
     prometheus::Histogram &firstEventSeconds;
     prometheus::Histogram &answerSeconds;
     prometheus::Histogram &waitSeconds;
     prometheus::Counter &resumes;
     prometheus::Counter &silences;
     prometheus::Counter &cancelled;
+    prometheus::Counter &quietEndpoints;
 
 private:
     Metrics &metrics_;
     std::map<std::string, prometheus::Counter *> outcomes_;
     std::map<std::string, prometheus::Counter *> failures_;
     std::map<std::string, prometheus::Counter *> connectionEnds_;
+    std::map<std::string, prometheus::Counter *> leaving_;
 };
 
 } // namespace cicadafork::gateway
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -1,5 +1,6 @@
 // End-to-end tests of the gateway over loopback, with stand-ins of the endpoints and the store.
 
+#include "base/json.h"
 #include "gateway/gateway.h"
 #include "platform/headers.h"
 #include "platform/orderclient.h"
@@ -44,13 +45,16 @@
                            name, kind, service, extraFields, limits.timeoutMs, limits.maxAttempts);
     };
     return fmt::format(
-            R"({{"version":{},"routes":[{},{},{},{}],"services":[{{"name":"plain"}},
+            R"({{"version":{},"routes":[{},{},{},{},{}],"services":[{{"name":"plain"}},
                {{"name":"pool","engine":{{"slots":4,"kvCapacity":450000,"stride":4,"step_ms":1,
+               "read_per_s":256000,"pairs_per_m":0.09}}}},
+               {{"name":"small","engine":{{"slots":4,"kvCapacity":1000,"stride":4,"step_ms":1,
                "read_per_s":256000,"pairs_per_m":0.09}}}}],
                "tenants":[{{"name":"ws","apiKeys":[{}]}}]}})",
             version, route("safe", "safe", "plain", ""), route("once", "unsafe", "plain", ""),
             route("stream", "streaming", "pool", R"(,"resumable":true,"gapGoalMs":200)"),
-            route("fixed", "streaming", "pool", R"(,"resumable":false,"gapGoalMs":200)"), keys);
+            route("fixed", "streaming", "pool", R"(,"resumable":false,"gapGoalMs":200)"),
+            route("split", "streaming", "small", R"(,"resumable":true,"gapGoalMs":200)"), keys);
 }
 
 struct Answer
@@ -121,12 +125,12 @@
     }
 
     void writeRecord(const EndpointStandin &endpoint, const std::string &service,
-                     const std::string &state)
+                     const std::string &state, int bornMs = 5)
     {
         store.put("keyed.servers", endpoint.id,
                   fmt::format(R"({{"service":"{}","address":"{}","zone":"east","slots":4,
-                      "state":"{}","seq":1,"born":5}})",
-                              service, toString(endpoint.address), state));
+                      "state":"{}","seq":1,"born":{}}})",
+                              service, toString(endpoint.address), state, bornMs));
     }
 
     void publishConfig()
@@ -144,7 +148,7 @@
         headers.add("Request-Id", fmt::format("r{}", ++requests));
         headers.add("Authorization", "Token " + key);
         headers.add("Deadline-Ms", std::to_string(deadline.count()));
-        if (route == "stream" || route == "fixed")
+        if (route == "stream" || route == "fixed" || route == "split")
             headers.add("Token-Count", "1000,24");
         Answer &target = *answer;
         callerCalls.push_back(callerPool.call(
@@ -173,6 +177,24 @@
         return answer;
     }
 
+    void waitForEndpoints()
+    {
+        const auto known = [&] {
+            const auto state = parseJson(gateway->dump());
+            return state.contains("endpoints") ? state["endpoints"].size() : 0;
+        };
+        CHECK_TRUE_TEXT(runUntil([&] { return known() == endpoints.size(); }),
+                        "the gateway knows all endpoints");
+    }
+
+    unsigned arrivals() const
+    {
+        unsigned count = 0;
+        for (const auto &endpoint : endpoints)
+            count += endpoint->arrivals;
+        return count;
+    }
+
     std::size_t runs() const
     {
         std::size_t count = 0;
@@ -405,6 +427,115 @@
     }
 }
 
+// Guards against requests to an endpoint that has said in an answer that it leaves, whatever the
+// answer was. The store has no record of it.
+TEST(GatewayPath, anEndpointThatSaysItLeavesGetsNoFurtherRequest)
+{
+    const std::pair<const char *, EndpointBehaviour> cases[] = {
+            {"safe", EndpointBehaviour::Answer},   {"safe", EndpointBehaviour::NotRun},
+            {"safe", EndpointBehaviour::Fails},    {"safe", EndpointBehaviour::StrayFirst},
+            {"stream", EndpointBehaviour::Answer}, {"stream", EndpointBehaviour::BreaksStream},
+    };
+    publishConfig();
+    for (const auto &[route, behaviour] : cases) {
+        const std::string text = fmt::format("{} {}", route, static_cast<int>(behaviour));
+        EndpointStandin &leaving = addEndpoint(route == std::string("safe") ? "plain" : "pool");
+        leaving.leaving = true;
+        leaving.script = {behaviour};
+        waitForEndpoints();
+        const unsigned before = arrivals();
+        for (int i = 0; i < 2; ++i)
+            sendRequestAndWait(route);
+        LONGS_EQUAL_TEXT(1, leaving.arrivals, text.c_str());
+        LONGS_EQUAL_TEXT(before + 1, arrivals(), text.c_str());
+    }
+    CHECK_TRUE_TEXT(
+            runUntil([&] { return !endpoints.front()->runs.back().connection->open(); }, Millis(0)),
+            "the idle connection is closed");
+    // A new record of the same instance does not undo the statement, that of another one does.
+    writeRecord(*endpoints.front(), "plain", "draining");
+    writeRecord(*endpoints.front(), "plain", "ready");
+    runUntil([] { return false; }, kDrainBound);
+    LONGS_EQUAL(503, sendRequestAndWait("safe")->status);
+    endpoints.front()->leaving = false;
+    writeRecord(*endpoints.front(), "plain", "ready", 6);
+    CHECK_TRUE(runUntil([&] { return sendRequestAndWait("safe")->status == 200; }));
+}
+
+// Guards against a prompt that is sent with the help of an endpoint which said that it leaves, or
+// wants no requests, when its memory was reserved.
+TEST(GatewayPath, answersToOrdersCountAsStatementsToo)
+{
+    for (const bool leaving : {true, false}) {
+        endpoints.clear();
+        for (int i = 0; i < 2; ++i) {
+            EndpointStandin &endpoint = addEndpoint("small");
+            endpoint.leaving = leaving;
+            if (!leaving)
+                endpoint.quietFor = Millis(5000);
+        }
+        publishConfig();
+        waitForEndpoints();
+        LONGS_EQUAL(503, sendRequestAndWait("split")->status);
+        for (const auto &endpoint : endpoints) {
+            for (const EndpointStandin::Run &run : endpoint->runs)
+                STRCMP_EQUAL("POST", run.request.method.c_str());
+            CHECK_TRUE_TEXT(endpoint->arrivals <= 2, "one reservation and its release");
+        }
+    }
+}
+
+// Guards against requests to an endpoint that wants none for some time, and against callers that
+// wait although it is known that no endpoint will take their request in time.
+TEST(GatewayPath, anEndpointThatAsksForQuietGetsNothingUntilItsTimeEnds)
+{
+    constexpr Millis kLongQuiet{3000};
+    constexpr Millis kShortQuiet{500};
+    EndpointStandin &endpoint = addEndpoint("pool");
+    publishConfig();
+    endpoint.quietFor = kLongQuiet;
+    const TimePoint askedForQuiet = steadyNow();
+    for (int i = 0; i < 3; ++i) {
+        const TimePoint sent = steadyNow();
+        const auto answer = sendRequestAndWait("stream");
+        LONGS_EQUAL(503, answer->status);
+        CHECK_TRUE_TEXT(steadyNow() - sent < kShortQuiet, "refused at once");
+        const std::string *retryAfter = answer->headers.find("Retry-After");
+        CHECK_TRUE(retryAfter != nullptr);
+        CHECK_TRUE_TEXT(steadyNow() + std::chrono::duration<double>(std::stod(*retryAfter))
+                                >= askedForQuiet + kLongQuiet,
+                        "callers come back when the endpoint takes requests again");
+    }
+    LONGS_EQUAL(1, endpoint.arrivals);
+    CHECK_TRUE(runUntil([&] { return steadyNow() > askedForQuiet + kLongQuiet; }));
+    endpoint.quietFor = kShortQuiet;
+    const TimePoint sent = steadyNow();
+    const auto answer = sendRequest("stream");
+    CHECK_TRUE(runUntil([&] { return endpoint.arrivals == 2; }));
+    endpoint.quietFor.reset();
+    CHECK_TRUE(runUntil([&] { return answer->ended; }));
+    LONGS_EQUAL(200, answer->status);
+    CHECK_TRUE(steadyNow() - sent >= kShortQuiet);
+    LONGS_EQUAL(3, endpoint.arrivals);
+}
+
+// Guards against the promise that a request has not run, when it may have run at an endpoint before
+// the others asked for quiet.
+TEST(GatewayPath, aRequestThatMayHaveRunIsNotRefusedForQuietEndpoints)
+{
+    EndpointStandin &quiet = addEndpoint("plain");
+    publishConfig();
+    quiet.quietFor = Millis(5000);
+    LONGS_EQUAL(503, sendRequestAndWait("safe")->status);
+    EndpointStandin &failing = addEndpoint("plain");
+    waitForEndpoints();
+    failing.leaving = true;
+    failing.script = {EndpointBehaviour::Fails};
+    LONGS_EQUAL(502, sendRequestAndWait("safe")->status);
+    LONGS_EQUAL(1, quiet.arrivals);
+    LONGS_EQUAL(1, failing.arrivals);
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
