Let new readers and failed reads of the configuration find out first whether the store is lost

The rest came from the standbys, which all retried between 2 and 4 s after the loss, and not after 4 s as docs/platform.md says.

Change. - A new reader reads the configuration after its first answered read of the endpoints, at most 0.6 s later. - The first failed read of the configuration makes the daemon read the endpoints at once. - The retries of standbys are spread over the whole delay, which begins with 8 s instead of 4 s and ends with 45 s instead of 30 s: the mean grows from 3 to 4 s for the first and stays 22.5 s for the last, and since the range begins with zero, one of them soon tries again should both members that probe be turned away. The test keeps its bound and checks in addition that only the readers read the configuration during the outage.

New, to guard the recovery: changesAreInForceWhileTheStoreTurnsAwaySomeDaemons (a revoked key within 5 s).

Ruled out: a pause of the configuration after each failed read (without its own backoff it would call the store again with each answered read of the endpoints), and fewer members that find the loss out (they are what finds a member that the store still serves).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -107,7 +107,8 @@
                        .interval = readScheduleFor(ReaderRole::Standby).configInterval,
                        .callTimeout = kStoreCallTimeout},
                       {[this](auto records) { onConfigRecords(records); },
-                       [this](auto records) { onConfigRecords(records); }, [](bool) {}})
+                       [this](auto records) { onConfigRecords(records); },
+                       [this](bool reached) { onConfigContact(reached); }})
     , endpointFollower_(context, store_,
                         {.topic = layout_.endpointsTopic,
                          .interval = readScheduleFor(ReaderRole::Standby).endpointInterval,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -137,6 +137,7 @@
     void applyEndpoint(const std::string &id, const std::optional<std::string> &value);
     void removeEndpoint(const std::string &id, const char *why);
     void noteEndpointChange(const std::string &id, EndpointChange change, const char *source);
+    void onConfigContact(bool reached);
     void onStoreContact(bool reached);
     void onPeerChanged(const PeerInfo &peer);
     void onPeerMessage(const PeerInfo &peer);
@@ -192,6 +193,7 @@
     bool endpointsKnown_ = false;
     bool storeReached_ = false;
     bool storeLost_ = false;     ///< The last read got no answer.
+    bool configReached_ = false; ///< The last read of the configuration was answered.
     bool registered_ = false;    ///< The store has this daemon's own member record.
     TimePoint lastEarlyRetry_{}; ///< Last read because a peer had reached the store again.
     StoreOutage storeOutage_;
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -130,6 +130,7 @@
     }
     const ReaderRole role = chooseReaderRole({incarnation_, storeLost_}, others);
     const ReadSchedule schedule = readScheduleFor(role);
+    const bool becomesReader = role != ReaderRole::Standby && !announcesStoreChanges_;
     isPrimaryReader_ = role == ReaderRole::Primary;
     announcesStoreChanges_ = role != ReaderRole::Standby;
     if (schedule.endpointInterval == endpointFollower_.interval())
@@ -139,6 +140,10 @@
               {"interval_ms", std::to_string(schedule.endpointInterval.count())}});
     endpointFollower_.setReadTiming(schedule.endpointInterval, Millis(0));
     configFollower_.setReadTiming(schedule.configInterval, schedule.configWait);
+    // A new reader may have lost the store without having noticed. Its read of the endpoints shows
+    // that, and its answer resumes the configuration.
+    if (becomesReader && config_)
+        configFollower_.pause();
 }
 
 std::uint64_t Gateway::sharedPosition() const
@@ -225,8 +230,18 @@
              {{"endpoint", id}, {"change", toString(EndpointChange::Gone)}, {"reason", why}});
 }
 
+void Gateway::onConfigContact(bool reached)
+{
+    // Only the reads of the endpoints decide whether the store is lost.
+    if (!reached && configReached_)
+        endpointFollower_.retryWithin(Millis(0));
+    configReached_ = reached;
+}
+
 void Gateway::onStoreContact(bool reached)
 {
+    if (reached)
+        configFollower_.resume();
     if (reached ? storeReached_ : storeLost_)
         return;
     const bool regained = reached && storeLost_;
@@ -238,11 +253,11 @@
         storeOutage_.noteReadFailed(steadyNow());
     // The reads of the endpoints show when the store is available again; further calls would only
     // add load.
-    for (TopicFollower *follower : {&configFollower_, &memberFollower_}) {
-        if (regained)
-            follower->resume();
-        else if (storeLost_)
-            follower->pause();
+    if (regained)
+        memberFollower_.resume();
+    if (storeLost_) {
+        configFollower_.pause();
+        memberFollower_.pause();
     }
     if (regained && !registered_)
         registerMember();
--- a/src/gateway/topicfollower.cpp
+++ b/src/gateway/topicfollower.cpp
@@ -15,8 +15,8 @@
 // First and longest retry delay of a daemon that reads rarely because its peers send it the
 // records. During an outage hundreds of such daemons would otherwise call far more often than
 // before it.
-constexpr Millis kFirstRareRetryDelay{4000};
-constexpr Millis kMaxRareRetryDelay{30'000};
+constexpr Millis kFirstRareRetryDelay{8000};
+constexpr Millis kMaxRareRetryDelay{45'000};
 // Limits how often the timeout of a call for the newest records is doubled after failures.
 constexpr unsigned kMaxTimeoutDoublings = 2;
 // Longest delay of the first read after reads have become more frequent. Random, since members that
@@ -41,6 +41,21 @@
 
 } // namespace
 
+RetryDelay retryDelayAfter(unsigned failures, const FollowerOptions &options, bool bootstrapped)
+{
+    const unsigned doublings = std::min(failures, kMaxRetryDoublings + 1) - 1;
+    // A follower with a long read interval also retries less often, but only after its first
+    // snapshot.
+    const bool rare = bootstrapped && options.interval > options.longestRetry;
+    const Millis first = rare ? kFirstRareRetryDelay : options.firstRetry;
+    const Millis longest
+            = rare ? std::min(options.interval, kMaxRareRetryDelay) : options.longestRetry;
+    const Millis delay = std::min(longest, first * (1 << doublings));
+    // Daemons with long delays lose the store together. Spread over the whole delay, their retries
+    // are few at any time, and one of them soon notices that the store is available again.
+    return {delay < kFirstRareRetryDelay ? delay / 2 : Millis(0), delay};
+}
+
 TopicFollower::TopicFollower(asio::io_context &context, const StoreCalls &calls,
                              FollowerOptions options, FollowerHooks hooks)
     : calls_(calls)
@@ -195,16 +210,8 @@
 
 void TopicFollower::retry(void (TopicFollower::*step)())
 {
-    const unsigned doublings = std::min(failures_, kMaxRetryDoublings + 1) - 1;
-    // A follower with a long read interval also retries less often, but only after its first
-    // snapshot.
-    const bool rare = bootstrapped_ && options_.interval > options_.longestRetry;
-    const Millis first = rare ? kFirstRareRetryDelay : options_.firstRetry;
-    const Millis longest
-            = rare ? std::min(options_.interval, kMaxRareRetryDelay) : options_.longestRetry;
-    const Millis delay = std::min(longest, first * (1 << doublings));
-    // Jitter keeps daemons whose calls failed together from retrying at the same time.
-    after(randomMillis(delay / 2, delay), step);
+    const RetryDelay delay = retryDelayAfter(failures_, options_, bootstrapped_);
+    after(randomMillis(delay.shortest, delay.longest), step);
 }
 
 void TopicFollower::noteContact(bool reached)
--- a/src/gateway/topicfollower.h
+++ b/src/gateway/topicfollower.h
@@ -44,6 +44,18 @@
     std::function<void(bool)> contact;
 };
 
+/// Range from which the delay of a retry is drawn at random, so that daemons whose calls failed
+/// together do not retry at the same time.
+struct RetryDelay
+{
+    Millis shortest{0};
+    Millis longest{0};
+};
+
+/// The delay after that many consecutive failures, at least one. Bootstrapped means that the
+/// follower has had its first snapshot.
+RetryDelay retryDelayAfter(unsigned failures, const FollowerOptions &options, bool bootstrapped);
+
 class TopicFollower
 {
 public:
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -575,6 +575,38 @@
     LONGS_EQUAL(1, store.reads.size());
 }
 
+// Guards against an outage in which the daemons that rely on their peers all retry at once, or none
+// of them for a long time.
+TEST(TopicFollower, retriesOfDaemonsThatReadRarelySpreadOverTheWholeDelay)
+{
+    struct Case
+    {
+        const char *name;
+        Millis interval;
+        bool bootstrapped;
+        unsigned failures;
+        Millis shortest;
+        Millis longest;
+    };
+    constexpr Millis kRare{60'000};
+    const Case cases[] = {
+            {"reader, first", Millis(600), true, 1, Millis(75), Millis(150)},
+            {"reader, third", Millis(600), true, 3, Millis(300), Millis(600)},
+            {"reader, last", Millis(600), true, 9, Millis(500), Millis(1000)},
+            {"second reader", Millis(1500), true, 1, Millis(750), Millis(1500)},
+            {"standby, first", kRare, true, 1, Millis(0), Millis(8000)},
+            {"standby, second", kRare, true, 2, Millis(0), Millis(16'000)},
+            {"standby, last", kRare, true, 9, Millis(0), Millis(45'000)},
+            {"standby without a snapshot", kRare, false, 1, Millis(75), Millis(150)},
+    };
+    for (const Case &row : cases) {
+        const RetryDelay delay = retryDelayAfter(
+                row.failures, {.topic = "t", .interval = row.interval}, row.bootstrapped);
+        LONGS_EQUAL_TEXT(row.shortest.count(), delay.shortest.count(), row.name);
+        LONGS_EQUAL_TEXT(row.longest.count(), delay.longest.count(), row.name);
+    }
+}
+
 // Guards against a follower with a long read interval that also retries its first snapshot slowly.
 TEST(TopicFollower, retriesOftenUntilTheFirstSnapshot)
 {
--- a/tests/unit/gatewaypeers_test.cpp
+++ b/tests/unit/gatewaypeers_test.cpp
@@ -27,6 +27,8 @@
 constexpr Millis kLimit{5000};
 // A change of the configuration must be in force by then.
 constexpr Millis kConfigInForce{2000};
+// Daemons that wait at the store for changes of the configuration.
+constexpr unsigned kReaders = 2;
 constexpr const char *kConfigTopic = "keyed.op";
 constexpr const char *kEndpointsTopic = "keyed.servers";
 
@@ -43,6 +45,47 @@
             version, list);
 }
 
+/// How the store treats the calls of one daemon.
+enum class StoreAccess { Served, Refused, Silent };
+
+/// The store as a daemon with the given access sees it. An answer that arrives when the store no
+/// longer serves the daemon is lost.
+StoreCalls limitedCalls(asio::io_context &context, const StoreCalls &calls,
+                        const StoreAccess &access)
+{
+    using Read = std::function<void(StoreCalls::PageCallback)>;
+    const auto limit = [&context, &access](Millis timeout, const StoreCalls::PageCallback &done,
+                                           const Read &read) {
+        if (access == StoreAccess::Served) {
+            read([&access, done](StoreFailure failure, StorePage page) {
+                const bool served = access == StoreAccess::Served;
+                done(served ? failure : StoreFailure::NoAnswer, served ? page : StorePage{});
+            });
+            return;
+        }
+        const bool silent = access == StoreAccess::Silent;
+        const auto timer
+                = std::make_shared<asio::steady_timer>(context, silent ? timeout : Millis(0));
+        timer->async_wait([timer, done, silent](const asio::error_code &) {
+            done(silent ? StoreFailure::NoAnswer : StoreFailure::Refused, {});
+        });
+    };
+    StoreCalls limited = calls;
+    limited.newest = [=](const std::string &topic, const std::string &afterKey, Millis timeout,
+                         const StoreCalls::PageCallback &done) {
+        limit(timeout, done, [&](const StoreCalls::PageCallback &answered) {
+            calls.newest(topic, afterKey, timeout, answered);
+        });
+    };
+    limited.read = [=](const std::string &topic, std::uint64_t from, Millis wait, Millis timeout,
+                       const StoreCalls::PageCallback &done) {
+        limit(timeout, done, [&](const StoreCalls::PageCallback &answered) {
+            calls.read(topic, from, wait, timeout, answered);
+        });
+    };
+    return limited;
+}
+
 /// One gateway with its own clients, as it would run in its own process.
 struct Daemon
 {
@@ -52,7 +95,7 @@
         , store(calls, settings.store)
         , orders(calls)
         , gateway(context, settings, platform::wireProtocol(), platform::storeLayout(),
-                  store.calls(), orders.calls(), pool)
+                  limitedCalls(context, store.calls(), storeAccess), orders.calls(), pool)
     {
         const auto started = capture([&] { return gateway.start(); });
         CHECK_TRUE(static_cast<bool>(started));
@@ -66,6 +109,7 @@
         return json.contains("endpoints") ? json["endpoints"].size() : 0;
     }
 
+    StoreAccess storeAccess = StoreAccess::Served;
     UpstreamPool pool;
     platform::HttpCallClient calls;
     platform::StoreClient store;
@@ -180,8 +224,7 @@
         CHECK_TRUE(runUntil([&] { return allHaveConfig(2 + i); }, kConfigInForce));
         CHECK_TRUE(steadyNow() - written < kConfigInForce);
     }
-    // Two readers wait for changes; each may also have made one call that ended without a change.
-    constexpr unsigned kReaders = 2;
+    // Each reader may also have made one call that ended without a change.
     CHECK_TRUE(store.callsByTopic[kConfigTopic] <= kReaders * (kChanges + 1));
 }
 
@@ -243,7 +286,8 @@
     CHECK_TRUE(allHave(kEndpoints - 1));
 }
 
-// Guards against daemons that all retry while the store is unavailable: each call is charged.
+// Guards against daemons that all retry while the store is unavailable, and against new readers
+// that read the configuration from a store that they have lost: each call is charged.
 TEST(GatewayPeers, anOutageOfTheStoreCausesFewCalls)
 {
     constexpr unsigned kDaemons = 12;
@@ -254,10 +298,13 @@
     serveFor(kPeriod);
     const unsigned callsBefore = store.calls;
     store.calls = 0;
+    store.callsByTopic.clear();
     store.refuses = true;
     serveFor(kPeriod);
     // Each daemon may find out once for each of the two topics that it gets no answer.
     CHECK_TRUE(store.calls <= callsBefore + 2 * kDaemons);
+    // Only those that waited for changes may read the configuration.
+    CHECK_TRUE(store.callsByTopic[kConfigTopic] <= kReaders);
     store.refuses = false;
     store.put(kEndpointsTopic, "e1", std::nullopt);
     const auto allHaveNone = [&] {
@@ -268,6 +315,36 @@
     CHECK_TRUE(runUntil(allHaveNone, Millis(2200) + kConfigInForce));
 }
 
+// Guards against a change, such as a revoked key, that nobody reads because the readers are those
+// that the store turns away.
+TEST(GatewayPeers, changesAreInForceWhileTheStoreTurnsAwaySomeDaemons)
+{
+    constexpr Millis kRevokedKeyBound{5000};
+    constexpr unsigned kDaemons = 12;
+    struct Case
+    {
+        const char *name;
+        StoreAccess access;
+        unsigned turnedAway;
+    };
+    const Case cases[] = {{"half are refused", StoreAccess::Refused, kDaemons / 2},
+                          {"all but one are refused", StoreAccess::Refused, kDaemons - 1},
+                          {"half get no answer", StoreAccess::Silent, kDaemons / 2}};
+    start(kDaemons);
+    unsigned version = 1;
+    for (const Case &row : cases) {
+        for (unsigned i = 0; i < row.turnedAway; ++i)
+            daemons[i]->storeAccess = row.access;
+        ++version;
+        store.put(kConfigTopic, "config", configText(version, 200));
+        CHECK_TRUE_TEXT(runUntil([&] { return allHaveConfig(version); }, kRevokedKeyBound),
+                        row.name);
+        for (const auto &daemon : daemons)
+            daemon->storeAccess = StoreAccess::Served;
+        serveFor(Millis(1000));
+    }
+}
+
 // Guards against daemons that all read often after a common start, because none of them has heard
 // the others yet, and against reading the configuration again after the first answer.
 TEST(GatewayPeers, aStartOfAllCallsTheStoreFewTimes)
