Name other members than the others do in a heartbeat

Which three followed from the number of heartbeats sent, so daemons that had started together and sorted the same addresses all named the same three. When the store is away at a start, and with it the topic of the members, a daemon knows the seed and three more members with each heartbeat.

Change: each daemon begins with another member, as it does when it chooses the member that relays its messages.

Test: MeshHeartbeats.daemonsThatStartWithoutTheStoreSoonKnowEachOther, 88 daemons and no store, bound 3 s, the users' stabilityWindowMs after a start.

Ruled out: more members in a datagram; three are enough, since each daemon that is met is asked for its list and its answer names three others.

--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -344,12 +344,14 @@
         const std::uint32_t to = last ? newestJob_ : jobs[next + count - 1].id.number;
         root.setCoversFrom(from);
         root.setCoversTo(to);
-        // Goes through all members in turn, a few with each heartbeat.
+        // Goes through all members in turn, a few with each heartbeat. Daemons that start together
+        // name different ones.
         const std::size_t memberCount = std::min(kMembersPerDatagram, peers_.size());
         auto members = root.initMembers(static_cast<unsigned>(memberCount));
         auto peer = peers_.begin();
         if (!peers_.empty())
-            std::advance(peer, (heartbeatsSent_ * kMembersPerDatagram) % peers_.size());
+            std::advance(peer, relayIndex(options_.incarnation,
+                                          heartbeatsSent_ * kMembersPerDatagram, peers_.size()));
         for (unsigned i = 0; i < memberCount; ++i) {
             members[i].setName(peer->second.alive ? peer->second.name : std::string());
             members[i].setIp(peer->second.alive ? peer->second.ip : std::string());
--- a/tests/unit/mesh_test.cpp
+++ b/tests/unit/mesh_test.cpp
@@ -47,6 +47,66 @@
     LONGS_EQUAL(kMembers, used.size());
 }
 
+// clang-format takes the body of this group for an initializer list.
+// clang-format off
+TEST_GROUP(MeshHeartbeats)
+{
+    asio::io_context context;
+    AddressPool addresses;
+    std::vector<std::unique_ptr<LoadTracker>> trackers;
+    std::vector<std::unique_ptr<Mesh>> members;
+
+    void start(unsigned count, Millis heartbeatIntervalPerPeer)
+    {
+        const Address first = addresses.next();
+        for (unsigned i = 0; i < count; ++i) {
+            MeshOptions options;
+            options.name = fmt::format("m{}", i);
+            options.ip = i == 0 ? first.ip : addresses.next().ip;
+            options.failureDomain = "east";
+            options.incarnation = i + 1;
+            options.port = first.port;
+            options.seedIps = {first.ip};
+            options.heartbeatIntervalPerPeer = heartbeatIntervalPerPeer;
+            trackers.push_back(std::make_unique<LoadTracker>(100));
+            members.push_back(std::make_unique<Mesh>(
+                    context, options, *trackers.back(),
+                    MeshHooks{.status = [] { return MeshStatus(); },
+                              .loadChanged = [] {},
+                              .peerChanged = [](const PeerInfo &) {},
+                              .messageReceived = [](const PeerInfo &) {},
+                              .endpointUpdatesReceived = [](const PeerInfo &, const auto &) {},
+                              .configChangeReceived = [](const PeerInfo &, const ConfigChange &) {},
+                              .isolated = [] {}}));
+            CHECK_TRUE(static_cast<bool>(capture([&] { return members.back()->start(); })));
+        }
+    }
+
+    bool connected() const
+    {
+        return std::ranges::all_of(members, [this](const auto &member) {
+            return member->alivePeerCount() + 1 == members.size();
+        });
+    }
+
+    void teardown() override
+    {
+        for (const auto &member : members)
+            member->stop();
+    }
+};
+// clang-format on
+
+// Guards against daemons that all name the same few members in their heartbeats, so that a fleet
+// that starts while the store is unavailable knows itself only after many of them.
+TEST(MeshHeartbeats, daemonsThatStartWithoutTheStoreSoonKnowEachOther)
+{
+    constexpr Millis kStabilityWindow{3000};
+    MeshOptions defaults;
+    start(88, defaults.heartbeatIntervalPerPeer);
+    CHECK_TRUE(eventually(context, kStabilityWindow, Millis(20), [&] { return connected(); }));
+}
+
 TEST_GROUP(MeshDomains)
 {
     struct Member
