Give the stand-in of the store the drill: a copy some seconds old

The platform's store may come back from an older copy: what was written since is gone, offsets are given out again, a read from beyond the end gets 410 and the era in the header of every answer rises. StoreStandin::restoreCopy() plays this.

--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -66,7 +66,7 @@
 void StoreStandin::put(const std::string &topic, const std::string &key,
                        std::optional<std::string> value)
 {
-    topics_[topic].push_back({key, std::move(value)});
+    topics_[topic].push_back({key, std::move(value), steadyNow()});
     auto pending = std::move(pending_);
     pending_.clear();
     for (PendingRead &read : pending) {
@@ -77,13 +77,37 @@
     }
 }
 
+void StoreStandin::restoreCopy(Millis age)
+{
+    ++era_;
+    const TimePoint copied = steadyNow() - age;
+    for (auto &[topic, records] : topics_)
+        std::erase_if(records, [&](const Record &record) { return record.writtenAt > copied; });
+    auto pending = std::move(pending_);
+    pending_.clear();
+    for (PendingRead &read : pending) {
+        if (read.from > topics_[read.topic].size())
+            answerRead(read.caller, read.topic, read.from);
+        else
+            pending_.push_back(std::move(read));
+    }
+}
+
+void StoreStandin::respond(const std::shared_ptr<HttpServerConnection> &caller, int status,
+                           const std::string &body)
+{
+    HeaderList headers;
+    headers.add(platform::kStoreEra, std::to_string(era_));
+    caller->respond(status, std::move(headers), body);
+}
+
 void StoreStandin::onRequest(const std::shared_ptr<HttpServerConnection> &caller,
                              const HttpRequest &request)
 {
     ++calls;
     ++callsByTopic[queryParameter(request.target, "topic")];
     if (refuses) {
-        caller->respond(503, {}, {});
+        respond(caller, 503, {});
         return;
     }
     const std::string topic = queryParameter(request.target, "topic");
@@ -94,7 +118,7 @@
                 = std::strtoull(queryParameter(request.target, "from").c_str(), nullptr, 10);
         const long wait
                 = std::strtol(queryParameter(request.target, "waitMs").c_str(), nullptr, 10);
-        if (from < topics_[topic].size() || wait == 0) {
+        if (from != topics_[topic].size() || wait == 0) {
             answerRead(caller, topic, from);
             return;
         }
@@ -108,7 +132,7 @@
         pending_.push_back({topic, from, caller, std::move(timer)});
     } else {
         append(topic, request.body);
-        caller->respond(200, {}, R"({"offset":0,"end":1})");
+        respond(caller, 200, R"({"offset":0,"end":1})");
     }
 }
 
@@ -116,10 +140,14 @@
                               const std::string &topic, std::size_t from)
 {
     const auto &records = topics_[topic];
+    if (from > records.size()) {
+        respond(caller, 410, R"({"first":0})");
+        return;
+    }
     std::string body = bigEndian(records.size()) + bigEndian(0);
     for (std::size_t i = from; i < records.size(); ++i)
         body += platform::frameRecord(records[i].key, records[i].value.value_or(std::string()));
-    caller->respond(200, {}, body);
+    respond(caller, 200, body);
 }
 
 void StoreStandin::answerNewest(const std::shared_ptr<HttpServerConnection> &caller,
@@ -135,7 +163,7 @@
     }
     const nlohmann::json body
             = {{"items", items}, {"hasMore", false}, {"end", topics_[topic].size()}};
-    caller->respond(200, {}, body.dump());
+    respond(caller, 200, body.dump());
 }
 
 void StoreStandin::append(const std::string &topic, std::string_view body)
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -31,6 +31,11 @@
     /// Appends a record and completes the waiting reads of the topic. An empty value deletes the
     /// key.
     void put(const std::string &topic, const std::string &key, std::optional<std::string> value);
+    /// Loses what was written within the last `age`, as a store restored from a copy of that age
+    /// does: the offsets of the lost records are given out again and the era rises by one. Waiting
+    /// reads beyond the new end get 410.
+    void restoreCopy(Millis age);
+    std::uint64_t era() const { return era_; }
 
     bool refuses = false; ///< Answers every request with 503.
     unsigned calls = 0;
@@ -41,6 +46,7 @@
     {
         std::string key;
         std::optional<std::string> value;
+        TimePoint writtenAt{};
     };
     struct PendingRead
     {
@@ -56,10 +62,14 @@
     void answerNewest(const std::shared_ptr<HttpServerConnection> &caller,
                       const std::string &topic);
     void append(const std::string &topic, std::string_view body);
+    /// Answers with the era in the header, as the store does in all its answers.
+    void respond(const std::shared_ptr<HttpServerConnection> &caller, int status,
+                 const std::string &body);
 
     asio::io_context &context_;
     std::map<std::string, std::vector<Record>> topics_;
     std::vector<PendingRead> pending_;
+    std::uint64_t era_ = 1;
     AsyncHttpServer server_;
 };
 
