Hand on the era of the store with the answer of every call

The store states in each answer which copy of it serves (an era that rises when it comes back older).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -398,7 +398,8 @@
     drainStartedAt_ = steadyNow();
     onDrained_ = std::move(done);
     callers_.beginDrain();
-    store_.put(layout_.membersTopic, settings_.member, {}, kStoreCallTimeout, [](StoreFailure) {});
+    store_.put(layout_.membersTopic, settings_.member, {}, kStoreCallTimeout,
+               [](StoreFailure, std::optional<std::uint64_t>) {});
     mesh_.sendStatus();
     checkDrain();
 }
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -265,7 +265,7 @@
     if (draining_)
         return;
     store_.put(layout_.membersTopic, settings_.member, settings_.peers.ip, kRegisterTimeout,
-               [this](StoreFailure failure) {
+               [this](StoreFailure failure, std::optional<std::uint64_t>) {
                    registered_ = failure == StoreFailure::None;
                    if (registered_ || draining_ || storeLost_)
                        return;
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -80,20 +80,26 @@
     std::vector<StoreRecord> records;
     std::uint64_t next = 0; ///< Offset at which the next read begins.
     bool more = false;      ///< For newest(): there are further keys after the last one.
+    /// Of the store that answered, whether or not the call failed; absent if it stated none.
+    std::optional<std::uint64_t> era = {};
 };
 
 enum class StoreFailure {
     None,
     NoAnswer,
     Refused,
-    Expired ///< The records at the offset have been deleted.
+    Expired ///< There are no records at the offset: they were deleted, or lost and not yet
+            ///< replaced.
 };
 
-/// Calls to the keyed topics of the platform's store. Each callback runs exactly once, and never
+/// Calls to the keyed topics of the platform's store. The store may come back from an older copy of
+/// itself, which lacks the newest records and gives out their offsets again; its era rises by one
+/// each time, and every answer states it. Each callback runs exactly once, and never
 /// before the call has returned.
 struct StoreCalls
 {
     using PageCallback = std::function<void(StoreFailure, StorePage)>;
+    using PutCallback = std::function<void(StoreFailure, std::optional<std::uint64_t> era)>;
     /// Reads one page of the newest record of each key, after the given key.
     std::function<void(const std::string &topic, const std::string &afterKey, Millis timeout,
                        PageCallback done)>
@@ -103,7 +109,7 @@
                        PageCallback done)>
             read;
     std::function<void(const std::string &topic, const std::string &key, const std::string &value,
-                       Millis timeout, std::function<void(StoreFailure)> done)>
+                       Millis timeout, PutCallback done)>
             put;
 };
 
