Read the store anew when it comes back from an older copy

One place judges the era of every answer (StoreEra, checkEra): a lower one is late and counts as no answer; a higher one, also one that a peer's datagram tells, voids the offsets of all followers. Readers read the newest records again within 250 ms, the others learn from them and read within a minute. Positions are compared by era, then offset, in datagrams, pulls and follower. What is in force stays until something newer is read.

Ruled out: taking the answer that brings the new era. A read from an old offset returns other records, and one more call of a few daemons costs little.

The change to TopicFollower.startsOverWhenUnreadRecordsWereDeleted is the type of position() only.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -76,7 +76,8 @@
     , settings_(std::move(settings))
     , protocol_(protocol)
     , layout_(std::move(layout))
-    , store_(std::move(store))
+    , store_(checkEra(std::move(store), storeEra_,
+                      [this](std::uint64_t before) { onNewStoreEra(before, kFromStore); }))
     , orders_(std::move(orders))
     , pool_(pool)
     , incarnation_(randomNumber())
@@ -88,7 +89,7 @@
             {.status =
                      [this] {
                          return MeshStatus{configs_.newest(), sharedPosition(), endpoints_.digest(),
-                                           draining_, storeLost_};
+                                           storeEra_.known(), draining_,        storeLost_};
                      },
              .loadChanged = [this] { scheduleDispatch(); },
              .peerChanged = [this](const PeerInfo &peer) { onPeerChanged(peer); },
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "gateway/mesh.h"
 #include "gateway/settings.h"
 #include "gateway/sharedretrybudget.h"
+#include "gateway/storeera.h"
 #include "gateway/storeoutage.h"
 #include "gateway/topicfollower.h"
 #include "net/server.h"
@@ -35,6 +36,10 @@
 
 namespace cicadafork::gateway {
 
+// Sources of state, in the log.
+inline constexpr const char *kFromStore = "store";
+inline constexpr const char *kFromPeer = "peer";
+
 class Gateway
 {
 public:
@@ -152,9 +157,12 @@
     /// Only a few daemons of a failure domain read the store at short intervals; they pass changes
     /// on to the others.
     void updateReaderRole();
-    std::uint64_t endpointsPosition() const;
-    /// Position announced to peers: 0 while some endpoints are unconfirmed.
-    std::uint64_t sharedPosition() const;
+    StorePosition endpointsPosition() const;
+    /// Position announced to peers: zero while some endpoints are unconfirmed.
+    StorePosition sharedPosition() const;
+    /// The store has come back from an older copy.
+    void onNewStoreEra(std::uint64_t before, const char *source);
+    void learnStoreEra(const PeerInfo &peer);
     void pullFrom(const PeerInfo &peer);
     void answerPull(const std::shared_ptr<HttpServerConnection> &caller, const std::string &target);
     std::string sharedState(std::uint64_t knownConfig, std::string_view knownGroups) const;
@@ -173,6 +181,7 @@
     GatewaySettings settings_;
     WireProtocol protocol_;
     StoreLayout layout_;
+    StoreEra storeEra_;
     StoreCalls store_;
     OrderCalls orders_;
     UpstreamPool &pool_;
@@ -195,7 +204,7 @@
     bool registered_ = false;    ///< The store has this daemon's own member record.
     TimePoint lastEarlyRetry_{}; ///< Last read because a peer had reached the store again.
     StoreOutage storeOutage_;
-    std::uint64_t newestPeerPosition_ = 0;
+    StorePosition newestPeerPosition_;
     /// Endpoints whose records disappeared around an outage of the store; kept for a while, since
     /// the records may come back.
     std::unordered_set<std::string> unconfirmedEndpoints_;
@@ -211,7 +220,7 @@
     bool isolated_ = false;
     TimePoint sharedWindow_{};    ///< Start of the current one-second window of sharedBytes_.
     std::size_t sharedBytes_ = 0; ///< Bytes of state sent to peers in the window.
-    std::uint64_t positionFromPeers_ = 0;
+    StorePosition positionFromPeers_;
     std::vector<EndpointUpdate> pendingUpdates_; ///< Read from the store, not yet sent to peers.
     bool isPrimaryReader_ = false;               ///< Role in this failure domain.
     bool announcesStoreChanges_ = false;         ///< Primary or secondary reader.
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr const char *kSharedPath = "/v1/shared";
-constexpr const char *kFromStore = "store";
 constexpr const char *kMetricsPath = "/metrics";
 constexpr const char *kDumpPath = "/debug/dump";
 // Added to the read interval: a store silent for longer has missed two reads and is unavailable.
@@ -27,6 +26,11 @@
 constexpr Millis kEarlyRetrySpread{1000};
 // Shortest time between two such attempts: the store may turn away this daemon and serve others.
 constexpr Millis kMinEarlyRetryInterval{5000};
+// In a new era of the store, the readers read all records again within this time. An endpoint that
+// drains must be noticed within 2 s of its record.
+constexpr Millis kReaderRereadSpread{250};
+// The other daemons learn from the readers, and read again in case all messages of these are lost.
+constexpr Millis kStandbyRereadSpread{60'000};
 
 } // namespace
 
@@ -141,14 +145,14 @@
     configFollower_.setReadTiming(schedule.configInterval, schedule.configWait);
 }
 
-std::uint64_t Gateway::sharedPosition() const
+StorePosition Gateway::sharedPosition() const
 {
     // While endpoints are unconfirmed, the table is not the state of the store at this position,
     // and peers must not take it as such.
-    return unconfirmedEndpoints_.empty() ? endpointsPosition() : 0;
+    return unconfirmedEndpoints_.empty() ? endpointsPosition() : StorePosition{};
 }
 
-std::uint64_t Gateway::endpointsPosition() const
+StorePosition Gateway::endpointsPosition() const
 {
     return std::max(endpointFollower_.position(), positionFromPeers_);
 }
@@ -208,7 +212,7 @@
               {"change", toString(change)},
               {"source", source},
               {"address", row ? toString(row->record.address) : "none"},
-              {"position", std::to_string(endpointFollower_.position())}});
+              {"position", std::to_string(endpointFollower_.position().offset)}});
     if (change == EndpointChange::Joined || change == EndpointChange::Ready)
         scheduleDispatch();
 }
@@ -247,12 +251,33 @@
     if (regained && !registered_)
         registerMember();
     logEvent(reached ? LogLevel::Info : LogLevel::Warning, reached ? "store_reached" : "store_lost",
-             {{"position", std::to_string(endpointFollower_.position())}});
+             {{"position", std::to_string(endpointFollower_.position().offset)}});
     updateReaderRole();
     if (regained || storeLost_)
         mesh_.sendStatus();
 }
 
+void Gateway::onNewStoreEra(std::uint64_t before, const char *source)
+{
+    counters_.storeEras.Increment();
+    logEvent(LogLevel::Warning, "store_era_changed",
+             {{"before", std::to_string(before)},
+              {"era", std::to_string(storeEra_.known())},
+              {"source", source}});
+    // A daemon that the store has just answered is one of few; the others wait for their peers.
+    const bool reads = announcesStoreChanges_ || std::string_view(source) == kFromStore;
+    const Millis spread = reads ? kReaderRereadSpread : kStandbyRereadSpread;
+    endpointFollower_.startOver(spread);
+    configFollower_.startOver(spread);
+    memberFollower_.startOver(kStandbyRereadSpread);
+}
+
+void Gateway::learnStoreEra(const PeerInfo &peer)
+{
+    if (const auto before = storeEra_.noteFromPeer(peer.storeEra))
+        onNewStoreEra(*before, kFromPeer);
+}
+
 bool Gateway::isStoreUnavailable() const
 {
     return !storeReached_
@@ -328,7 +353,9 @@
     json["draining"] = draining_;
     json["config_version"] = configs_.newest();
     json["store"] = {{"reached", storeReached_},
-                     {"endpoints_position", endpointFollower_.position()},
+                     {"era", storeEra_.known()},
+                     {"endpoints_era", endpointFollower_.position().era},
+                     {"endpoints_position", endpointFollower_.position().offset},
                      {"last_contact_ms_ago", age(endpointFollower_.lastContact())}};
     json["requests"] = exchanges_.size();
     json["waiting"] = waiting_.size();
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -35,6 +35,8 @@
                               "Streams that went on at another endpoint"))
     , cancelled(metrics.counter("cicadafork_gateway_cancelled_total",
                                 "Requests whose caller left before the answer was complete"))
+    , storeEras(metrics.counter("cicadafork_gateway_store_eras_total",
+                                "Times that the store came back from an older copy"))
     , metrics_(metrics)
 {
 }
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -26,6 +26,7 @@
     prometheus::Histogram &waitSeconds;
     prometheus::Counter &resumes;
     prometheus::Counter &cancelled;
+    prometheus::Counter &storeEras;
 
 private:
     Metrics &metrics_;
--- a/src/gateway/gatewaypeersync.cpp
+++ b/src/gateway/gatewaypeersync.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr const char *kFromPeer = "peer";
 constexpr std::string_view kPullPath = "/v1/shared?";
 constexpr std::string_view kConfigParameter = "config=";
 constexpr std::string_view kGroupsParameter = "groups=";
@@ -75,6 +74,7 @@
 
 void Gateway::onEndpointUpdates(const PeerInfo &peer, const std::vector<EndpointUpdate> &updates)
 {
+    learnStoreEra(peer);
     if (peer.endpointsPosition <= endpointsPosition())
         return;
     for (const EndpointUpdate &item : updates) {
@@ -86,7 +86,9 @@
     pendingUpdates_.clear();
     // More datagrams with the same position may follow, so this one does not complete it; the
     // digest shows whether one was lost.
-    positionFromPeers_ = std::max(positionFromPeers_, peer.endpointsPosition - 1);
+    const StorePosition told = peer.endpointsPosition;
+    if (told.offset > 0)
+        positionFromPeers_ = std::max(positionFromPeers_, {told.era, told.offset - 1});
 }
 
 void Gateway::onConfigChange(const PeerInfo &peer, const ConfigChange &change)
@@ -131,6 +133,7 @@
 {
     isolated_ = false;
     const TimePoint now = steadyNow();
+    learnStoreEra(peer);
     if (peer.endpointsPosition > newestPeerPosition_) {
         newestPeerPosition_ = peer.endpointsPosition;
         storeOutage_.notePeerRead(now);
@@ -223,7 +226,9 @@
         else
             root.setConfigText(configs_.newestText());
     }
-    root.setEndpointsPosition(sharedPosition());
+    const StorePosition position = sharedPosition();
+    root.setEndpointsPosition(position.offset);
+    root.setEndpointsEra(position.era);
     const std::set<std::uint8_t> groups = differingGroups(knownGroups, endpoints_.groupDigests());
     auto groupList = root.initEndpointGroups(static_cast<unsigned>(groups.size()));
     unsigned index = 0;
@@ -260,7 +265,8 @@
                 applyConfig(root.getConfigText(), kFromPeer);
         }
         const bool readsItself = isPrimaryReader_ && endpointsKnown_ && !isStoreUnavailable();
-        if (root.getEndpointsPosition() <= endpointsPosition() || readsItself)
+        const StorePosition position{root.getEndpointsEra(), root.getEndpointsPosition()};
+        if (position <= endpointsPosition() || readsItself)
             return;
         std::set<std::string> listed;
         for (const auto entry : root.getEndpoints()) {
@@ -278,12 +284,13 @@
                 removeEndpoint(id, "missing at a peer that reads the store");
         }
         pendingUpdates_.clear();
-        positionFromPeers_ = root.getEndpointsPosition();
+        positionFromPeers_ = position;
         endpointsKnown_ = true;
         behindSince_ = {};
         logEvent(LogLevel::Info, "endpoints_from_peer",
                  {{"peer", peer},
-                  {"position", std::to_string(positionFromPeers_)},
+                  {"era", std::to_string(position.era)},
+                  {"position", std::to_string(position.offset)},
                   {"count", std::to_string(listed.size())}});
     } catch (const kj::Exception &error) {
         logEvent(LogLevel::Warning, "peer_state_unreadable",
--- a/src/gateway/mesh.capnp
+++ b/src/gateway/mesh.capnp
@@ -97,6 +97,9 @@
   configChange @17 :ConfigChange;
   # Sent to other failure domains of a large fleet, which do not hear of each job.
   loads @18 :List(EndpointLoad);
+  # The era of endpointsPosition, and the newest era of the platform's store that the sender knows.
+  endpointsEra @19 :UInt64;
+  storeEra @20 :UInt64;
 }
 
 # The answer to a daemon that pulls missing state from a peer.
@@ -109,4 +112,5 @@
   endpoints @3 :List(EndpointEntry);
   endpointGroups @4 :List(UInt8);
   configChange @5 :ConfigChange;
+  endpointsEra @6 :UInt64;
 }
--- a/src/gateway/mesh.capnp.h
+++ b/src/gateway/mesh.capnp.h
@@ -161,7 +161,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 6, 10)
+        CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 8, 10)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -181,7 +181,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(fbecd8eb93bed63a, 2, 4)
+        CAPNP_DECLARE_STRUCT_HEADER(fbecd8eb93bed63a, 3, 4)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -1009,6 +1009,10 @@
     inline ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>::Reader
     getLoads() const;
 
+    inline ::uint64_t getEndpointsEra() const;
+
+    inline ::uint64_t getStoreEra() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1173,6 +1177,12 @@
             ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>>
     disownLoads();
 
+    inline ::uint64_t getEndpointsEra();
+    inline void setEndpointsEra(::uint64_t value);
+
+    inline ::uint64_t getStoreEra();
+    inline void setStoreEra(::uint64_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1244,6 +1254,8 @@
     inline bool hasConfigChange() const;
     inline ::cicadafork::gateway::wire::ConfigChange::Reader getConfigChange() const;
 
+    inline ::uint64_t getEndpointsEra() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1325,6 +1337,9 @@
     adoptConfigChange(::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> &&value);
     inline ::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> disownConfigChange();
 
+    inline ::uint64_t getEndpointsEra();
+    inline void setEndpointsEra(::uint64_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -2669,6 +2684,34 @@
             disown(_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline ::uint64_t Datagram::Reader::getEndpointsEra() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t Datagram::Builder::getEndpointsEra()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setEndpointsEra(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t Datagram::Reader::getStoreEra() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t Datagram::Builder::getStoreEra()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setStoreEra(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::uint64_t SharedState::Reader::getConfigVersion() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2890,6 +2933,20 @@
             _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline ::uint64_t SharedState::Reader::getEndpointsEra() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t SharedState::Builder::getEndpointsEra()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SharedState::Builder::setEndpointsEra(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 } // namespace wire
 } // namespace gateway
 } // namespace cicadafork
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -471,7 +471,8 @@
         info->lastHeard = now;
         lastHeard_ = now;
         info->configVersion = std::max(info->configVersion, root.getConfigVersion());
-        info->endpointsPosition = root.getEndpointsPosition();
+        info->endpointsPosition = {root.getEndpointsEra(), root.getEndpointsPosition()};
+        info->storeEra = root.getStoreEra();
         info->endpointsDigest = root.getEndpointsDigest();
         const bool changed = !info->alive || info->leaving != root.getLeaving()
                              || info->storeLost != root.getStoreLost();
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -15,6 +15,7 @@
 
 #include "gateway/confighistory.h"
 #include "gateway/loadtracker.h"
+#include "gateway/storeera.h"
 #include "http/address.h"
 
 #include <asio/io_context.hpp>
@@ -62,8 +63,9 @@
     std::string failureDomain;
     std::uint64_t incarnation = 0;
     std::uint64_t configVersion = 0;
-    std::uint64_t endpointsPosition = 0;
+    StorePosition endpointsPosition;
     std::uint64_t endpointsDigest = 0;
+    std::uint64_t storeEra = 0; ///< The newest that the peer knows.
     TimePoint lastHeard{};
     bool heard = false;
     bool returned = false; ///< Had failed before it was last heard.
@@ -76,8 +78,9 @@
 struct MeshStatus
 {
     std::uint64_t configVersion = 0;
-    std::uint64_t endpointsPosition = 0;
+    StorePosition endpointsPosition;
     std::uint64_t endpointsDigest = 0;
+    std::uint64_t storeEra = 0;
     bool leaving = false;
     bool storeLost = false;
 };
--- a/src/gateway/meshwire.cpp
+++ b/src/gateway/meshwire.cpp
@@ -58,7 +58,9 @@
     root.setIp(options.ip);
     root.setIncarnation(options.incarnation);
     root.setConfigVersion(status.configVersion);
-    root.setEndpointsPosition(status.endpointsPosition);
+    root.setEndpointsPosition(status.endpointsPosition.offset);
+    root.setEndpointsEra(status.endpointsPosition.era);
+    root.setStoreEra(status.storeEra);
     root.setEndpointsDigest(status.endpointsDigest);
     root.setLeaving(status.leaving);
     root.setStoreLost(status.storeLost);
--- a/src/gateway/topicfollower.cpp
+++ b/src/gateway/topicfollower.cpp
@@ -1,6 +1,7 @@
 #include "gateway/topicfollower.h"
 
 #include "base/jitter.h"
+#include "base/log.h"
 
 #include <algorithm>
 #include <string>
@@ -77,6 +78,26 @@
     after(delay, &TopicFollower::continueReading);
 }
 
+void TopicFollower::startOver(Millis limit)
+{
+    const TimePoint now = steadyNow();
+    const TimePoint due = timer_.expiry();
+    const bool waiting = !paused_ && !calling_ && bootstrapped_ && due > now;
+    abandonCall();
+    canReadOn_ = false;
+    afterKey_.clear();
+    if (bootstrapped_)
+        startedOverAt_ = now;
+    if (paused_)
+        return;
+    // The first snapshot is never put off.
+    const Millis spread = bootstrapped_ ? limit : std::min(limit, options_.firstRetry);
+    TimePoint next = now + randomMillis(Millis(0), spread);
+    if (waiting)
+        next = std::min(next, due);
+    after(std::chrono::ceil<Millis>(next - now), &TopicFollower::continueReading);
+}
+
 void TopicFollower::pause()
 {
     paused_ = true;
@@ -109,7 +130,7 @@
 
 void TopicFollower::continueReading()
 {
-    if (bootstrapped_)
+    if (canReadOn_)
         readNext();
     else
         bootstrap();
@@ -140,7 +161,7 @@
     // The pages are not a consistent snapshot: a record may change while they are read. So reading
     // continues from the end of the first page.
     if (afterKey_.empty())
-        firstPageEnd_ = page.next;
+        firstPageEnd_ = {page.era.value_or(0), page.next};
     std::ranges::move(page.records, std::back_inserter(collected_));
     if (page.more && !collected_.empty()) {
         afterKey_ = collected_.back().key;
@@ -150,15 +171,29 @@
     afterKey_.clear();
     position_ = std::max(position_, firstPageEnd_);
     bootstrapped_ = true;
+    canReadOn_ = true;
+    if (startedOverAt_ != TimePoint()) {
+        const auto took = std::chrono::duration_cast<Millis>(steadyNow() - startedOverAt_);
+        logEvent(LogLevel::Info, "store_topic_current",
+                 {{"topic", options_.topic},
+                  {"era", std::to_string(position_.era)},
+                  {"took_ms", std::to_string(took.count())}});
+        startedOverAt_ = {};
+    }
     hooks_.snapshot(std::move(collected_));
     collected_.clear();
-    after(options_.interval, &TopicFollower::readNext);
+    // A store that states no era may have come back older: its end is behind the position, and it
+    // refuses reads from there at once.
+    const bool behind = firstPageEnd_ < position_;
+    after(behind ? std::max(options_.interval, options_.longestRetry) : options_.interval,
+          &TopicFollower::readNext);
 }
 
 void TopicFollower::readNext()
 {
     calling_ = true;
-    calls_.read(options_.topic, position_, options_.wait, options_.wait + options_.callTimeout,
+    calls_.read(options_.topic, position_.offset, options_.wait,
+                options_.wait + options_.callTimeout,
                 [this, weak = std::weak_ptr(alive_)](StoreFailure failure, StorePage page) {
                     if (!weak.expired())
                         onRead(failure, std::move(page));
@@ -176,7 +211,7 @@
         retry(&TopicFollower::readNext);
         return;
     }
-    position_ = std::max(position_, page.next);
+    position_ = std::max(position_, StorePosition{page.era.value_or(0), page.next});
     keepNewest(page.records);
     if (!page.records.empty())
         hooks_.changes(std::move(page.records));
--- a/src/gateway/topicfollower.h
+++ b/src/gateway/topicfollower.h
@@ -9,10 +9,11 @@
 //   follower.start();
 //
 // Reads the newest record of every key, then polls for the records appended since. If records were
-// deleted before they were read, it starts over with the newest record of every key.
+// deleted before they were read, it starts over with the newest record of every key. So it does
+// when the store has come back from an older copy (startOver()).
 
 #include "base/clock.h"
-#include "gateway/protocol.h"
+#include "gateway/storeera.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -62,8 +63,12 @@
     void pause();
     /// Makes the next call at once if the follower is paused.
     void resume();
-    /// Next offset to read; 0 before the first snapshot.
-    std::uint64_t position() const { return position_; }
+    /// For a new era of the store, in which known offsets mean other records: abandons any call in
+    /// progress and reads the newest record of every key after a random time up to the limit, or
+    /// when the next call is due if that is earlier. Until then position() stays what it was.
+    void startOver(Millis limit);
+    /// Next offset to read, with the era in which it is valid; zero before the first snapshot.
+    StorePosition position() const { return position_; }
     /// When the last answered call ended.
     TimePoint lastContact() const { return lastContact_; }
     /// Sets the pause between two reads and the time that a read may wait. If that makes reads more
@@ -88,10 +93,12 @@
     asio::steady_timer timer_;
     std::vector<StoreRecord> collected_;
     std::string afterKey_;
-    std::uint64_t position_ = 0;
-    std::uint64_t firstPageEnd_ = 0;
+    StorePosition position_;
+    StorePosition firstPageEnd_;
     unsigned failures_ = 0;
-    bool bootstrapped_ = false;
+    bool bootstrapped_ = false; ///< A snapshot has been delivered.
+    bool canReadOn_ = false;    ///< The position is valid, so no snapshot is needed.
+    TimePoint startedOverAt_{}; ///< Of the last startOver() until its snapshot; unset otherwise.
     bool paused_ = false;
     bool calling_ = false; ///< A call is in progress.
     TimePoint lastContact_{};
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -1,5 +1,6 @@
 // Decisions of the gateway without a network: recovery, budgets, endpoints, outage of the store.
 
+#include "base/log.h"
 #include "gateway/endpoints.h"
 #include "gateway/exchange.h"
 #include "gateway/readerrole.h"
@@ -460,6 +461,16 @@
                             },
                             [](bool) {}}};
 
+    void setup() override
+    {
+        setLogLevel(LogLevel::Error);
+    }
+
+    void teardown() override
+    {
+        setLogLevel(LogLevel::Info);
+    }
+
     void turn()
     {
         context.restart();
@@ -518,7 +529,7 @@
     store.reads.back()(StoreFailure::Expired, {});
     LONGS_EQUAL(2, store.newest.size());
     store.newest.back()(StoreFailure::None, {{}, 4, false});
-    LONGS_EQUAL_TEXT(6, follower.position(), "the position never decreases");
+    LONGS_EQUAL_TEXT(6, follower.position().offset, "the position never decreases");
 }
 
 // Guards against two concurrent read loops, and against using the answer of an abandoned call.
@@ -575,6 +586,86 @@
     LONGS_EQUAL(1, store.reads.size());
 }
 
+// Guards against reading on from an offset that means another record in the new era, against using
+// the answer to a call of the old one, and against a position that falls behind for good because
+// the offsets of the new era are lower.
+TEST(TopicFollower, startsOverInANewEra)
+{
+    follower.start();
+    store.newest[0](StoreFailure::None, {{}, 6, false, 1});
+    turn();
+    follower.startOver(Millis(0));
+    store.reads[0](StoreFailure::None, {{{"a", "1", 6}}, 7, false, 2});
+    LONGS_EQUAL_TEXT(1, seen.size(), "the answer of the abandoned call is ignored");
+    CHECK_TRUE_TEXT(follower.position() == (StorePosition{1, 6}),
+                    "the state in force is still that of the old era");
+    turn();
+    LONGS_EQUAL_TEXT(2, store.newest.size(), "the newest records are read again");
+    LONGS_EQUAL(1, store.reads.size());
+    store.newest[1](StoreFailure::None, {{{"a", "1", 0}}, 4, false, 2});
+    STRCMP_EQUAL("snapshot 1", seen.back().c_str());
+    CHECK_TRUE(follower.position() == (StorePosition{2, 4}));
+    turn();
+    LONGS_EQUAL(4, store.from.back());
+}
+
+// Guards against pages of two eras in one snapshot, and against calls of a paused follower.
+TEST(TopicFollower, aNewEraVoidsAHalfReadSnapshot)
+{
+    follower.start();
+    store.newest[0](StoreFailure::None, {{{"a", "1", 0}, {"b", "2", 1}}, 6, true, 1});
+    LONGS_EQUAL(2, store.newest.size());
+    follower.pause();
+    follower.startOver(Millis(0));
+    turn();
+    LONGS_EQUAL_TEXT(2, store.newest.size(), "a paused follower makes no calls");
+    follower.resume();
+    LONGS_EQUAL(3, store.newest.size());
+    store.newest[2](StoreFailure::None, {{{"a", "1", 0}}, 4, false, 2});
+    STRCMP_EQUAL("snapshot 1", seen.back().c_str());
+}
+
+// Guards against a new era that puts off the reads of standbys, or makes all of them read at once.
+TEST(TopicFollower, startingOverIsSpreadButDelaysNoReadThatIsDue)
+{
+    struct Case
+    {
+        Millis interval;
+        Millis limit;
+        bool reads; ///< Within a turn.
+    };
+    const Case cases[] = {{Millis(60'000), Millis(0), true},
+                          {Millis(60'000), Millis(3'600'000), false},
+                          {Millis(10), Millis(3'600'000), true}};
+    for (const Case &row : cases) {
+        ScriptedStore scripted;
+        const StoreCalls scriptedCalls = scripted.functions();
+        TopicFollower other{context,
+                            scriptedCalls,
+                            {.topic = "t", .interval = row.interval},
+                            {[](const auto &) {}, [](const auto &) {}, [](bool) {}}};
+        other.start();
+        scripted.newest[0](StoreFailure::None, {{}, 6, false, 1});
+        other.startOver(row.limit);
+        turn();
+        LONGS_EQUAL(row.reads ? 2 : 1, scripted.newest.size());
+        LONGS_EQUAL(0, scripted.reads.size());
+    }
+}
+
+// Guards against a loop without pause when a store that states no era has come back older: it
+// refuses reads beyond its end at once.
+TEST(TopicFollower, pausesWhileTheStoreEndsBeforeItsPosition)
+{
+    follower.start();
+    store.newest[0](StoreFailure::None, {{}, 6, false});
+    turn();
+    store.reads[0](StoreFailure::Expired, {});
+    store.newest[1](StoreFailure::None, {{}, 4, false});
+    turn();
+    LONGS_EQUAL(1, store.reads.size());
+}
+
 // Guards against a follower with a long read interval that also retries its first snapshot slowly.
 TEST(TopicFollower, retriesOftenUntilTheFirstSnapshot)
 {
--- a/tests/unit/gatewaypeers_test.cpp
+++ b/tests/unit/gatewaypeers_test.cpp
@@ -132,12 +132,26 @@
         serveFor(Millis(700));
     }
 
-    void putEndpoint(unsigned number)
+    void putEndpoint(unsigned number, unsigned revision = 1, const char *state = "ready")
     {
         store.put(kEndpointsTopic, fmt::format("e{}", number),
                   fmt::format(R"({{"service":"plain","address":"10.0.0.{}:80","zone":"east",
-                      "slots":4,"state":"ready","seq":1,"born":5}})",
-                              number % 250));
+                      "slots":4,"state":"{}","seq":{},"born":5}})",
+                              number % 250, state, revision));
+    }
+
+    /// True when every daemon knows as many endpoints, this many of them draining.
+    bool allKnow(std::size_t count, std::size_t draining) const
+    {
+        return std::ranges::all_of(daemons, [&](const auto &daemon) {
+            const auto json = daemon->state();
+            std::size_t leaving = 0;
+            if (json.contains("endpoints")) {
+                for (const auto &endpoint : json["endpoints"])
+                    leaving += endpoint["draining"] == true ? 1 : 0;
+            }
+            return daemon->endpoints() == count && leaving == draining;
+        });
     }
 
     bool allHaveConfig(std::uint64_t version) const
@@ -243,6 +257,51 @@
     CHECK_TRUE(allHave(kEndpoints - 1));
 }
 
+// Guards against daemons that drop what is new because its offset is lower than the one they knew
+// before the store came back older, and against an older configuration in force.
+TEST(GatewayPeers, changesReachAllAfterTheStoreCameBackOlder)
+{
+    constexpr unsigned kEndpoints = 20;
+    constexpr unsigned kLostWrites = 300;
+    store.put(kConfigTopic, "config", configText(1, 200));
+    for (unsigned i = 0; i < kEndpoints; ++i)
+        putEndpoint(i);
+    serveFor(Millis(20));
+    const TimePoint copied = steadyNow();
+    // All daemons read these themselves, so that each of them knows the high offset.
+    for (unsigned i = 0; i < kLostWrites; ++i)
+        putEndpoint(i % kEndpoints, 2 + i / kEndpoints);
+    start(5);
+    store.put(kConfigTopic, "config", configText(5, 200));
+    CHECK_TRUE(runUntil([&] { return allHaveConfig(5); }, kConfigInForce));
+    store.restoreCopy(std::chrono::ceil<Millis>(steadyNow() - copied));
+    putEndpoint(7, 100, "draining");
+    CHECK_TRUE(runUntil([&] { return allKnow(kEndpoints, 1); }, kConfigInForce));
+    CHECK_TRUE_TEXT(allHaveConfig(5), "the older version does not come back into force");
+    store.put(kConfigTopic, "config", configText(6, 201));
+    CHECK_TRUE(runUntil([&] { return allHaveConfig(6); }, kConfigInForce));
+}
+
+// Guards against a fleet that reads everything again at once, and against standbys that wait for a
+// read of their own.
+TEST(GatewayPeers, aNewEraCostsFewCallsAndReachesTheStandbys)
+{
+    constexpr unsigned kDaemons = 12;
+    putEndpoint(1);
+    start(kDaemons);
+    store.callsByTopic.clear();
+    store.restoreCopy(Millis(0));
+    const auto allCurrent = [&] {
+        return std::ranges::all_of(
+                daemons, [&](const auto &daemon) { return daemon->state()["store"]["era"] == 2; });
+    };
+    CHECK_TRUE(runUntil(allCurrent, kConfigInForce));
+    serveFor(Millis(300));
+    // Two readers read each topic again and go on; standbys read within a minute.
+    CHECK_TRUE(store.callsByTopic[kConfigTopic] + store.callsByTopic[kEndpointsTopic]
+               < 2 * kDaemons);
+}
+
 // Guards against daemons that all retry while the store is unavailable: each call is charged.
 TEST(GatewayPeers, anOutageOfTheStoreCausesFewCalls)
 {
--- a/tests/unit/storeera_test.cpp
+++ b/tests/unit/storeera_test.cpp
@@ -1,6 +1,7 @@
 // The store comes back from an older copy: its era, decoded and judged.
 
 #include "base/log.h"
+#include "gateway/storeera.h"
 #include "platform/names.h"
 #include "platform/storeclient.h"
 #include "support/eventually.h"
@@ -8,7 +9,9 @@
 #include "support/platformstandin.h"
 
 #include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
 
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -23,6 +26,65 @@
 
 } // namespace
 
+TEST_GROUP(StoreEra){};
+
+// Guards against using an answer of a copy that has been replaced, against missing a new era that
+// only a peer or an answer after several without an era tells of, and against starting over at the
+// first answer.
+TEST(StoreEra, answersAndPeersAreJudgedByTheHighestEraKnown)
+{
+    struct Case
+    {
+        const char *name;
+        std::string seen; ///< Eras seen before: of answers ("-" for none) or, after "p", of peers.
+        std::string next;
+        EraVerdict verdict;
+        std::uint64_t known;
+    };
+    const Case cases[] = {
+            {"first answer", "", "7", EraVerdict::Current, 7},
+            {"same era", "7", "7", EraVerdict::Current, 7},
+            {"risen by one", "7", "8", EraVerdict::Newer, 8},
+            {"missed one", "7", "9", EraVerdict::Newer, 9},
+            {"late answer", "7 8", "7", EraVerdict::Late, 8},
+            {"no era", "7", "-", EraVerdict::Current, 7},
+            {"an older store", "- -", "-", EraVerdict::Current, 0},
+            {"first era after answers without one", "-", "1", EraVerdict::Newer, 1},
+            {"peer knows a newer one", "7", "p8", EraVerdict::Newer, 8},
+            {"peer knows an older one", "7", "p6", EraVerdict::Current, 7},
+            {"peer knows none", "7", "p0", EraVerdict::Current, 7},
+            {"heard of it from a peer first", "7 p8", "8", EraVerdict::Current, 8},
+            {"late after a peer told", "7 p8", "7", EraVerdict::Late, 8},
+            {"starting daemon hears a peer", "", "p8", EraVerdict::Current, 8},
+            {"starting daemon gets a late answer", "p8", "7", EraVerdict::Late, 8},
+            {"starting daemon hears an old and a new peer", "p7", "p8", EraVerdict::Newer, 8},
+    };
+    for (const Case &row : cases) {
+        StoreEra era;
+        const auto see = [&era](const std::string &what) {
+            if (what == "-")
+                return era.note(std::nullopt);
+            if (what[0] != 'p')
+                return era.note(std::stoull(what));
+            return era.noteFromPeer(std::stoull(what.substr(1))) ? EraVerdict::Newer
+                                                                 : EraVerdict::Current;
+        };
+        std::istringstream words(row.seen);
+        for (std::string word; words >> word;)
+            see(word);
+        CHECK_TRUE_TEXT(see(row.next) == row.verdict, row.name);
+        CHECK_TRUE_TEXT(era.known() == row.known, row.name);
+    }
+}
+
+// Guards against a low offset of a newer era that counts as old, and the reverse.
+TEST(StoreEra, positionsAreOrderedByEraFirst)
+{
+    CHECK_TRUE(StorePosition({1, 900}) < StorePosition({2, 3}));
+    CHECK_TRUE(StorePosition({2, 3}) < StorePosition({2, 4}));
+    CHECK_TRUE(StorePosition({2, 0}) > StorePosition({1, 900}));
+}
+
 TEST_GROUP(StoreDrill)
 {
     asio::io_context context;
@@ -110,6 +172,33 @@
     LONGS_EQUAL(2, page.era.value());
 }
 
+// Guards against a late answer that passes for the state of the store, and against an event that
+// comes after the answer, or not with each kind of call.
+TEST(StoreDrill, anAnswerOfAnOlderEraIsNoAnswer)
+{
+    put("value");
+    StoreEra era;
+    std::vector<std::uint64_t> changes;
+    calls = checkEra(client.calls(), era, [&](std::uint64_t before) { changes.push_back(before); });
+    const std::function<void()> kinds[] = {[&] { read(0); }, [&] { newest(); }, [&] { put("x"); }};
+    for (const auto &call : kinds) {
+        call();
+        CHECK_TRUE(failure == StoreFailure::None);
+        changes.clear();
+        const std::uint64_t before = store.era();
+        store.restoreCopy(Millis(0));
+        call();
+        CHECK_TRUE(failure == StoreFailure::None);
+        CHECK_TRUE(changes == std::vector<std::uint64_t>{before});
+        CHECK_TRUE(era.known() == before + 1);
+        era.noteFromPeer(before + 2);
+        call();
+        CHECK_TRUE(failure == StoreFailure::NoAnswer);
+        CHECK_TRUE(page.records.empty() && page.next == 0);
+        store.restoreCopy(Millis(0));
+    }
+}
+
 // Guards against an unreadable era that passes for one: every later answer would be late.
 TEST(StoreDrill, anEraThatIsNoNumberCountsAsAbsent)
 {
