Leave out endpoints that left before the store came back older

The record's revision (rises with each write of the endpoint) is decoded. A record of a later era changes nothing if it was not written after the one that was known when the endpoint drained or was removed. Removed endpoints are kept for two minutes, at most 4096; peers are told their last records in pushes and pulls. Endpoints that are absent from the older copy stay for 2.2 s, until their writers have restored the records; deletions in the log count at once.

Within an era the order of the log decides, as before, so that a record restored after an outage counts even if a writer does not raise the revision.

Ruled out: leaving such an endpoint out until it has written twice in the new era. It would need no revision at removal, but leaves out a live one for longer; the last value that is read together with a deletion closes the same gap.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,6 +19,8 @@
 // Enough for 600 endpoints with 32 requests each.
 constexpr std::size_t kMaxJobs = 32'768;
 constexpr std::size_t kMaxEndpoints = 4096;
+// Many times the age of a copy from which the store may come back.
+constexpr Millis kDepartedLifetime{120'000};
 // Concurrent requests of one daemon; each holds a body of up to a few hundred kB.
 constexpr std::size_t kMaxExchanges = 2048;
 // Added to the time for which a store call itself may wait for records.
@@ -122,6 +124,7 @@
                        .callTimeout = kStoreCallTimeout},
                       {[this](auto records) { onMemberRecords(records); },
                        [this](auto records) { onMemberRecords(records); }, [](bool) {}})
+    , departed_(kMaxEndpoints, kDepartedLifetime)
     , unconfirmedTimer_(context)
     , roleTimer_(context)
     , callers_(context, callerOptions(settings_),
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 
 #include "base/metrics.h"
 #include "gateway/confighistory.h"
+#include "gateway/departedendpoints.h"
 #include "gateway/endpoints.h"
 #include "gateway/exchange.h"
 #include "gateway/gatewaymetrics.h"
@@ -139,8 +140,13 @@
     bool applyConfig(const std::string &text, const char *source);
     void onEndpointSnapshot(const std::vector<StoreRecord> &records);
     void onEndpointChanges(const std::vector<StoreRecord> &records);
-    void applyEndpoint(const std::string &id, const std::optional<std::string> &value);
-    void removeEndpoint(const std::string &id, const char *why);
+    void applyEndpoint(const StoreRecord &record);
+    /// The store no longer lists the endpoint; `last` is what is known of its last record.
+    void onEndpointMissing(const std::string &id, const EndpointVersion &last,
+                           std::optional<TimePoint> mayReturnUntil);
+    void updateEndpoint(EndpointRecord record, const char *source);
+    void removeEndpoint(const std::string &id, const char *why, const EndpointVersion &last,
+                        Millis goneFor = Millis(0));
     void noteEndpointChange(const std::string &id, EndpointChange change, const char *source);
     void onStoreContact(bool reached);
     void onPeerChanged(const PeerInfo &peer);
@@ -204,6 +210,7 @@
     bool registered_ = false;    ///< The store has this daemon's own member record.
     TimePoint lastEarlyRetry_{}; ///< Last read because a peer had reached the store again.
     StoreOutage storeOutage_;
+    DepartedEndpoints departed_;
     StorePosition newestPeerPosition_;
     /// Endpoints whose records disappeared around an outage of the store; kept for a while, since
     /// the records may come back.
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -88,11 +88,15 @@
     std::set<std::string> listed;
     for (const StoreRecord &record : records) {
         listed.insert(record.key);
-        applyEndpoint(record.key, record.value);
+        applyEndpoint(record);
     }
+    const TimePoint now = steadyNow();
+    // An absent value is less than any time.
+    const auto mayReturnUntil = std::max(storeOutage_.recordMayReturnUntil(now),
+                                         storeOutage_.absentRecordMayReturnUntil(now));
     for (const std::string &id : endpoints_.ids()) {
         if (!listed.contains(id))
-            applyEndpoint(id, std::nullopt);
+            onEndpointMissing(id, {.storeEra = endpointFollower_.position().era}, mayReturnUntil);
     }
     if (!endpointsKnown_) {
         logEvent(LogLevel::Info, "endpoints_known",
@@ -112,7 +116,7 @@
     if (endpointFollower_.position() < positionFromPeers_)
         return;
     for (const StoreRecord &record : records)
-        applyEndpoint(record.key, record.value);
+        applyEndpoint(record);
     announceEndpointChanges();
 }
 
@@ -157,44 +161,79 @@
     return std::max(endpointFollower_.position(), positionFromPeers_);
 }
 
-void Gateway::applyEndpoint(const std::string &id, const std::optional<std::string> &value)
+void Gateway::applyEndpoint(const StoreRecord &stored)
 {
-    if (!value) {
-        if (!endpoints_.findById(id))
-            return;
-        const auto until = storeOutage_.recordMayReturnUntil(steadyNow());
-        if (!until) {
-            removeEndpoint(id, "record removed");
-            return;
-        }
-        if (unconfirmedEndpoints_.insert(id).second) {
-            logEvent(LogLevel::Info, "endpoint_unconfirmed",
-                     {{"endpoint", id},
-                      {"reason", "its record expired while the store was unavailable"}});
+    const std::string &id = stored.key;
+    const std::uint64_t era = endpointFollower_.position().era;
+    const auto decode = [&](const std::string &value) {
+        return capture([&] { return layout_.readEndpoint(id, value); });
+    };
+    if (!stored.value) {
+        EndpointVersion last{.storeEra = era};
+        if (stored.deletedValue) {
+            if (const auto deleted = decode(*stored.deletedValue))
+                last = {deleted->bornMs, deleted->revision, era};
         }
-        unconfirmedTimer_.expires_at(*until);
-        unconfirmedTimer_.async_wait([this](const asio::error_code &error) {
-            if (error)
-                return;
-            const auto unconfirmed = std::move(unconfirmedEndpoints_);
-            unconfirmedEndpoints_.clear();
-            for (const std::string &endpointId : unconfirmed)
-                removeEndpoint(endpointId, "record was not restored after the outage");
-            announceEndpointChanges();
-        });
+        onEndpointMissing(id, last, storeOutage_.recordMayReturnUntil(steadyNow()));
         return;
     }
-    const auto record = capture([&] { return layout_.readEndpoint(id, *value); });
+    auto record = decode(*stored.value);
     if (!record) {
         // The endpoint's record was overwritten, so its previous contents are no longer valid.
-        if (endpoints_.findById(id))
-            removeEndpoint(id, "record unreadable");
+        removeEndpoint(id, "record unreadable", {.storeEra = era});
         logEvent(LogLevel::Warning, "endpoint_unreadable",
                  {{"endpoint", id}, {"error", record.error().message}});
         return;
     }
     unconfirmedEndpoints_.erase(id);
-    noteEndpointChange(id, endpoints_.update(*record, steadyNow()), kFromStore);
+    record->storeEra = era;
+    updateEndpoint(std::move(*record), kFromStore);
+}
+
+void Gateway::onEndpointMissing(const std::string &id, const EndpointVersion &last,
+                                std::optional<TimePoint> mayReturnUntil)
+{
+    if (!mayReturnUntil || !endpoints_.findById(id)) {
+        removeEndpoint(id, "record removed", last);
+        return;
+    }
+    if (unconfirmedEndpoints_.insert(id).second) {
+        logEvent(LogLevel::Info, "endpoint_unconfirmed",
+                 {{"endpoint", id},
+                  {"reason", "its record may return after an outage or a new era of the store"}});
+    }
+    unconfirmedTimer_.expires_at(*mayReturnUntil);
+    unconfirmedTimer_.async_wait([this](const asio::error_code &error) {
+        if (error)
+            return;
+        const auto unconfirmed = std::move(unconfirmedEndpoints_);
+        unconfirmedEndpoints_.clear();
+        for (const std::string &endpointId : unconfirmed)
+            removeEndpoint(endpointId, "record was not restored", {.storeEra = storeEra_.known()});
+        announceEndpointChanges();
+    });
+}
+
+void Gateway::updateEndpoint(EndpointRecord record, const char *source)
+{
+    const TimePoint now = steadyNow();
+    const EndpointRow *row = endpoints_.findById(record.id);
+    const bool outdated
+            = row ? undoesDraining(record, row->record) : departed_.outdates(record, now);
+    if (outdated) {
+        const bool fromStore = std::string_view(source) == kFromStore;
+        logEvent(fromStore ? LogLevel::Info : LogLevel::Debug, "endpoint_record_outdated",
+                 {{"endpoint", record.id},
+                  {"source", source},
+                  {"era", std::to_string(record.storeEra)},
+                  {"revision", std::to_string(record.revision)}});
+        return;
+    }
+    // An older copy shows lower revisions than were known.
+    if (row && row->record.bornMs == record.bornMs)
+        record.revision = std::max(record.revision, row->record.revision);
+    departed_.forget(record.id);
+    noteEndpointChange(record.id, endpoints_.update(record, now), source);
 }
 
 void Gateway::noteEndpointChange(const std::string &id, EndpointChange change, const char *source)
@@ -217,14 +256,26 @@
         scheduleDispatch();
 }
 
-void Gateway::removeEndpoint(const std::string &id, const char *why)
+void Gateway::removeEndpoint(const std::string &id, const char *why, const EndpointVersion &last,
+                             Millis goneFor)
 {
     const EndpointRow *row = endpoints_.findById(id);
+    EndpointVersion version = last;
+    if (row) {
+        const EndpointVersion known = versionOf(row->record);
+        const bool includesKnown = last.bornMs == known.bornMs && last.revision >= known.revision;
+        if (!includesKnown)
+            version = {known.bornMs, known.revision, std::max(known.storeEra, last.storeEra)};
+    }
+    const TimePoint now = steadyNow();
+    departed_.expire(now);
+    if (version.revision > 0)
+        departed_.note(id, {version, now - goneFor});
     if (!row)
         return;
     pool_.closeIdle(row->record.address);
     endpoints_.remove(id);
-    pendingUpdates_.push_back({id, std::nullopt});
+    pendingUpdates_.push_back({id, std::nullopt, version, goneFor});
     logEvent(LogLevel::Info, "endpoint_changed",
              {{"endpoint", id}, {"change", toString(EndpointChange::Gone)}, {"reason", why}});
 }
@@ -264,6 +315,7 @@
              {{"before", std::to_string(before)},
               {"era", std::to_string(storeEra_.known())},
               {"source", source}});
+    storeOutage_.noteNewEra(steadyNow());
     // A daemon that the store has just answered is one of few; the others wait for their peers.
     const bool reads = announcesStoreChanges_ || std::string_view(source) == kFromStore;
     const Millis spread = reads ? kReaderRereadSpread : kStandbyRereadSpread;
--- a/src/gateway/gatewaypeersync.cpp
+++ b/src/gateway/gatewaypeersync.cpp
@@ -79,9 +79,10 @@
         return;
     for (const EndpointUpdate &item : updates) {
         if (item.record)
-            noteEndpointChange(item.id, endpoints_.update(*item.record, steadyNow()), kFromPeer);
+            updateEndpoint(*item.record, kFromPeer);
         else
-            removeEndpoint(item.id, "reported as removed by a peer that reads the store");
+            removeEndpoint(item.id, "reported as removed by a peer that reads the store", item.last,
+                           item.goneFor);
     }
     pendingUpdates_.clear();
     // More datagrams with the same position may follow, so this one does not complete it; the
@@ -234,15 +235,24 @@
     unsigned index = 0;
     for (const std::uint8_t group : groups)
         groupList.set(index++, group);
-    std::vector<const EndpointRecord *> records;
+    std::vector<EndpointUpdate> entries;
+    const auto wanted = [&](const std::string &id) {
+        return groups.contains(static_cast<std::uint8_t>(endpointGroup(id)));
+    };
     for (const auto &[id, row] : endpoints_.rows()) {
-        if (groups.contains(static_cast<std::uint8_t>(endpointGroup(id))))
-            records.push_back(&row.record);
+        if (wanted(id))
+            entries.push_back({id, row.record});
+    }
+    const TimePoint now = steadyNow();
+    for (const auto &[id, departure] : departed_.rows()) {
+        if (wanted(id))
+            entries.push_back({id, std::nullopt, departure.last,
+                               std::chrono::duration_cast<Millis>(now - departure.at)});
     }
-    auto list = root.initEndpoints(static_cast<unsigned>(records.size()));
+    auto list = root.initEndpoints(static_cast<unsigned>(entries.size()));
     index = 0;
-    for (const EndpointRecord *record : records)
-        fillEndpoint(list[index++], *record);
+    for (const EndpointUpdate &entry : entries)
+        fillEndpointUpdate(list[index++], entry);
     const auto words = capnp::messageToFlatArray(message);
     const auto bytes = words.asBytes();
     return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
@@ -269,19 +279,23 @@
         if (position <= endpointsPosition() || readsItself)
             return;
         std::set<std::string> listed;
-        for (const auto entry : root.getEndpoints()) {
-            const auto record = readEndpoint(entry);
-            if (!record)
+        for (const EndpointUpdate &entry : readEndpointUpdates(root.getEndpoints())) {
+            if (!entry.record) {
+                removeEndpoint(entry.id, "left, as a peer that reads the store knows", entry.last,
+                               entry.goneFor);
                 continue;
-            listed.insert(record->id);
-            noteEndpointChange(record->id, endpoints_.update(*record, steadyNow()), kFromPeer);
+            }
+            listed.insert(entry.id);
+            updateEndpoint(*entry.record, kFromPeer);
         }
         std::set<std::size_t> groups;
         for (const std::uint8_t group : root.getEndpointGroups())
             groups.insert(group);
+        // A peer that has started in the new era knows only what the older copy has.
+        const auto mayReturnUntil = storeOutage_.absentRecordMayReturnUntil(steadyNow());
         for (const std::string &id : endpoints_.ids()) {
             if (groups.contains(endpointGroup(id)) && !listed.contains(id))
-                removeEndpoint(id, "missing at a peer that reads the store");
+                onEndpointMissing(id, {.storeEra = position.era}, mayReturnUntil);
         }
         pendingUpdates_.clear();
         positionFromPeers_ = position;
--- a/src/gateway/mesh.capnp
+++ b/src/gateway/mesh.capnp
@@ -38,8 +38,14 @@
   failureDomain @4 :Text;
   slots @5 :UInt32;
   draining @6 :Bool;
-  # The endpoint was removed; fields other than id may be empty.
+  # The endpoint was removed; only id, bornMs, revision, storeEra and goneMs are set.
   gone @7 :Bool;
+  # Rises with each write of the endpoint.
+  revision @8 :UInt64;
+  # Era of the platform's store in which this was read.
+  storeEra @9 :UInt64;
+  # Time since it was removed.
+  goneMs @10 :UInt32;
 }
 
 # Load of an endpoint of the sender's failure domain, as the sender knows it.
@@ -108,7 +114,7 @@
   # The record as the platform stores it; empty when configChange is set or nothing is newer.
   configText @1 :Text;
   endpointsPosition @2 :UInt64;
-  # All endpoints of the groups in endpointGroups.
+  # All endpoints of the groups in endpointGroups, and those of them that have left lately.
   endpoints @3 :List(EndpointEntry);
   endpointGroups @4 :List(UInt8);
   configChange @5 :ConfigChange;
--- a/src/gateway/mesh.capnp.h
+++ b/src/gateway/mesh.capnp.h
@@ -101,7 +101,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(a3865a6a59334413, 2, 4)
+        CAPNP_DECLARE_STRUCT_HEADER(a3865a6a59334413, 5, 4)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -586,6 +586,12 @@
 
     inline bool getGone() const;
 
+    inline ::uint64_t getRevision() const;
+
+    inline ::uint64_t getStoreEra() const;
+
+    inline ::uint32_t getGoneMs() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -661,6 +667,15 @@
     inline bool getGone();
     inline void setGone(bool value);
 
+    inline ::uint64_t getRevision();
+    inline void setRevision(::uint64_t value);
+
+    inline ::uint64_t getStoreEra();
+    inline void setStoreEra(::uint64_t value);
+
+    inline ::uint32_t getGoneMs();
+    inline void setGoneMs(::uint32_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1873,6 +1888,48 @@
     _builder.setDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint64_t EndpointEntry::Reader::getRevision() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t EndpointEntry::Builder::getRevision()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EndpointEntry::Builder::setRevision(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t EndpointEntry::Reader::getStoreEra() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t EndpointEntry::Builder::getStoreEra()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void EndpointEntry::Builder::setStoreEra(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t EndpointEntry::Reader::getGoneMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t EndpointEntry::Builder::getGoneMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void EndpointEntry::Builder::setGoneMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::uint64_t EndpointLoad::Reader::getEndpoint() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -236,11 +236,7 @@
             auto list = root.initEndpointChanges(static_cast<unsigned>(count));
             for (std::size_t i = 0; i < count; ++i) {
                 const EndpointUpdate &item = updates[next + i];
-                auto entry = list[static_cast<unsigned>(i)];
-                entry.setId(item.id);
-                entry.setGone(!item.record);
-                if (item.record)
-                    fillEndpoint(entry, *item.record);
+                fillEndpointUpdate(list[static_cast<unsigned>(i)], item);
             }
         });
     }
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -14,6 +14,7 @@
 // platform's store (addPeer()) and through each other's heartbeats.
 
 #include "gateway/confighistory.h"
+#include "gateway/departedendpoints.h"
 #include "gateway/loadtracker.h"
 #include "gateway/storeera.h"
 #include "http/address.h"
@@ -97,6 +98,8 @@
 {
     std::string id;
     std::optional<EndpointRecord> record;
+    EndpointVersion last = {}; ///< The last record of a removed endpoint.
+    Millis goneFor{0};         ///< Time since it was removed.
 };
 
 struct MeshHooks
--- a/src/gateway/meshwire.cpp
+++ b/src/gateway/meshwire.cpp
@@ -127,13 +127,30 @@
     std::vector<EndpointUpdate> updates;
     for (const auto entry : entries) {
         if (entry.getGone())
-            updates.push_back({entry.getId(), std::nullopt});
+            updates.push_back({entry.getId(),
+                               std::nullopt,
+                               {entry.getBornMs(), entry.getRevision(), entry.getStoreEra()},
+                               Millis(entry.getGoneMs())});
         else if (auto record = readEndpoint(entry))
             updates.push_back({entry.getId(), std::move(*record)});
     }
     return updates;
 }
 
+void fillEndpointUpdate(wire::EndpointEntry::Builder entry, const EndpointUpdate &update)
+{
+    if (update.record) {
+        fillEndpoint(entry, *update.record);
+        return;
+    }
+    entry.setId(update.id);
+    entry.setGone(true);
+    entry.setBornMs(update.last.bornMs);
+    entry.setRevision(update.last.revision);
+    entry.setStoreEra(update.last.storeEra);
+    entry.setGoneMs(static_cast<std::uint32_t>(update.goneFor.count()));
+}
+
 void fillConfigChange(wire::ConfigChange::Builder target, const ConfigChange &change)
 {
     target.setBase(change.base);
@@ -159,6 +176,8 @@
     entry.setFailureDomain(record.failureDomain);
     entry.setSlots(record.slots);
     entry.setDraining(record.state == EndpointState::Draining);
+    entry.setRevision(record.revision);
+    entry.setStoreEra(record.storeEra);
 }
 
 std::optional<EndpointRecord> readEndpoint(wire::EndpointEntry::Reader entry)
@@ -169,6 +188,8 @@
     record.service = entry.getService();
     record.failureDomain = entry.getFailureDomain();
     record.slots = entry.getSlots();
+    record.revision = entry.getRevision();
+    record.storeEra = entry.getStoreEra();
     record.state = entry.getDraining() ? EndpointState::Draining : EndpointState::Ready;
     const auto address = capture([&] { return parseAddress(std::string(entry.getAddress())); });
     if (!address || record.id.empty())
--- a/src/gateway/meshwire.h
+++ b/src/gateway/meshwire.h
@@ -40,6 +40,8 @@
 void fillConfigChange(wire::ConfigChange::Builder target, const ConfigChange &change);
 ConfigChange readConfigChange(wire::ConfigChange::Reader source);
 
+void fillEndpointUpdate(wire::EndpointEntry::Builder entry, const EndpointUpdate &update);
+
 /// Skips entries that readEndpoint() cannot decode.
 std::vector<EndpointUpdate> readEndpointUpdates(capnp::List<wire::EndpointEntry>::Reader entries);
 
--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -115,6 +115,8 @@
     unsigned slots = 1;
     EndpointState state = EndpointState::Ready;
     Millis slowStartRemaining{0}; ///< Time for which it is still slow after its start.
+    std::uint64_t revision = 0;   ///< Rises with each write of the endpoint.
+    std::uint64_t storeEra = 0;   ///< Era of the store in which the record was read.
 };
 
 /// Sorts the routes of each host by falling length of the prefix, as findRoute() requires. Call
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -73,6 +73,8 @@
     std::string key;
     std::optional<std::string> value; ///< Absent when the key was deleted.
     std::uint64_t offset = 0;
+    /// For a deletion: the last value before it, if it was read together with the deletion.
+    std::optional<std::string> deletedValue = {};
 };
 
 struct StorePage
--- a/src/gateway/storeoutage.cpp
+++ b/src/gateway/storeoutage.cpp
@@ -4,12 +4,20 @@
 
 namespace {
 
-// Records that expired during an outage are restored within 2 s of its end.
+// Records that expired during an outage, or that an older copy lacks, are restored within 2 s of
+// its end.
 constexpr Millis kRecordRestoreTime{2200};
 // After an outage for all daemons, all of them read again within a second. A peer's read earlier
 // than this before our own recovery shows that the store was serving others.
 constexpr Millis kMaxRecoverySpread{1200};
 
+std::optional<TimePoint> restoreTimeAfter(std::optional<TimePoint> event, TimePoint now)
+{
+    if (!event || now >= *event + kRecordRestoreTime)
+        return std::nullopt;
+    return *event + kRecordRestoreTime;
+}
+
 } // namespace
 
 void StoreOutage::noteReadFailed(TimePoint)
@@ -36,11 +44,19 @@
         recoveredAt_ = now;
 }
 
+void StoreOutage::noteNewEra(TimePoint now)
+{
+    newEraAt_ = now;
+}
+
 std::optional<TimePoint> StoreOutage::recordMayReturnUntil(TimePoint now) const
 {
-    if (!recoveredAt_ || now >= *recoveredAt_ + kRecordRestoreTime)
-        return std::nullopt;
-    return *recoveredAt_ + kRecordRestoreTime;
+    return restoreTimeAfter(recoveredAt_, now);
+}
+
+std::optional<TimePoint> StoreOutage::absentRecordMayReturnUntil(TimePoint now) const
+{
+    return restoreTimeAfter(newEraAt_, now);
 }
 
 } // namespace cicadafork::gateway
--- a/src/gateway/topicfollower.cpp
+++ b/src/gateway/topicfollower.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 #include <string>
-#include <unordered_set>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -30,11 +30,17 @@
 /// for a while reads older records too, and their states are no longer true.
 void keepNewest(std::vector<StoreRecord> &records)
 {
-    std::unordered_set<std::string> newer;
+    std::unordered_map<std::string, std::size_t> newer; // Index in `kept` by key.
     std::vector<StoreRecord> kept;
     for (auto record = records.rbegin(); record != records.rend(); ++record) {
-        if (newer.insert(record->key).second)
+        const auto [found, isNewest] = newer.emplace(record->key, kept.size());
+        if (isNewest) {
             kept.push_back(std::move(*record));
+            continue;
+        }
+        StoreRecord &newest = kept[found->second];
+        if (!newest.value && !newest.deletedValue)
+            newest.deletedValue = std::move(record->value);
     }
     std::ranges::reverse(kept);
     records = std::move(kept);
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -340,6 +340,17 @@
                     "the peer just recovered a little earlier");
 }
 
+// Guards against dropping endpoints whose records are newer than the copy from which the store came
+// back, and against keeping endpoints whose records were deleted.
+TEST(StoreOutage, recordsThatAnOlderCopyLacksMayReturn)
+{
+    CHECK_FALSE(outage.absentRecordMayReturnUntil(kStart).has_value());
+    outage.noteNewEra(kStart);
+    CHECK_TRUE(outage.absentRecordMayReturnUntil(kStart + Millis(2000)).has_value());
+    CHECK_FALSE(outage.absentRecordMayReturnUntil(kStart + Millis(2300)).has_value());
+    CHECK_FALSE_TEXT(outage.recordMayReturnUntil(kStart).has_value(), "a deletion is in the log");
+}
+
 namespace {
 
 struct RecordedOrders
@@ -519,6 +530,7 @@
     LONGS_EQUAL(8, delivered[0].offset);
     STRCMP_EQUAL("b", delivered[1].key.c_str());
     CHECK_FALSE(delivered[1].value.has_value());
+    STRCMP_EQUAL_TEXT("ready", delivered[1].deletedValue->c_str(), "what was deleted is known");
 }
 
 TEST(TopicFollower, startsOverWhenUnreadRecordsWereDeleted)
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -13,6 +13,7 @@
 #include <fmt/format.h>
 
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace cicadafork;
@@ -112,12 +113,12 @@
     }
 
     void writeRecord(const EndpointStandin &endpoint, const std::string &service,
-                     const std::string &state)
+                     const std::string &state, unsigned revision = 1)
     {
         store.put("keyed.servers", endpoint.id,
                   fmt::format(R"({{"service":"{}","address":"{}","zone":"east","slots":4,
-                      "state":"{}","seq":1,"born":5}})",
-                              service, toString(endpoint.address), state));
+                      "state":"{}","seq":{},"born":5}})",
+                              service, toString(endpoint.address), state, revision));
     }
 
     void publishConfig()
@@ -296,6 +297,66 @@
                      "an unreadable record removes the endpoint");
 }
 
+// Guards against requests to an endpoint that has left because the store has come back from a copy
+// in which it is ready, and against leaving out an endpoint for good that has written again.
+TEST(GatewayPath, endpointsThatLeftDoNotComeBackWithAnOlderStore)
+{
+    struct Case
+    {
+        const char *name;
+        std::vector<const char *> writes; ///< After the copy; null deletes the record.
+        bool lastHeartbeat = false;       ///< Another one in the copy, read together with these.
+    };
+    const Case cases[] = {{"draining", {"draining"}},
+                          {"removed", {nullptr}},
+                          {"removed right after a heartbeat", {nullptr}, true},
+                          {"draining, then removed", {"draining", nullptr}}};
+    addEndpoint("plain");
+    for (std::size_t i = 0; i < std::size(cases); ++i)
+        addEndpoint("plain");
+    publishConfig();
+    const auto leaving = [this](std::size_t i) -> EndpointStandin & { return *endpoints[i + 1]; };
+    const auto getsRequests = [&](std::size_t i) {
+        const unsigned before = leaving(i).arrivals;
+        return runUntil([&] {
+            LONGS_EQUAL(200, sendRequestAndWait("safe")->status);
+            return leaving(i).arrivals > before;
+        });
+    };
+    for (std::size_t i = 0; i < std::size(cases); ++i)
+        CHECK_TRUE_TEXT(getsRequests(i), cases[i].name);
+    for (std::size_t i = 0; i < std::size(cases); ++i) {
+        if (cases[i].lastHeartbeat)
+            writeRecord(leaving(i), "plain", "ready", 2);
+    }
+    std::this_thread::sleep_for(Millis(2));
+    const TimePoint copied = steadyNow();
+    std::this_thread::sleep_for(Millis(2));
+    for (std::size_t i = 0; i < std::size(cases); ++i) {
+        unsigned revision = 2;
+        for (const char *state : cases[i].writes) {
+            if (state)
+                writeRecord(leaving(i), "plain", state, ++revision);
+            else
+                store.put("keyed.servers", leaving(i).id, std::nullopt);
+        }
+    }
+    runUntil([] { return false; }, kDrainBound);
+    std::vector<unsigned> arrivals;
+    for (std::size_t i = 0; i < std::size(cases); ++i)
+        arrivals.push_back(leaving(i).arrivals);
+    store.restoreCopy(std::chrono::floor<Millis>(steadyNow() - copied));
+    runUntil([] { return false; }, kDrainBound);
+    for (int i = 0; i < 40; ++i)
+        LONGS_EQUAL(200, sendRequestAndWait("safe")->status);
+    for (std::size_t i = 0; i < std::size(cases); ++i)
+        LONGS_EQUAL_TEXT(arrivals[i], leaving(i).arrivals, cases[i].name);
+    for (std::size_t i = 0; i < std::size(cases); ++i)
+        writeRecord(leaving(i), "plain", "ready", 10);
+    for (std::size_t i = 0; i < std::size(cases); ++i)
+        CHECK_TRUE_TEXT(getsRequests(i), cases[i].name);
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
--- a/tests/unit/platformadapter_test.cpp
+++ b/tests/unit/platformadapter_test.cpp
@@ -94,7 +94,9 @@
 // Guards against routing to an endpoint that was read from a malformed record.
 TEST(PlatformRecords, rejectsMalformedEndpointRecords)
 {
-    CHECK_TRUE(static_cast<bool>(capture([] { return readEndpoint("i", kEndpoint); })));
+    const auto record = capture([] { return readEndpoint("i", kEndpoint); });
+    CHECK_TRUE(static_cast<bool>(record));
+    LONGS_EQUAL(4, record->revision);
     const std::pair<std::string, std::string> malformed[]
             = {{"\"ready\"", "\"resting\""},
                {"\"ready\"", "3"},
--- a/tests/unit/storeera_test.cpp
+++ b/tests/unit/storeera_test.cpp
@@ -1,6 +1,8 @@
 // The store comes back from an older copy: its era, decoded and judged.
 
 #include "base/log.h"
+#include "gateway/departedendpoints.h"
+#include "gateway/meshwire.h"
 #include "gateway/storeera.h"
 #include "platform/names.h"
 #include "platform/storeclient.h"
@@ -85,6 +87,96 @@
     CHECK_TRUE(StorePosition({2, 0}) > StorePosition({1, 900}));
 }
 
+namespace {
+
+const TimePoint kStart{std::chrono::seconds(1000)};
+constexpr Millis kLifetime{1000};
+
+EndpointRecord record(std::int64_t bornMs, std::uint64_t era, std::uint64_t revision,
+                      EndpointState state = EndpointState::Ready)
+{
+    EndpointRecord result;
+    result.id = "a";
+    result.bornMs = bornMs;
+    result.storeEra = era;
+    result.revision = revision;
+    result.state = state;
+    return result;
+}
+
+} // namespace
+
+TEST_GROUP(DepartedEndpoints)
+{
+    DepartedEndpoints departed{2, kLifetime};
+};
+
+// Guards against an endpoint that gets requests again because an older copy of the store says that
+// it is ready, and against one that never does though it has written again.
+TEST(DepartedEndpoints, onlyARecordWrittenAfterTheKnownOneBringsAnEndpointBack)
+{
+    struct Case
+    {
+        const char *name;
+        EndpointRecord next;
+        bool outdated;
+    };
+    const EndpointRecord last = record(5, 1, 10, EndpointState::Draining);
+    const Case cases[] = {
+            {"written before, in the older copy", record(5, 2, 9), true},
+            {"the same write, in the older copy", record(5, 2, 10), true},
+            {"two eras later", record(5, 3, 9), true},
+            {"written after", record(5, 2, 11), false},
+            {"another start", record(6, 2, 1), false},
+            {"same era: the log decides", record(5, 1, 9), false},
+    };
+    departed.note("a", {versionOf(last), kStart});
+    for (const Case &row : cases) {
+        CHECK_EQUAL_TEXT(row.outdated, departed.outdates(row.next, kStart), row.name);
+        CHECK_EQUAL_TEXT(row.outdated, undoesDraining(row.next, last), row.name);
+    }
+    CHECK_FALSE(undoesDraining(record(5, 2, 9), record(5, 1, 10)));
+    CHECK_FALSE(undoesDraining(record(5, 2, 9, EndpointState::Draining), last));
+}
+
+// Guards against tables that grow, and against what peers tell making an endpoint's departure
+// look later or its last record older.
+TEST(DepartedEndpoints, areKeptForABoundedTimeAndNumber)
+{
+    departed.note("a", {{5, 10, 1}, kStart});
+    departed.note("a", {{5, 8, 2}, kStart + kLifetime / 2});
+    CHECK_TRUE(departed.outdates(record(5, 2, 10), kStart + kLifetime - Millis(1)));
+    CHECK_FALSE(departed.outdates(record(5, 2, 10), kStart + kLifetime));
+    departed.expire(kStart + kLifetime);
+    CHECK_TRUE(departed.rows().empty());
+    for (const char *id : {"a", "b", "c"})
+        departed.note(id, {{5, 10, 1}, kStart});
+    LONGS_EQUAL(2, departed.rows().size());
+    CHECK_FALSE_TEXT(departed.rows().contains("a"), "the first one is forgotten");
+    departed.forget("b");
+    departed.note("a", {{5, 10, 1}, kStart});
+    CHECK_TRUE(departed.rows().contains("c"));
+}
+
+// Guards against peers that learn of a departure without what they need to tell older records: they
+// may read the older copy themselves.
+TEST(DepartedEndpoints, peersAreToldTheLastRecord)
+{
+    EndpointRecord known = record(5, 1, 10);
+    known.address = {"10.0.0.1", 80};
+    capnp::MallocMessageBuilder message;
+    auto entries = message.initRoot<wire::Datagram>().initEndpointChanges(2);
+    fillEndpointUpdate(entries[0], {"a", known});
+    fillEndpointUpdate(entries[1], {"b", std::nullopt, {6, 11, 2}, Millis(40)});
+    const auto read = readEndpointUpdates(entries.asReader());
+    LONGS_EQUAL(2, read.size());
+    CHECK_TRUE(isOutdated(record(5, 2, 10), versionOf(*read[0].record)));
+    CHECK_FALSE(isOutdated(record(5, 2, 11), versionOf(*read[0].record)));
+    CHECK_TRUE(isOutdated(record(6, 3, 11), read[1].last));
+    CHECK_FALSE(isOutdated(record(6, 2, 11), read[1].last));
+    LONGS_EQUAL(40, read[1].goneFor.count());
+}
+
 TEST_GROUP(StoreDrill)
 {
     asio::io_context context;
