Write the member record again after the store came back older

The record that lists a daemon for others that start later was lost with the copy and never written again (GatewayPath.theMemberRecordIsWrittenAgain... waited 5 s for it in vain). In a new era each daemon writes it again within 3 s, at a random time, and not while it shuts down; a daemon that has lost the store writes it when it reaches the store again, as before. The write is idempotent.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -174,6 +174,7 @@
     std::string sharedState(std::uint64_t knownConfig, std::string_view knownGroups) const;
     void applySharedState(const std::string &bytes, const std::string &peer);
     void registerMember();
+    void registerMemberAfter(Millis delay);
     bool isStoreUnavailable() const;
 
     void onControl(const std::shared_ptr<HttpServerConnection> &caller, const HttpRequest &request);
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -1,6 +1,7 @@
 // How the gateway discovers configuration, endpoints and members through the platform's store, and
 // the handlers of its control port.
 
+#include "base/jitter.h"
 #include "base/log.h"
 #include "gateway/gateway.h"
 #include "gateway/readerrole.h"
@@ -31,6 +32,8 @@
 constexpr Millis kReaderRereadSpread{250};
 // The other daemons learn from the readers, and read again in case all messages of these are lost.
 constexpr Millis kStandbyRereadSpread{60'000};
+// In a new era of the store, all daemons write their member records again within this time.
+constexpr Millis kReregisterSpread{3000};
 
 } // namespace
 
@@ -322,6 +325,10 @@
     endpointFollower_.startOver(spread);
     configFollower_.startOver(spread);
     memberFollower_.startOver(kStandbyRereadSpread);
+    registered_ = false;
+    // While the store is lost, the member registers when it is reached again.
+    if (!storeLost_)
+        registerMemberAfter(randomMillis(Millis(0), kReregisterSpread));
 }
 
 void Gateway::learnStoreEra(const PeerInfo &peer)
@@ -346,14 +353,21 @@
                    registered_ = failure == StoreFailure::None;
                    if (registered_ || draining_ || storeLost_)
                        return;
-                   drainTimer_.expires_after(kRegisterRetry);
-                   drainTimer_.async_wait([this](const asio::error_code &error) {
-                       if (!error)
-                           registerMember();
-                   });
+                   registerMemberAfter(kRegisterRetry);
                });
 }
 
+void Gateway::registerMemberAfter(Millis delay)
+{
+    if (draining_)
+        return;
+    drainTimer_.expires_after(delay);
+    drainTimer_.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            registerMember();
+    });
+}
+
 void Gateway::onPeerChanged(const PeerInfo &peer)
 {
     const bool discovered = peer.alive && !peer.leaving && !peer.returned;
--- a/src/gateway/storeera.h
+++ b/src/gateway/storeera.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <tuple>
 
 namespace cicadafork::gateway {
 
@@ -25,8 +26,12 @@
     std::uint64_t era = 0;
     std::uint64_t offset = 0;
 
+    bool operator==(const StorePosition &) const = default;
     /// A position of a newer era is always greater, even if its offset is lower.
-    auto operator<=>(const StorePosition &) const = default;
+    auto operator<=>(const StorePosition &other) const
+    {
+        return std::tie(era, offset) <=> std::tie(other.era, other.offset);
+    }
 };
 
 enum class EraVerdict {
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -93,6 +93,20 @@
     }
 }
 
+std::optional<std::string> StoreStandin::value(const std::string &topic,
+                                               const std::string &key) const
+{
+    std::optional<std::string> newest;
+    const auto records = topics_.find(topic);
+    if (records == topics_.end())
+        return newest;
+    for (const Record &record : records->second) {
+        if (record.key == key)
+            newest = record.value;
+    }
+    return newest;
+}
+
 void StoreStandin::respond(const std::shared_ptr<HttpServerConnection> &caller, int status,
                            const std::string &body)
 {
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -36,6 +36,8 @@
     /// reads beyond the new end get 410.
     void restoreCopy(Millis age);
     std::uint64_t era() const { return era_; }
+    /// Value of the newest record of a key; nothing if there is none or it was deleted.
+    std::optional<std::string> value(const std::string &topic, const std::string &key) const;
 
     bool refuses = false; ///< Answers every request with 503.
     unsigned calls = 0;
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -357,6 +357,27 @@
         CHECK_TRUE_TEXT(getsRequests(i), cases[i].name);
 }
 
+// Guards against a daemon that others can no longer find because its record was lost, and against a
+// record that a daemon which shuts down writes again.
+TEST(GatewayPath, theMemberRecordIsWrittenAgainAfterTheStoreCameBackOlder)
+{
+    constexpr const char *kMembersTopic = "keyed.gateways";
+    const auto isListed = [&] { return store.value(kMembersTopic, settings.member).has_value(); };
+    const TimePoint started = steadyNow();
+    publishConfig();
+    CHECK_TRUE(runUntil(isListed));
+    const auto loseAll
+            = [&] { store.restoreCopy(std::chrono::ceil<Millis>(steadyNow() - started)); };
+    loseAll();
+    CHECK_FALSE(isListed());
+    CHECK_TRUE(runUntil(isListed));
+    gateway->shutDown([] {});
+    CHECK_TRUE(runUntil([&] { return !isListed(); }));
+    store.restoreCopy(Millis(0));
+    runUntil([] { return false; }, Millis(2500));
+    CHECK_FALSE(isListed());
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
