Accept a peer's changes while it waits for missing records

While a reader keeps endpoints whose records are missing, it announced no position, so that peers dropped all changes that it sent: for 2.2 s after an outage or a new era no daemon but the readers learnt that an endpoint drains, and the bound is 2 s (GatewayPeers.changesReachAllWhileRecordsAreMissing failed at it). The position is now always told, with a flag that what the peer knows is incomplete: its changes count, its state is not pulled.

GatewayPeers.theVersionOfAnOlderCopyIsNotTakenOver adds a test for what held already.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -90,8 +90,13 @@
     , mesh_(context, meshOptions(settings_, incarnation_), loadTracker_,
             {.status =
                      [this] {
-                         return MeshStatus{configs_.newest(), sharedPosition(), endpoints_.digest(),
-                                           storeEra_.known(), draining_,        storeLost_};
+                         return MeshStatus{.configVersion = configs_.newest(),
+                                           .endpointsPosition = endpointsPosition(),
+                                           .endpointsDigest = endpoints_.digest(),
+                                           .endpointsIncomplete = !unconfirmedEndpoints_.empty(),
+                                           .storeEra = storeEra_.known(),
+                                           .leaving = draining_,
+                                           .storeLost = storeLost_};
                      },
              .loadChanged = [this] { scheduleDispatch(); },
              .peerChanged = [this](const PeerInfo &peer) { onPeerChanged(peer); },
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -164,7 +164,7 @@
     /// on to the others.
     void updateReaderRole();
     StorePosition endpointsPosition() const;
-    /// Position announced to peers: zero while some endpoints are unconfirmed.
+    /// Position of the state that peers may pull: zero while some endpoints are unconfirmed.
     StorePosition sharedPosition() const;
     /// The store has come back from an older copy.
     void onNewStoreEra(std::uint64_t before, const char *source);
--- a/src/gateway/gatewaypeersync.cpp
+++ b/src/gateway/gatewaypeersync.cpp
@@ -88,7 +88,7 @@
     // More datagrams with the same position may follow, so this one does not complete it; the
     // digest shows whether one was lost.
     const StorePosition told = peer.endpointsPosition;
-    if (told.offset > 0)
+    if (told.offset > 0 && !peer.endpointsIncomplete)
         positionFromPeers_ = std::max(positionFromPeers_, {told.era, told.offset - 1});
 }
 
@@ -135,12 +135,13 @@
     isolated_ = false;
     const TimePoint now = steadyNow();
     learnStoreEra(peer);
-    if (peer.endpointsPosition > newestPeerPosition_) {
+    if (!peer.endpointsIncomplete && peer.endpointsPosition > newestPeerPosition_) {
         newestPeerPosition_ = peer.endpointsPosition;
         storeOutage_.notePeerRead(now);
     }
     const bool newerConfig = peer.configVersion > configs_.newest();
-    const bool otherEndpoints = peer.endpointsPosition > endpointsPosition()
+    const bool otherEndpoints = !peer.endpointsIncomplete
+                                && peer.endpointsPosition > endpointsPosition()
                                 && peer.endpointsDigest != endpoints_.digest();
     const bool readsItself = isPrimaryReader_ && endpointsKnown_ && !isStoreUnavailable();
     if ((!newerConfig && (!otherEndpoints || readsItself)) || isBootstrapping(now))
--- a/src/gateway/mesh.capnp
+++ b/src/gateway/mesh.capnp
@@ -106,6 +106,9 @@
   # The era of endpointsPosition, and the newest era of the platform's store that the sender knows.
   endpointsEra @19 :UInt64;
   storeEra @20 :UInt64;
+  # The sender keeps endpoints whose records are missing, so what it knows is not the state of the
+  # store at endpointsPosition. The changes that it sends are.
+  endpointsIncomplete @21 :Bool;
 }
 
 # The answer to a daemon that pulls missing state from a peer.
--- a/src/gateway/mesh.capnp.h
+++ b/src/gateway/mesh.capnp.h
@@ -1028,6 +1028,8 @@
 
     inline ::uint64_t getStoreEra() const;
 
+    inline bool getEndpointsIncomplete() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1198,6 +1200,9 @@
     inline ::uint64_t getStoreEra();
     inline void setStoreEra(::uint64_t value);
 
+    inline bool getEndpointsIncomplete();
+    inline void setEndpointsIncomplete(bool value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -2769,6 +2774,20 @@
     _builder.setDataField<::uint64_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Datagram::Reader::getEndpointsIncomplete() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<259>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Builder::getEndpointsIncomplete()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<259>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setEndpointsIncomplete(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<259>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::uint64_t SharedState::Reader::getConfigVersion() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -468,6 +468,7 @@
         lastHeard_ = now;
         info->configVersion = std::max(info->configVersion, root.getConfigVersion());
         info->endpointsPosition = {root.getEndpointsEra(), root.getEndpointsPosition()};
+        info->endpointsIncomplete = root.getEndpointsIncomplete();
         info->storeEra = root.getStoreEra();
         info->endpointsDigest = root.getEndpointsDigest();
         const bool changed = !info->alive || info->leaving != root.getLeaving()
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -66,6 +66,8 @@
     std::uint64_t configVersion = 0;
     StorePosition endpointsPosition;
     std::uint64_t endpointsDigest = 0;
+    /// What the peer knows is not the state of the store at that position, but its changes are.
+    bool endpointsIncomplete = false;
     std::uint64_t storeEra = 0; ///< The newest that the peer knows.
     TimePoint lastHeard{};
     bool heard = false;
@@ -81,6 +83,7 @@
     std::uint64_t configVersion = 0;
     StorePosition endpointsPosition;
     std::uint64_t endpointsDigest = 0;
+    bool endpointsIncomplete = false;
     std::uint64_t storeEra = 0;
     bool leaving = false;
     bool storeLost = false;
--- a/src/gateway/meshwire.cpp
+++ b/src/gateway/meshwire.cpp
@@ -60,6 +60,7 @@
     root.setConfigVersion(status.configVersion);
     root.setEndpointsPosition(status.endpointsPosition.offset);
     root.setEndpointsEra(status.endpointsPosition.era);
+    root.setEndpointsIncomplete(status.endpointsIncomplete);
     root.setStoreEra(status.storeEra);
     root.setEndpointsDigest(status.endpointsDigest);
     root.setLeaving(status.leaving);
--- a/tests/unit/gatewaypeers_test.cpp
+++ b/tests/unit/gatewaypeers_test.cpp
@@ -82,6 +82,7 @@
     Address storeAddress = addresses.next();
     StoreStandin store{context, storeAddress};
     std::vector<std::unique_ptr<Daemon>> daemons;
+    GatewaySettings lastSettings; ///< Of the daemon that was started last.
 
     void setup() override
     {
@@ -126,6 +127,7 @@
             settings.seeds = {ips.front()};
             settings.retries = {0.2, 1000, Millis(10'000)};
             daemons.push_back(std::make_unique<Daemon>(context, settings));
+            lastSettings = settings;
         }
         CHECK_TRUE_TEXT(runUntil([&] { return allHaveConfig(1) && connectedDaemons() == count; }),
                         "all gateways have the configuration and have heard each other");
@@ -282,6 +284,52 @@
     CHECK_TRUE(runUntil([&] { return allHaveConfig(6); }, kConfigInForce));
 }
 
+// Guards against changes that do not reach the other daemons in time because the readers wait for
+// records that the older copy lacks, and against endpoints that are dropped meanwhile.
+TEST(GatewayPeers, changesReachAllWhileRecordsAreMissing)
+{
+    constexpr unsigned kEndpoints = 20;
+    for (unsigned i = 0; i < kEndpoints; ++i)
+        putEndpoint(i);
+    start(5);
+    const TimePoint copied = steadyNow();
+    putEndpoint(kEndpoints);
+    CHECK_TRUE(runUntil([&] { return allKnow(kEndpoints + 1, 0); }, kConfigInForce));
+    store.restoreCopy(std::chrono::ceil<Millis>(steadyNow() - copied));
+    putEndpoint(7, 100, "draining");
+    CHECK_TRUE(runUntil([&] { return allKnow(kEndpoints + 1, 1); }, kConfigInForce));
+    putEndpoint(kEndpoints, 2);
+    serveFor(Millis(2200) + kConfigInForce);
+    CHECK_TRUE_TEXT(allKnow(kEndpoints + 1, 1), "the record was restored in time");
+}
+
+// Guards against a version that goes back at some daemons because the copy has an older one, and
+// against a starting daemon that stays on it.
+TEST(GatewayPeers, theVersionOfAnOlderCopyIsNotTakenOver)
+{
+    start(4);
+    std::unique_ptr<Daemon> late = std::move(daemons.back());
+    daemons.pop_back();
+    const GatewaySettings settings = lastSettings;
+    late.reset();
+    const TimePoint copied = steadyNow();
+    store.put(kConfigTopic, "config", configText(7, 200));
+    CHECK_TRUE(runUntil([&] { return allHaveConfig(7); }, kConfigInForce));
+    store.restoreCopy(std::chrono::ceil<Millis>(steadyNow() - copied));
+    const auto wentBack = [&] {
+        return std::ranges::any_of(daemons,
+                                   [](const auto &daemon) { return daemon->configVersion() != 7; });
+    };
+    CHECK_FALSE(runUntil(wentBack, Millis(1000)));
+    daemons.push_back(std::make_unique<Daemon>(context, settings));
+    CHECK_TRUE(runUntil([&] { return allHaveConfig(7); }, kConfigInForce));
+    // The operator writes again, first what it had written before the copy was made.
+    store.put(kConfigTopic, "config", configText(6, 150));
+    store.put(kConfigTopic, "config", configText(7, 200));
+    store.put(kConfigTopic, "config", configText(8, 201));
+    CHECK_TRUE(runUntil([&] { return allHaveConfig(8); }, kConfigInForce));
+}
+
 // Guards against a fleet that reads everything again at once, and against standbys that wait for a
 // read of their own.
 TEST(GatewayPeers, aNewEraCostsFewCallsAndReachesTheStandbys)
