--- a/src/gateway/departedendpoints.cpp
+++ b/src/gateway/departedendpoints.cpp
@@ -9,10 +9,15 @@
     return {record.bornMs, record.revision, record.storeEra};
 }
 
+bool wasWrittenAfter(const EndpointRecord &record, const EndpointVersion &known)
+{
+    return record.bornMs == known.bornMs && record.revision > known.revision;
+}
+
 bool isOutdated(const EndpointRecord &record, const EndpointVersion &known)
 {
     return record.bornMs == known.bornMs && record.storeEra > known.storeEra
-           && record.revision <= known.revision;
+           && !wasWrittenAfter(record, known);
 }
 
 bool undoesDraining(const EndpointRecord &record, const EndpointRecord &known)
--- a/src/gateway/departedendpoints.h
+++ b/src/gateway/departedendpoints.h
@@ -30,6 +30,9 @@
 
 EndpointVersion versionOf(const EndpointRecord &record);
 
+/// True if the same start of the endpoint wrote the record after the known one.
+bool wasWrittenAfter(const EndpointRecord &record, const EndpointVersion &known);
+
 /// True if the record comes from an older copy of the store: it was read in a later era than that
 /// of the known version, but was not written after it.
 bool isOutdated(const EndpointRecord &record, const EndpointVersion &known);
--- a/src/gateway/gatewaypeersync.cpp
+++ b/src/gateway/gatewaypeersync.cpp
@@ -282,8 +282,10 @@
         std::set<std::string> listed;
         for (const EndpointUpdate &entry : readEndpointUpdates(root.getEndpoints())) {
             if (!entry.record) {
-                removeEndpoint(entry.id, "left, as a peer that reads the store knows", entry.last,
-                               entry.goneFor);
+                const EndpointRow *row = endpoints_.findById(entry.id);
+                if (!row || !wasWrittenAfter(row->record, entry.last))
+                    removeEndpoint(entry.id, "left, as a peer that reads the store knows",
+                                   entry.last, entry.goneFor);
                 continue;
             }
             listed.insert(entry.id);
--- a/src/gateway/topicfollower.cpp
+++ b/src/gateway/topicfollower.cpp
@@ -86,6 +86,8 @@
 
 void TopicFollower::startOver(Millis limit)
 {
+    if (!alive_) // Stopped.
+        return;
     const TimePoint now = steadyNow();
     const TimePoint due = timer_.expiry();
     const bool waiting = !paused_ && !calling_ && bootstrapped_ && due > now;
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -635,6 +635,10 @@
     LONGS_EQUAL(3, store.newest.size());
     store.newest[2](StoreFailure::None, {{{"a", "1", 0}}, 4, false, 2});
     STRCMP_EQUAL("snapshot 1", seen.back().c_str());
+    follower.stop();
+    follower.startOver(Millis(0));
+    turn();
+    LONGS_EQUAL_TEXT(3, store.newest.size(), "a stopped follower stays stopped");
 }
 
 // Guards against a new era that puts off the reads of standbys, or makes all of them read at once.
