--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,6 +19,8 @@
 // Enough for 600 endpoints with 32 requests each.
 constexpr std::size_t kMaxJobs = 32'768;
 constexpr std::size_t kMaxEndpoints = 4096;
+// Many times the age of a copy from which the store may come back.
+constexpr Millis kDepartedLifetime{120'000};
 // Concurrent requests of one daemon; each holds a body of up to a few hundred kB.
 constexpr std::size_t kMaxExchanges = 2048;
 // Added to the time for which a store call itself may wait for records.
@@ -79,7 +81,8 @@
     , settings_(std::move(settings))
     , protocol_(protocol)
     , layout_(std::move(layout))
-    , store_(std::move(store))
+    , store_(checkEra(std::move(store), storeEra_,
+                      [this](std::uint64_t before) { onNewStoreEra(before, kFromStore); }))
     , orders_(observed(std::move(orders)))
     , pool_(pool)
     , incarnation_(randomNumber())
@@ -90,8 +93,13 @@
     , mesh_(context, meshOptions(settings_, incarnation_), loadTracker_,
             {.status =
                      [this] {
-                         return MeshStatus{configs_.newest(), sharedPosition(), endpoints_.digest(),
-                                           draining_, storeLost_};
+                         return MeshStatus{.configVersion = configs_.newest(),
+                                           .endpointsPosition = endpointsPosition(),
+                                           .endpointsDigest = endpoints_.digest(),
+                                           .endpointsIncomplete = !unconfirmedEndpoints_.empty(),
+                                           .storeEra = storeEra_.known(),
+                                           .leaving = draining_,
+                                           .storeLost = storeLost_};
                      },
              .loadChanged = [this] { scheduleDispatch(); },
              .peerChanged = [this](const PeerInfo &peer) { onPeerChanged(peer); },
@@ -128,6 +136,7 @@
                        .callTimeout = kStoreCallTimeout},
                       {[this](auto records) { onMemberRecords(records); },
                        [this](auto records) { onMemberRecords(records); }, [](bool) {}})
+    , departed_(kMaxEndpoints, kDepartedLifetime)
     , unconfirmedTimer_(context)
     , roleTimer_(context)
     , callers_(context,
@@ -425,7 +434,8 @@
     drainStartedAt_ = steadyNow();
     onDrained_ = std::move(done);
     callers_.beginDrain();
-    store_.put(layout_.membersTopic, settings_.member, {}, kStoreCallTimeout, [](StoreFailure) {});
+    store_.put(layout_.membersTopic, settings_.member, {}, kStoreCallTimeout,
+               [](StoreFailure, std::optional<std::uint64_t>) {});
     mesh_.sendStatus();
     checkDrain();
 }
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -40,6 +40,8 @@
     , quietEndpoints(metrics.counter("cicadafork_gateway_endpoint_quiet_total",
                                      "Refusals with which an endpoint asked for some time without "
                                      "requests"))
+    , storeEras(metrics.counter("cicadafork_gateway_store_eras_total",
+                                "Times that the store came back from an older copy"))
     , metrics_(metrics)
 {
 }
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -32,6 +32,7 @@
     prometheus::Counter &silences;
     prometheus::Counter &cancelled;
     prometheus::Counter &quietEndpoints;
+    prometheus::Counter &storeEras;
 
 private:
     Metrics &metrics_;
--- a/src/gateway/gatewaypeersync.cpp
+++ b/src/gateway/gatewaypeersync.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr const char *kFromPeer = "peer";
 constexpr std::string_view kPullPath = "/v1/shared?";
 constexpr std::string_view kConfigParameter = "config=";
 constexpr std::string_view kGroupsParameter = "groups=";
@@ -75,18 +74,22 @@
 
 void Gateway::onEndpointUpdates(const PeerInfo &peer, const std::vector<EndpointUpdate> &updates)
 {
+    learnStoreEra(peer);
     if (peer.endpointsPosition <= endpointsPosition())
         return;
     for (const EndpointUpdate &item : updates) {
         if (item.record)
-            noteEndpointChange(item.id, endpoints_.update(*item.record, steadyNow()), kFromPeer);
+            updateEndpoint(*item.record, kFromPeer);
         else
-            removeEndpoint(item.id, "reported as removed by a peer that reads the store");
+            removeEndpoint(item.id, "reported as removed by a peer that reads the store", item.last,
+                           item.goneFor);
     }
     pendingUpdates_.clear();
     // More datagrams with the same position may follow, so this one does not complete it; the
     // digest shows whether one was lost.
-    positionFromPeers_ = std::max(positionFromPeers_, peer.endpointsPosition - 1);
+    const StorePosition told = peer.endpointsPosition;
+    if (told.offset > 0 && !peer.endpointsIncomplete)
+        positionFromPeers_ = std::max(positionFromPeers_, {told.era, told.offset - 1});
 }
 
 void Gateway::onLeavingEndpoints(const std::vector<EndpointKey> &endpoints)
@@ -137,12 +140,14 @@
 {
     isolated_ = false;
     const TimePoint now = steadyNow();
-    if (peer.endpointsPosition > newestPeerPosition_) {
+    learnStoreEra(peer);
+    if (!peer.endpointsIncomplete && peer.endpointsPosition > newestPeerPosition_) {
         newestPeerPosition_ = peer.endpointsPosition;
         storeOutage_.notePeerRead(now);
     }
     const bool newerConfig = peer.configVersion > configs_.newest();
-    const bool otherEndpoints = peer.endpointsPosition > endpointsPosition()
+    const bool otherEndpoints = !peer.endpointsIncomplete
+                                && peer.endpointsPosition > endpointsPosition()
                                 && peer.endpointsDigest != endpoints_.digest();
     const bool readsItself = isPrimaryReader_ && endpointsKnown_ && !isStoreUnavailable();
     if ((!newerConfig && (!otherEndpoints || readsItself)) || isBootstrapping(now))
@@ -229,21 +234,32 @@
         else
             root.setConfigText(configs_.newestText());
     }
-    root.setEndpointsPosition(sharedPosition());
+    const StorePosition position = sharedPosition();
+    root.setEndpointsPosition(position.offset);
+    root.setEndpointsEra(position.era);
     const std::set<std::uint8_t> groups = differingGroups(knownGroups, endpoints_.groupDigests());
     auto groupList = root.initEndpointGroups(static_cast<unsigned>(groups.size()));
     unsigned index = 0;
     for (const std::uint8_t group : groups)
         groupList.set(index++, group);
-    std::vector<const EndpointRecord *> records;
+    std::vector<EndpointUpdate> entries;
+    const auto wanted = [&](const std::string &id) {
+        return groups.contains(static_cast<std::uint8_t>(endpointGroup(id)));
+    };
     for (const auto &[id, row] : endpoints_.rows()) {
-        if (groups.contains(static_cast<std::uint8_t>(endpointGroup(id))))
-            records.push_back(&row.record);
+        if (wanted(id))
+            entries.push_back({id, row.record});
+    }
+    const TimePoint now = steadyNow();
+    for (const auto &[id, departure] : departed_.rows()) {
+        if (wanted(id))
+            entries.push_back({id, std::nullopt, departure.last,
+                               std::chrono::duration_cast<Millis>(now - departure.at)});
     }
-    auto list = root.initEndpoints(static_cast<unsigned>(records.size()));
+    auto list = root.initEndpoints(static_cast<unsigned>(entries.size()));
     index = 0;
-    for (const EndpointRecord *record : records)
-        fillEndpoint(list[index++], *record);
+    for (const EndpointUpdate &entry : entries)
+        fillEndpointUpdate(list[index++], entry);
     const auto words = capnp::messageToFlatArray(message);
     const auto bytes = words.asBytes();
     return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
@@ -266,30 +282,38 @@
                 applyConfig(root.getConfigText(), kFromPeer);
         }
         const bool readsItself = isPrimaryReader_ && endpointsKnown_ && !isStoreUnavailable();
-        if (root.getEndpointsPosition() <= endpointsPosition() || readsItself)
+        const StorePosition position{root.getEndpointsEra(), root.getEndpointsPosition()};
+        if (position <= endpointsPosition() || readsItself)
             return;
         std::set<std::string> listed;
-        for (const auto entry : root.getEndpoints()) {
-            const auto record = readEndpoint(entry);
-            if (!record)
+        for (const EndpointUpdate &entry : readEndpointUpdates(root.getEndpoints())) {
+            if (!entry.record) {
+                const EndpointRow *row = endpoints_.findById(entry.id);
+                if (!row || !wasWrittenAfter(row->record, entry.last))
+                    removeEndpoint(entry.id, "left, as a peer that reads the store knows",
+                                   entry.last, entry.goneFor);
                 continue;
-            listed.insert(record->id);
-            noteEndpointChange(record->id, endpoints_.update(*record, steadyNow()), kFromPeer);
+            }
+            listed.insert(entry.id);
+            updateEndpoint(*entry.record, kFromPeer);
         }
         std::set<std::size_t> groups;
         for (const std::uint8_t group : root.getEndpointGroups())
             groups.insert(group);
+        // A peer that has started in the new era knows only what the older copy has.
+        const auto mayReturnUntil = storeOutage_.absentRecordMayReturnUntil(steadyNow());
         for (const std::string &id : endpoints_.ids()) {
             if (groups.contains(endpointGroup(id)) && !listed.contains(id))
-                removeEndpoint(id, "missing at a peer that reads the store");
+                onEndpointMissing(id, {.storeEra = position.era}, mayReturnUntil);
         }
         pendingUpdates_.clear();
-        positionFromPeers_ = root.getEndpointsPosition();
+        positionFromPeers_ = position;
         endpointsKnown_ = true;
         behindSince_ = {};
         logEvent(LogLevel::Info, "endpoints_from_peer",
                  {{"peer", peer},
-                  {"position", std::to_string(positionFromPeers_)},
+                  {"era", std::to_string(position.era)},
+                  {"position", std::to_string(position.offset)},
                   {"count", std::to_string(listed.size())}});
     } catch (const kj::Exception &error) {
         logEvent(LogLevel::Warning, "peer_state_unreadable",
--- a/src/gateway/mesh.capnp
+++ b/src/gateway/mesh.capnp
@@ -38,8 +38,14 @@
   failureDomain @4 :Text;
   slots @5 :UInt32;
   draining @6 :Bool;
-  # The endpoint was removed; fields other than id may be empty.
+  # The endpoint was removed; only id, bornMs, revision, storeEra and goneMs are set.
   gone @7 :Bool;
+  # Rises with each write of the endpoint.
+  revision @8 :UInt64;
+  # Era of the platform's store in which this was read.
+  storeEra @9 :UInt64;
+  # Time since it was removed.
+  goneMs @10 :UInt32;
 }
 
 # Load of an endpoint of the sender's failure domain, as the sender knows it.
@@ -97,8 +103,14 @@
   configChange @17 :ConfigChange;
   # Sent to other failure domains of a large fleet, which do not hear of each job.
   loads @18 :List(EndpointLoad);
+  # The era of endpointsPosition, and the newest era of the platform's store that the sender knows.
+  endpointsEra @19 :UInt64;
+  storeEra @20 :UInt64;
+  # The sender keeps endpoints whose records are missing, so what it knows is not the state of the
+  # store at endpointsPosition. The changes that it sends are.
+  endpointsIncomplete @21 :Bool;
   # Keys of endpoints that have said that they leave. They are hashes of the id and the incarnation.
-  leavingEndpoints @19 :List(UInt64);
+  leavingEndpoints @22 :List(UInt64);
 }
 
 # The answer to a daemon that pulls missing state from a peer.
@@ -107,8 +119,9 @@
   # The record as the platform stores it; empty when configChange is set or nothing is newer.
   configText @1 :Text;
   endpointsPosition @2 :UInt64;
-  # All endpoints of the groups in endpointGroups.
+  # All endpoints of the groups in endpointGroups, and those of them that have left lately.
   endpoints @3 :List(EndpointEntry);
   endpointGroups @4 :List(UInt8);
   configChange @5 :ConfigChange;
+  endpointsEra @6 :UInt64;
 }
--- a/src/gateway/mesh.capnp.h
+++ b/src/gateway/mesh.capnp.h
@@ -101,7 +101,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(a3865a6a59334413, 2, 4)
+        CAPNP_DECLARE_STRUCT_HEADER(a3865a6a59334413, 5, 4)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -161,7 +161,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 6, 11)
+        CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 8, 11)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -181,7 +181,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(fbecd8eb93bed63a, 2, 4)
+        CAPNP_DECLARE_STRUCT_HEADER(fbecd8eb93bed63a, 3, 4)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -586,6 +586,12 @@
 
     inline bool getGone() const;
 
+    inline ::uint64_t getRevision() const;
+
+    inline ::uint64_t getStoreEra() const;
+
+    inline ::uint32_t getGoneMs() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -661,6 +667,15 @@
     inline bool getGone();
     inline void setGone(bool value);
 
+    inline ::uint64_t getRevision();
+    inline void setRevision(::uint64_t value);
+
+    inline ::uint64_t getStoreEra();
+    inline void setStoreEra(::uint64_t value);
+
+    inline ::uint32_t getGoneMs();
+    inline void setGoneMs(::uint32_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1009,6 +1024,12 @@
     inline ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>::Reader
     getLoads() const;
 
+    inline ::uint64_t getEndpointsEra() const;
+
+    inline ::uint64_t getStoreEra() const;
+
+    inline bool getEndpointsIncomplete() const;
+
     inline bool hasLeavingEndpoints() const;
     inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getLeavingEndpoints() const;
 
@@ -1176,6 +1197,15 @@
             ::capnp::List<::cicadafork::gateway::wire::EndpointLoad, ::capnp::Kind::STRUCT>>
     disownLoads();
 
+    inline ::uint64_t getEndpointsEra();
+    inline void setEndpointsEra(::uint64_t value);
+
+    inline ::uint64_t getStoreEra();
+    inline void setStoreEra(::uint64_t value);
+
+    inline bool getEndpointsIncomplete();
+    inline void setEndpointsIncomplete(bool value);
+
     inline bool hasLeavingEndpoints();
     inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder getLeavingEndpoints();
     inline void
@@ -1259,6 +1289,8 @@
     inline bool hasConfigChange() const;
     inline ::cicadafork::gateway::wire::ConfigChange::Reader getConfigChange() const;
 
+    inline ::uint64_t getEndpointsEra() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1340,6 +1372,9 @@
     adoptConfigChange(::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> &&value);
     inline ::capnp::Orphan<::cicadafork::gateway::wire::ConfigChange> disownConfigChange();
 
+    inline ::uint64_t getEndpointsEra();
+    inline void setEndpointsEra(::uint64_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1873,6 +1908,48 @@
     _builder.setDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint64_t EndpointEntry::Reader::getRevision() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t EndpointEntry::Builder::getRevision()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EndpointEntry::Builder::setRevision(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t EndpointEntry::Reader::getStoreEra() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t EndpointEntry::Builder::getStoreEra()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void EndpointEntry::Builder::setStoreEra(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t EndpointEntry::Reader::getGoneMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t EndpointEntry::Builder::getGoneMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void EndpointEntry::Builder::setGoneMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::uint64_t EndpointLoad::Reader::getEndpoint() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2684,6 +2761,48 @@
             disown(_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline ::uint64_t Datagram::Reader::getEndpointsEra() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t Datagram::Builder::getEndpointsEra()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setEndpointsEra(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t Datagram::Reader::getStoreEra() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t Datagram::Builder::getStoreEra()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setStoreEra(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Reader::getEndpointsIncomplete() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<259>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Builder::getEndpointsIncomplete()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<259>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setEndpointsIncomplete(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<259>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Datagram::Reader::hasLeavingEndpoints() const
 {
     return !_reader.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
@@ -2955,6 +3074,20 @@
             _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline ::uint64_t SharedState::Reader::getEndpointsEra() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t SharedState::Builder::getEndpointsEra()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SharedState::Builder::setEndpointsEra(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 } // namespace wire
 } // namespace gateway
 } // namespace cicadafork
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -244,11 +244,7 @@
             auto list = root.initEndpointChanges(static_cast<unsigned>(count));
             for (std::size_t i = 0; i < count; ++i) {
                 const EndpointUpdate &item = updates[next + i];
-                auto entry = list[static_cast<unsigned>(i)];
-                entry.setId(item.id);
-                entry.setGone(!item.record);
-                if (item.record)
-                    fillEndpoint(entry, *item.record);
+                fillEndpointUpdate(list[static_cast<unsigned>(i)], item);
             }
         });
     }
@@ -501,7 +497,9 @@
         info->lastHeard = now;
         lastHeard_ = now;
         info->configVersion = std::max(info->configVersion, root.getConfigVersion());
-        info->endpointsPosition = root.getEndpointsPosition();
+        info->endpointsPosition = {root.getEndpointsEra(), root.getEndpointsPosition()};
+        info->endpointsIncomplete = root.getEndpointsIncomplete();
+        info->storeEra = root.getStoreEra();
         info->endpointsDigest = root.getEndpointsDigest();
         const bool changed = !info->alive || info->leaving != root.getLeaving()
                              || info->storeLost != root.getStoreLost();
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -14,7 +14,9 @@
 // platform's store (addPeer()) and through each other's heartbeats.
 
 #include "gateway/confighistory.h"
+#include "gateway/departedendpoints.h"
 #include "gateway/loadtracker.h"
+#include "gateway/storeera.h"
 #include "http/address.h"
 
 #include <asio/io_context.hpp>
@@ -62,8 +64,11 @@
     std::string failureDomain;
     std::uint64_t incarnation = 0;
     std::uint64_t configVersion = 0;
-    std::uint64_t endpointsPosition = 0;
+    StorePosition endpointsPosition;
     std::uint64_t endpointsDigest = 0;
+    /// What the peer knows is not the state of the store at that position, but its changes are.
+    bool endpointsIncomplete = false;
+    std::uint64_t storeEra = 0; ///< The newest that the peer knows.
     TimePoint lastHeard{};
     bool heard = false;
     bool returned = false; ///< Had failed before it was last heard.
@@ -76,8 +81,10 @@
 struct MeshStatus
 {
     std::uint64_t configVersion = 0;
-    std::uint64_t endpointsPosition = 0;
+    StorePosition endpointsPosition;
     std::uint64_t endpointsDigest = 0;
+    bool endpointsIncomplete = false;
+    std::uint64_t storeEra = 0;
     bool leaving = false;
     bool storeLost = false;
 };
@@ -94,6 +101,8 @@
 {
     std::string id;
     std::optional<EndpointRecord> record;
+    EndpointVersion last = {}; ///< The last record of a removed endpoint.
+    Millis goneFor{0};         ///< Time since it was removed.
 };
 
 struct MeshHooks
--- a/src/gateway/meshwire.cpp
+++ b/src/gateway/meshwire.cpp
@@ -58,7 +58,10 @@
     root.setIp(options.ip);
     root.setIncarnation(options.incarnation);
     root.setConfigVersion(status.configVersion);
-    root.setEndpointsPosition(status.endpointsPosition);
+    root.setEndpointsPosition(status.endpointsPosition.offset);
+    root.setEndpointsEra(status.endpointsPosition.era);
+    root.setEndpointsIncomplete(status.endpointsIncomplete);
+    root.setStoreEra(status.storeEra);
     root.setEndpointsDigest(status.endpointsDigest);
     root.setLeaving(status.leaving);
     root.setStoreLost(status.storeLost);
@@ -125,13 +128,30 @@
     std::vector<EndpointUpdate> updates;
     for (const auto entry : entries) {
         if (entry.getGone())
-            updates.push_back({entry.getId(), std::nullopt});
+            updates.push_back({entry.getId(),
+                               std::nullopt,
+                               {entry.getBornMs(), entry.getRevision(), entry.getStoreEra()},
+                               Millis(entry.getGoneMs())});
         else if (auto record = readEndpoint(entry))
             updates.push_back({entry.getId(), std::move(*record)});
     }
     return updates;
 }
 
+void fillEndpointUpdate(wire::EndpointEntry::Builder entry, const EndpointUpdate &update)
+{
+    if (update.record) {
+        fillEndpoint(entry, *update.record);
+        return;
+    }
+    entry.setId(update.id);
+    entry.setGone(true);
+    entry.setBornMs(update.last.bornMs);
+    entry.setRevision(update.last.revision);
+    entry.setStoreEra(update.last.storeEra);
+    entry.setGoneMs(static_cast<std::uint32_t>(update.goneFor.count()));
+}
+
 void fillConfigChange(wire::ConfigChange::Builder target, const ConfigChange &change)
 {
     target.setBase(change.base);
@@ -157,6 +177,8 @@
     entry.setFailureDomain(record.failureDomain);
     entry.setSlots(record.slots);
     entry.setDraining(record.state == EndpointState::Draining);
+    entry.setRevision(record.revision);
+    entry.setStoreEra(record.storeEra);
 }
 
 std::optional<EndpointRecord> readEndpoint(wire::EndpointEntry::Reader entry)
@@ -167,6 +189,8 @@
     record.service = entry.getService();
     record.failureDomain = entry.getFailureDomain();
     record.slots = entry.getSlots();
+    record.revision = entry.getRevision();
+    record.storeEra = entry.getStoreEra();
     record.state = entry.getDraining() ? EndpointState::Draining : EndpointState::Ready;
     const auto address = capture([&] { return parseAddress(std::string(entry.getAddress())); });
     if (!address || record.id.empty())
--- a/src/gateway/topicfollower.cpp
+++ b/src/gateway/topicfollower.cpp
@@ -1,10 +1,11 @@
 #include "gateway/topicfollower.h"
 
 #include "base/jitter.h"
+#include "base/log.h"
 
 #include <algorithm>
 #include <string>
-#include <unordered_set>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -29,11 +30,17 @@
 /// for a while reads older records too, and their states are no longer true.
 void keepNewest(std::vector<StoreRecord> &records)
 {
-    std::unordered_set<std::string> newer;
+    std::unordered_map<std::string, std::size_t> newer; // Index in `kept` by key.
     std::vector<StoreRecord> kept;
     for (auto record = records.rbegin(); record != records.rend(); ++record) {
-        if (newer.insert(record->key).second)
+        const auto [found, isNewest] = newer.emplace(record->key, kept.size());
+        if (isNewest) {
             kept.push_back(std::move(*record));
+            continue;
+        }
+        StoreRecord &newest = kept[found->second];
+        if (!newest.value && !newest.deletedValue)
+            newest.deletedValue = std::move(record->value);
     }
     std::ranges::reverse(kept);
     records = std::move(kept);
@@ -92,6 +99,28 @@
     after(delay, &TopicFollower::continueReading);
 }
 
+void TopicFollower::startOver(Millis limit)
+{
+    if (!alive_) // Stopped.
+        return;
+    const TimePoint now = steadyNow();
+    const TimePoint due = timer_.expiry();
+    const bool waiting = !paused_ && !calling_ && bootstrapped_ && due > now;
+    abandonCall();
+    canReadOn_ = false;
+    afterKey_.clear();
+    if (bootstrapped_)
+        startedOverAt_ = now;
+    if (paused_)
+        return;
+    // The first snapshot is never put off.
+    const Millis spread = bootstrapped_ ? limit : std::min(limit, options_.firstRetry);
+    TimePoint next = now + randomMillis(Millis(0), spread);
+    if (waiting)
+        next = std::min(next, due);
+    after(std::chrono::ceil<Millis>(next - now), &TopicFollower::continueReading);
+}
+
 void TopicFollower::pause()
 {
     paused_ = true;
@@ -124,7 +153,7 @@
 
 void TopicFollower::continueReading()
 {
-    if (bootstrapped_)
+    if (canReadOn_)
         readNext();
     else
         bootstrap();
@@ -155,7 +184,7 @@
     // The pages are not a consistent snapshot: a record may change while they are read. So reading
     // continues from the end of the first page.
     if (afterKey_.empty())
-        firstPageEnd_ = page.next;
+        firstPageEnd_ = {page.era.value_or(0), page.next};
     std::ranges::move(page.records, std::back_inserter(collected_));
     if (page.more && !collected_.empty()) {
         afterKey_ = collected_.back().key;
@@ -165,15 +194,29 @@
     afterKey_.clear();
     position_ = std::max(position_, firstPageEnd_);
     bootstrapped_ = true;
+    canReadOn_ = true;
+    if (startedOverAt_ != TimePoint()) {
+        const auto took = std::chrono::duration_cast<Millis>(steadyNow() - startedOverAt_);
+        logEvent(LogLevel::Info, "store_topic_current",
+                 {{"topic", options_.topic},
+                  {"era", std::to_string(position_.era)},
+                  {"took_ms", std::to_string(took.count())}});
+        startedOverAt_ = {};
+    }
     hooks_.snapshot(std::move(collected_));
     collected_.clear();
-    after(options_.interval, &TopicFollower::readNext);
+    // A store that states no era may have come back older: its end is behind the position, and it
+    // refuses reads from there at once.
+    const bool behind = firstPageEnd_ < position_;
+    after(behind ? std::max(options_.interval, options_.longestRetry) : options_.interval,
+          &TopicFollower::readNext);
 }
 
 void TopicFollower::readNext()
 {
     calling_ = true;
-    calls_.read(options_.topic, position_, options_.wait, options_.wait + options_.callTimeout,
+    calls_.read(options_.topic, position_.offset, options_.wait,
+                options_.wait + options_.callTimeout,
                 [this, weak = std::weak_ptr(alive_)](StoreFailure failure, StorePage page) {
                     if (!weak.expired())
                         onRead(failure, std::move(page));
@@ -191,7 +234,7 @@
         retry(&TopicFollower::readNext);
         return;
     }
-    position_ = std::max(position_, page.next);
+    position_ = std::max(position_, StorePosition{page.era.value_or(0), page.next});
     keepNewest(page.records);
     if (!page.records.empty())
         hooks_.changes(std::move(page.records));
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -16,6 +16,7 @@
 #include <fmt/format.h>
 
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace cicadafork;
@@ -125,12 +126,12 @@
     }
 
     void writeRecord(const EndpointStandin &endpoint, const std::string &service,
-                     const std::string &state, int bornMs = 5)
+                     const std::string &state, unsigned revision = 1, int bornMs = 5)
     {
         store.put("keyed.servers", endpoint.id,
                   fmt::format(R"({{"service":"{}","address":"{}","zone":"east","slots":4,
-                      "state":"{}","seq":1,"born":{}}})",
-                              service, toString(endpoint.address), state, bornMs));
+                      "state":"{}","seq":{},"born":{}}})",
+                              service, toString(endpoint.address), state, revision, bornMs));
     }
 
     void publishConfig()
@@ -453,12 +454,12 @@
             runUntil([&] { return !endpoints.front()->runs.back().connection->open(); }, Millis(0)),
             "the idle connection is closed");
     // A new record of the same instance does not undo the statement, that of another one does.
-    writeRecord(*endpoints.front(), "plain", "draining");
-    writeRecord(*endpoints.front(), "plain", "ready");
+    writeRecord(*endpoints.front(), "plain", "draining", 2);
+    writeRecord(*endpoints.front(), "plain", "ready", 3);
     runUntil([] { return false; }, kDrainBound);
     LONGS_EQUAL(503, sendRequestAndWait("safe")->status);
     endpoints.front()->leaving = false;
-    writeRecord(*endpoints.front(), "plain", "ready", 6);
+    writeRecord(*endpoints.front(), "plain", "ready", 1, 6);
     CHECK_TRUE(runUntil([&] { return sendRequestAndWait("safe")->status == 200; }));
 }
 
@@ -536,6 +537,87 @@
     LONGS_EQUAL(1, failing.arrivals);
 }
 
+// Guards against requests to an endpoint that has left because the store has come back from a copy
+// in which it is ready, and against leaving out an endpoint for good that has written again.
+TEST(GatewayPath, endpointsThatLeftDoNotComeBackWithAnOlderStore)
+{
+    struct Case
+    {
+        const char *name;
+        std::vector<const char *> writes; ///< After the copy; null deletes the record.
+        bool lastHeartbeat = false;       ///< Another one in the copy, read together with these.
+    };
+    const Case cases[] = {{"draining", {"draining"}},
+                          {"removed", {nullptr}},
+                          {"removed right after a heartbeat", {nullptr}, true},
+                          {"draining, then removed", {"draining", nullptr}}};
+    addEndpoint("plain");
+    for (std::size_t i = 0; i < std::size(cases); ++i)
+        addEndpoint("plain");
+    publishConfig();
+    const auto leaving = [this](std::size_t i) -> EndpointStandin & { return *endpoints[i + 1]; };
+    const auto getsRequests = [&](std::size_t i) {
+        const unsigned before = leaving(i).arrivals;
+        return runUntil([&] {
+            LONGS_EQUAL(200, sendRequestAndWait("safe")->status);
+            return leaving(i).arrivals > before;
+        });
+    };
+    for (std::size_t i = 0; i < std::size(cases); ++i)
+        CHECK_TRUE_TEXT(getsRequests(i), cases[i].name);
+    for (std::size_t i = 0; i < std::size(cases); ++i) {
+        if (cases[i].lastHeartbeat)
+            writeRecord(leaving(i), "plain", "ready", 2);
+    }
+    std::this_thread::sleep_for(Millis(2));
+    const TimePoint copied = steadyNow();
+    std::this_thread::sleep_for(Millis(2));
+    for (std::size_t i = 0; i < std::size(cases); ++i) {
+        unsigned revision = 2;
+        for (const char *state : cases[i].writes) {
+            if (state)
+                writeRecord(leaving(i), "plain", state, ++revision);
+            else
+                store.put("keyed.servers", leaving(i).id, std::nullopt);
+        }
+    }
+    runUntil([] { return false; }, kDrainBound);
+    std::vector<unsigned> arrivals;
+    for (std::size_t i = 0; i < std::size(cases); ++i)
+        arrivals.push_back(leaving(i).arrivals);
+    store.restoreCopy(std::chrono::floor<Millis>(steadyNow() - copied));
+    runUntil([] { return false; }, kDrainBound);
+    for (int i = 0; i < 40; ++i)
+        LONGS_EQUAL(200, sendRequestAndWait("safe")->status);
+    for (std::size_t i = 0; i < std::size(cases); ++i)
+        LONGS_EQUAL_TEXT(arrivals[i], leaving(i).arrivals, cases[i].name);
+    for (std::size_t i = 0; i < std::size(cases); ++i)
+        writeRecord(leaving(i), "plain", "ready", 10);
+    for (std::size_t i = 0; i < std::size(cases); ++i)
+        CHECK_TRUE_TEXT(getsRequests(i), cases[i].name);
+}
+
+// Guards against a daemon that others can no longer find because its record was lost, and against a
+// record that a daemon which shuts down writes again.
+TEST(GatewayPath, theMemberRecordIsWrittenAgainAfterTheStoreCameBackOlder)
+{
+    constexpr const char *kMembersTopic = "keyed.gateways";
+    const auto isListed = [&] { return store.value(kMembersTopic, settings.member).has_value(); };
+    const TimePoint started = steadyNow();
+    publishConfig();
+    CHECK_TRUE(runUntil(isListed));
+    const auto loseAll
+            = [&] { store.restoreCopy(std::chrono::ceil<Millis>(steadyNow() - started)); };
+    loseAll();
+    CHECK_FALSE(isListed());
+    CHECK_TRUE(runUntil(isListed));
+    gateway->shutDown([] {});
+    CHECK_TRUE(runUntil([&] { return !isListed(); }));
+    store.restoreCopy(Millis(0));
+    runUntil([] { return false; }, Millis(2500));
+    CHECK_FALSE(isListed());
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
--- a/tests/unit/gatewaypeers_test.cpp
+++ b/tests/unit/gatewaypeers_test.cpp
@@ -129,6 +129,7 @@
     Address storeAddress = addresses.next();
     StoreStandin store{context, storeAddress};
     std::vector<std::unique_ptr<Daemon>> daemons;
+    GatewaySettings lastSettings; ///< Of the daemon that was started last.
 
     void setup() override
     {
@@ -173,18 +174,33 @@
             settings.seeds = {ips.front()};
             settings.retries = {0.2, 1000, Millis(10'000)};
             daemons.push_back(std::make_unique<Daemon>(context, settings));
+            lastSettings = settings;
         }
         CHECK_TRUE_TEXT(runUntil([&] { return allHaveConfig(1) && connectedDaemons() == count; }),
                         "all gateways have the configuration and have heard each other");
         serveFor(Millis(700));
     }
 
-    void putEndpoint(unsigned number)
+    void putEndpoint(unsigned number, unsigned revision = 1, const char *state = "ready")
     {
         store.put(kEndpointsTopic, fmt::format("e{}", number),
                   fmt::format(R"({{"service":"plain","address":"10.0.0.{}:80","zone":"east",
-                      "slots":4,"state":"ready","seq":1,"born":5}})",
-                              number % 250));
+                      "slots":4,"state":"{}","seq":{},"born":5}})",
+                              number % 250, state, revision));
+    }
+
+    /// True when every daemon knows as many endpoints, this many of them draining.
+    bool allKnow(std::size_t count, std::size_t draining) const
+    {
+        return std::ranges::all_of(daemons, [&](const auto &daemon) {
+            const auto json = daemon->state();
+            std::size_t leaving = 0;
+            if (json.contains("endpoints")) {
+                for (const auto &endpoint : json["endpoints"])
+                    leaving += endpoint["draining"] == true ? 1 : 0;
+            }
+            return daemon->endpoints() == count && leaving == draining;
+        });
     }
 
     bool allHaveConfig(std::uint64_t version) const
@@ -290,6 +306,97 @@
 }
 
 // Guards against a daemon that sends to an endpoint which has told another daemon that it leaves,
+// Guards against daemons that drop what is new because its offset is lower than the one they knew
+// before the store came back older, and against an older configuration in force.
+TEST(GatewayPeers, changesReachAllAfterTheStoreCameBackOlder)
+{
+    constexpr unsigned kEndpoints = 20;
+    constexpr unsigned kLostWrites = 300;
+    store.put(kConfigTopic, "config", configText(1, 200));
+    for (unsigned i = 0; i < kEndpoints; ++i)
+        putEndpoint(i);
+    serveFor(Millis(20));
+    const TimePoint copied = steadyNow();
+    // All daemons read these themselves, so that each of them knows the high offset.
+    for (unsigned i = 0; i < kLostWrites; ++i)
+        putEndpoint(i % kEndpoints, 2 + i / kEndpoints);
+    start(5);
+    store.put(kConfigTopic, "config", configText(5, 200));
+    CHECK_TRUE(runUntil([&] { return allHaveConfig(5); }, kConfigInForce));
+    store.restoreCopy(std::chrono::ceil<Millis>(steadyNow() - copied));
+    putEndpoint(7, 100, "draining");
+    CHECK_TRUE(runUntil([&] { return allKnow(kEndpoints, 1); }, kConfigInForce));
+    CHECK_TRUE_TEXT(allHaveConfig(5), "the older version does not come back into force");
+    store.put(kConfigTopic, "config", configText(6, 201));
+    CHECK_TRUE(runUntil([&] { return allHaveConfig(6); }, kConfigInForce));
+}
+
+// Guards against changes that do not reach the other daemons in time because the readers wait for
+// records that the older copy lacks, and against endpoints that are dropped meanwhile.
+TEST(GatewayPeers, changesReachAllWhileRecordsAreMissing)
+{
+    constexpr unsigned kEndpoints = 20;
+    for (unsigned i = 0; i < kEndpoints; ++i)
+        putEndpoint(i);
+    start(5);
+    const TimePoint copied = steadyNow();
+    putEndpoint(kEndpoints);
+    CHECK_TRUE(runUntil([&] { return allKnow(kEndpoints + 1, 0); }, kConfigInForce));
+    store.restoreCopy(std::chrono::ceil<Millis>(steadyNow() - copied));
+    putEndpoint(7, 100, "draining");
+    CHECK_TRUE(runUntil([&] { return allKnow(kEndpoints + 1, 1); }, kConfigInForce));
+    putEndpoint(kEndpoints, 2);
+    serveFor(Millis(2200) + kConfigInForce);
+    CHECK_TRUE_TEXT(allKnow(kEndpoints + 1, 1), "the record was restored in time");
+}
+
+// Guards against a version that goes back at some daemons because the copy has an older one, and
+// against a starting daemon that stays on it.
+TEST(GatewayPeers, theVersionOfAnOlderCopyIsNotTakenOver)
+{
+    start(4);
+    std::unique_ptr<Daemon> late = std::move(daemons.back());
+    daemons.pop_back();
+    const GatewaySettings settings = lastSettings;
+    late.reset();
+    const TimePoint copied = steadyNow();
+    store.put(kConfigTopic, "config", configText(7, 200));
+    CHECK_TRUE(runUntil([&] { return allHaveConfig(7); }, kConfigInForce));
+    store.restoreCopy(std::chrono::ceil<Millis>(steadyNow() - copied));
+    const auto wentBack = [&] {
+        return std::ranges::any_of(daemons,
+                                   [](const auto &daemon) { return daemon->configVersion() != 7; });
+    };
+    CHECK_FALSE(runUntil(wentBack, Millis(1000)));
+    daemons.push_back(std::make_unique<Daemon>(context, settings));
+    CHECK_TRUE(runUntil([&] { return allHaveConfig(7); }, kConfigInForce));
+    // The operator writes again, first what it had written before the copy was made.
+    store.put(kConfigTopic, "config", configText(6, 150));
+    store.put(kConfigTopic, "config", configText(7, 200));
+    store.put(kConfigTopic, "config", configText(8, 201));
+    CHECK_TRUE(runUntil([&] { return allHaveConfig(8); }, kConfigInForce));
+}
+
+// Guards against a fleet that reads everything again at once, and against standbys that wait for a
+// read of their own.
+TEST(GatewayPeers, aNewEraCostsFewCallsAndReachesTheStandbys)
+{
+    constexpr unsigned kDaemons = 12;
+    putEndpoint(1);
+    start(kDaemons);
+    store.callsByTopic.clear();
+    store.restoreCopy(Millis(0));
+    const auto allCurrent = [&] {
+        return std::ranges::all_of(
+                daemons, [&](const auto &daemon) { return daemon->state()["store"]["era"] == 2; });
+    };
+    CHECK_TRUE(runUntil(allCurrent, kConfigInForce));
+    serveFor(Millis(300));
+    // Two readers read each topic again and go on; standbys read within a minute.
+    CHECK_TRUE(store.callsByTopic[kConfigTopic] + store.callsByTopic[kEndpointsTopic]
+               < 2 * kDaemons);
+}
+
 // while the store says that it is ready or is away.
 TEST(GatewayPeers, peersLearnThatAnEndpointLeaves)
 {
--- a/tests/unit/mesh_test.cpp
+++ b/tests/unit/mesh_test.cpp
@@ -76,6 +76,8 @@
                               .peerChanged = [](const PeerInfo &) {},
                               .messageReceived = [](const PeerInfo &) {},
                               .endpointUpdatesReceived = [](const PeerInfo &, const auto &) {},
+                              .leavingEndpoints = [] { return std::vector<EndpointKey>(); },
+                              .leavingEndpointsReceived = [](const auto &) {},
                               .configChangeReceived = [](const PeerInfo &, const ConfigChange &) {},
                               .isolated = [] {}}));
             CHECK_TRUE(static_cast<bool>(capture([&] { return members.back()->start(); })));
