Let the attempt that has the next event win, of those at silent endpoints and their replacements

A review of the fix found three faults in it. The first byte of a silent endpoint, even of a refusal, cancelled the replacement, and with no attempt left the caller got 502 or lost its stream. A replacement that failed restarted the clock of the silence, so a third endpoint was asked after 2,461 ms, when callers have left. And once all endpoints had been tried, the silent one was asked again over another connection.

Each attempt now keeps its own head, body and time of progress; the others end when one of them has the next event or the answer, and a silent one that fails is logged and counted. After a failed replacement the search goes on at once, and an endpoint with an open attempt is not asked again. An error in place of the next events goes through the same decision as any other failure.

Ruled out: returning to the silent attempt at its first whole head, as refusals have one too.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/exchange.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace cicadafork::gateway {
@@ -11,6 +12,24 @@
 
 } // namespace
 
+Attempt *findAttempt(Exchange &exchange, const JobId &job)
+{
+    if (exchange.attempt && exchange.attempt->job == job)
+        return exchange.attempt.get();
+    for (const auto &silent : exchange.silentAttempts) {
+        if (silent->job == job)
+            return silent.get();
+    }
+    return nullptr;
+}
+
+bool isOpenAt(const Exchange &exchange, EndpointKey endpoint)
+{
+    const auto isAt = [&](const auto &attempt) { return attempt->endpoint == endpoint; };
+    return (exchange.attempt && isAt(exchange.attempt))
+           || std::ranges::any_of(exchange.silentAttempts, isAt);
+}
+
 bool isRepeatable(const Route &route)
 {
     return route.kind == RouteKind::Repeatable
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -44,6 +44,7 @@
     /// sound endpoint may pause, but it is replaced as soon as another endpoint can take over.
     bool silent = false;
     TimePoint nextSilenceCheck{};
+    TimePoint lastProgressAt{}; ///< Time of the send, or of the last bytes received.
     HttpResponseHead head;
     ReplyFields reply;
     std::string body; ///< The whole answer, or for a stream the received part of the next event.
@@ -71,9 +72,9 @@
     TimePoint notBefore{};     ///< Earliest time of the next attempt.
     ExchangeState state = ExchangeState::Waiting;
     std::unique_ptr<Attempt> attempt;
-    /// An attempt at a silent endpoint that `attempt` is to replace. It stays open until the first
-    /// event or the answer of the other one.
-    std::unique_ptr<Attempt> silentAttempt;
+    /// Attempts at silent endpoints that `attempt` is to replace, the newest last. They stay open
+    /// until one of all of them has the next event or the answer.
+    std::vector<std::unique_ptr<Attempt>> silentAttempts;
     std::vector<EndpointKey> triedEndpoints;
     unsigned sendCount = 0;  ///< Attempts of which something may have reached an endpoint.
     bool mayHaveRun = false; ///< True after a failed attempt that is not known not to have run.
@@ -81,8 +82,7 @@
     std::optional<std::uint64_t> lastEventId; ///< Of the last event sent to the caller.
     std::uint64_t eventsRelayed = 0;
     TimePoint lastEventAt{};
-    FloatMillis longestGap{0};  ///< Longest time between two events sent to the caller.
-    TimePoint lastProgressAt{}; ///< Time of the last send, or of the last bytes received.
+    FloatMillis longestGap{0}; ///< Longest time between two events sent to the caller.
     asio::steady_timer timer;
 
     explicit Exchange(asio::io_context &context)
@@ -91,6 +91,12 @@
     }
 };
 
+/// The open attempt with this job, or null.
+Attempt *findAttempt(Exchange &exchange, const JobId &job);
+
+/// True when the request has an open attempt at the endpoint.
+bool isOpenAt(const Exchange &exchange, EndpointKey endpoint);
+
 /// True when the request may be sent again after an attempt that may have run.
 bool isRepeatable(const Route &route);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -286,7 +286,6 @@
     exchange->objective = exchange->arrivedAt + route->objective;
     exchange->deadline = exchange->arrivedAt + std::min(fields.deadline, route->timeout);
     exchange->lastEventId = fields.lastEventId;
-    exchange->lastProgressAt = now;
     exchange->fields = std::move(fields);
     exchange->request = std::move(request);
     return exchange;
@@ -328,7 +327,7 @@
         return;
     }
     if (exchange->attempt && isRepeatable(exchange->route)
-        && now - exchange->lastProgressAt >= silenceLimit(*exchange)
+        && now - exchange->attempt->lastProgressAt >= silenceLimit(*exchange)
         && now >= exchange->attempt->nextSilenceCheck) {
         onSilence(*exchange);
         return;
@@ -342,7 +341,7 @@
     if (!exchange.attempt)
         next = std::min(next, exchange.queueDeadline);
     else if (isRepeatable(exchange.route))
-        next = std::min(next, std::max(exchange.lastProgressAt + silenceLimit(exchange),
+        next = std::min(next, std::max(exchange.attempt->lastProgressAt + silenceLimit(exchange),
                                        exchange.attempt->nextSilenceCheck));
     exchange.timer.expires_at(next);
     exchange.timer.async_wait([this, id = exchange.id](const asio::error_code &error) {
@@ -411,8 +410,8 @@
               {"gap_limit_ms", std::to_string(exchange.route.maxEventGap.count())},
               {"events", std::to_string(exchange.eventsRelayed)}});
     endAttempt(exchange);
-    if (exchange.silentAttempt)
-        noteJobEnded(*exchange.silentAttempt);
+    for (const auto &silent : exchange.silentAttempts)
+        noteJobEnded(*silent);
     exchange.caller->onDisconnect(nullptr);
     exchange.timer.cancel();
     std::erase(waiting_, exchange.id);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -112,22 +112,20 @@
     void announceJob(const Exchange &exchange, const Placement &placement);
     void reserve(Exchange &exchange, const Placement &placement);
     void startCall(Exchange &exchange);
-    HeadAction onHead(std::uint64_t id, const JobId &job, HttpResponseHead &&head);
-    void onBody(std::uint64_t id, const JobId &job, std::string_view bytes);
-    void onEnd(std::uint64_t id, const JobId &job, UpstreamOutcome end);
-    /// The exchange whose current attempt has this job; an attempt at a silent endpoint that goes
-    /// on becomes the current one again.
-    Exchange *findByAttempt(std::uint64_t id, const JobId &job);
-    /// Ends the attempt that replaces the one at the silent endpoint, if there is one.
-    bool returnToSilentAttempt(Exchange &exchange);
-    void dropSilentAttempt(Exchange &exchange);
+    HeadAction onHead(std::uint64_t id, JobId job, HttpResponseHead &&head);
+    void onBody(std::uint64_t id, JobId job, std::string_view bytes);
+    void onEnd(std::uint64_t id, JobId job, UpstreamOutcome end);
     /// Takes the attempt out of sendCount and the retry budget, because nothing of it has reached
     /// an endpoint.
     void undoSend(Exchange &exchange);
-    void relayEvents(Exchange &exchange);
+    void relayEvents(Exchange &exchange, Attempt &attempt);
     void beginRelay(Exchange &exchange);
-    void forwardWholeAnswer(Exchange &exchange);
-    void finishRelay(Exchange &exchange);
+    void forwardWholeAnswer(Exchange &exchange, Attempt &attempt);
+    void finishRelay(Exchange &exchange, Attempt &attempt);
+    /// Handles the failure of any open attempt of the request.
+    void failAttempt(Exchange &exchange, Attempt &attempt, EndpointFailure failure, bool mayHaveRun,
+                     const char *reason);
+    /// The current attempt has failed.
     void onAttemptFailed(Exchange &exchange, EndpointFailure failure, bool mayHaveRun,
                          const char *reason);
     /// Detaches the attempt from the exchange and reports its end to the load tracker and the
@@ -140,9 +138,14 @@
     void noteFirstAnswer(Exchange &exchange);
     void armTimer(Exchange &exchange);
     /// Sends the request to another endpoint if one can take it now. The attempt stays open, until
-    /// the other endpoint answers or the deadline: a silent endpoint may be sound.
+    /// one of both has the next event or the answer, or until the deadline: a silent endpoint may
+    /// be sound.
     void onSilence(Exchange &exchange);
-    void noteProgress(Exchange &exchange);
+    void noteProgress(const Exchange &exchange, Attempt &attempt);
+    /// Makes the attempt the current one and ends all others.
+    void settleOn(Exchange &exchange, Attempt &attempt);
+    void endSilentAttempt(Exchange &exchange, const Attempt &attempt, EndpointFailure failure,
+                          const char *reason);
     /// Time without progress after which another endpoint is tried.
     Millis silenceLimit(const Exchange &exchange) const;
 
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -22,15 +22,6 @@
 // A request that may not run twice is sent over a new or recently used connection only. If the
 // server closes an idle connection at that moment, it is unknown whether the request ran.
 constexpr Millis kMaxIdleIfUnrepeatable{250};
-// Another endpoint may take over a repeatable request after this time without progress. It is less
-// than the 2 s after which callers disconnect.
-constexpr Millis kSilenceTimeout{1200};
-// Time between two searches for an endpoint that can take over from a silent one.
-constexpr Millis kSilenceCheckInterval{100};
-// After the first event, the timeout is at least this multiple of the route's largest event gap.
-constexpr int kSilenceGapFactor = 4;
-// Before the first event, this multiple of its expected time is added to the timeout.
-constexpr double kSilenceExpectedFactor = 2;
 // A job whose end is not reported still counts as load for this time after its deadline.
 constexpr Millis kJobExpiryMargin{2000};
 // Delay before the next attempt when memory could not be reserved, so that other requests can end.
@@ -56,6 +47,7 @@
     attempt->endpointId = head->record.id;
     attempt->address = head->record.address;
     attempt->sentAt = now;
+    attempt->lastProgressAt = now;
     attempt->expected
             = placement.firstEvent > FloatMillis(0) ? placement.firstEvent : kExpectedCallTime;
     attempt->job = {incarnation_, ++nextJob_};
@@ -88,7 +80,6 @@
               {"config", std::to_string(exchange.config->version)}});
     ++exchange.sendCount;
     exchange.triedEndpoints.push_back(placement.head);
-    exchange.lastProgressAt = now;
     if (exchange.state == ExchangeState::Waiting)
         exchange.state = ExchangeState::Sent;
     if (placement.holders > 0)
@@ -181,39 +172,13 @@
     attempt.call = pool_.call(attempt.address, std::move(request), std::move(handlers));
 }
 
-Exchange *Gateway::findByAttempt(std::uint64_t id, const JobId &job)
+HeadAction Gateway::onHead(std::uint64_t id, JobId job, HttpResponseHead &&head)
 {
     Exchange *exchange = find(id);
-    if (!exchange)
-        return nullptr;
-    if (exchange->silentAttempt && exchange->silentAttempt->job == job)
-        returnToSilentAttempt(*exchange);
-    return exchange->attempt && exchange->attempt->job == job ? exchange : nullptr;
-}
-
-bool Gateway::returnToSilentAttempt(Exchange &exchange)
-{
-    if (!exchange.silentAttempt)
-        return false;
-    endAttempt(exchange);
-    exchange.attempt = std::move(exchange.silentAttempt);
-    return true;
-}
-
-void Gateway::dropSilentAttempt(Exchange &exchange)
-{
-    if (!exchange.silentAttempt)
-        return;
-    noteJobEnded(*exchange.silentAttempt);
-    exchange.silentAttempt.reset();
-}
-
-HeadAction Gateway::onHead(std::uint64_t id, const JobId &job, HttpResponseHead &&head)
-{
-    Exchange *exchange = findByAttempt(id, job);
-    if (!exchange)
+    Attempt *found = exchange ? findAttempt(*exchange, job) : nullptr;
+    if (!found)
         return HeadAction::Skip;
-    Attempt &attempt = *exchange->attempt;
+    Attempt &attempt = *found;
     ReplyFields reply = protocol_.readReply(head);
     noteStatement(attempt.endpoint, reply.statement, exchange->requestId);
     if (!reply.requestId.empty() && reply.requestId != exchange->requestId) {
@@ -232,25 +197,24 @@
     return HeadAction::Accept;
 }
 
-void Gateway::onBody(std::uint64_t id, const JobId &job, std::string_view bytes)
+void Gateway::onBody(std::uint64_t id, JobId job, std::string_view bytes)
 {
-    Exchange *exchange = findByAttempt(id, job);
-    if (!exchange)
+    Exchange *exchange = find(id);
+    Attempt *attempt = exchange ? findAttempt(*exchange, job) : nullptr;
+    if (!attempt)
         return;
-    noteProgress(*exchange);
-    Attempt &attempt = *exchange->attempt;
-    attempt.body += bytes;
-    if (attempt.streams) {
-        relayEvents(*exchange);
+    noteProgress(*exchange, *attempt);
+    attempt->body += bytes;
+    if (attempt->streams) {
+        relayEvents(*exchange, *attempt);
         return;
     }
-    if (attempt.body.size() > kMaxWholeAnswerBytes)
-        onAttemptFailed(*exchange, EndpointFailure::Broken, true, "answer_too_large");
+    if (attempt->body.size() > kMaxWholeAnswerBytes)
+        failAttempt(*exchange, *attempt, EndpointFailure::Broken, true, "answer_too_large");
 }
 
-void Gateway::relayEvents(Exchange &exchange)
+void Gateway::relayEvents(Exchange &exchange, Attempt &attempt)
 {
-    Attempt &attempt = *exchange.attempt;
     for (std::string event = takeEvent(attempt.body); !event.empty();
          event = takeEvent(attempt.body)) {
         const auto id = eventId(event);
@@ -258,7 +222,7 @@
         // sends only later events; one that starts from the beginning repeats the earlier ones.
         if (id && exchange.lastEventId && *id <= *exchange.lastEventId)
             continue;
-        dropSilentAttempt(exchange);
+        settleOn(exchange, attempt);
         if (exchange.state != ExchangeState::Relaying)
             beginRelay(exchange);
         if (id)
@@ -277,7 +241,7 @@
             return; // The caller has disconnected.
     }
     if (attempt.body.size() > kMaxEventBytes) {
-        onAttemptFailed(exchange, EndpointFailure::Broken, true, "event_too_large");
+        failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_too_large");
         return;
     }
     if (exchange.caller->unsentBytes() > kMaxUnsentBytes)
@@ -313,45 +277,40 @@
     scheduleDispatch();
 }
 
-void Gateway::onEnd(std::uint64_t id, const JobId &job, UpstreamOutcome end)
+void Gateway::onEnd(std::uint64_t id, JobId job, UpstreamOutcome end)
 {
     Exchange *exchange = find(id);
-    if (exchange && end != UpstreamOutcome::Complete && exchange->silentAttempt
-        && exchange->silentAttempt->job == job) {
-        dropSilentAttempt(*exchange);
-        return;
-    }
-    exchange = findByAttempt(id, job);
-    if (!exchange)
+    Attempt *found = exchange ? findAttempt(*exchange, job) : nullptr;
+    if (!found)
         return;
-    Attempt &attempt = *exchange->attempt;
+    Attempt &attempt = *found;
     // The connection of this call is idle now.
     if (endpoints_.isLeaving(attempt.endpoint))
         pool_.closeIdle(attempt.address);
     switch (end) {
     case UpstreamOutcome::NotSent:
         undoSend(*exchange);
-        onAttemptFailed(*exchange, EndpointFailure::NoConnection, false, "no_connection");
+        failAttempt(*exchange, attempt, EndpointFailure::NoConnection, false, "no_connection");
         return;
     case UpstreamOutcome::NoAnswer:
-        onAttemptFailed(*exchange, EndpointFailure::NoAnswer, true, "no_answer");
+        failAttempt(*exchange, attempt, EndpointFailure::NoAnswer, true, "no_answer");
         return;
     case UpstreamOutcome::Broken:
         // The endpoint's statement that it did not run the request is in the head, so it holds even
         // if the body is truncated.
-        onAttemptFailed(*exchange, EndpointFailure::Broken, !attempt.notRun, "broken_answer");
+        failAttempt(*exchange, attempt, EndpointFailure::Broken, !attempt.notRun, "broken_answer");
         return;
     case UpstreamOutcome::Complete:
         break;
     }
     if (attempt.notRun) {
-        onAttemptFailed(*exchange, EndpointFailure::Refused, false, "endpoint_refused");
+        failAttempt(*exchange, attempt, EndpointFailure::Refused, false, "endpoint_refused");
         return;
     }
     if (attempt.streams)
-        finishRelay(*exchange);
+        finishRelay(*exchange, attempt);
     else
-        forwardWholeAnswer(*exchange);
+        forwardWholeAnswer(*exchange, attempt);
 }
 
 void Gateway::undoSend(Exchange &exchange)
@@ -360,37 +319,37 @@
         retryBudget_.refund(exchange.service);
 }
 
-void Gateway::finishRelay(Exchange &exchange)
+void Gateway::finishRelay(Exchange &exchange, Attempt &attempt)
 {
-    Attempt &attempt = *exchange.attempt;
     if (!attempt.body.empty()) {
         // Every event ends with a blank line, so the answer ended within an event.
-        onAttemptFailed(exchange, EndpointFailure::Broken, true, "event_incomplete");
+        failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_incomplete");
         return;
     }
+    settleOn(exchange, attempt);
     if (exchange.state != ExchangeState::Relaying)
         beginRelay(exchange);
     exchange.caller->finish();
     finish(exchange, "completed", 200);
 }
 
-void Gateway::forwardWholeAnswer(Exchange &exchange)
+void Gateway::forwardWholeAnswer(Exchange &exchange, Attempt &attempt)
 {
-    Attempt &attempt = *exchange.attempt;
     const int status = attempt.head.status;
     const bool success = status / 100 == 2;
     if (success && (!attempt.reply.sealed || attempt.head.headers.find("content-encoding"))) {
-        onAttemptFailed(exchange, EndpointFailure::Broken, true, "invalid_answer");
+        failAttempt(exchange, attempt, EndpointFailure::Broken, true, "invalid_answer");
         return;
     }
     if (status >= 500 && isRepeatable(exchange.route)) {
-        onAttemptFailed(exchange, EndpointFailure::Error, true, "endpoint_error");
+        failAttempt(exchange, attempt, EndpointFailure::Error, true, "endpoint_error");
         return;
     }
     if (exchange.state == ExchangeState::Relaying) {
-        abortStream(exchange, "endpoint_error");
+        failAttempt(exchange, attempt, EndpointFailure::Error, true, "endpoint_error");
         return;
     }
+    settleOn(exchange, attempt);
     if (success) {
         endpoints_.noteSuccess(attempt.endpoint, 1);
         counters_.answerSeconds.Observe(
@@ -401,57 +360,13 @@
     forwardAnswer(exchange, attempt, success ? "completed" : "endpoint_error");
 }
 
-void Gateway::noteProgress(Exchange &exchange)
-{
-    const TimePoint now = steadyNow();
-    Attempt &attempt = *exchange.attempt;
-    if (attempt.silent) {
-        attempt.silent = false;
-        attempt.nextSilenceCheck = {};
-        endpoints_.noteAlive(attempt.endpoint);
-        logEvent(LogLevel::Info, "endpoint_resumed",
-                 {{"request", exchange.requestId},
-                  {"endpoint", attempt.endpointId},
-                  {"silent_ms",
-                   fmt::format("{:.0f}", FloatMillis(now - exchange.lastProgressAt).count())}});
-    }
-    exchange.lastProgressAt = now;
-}
-
-void Gateway::onSilence(Exchange &exchange)
+void Gateway::failAttempt(Exchange &exchange, Attempt &attempt, EndpointFailure failure,
+                          bool mayHaveRun, const char *reason)
 {
-    const TimePoint now = steadyNow();
-    Attempt &attempt = *exchange.attempt;
-    const bool firstCheck = !attempt.silent;
-    attempt.silent = true;
-    attempt.nextSilenceCheck = now + kSilenceCheckInterval;
-    if (firstCheck) {
-        // Requests that arrive now go elsewhere.
-        endpoints_.noteFailure(attempt.endpoint, EndpointFailure::NoAnswer, now);
-        counters_.silences.Increment();
-    }
-    Placement placement;
-    if (recoverFrom(failureFacts(exchange, true, now)) == Recovery::Retry)
-        placement = place(exchange);
-    const bool canMove = placement.outcome == PlacementOutcome::Send
-                         && endpoints_.isAvailable(placement.head, now);
-    if (firstCheck || canMove) {
-        logEvent(LogLevel::Info, "endpoint_silent",
-                 {{"request", exchange.requestId},
-                  {"endpoint", attempt.endpointId},
-                  {"silent_ms",
-                   fmt::format("{:.0f}", FloatMillis(now - exchange.lastProgressAt).count())},
-                  {"action", canMove ? "move" : "wait"}});
-    }
-    if (!canMove) {
-        armTimer(exchange);
-        return;
-    }
-    counters_.attemptFailure("silent").Increment();
-    dropSilentAttempt(exchange);
-    exchange.mayHaveRun = true;
-    exchange.silentAttempt = std::move(exchange.attempt);
-    send(exchange, placement);
+    if (&attempt == exchange.attempt.get())
+        onAttemptFailed(exchange, failure, mayHaveRun, reason);
+    else
+        endSilentAttempt(exchange, attempt, failure, reason);
 }
 
 FailureFacts Gateway::failureFacts(const Exchange &exchange, bool attemptMayHaveRun, TimePoint now)
@@ -494,11 +409,17 @@
               {"may_have_run", mayHaveRun ? "yes" : "no"},
               {"sends", std::to_string(exchange.sendCount)},
               {"silent_ms",
-               fmt::format("{:.0f}", FloatMillis(now - exchange.lastProgressAt).count())},
+               fmt::format("{:.0f}",
+                           attempt ? FloatMillis(now - attempt->lastProgressAt).count() : 0)},
               {"left_ms", std::to_string(facts.timeLeft.count())},
               {"again", recovery == Recovery::Retry ? "yes" : "no"}});
-    if (returnToSilentAttempt(exchange)) {
-        armTimer(exchange);
+    if (!exchange.silentAttempts.empty()) {
+        exchange.attempt = std::move(exchange.silentAttempts.back());
+        exchange.silentAttempts.pop_back();
+        if (exchange.attempt->silent)
+            onSilence(exchange);
+        else
+            armTimer(exchange);
         return;
     }
     const bool forwardsError = attempt && attempt->headSeen && attempt->head.status >= 400
@@ -551,16 +472,4 @@
     mesh_.ended(attempt.job);
 }
 
-Millis Gateway::silenceLimit(const Exchange &exchange) const
-{
-    const bool began = exchange.eventsRelayed > 0 && exchange.attempt
-                       && loadTracker_.find(exchange.attempt->job)
-                       && loadTracker_.find(exchange.attempt->job)->started;
-    if (began)
-        return std::max(kSilenceTimeout, kSilenceGapFactor * exchange.route.maxEventGap);
-    const auto expected = std::chrono::duration_cast<Millis>(kSilenceExpectedFactor
-                                                             * exchange.attempt->expected);
-    return expected + kSilenceTimeout;
-}
-
 } // namespace cicadafork::gateway
--- /dev/null
+++ b/src/gateway/gatewaysilence.cpp
@@ -0,0 +1,126 @@
+// Gateway: requests whose endpoint is silent, and the endpoints that are to take over.
+
+#include "base/log.h"
+#include "gateway/gateway.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace cicadafork::gateway {
+
+namespace {
+
+// Another endpoint may take over a repeatable request after this time without progress. It is less
+// than the 2 s after which callers disconnect.
+constexpr Millis kSilenceTimeout{1200};
+// Time between two searches for an endpoint that can take over from a silent one.
+constexpr Millis kSilenceCheckInterval{100};
+// After the first event, the timeout is at least this multiple of the route's largest event gap.
+constexpr int kSilenceGapFactor = 4;
+// Before the first event, this multiple of its expected time is added to the timeout.
+constexpr double kSilenceExpectedFactor = 2;
+
+std::string silentTime(const Attempt &attempt, TimePoint now)
+{
+    return fmt::format("{:.0f}", FloatMillis(now - attempt.lastProgressAt).count());
+}
+
+} // namespace
+
+Millis Gateway::silenceLimit(const Exchange &exchange) const
+{
+    const Job *job = loadTracker_.find(exchange.attempt->job);
+    if (exchange.eventsRelayed > 0 && job && job->started)
+        return std::max(kSilenceTimeout, kSilenceGapFactor * exchange.route.maxEventGap);
+    const auto expected = std::chrono::duration_cast<Millis>(kSilenceExpectedFactor
+                                                             * exchange.attempt->expected);
+    return expected + kSilenceTimeout;
+}
+
+void Gateway::noteProgress(const Exchange &exchange, Attempt &attempt)
+{
+    const TimePoint now = steadyNow();
+    if (attempt.silent) {
+        attempt.silent = false;
+        attempt.nextSilenceCheck = {};
+        endpoints_.noteAlive(attempt.endpoint);
+        logEvent(LogLevel::Info, "endpoint_resumed",
+                 {{"request", exchange.requestId},
+                  {"endpoint", attempt.endpointId},
+                  {"silent_ms", silentTime(attempt, now)}});
+    }
+    attempt.lastProgressAt = now;
+}
+
+void Gateway::onSilence(Exchange &exchange)
+{
+    const TimePoint now = steadyNow();
+    Attempt &attempt = *exchange.attempt;
+    const bool firstCheck = !attempt.silent;
+    attempt.silent = true;
+    attempt.nextSilenceCheck = now + kSilenceCheckInterval;
+    if (firstCheck) {
+        // Requests that arrive now go elsewhere.
+        endpoints_.noteFailure(attempt.endpoint, EndpointFailure::NoAnswer, now);
+        counters_.silences.Increment();
+    }
+    Placement placement;
+    if (recoverFrom(failureFacts(exchange, true, now)) == Recovery::Retry)
+        placement = place(exchange);
+    const bool canMove = placement.outcome == PlacementOutcome::Send
+                         && endpoints_.isAvailable(placement.head, now)
+                         && !isOpenAt(exchange, placement.head);
+    if (firstCheck || canMove) {
+        logEvent(LogLevel::Info, "endpoint_silent",
+                 {{"request", exchange.requestId},
+                  {"endpoint", attempt.endpointId},
+                  {"silent_ms", silentTime(attempt, now)},
+                  {"action", canMove ? "move" : "wait"}});
+    }
+    if (!canMove) {
+        armTimer(exchange);
+        return;
+    }
+    counters_.attemptFailure("silent").Increment();
+    exchange.mayHaveRun = true;
+    exchange.silentAttempts.push_back(std::move(exchange.attempt));
+    send(exchange, placement);
+}
+
+void Gateway::settleOn(Exchange &exchange, Attempt &attempt)
+{
+    if (exchange.silentAttempts.empty())
+        return;
+    if (&attempt == exchange.attempt.get()) {
+        if (exchange.state == ExchangeState::Relaying)
+            counters_.resumes.Increment();
+    } else {
+        const auto settled = std::ranges::find(exchange.silentAttempts, &attempt,
+                                               [](const auto &open) { return open.get(); });
+        std::swap(exchange.attempt, *settled);
+    }
+    std::erase_if(exchange.silentAttempts, [](const auto &open) { return !open; });
+    for (const auto &other : exchange.silentAttempts)
+        noteJobEnded(*other);
+    exchange.silentAttempts.clear();
+}
+
+void Gateway::endSilentAttempt(Exchange &exchange, const Attempt &attempt, EndpointFailure failure,
+                               const char *reason)
+{
+    const TimePoint now = steadyNow();
+    endpoints_.noteFailure(attempt.endpoint, failure, now);
+    counters_.attemptFailure(reason).Increment();
+    logEvent(LogLevel::Info, "silent_attempt_failed",
+             {{"request", exchange.requestId},
+              {"endpoint", attempt.endpointId},
+              {"reason", reason},
+              {"status", std::to_string(attempt.head.status)},
+              {"silent_ms", silentTime(attempt, now)}});
+    noteJobEnded(attempt);
+    std::erase_if(exchange.silentAttempts,
+                  [&](const auto &open) { return open.get() == &attempt; });
+}
+
+} // namespace cicadafork::gateway
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -89,6 +89,7 @@
     void setup() override
     {
         setLogLevel(LogLevel::Error);
+        settings.logLevel = LogLevel::Error;
         settings.member = "front-1";
         settings.failureDomain = "east";
         for (Address *address :
@@ -618,6 +619,85 @@
     CHECK_FALSE(isListed());
 }
 
+TEST(GatewayPath, refusalOfASilentEndpointDoesNotEndTheAttemptThatReplacesIt)
+{
+    constexpr Millis kSilence{1700};
+    constexpr Millis kDeadline{4000};
+    for (int i = 0; i < 2; ++i)
+        addEndpoint("pool");
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 2}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    for (const EndpointBehaviour late : {EndpointBehaviour::NotRun, EndpointBehaviour::Fails}) {
+        const std::string text = fmt::format("{}", static_cast<int>(late));
+        for (const auto &endpoint : endpoints)
+            endpoint->fallSilent(kSilence);
+        const auto answer = sendRequest("stream", "key", kDeadline);
+        runUntil([] { return false; }, Millis(50));
+        const bool firstIsZero = gateway->dump().find("\"endpoint\":\"i-1\"") != std::string::npos;
+        EndpointStandin &first = *endpoints[firstIsZero ? 0 : 1];
+        EndpointStandin &second = *endpoints[firstIsZero ? 1 : 0];
+        first.script = {late};
+        second.fallSilent(kSilence + Millis(200));
+        CHECK_TRUE_TEXT(runUntil([&] { return answer->ended; }), text.c_str());
+        LONGS_EQUAL_TEXT(200, answer->status, text.c_str());
+        STRCMP_EQUAL_TEXT(allEvents().c_str(), answer->body.c_str(), text.c_str());
+        runUntil([] { return false; }, Millis(600)); // Lets suspensions of endpoints end.
+    }
+}
+
+TEST(GatewayPath, failedReplacementOfASilentEndpointIsReplacedWhileTheCallerWaits)
+{
+    // Callers give up on a stream after a gap of two seconds.
+    constexpr Millis kPatience{2000};
+    constexpr Millis kDeadline{6000};
+    for (int i = 0; i < 3; ++i)
+        addEndpoint("pool");
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 3}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    for (const auto &endpoint : endpoints)
+        endpoint->fallSilent(kDeadline);
+    const auto answer = sendRequest("stream", "key", kDeadline);
+    const TimePoint sent = steadyNow();
+    runUntil([] { return false; }, Millis(50));
+    std::vector<EndpointStandin *> others;
+    for (const auto &endpoint : endpoints) {
+        if (gateway->dump().find("\"endpoint\":\"" + endpoint->id + "\"") == std::string::npos)
+            others.push_back(endpoint.get());
+    }
+    LONGS_EQUAL(2, others.size());
+    for (EndpointStandin *other : others) {
+        other->fallSilent(Millis(0));
+        other->script = {EndpointBehaviour::NotRun};
+    }
+    CHECK_TRUE(runUntil([&] {
+        if (others[0]->script.empty() || others[1]->script.empty()) {
+            for (EndpointStandin *other : others)
+                other->script.clear();
+        }
+        return answer->ended;
+    }));
+    LONGS_EQUAL(200, answer->status);
+    const auto took = std::chrono::duration_cast<Millis>(steadyNow() - sent);
+    CHECK_TRUE_TEXT(took < kPatience, fmt::format("{} ms", took.count()).c_str());
+}
+
+TEST(GatewayPath, silentEndpointGetsARequestOnlyOnce)
+{
+    constexpr Millis kDeadline{4000};
+    EndpointStandin &endpoint = addEndpoint("pool");
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 2}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    endpoint.fallSilent(Millis(1900));
+    const auto answer = sendRequest("stream", "key", kDeadline);
+    CHECK_TRUE(runUntil([&] { return answer->ended; }));
+    LONGS_EQUAL(200, answer->status);
+    runUntil([] { return false; }, Millis(100));
+    LONGS_EQUAL(1, endpoint.arrivals);
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
