--- /dev/null
+++ b/tests/soak/checks.cpp
@@ -0,0 +1,249 @@
+#include "soak/checks.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+
+namespace cicadafork::test {
+
+namespace {
+
+using Arrival = EndpointStandin::Arrival;
+
+// The users' bound `lostMs`: a daemon that closes later than this has had the time to read.
+constexpr Millis kLostAfter{200};
+
+bool overlaps(const std::vector<Disturbance> &disturbances, const SoakCall &call)
+{
+    return std::ranges::any_of(disturbances, [&](const Disturbance &disturbance) {
+        return disturbance.daemon == call.daemon && disturbance.from <= call.ended
+               && call.begun <= disturbance.until;
+    });
+}
+
+const std::vector<Arrival> &arrivalsOf(const SoakEvidence &evidence, const SoakCall &call)
+{
+    static const std::vector<Arrival> none;
+    const auto found = evidence.arrivals.find(call.id);
+    return found == evidence.arrivals.end() ? none : found->second;
+}
+
+/// The endpoint ends its connection without a whole answer, or its answer is not valid.
+bool breaksOff(const Arrival &arrival)
+{
+    switch (arrival.behaviour) {
+    case EndpointBehaviour::Answer:
+    case EndpointBehaviour::NotRun:
+        return false;
+    default:
+        return arrival.ran;
+    }
+}
+
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/// Version of the configuration that admitted the request; 0 when the endpoint was told none.
+unsigned versionOf(const Arrival &arrival)
+{
+    const std::size_t dash = arrival.workspace.rfind('-');
+    return dash == std::string::npos ? 0
+                                     : static_cast<unsigned>(std::strtoul(
+                                             arrival.workspace.c_str() + dash + 1, nullptr, 10));
+}
+
+const char *toString(CallEnd end)
+{
+    switch (end) {
+    case CallEnd::Pending:
+        return "pending";
+    case CallEnd::Complete:
+        return "complete";
+    case CallEnd::NoAnswer:
+        return "no answer";
+    case CallEnd::Cut:
+        return "cut";
+    case CallEnd::Abandoned:
+        return "abandoned";
+    }
+    return "unknown";
+}
+
+class Judge
+{
+public:
+    explicit Judge(const SoakEvidence &evidence)
+        : evidence_(evidence)
+    {
+    }
+
+    std::vector<std::string> judge()
+    {
+        for (const SoakCall &call : evidence_.calls)
+            judgeCall(call);
+        judgeVersions();
+        return std::move(broken_);
+    }
+
+private:
+    void report(const SoakCall &call, const std::string &promise)
+    {
+        std::string arrivals;
+        for (const Arrival &arrival : arrivalsOf(evidence_, call))
+            arrivals += fmt::format("; at {} {}{}", arrival.endpoint, timeOfDay(arrival.at),
+                                    arrival.ran ? " ran" : "");
+        broken_.push_back(
+                fmt::format("{} ({}, daemon {}.{}, {} to {}, deadline {} ms, {} {}{}): {}", call.id,
+                            call.route->name, call.daemon, call.incarnation, timeOfDay(call.begun),
+                            timeOfDay(call.ended), call.deadline.count(), toString(call.end),
+                            call.status, arrivals, promise));
+    }
+
+    void judgeCall(const SoakCall &call)
+    {
+        const auto &arrivals = arrivalsOf(evidence_, call);
+        const auto runs = std::ranges::count(arrivals, true, &Arrival::ran);
+        const bool complete = call.end == CallEnd::Complete;
+        const std::string expected = isStream(*call.route) ? wholeStream() : "answer of " + call.id;
+        if (runsOnceAtMost(*call.route) && runs > 1)
+            report(call, "ran more than once");
+        if (runs > call.route->maxAttempts)
+            report(call, "ran at more endpoints than its route allows");
+        if (runsOnceAtMost(*call.route) && complete && promisesNotRun(call.status) && runs > 0)
+            report(call, "was said not to have run, and ran");
+        if (call.status == 200 && complete && (call.body != expected || !call.sealed))
+            report(call, "has another answer than its own, or not the whole");
+        if (call.status == 200 && !expected.starts_with(call.body))
+            report(call, "has bytes that are not of its answer");
+        if (complete && (call.status == 401 || call.status == 404))
+            report(call, "was denied, though its route and key were always there");
+        if (call.end == CallEnd::Abandoned && !overlaps(evidence_.disturbances, call))
+            report(call, "has no end by its deadline");
+        else if (classify(evidence_, call) == Unanswered::Lost)
+            report(call, "got neither an answer nor a refusal");
+        if (complete && (call.status == 502 || call.status == 504))
+            judgeFailure(call, arrivals);
+    }
+
+    /// A request that sound endpoints would have answered must not fail before its deadline.
+    void judgeFailure(const SoakCall &call, const std::vector<Arrival> &arrivals)
+    {
+        const bool early = call.ended < call.begun + call.deadline;
+        if (early && std::ranges::none_of(arrivals, breaksOff)
+            && !overlaps(evidence_.disturbances, call))
+            report(call, "failed before its deadline, though its endpoints were sound");
+    }
+
+    /// A request that was sent after an endpoint had seen the effect of a version must not be
+    /// handled by an older one, in one incarnation of a daemon.
+    void judgeVersions()
+    {
+        struct Effect
+        {
+            TimePoint at;
+            unsigned version;
+        };
+        struct Handled
+        {
+            const SoakCall *call;
+            unsigned version;
+        };
+        std::map<std::pair<std::size_t, unsigned>,
+                 std::pair<std::vector<Effect>, std::vector<Handled>>>
+                incarnations;
+        for (const SoakCall &call : evidence_.calls) {
+            for (const Arrival &arrival : arrivalsOf(evidence_, call)) {
+                if (versionOf(arrival) == 0)
+                    continue;
+                auto &[effects, handled] = incarnations[{call.daemon, call.incarnation}];
+                effects.push_back({arrival.at, versionOf(arrival)});
+                handled.push_back({&call, versionOf(arrival)});
+            }
+        }
+        for (auto &[incarnation, seen] : incarnations) {
+            auto &[effects, handled] = seen;
+            std::ranges::sort(effects, {}, &Effect::at);
+            std::ranges::sort(handled, {}, [](const Handled &each) { return each.call->begun; });
+            unsigned newest = 0;
+            auto effect = effects.begin();
+            for (const Handled &each : handled) {
+                for (; effect != effects.end() && effect->at < each.call->begun; ++effect)
+                    newest = std::max(newest, effect->version);
+                if (each.version < newest)
+                    report(*each.call, fmt::format("was handled by version {} after version {}",
+                                                   each.version, newest));
+            }
+        }
+    }
+
+    const SoakEvidence &evidence_;
+    std::vector<std::string> broken_;
+};
+
+} // namespace
+
+Unanswered classify(const SoakEvidence &evidence, const SoakCall &call)
+{
+    if (call.end == CallEnd::Complete)
+        return Unanswered::No;
+    if (overlaps(evidence.disturbances, call))
+        return Unanswered::DaemonDisturbed;
+    const auto &arrivals = arrivalsOf(evidence, call);
+    if (std::ranges::any_of(arrivals, breaksOff))
+        return Unanswered::EndpointBroke;
+    if (call.end == CallEnd::NoAnswer && arrivals.empty() && call.ended - call.begun < kLostAfter
+        && overlaps(evidence.shutdowns, call))
+        return Unanswered::CrossedClose;
+    if (call.end == CallEnd::Cut && call.ended >= call.begun + call.deadline)
+        return Unanswered::AtDeadline;
+    return Unanswered::Lost;
+}
+
+const char *toString(Unanswered unanswered)
+{
+    switch (unanswered) {
+    case Unanswered::No:
+        return "answered";
+    case Unanswered::DaemonDisturbed:
+        return "daemon disturbed";
+    case Unanswered::EndpointBroke:
+        return "endpoint broke off";
+    case Unanswered::CrossedClose:
+        return "crossed close";
+    case Unanswered::AtDeadline:
+        return "cut at deadline";
+    case Unanswered::Lost:
+        return "LOST";
+    }
+    return "unknown";
+}
+
+std::vector<std::string> brokenPromises(const SoakEvidence &evidence)
+{
+    return Judge(evidence).judge();
+}
+
+std::string wholeStream()
+{
+    std::string text;
+    for (unsigned i = 1; i <= EndpointStandin::kStreamEvents; ++i)
+        text += fmt::format("id: {}\ndata: event {}\n\n", i, i);
+    return text;
+}
+
+std::string timeOfDay(TimePoint time)
+{
+    if (time == TimePoint{})
+        return "never";
+    const WallTime wall
+            = wallNow() - std::chrono::duration_cast<WallTime::duration>(steadyNow() - time);
+    return fmt::format("{:%H:%M:%S}.{:03}", std::chrono::floor<std::chrono::seconds>(wall),
+                       sinceEpoch(wall).count() % 1000);
+}
+
+} // namespace cicadafork::test
--- /dev/null
+++ b/tests/soak/checks.h
@@ -0,0 +1,58 @@
+#pragma once
+
+// The promises of the gateway, checked after a soak from what clients and endpoints saw.
+//
+//   for (const std::string &broken : brokenPromises(evidence))
+//       fmt::print("{}\n", broken);
+
+#include "soak/clients.h"
+#include "support/platformstandin.h"
+
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cicadafork::test {
+
+/// A time in which a daemon was killed or stopped by the soak.
+struct Disturbance
+{
+    std::size_t daemon = 0;
+    TimePoint from{};
+    TimePoint until = TimePoint::max();
+};
+
+struct SoakEvidence
+{
+    std::deque<SoakCall> calls;
+    /// All arrivals at all endpoints, by request id, in the order of each endpoint.
+    std::unordered_map<std::string, std::vector<EndpointStandin::Arrival>> arrivals;
+    std::vector<Disturbance> disturbances;
+    std::vector<Disturbance> shutdowns; ///< From SIGTERM to the end of the process.
+};
+
+/// How a request ended that got no whole response.
+enum class Unanswered {
+    No,              ///< It got one, be it an answer or a refusal.
+    DaemonDisturbed, ///< Its daemon was killed or stopped meanwhile.
+    EndpointBroke,   ///< The endpoint broke off its answer.
+    CrossedClose,    ///< A daemon that was shutting down closed without having read it.
+    AtDeadline,      ///< Its stream was cut at its deadline.
+    Lost,            ///< None of these.
+};
+
+const char *toString(Unanswered unanswered);
+
+Unanswered classify(const SoakEvidence &evidence, const SoakCall &call);
+
+/// One line for each promise that did not hold, with the request's id and times.
+std::vector<std::string> brokenPromises(const SoakEvidence &evidence);
+
+/// All events of a stream.
+std::string wholeStream();
+
+/// Time of day in UTC, as in the daemons' logs.
+std::string timeOfDay(TimePoint time);
+
+} // namespace cicadafork::test
--- /dev/null
+++ b/tests/soak/faults.cpp
@@ -0,0 +1,132 @@
+#include "soak/faults.h"
+
+#include <algorithm>
+#include <random>
+
+namespace cicadafork::test {
+
+namespace {
+
+constexpr Millis kFirstFault{500};
+constexpr std::size_t kMaxRolledDaemons = 20;
+constexpr unsigned kScriptedBehaviours = 9; ///< Values of EndpointBehaviour.
+
+class Planner
+{
+public:
+    explicit Planner(const SoakOptions &options)
+        : options_(options)
+        , random_(options.seed)
+    {
+    }
+
+    std::vector<Fault> plan()
+    {
+        for (Millis at = kFirstFault; at < options_.length; at += between(200, 900))
+            addSeries(at);
+        std::erase_if(faults_, [&](const Fault &fault) { return fault.at >= options_.length; });
+        std::ranges::stable_sort(faults_, {}, &Fault::at);
+        return std::move(faults_);
+    }
+
+private:
+    std::size_t pick(std::size_t count) { return random_() % count; }
+
+    Millis between(unsigned least, unsigned most) { return Millis(least + pick(most - least + 1)); }
+
+    void add(FaultKind kind, Millis at, std::size_t target, Millis duration = Millis(0))
+    {
+        faults_.push_back({kind, at, target, duration, {}});
+    }
+
+    void addSeries(Millis at)
+    {
+        const std::size_t daemon = pick(options_.daemons);
+        const std::size_t replica = pick(options_.replicas);
+        switch (pick(10)) {
+        case 0:
+            for (std::size_t i = 0; i < std::min<std::size_t>(options_.daemons, kMaxRolledDaemons);
+                 ++i, at += between(300, 1500))
+                add(FaultKind::Terminate, at, (daemon + i) % options_.daemons, between(0, 300));
+            break;
+        case 1:
+            for (std::size_t i = 3 + pick(3); i > 0; --i, at += between(400, 1200))
+                add(FaultKind::Kill, at, daemon, between(50, 400));
+            break;
+        case 2:
+            for (std::size_t i = 1 + pick(3); i > 0; --i, at += between(200, 2500))
+                add(FaultKind::Freeze, at, pick(options_.daemons), between(900, 2500));
+            break;
+        case 3:
+            for (std::size_t i = 2 + pick(4); i > 0; --i, at += between(50, 600))
+                add(FaultKind::Hangup, at, pick(options_.daemons));
+            break;
+        case 4:
+        case 5:
+            for (std::size_t i = 5 + pick(20); i > 0; --i, at += between(5, 200))
+                add(FaultKind::ChangeConfiguration, at, 0);
+            break;
+        case 6:
+            for (std::size_t i = 1 + pick(3); i > 0; --i, at += between(400, 2500))
+                add(FaultKind::StoreAway, at, 0, between(200, 2500));
+            break;
+        case 7:
+        case 8:
+            for (std::size_t i = 1 + pick(3); i > 0; --i, at += between(100, 1800))
+                add(FaultKind::EndpointSilent, at, pick(options_.replicas), between(1000, 1600));
+            break;
+        default:
+            addEndpointFaults(at, replica);
+            break;
+        }
+    }
+
+    void addEndpointFaults(Millis at, std::size_t replica)
+    {
+        if (pick(2) == 0) {
+            add(FaultKind::EndpointDraining, at, replica, between(300, 4000));
+            return;
+        }
+        add(FaultKind::EndpointFaulty, at, replica);
+        for (std::size_t i = 1 + pick(4); i > 0; --i)
+            faults_.back().behaviours.push_back(static_cast<unsigned>(pick(kScriptedBehaviours)));
+    }
+
+    const SoakOptions &options_;
+    std::mt19937_64 random_;
+    std::vector<Fault> faults_;
+};
+
+} // namespace
+
+std::vector<Fault> planFaults(const SoakOptions &options)
+{
+    return Planner(options).plan();
+}
+
+const char *toString(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::Terminate:
+        return "terminate";
+    case FaultKind::Kill:
+        return "kill";
+    case FaultKind::Freeze:
+        return "freeze";
+    case FaultKind::Hangup:
+        return "hangup";
+    case FaultKind::ChangeConfiguration:
+        return "change_configuration";
+    case FaultKind::StoreAway:
+        return "store_away";
+    case FaultKind::EndpointSilent:
+        return "endpoint_silent";
+    case FaultKind::EndpointFaulty:
+        return "endpoint_faulty";
+    case FaultKind::EndpointDraining:
+        return "endpoint_draining";
+    }
+    return "unknown";
+}
+
+} // namespace cicadafork::test
--- /dev/null
+++ b/tests/soak/faults.h
@@ -0,0 +1,41 @@
+#pragma once
+
+// The faults of one soak: series that begin at random times, last for seconds and overlap.
+//
+//   for (const Fault &fault : planFaults({.seed = 7, .length = Millis(10'000)}))
+//       schedule(fault.at, fault);
+
+#include "soak/soak.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace cicadafork::test {
+
+enum class FaultKind {
+    Terminate,           ///< SIGTERM to a daemon, which starts again after it has ended.
+    Kill,                ///< SIGKILL to a daemon, which starts again.
+    Freeze,              ///< SIGSTOP to a daemon for the duration.
+    Hangup,              ///< Changed settings file and SIGHUP.
+    ChangeConfiguration, ///< A new version of the configuration.
+    StoreAway,           ///< The store refuses every call for the duration.
+    EndpointSilent,      ///< A sound endpoint pauses for the duration and goes on.
+    EndpointFaulty,      ///< An endpoint handles its next requests in the ways of `behaviours`.
+    EndpointDraining,    ///< The record of an endpoint says draining for the duration.
+};
+
+struct Fault
+{
+    FaultKind kind = FaultKind::Kill;
+    Millis at{0};                     ///< Since the start of the soak.
+    std::size_t target = 0;           ///< Number of the daemon or endpoint.
+    Millis duration{0};               ///< For Terminate and Kill: from the end to the next start.
+    std::vector<unsigned> behaviours; ///< Values of EndpointBehaviour.
+};
+
+/// Depends on the options only. Ordered by time.
+std::vector<Fault> planFaults(const SoakOptions &options);
+
+const char *toString(FaultKind kind);
+
+} // namespace cicadafork::test
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -11,6 +11,7 @@
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
+#include <cstdio>
 #include <cstdlib>
 
 using namespace cicadafork;
@@ -18,16 +19,20 @@
 
 namespace {
 
-bool runSeed(std::uint64_t seed, Millis length)
+bool runSeed(const SoakOptions &options)
 {
-    const SoakReport report = runSoak({.seed = seed, .length = length});
+    const SoakReport report = runSoak(options);
     std::string outcomes;
     for (const auto &[outcome, count] : report.outcomes)
         outcomes += fmt::format(" [{}: {}]", outcome, count);
-    fmt::print("seed {}: {}, {} faults{}\n", seed, report.broken.empty() ? "holds" : "BROKEN",
-               report.faults, outcomes);
+    fmt::print("seed {}: {}, {} faults, {} requests, {} unanswered{}\n", options.seed,
+               report.broken.empty() ? "holds" : "BROKEN", report.faults, report.requests,
+               report.unanswered, outcomes);
     for (const std::string &broken : report.broken)
         fmt::print("  {}\n", broken);
+    if (!report.directory.empty())
+        fmt::print("  logs: {}\n", report.directory);
+    std::fflush(stdout);
     return report.broken.empty();
 }
 
@@ -39,8 +44,11 @@
     options.add_options()("seed", "first seed",
                           cxxopts::value<std::uint64_t>()->default_value("1"))(
             "seeds", "number of seeds", cxxopts::value<unsigned>()->default_value("1"))(
-            "seconds", "length for each seed",
-            cxxopts::value<unsigned>()->default_value("20"))("help", "print this text");
+            "seconds", "length for each seed", cxxopts::value<unsigned>()->default_value("20"))(
+            "daemons", "number of gateway processes",
+            cxxopts::value<unsigned>()->default_value("3"))(
+            "replicas", "number of endpoints, two thirds of them plain",
+            cxxopts::value<unsigned>()->default_value("6"))("help", "print this text");
     try {
         const auto parsed = options.parse(argc, argv);
         if (parsed.count("help") > 0) {
@@ -48,12 +56,18 @@
             return EXIT_SUCCESS;
         }
         setLogLevel(LogLevel::Error);
-        bool holds = true;
-        for (unsigned i = 0; i < parsed["seeds"].as<unsigned>(); ++i)
-            holds = runSeed(parsed["seed"].as<std::uint64_t>() + i,
-                            Millis(1000) * parsed["seconds"].as<unsigned>())
-                    && holds;
-        return holds ? EXIT_SUCCESS : EXIT_FAILURE;
+        SoakOptions soak;
+        soak.length = Millis(1000) * parsed["seconds"].as<unsigned>();
+        soak.daemons = parsed["daemons"].as<unsigned>();
+        soak.replicas = parsed["replicas"].as<unsigned>();
+        unsigned failed = 0;
+        const unsigned seeds = parsed["seeds"].as<unsigned>();
+        for (unsigned i = 0; i < seeds; ++i) {
+            soak.seed = parsed["seed"].as<std::uint64_t>() + i;
+            failed += !runSeed(soak);
+        }
+        fmt::print("{} of {} seeds hold\n", seeds - failed, seeds);
+        return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
     } catch (const std::exception &problem) {
         fmt::print(stderr, "error: {}\n", problem.what());
         return 2;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,6 +1,9 @@
 #include "soak/soak.h"
 
 #include "net/upstream.h"
+#include "soak/checks.h"
+#include "soak/clients.h"
+#include "soak/faults.h"
 #include "support/environment.h"
 #include "support/network.h"
 #include "support/platformstandin.h"
@@ -8,7 +11,9 @@
 
 #include <asio/io_context.hpp>
 #include <fmt/format.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -26,45 +31,55 @@
 constexpr std::uint16_t kReadinessPort = 20'102;
 constexpr std::uint16_t kControlPort = 20'103;
 constexpr std::uint16_t kPeerPort = 20'104;
-constexpr Millis kCallerDeadline{1500};
-// A daemon that runs answers within the deadline; this covers the machine's own delays.
-constexpr Millis kAnswerMargin{1500};
 constexpr Millis kStartLimit{10'000};
-constexpr Millis kRequestInterval{12};
-constexpr const char *kRoutes[] = {"safe", "once", "stream"};
-
-struct Call
-{
-    std::string id;
-    std::string route;
-    std::size_t daemon = 0;
-    TimePoint begun{};
-    std::unique_ptr<UpstreamCall> call;
-    int status = 0;
-    std::string body;
-    bool sealed = false;
-    bool ended = false;
-    bool whole = false;
-    bool disturbed = false; ///< Its daemon was stopped, killed or ended meanwhile.
-};
+// The users' bound `recoverS`.
+constexpr Millis kRecoveryLimit{12'000};
+constexpr Millis kStep{4};
+// Streams last long enough that most faults meet some of them.
+constexpr Millis kEventGap{40};
+constexpr unsigned kClientsPerDaemon = 8;
+constexpr unsigned kMaxClients = 96;
+// Every daemon has an address of its own in the net of the address pool.
+constexpr unsigned kMaxAddresses = 240;
+constexpr std::uint64_t kDaemonMemoryBytes = 64ULL * 1024 * 1024;
+// SIGHUP switches between two sets of limits.
+constexpr Millis kShutdownGrace[] = {Millis(8000), Millis(10'000)};
+constexpr unsigned kRetryAllowance[] = {100, 150};
 
 struct Daemon
 {
+    std::string name;
     std::string ip;
     std::string settings;
     std::string log;
     std::unique_ptr<ChildProcess> process;
+    unsigned incarnation = 0;
+    unsigned limits = 0;    ///< Set of limits in the settings file.
+    bool listening = false; ///< A connection was accepted; signals are handled.
+    bool killed = false;    ///< SIGKILL was sent to this incarnation.
+    TimePoint shutdownAt{}; ///< SIGTERM, or the end of a freeze after it.
     TimePoint startAgain{};
     TimePoint wakeUp{};
-    TimePoint disturbedUntil{};
+    Millis restartDelay{200};
 };
 
-std::string allEvents()
+/// The workspace of the key is named after the version, so that an endpoint sees which version has
+/// admitted a request.
+std::string configurationText(unsigned version)
 {
-    std::string text;
-    for (unsigned i = 1; i <= EndpointStandin::kStreamEvents; ++i)
-        text += fmt::format("id: {}\ndata: event {}\n\n", i, i);
-    return text;
+    std::string routes;
+    for (const SoakRoute &route : kSoakRoutes) {
+        routes += routes.empty() ? "" : ",";
+        routes += fmt::format(R"({{"name":"{0}","host":"h","pathPrefix":"/{0}/","kind":"{1}",
+            "service":"{2}","maxAttempts":{3},"timeoutMs":5000,"targetLatencyMs":300,
+            "resumable":true,"gapGoalMs":200}})",
+                              route.name, route.kind, route.service, route.maxAttempts);
+    }
+    return fmt::format(R"({{"version":{0},"routes":[{1}],"services":[{{"name":"plain"}},
+        {{"name":"pool","engine":{{"slots":16,"kvCapacity":450000,"stride":4,"step_ms":1,
+        "read_per_s":256000,"pairs_per_m":0.09}}}}],
+        "tenants":[{{"name":"ws-{0}","apiKeys":["key"]}}]}})",
+                       version, routes);
 }
 
 class Soak
@@ -73,6 +88,7 @@
     explicit Soak(const SoakOptions &options)
         : options_(options)
         , random_(options.seed)
+        , plan_(planFaults(options))
         , storeAddress_(addresses_.next())
         , store_(context_, storeAddress_)
         , pool_(context_, {})
@@ -81,49 +97,72 @@
         if (mkdtemp(name.data()) == nullptr)
             throw std::runtime_error("cannot create " + name);
         directory_ = name;
+        timeline_.open(directory_ + "/faults.log");
         for (unsigned i = 0; i < options.replicas; ++i)
             replicas_.push_back(std::make_unique<EndpointStandin>(context_, addresses_.next(),
                                                                   fmt::format("i-{}", i + 1)));
-        for (std::size_t i = 0; i < replicas_.size(); ++i)
+        for (std::size_t i = 0; i < replicas_.size(); ++i) {
+            replicas_[i]->eventGap = kEventGap;
             writeReplica(i, "ready");
+        }
         writeConfiguration();
         for (unsigned i = 0; i < options.daemons; ++i)
             addDaemon(i);
+        const unsigned clients = std::min(options.daemons * kClientsPerDaemon, kMaxClients);
+        for (unsigned i = 0; i < clients; ++i)
+            addClient();
     }
 
-    ~Soak() { std::filesystem::remove_all(directory_); }
+    ~Soak()
+    {
+        if (!keepsDirectory_)
+            std::filesystem::remove_all(directory_);
+    }
 
     SoakReport run()
     {
-        awaitReady();
-        const TimePoint end = steadyNow() + options_.length;
-        TimePoint nextFault = steadyNow() + Millis(500);
-        TimePoint nextCall = steadyNow();
-        while (steadyNow() < end) {
-            runFor(Millis(4));
-            const TimePoint now = steadyNow();
-            if (now >= nextCall) {
-                call(pick(options_.daemons));
-                nextCall = now + kRequestInterval;
-            }
-            if (now >= nextFault) {
-                injectFault(now);
-                nextFault = now + Millis(200 + pick(700));
-            }
-            tendDaemons(now);
+        if (!becomeReady(kStartLimit))
+            throw std::runtime_error("the daemons do not get ready");
+        for (const auto &client : clients_)
+            client->start();
+        const TimePoint start = steadyNow();
+        auto fault = plan_.begin();
+        while (steadyNow() < start + options_.length) {
+            step();
+            for (; fault != plan_.end() && steadyNow() >= start + fault->at; ++fault)
+                inject(*fault);
         }
-        runFor(kCallerDeadline + kAnswerMargin);
-        check();
+        for (const auto &client : clients_)
+            client->stop();
+        while (std::ranges::any_of(clients_, [](const auto &client) { return client->busy(); })
+               || !later_.empty())
+            step();
+        for (const auto &replica : replicas_)
+            replica->script.clear();
+        if (!becomeReady(kRecoveryLimit))
+            report_.broken.push_back("the daemons are not ready again after the last fault");
+        judge();
         return std::move(report_);
     }
 
 private:
-    std::size_t pick(std::size_t count) { return random_() % count; }
-
-    void runFor(Millis time)
+    void step()
     {
         context_.restart();
-        context_.run_for(time);
+        context_.run_for(kStep);
+        const TimePoint now = steadyNow();
+        while (!later_.empty() && later_.begin()->first <= now) {
+            const auto action = std::move(later_.begin()->second);
+            later_.erase(later_.begin());
+            action();
+        }
+        for (std::size_t i = 0; i < daemons_.size(); ++i)
+            tend(i, now);
+    }
+
+    void after(Millis delay, std::function<void()> action)
+    {
+        later_.emplace(steadyNow() + delay, std::move(action));
     }
 
     bool isEngine(std::size_t replica) const { return replica % 3 == 2; }
@@ -139,59 +178,89 @@
 
     void writeConfiguration()
     {
-        const auto route = [](const char *name, const char *kind, const char *service) {
-            return fmt::format(R"({{"name":"{0}","host":"h","pathPrefix":"/{0}/","kind":"{1}",
-                "service":"{2}","timeoutMs":1500,"targetLatencyMs":300,"maxAttempts":2,
-                "resumable":true,"gapGoalMs":200}})",
-                               name, kind, service);
-        };
         ++version_;
-        store_.put("keyed.op", "config",
-                   fmt::format(R"({{"version":{},"routes":[{},{},{}],"services":[{{"name":"plain"}},
-                       {{"name":"pool","engine":{{"slots":16,"kvCapacity":450000,"stride":4,
-                       "step_ms":1,"read_per_s":256000,"pairs_per_m":0.09}}}}],
-                       "tenants":[{{"name":"ws","apiKeys":["key","k{}"]}}]}})",
-                               version_, route("safe", "safe", "plain"),
-                               route("once", "unsafe", "plain"),
-                               route("stream", "streaming", "pool"), version_));
+        store_.put("keyed.op", "config", configurationText(version_));
     }
 
     void addDaemon(unsigned number)
     {
         Daemon daemon;
+        daemon.name = fmt::format("front-{}", number);
         daemon.ip = addresses_.next().ip;
         daemon.settings = fmt::format("{}/gateway-{}.yaml", directory_, number);
         daemon.log = fmt::format("{}/gateway-{}.log", directory_, number);
-        std::ofstream file(daemon.settings);
-        file << fmt::format("member: front-{}\nfailure_domain: z{}\n", number, number % 2)
-             << fmt::format("caller_address: {0}:{1}\nreadiness_address: {0}:{2}\n", daemon.ip,
-                            kCallerPort, kReadinessPort)
-             << fmt::format("control_address: {0}:{1}\npeer_address: {0}:{2}\n", daemon.ip,
-                            kControlPort, kPeerPort)
-             << fmt::format("store_address: {}\nseeds: \"none,{}:1\"\n", toString(storeAddress_),
-                            daemons_.empty() ? daemon.ip : daemons_.front().ip)
-             << "retries:\n  share: 0.2\n  allowance: 100\n  window_s: 10\nshutdown_grace_s: 5\n";
-        file.close();
-        start(daemon);
         daemons_.push_back(std::move(daemon));
+        writeSettings(daemons_.back(), number);
+        start(daemons_.back());
+    }
+
+    void writeSettings(const Daemon &daemon, std::size_t number)
+    {
+        // Renamed into place, so that the daemon never reads a part of it.
+        const std::string draft = daemon.settings + ".new";
+        std::ofstream(draft) << fmt::format("member: {}\nfailure_domain: z{}\n", daemon.name,
+                                            number % 2)
+                             << fmt::format("caller_address: {0}:{1}\nreadiness_address: {0}:{2}\n",
+                                            daemon.ip, kCallerPort, kReadinessPort)
+                             << fmt::format("control_address: {0}:{1}\npeer_address: {0}:{2}\n",
+                                            daemon.ip, kControlPort, kPeerPort)
+                             << fmt::format("store_address: {}\nseeds: \"none,{}:1\"\n",
+                                            toString(storeAddress_), daemons_.front().ip)
+                             << fmt::format(
+                                        "retries:\n  share: 0.2\n  allowance: {}\n  window_s: 10\n",
+                                        kRetryAllowance[daemon.limits])
+                             << fmt::format("shutdown_grace_s: {}\n",
+                                            kShutdownGrace[daemon.limits].count() / 1000);
+        std::filesystem::rename(draft, daemon.settings);
     }
 
     void start(Daemon &daemon)
     {
+        ++daemon.incarnation;
+        daemon.listening = false;
+        daemon.killed = false;
+        daemon.shutdownAt = {};
+        daemon.startAgain = {};
+        daemon.wakeUp = {};
         daemon.process = std::make_unique<ChildProcess>(
                 binaryDirectory() + "/cicadafork",
                 std::vector<std::string>{"gateway", "--settings", daemon.settings}, daemon.log);
     }
 
-    void awaitReady()
+    void addClient()
+    {
+        SoakClientHooks hooks;
+        hooks.pickTarget = [this] {
+            const std::size_t daemon = random_() % daemons_.size();
+            return SoakTarget{daemon, {daemons_[daemon].ip, kCallerPort}};
+        };
+        hooks.connected = [this](std::size_t daemon) {
+            daemons_[daemon].listening = true;
+            return daemons_[daemon].incarnation;
+        };
+        hooks.newCall = [this]() -> SoakCall & {
+            SoakCall &call = evidence_.calls.emplace_back();
+            call.id = fmt::format("r{}", evidence_.calls.size());
+            return call;
+        };
+        hooks.unsolicited = [this](std::size_t daemon) {
+            report_.broken.push_back(
+                    fmt::format("daemon {} sent bytes that no request waited for", daemon));
+        };
+        clients_.push_back(std::make_unique<SoakClient>(context_, random_(), std::move(hooks)));
+    }
+
+    /// Asks until all daemons are ready at the same time.
+    bool becomeReady(Millis limit)
     {
-        const TimePoint limit = steadyNow() + kStartLimit;
+        const TimePoint end = steadyNow() + limit;
         std::vector<int> status(daemons_.size(), 0);
         while (std::ranges::any_of(status, [](int value) { return value != 200; })) {
-            if (steadyNow() > limit)
-                throw std::runtime_error("the daemons do not get ready");
+            if (steadyNow() > end)
+                return false;
             std::vector<std::unique_ptr<UpstreamCall>> calls;
             for (std::size_t i = 0; i < daemons_.size(); ++i) {
+                status[i] = 0;
                 HeaderList headers;
                 headers.add("Host", "h");
                 calls.push_back(pool_.call(
@@ -205,161 +274,179 @@
                          .body = nullptr,
                          .end = nullptr}));
             }
-            runFor(Millis(100));
+            for (const TimePoint next = steadyNow() + Millis(100); steadyNow() < next;)
+                step();
         }
+        return true;
     }
 
-    void call(std::size_t daemon)
+    void note(const std::string &event)
     {
-        auto made = std::make_unique<Call>();
-        Call &call = *made;
-        call.id = fmt::format("r{}", calls_.size());
-        call.route = kRoutes[pick(std::size(kRoutes))];
-        call.daemon = daemon;
-        call.begun = steadyNow();
-        HeaderList headers;
-        headers.add("Host", "h");
-        headers.add("Request-Id", call.id);
-        headers.add("Authorization", "Token key");
-        headers.add("Deadline-Ms", std::to_string(kCallerDeadline.count()));
-        if (call.route == "stream")
-            headers.add("Token-Count", "1000,24");
-        call.call = pool_.call(
-                {daemons_[daemon].ip, kCallerPort},
-                {.head = serializeRequestHead("GET", "/" + call.route + "/x", headers)},
-                {.head =
-                         [&call](HttpResponseHead &&head) {
-                             call.status = head.status;
-                             call.sealed = head.headers.find("Response-Seal") != nullptr;
-                             return HeadAction::Accept;
-                         },
-                 .body = [&call](std::string_view bytes) { call.body += bytes; },
-                 .end =
-                         [&call](UpstreamOutcome end) {
-                             call.ended = true;
-                             call.whole = end == UpstreamOutcome::Complete;
-                         }});
-        calls_.push_back(std::move(made));
+        timeline_ << timeOfDay(steadyNow()) << ' ' << event << std::endl;
     }
 
-    void disturb(std::size_t daemon, TimePoint until)
-    {
-        daemons_[daemon].disturbedUntil = std::max(daemons_[daemon].disturbedUntil, until);
-        for (const auto &call : calls_)
-            call->disturbed = call->disturbed || (call->daemon == daemon && !call->ended);
-    }
-
-    void injectFault(TimePoint now)
+    void inject(const Fault &fault)
     {
         ++report_.faults;
-        const std::size_t daemon = pick(daemons_.size());
-        const std::size_t replica = pick(replicas_.size());
-        switch (pick(7)) {
-        case 0:
-            disturb(daemon, now + Millis(3000));
-            daemons_[daemon].process->sendSignal(SIGKILL);
-            daemons_[daemon].startAgain = now + Millis(300 + pick(1500));
-            break;
-        case 1:
-            disturb(daemon, now + Millis(6000));
-            daemons_[daemon].process->sendSignal(SIGSTOP);
-            daemons_[daemon].wakeUp = now + Millis(300 + pick(2500));
+        note(fmt::format("{} target={} duration_ms={}", toString(fault.kind), fault.target,
+                         fault.duration.count()));
+        switch (fault.kind) {
+        case FaultKind::Terminate:
+        case FaultKind::Kill:
+        case FaultKind::Freeze:
+        case FaultKind::Hangup:
+            disturb(fault);
             break;
-        case 2:
-            // Requests in progress must end well: only new ones may be refused.
-            daemons_[daemon].disturbedUntil = now + Millis(8000);
-            daemons_[daemon].process->sendSignal(SIGTERM);
+        case FaultKind::ChangeConfiguration:
+            writeConfiguration();
             break;
-        case 3:
-            store_.refuses = !store_.refuses;
+        case FaultKind::StoreAway:
+            store_.refuses = ++storeFaults_ > 0;
+            after(fault.duration, [this] { store_.refuses = --storeFaults_ > 0; });
             break;
-        case 4:
-            writeConfiguration();
+        case FaultKind::EndpointSilent:
+            replicas_[fault.target]->fallSilent(fault.duration);
             break;
-        case 5:
-            writeReplica(replica, pick(3) == 0 ? "draining" : "ready");
+        case FaultKind::EndpointFaulty:
+            for (const unsigned behaviour : fault.behaviours)
+                replicas_[fault.target]->script.push_back(
+                        static_cast<EndpointBehaviour>(behaviour));
             break;
-        default:
-            for (std::size_t i = 0; i <= pick(4); ++i)
-                replicas_[replica]->script.push_back(static_cast<EndpointBehaviour>(pick(9)));
+        case FaultKind::EndpointDraining:
+            writeReplica(fault.target, "draining");
+            after(fault.duration, [this, target = fault.target] { writeReplica(target, "ready"); });
             break;
         }
     }
 
-    void tendDaemons(TimePoint now)
+    void disturb(const Fault &fault)
+    {
+        Daemon &daemon = daemons_[fault.target];
+        const TimePoint now = steadyNow();
+        // Before the process handles signals, these would end it.
+        const bool handlesSignals = daemon.listening && daemon.process->running();
+        if (fault.kind == FaultKind::Kill && daemon.process->running()) {
+            daemon.process->sendSignal(SIGKILL);
+            daemon.killed = true;
+            daemon.restartDelay = fault.duration;
+            beginDisturbance(fault.target, now);
+        } else if (fault.kind == FaultKind::Freeze && daemon.process->running()) {
+            daemon.process->sendSignal(SIGSTOP);
+            daemon.wakeUp = std::max(daemon.wakeUp, now + fault.duration);
+            beginDisturbance(fault.target, now);
+        } else if (fault.kind == FaultKind::Terminate && handlesSignals) {
+            daemon.process->sendSignal(SIGTERM);
+            daemon.restartDelay = fault.duration;
+            if (daemon.shutdownAt == TimePoint{}) {
+                daemon.shutdownAt = now;
+                evidence_.shutdowns.push_back({fault.target, now});
+            }
+        } else if (fault.kind == FaultKind::Hangup && handlesSignals) {
+            daemon.limits = 1 - daemon.limits;
+            writeSettings(daemon, fault.target);
+            daemon.process->sendSignal(SIGHUP);
+        }
+    }
+
+    void beginDisturbance(std::size_t daemon, TimePoint now)
+    {
+        evidence_.disturbances.push_back({daemon, now});
+    }
+
+    static void endAll(std::vector<Disturbance> &disturbances, std::size_t daemon, TimePoint now)
+    {
+        for (Disturbance &disturbance : disturbances) {
+            if (disturbance.daemon == daemon && disturbance.until == TimePoint::max())
+                disturbance.until = now;
+        }
+    }
+
+    void tend(std::size_t number, TimePoint now)
     {
-        for (std::size_t i = 0; i < daemons_.size(); ++i) {
-            Daemon &daemon = daemons_[i];
+        Daemon &daemon = daemons_[number];
+        if (daemon.process->running()) {
             if (daemon.wakeUp != TimePoint{} && now >= daemon.wakeUp) {
                 daemon.process->sendSignal(SIGCONT);
                 daemon.wakeUp = {};
+                if (daemon.shutdownAt != TimePoint{})
+                    daemon.shutdownAt = now;
+                if (!daemon.killed)
+                    endAll(evidence_.disturbances, number, now);
             }
-            if (daemon.process->running())
-                continue;
-            if (daemon.startAgain == TimePoint{}) {
-                const int status = daemon.process->wait(Millis(0)).value_or(-1);
-                if (status != 0)
-                    report_.broken.push_back(fmt::format("daemon {} ended with {}", i, status));
-                daemon.startAgain = now + Millis(200);
-                disturb(i, now + Millis(3000));
-            } else if (now >= daemon.startAgain) {
-                daemon.startAgain = {};
-                daemon.wakeUp = {};
-                start(daemon);
+            const bool overdue = daemon.shutdownAt != TimePoint{} && daemon.wakeUp == TimePoint{}
+                                 && now > daemon.shutdownAt + kShutdownGrace[1] + kAnswerMargin;
+            if (overdue && !daemon.killed) {
+                report_.broken.push_back(
+                        fmt::format("daemon {} did not end within its grace period", number));
+                daemon.process->sendSignal(SIGKILL);
+                daemon.killed = true;
             }
+            return;
+        }
+        if (daemon.startAgain == TimePoint{}) {
+            const int status = daemon.process->wait(Millis(0)).value_or(-1);
+            note(fmt::format("ended target={} status={}", number, status));
+            const bool asked = (status == 0 && daemon.shutdownAt != TimePoint{})
+                               || (status == 128 + SIGKILL && daemon.killed);
+            if (!asked)
+                report_.broken.push_back(fmt::format("daemon {} ended with {} at {}", number,
+                                                     status, timeOfDay(now)));
+            endAll(evidence_.disturbances, number, now);
+            endAll(evidence_.shutdowns, number, now);
+            daemon.startAgain = now + daemon.restartDelay;
+        } else if (now >= daemon.startAgain) {
+            start(daemon);
+            note(fmt::format("started target={} incarnation={}", number, daemon.incarnation));
         }
     }
 
-    std::size_t runsOf(const std::string &id) const
-    {
-        std::size_t runs = 0;
-        for (const auto &replica : replicas_)
-            runs += std::ranges::count(replica->runs, id, &EndpointStandin::Run::requestId);
-        return runs;
-    }
-
-    void check()
+    void judge()
     {
-        for (const auto &call : calls_) {
-            const auto broken = [&](const char *promise) {
-                report_.broken.push_back(fmt::format("{} ({}, daemon {}, status {}): {}", call->id,
-                                                     call->route, call->daemon, call->status,
-                                                     promise));
-            };
-            ++report_.outcomes[fmt::format("{} {}{}", call->route, call->status,
-                                           call->whole ? "" : " cut")];
-            const std::size_t runs = runsOf(call->id);
-            const std::string expected
-                    = call->route == "stream" ? allEvents() : "answer of " + call->id;
-            if (call->route == "once" && runs > 1)
-                broken("ran more than once");
-            if (call->route == "once" && call->whole && call->status == 503 && runs > 0)
-                broken("was said not to have run, and ran");
-            if (call->status == 200 && call->whole && (call->body != expected || !call->sealed))
-                broken("has another answer than its own, or not the whole");
-            if (call->status == 200 && !expected.starts_with(call->body))
-                broken("has bytes that are not of its answer");
-            if (!call->ended && !call->disturbed
-                && daemons_[call->daemon].disturbedUntil < call->begun)
-                broken("has no end");
-            if (call->whole && (call->status == 401 || call->status == 404))
-                broken("was denied, though its route and key were always there");
+        for (const auto &replica : replicas_) {
+            for (const EndpointStandin::Arrival &arrival : replica->log)
+                evidence_.arrivals[arrival.requestId].push_back(arrival);
+        }
+        for (std::string &broken : brokenPromises(evidence_))
+            report_.broken.push_back(std::move(broken));
+        std::map<std::string, unsigned> served;
+        for (const SoakCall &call : evidence_.calls) {
+            const Unanswered unanswered = classify(evidence_, call);
+            ++report_.outcomes[fmt::format("{} {}", call.route->name,
+                                           unanswered == Unanswered::No
+                                                   ? std::to_string(call.status)
+                                                   : toString(unanswered))];
+            report_.unanswered += unanswered == Unanswered::Lost;
+            served[call.route->name] += call.status == 200;
+        }
+        report_.requests = static_cast<unsigned>(evidence_.calls.size());
+        for (const SoakRoute &route : kSoakRoutes) {
+            if (served[route.name] == 0)
+                report_.broken.push_back(fmt::format("no request of {} was served", route.name));
         }
+        keepsDirectory_ = !report_.broken.empty();
+        if (keepsDirectory_)
+            report_.directory = directory_;
     }
 
     SoakOptions options_;
     std::mt19937_64 random_;
+    std::vector<Fault> plan_;
     asio::io_context context_;
     AddressPool addresses_;
     Address storeAddress_;
     StoreStandin store_;
     std::vector<std::unique_ptr<EndpointStandin>> replicas_;
     UpstreamPool pool_;
-    std::vector<std::unique_ptr<Call>> calls_;
+    SoakEvidence evidence_;
+    std::vector<std::unique_ptr<SoakClient>> clients_;
     std::vector<Daemon> daemons_;
+    std::multimap<TimePoint, std::function<void()>> later_;
     std::string directory_;
+    bool keepsDirectory_ = false;
+    std::ofstream timeline_;
     unsigned version_ = 0;
     unsigned sequence_ = 0;
+    int storeFaults_ = 0;
     SoakReport report_;
 };
 
@@ -367,6 +454,15 @@
 
 SoakReport runSoak(const SoakOptions &options)
 {
+    const std::uint64_t memory = static_cast<std::uint64_t>(sysconf(_SC_PHYS_PAGES))
+                                 * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+    if (options.daemons == 0 || options.replicas < 3)
+        throw std::runtime_error("a soak needs a daemon and three replicas");
+    if (options.daemons * kDaemonMemoryBytes > memory / 2)
+        throw std::runtime_error("these daemons may take more than half of the memory; run fewer");
+    if (options.daemons + options.replicas > kMaxAddresses)
+        throw std::runtime_error(
+                fmt::format("a soak has at most {} daemons and replicas", kMaxAddresses));
     return Soak(options).run();
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,16 +1,16 @@
 #pragma once
 
 // A randomized soak of the gateway: real processes, faults from outside, promises checked
-// meanwhile.
+// afterwards.
 //
 //   SoakReport report = runSoak({.seed = 7, .length = Millis(20'000)});
 //   for (const std::string &broken : report.broken)
 //       fmt::print("{}\n", broken);
 //
 // The store and the replicas are stand-ins in this program, the daemons are processes. A seed
-// chooses the faults: daemons that are killed, stopped for a while, or ended and started again, a
-// store that turns everyone away, replicas that answer wrongly or drain, and changes of the
-// configuration. They overlap.
+// chooses the faults, which come in series and overlap: signals to daemons, restarts, changes of
+// the settings and of the configuration, a store that is away, endpoints that pause, answer wrongly
+// or drain.
 
 #include "base/clock.h"
 
@@ -31,12 +31,16 @@
 
 struct SoakReport
 {
-    std::map<std::string, unsigned> outcomes; ///< Requests by status and route.
+    std::map<std::string, unsigned> outcomes; ///< Requests by route and status or kind of end.
+    unsigned requests = 0;
+    unsigned unanswered = 0; ///< Requests with neither an answer nor a refusal, without excuse.
     unsigned faults = 0;
     std::vector<std::string> broken; ///< Promises that did not hold, with the request's id.
+    std::string directory; ///< Logs of the daemons and of the faults; empty if no promise broke.
 };
 
-/// Throws std::runtime_error when the system cannot be started.
+/// Throws std::runtime_error when the system cannot be started or would take more than half of the
+/// machine's memory.
 SoakReport runSoak(const SoakOptions &options);
 
 } // namespace cicadafork::test
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -209,6 +209,9 @@
     const std::string name = requestId ? *requestId : std::string();
     HeaderList plain;
     plain.add(platform::kRequestId, name);
+    const std::string *workspace = request.headers.find(platform::kTenant);
+    log.push_back({id, name, workspace ? *workspace : std::string(), steadyNow(),
+                   EndpointBehaviour::NotRun, false});
     if (expected && *expected != id) {
         caller->respond(421, std::move(plain), {});
         return;
@@ -216,6 +219,8 @@
     const EndpointBehaviour behaviour = script.empty() ? EndpointBehaviour::Answer : script.front();
     if (!script.empty())
         script.pop_front();
+    log.back().behaviour = behaviour;
+    log.back().ran = behaviour != EndpointBehaviour::NotRun;
     if (behaviour == EndpointBehaviour::NotRun) {
         plain.add(platform::kNotRun, "1");
         caller->respond(503, std::move(plain), {});
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -98,6 +98,16 @@
         HttpRequest request;
         std::shared_ptr<HttpServerConnection> connection;
     };
+    /// A request that the endpoint has received, whether or not it was executed.
+    struct Arrival
+    {
+        std::string endpoint;
+        std::string requestId;
+        std::string workspace;
+        TimePoint at{};
+        EndpointBehaviour behaviour = EndpointBehaviour::Answer;
+        bool ran = false;
+    };
 
     EndpointStandin(asio::io_context &context, const Address &address, std::string id);
 
@@ -108,6 +118,7 @@
     const std::string id;
     std::deque<EndpointBehaviour> script; ///< For the next requests; Answer once it is empty.
     std::vector<Run> runs;                ///< Requests that were executed, at least in part.
+    std::vector<Arrival> log;
     unsigned arrivals = 0;
     Millis eventGap{3};
     std::size_t padding = 0; ///< Bytes added to an answer that is no stream.
--- /dev/null
+++ b/tests/unit/soakchecks_test.cpp
@@ -0,0 +1,280 @@
+// The checks of the soak: each must find the defect that it is there for, and accept its excuses.
+
+#include "soak/checks.h"
+#include "soak/faults.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace cicadafork;
+using namespace cicadafork::test;
+
+namespace {
+
+using Arrival = EndpointStandin::Arrival;
+
+constexpr Millis kDeadline{1500};
+
+TimePoint at(int millis)
+{
+    return TimePoint(Millis(1'000'000 + millis));
+}
+
+/// A request to daemon 0 that begins at time 0.
+SoakCall callOf(std::string_view route, CallEnd end, int status, int endedAt)
+{
+    SoakCall call;
+    call.id = "r1";
+    call.route = std::ranges::find(kSoakRoutes, route, &SoakRoute::name);
+    call.incarnation = 1;
+    call.deadline = kDeadline;
+    call.begun = at(0);
+    call.ended = at(endedAt);
+    call.end = end;
+    call.status = status;
+    call.sealed = status == 200;
+    if (status == 200)
+        call.body = isStream(*call.route) ? wholeStream() : "answer of r1";
+    return call;
+}
+
+Arrival arrivalOf(EndpointBehaviour behaviour, const char *workspace = "ws-1", int when = 5)
+{
+    return {"i-1", "r1", workspace, at(when), behaviour, behaviour != EndpointBehaviour::NotRun};
+}
+
+Disturbance from(int begin, int end, std::size_t daemon = 0)
+{
+    return {daemon, at(begin), at(end)};
+}
+
+} // namespace
+
+TEST_GROUP(SoakChecks){};
+
+// Guards against a soak that excuses a lost request, or that blames the gateway for its own faults.
+TEST(SoakChecks, aRequestWithoutAnAnswerIsLostUnlessAnExcuseCoversIt)
+{
+    using enum EndpointBehaviour;
+    struct Case
+    {
+        const char *name;
+        CallEnd end;
+        int endedAt;
+        std::vector<Arrival> arrivals;
+        std::vector<Disturbance> disturbances;
+        std::vector<Disturbance> shutdowns;
+        Unanswered expected;
+    };
+    const std::vector<Case> cases = {
+            {"answered", CallEnd::Complete, 50, {arrivalOf(Answer)}, {}, {}, Unanswered::No},
+            {"passed on and closed",
+             CallEnd::NoAnswer,
+             50,
+             {arrivalOf(Answer)},
+             {},
+             {},
+             Unanswered::Lost},
+            {"cut in the stream", CallEnd::Cut, 50, {arrivalOf(Answer)}, {}, {}, Unanswered::Lost},
+            {"daemon killed meanwhile",
+             CallEnd::NoAnswer,
+             50,
+             {arrivalOf(Answer)},
+             {from(20, 60)},
+             {},
+             Unanswered::DaemonDisturbed},
+            {"another daemon killed",
+             CallEnd::NoAnswer,
+             50,
+             {arrivalOf(Answer)},
+             {from(20, 60, 1)},
+             {},
+             Unanswered::Lost},
+            {"daemon killed before",
+             CallEnd::NoAnswer,
+             50,
+             {arrivalOf(Answer)},
+             {from(-60, -20)},
+             {},
+             Unanswered::Lost},
+            {"endpoint broke off",
+             CallEnd::Cut,
+             50,
+             {arrivalOf(BreaksStream)},
+             {},
+             {},
+             Unanswered::EndpointBroke},
+            {"endpoint refused",
+             CallEnd::NoAnswer,
+             50,
+             {arrivalOf(NotRun)},
+             {},
+             {},
+             Unanswered::Lost},
+            {"crossed the close",
+             CallEnd::NoAnswer,
+             50,
+             {},
+             {},
+             {from(-3000, 40)},
+             Unanswered::CrossedClose},
+            {"closed late in a shutdown",
+             CallEnd::NoAnswer,
+             250,
+             {},
+             {},
+             {from(-3000, 240)},
+             Unanswered::Lost},
+            {"passed on in a shutdown",
+             CallEnd::NoAnswer,
+             50,
+             {arrivalOf(Answer)},
+             {},
+             {from(-3000, 40)},
+             Unanswered::Lost},
+            {"closed without a shutdown", CallEnd::NoAnswer, 50, {}, {}, {}, Unanswered::Lost},
+            {"cut at the deadline",
+             CallEnd::Cut,
+             1501,
+             {arrivalOf(Answer)},
+             {},
+             {},
+             Unanswered::AtDeadline},
+            {"never answered",
+             CallEnd::Abandoned,
+             3000,
+             {arrivalOf(Answer)},
+             {},
+             {},
+             Unanswered::Lost},
+    };
+    for (const Case &c : cases) {
+        SoakEvidence evidence;
+        evidence.calls.push_back(
+                callOf("stream", c.end, c.end == CallEnd::Cut ? 200 : 0, c.endedAt));
+        evidence.calls.back().body.clear();
+        evidence.arrivals["r1"] = c.arrivals;
+        evidence.disturbances = c.disturbances;
+        evidence.shutdowns = c.shutdowns;
+        const bool lost = c.expected == Unanswered::Lost;
+        if (c.end == CallEnd::Complete)
+            evidence.calls.back().body = wholeStream();
+        STRCMP_EQUAL_TEXT(toString(c.expected), toString(classify(evidence, evidence.calls[0])),
+                          c.name);
+        if (c.end != CallEnd::Complete)
+            CHECK_EQUAL_TEXT(lost, !brokenPromises(evidence).empty(), c.name);
+    }
+}
+
+// Guards against a soak that passes a wrong answer.
+TEST(SoakChecks, aBrokenPromiseIsFound)
+{
+    using enum EndpointBehaviour;
+    struct Case
+    {
+        const char *name;
+        SoakCall call;
+        std::vector<Arrival> arrivals;
+        bool broken;
+    };
+    const auto complete = [](std::string_view route, int status, int endedAt = 50) {
+        return callOf(route, CallEnd::Complete, status, endedAt);
+    };
+    SoakCall shortStream = complete("stream", 200);
+    shortStream.body.resize(20);
+    SoakCall unsealed = complete("safe", 200);
+    unsealed.sealed = false;
+    const std::vector<Case> cases = {
+            {"sound", complete("once", 200), {arrivalOf(Answer)}, false},
+            {"ran twice", complete("once", 200), {arrivalOf(Answer), arrivalOf(Answer)}, true},
+            {"repeatable ran twice",
+             complete("safe", 200),
+             {arrivalOf(Fails), arrivalOf(Answer)},
+             false},
+            {"refused twice and ran",
+             complete("once", 200),
+             {arrivalOf(NotRun), arrivalOf(Answer)},
+             false},
+            {"repeated beyond the route's limit",
+             complete("safe-single", 200),
+             {arrivalOf(Fails), arrivalOf(Answer)},
+             true},
+            {"503 and ran", complete("once", 503), {arrivalOf(Answer)}, true},
+            {"503 and not run", complete("once", 503), {arrivalOf(NotRun)}, false},
+            {"stream with a part missing", shortStream, {arrivalOf(Answer)}, true},
+            {"answer without its seal", unsealed, {arrivalOf(Unsigned)}, true},
+            {"denied", complete("safe", 401), {}, true},
+            {"502 beside a sound endpoint",
+             complete("stream", 502, 1200),
+             {arrivalOf(Answer)},
+             true},
+            {"502 after a broken answer",
+             complete("stream", 502, 1200),
+             {arrivalOf(Resets)},
+             false},
+            {"504 at the deadline", complete("once", 504, 1501), {arrivalOf(Answer)}, false},
+    };
+    for (const Case &c : cases) {
+        SoakEvidence evidence;
+        evidence.calls.push_back(c.call);
+        evidence.arrivals["r1"] = c.arrivals;
+        CHECK_EQUAL_TEXT(c.broken, !brokenPromises(evidence).empty(), c.name);
+    }
+}
+
+// Guards against versions that go back unnoticed, and against blame for overlapping requests.
+TEST(SoakChecks, aVersionThatGoesBackIsFoundInOneIncarnation)
+{
+    struct Case
+    {
+        const char *name;
+        int secondBegins;
+        unsigned secondIncarnation;
+        const char *secondWorkspace;
+        bool broken;
+    };
+    // The first request is handled by version 2; its endpoint sees it at 5.
+    const std::vector<Case> cases = {
+            {"same version", 10, 1, "ws-2", false},
+            {"newer version", 10, 1, "ws-3", false},
+            {"older version", 10, 1, "ws-1", true},
+            {"sent before the effect", 3, 1, "ws-1", false},
+            {"after a restart", 10, 2, "ws-1", false},
+    };
+    for (const Case &c : cases) {
+        SoakEvidence evidence;
+        evidence.calls.push_back(callOf("safe", CallEnd::Complete, 200, 50));
+        evidence.arrivals["r1"] = {arrivalOf(EndpointBehaviour::Answer, "ws-2", 5)};
+        SoakCall second = callOf("safe", CallEnd::Complete, 200, 50);
+        second.id = "r2";
+        second.body = "answer of r2";
+        second.begun = at(c.secondBegins);
+        second.incarnation = c.secondIncarnation;
+        evidence.calls.push_back(second);
+        evidence.arrivals["r2"]
+                = {arrivalOf(EndpointBehaviour::Answer, c.secondWorkspace, c.secondBegins + 1)};
+        CHECK_EQUAL_TEXT(c.broken, !brokenPromises(evidence).empty(), c.name);
+    }
+}
+
+// Guards against a seed that cannot be played again, and against faults without a target.
+TEST(SoakChecks, aSeedGivesOnePlanWithinItsBounds)
+{
+    SoakOptions options;
+    for (options.seed = 1; options.seed <= 50; ++options.seed) {
+        const std::vector<Fault> plan = planFaults(options);
+        const std::vector<Fault> again = planFaults(options);
+        CHECK(!plan.empty());
+        CHECK_EQUAL(plan.size(), again.size());
+        for (std::size_t i = 0; i < plan.size(); ++i) {
+            CHECK(plan[i].kind == again[i].kind && plan[i].at == again[i].at
+                  && plan[i].target == again[i].target && plan[i].duration == again[i].duration
+                  && plan[i].behaviours == again[i].behaviours);
+            CHECK(plan[i].at < options.length && (i == 0 || plan[i - 1].at <= plan[i].at));
+            const bool ofDaemon
+                    = plan[i].kind <= FaultKind::Hangup; // The kinds of daemons come first.
+            CHECK(plan[i].target < (ofDaemon ? options.daemons : options.replicas));
+        }
+    }
+}
