Add the store that comes back older to the soak, and check that versions are applied in time

A drill refuses calls for up to 1.5 s, restores a copy that is 0.5 to 6 s old, and lets the operator and the replicas write again 0.8 s later. Nothing in the soak noticed a daemon that stays behind afterwards, so two checks come with it: a daemon that was undisturbed for 3 s, beside a store that was, admits no request by a version whose successor was acknowledged more than 2 s before (the users' stabilityWindowMs and configApplyMs); and after the last fault every daemon admits requests by the newest version within 12 s (recoverS). The first has a table test.

--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -15,15 +15,28 @@
 
 // The users' bound `lostMs`: a daemon that closes later than this has had the time to read.
 constexpr Millis kLostAfter{200};
+// The users' bounds `configApplyMs` and `stabilityWindowMs`.
+constexpr Millis kApplyWithin{2000};
+constexpr Millis kStableFor{3000};
 
-bool overlaps(const std::vector<Disturbance> &disturbances, const SoakCall &call)
+bool overlaps(const Disturbance &disturbance, TimePoint from, TimePoint until)
+{
+    return disturbance.from <= until && from <= disturbance.until;
+}
+
+bool overlaps(const std::vector<Disturbance> &disturbances, std::size_t daemon, TimePoint from,
+              TimePoint until)
 {
     return std::ranges::any_of(disturbances, [&](const Disturbance &disturbance) {
-        return disturbance.daemon == call.daemon && disturbance.from <= call.ended
-               && call.begun <= disturbance.until;
+        return disturbance.daemon == daemon && overlaps(disturbance, from, until);
     });
 }
 
+bool overlaps(const std::vector<Disturbance> &disturbances, const SoakCall &call)
+{
+    return overlaps(disturbances, call.daemon, call.begun, call.ended);
+}
+
 const std::vector<Arrival> &arrivalsOf(const SoakEvidence &evidence, const SoakCall &call)
 {
     static const std::vector<Arrival> none;
@@ -48,15 +61,6 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-/// Version of the configuration that admitted the request; 0 when the endpoint was told none.
-unsigned versionOf(const Arrival &arrival)
-{
-    const std::size_t dash = arrival.workspace.rfind('-');
-    return dash == std::string::npos ? 0
-                                     : static_cast<unsigned>(std::strtoul(
-                                             arrival.workspace.c_str() + dash + 1, nullptr, 10));
-}
-
 const char *toString(CallEnd end)
 {
     switch (end) {
@@ -87,6 +91,7 @@
         for (const SoakCall &call : evidence_.calls)
             judgeCall(call);
         judgeVersions();
+        judgeApplication();
         return std::move(broken_);
     }
 
@@ -181,6 +186,33 @@
         }
     }
 
+    /// A version is in force within its time at every daemon that has long been undisturbed, as
+    /// the store has been.
+    void judgeApplication()
+    {
+        for (const SoakCall &call : evidence_.calls) {
+            const TimePoint due = call.begun - kApplyWithin;
+            const TimePoint from = due - kStableFor;
+            if (overlaps(evidence_.disturbances, call.daemon, from, call.begun)
+                || overlaps(evidence_.shutdowns, call.daemon, from, call.begun)
+                || overlaps(evidence_.restarts, call.daemon, from, call.begun)
+                || std::ranges::any_of(evidence_.storeFaults, [&](const Disturbance &fault) {
+                       return overlaps(fault, from, call.begun);
+                   }))
+                continue;
+            unsigned newest = 0;
+            for (const ConfigurationWrite &write : evidence_.writes) {
+                if (write.at < due)
+                    newest = std::max(newest, write.version);
+            }
+            for (const Arrival &arrival : arrivalsOf(evidence_, call)) {
+                if (versionOf(arrival) != 0 && versionOf(arrival) < newest)
+                    report(call, fmt::format("was handled by version {} after version {} was due",
+                                             versionOf(arrival), newest));
+            }
+        }
+    }
+
     const SoakEvidence &evidence_;
     std::vector<std::string> broken_;
 };
@@ -228,6 +260,14 @@
     return Judge(evidence).judge();
 }
 
+unsigned versionOf(const Arrival &arrival)
+{
+    const std::size_t dash = arrival.workspace.rfind('-');
+    return dash == std::string::npos ? 0
+                                     : static_cast<unsigned>(std::strtoul(
+                                             arrival.workspace.c_str() + dash + 1, nullptr, 10));
+}
+
 std::string wholeStream()
 {
     std::string text;
--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -23,13 +23,23 @@
     TimePoint until = TimePoint::max();
 };
 
+/// The store has acknowledged a version of the configuration.
+struct ConfigurationWrite
+{
+    unsigned version = 0;
+    TimePoint at{};
+};
+
 struct SoakEvidence
 {
     std::deque<SoakCall> calls;
     /// All arrivals at all endpoints, by request id, in the order of each endpoint.
     std::unordered_map<std::string, std::vector<EndpointStandin::Arrival>> arrivals;
     std::vector<Disturbance> disturbances;
-    std::vector<Disturbance> shutdowns; ///< From SIGTERM to the end of the process.
+    std::vector<Disturbance> shutdowns;     ///< From SIGTERM to the end of the process.
+    std::vector<Disturbance> restarts;      ///< From the end of a process to the next one's start.
+    std::vector<Disturbance> storeFaults;   ///< Of no daemon.
+    std::vector<ConfigurationWrite> writes; ///< In the order of time.
 };
 
 /// How a request ended that got no whole response.
@@ -49,6 +59,9 @@
 /// One line for each promise that did not hold, with the request's id and times.
 std::vector<std::string> brokenPromises(const SoakEvidence &evidence);
 
+/// Version of the configuration that admitted the request; 0 when the endpoint was told none.
+unsigned versionOf(const EndpointStandin::Arrival &arrival);
+
 /// All events of a stream.
 std::string wholeStream();
 
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -36,14 +36,14 @@
 
     void add(FaultKind kind, Millis at, std::size_t target, Millis duration = Millis(0))
     {
-        faults_.push_back({kind, at, target, duration, {}});
+        faults_.push_back({kind, at, target, duration, Millis(0), {}});
     }
 
     void addSeries(Millis at)
     {
         const std::size_t daemon = pick(options_.daemons);
         const std::size_t replica = pick(options_.replicas);
-        switch (pick(10)) {
+        switch (pick(11)) {
         case 0:
             for (std::size_t i = 0; i < std::min<std::size_t>(options_.daemons, kMaxRolledDaemons);
                  ++i, at += between(300, 1500))
@@ -71,7 +71,11 @@
                 add(FaultKind::StoreAway, at, 0, between(200, 2500));
             break;
         case 7:
+            add(FaultKind::StoreOlder, at, 0, between(0, 1500));
+            faults_.back().age = between(500, 6000);
+            break;
         case 8:
+        case 9:
             for (std::size_t i = 1 + pick(3); i > 0; --i, at += between(100, 1800))
                 add(FaultKind::EndpointSilent, at, pick(options_.replicas), between(1000, 1600));
             break;
@@ -119,6 +123,8 @@
         return "change_configuration";
     case FaultKind::StoreAway:
         return "store_away";
+    case FaultKind::StoreOlder:
+        return "store_older";
     case FaultKind::EndpointSilent:
         return "endpoint_silent";
     case FaultKind::EndpointFaulty:
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -19,6 +19,7 @@
     Hangup,              ///< Changed settings file and SIGHUP.
     ChangeConfiguration, ///< A new version of the configuration.
     StoreAway,           ///< The store refuses every call for the duration.
+    StoreOlder,          ///< After the duration away, the store comes back from a copy.
     EndpointSilent,      ///< A sound endpoint pauses for the duration and goes on.
     EndpointFaulty,      ///< An endpoint handles its next requests in the ways of `behaviours`.
     EndpointDraining,    ///< The record of an endpoint says draining for the duration.
@@ -30,6 +31,7 @@
     Millis at{0};                     ///< Since the start of the soak.
     std::size_t target = 0;           ///< Number of the daemon or endpoint.
     Millis duration{0};               ///< For Terminate and Kill: from the end to the next start.
+    Millis age{0};                    ///< Of the copy.
     std::vector<unsigned> behaviours; ///< Values of EndpointBehaviour.
 };
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -37,6 +37,8 @@
 constexpr Millis kStep{4};
 // Streams last long enough that most faults meet some of them.
 constexpr Millis kEventGap{40};
+// Time for which the daemons meet a restored store without what it has lost.
+constexpr Millis kWriteAgainDelay{800};
 constexpr unsigned kClientsPerDaemon = 8;
 constexpr unsigned kMaxClients = 96;
 // Every daemon has an address of its own in the net of the address pool.
@@ -58,6 +60,7 @@
     bool listening = false; ///< A connection was accepted; signals are handled.
     bool killed = false;    ///< SIGKILL was sent to this incarnation.
     TimePoint shutdownAt{}; ///< SIGTERM, or the end of a freeze after it.
+    TimePoint endedAt{};
     TimePoint startAgain{};
     TimePoint wakeUp{};
     Millis restartDelay{200};
@@ -101,6 +104,7 @@
         for (unsigned i = 0; i < options.replicas; ++i)
             replicas_.push_back(std::make_unique<EndpointStandin>(context_, addresses_.next(),
                                                                   fmt::format("i-{}", i + 1)));
+        states_.resize(replicas_.size());
         for (std::size_t i = 0; i < replicas_.size(); ++i) {
             replicas_[i]->eventGap = kEventGap;
             writeReplica(i, "ready");
@@ -141,6 +145,8 @@
             replica->script.clear();
         if (!becomeReady(kRecoveryLimit))
             report_.broken.push_back("the daemons are not ready again after the last fault");
+        else if (!becomeCurrent())
+            report_.broken.push_back("not all daemons have the newest configuration at the end");
         judge();
         return std::move(report_);
     }
@@ -169,6 +175,7 @@
 
     void writeReplica(std::size_t index, const std::string &state)
     {
+        states_[index] = state;
         store_.put("keyed.servers", replicas_[index]->id,
                    fmt::format(R"({{"service":"{}","address":"{}","zone":"z{}","slots":16,
                        "state":"{}","seq":{},"born":5}})",
@@ -179,7 +186,29 @@
     void writeConfiguration()
     {
         ++version_;
+        putConfiguration();
+    }
+
+    void putConfiguration()
+    {
         store_.put("keyed.op", "config", configurationText(version_));
+        evidence_.writes.push_back({version_, steadyNow()});
+    }
+
+    /// The operator and the replicas write again what the store has lost.
+    void writeAgain()
+    {
+        putConfiguration();
+        for (std::size_t i = 0; i < replicas_.size(); ++i)
+            writeReplica(i, states_[i]);
+    }
+
+    void holdStoreAway(Millis duration)
+    {
+        ++storeFaults_;
+        store_.refuses = true;
+        evidence_.storeFaults.push_back({0, steadyNow(), steadyNow() + duration});
+        after(duration, [this] { store_.refuses = --storeFaults_ > 0; });
     }
 
     void addDaemon(unsigned number)
@@ -216,6 +245,8 @@
 
     void start(Daemon &daemon)
     {
+        const auto number = static_cast<std::size_t>(&daemon - daemons_.data());
+        evidence_.restarts.push_back({number, daemon.endedAt, steadyNow()});
         ++daemon.incarnation;
         daemon.listening = false;
         daemon.killed = false;
@@ -280,6 +311,38 @@
         return true;
     }
 
+    /// Asks until the newest version admits a request at every daemon.
+    bool becomeCurrent()
+    {
+        const TimePoint end = steadyNow() + kRecoveryLimit;
+        for (std::size_t i = 0; i < daemons_.size(); ++i) {
+            unsigned admittedBy = 0;
+            for (unsigned attempt = 0; admittedBy != version_; ++attempt) {
+                if (steadyNow() > end) {
+                    note(fmt::format("behind target={} version={}", i, admittedBy));
+                    return false;
+                }
+                HeaderList headers;
+                headers.add("Host", "h");
+                headers.add("Request-Id", fmt::format("current-{}-{}", i, attempt));
+                headers.add("Authorization", "Token key");
+                headers.add("Deadline-Ms", "1000");
+                const auto call
+                        = pool_.call({daemons_[i].ip, kCallerPort},
+                                     {.head = serializeRequestHead("GET", "/safe/x", headers)}, {});
+                for (const TimePoint next = steadyNow() + Millis(50); steadyNow() < next;)
+                    step();
+                for (const auto &replica : replicas_) {
+                    for (const EndpointStandin::Arrival &arrival : replica->log) {
+                        if (arrival.requestId == *headers.find("Request-Id"))
+                            admittedBy = versionOf(arrival);
+                    }
+                }
+            }
+        }
+        return true;
+    }
+
     void note(const std::string &event)
     {
         timeline_ << timeOfDay(steadyNow()) << ' ' << event << std::endl;
@@ -301,8 +364,16 @@
             writeConfiguration();
             break;
         case FaultKind::StoreAway:
-            store_.refuses = ++storeFaults_ > 0;
-            after(fault.duration, [this] { store_.refuses = --storeFaults_ > 0; });
+            holdStoreAway(fault.duration);
+            break;
+        case FaultKind::StoreOlder:
+            holdStoreAway(fault.duration);
+            after(fault.duration, [this, age = fault.age] {
+                store_.restoreCopy(age);
+                evidence_.storeFaults.push_back({0, steadyNow(), steadyNow()});
+                note(fmt::format("store_restored age_ms={} era={}", age.count(), store_.era()));
+            });
+            after(fault.duration + kWriteAgainDelay, [this] { writeAgain(); });
             break;
         case FaultKind::EndpointSilent:
             replicas_[fault.target]->fallSilent(fault.duration);
@@ -393,6 +464,7 @@
                                                      status, timeOfDay(now)));
             endAll(evidence_.disturbances, number, now);
             endAll(evidence_.shutdowns, number, now);
+            daemon.endedAt = now;
             daemon.startAgain = now + daemon.restartDelay;
         } else if (now >= daemon.startAgain) {
             start(daemon);
@@ -446,6 +518,7 @@
     std::ofstream timeline_;
     unsigned version_ = 0;
     unsigned sequence_ = 0;
+    std::vector<std::string> states_; ///< Of the replicas, as they last wrote them.
     int storeFaults_ = 0;
     SoakReport report_;
 };
--- a/tests/unit/soakchecks_test.cpp
+++ b/tests/unit/soakchecks_test.cpp
@@ -258,6 +258,40 @@
     }
 }
 
+// Guards against a version that arrives too late or never, and against blame for disturbances.
+TEST(SoakChecks, aVersionThatIsNotAppliedInTimeIsFound)
+{
+    struct Case
+    {
+        const char *name;
+        int writtenAt;
+        Disturbance daemonFault;
+        Disturbance storeFault;
+        bool broken;
+    };
+    // The request begins at 0 and is handled by version 1. Version 2 is due 2 s after it is
+    // written.
+    const Disturbance none = from(-90'000, -80'000);
+    const std::vector<Case> cases = {
+            {"just written", -1900, none, none, false},
+            {"overdue", -2100, none, none, true},
+            {"daemon disturbed lately", -2100, from(-4900, -4800), none, false},
+            {"daemon disturbed before", -2100, from(-5200, -5100), none, true},
+            {"another daemon disturbed", -2100, from(-4900, -4800, 1), none, true},
+            {"store away lately", -2100, none, from(-3000, -2500), false},
+            {"store away before", -2100, none, from(-6000, -5500), true},
+    };
+    for (const Case &c : cases) {
+        SoakEvidence evidence;
+        evidence.calls.push_back(callOf("safe", CallEnd::Complete, 200, 50));
+        evidence.arrivals["r1"] = {arrivalOf(EndpointBehaviour::Answer, "ws-1")};
+        evidence.writes = {{1, at(-80'000)}, {2, at(c.writtenAt)}};
+        evidence.disturbances = {c.daemonFault};
+        evidence.storeFaults = {c.storeFault};
+        CHECK_EQUAL_TEXT(c.broken, !brokenPromises(evidence).empty(), c.name);
+    }
+}
+
 // Guards against a seed that cannot be played again, and against faults without a target.
 TEST(SoakChecks, aSeedGivesOnePlanWithinItsBounds)
 {
