--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -37,6 +37,8 @@
                                "Attempts that made no progress for longer than expected"))
     , cancelled(metrics.counter("cicadafork_gateway_cancelled_total",
                                 "Requests whose caller left before the answer was complete"))
+    , storeEras(metrics.counter("cicadafork_gateway_store_eras_total",
+                                "Times that the store came back from an older copy"))
     , metrics_(metrics)
 {
 }
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -29,6 +29,7 @@
     prometheus::Counter &resumes;
     prometheus::Counter &silences;
     prometheus::Counter &cancelled;
+    prometheus::Counter &storeEras;
 
 private:
     Metrics &metrics_;
