Let the store lose acknowledged versions in the soak's drills, and check requests to draining endpoints

After a drill the operator now writes as many new versions as were lost, so that their offsets are given out again, in half of the drills at once. Waiting reads end when the store goes away (StoreStandin::refuseWaitingReads). A drill is the last fault of every soak. New check: no request that was sent more than drainMs after the store's acknowledgement reaches a draining endpoint from a daemon that was undisturbed beside a store that was; with a table test.

--keep-logs keeps the logs of seeds that hold.

--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -15,8 +15,9 @@
 
 // The users' bound `lostMs`: a daemon that closes later than this has had the time to read.
 constexpr Millis kLostAfter{200};
-// The users' bounds `configApplyMs` and `stabilityWindowMs`.
+// The users' bounds `configApplyMs`, `drainMs` and `stabilityWindowMs`.
 constexpr Millis kApplyWithin{2000};
+constexpr Millis kDrainWithin{2000};
 constexpr Millis kStableFor{3000};
 
 bool overlaps(const Disturbance &disturbance, TimePoint from, TimePoint until)
@@ -92,6 +93,7 @@
             judgeCall(call);
         judgeVersions();
         judgeApplication();
+        judgeDrains();
         return std::move(broken_);
     }
 
@@ -186,19 +188,43 @@
         }
     }
 
+    /// Neither the store nor the request's daemon was disturbed from then to the request.
+    bool isStable(const SoakCall &call, TimePoint from) const
+    {
+        const auto disturbed = [&](const std::vector<Disturbance> &disturbances) {
+            return overlaps(disturbances, call.daemon, from, call.begun);
+        };
+        return !disturbed(evidence_.disturbances) && !disturbed(evidence_.shutdowns)
+               && !disturbed(evidence_.restarts)
+               && std::ranges::none_of(evidence_.storeFaults, [&](const Disturbance &fault) {
+                      return overlaps(fault, from, call.begun);
+                  });
+    }
+
+    /// No request that was sent later than the bound after the store's acknowledgement reaches an
+    /// endpoint that drains.
+    void judgeDrains()
+    {
+        for (const SoakCall &call : evidence_.calls) {
+            for (const Arrival &arrival : arrivalsOf(evidence_, call)) {
+                for (const EndpointDrain &drain : evidence_.drains) {
+                    if (drain.endpoint == arrival.endpoint && arrival.at < drain.until
+                        && call.begun > drain.from + kDrainWithin
+                        && isStable(call, drain.from - kStableFor))
+                        report(call, fmt::format("reached {}, which drained since {}",
+                                                 drain.endpoint, timeOfDay(drain.from)));
+                }
+            }
+        }
+    }
+
     /// A version is in force within its time at every daemon that has long been undisturbed, as
     /// the store has been.
     void judgeApplication()
     {
         for (const SoakCall &call : evidence_.calls) {
             const TimePoint due = call.begun - kApplyWithin;
-            const TimePoint from = due - kStableFor;
-            if (overlaps(evidence_.disturbances, call.daemon, from, call.begun)
-                || overlaps(evidence_.shutdowns, call.daemon, from, call.begun)
-                || overlaps(evidence_.restarts, call.daemon, from, call.begun)
-                || std::ranges::any_of(evidence_.storeFaults, [&](const Disturbance &fault) {
-                       return overlaps(fault, from, call.begun);
-                   }))
+            if (!isStable(call, due - kStableFor))
                 continue;
             unsigned newest = 0;
             for (const ConfigurationWrite &write : evidence_.writes) {
--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -30,15 +30,24 @@
     TimePoint at{};
 };
 
+/// The store has acknowledged that an endpoint is draining.
+struct EndpointDrain
+{
+    std::string endpoint;
+    TimePoint from{};
+    TimePoint until = TimePoint::max();
+};
+
 struct SoakEvidence
 {
     std::deque<SoakCall> calls;
     /// All arrivals at all endpoints, by request id, in the order of each endpoint.
     std::unordered_map<std::string, std::vector<EndpointStandin::Arrival>> arrivals;
     std::vector<Disturbance> disturbances;
-    std::vector<Disturbance> shutdowns;     ///< From SIGTERM to the end of the process.
-    std::vector<Disturbance> restarts;      ///< From the end of a process to the next one's start.
-    std::vector<Disturbance> storeFaults;   ///< Of no daemon.
+    std::vector<Disturbance> shutdowns;   ///< From SIGTERM to the end of the process.
+    std::vector<Disturbance> restarts;    ///< From the end of a process to the next one's start.
+    std::vector<Disturbance> storeFaults; ///< Of no daemon.
+    std::vector<EndpointDrain> drains;
     std::vector<ConfigurationWrite> writes; ///< In the order of time.
 };
 
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Millis kFirstFault{500};
+constexpr Millis kLastFaults{200}; ///< Before the end.
 constexpr std::size_t kMaxRolledDaemons = 20;
 constexpr unsigned kScriptedBehaviours = 9; ///< Values of EndpointBehaviour.
 
@@ -24,7 +25,14 @@
     {
         for (Millis at = kFirstFault; at < options_.length; at += between(200, 900))
             addSeries(at);
-        std::erase_if(faults_, [&](const Fault &fault) { return fault.at >= options_.length; });
+        std::erase_if(faults_, [&](const Fault &fault) {
+            return fault.at >= options_.length - kLastFaults;
+        });
+        // A store that comes back older is the last fault, so that no later change of the
+        // configuration hides a daemon that has missed one.
+        add(FaultKind::ChangeConfiguration, options_.length - kLastFaults, 0);
+        add(FaultKind::StoreOlder, options_.length - kLastFaults, 0, between(50, 150));
+        faults_.back().age = between(500, 6000);
         std::ranges::stable_sort(faults_, {}, &Fault::at);
         return std::move(faults_);
     }
@@ -36,7 +44,7 @@
 
     void add(FaultKind kind, Millis at, std::size_t target, Millis duration = Millis(0))
     {
-        faults_.push_back({kind, at, target, duration, Millis(0), {}});
+        faults_.push_back({kind, at, target, duration, Millis(0), Millis(0), {}});
     }
 
     void addSeries(Millis at)
@@ -73,6 +81,8 @@
         case 7:
             add(FaultKind::StoreOlder, at, 0, between(0, 1500));
             faults_.back().age = between(500, 6000);
+            if (pick(2) == 0)
+                faults_.back().writeAgainAfter = between(50, 1000);
             break;
         case 8:
         case 9:
@@ -88,7 +98,7 @@
     void addEndpointFaults(Millis at, std::size_t replica)
     {
         if (pick(2) == 0) {
-            add(FaultKind::EndpointDraining, at, replica, between(300, 4000));
+            add(FaultKind::EndpointDraining, at, replica, between(300, 9000));
             return;
         }
         add(FaultKind::EndpointFaulty, at, replica);
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -28,10 +28,11 @@
 struct Fault
 {
     FaultKind kind = FaultKind::Kill;
-    Millis at{0};                     ///< Since the start of the soak.
-    std::size_t target = 0;           ///< Number of the daemon or endpoint.
-    Millis duration{0};               ///< For Terminate and Kill: from the end to the next start.
-    Millis age{0};                    ///< Of the copy.
+    Millis at{0};              ///< Since the start of the soak.
+    std::size_t target = 0;    ///< Number of the daemon or endpoint.
+    Millis duration{0};        ///< For Terminate and Kill: from the end to the next start.
+    Millis age{0};             ///< Of the copy.
+    Millis writeAgainAfter{0}; ///< From the store's return to the writes of what it has lost.
     std::vector<unsigned> behaviours; ///< Values of EndpointBehaviour.
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -48,7 +48,8 @@
             "daemons", "number of gateway processes",
             cxxopts::value<unsigned>()->default_value("3"))(
             "replicas", "number of endpoints, two thirds of them plain",
-            cxxopts::value<unsigned>()->default_value("6"))("help", "print this text");
+            cxxopts::value<unsigned>()->default_value("6"))(
+            "keep-logs", "keep the logs of seeds that hold, too")("help", "print this text");
     try {
         const auto parsed = options.parse(argc, argv);
         if (parsed.count("help") > 0) {
@@ -59,6 +60,7 @@
         SoakOptions soak;
         soak.length = Millis(1000) * parsed["seconds"].as<unsigned>();
         soak.daemons = parsed["daemons"].as<unsigned>();
+        soak.keepLogs = parsed.count("keep-logs") > 0;
         soak.replicas = parsed["replicas"].as<unsigned>();
         unsigned failed = 0;
         const unsigned seeds = parsed["seeds"].as<unsigned>();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -37,8 +37,6 @@
 constexpr Millis kStep{4};
 // Streams last long enough that most faults meet some of them.
 constexpr Millis kEventGap{40};
-// Time for which the daemons meet a restored store without what it has lost.
-constexpr Millis kWriteAgainDelay{800};
 constexpr unsigned kClientsPerDaemon = 8;
 constexpr unsigned kMaxClients = 96;
 // Every daemon has an address of its own in the net of the address pool.
@@ -175,6 +173,10 @@
 
     void writeReplica(std::size_t index, const std::string &state)
     {
+        if (state == "draining" && states_[index] != state)
+            evidence_.drains.push_back({replicas_[index]->id, steadyNow()});
+        if (state != "draining")
+            endDrains(replicas_[index]->id);
         states_[index] = state;
         store_.put("keyed.servers", replicas_[index]->id,
                    fmt::format(R"({{"service":"{}","address":"{}","zone":"z{}","slots":16,
@@ -183,22 +185,27 @@
                                toString(replicas_[index]->address), index % 2, state, ++sequence_));
     }
 
-    void writeConfiguration()
+    void endDrains(const std::string &endpoint)
     {
-        ++version_;
-        putConfiguration();
+        for (EndpointDrain &drain : evidence_.drains) {
+            if (drain.endpoint == endpoint)
+                drain.until = std::min(drain.until, steadyNow());
+        }
     }
 
-    void putConfiguration()
+    void writeConfiguration()
     {
+        ++version_;
         store_.put("keyed.op", "config", configurationText(version_));
         evidence_.writes.push_back({version_, steadyNow()});
     }
 
-    /// The operator and the replicas write again what the store has lost.
-    void writeAgain()
+    /// The operator and the replicas write again what the store has lost. The operator's changes
+    /// get new versions, with the offsets of versions that the daemons have read.
+    void writeAgain(std::size_t lostVersions)
     {
-        putConfiguration();
+        for (std::size_t i = 0; i < lostVersions; ++i)
+            writeConfiguration();
         for (std::size_t i = 0; i < replicas_.size(); ++i)
             writeReplica(i, states_[i]);
     }
@@ -207,6 +214,7 @@
     {
         ++storeFaults_;
         store_.refuses = true;
+        store_.refuseWaitingReads();
         evidence_.storeFaults.push_back({0, steadyNow(), steadyNow() + duration});
         after(duration, [this] { store_.refuses = --storeFaults_ > 0; });
     }
@@ -368,12 +376,17 @@
             break;
         case FaultKind::StoreOlder:
             holdStoreAway(fault.duration);
-            after(fault.duration, [this, age = fault.age] {
+            after(fault.duration, [this, age = fault.age, delay = fault.writeAgainAfter] {
+                const std::size_t end = store_.end("keyed.op");
                 store_.restoreCopy(age);
+                const std::size_t lost = end - store_.end("keyed.op");
+                if (delay == Millis(0))
+                    writeAgain(lost);
+                else
+                    after(delay, [this, lost] { writeAgain(lost); });
                 evidence_.storeFaults.push_back({0, steadyNow(), steadyNow()});
                 note(fmt::format("store_restored age_ms={} era={}", age.count(), store_.era()));
             });
-            after(fault.duration + kWriteAgainDelay, [this] { writeAgain(); });
             break;
         case FaultKind::EndpointSilent:
             replicas_[fault.target]->fallSilent(fault.duration);
@@ -495,7 +508,7 @@
             if (served[route.name] == 0)
                 report_.broken.push_back(fmt::format("no request of {} was served", route.name));
         }
-        keepsDirectory_ = !report_.broken.empty();
+        keepsDirectory_ = options_.keepLogs || !report_.broken.empty();
         if (keepsDirectory_)
             report_.directory = directory_;
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -27,6 +27,7 @@
     Millis length{20'000};
     unsigned daemons = 3;
     unsigned replicas = 6; ///< Two thirds plain, the others engines.
+    bool keepLogs = false; ///< Also when every promise holds.
 };
 
 struct SoakReport
@@ -36,7 +37,7 @@
     unsigned unanswered = 0; ///< Requests with neither an answer nor a refusal, without excuse.
     unsigned faults = 0;
     std::vector<std::string> broken; ///< Promises that did not hold, with the request's id.
-    std::string directory; ///< Logs of the daemons and of the faults; empty if no promise broke.
+    std::string directory; ///< Logs of the daemons and of the faults; empty if they are not kept.
 };
 
 /// Throws std::runtime_error when the system cannot be started or would take more than half of the
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -9,6 +9,7 @@
 
 #include <cstdlib>
 #include <stdexcept>
+#include <utility>
 
 namespace cicadafork::test {
 
@@ -93,6 +94,12 @@
     }
 }
 
+void StoreStandin::refuseWaitingReads()
+{
+    for (const PendingRead &read : std::exchange(pending_, {}))
+        respond(read.caller, 503, {});
+}
+
 void StoreStandin::respond(const std::shared_ptr<HttpServerConnection> &caller, int status,
                            const std::string &body)
 {
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -37,6 +37,10 @@
     /// reads beyond the new end get 410.
     void restoreCopy(Millis age);
     std::uint64_t era() const { return era_; }
+    /// Offset of the topic's next record.
+    std::size_t end(const std::string &topic) { return topics_[topic].size(); }
+    /// Answers the reads that wait for records with 503, as a store that goes away does.
+    void refuseWaitingReads();
 
     bool refuses = false; ///< Answers every request with 503.
     unsigned calls = 0;
--- a/tests/unit/soakchecks_test.cpp
+++ b/tests/unit/soakchecks_test.cpp
@@ -292,6 +292,36 @@
     }
 }
 
+// Guards against an endpoint that gets requests though the store has long said that it drains.
+TEST(SoakChecks, aRequestToADrainingEndpointIsFound)
+{
+    struct Case
+    {
+        const char *name;
+        int drainsFrom;
+        int drainsUntil;
+        const char *endpoint;
+        int storeFaultAt;
+        bool broken;
+    };
+    // The request begins at 0 and reaches i-1 at 5.
+    const std::vector<Case> cases = {
+            {"just begun", -1900, 9000, "i-1", -90'000, false},
+            {"long since", -2100, 9000, "i-1", -90'000, true},
+            {"over", -9000, 0, "i-1", -90'000, false},
+            {"another endpoint", -2100, 9000, "i-2", -90'000, false},
+            {"store away meanwhile", -2100, 9000, "i-1", -1000, false},
+    };
+    for (const Case &c : cases) {
+        SoakEvidence evidence;
+        evidence.calls.push_back(callOf("safe", CallEnd::Complete, 200, 50));
+        evidence.arrivals["r1"] = {arrivalOf(EndpointBehaviour::Answer)};
+        evidence.drains = {{c.endpoint, at(c.drainsFrom), at(c.drainsUntil)}};
+        evidence.storeFaults = {from(c.storeFaultAt, c.storeFaultAt)};
+        CHECK_EQUAL_TEXT(c.broken, !brokenPromises(evidence).empty(), c.name);
+    }
+}
+
 // Guards against a seed that cannot be played again, and against faults without a target.
 TEST(SoakChecks, aSeedGivesOnePlanWithinItsBounds)
 {
