--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -399,6 +399,8 @@
               {"gap_limit_ms", std::to_string(exchange.route.maxEventGap.count())},
               {"events", std::to_string(exchange.eventsRelayed)}});
     endAttempt(exchange);
+    if (exchange.silentAttempt)
+        noteJobEnded(*exchange.silentAttempt);
     exchange.caller->onDisconnect(nullptr);
     exchange.timer.cancel();
     std::erase(waiting_, exchange.id);
@@ -431,7 +433,10 @@
     const auto elapsed = steadyNow() - drainStartedAt_;
     if (elapsed >= kLoadBalancerDelay)
         callers_.closeIdleConnections();
-    const bool idle = elapsed >= kLoadBalancerDelay && exchanges_.empty();
+    // The process must not end before the callers have received the last answers.
+    const bool idle = elapsed >= kLoadBalancerDelay && exchanges_.empty()
+                      && callers_.connectionsWithUnsentBytes() == 0
+                      && callers_.connectionsAfterLastAnswer() == 0;
     const bool overdue = elapsed >= settings_.shutdownGrace - kGraceMargin;
     if (!idle && !overdue) {
         drainTimer_.expires_after(kDrainCheckInterval);
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -10,6 +10,8 @@
 #include "support/platformstandin.h"
 
 #include <CppUTest/TestHarness.h>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
 #include <fmt/format.h>
 
 #include <string>
@@ -353,6 +355,56 @@
     }
 }
 
+TEST(GatewayPath, silentEndpointGoesOnWhenTheOneThatTookOverFails)
+{
+    struct Case
+    {
+        EndpointBehaviour second;
+        unsigned eventsBefore; ///< Events that the caller has when the silence begins.
+    };
+    const Case cases[] = {
+            {EndpointBehaviour::Resets, 0}, {EndpointBehaviour::Resets, 2},
+            {EndpointBehaviour::NotRun, 0}, {EndpointBehaviour::NotRun, 2},
+            {EndpointBehaviour::Fails, 0},  {EndpointBehaviour::Fails, 2},
+            {EndpointBehaviour::Silent, 0}, {EndpointBehaviour::Silent, 2},
+    };
+    constexpr Millis kSilence{1600};
+    constexpr Millis kDeadline{4000};
+    for (int i = 0; i < 2; ++i)
+        addEndpoint("pool").eventGap = Millis(20);
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 2}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    for (const Case &row : cases) {
+        const std::string text
+                = fmt::format("{} {}", static_cast<int>(row.second), row.eventsBefore);
+        for (const auto &endpoint : endpoints)
+            endpoint->fallSilent(row.eventsBefore == 0 ? kSilence : Millis(0));
+        const unsigned before = endpoints[0]->arrivals;
+        const auto answer = sendRequest("stream", "key", kDeadline);
+        const std::string begun = fmt::format("id: {}\n", row.eventsBefore);
+        CHECK_TRUE(runUntil([&] {
+            return row.eventsBefore == 0 || answer->body.find(begun) != std::string::npos;
+        }));
+        runUntil([] { return false; }, Millis(50));
+        const bool firstIsZero
+                = row.eventsBefore == 0
+                          ? gateway->dump().find("\"endpoint\":\"i-1\"") != std::string::npos
+                          : endpoints[0]->arrivals > before;
+        EndpointStandin &first = *endpoints[firstIsZero ? 0 : 1];
+        EndpointStandin &second = *endpoints[firstIsZero ? 1 : 0];
+        first.fallSilent(kSilence);
+        second.fallSilent(Millis(0));
+        second.script = {row.second};
+        CHECK_TRUE_TEXT(runUntil([&] { return answer->ended; }), text.c_str());
+        LONGS_EQUAL_TEXT(200, answer->status, text.c_str());
+        CHECK_TRUE_TEXT(answer->complete, text.c_str());
+        STRCMP_EQUAL_TEXT(allEvents().c_str(), answer->body.c_str(), text.c_str());
+        CHECK_TRUE_TEXT(second.script.empty(), text.c_str());
+        runUntil([] { return false; }, Millis(300)); // Lets suspensions of endpoints end.
+    }
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
@@ -385,23 +437,34 @@
 
 TEST(GatewayPath, shutdownWaitsForAnswersThatAreNotYetSent)
 {
-    // More than the sockets buffer, and less than the largest answer that the gateway holds.
+    // More than the send buffer of a socket, and less than the largest answer that is held.
     constexpr std::size_t kPadding = 7 * 1024 * 1024;
     addEndpoint("plain").padding = kPadding;
     publishConfig();
-    const auto answer = sendRequest("safe");
-    CHECK_TRUE(runUntil([&] { return answer->status == 200; }));
-    callerCalls.back()->pauseReading(true);
-    CHECK_TRUE(
-            runUntil([&] { return gateway->dump().find("\"requests\":0") != std::string::npos; }));
+    asio::ip::tcp::socket caller(context);
+    caller.open(asio::ip::tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size(4096));
+    caller.connect({asio::ip::make_address_v4(settings.callers.ip), settings.callers.port});
+    asio::write(caller,
+                asio::buffer(std::string("GET /safe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                                         "Authorization: Token key\r\nDeadline-Ms: 1200\r\n"
+                                         "\r\n")));
+    const std::string noRequests = "\"requests\":0";
+    CHECK_TRUE(runUntil([&] {
+        return caller.available() > 0 && gateway->dump().find(noRequests) != std::string::npos;
+    }));
     bool done = false;
     gateway->shutDown([&] { done = true; });
     CHECK_FALSE(runUntil([&] { return done; }, Millis(4500)));
-    callerCalls.back()->pauseReading(false);
-    CHECK_TRUE(runUntil([&] { return done; }));
-    CHECK_TRUE(runUntil([&] { return answer->ended; }));
-    CHECK_TRUE(answer->complete);
-    CHECK_TRUE(answer->body.size() > kPadding);
+    std::string answer;
+    bool ended = false;
+    asio::async_read(caller, asio::dynamic_buffer(answer),
+                     [&](const asio::error_code &, std::size_t) {
+                         ended = true;
+                         caller.close();
+                     });
+    CHECK_TRUE(runUntil([&] { return ended && done; }));
+    CHECK_TRUE(answer.size() > kPadding);
 }
 
 TEST(GatewayPath, keepsServingWhileTheStoreRefusesCalls)
