--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <cstdlib>
 #include <map>
+#include <set>
+#include <tuple>
 
 namespace cicadafork::test {
 
@@ -19,6 +21,9 @@
 constexpr Millis kApplyWithin{2000};
 constexpr Millis kDrainWithin{2000};
 constexpr Millis kStableFor{3000};
+// The users allow two requests from half a second after a refusal with a time to stay away.
+constexpr Millis kQuietWithin{500};
+constexpr std::size_t kUnwantedAllowed = 2;
 
 bool overlaps(const Disturbance &disturbance, TimePoint from, TimePoint until)
 {
@@ -94,6 +99,7 @@
         judgeVersions();
         judgeApplication();
         judgeDrains();
+        judgeStatements();
         return std::move(broken_);
     }
 
@@ -218,6 +224,68 @@
         }
     }
 
+    /// What an endpoint says to a process about itself is binding for that process, unless it was
+    /// frozen since: that it leaves, and that it wants nothing for some time.
+    void judgeStatements()
+    {
+        // By daemon, incarnation and endpoint.
+        std::map<std::tuple<std::size_t, unsigned, std::string>, std::vector<Seen>> all;
+        for (const SoakCall &call : evidence_.calls) {
+            for (const Arrival &arrival : arrivalsOf(evidence_, call))
+                all[{call.daemon, call.incarnation, arrival.endpoint}].push_back({&call, &arrival});
+        }
+        for (const auto &[key, seen] : all) {
+            for (const Seen &said : seen) {
+                if (said.arrival->saysLeaving || said.arrival->quietFor > kQuietWithin)
+                    judgeStatement(*said.arrival, seen);
+            }
+        }
+    }
+
+    struct Seen
+    {
+        const SoakCall *call;
+        const Arrival *arrival;
+    };
+
+    void judgeStatement(const Arrival &said, const std::vector<Seen> &seen)
+    {
+        std::size_t unwanted = 0;
+        for (const Seen &later : seen) {
+            if (overlaps(evidence_.disturbances, later.call->daemon, said.answeredAt,
+                         later.arrival->at))
+                continue;
+            if (ignoresLeaving(said, *later.call, *later.arrival)
+                && ignoredLeaving_.insert(later.arrival).second)
+                report(*later.call, fmt::format("reached {}, which had said at {} that it leaves",
+                                                said.endpoint, timeOfDay(said.answeredAt)));
+            unwanted += ignoresQuiet(said, *later.arrival);
+            if (unwanted > kUnwantedAllowed)
+                break;
+        }
+        if (unwanted > kUnwantedAllowed)
+            broken_.push_back(
+                    fmt::format("{} got more than {} requests from one daemon, of which it "
+                                "had asked at {}, refusing {}, for {} ms without any",
+                                said.endpoint, kUnwantedAllowed, timeOfDay(said.answeredAt),
+                                said.requestId, said.quietFor.count()));
+    }
+
+    bool ignoresLeaving(const Arrival &said, const SoakCall &call, const Arrival &later) const
+    {
+        return said.saysLeaving && call.begun > said.answeredAt + kDrainWithin
+               && std::ranges::none_of(evidence_.rebirths, [&](const Rebirth &rebirth) {
+                      return rebirth.endpoint == said.endpoint && said.answeredAt <= rebirth.at
+                             && rebirth.at <= later.at;
+                  });
+    }
+
+    static bool ignoresQuiet(const Arrival &said, const Arrival &later)
+    {
+        return later.at > said.answeredAt + kQuietWithin
+               && later.at < said.answeredAt + said.quietFor;
+    }
+
     /// A version is in force within its time at every daemon that has long been undisturbed, as
     /// the store has been.
     void judgeApplication()
@@ -241,6 +309,7 @@
 
     const SoakEvidence &evidence_;
     std::vector<std::string> broken_;
+    std::set<const Arrival *> ignoredLeaving_; ///< Already reported.
 };
 
 } // namespace
--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -38,6 +38,13 @@
     TimePoint until = TimePoint::max();
 };
 
+/// Another instance of the endpoint has taken over its address.
+struct Rebirth
+{
+    std::string endpoint;
+    TimePoint at{};
+};
+
 struct SoakEvidence
 {
     std::deque<SoakCall> calls;
@@ -48,6 +55,7 @@
     std::vector<Disturbance> restarts;    ///< From the end of a process to the next one's start.
     std::vector<Disturbance> storeFaults; ///< Of no daemon.
     std::vector<EndpointDrain> drains;
+    std::vector<Rebirth> rebirths;
     std::vector<ConfigurationWrite> writes; ///< In the order of time.
 };
 
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -44,14 +44,14 @@
 
     void add(FaultKind kind, Millis at, std::size_t target, Millis duration = Millis(0))
     {
-        faults_.push_back({kind, at, target, duration, Millis(0), Millis(0), {}});
+        faults_.push_back({kind, at, target, duration, Millis(0), Millis(0), Millis(0), {}});
     }
 
     void addSeries(Millis at)
     {
         const std::size_t daemon = pick(options_.daemons);
         const std::size_t replica = pick(options_.replicas);
-        switch (pick(11)) {
+        switch (pick(13)) {
         case 0:
             for (std::size_t i = 0; i < std::min<std::size_t>(options_.daemons, kMaxRolledDaemons);
                  ++i, at += between(300, 1500))
@@ -97,13 +97,24 @@
 
     void addEndpointFaults(Millis at, std::size_t replica)
     {
-        if (pick(2) == 0) {
+        switch (pick(4)) {
+        case 0:
             add(FaultKind::EndpointDraining, at, replica, between(300, 9000));
-            return;
+            break;
+        case 1:
+            add(FaultKind::EndpointLeaving, at, replica, between(300, 9000));
+            break;
+        case 2:
+            add(FaultKind::EndpointQuiet, at, replica, between(100, 3000));
+            faults_.back().quietFor = between(600, 4000);
+            break;
+        default:
+            add(FaultKind::EndpointFaulty, at, replica);
+            for (std::size_t i = 1 + pick(4); i > 0; --i)
+                faults_.back().behaviours.push_back(
+                        static_cast<unsigned>(pick(kScriptedBehaviours)));
+            break;
         }
-        add(FaultKind::EndpointFaulty, at, replica);
-        for (std::size_t i = 1 + pick(4); i > 0; --i)
-            faults_.back().behaviours.push_back(static_cast<unsigned>(pick(kScriptedBehaviours)));
     }
 
     const SoakOptions &options_;
@@ -141,6 +152,10 @@
         return "endpoint_faulty";
     case FaultKind::EndpointDraining:
         return "endpoint_draining";
+    case FaultKind::EndpointLeaving:
+        return "endpoint_leaving";
+    case FaultKind::EndpointQuiet:
+        return "endpoint_quiet";
     }
     return "unknown";
 }
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -23,6 +23,8 @@
     EndpointSilent,      ///< A sound endpoint pauses for the duration and goes on.
     EndpointFaulty,      ///< An endpoint handles its next requests in the ways of `behaviours`.
     EndpointDraining,    ///< The record of an endpoint says draining for the duration.
+    EndpointLeaving,     ///< An endpoint says that it leaves; another instance follows it.
+    EndpointQuiet,       ///< An endpoint refuses everything and asks for quiet, for the duration.
 };
 
 struct Fault
@@ -32,6 +34,7 @@
     std::size_t target = 0;    ///< Number of the daemon or endpoint.
     Millis duration{0};        ///< For Terminate and Kill: from the end to the next start.
     Millis age{0};             ///< Of the copy.
+    Millis quietFor{0};        ///< Stated in the refusals of EndpointQuiet.
     Millis writeAgainAfter{0}; ///< From the store's return to the writes of what it has lost.
     std::vector<unsigned> behaviours; ///< Values of EndpointBehaviour.
 };
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -3,67 +3,40 @@
 #include "net/upstream.h"
 #include "soak/checks.h"
 #include "soak/clients.h"
+#include "soak/daemons.h"
 #include "soak/faults.h"
-#include "support/environment.h"
 #include "support/network.h"
 #include "support/platformstandin.h"
-#include "support/process.h"
 
 #include <asio/io_context.hpp>
 #include <fmt/format.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <memory>
 #include <random>
 #include <stdexcept>
+#include <utility>
 
 namespace cicadafork::test {
 
 namespace {
 
-// The same ports on every address, as on the users' machines.
-constexpr std::uint16_t kCallerPort = 20'101;
-constexpr std::uint16_t kReadinessPort = 20'102;
-constexpr std::uint16_t kControlPort = 20'103;
-constexpr std::uint16_t kPeerPort = 20'104;
 constexpr Millis kStartLimit{10'000};
 // The users' bound `recoverS`.
 constexpr Millis kRecoveryLimit{12'000};
 constexpr Millis kStep{4};
 // Streams last long enough that most faults meet some of them.
 constexpr Millis kEventGap{40};
+constexpr int kFirstBorn = 5;
 constexpr unsigned kClientsPerDaemon = 8;
 constexpr unsigned kMaxClients = 96;
 // Every daemon has an address of its own in the net of the address pool.
 constexpr unsigned kMaxAddresses = 240;
 constexpr std::uint64_t kDaemonMemoryBytes = 64ULL * 1024 * 1024;
-// SIGHUP switches between two sets of limits.
-constexpr Millis kShutdownGrace[] = {Millis(8000), Millis(10'000)};
-constexpr unsigned kRetryAllowance[] = {100, 150};
-
-struct Daemon
-{
-    std::string name;
-    std::string ip;
-    std::string settings;
-    std::string log;
-    std::unique_ptr<ChildProcess> process;
-    unsigned incarnation = 0;
-    unsigned limits = 0;    ///< Set of limits in the settings file.
-    bool listening = false; ///< A connection was accepted; signals are handled.
-    bool killed = false;    ///< SIGKILL was sent to this incarnation.
-    TimePoint shutdownAt{}; ///< SIGTERM, or the end of a freeze after it.
-    TimePoint endedAt{};
-    TimePoint startAgain{};
-    TimePoint wakeUp{};
-    Millis restartDelay{200};
-};
-
 /// The workspace of the key is named after the version, so that an endpoint sees which version has
 /// admitted a request.
 std::string configurationText(unsigned version)
@@ -83,6 +56,14 @@
                        version, routes);
 }
 
+std::string makeDirectory()
+{
+    std::string name = std::filesystem::temp_directory_path() / "cicadafork-soak-XXXXXX";
+    if (mkdtemp(name.data()) == nullptr)
+        throw std::runtime_error("cannot create " + name);
+    return name;
+}
+
 class Soak
 {
 public:
@@ -90,26 +71,28 @@
         : options_(options)
         , random_(options.seed)
         , plan_(planFaults(options))
+        , directory_(makeDirectory())
+        , timeline_(directory_ + "/faults.log")
         , storeAddress_(addresses_.next())
         , store_(context_, storeAddress_)
         , pool_(context_, {})
+        , daemons_(directory_, storeAddress_, evidence_,
+                   {.note = [this](const std::string &event) { note(event); },
+                    .broken
+                    = [this](std::string text) { report_.broken.push_back(std::move(text)); }})
     {
-        std::string name = std::filesystem::temp_directory_path() / "cicadafork-soak-XXXXXX";
-        if (mkdtemp(name.data()) == nullptr)
-            throw std::runtime_error("cannot create " + name);
-        directory_ = name;
-        timeline_.open(directory_ + "/faults.log");
         for (unsigned i = 0; i < options.replicas; ++i)
             replicas_.push_back(std::make_unique<EndpointStandin>(context_, addresses_.next(),
                                                                   fmt::format("i-{}", i + 1)));
         states_.resize(replicas_.size());
+        rebirths_.resize(replicas_.size());
         for (std::size_t i = 0; i < replicas_.size(); ++i) {
             replicas_[i]->eventGap = kEventGap;
             writeReplica(i, "ready");
         }
         writeConfiguration();
         for (unsigned i = 0; i < options.daemons; ++i)
-            addDaemon(i);
+            daemons_.add(addresses_.next().ip);
         const unsigned clients = std::min(options.daemons * kClientsPerDaemon, kMaxClients);
         for (unsigned i = 0; i < clients; ++i)
             addClient();
@@ -160,8 +143,7 @@
             later_.erase(later_.begin());
             action();
         }
-        for (std::size_t i = 0; i < daemons_.size(); ++i)
-            tend(i, now);
+        daemons_.tend(now);
     }
 
     void after(Millis delay, std::function<void()> action)
@@ -180,9 +162,19 @@
         states_[index] = state;
         store_.put("keyed.servers", replicas_[index]->id,
                    fmt::format(R"({{"service":"{}","address":"{}","zone":"z{}","slots":16,
-                       "state":"{}","seq":{},"born":5}})",
+                       "state":"{}","seq":{},"born":{}}})",
                                isEngine(index) ? "pool" : "plain",
-                               toString(replicas_[index]->address), index % 2, state, ++sequence_));
+                               toString(replicas_[index]->address), index % 2, state, ++sequence_,
+                               kFirstBorn + rebirths_[index]));
+    }
+
+    /// Another instance takes over the address of an endpoint that leaves.
+    void replaceInstance(std::size_t index)
+    {
+        replicas_[index]->leaving = false;
+        ++rebirths_[index];
+        evidence_.rebirths.push_back({replicas_[index]->id, steadyNow()});
+        writeReplica(index, "ready");
     }
 
     void endDrains(const std::string &endpoint)
@@ -219,64 +211,14 @@
         after(duration, [this] { store_.refuses = --storeFaults_ > 0; });
     }
 
-    void addDaemon(unsigned number)
-    {
-        Daemon daemon;
-        daemon.name = fmt::format("front-{}", number);
-        daemon.ip = addresses_.next().ip;
-        daemon.settings = fmt::format("{}/gateway-{}.yaml", directory_, number);
-        daemon.log = fmt::format("{}/gateway-{}.log", directory_, number);
-        daemons_.push_back(std::move(daemon));
-        writeSettings(daemons_.back(), number);
-        start(daemons_.back());
-    }
-
-    void writeSettings(const Daemon &daemon, std::size_t number)
-    {
-        // Renamed into place, so that the daemon never reads a part of it.
-        const std::string draft = daemon.settings + ".new";
-        std::ofstream(draft) << fmt::format("member: {}\nfailure_domain: z{}\n", daemon.name,
-                                            number % 2)
-                             << fmt::format("caller_address: {0}:{1}\nreadiness_address: {0}:{2}\n",
-                                            daemon.ip, kCallerPort, kReadinessPort)
-                             << fmt::format("control_address: {0}:{1}\npeer_address: {0}:{2}\n",
-                                            daemon.ip, kControlPort, kPeerPort)
-                             << fmt::format("store_address: {}\nseeds: \"none,{}:1\"\n",
-                                            toString(storeAddress_), daemons_.front().ip)
-                             << fmt::format(
-                                        "retries:\n  share: 0.2\n  allowance: {}\n  window_s: 10\n",
-                                        kRetryAllowance[daemon.limits])
-                             << fmt::format("shutdown_grace_s: {}\n",
-                                            kShutdownGrace[daemon.limits].count() / 1000);
-        std::filesystem::rename(draft, daemon.settings);
-    }
-
-    void start(Daemon &daemon)
-    {
-        const auto number = static_cast<std::size_t>(&daemon - daemons_.data());
-        evidence_.restarts.push_back({number, daemon.endedAt, steadyNow()});
-        ++daemon.incarnation;
-        daemon.listening = false;
-        daemon.killed = false;
-        daemon.shutdownAt = {};
-        daemon.startAgain = {};
-        daemon.wakeUp = {};
-        daemon.process = std::make_unique<ChildProcess>(
-                binaryDirectory() + "/cicadafork",
-                std::vector<std::string>{"gateway", "--settings", daemon.settings}, daemon.log);
-    }
-
     void addClient()
     {
         SoakClientHooks hooks;
         hooks.pickTarget = [this] {
             const std::size_t daemon = random_() % daemons_.size();
-            return SoakTarget{daemon, {daemons_[daemon].ip, kCallerPort}};
-        };
-        hooks.connected = [this](std::size_t daemon) {
-            daemons_[daemon].listening = true;
-            return daemons_[daemon].incarnation;
+            return SoakTarget{daemon, daemons_.callers(daemon)};
         };
+        hooks.connected = [this](std::size_t daemon) { return daemons_.noteConnected(daemon); };
         hooks.newCall = [this]() -> SoakCall & {
             SoakCall &call = evidence_.calls.emplace_back();
             call.id = fmt::format("r{}", evidence_.calls.size());
@@ -303,7 +245,7 @@
                 HeaderList headers;
                 headers.add("Host", "h");
                 calls.push_back(pool_.call(
-                        {daemons_[i].ip, kReadinessPort},
+                        daemons_.readiness(i),
                         {.head = serializeRequestHead("GET", "/cicadafork/ready", headers)},
                         {.head =
                                  [&status, i](HttpResponseHead &&head) {
@@ -336,7 +278,7 @@
                 headers.add("Authorization", "Token key");
                 headers.add("Deadline-Ms", "1000");
                 const auto call
-                        = pool_.call({daemons_[i].ip, kCallerPort},
+                        = pool_.call(daemons_.callers(i),
                                      {.head = serializeRequestHead("GET", "/safe/x", headers)}, {});
                 for (const TimePoint next = steadyNow() + Millis(50); steadyNow() < next;)
                     step();
@@ -366,7 +308,7 @@
         case FaultKind::Kill:
         case FaultKind::Freeze:
         case FaultKind::Hangup:
-            disturb(fault);
+            daemons_.disturb(fault);
             break;
         case FaultKind::ChangeConfiguration:
             writeConfiguration();
@@ -400,88 +342,15 @@
             writeReplica(fault.target, "draining");
             after(fault.duration, [this, target = fault.target] { writeReplica(target, "ready"); });
             break;
-        }
-    }
-
-    void disturb(const Fault &fault)
-    {
-        Daemon &daemon = daemons_[fault.target];
-        const TimePoint now = steadyNow();
-        // Before the process handles signals, these would end it.
-        const bool handlesSignals = daemon.listening && daemon.process->running();
-        if (fault.kind == FaultKind::Kill && daemon.process->running()) {
-            daemon.process->sendSignal(SIGKILL);
-            daemon.killed = true;
-            daemon.restartDelay = fault.duration;
-            beginDisturbance(fault.target, now);
-        } else if (fault.kind == FaultKind::Freeze && daemon.process->running()) {
-            daemon.process->sendSignal(SIGSTOP);
-            daemon.wakeUp = std::max(daemon.wakeUp, now + fault.duration);
-            beginDisturbance(fault.target, now);
-        } else if (fault.kind == FaultKind::Terminate && handlesSignals) {
-            daemon.process->sendSignal(SIGTERM);
-            daemon.restartDelay = fault.duration;
-            if (daemon.shutdownAt == TimePoint{}) {
-                daemon.shutdownAt = now;
-                evidence_.shutdowns.push_back({fault.target, now});
-            }
-        } else if (fault.kind == FaultKind::Hangup && handlesSignals) {
-            daemon.limits = 1 - daemon.limits;
-            writeSettings(daemon, fault.target);
-            daemon.process->sendSignal(SIGHUP);
-        }
-    }
-
-    void beginDisturbance(std::size_t daemon, TimePoint now)
-    {
-        evidence_.disturbances.push_back({daemon, now});
-    }
-
-    static void endAll(std::vector<Disturbance> &disturbances, std::size_t daemon, TimePoint now)
-    {
-        for (Disturbance &disturbance : disturbances) {
-            if (disturbance.daemon == daemon && disturbance.until == TimePoint::max())
-                disturbance.until = now;
-        }
-    }
-
-    void tend(std::size_t number, TimePoint now)
-    {
-        Daemon &daemon = daemons_[number];
-        if (daemon.process->running()) {
-            if (daemon.wakeUp != TimePoint{} && now >= daemon.wakeUp) {
-                daemon.process->sendSignal(SIGCONT);
-                daemon.wakeUp = {};
-                if (daemon.shutdownAt != TimePoint{})
-                    daemon.shutdownAt = now;
-                if (!daemon.killed)
-                    endAll(evidence_.disturbances, number, now);
-            }
-            const bool overdue = daemon.shutdownAt != TimePoint{} && daemon.wakeUp == TimePoint{}
-                                 && now > daemon.shutdownAt + kShutdownGrace[1] + kAnswerMargin;
-            if (overdue && !daemon.killed) {
-                report_.broken.push_back(
-                        fmt::format("daemon {} did not end within its grace period", number));
-                daemon.process->sendSignal(SIGKILL);
-                daemon.killed = true;
-            }
-            return;
-        }
-        if (daemon.startAgain == TimePoint{}) {
-            const int status = daemon.process->wait(Millis(0)).value_or(-1);
-            note(fmt::format("ended target={} status={}", number, status));
-            const bool asked = (status == 0 && daemon.shutdownAt != TimePoint{})
-                               || (status == 128 + SIGKILL && daemon.killed);
-            if (!asked)
-                report_.broken.push_back(fmt::format("daemon {} ended with {} at {}", number,
-                                                     status, timeOfDay(now)));
-            endAll(evidence_.disturbances, number, now);
-            endAll(evidence_.shutdowns, number, now);
-            daemon.endedAt = now;
-            daemon.startAgain = now + daemon.restartDelay;
-        } else if (now >= daemon.startAgain) {
-            start(daemon);
-            note(fmt::format("started target={} incarnation={}", number, daemon.incarnation));
+        case FaultKind::EndpointLeaving:
+            if (!std::exchange(replicas_[fault.target]->leaving, true))
+                after(fault.duration, [this, target = fault.target] { replaceInstance(target); });
+            break;
+        case FaultKind::EndpointQuiet:
+            replicas_[fault.target]->quietFor = fault.quietFor;
+            after(fault.duration,
+                  [this, target = fault.target] { replicas_[target]->quietFor.reset(); });
+            break;
         }
     }
 
@@ -517,23 +386,24 @@
     std::mt19937_64 random_;
     std::vector<Fault> plan_;
     asio::io_context context_;
+    std::string directory_;
+    std::ofstream timeline_;
+    SoakReport report_;
     AddressPool addresses_;
     Address storeAddress_;
     StoreStandin store_;
     std::vector<std::unique_ptr<EndpointStandin>> replicas_;
     UpstreamPool pool_;
     SoakEvidence evidence_;
+    DaemonFleet daemons_;
     std::vector<std::unique_ptr<SoakClient>> clients_;
-    std::vector<Daemon> daemons_;
     std::multimap<TimePoint, std::function<void()>> later_;
-    std::string directory_;
     bool keepsDirectory_ = false;
-    std::ofstream timeline_;
     unsigned version_ = 0;
     unsigned sequence_ = 0;
     std::vector<std::string> states_; ///< Of the replicas, as they last wrote them.
+    std::vector<int> rebirths_;       ///< New instances at the addresses of the replicas.
     int storeFaults_ = 0;
-    SoakReport report_;
 };
 
 } // namespace
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -194,10 +194,18 @@
     startServer(server_);
 }
 
-HeaderList EndpointStandin::signedHeaders(const std::string &requestId) const
+HeaderList EndpointStandin::plainHeaders(const std::string &requestId) const
 {
     HeaderList headers;
     headers.add(platform::kRequestId, requestId);
+    if (leaving)
+        headers.add(platform::kLeaving, "1");
+    return headers;
+}
+
+HeaderList EndpointStandin::signedHeaders(const std::string &requestId) const
+{
+    HeaderList headers = plainHeaders(requestId);
     headers.add(platform::kSeal, "seal-of-" + id);
     return headers;
 }
@@ -214,11 +222,14 @@
     const std::string *requestId = request.headers.find(platform::kRequestId);
     const std::string *expected = request.headers.find(platform::kExpectInstance);
     const std::string name = requestId ? *requestId : std::string();
-    HeaderList plain;
-    plain.add(platform::kRequestId, name);
+    HeaderList plain = plainHeaders(name);
     const std::string *workspace = request.headers.find(platform::kTenant);
-    log.push_back({id, name, workspace ? *workspace : std::string(), steadyNow(),
-                   EndpointBehaviour::NotRun, false});
+    log.push_back({.endpoint = id,
+                   .requestId = name,
+                   .workspace = workspace ? *workspace : std::string(),
+                   .at = caller->requestStart(),
+                   .answeredAt = steadyNow(),
+                   .saysLeaving = leaving});
     if (expected && *expected != id) {
         caller->respond(421, std::move(plain), {});
         return;
@@ -226,10 +237,15 @@
     const EndpointBehaviour behaviour = script.empty() ? EndpointBehaviour::Answer : script.front();
     if (!script.empty())
         script.pop_front();
+    const bool refused = behaviour == EndpointBehaviour::NotRun || quietFor;
     log.back().behaviour = behaviour;
-    log.back().ran = behaviour != EndpointBehaviour::NotRun;
-    if (behaviour == EndpointBehaviour::NotRun) {
+    log.back().ran = !refused;
+    log.back().quietFor = quietFor.value_or(Millis(0));
+    if (refused) {
         plain.add(platform::kNotRun, "1");
+        if (quietFor)
+            plain.add(platform::kRetryAfter,
+                      fmt::format("{}", std::chrono::duration<double>(*quietFor).count()));
         caller->respond(503, std::move(plain), {});
         return;
     }
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -109,8 +109,11 @@
         std::string requestId;
         std::string workspace;
         TimePoint at{};
-        EndpointBehaviour behaviour = EndpointBehaviour::Answer;
+        TimePoint answeredAt{}; ///< Later than `at` by the rest of a silence.
+        EndpointBehaviour behaviour = EndpointBehaviour::NotRun;
         bool ran = false;
+        bool saysLeaving = false;
+        Millis quietFor{0}; ///< Stated in a refusal; 0 if none was.
     };
 
     EndpointStandin(asio::io_context &context, const Address &address, std::string id);
@@ -125,13 +128,16 @@
     std::vector<Arrival> log;
     unsigned arrivals = 0;
     Millis eventGap{3};
-    std::size_t padding = 0; ///< Bytes added to an answer that is no stream.
+    std::size_t padding = 0;        ///< Bytes added to an answer that is no stream.
+    bool leaving = false;           ///< Says in all its responses that it leaves.
+    std::optional<Millis> quietFor; ///< Refuses every request and asks for this time without any.
 
 private:
     void onRequest(const std::shared_ptr<HttpServerConnection> &caller, HttpRequest request);
     void stream(const std::shared_ptr<HttpServerConnection> &caller, unsigned next, bool breaks);
     /// Runs the step at the given time, or when the silence ends if that is later.
     void runAt(TimePoint time, std::function<void()> step);
+    HeaderList plainHeaders(const std::string &requestId) const;
     HeaderList signedHeaders(const std::string &requestId) const;
 
     asio::io_context &context_;
--- a/tests/unit/soakchecks_test.cpp
+++ b/tests/unit/soakchecks_test.cpp
@@ -4,6 +4,7 @@
 #include "soak/faults.h"
 
 #include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 
@@ -41,7 +42,15 @@
 
 Arrival arrivalOf(EndpointBehaviour behaviour, const char *workspace = "ws-1", int when = 5)
 {
-    return {"i-1", "r1", workspace, at(when), behaviour, behaviour != EndpointBehaviour::NotRun};
+    Arrival arrival;
+    arrival.endpoint = "i-1";
+    arrival.requestId = "r1";
+    arrival.workspace = workspace;
+    arrival.at = at(when);
+    arrival.answeredAt = at(when);
+    arrival.behaviour = behaviour;
+    arrival.ran = behaviour != EndpointBehaviour::NotRun;
+    return arrival;
 }
 
 Disturbance from(int begin, int end, std::size_t daemon = 0)
@@ -322,6 +331,56 @@
     }
 }
 
+// Guards against requests to an endpoint that has told the daemon that it leaves or wants none.
+TEST(SoakChecks, aRequestAgainstTheStatementOfAnEndpointIsFound)
+{
+    struct Case
+    {
+        const char *name;
+        bool leaving;
+        Millis quietFor;
+        std::vector<int> laterAt; ///< The statement is made at 0.
+        unsigned laterIncarnation;
+        int disturbedAt;
+        int rebornAt;
+        bool broken;
+    };
+    const int never = -90'000;
+    const std::vector<Case> cases = {
+            {"no statement", false, Millis(0), {2500, 2600, 2700}, 1, never, never, false},
+            {"leaving, soon after", true, Millis(0), {1900}, 1, never, never, false},
+            {"leaving, late", true, Millis(0), {2100}, 1, never, never, true},
+            {"leaving, another process", true, Millis(0), {2100}, 2, never, never, false},
+            {"leaving, daemon frozen since", true, Millis(0), {2100}, 1, 1000, never, false},
+            {"leaving, reborn since", true, Millis(0), {2100}, 1, never, 1000, false},
+            {"leaving, reborn before", true, Millis(0), {2100}, 1, never, -10, true},
+            {"quiet, at once", false, Millis(3000), {100, 200, 300}, 1, never, never, false},
+            {"quiet, two", false, Millis(3000), {600, 700, 3100}, 1, never, never, false},
+            {"quiet, three", false, Millis(3000), {600, 700, 2900}, 1, never, never, true},
+            {"quiet, frozen since", false, Millis(3000), {600, 700, 800}, 1, 550, never, false},
+    };
+    for (const Case &c : cases) {
+        SoakEvidence evidence;
+        evidence.calls.push_back(callOf("safe", CallEnd::Complete, 200, 50));
+        Arrival said = arrivalOf(EndpointBehaviour::Answer, "ws-1", 0);
+        said.saysLeaving = c.leaving;
+        said.quietFor = c.quietFor;
+        evidence.arrivals["r1"] = {said};
+        for (const int later : c.laterAt) {
+            SoakCall call = callOf("safe", CallEnd::Complete, 200, later + 50);
+            call.id = fmt::format("r{}", evidence.calls.size() + 1);
+            call.body = "answer of " + call.id;
+            call.begun = at(later);
+            call.incarnation = c.laterIncarnation;
+            evidence.arrivals[call.id] = {arrivalOf(EndpointBehaviour::Answer, "ws-1", later)};
+            evidence.calls.push_back(call);
+        }
+        evidence.disturbances = {from(c.disturbedAt, c.disturbedAt)};
+        evidence.rebirths = {{"i-1", at(c.rebornAt)}};
+        CHECK_EQUAL_TEXT(c.broken, !brokenPromises(evidence).empty(), c.name);
+    }
+}
+
 // Guards against a seed that cannot be played again, and against faults without a target.
 TEST(SoakChecks, aSeedGivesOnePlanWithinItsBounds)
 {
