--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,70 +1,67 @@
 #include "soak/soak.h"
 
 #include "net/upstream.h"
-#include "support/environment.h"
+#include "soak/checks.h"
+#include "soak/clients.h"
+#include "soak/daemons.h"
+#include "soak/faults.h"
 #include "support/network.h"
 #include "support/platformstandin.h"
-#include "support/process.h"
 
 #include <asio/io_context.hpp>
 #include <fmt/format.h>
+#include <unistd.h>
 
-#include <csignal>
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <memory>
 #include <random>
 #include <stdexcept>
+#include <utility>
 
 namespace cicadafork::test {
 
 namespace {
 
-// The same ports on every address, as on the users' machines.
-constexpr std::uint16_t kCallerPort = 20'101;
-constexpr std::uint16_t kReadinessPort = 20'102;
-constexpr std::uint16_t kControlPort = 20'103;
-constexpr std::uint16_t kPeerPort = 20'104;
-constexpr Millis kCallerDeadline{1500};
-// A daemon that runs answers within the deadline; this covers the machine's own delays.
-constexpr Millis kAnswerMargin{1500};
 constexpr Millis kStartLimit{10'000};
-constexpr Millis kRequestInterval{12};
-constexpr const char *kRoutes[] = {"safe", "once", "stream"};
-
-struct Call
-{
-    std::string id;
-    std::string route;
-    std::size_t daemon = 0;
-    TimePoint begun{};
-    std::unique_ptr<UpstreamCall> call;
-    int status = 0;
-    std::string body;
-    bool sealed = false;
-    bool ended = false;
-    bool whole = false;
-    bool disturbed = false; ///< Its daemon was stopped, killed or ended meanwhile.
-};
-
-struct Daemon
+// The users' bound `recoverS`.
+constexpr Millis kRecoveryLimit{12'000};
+constexpr Millis kStep{4};
+// Streams last long enough that most faults meet some of them.
+constexpr Millis kEventGap{40};
+constexpr int kFirstBorn = 5;
+constexpr unsigned kClientsPerDaemon = 8;
+constexpr unsigned kMaxClients = 96;
+// Every daemon has an address of its own in the net of the address pool.
+constexpr unsigned kMaxAddresses = 240;
+constexpr std::uint64_t kDaemonMemoryBytes = 64ULL * 1024 * 1024;
+/// The workspace of the key is named after the version, so that an endpoint sees which version has
+/// admitted a request.
+std::string configurationText(unsigned version)
 {
-    std::string ip;
-    std::string settings;
-    std::string log;
-    std::unique_ptr<ChildProcess> process;
-    TimePoint startAgain{};
-    TimePoint wakeUp{};
-    TimePoint disturbedUntil{};
-};
+    std::string routes;
+    for (const SoakRoute &route : kSoakRoutes) {
+        routes += routes.empty() ? "" : ",";
+        routes += fmt::format(R"({{"name":"{0}","host":"h","pathPrefix":"/{0}/","kind":"{1}",
+            "service":"{2}","maxAttempts":{3},"timeoutMs":5000,"targetLatencyMs":300,
+            "resumable":true,"gapGoalMs":200}})",
+                              route.name, route.kind, route.service, route.maxAttempts);
+    }
+    return fmt::format(R"({{"version":{0},"routes":[{1}],"services":[{{"name":"plain"}},
+        {{"name":"pool","engine":{{"slots":16,"kvCapacity":450000,"stride":4,"step_ms":1,
+        "read_per_s":256000,"pairs_per_m":0.09}}}}],
+        "tenants":[{{"name":"ws-{0}","apiKeys":["key"]}}]}})",
+                       version, routes);
+}
 
-std::string allEvents()
+std::string makeDirectory()
 {
-    std::string text;
-    for (unsigned i = 1; i <= EndpointStandin::kStreamEvents; ++i)
-        text += fmt::format("id: {}\ndata: event {}\n\n", i, i);
-    return text;
+    std::string name = std::filesystem::temp_directory_path() / "cicadafork-soak-XXXXXX";
+    if (mkdtemp(name.data()) == nullptr)
+        throw std::runtime_error("cannot create " + name);
+    return name;
 }
 
 class Soak
@@ -73,129 +70,182 @@
     explicit Soak(const SoakOptions &options)
         : options_(options)
         , random_(options.seed)
+        , plan_(planFaults(options))
+        , directory_(makeDirectory())
+        , timeline_(directory_ + "/faults.log")
         , storeAddress_(addresses_.next())
         , store_(context_, storeAddress_)
         , pool_(context_, {})
+        , daemons_(directory_, storeAddress_, evidence_,
+                   {.note = [this](const std::string &event) { note(event); },
+                    .broken
+                    = [this](std::string text) { report_.broken.push_back(std::move(text)); }})
     {
-        std::string name = std::filesystem::temp_directory_path() / "cicadafork-soak-XXXXXX";
-        if (mkdtemp(name.data()) == nullptr)
-            throw std::runtime_error("cannot create " + name);
-        directory_ = name;
         for (unsigned i = 0; i < options.replicas; ++i)
             replicas_.push_back(std::make_unique<EndpointStandin>(context_, addresses_.next(),
                                                                   fmt::format("i-{}", i + 1)));
-        for (std::size_t i = 0; i < replicas_.size(); ++i)
+        states_.resize(replicas_.size());
+        rebirths_.resize(replicas_.size());
+        for (std::size_t i = 0; i < replicas_.size(); ++i) {
+            replicas_[i]->eventGap = kEventGap;
             writeReplica(i, "ready");
+        }
         writeConfiguration();
         for (unsigned i = 0; i < options.daemons; ++i)
-            addDaemon(i);
+            daemons_.add(addresses_.next().ip);
+        const unsigned clients = std::min(options.daemons * kClientsPerDaemon, kMaxClients);
+        for (unsigned i = 0; i < clients; ++i)
+            addClient();
     }
 
-    ~Soak() { std::filesystem::remove_all(directory_); }
+    ~Soak()
+    {
+        if (!keepsDirectory_)
+            std::filesystem::remove_all(directory_);
+    }
 
     SoakReport run()
     {
-        awaitReady();
-        const TimePoint end = steadyNow() + options_.length;
-        TimePoint nextFault = steadyNow() + Millis(500);
-        TimePoint nextCall = steadyNow();
-        while (steadyNow() < end) {
-            runFor(Millis(4));
-            const TimePoint now = steadyNow();
-            if (now >= nextCall) {
-                call(pick(options_.daemons));
-                nextCall = now + kRequestInterval;
-            }
-            if (now >= nextFault) {
-                injectFault(now);
-                nextFault = now + Millis(200 + pick(700));
-            }
-            tendDaemons(now);
+        if (!becomeReady(kStartLimit))
+            throw std::runtime_error("the daemons do not get ready");
+        for (const auto &client : clients_)
+            client->start();
+        const TimePoint start = steadyNow();
+        auto fault = plan_.begin();
+        while (steadyNow() < start + options_.length) {
+            step();
+            for (; fault != plan_.end() && steadyNow() >= start + fault->at; ++fault)
+                inject(*fault);
         }
-        runFor(kCallerDeadline + kAnswerMargin);
-        check();
+        for (const auto &client : clients_)
+            client->stop();
+        while (std::ranges::any_of(clients_, [](const auto &client) { return client->busy(); })
+               || !later_.empty())
+            step();
+        for (const auto &replica : replicas_)
+            replica->script.clear();
+        if (!becomeReady(kRecoveryLimit))
+            report_.broken.push_back("the daemons are not ready again after the last fault");
+        else if (!becomeCurrent())
+            report_.broken.push_back("not all daemons have the newest configuration at the end");
+        judge();
         return std::move(report_);
     }
 
 private:
-    std::size_t pick(std::size_t count) { return random_() % count; }
-
-    void runFor(Millis time)
+    void step()
     {
         context_.restart();
-        context_.run_for(time);
+        context_.run_for(kStep);
+        const TimePoint now = steadyNow();
+        while (!later_.empty() && later_.begin()->first <= now) {
+            const auto action = std::move(later_.begin()->second);
+            later_.erase(later_.begin());
+            action();
+        }
+        daemons_.tend(now);
+    }
+
+    void after(Millis delay, std::function<void()> action)
+    {
+        later_.emplace(steadyNow() + delay, std::move(action));
     }
 
     bool isEngine(std::size_t replica) const { return replica % 3 == 2; }
 
     void writeReplica(std::size_t index, const std::string &state)
     {
+        if (state == "draining" && states_[index] != state)
+            evidence_.drains.push_back({replicas_[index]->id, steadyNow()});
+        if (state != "draining")
+            endDrains(replicas_[index]->id);
+        states_[index] = state;
         store_.put("keyed.servers", replicas_[index]->id,
                    fmt::format(R"({{"service":"{}","address":"{}","zone":"z{}","slots":16,
-                       "state":"{}","seq":{},"born":5}})",
+                       "state":"{}","seq":{},"born":{}}})",
                                isEngine(index) ? "pool" : "plain",
-                               toString(replicas_[index]->address), index % 2, state, ++sequence_));
+                               toString(replicas_[index]->address), index % 2, state, ++sequence_,
+                               kFirstBorn + rebirths_[index]));
+    }
+
+    /// Another instance takes over the address of an endpoint that leaves.
+    void replaceInstance(std::size_t index)
+    {
+        replicas_[index]->leaving = false;
+        ++rebirths_[index];
+        evidence_.rebirths.push_back({replicas_[index]->id, steadyNow()});
+        writeReplica(index, "ready");
+    }
+
+    void endDrains(const std::string &endpoint)
+    {
+        for (EndpointDrain &drain : evidence_.drains) {
+            if (drain.endpoint == endpoint)
+                drain.until = std::min(drain.until, steadyNow());
+        }
     }
 
     void writeConfiguration()
     {
-        const auto route = [](const char *name, const char *kind, const char *service) {
-            return fmt::format(R"({{"name":"{0}","host":"h","pathPrefix":"/{0}/","kind":"{1}",
-                "service":"{2}","timeoutMs":1500,"targetLatencyMs":300,"maxAttempts":2,
-                "resumable":true,"gapGoalMs":200}})",
-                               name, kind, service);
-        };
         ++version_;
-        store_.put("keyed.op", "config",
-                   fmt::format(R"({{"version":{},"routes":[{},{},{}],"services":[{{"name":"plain"}},
-                       {{"name":"pool","engine":{{"slots":16,"kvCapacity":450000,"stride":4,
-                       "step_ms":1,"read_per_s":256000,"pairs_per_m":0.09}}}}],
-                       "tenants":[{{"name":"ws","apiKeys":["key","k{}"]}}]}})",
-                               version_, route("safe", "safe", "plain"),
-                               route("once", "unsafe", "plain"),
-                               route("stream", "streaming", "pool"), version_));
+        store_.put("keyed.op", "config", configurationText(version_));
+        evidence_.writes.push_back({version_, steadyNow()});
     }
 
-    void addDaemon(unsigned number)
+    /// The operator and the replicas write again what the store has lost. The operator's changes
+    /// get new versions, with the offsets of versions that the daemons have read.
+    void writeAgain(std::size_t lostVersions)
     {
-        Daemon daemon;
-        daemon.ip = addresses_.next().ip;
-        daemon.settings = fmt::format("{}/gateway-{}.yaml", directory_, number);
-        daemon.log = fmt::format("{}/gateway-{}.log", directory_, number);
-        std::ofstream file(daemon.settings);
-        file << fmt::format("member: front-{}\nfailure_domain: z{}\n", number, number % 2)
-             << fmt::format("caller_address: {0}:{1}\nreadiness_address: {0}:{2}\n", daemon.ip,
-                            kCallerPort, kReadinessPort)
-             << fmt::format("control_address: {0}:{1}\npeer_address: {0}:{2}\n", daemon.ip,
-                            kControlPort, kPeerPort)
-             << fmt::format("store_address: {}\nseeds: \"none,{}:1\"\n", toString(storeAddress_),
-                            daemons_.empty() ? daemon.ip : daemons_.front().ip)
-             << "retries:\n  share: 0.2\n  allowance: 100\n  window_s: 10\nshutdown_grace_s: 5\n";
-        file.close();
-        start(daemon);
-        daemons_.push_back(std::move(daemon));
+        for (std::size_t i = 0; i < lostVersions; ++i)
+            writeConfiguration();
+        for (std::size_t i = 0; i < replicas_.size(); ++i)
+            writeReplica(i, states_[i]);
     }
 
-    void start(Daemon &daemon)
+    void holdStoreAway(Millis duration)
     {
-        daemon.process = std::make_unique<ChildProcess>(
-                binaryDirectory() + "/cicadafork",
-                std::vector<std::string>{"gateway", "--settings", daemon.settings}, daemon.log);
+        ++storeFaults_;
+        store_.refuses = true;
+        store_.refuseWaitingReads();
+        evidence_.storeFaults.push_back({0, steadyNow(), steadyNow() + duration});
+        after(duration, [this] { store_.refuses = --storeFaults_ > 0; });
     }
 
-    void awaitReady()
+    void addClient()
     {
-        const TimePoint limit = steadyNow() + kStartLimit;
+        SoakClientHooks hooks;
+        hooks.pickTarget = [this] {
+            const std::size_t daemon = random_() % daemons_.size();
+            return SoakTarget{daemon, daemons_.callers(daemon)};
+        };
+        hooks.connected = [this](std::size_t daemon) { return daemons_.noteConnected(daemon); };
+        hooks.newCall = [this]() -> SoakCall & {
+            SoakCall &call = evidence_.calls.emplace_back();
+            call.id = fmt::format("r{}", evidence_.calls.size());
+            return call;
+        };
+        hooks.unsolicited = [this](std::size_t daemon) {
+            report_.broken.push_back(
+                    fmt::format("daemon {} sent bytes that no request waited for", daemon));
+        };
+        clients_.push_back(std::make_unique<SoakClient>(context_, random_(), std::move(hooks)));
+    }
+
+    /// Asks until all daemons are ready at the same time.
+    bool becomeReady(Millis limit)
+    {
+        const TimePoint end = steadyNow() + limit;
         std::vector<int> status(daemons_.size(), 0);
         while (std::ranges::any_of(status, [](int value) { return value != 200; })) {
-            if (steadyNow() > limit)
-                throw std::runtime_error("the daemons do not get ready");
+            if (steadyNow() > end)
+                return false;
             std::vector<std::unique_ptr<UpstreamCall>> calls;
             for (std::size_t i = 0; i < daemons_.size(); ++i) {
+                status[i] = 0;
                 HeaderList headers;
                 headers.add("Host", "h");
                 calls.push_back(pool_.call(
-                        {daemons_[i].ip, kReadinessPort},
+                        daemons_.readiness(i),
                         {.head = serializeRequestHead("GET", "/cicadafork/ready", headers)},
                         {.head =
                                  [&status, i](HttpResponseHead &&head) {
@@ -205,168 +255,170 @@
                          .body = nullptr,
                          .end = nullptr}));
             }
-            runFor(Millis(100));
+            for (const TimePoint next = steadyNow() + Millis(100); steadyNow() < next;)
+                step();
         }
+        return true;
     }
 
-    void call(std::size_t daemon)
+    /// Asks until the newest version admits a request at every daemon.
+    bool becomeCurrent()
     {
-        auto made = std::make_unique<Call>();
-        Call &call = *made;
-        call.id = fmt::format("r{}", calls_.size());
-        call.route = kRoutes[pick(std::size(kRoutes))];
-        call.daemon = daemon;
-        call.begun = steadyNow();
-        HeaderList headers;
-        headers.add("Host", "h");
-        headers.add("Request-Id", call.id);
-        headers.add("Authorization", "Token key");
-        headers.add("Deadline-Ms", std::to_string(kCallerDeadline.count()));
-        if (call.route == "stream")
-            headers.add("Token-Count", "1000,24");
-        call.call = pool_.call(
-                {daemons_[daemon].ip, kCallerPort},
-                {.head = serializeRequestHead("GET", "/" + call.route + "/x", headers)},
-                {.head =
-                         [&call](HttpResponseHead &&head) {
-                             call.status = head.status;
-                             call.sealed = head.headers.find("Response-Seal") != nullptr;
-                             return HeadAction::Accept;
-                         },
-                 .body = [&call](std::string_view bytes) { call.body += bytes; },
-                 .end =
-                         [&call](UpstreamOutcome end) {
-                             call.ended = true;
-                             call.whole = end == UpstreamOutcome::Complete;
-                         }});
-        calls_.push_back(std::move(made));
+        const TimePoint end = steadyNow() + kRecoveryLimit;
+        for (std::size_t i = 0; i < daemons_.size(); ++i) {
+            unsigned admittedBy = 0;
+            for (unsigned attempt = 0; admittedBy != version_; ++attempt) {
+                if (steadyNow() > end) {
+                    note(fmt::format("behind target={} version={}", i, admittedBy));
+                    return false;
+                }
+                HeaderList headers;
+                headers.add("Host", "h");
+                headers.add("Request-Id", fmt::format("current-{}-{}", i, attempt));
+                headers.add("Authorization", "Token key");
+                headers.add("Deadline-Ms", "1000");
+                const auto call
+                        = pool_.call(daemons_.callers(i),
+                                     {.head = serializeRequestHead("GET", "/safe/x", headers)}, {});
+                for (const TimePoint next = steadyNow() + Millis(50); steadyNow() < next;)
+                    step();
+                for (const auto &replica : replicas_) {
+                    for (const EndpointStandin::Arrival &arrival : replica->log) {
+                        if (arrival.requestId == *headers.find("Request-Id"))
+                            admittedBy = versionOf(arrival);
+                    }
+                }
+            }
+        }
+        return true;
     }
 
-    void disturb(std::size_t daemon, TimePoint until)
+    void note(const std::string &event)
     {
-        daemons_[daemon].disturbedUntil = std::max(daemons_[daemon].disturbedUntil, until);
-        for (const auto &call : calls_)
-            call->disturbed = call->disturbed || (call->daemon == daemon && !call->ended);
+        timeline_ << timeOfDay(steadyNow()) << ' ' << event << std::endl;
     }
 
-    void injectFault(TimePoint now)
+    void inject(const Fault &fault)
     {
         ++report_.faults;
-        const std::size_t daemon = pick(daemons_.size());
-        const std::size_t replica = pick(replicas_.size());
-        switch (pick(7)) {
-        case 0:
-            disturb(daemon, now + Millis(3000));
-            daemons_[daemon].process->sendSignal(SIGKILL);
-            daemons_[daemon].startAgain = now + Millis(300 + pick(1500));
+        note(fmt::format("{} target={} duration_ms={}", toString(fault.kind), fault.target,
+                         fault.duration.count()));
+        switch (fault.kind) {
+        case FaultKind::Terminate:
+        case FaultKind::Kill:
+        case FaultKind::Freeze:
+        case FaultKind::Hangup:
+            daemons_.disturb(fault);
             break;
-        case 1:
-            disturb(daemon, now + Millis(6000));
-            daemons_[daemon].process->sendSignal(SIGSTOP);
-            daemons_[daemon].wakeUp = now + Millis(300 + pick(2500));
+        case FaultKind::ChangeConfiguration:
+            writeConfiguration();
             break;
-        case 2:
-            // Requests in progress must end well: only new ones may be refused.
-            daemons_[daemon].disturbedUntil = now + Millis(8000);
-            daemons_[daemon].process->sendSignal(SIGTERM);
+        case FaultKind::StoreAway:
+            holdStoreAway(fault.duration);
             break;
-        case 3:
-            store_.refuses = !store_.refuses;
+        case FaultKind::StoreOlder:
+            holdStoreAway(fault.duration);
+            after(fault.duration, [this, age = fault.age, delay = fault.writeAgainAfter] {
+                const std::size_t end = store_.end("keyed.op");
+                store_.restoreCopy(age);
+                const std::size_t lost = end - store_.end("keyed.op");
+                if (delay == Millis(0))
+                    writeAgain(lost);
+                else
+                    after(delay, [this, lost] { writeAgain(lost); });
+                evidence_.storeFaults.push_back({0, steadyNow(), steadyNow()});
+                note(fmt::format("store_restored age_ms={} era={}", age.count(), store_.era()));
+            });
             break;
-        case 4:
-            writeConfiguration();
+        case FaultKind::EndpointSilent:
+            replicas_[fault.target]->fallSilent(fault.duration);
             break;
-        case 5:
-            writeReplica(replica, pick(3) == 0 ? "draining" : "ready");
+        case FaultKind::EndpointFaulty:
+            for (const unsigned behaviour : fault.behaviours)
+                replicas_[fault.target]->script.push_back(
+                        static_cast<EndpointBehaviour>(behaviour));
             break;
-        default:
-            for (std::size_t i = 0; i <= pick(4); ++i)
-                replicas_[replica]->script.push_back(static_cast<EndpointBehaviour>(pick(9)));
+        case FaultKind::EndpointDraining:
+            writeReplica(fault.target, "draining");
+            after(fault.duration, [this, target = fault.target] { writeReplica(target, "ready"); });
+            break;
+        case FaultKind::EndpointLeaving:
+            if (!std::exchange(replicas_[fault.target]->leaving, true))
+                after(fault.duration, [this, target = fault.target] { replaceInstance(target); });
+            break;
+        case FaultKind::EndpointQuiet:
+            replicas_[fault.target]->quietFor = fault.quietFor;
+            after(fault.duration,
+                  [this, target = fault.target] { replicas_[target]->quietFor.reset(); });
             break;
         }
     }
 
-    void tendDaemons(TimePoint now)
+    void judge()
     {
-        for (std::size_t i = 0; i < daemons_.size(); ++i) {
-            Daemon &daemon = daemons_[i];
-            if (daemon.wakeUp != TimePoint{} && now >= daemon.wakeUp) {
-                daemon.process->sendSignal(SIGCONT);
-                daemon.wakeUp = {};
-            }
-            if (daemon.process->running())
-                continue;
-            if (daemon.startAgain == TimePoint{}) {
-                const int status = daemon.process->wait(Millis(0)).value_or(-1);
-                if (status != 0)
-                    report_.broken.push_back(fmt::format("daemon {} ended with {}", i, status));
-                daemon.startAgain = now + Millis(200);
-                disturb(i, now + Millis(3000));
-            } else if (now >= daemon.startAgain) {
-                daemon.startAgain = {};
-                daemon.wakeUp = {};
-                start(daemon);
-            }
+        for (const auto &replica : replicas_) {
+            for (const EndpointStandin::Arrival &arrival : replica->log)
+                evidence_.arrivals[arrival.requestId].push_back(arrival);
         }
-    }
-
-    std::size_t runsOf(const std::string &id) const
-    {
-        std::size_t runs = 0;
-        for (const auto &replica : replicas_)
-            runs += std::ranges::count(replica->runs, id, &EndpointStandin::Run::requestId);
-        return runs;
-    }
-
-    void check()
-    {
-        for (const auto &call : calls_) {
-            const auto broken = [&](const char *promise) {
-                report_.broken.push_back(fmt::format("{} ({}, daemon {}, status {}): {}", call->id,
-                                                     call->route, call->daemon, call->status,
-                                                     promise));
-            };
-            ++report_.outcomes[fmt::format("{} {}{}", call->route, call->status,
-                                           call->whole ? "" : " cut")];
-            const std::size_t runs = runsOf(call->id);
-            const std::string expected
-                    = call->route == "stream" ? allEvents() : "answer of " + call->id;
-            if (call->route == "once" && runs > 1)
-                broken("ran more than once");
-            if (call->route == "once" && call->whole && call->status == 503 && runs > 0)
-                broken("was said not to have run, and ran");
-            if (call->status == 200 && call->whole && (call->body != expected || !call->sealed))
-                broken("has another answer than its own, or not the whole");
-            if (call->status == 200 && !expected.starts_with(call->body))
-                broken("has bytes that are not of its answer");
-            if (!call->ended && !call->disturbed
-                && daemons_[call->daemon].disturbedUntil < call->begun)
-                broken("has no end");
-            if (call->whole && (call->status == 401 || call->status == 404))
-                broken("was denied, though its route and key were always there");
+        for (std::string &broken : brokenPromises(evidence_))
+            report_.broken.push_back(std::move(broken));
+        std::map<std::string, unsigned> served;
+        for (const SoakCall &call : evidence_.calls) {
+            const Unanswered unanswered = classify(evidence_, call);
+            ++report_.outcomes[fmt::format("{} {}", call.route->name,
+                                           unanswered == Unanswered::No
+                                                   ? std::to_string(call.status)
+                                                   : toString(unanswered))];
+            report_.unanswered += unanswered == Unanswered::Lost;
+            served[call.route->name] += call.status == 200;
         }
+        report_.requests = static_cast<unsigned>(evidence_.calls.size());
+        for (const SoakRoute &route : kSoakRoutes) {
+            if (served[route.name] == 0)
+                report_.broken.push_back(fmt::format("no request of {} was served", route.name));
+        }
+        keepsDirectory_ = options_.keepLogs || !report_.broken.empty();
+        if (keepsDirectory_)
+            report_.directory = directory_;
     }
 
     SoakOptions options_;
     std::mt19937_64 random_;
+    std::vector<Fault> plan_;
     asio::io_context context_;
+    std::string directory_;
+    std::ofstream timeline_;
+    SoakReport report_;
     AddressPool addresses_;
     Address storeAddress_;
     StoreStandin store_;
     std::vector<std::unique_ptr<EndpointStandin>> replicas_;
     UpstreamPool pool_;
-    std::vector<std::unique_ptr<Call>> calls_;
-    std::vector<Daemon> daemons_;
-    std::string directory_;
+    SoakEvidence evidence_;
+    DaemonFleet daemons_;
+    std::vector<std::unique_ptr<SoakClient>> clients_;
+    std::multimap<TimePoint, std::function<void()>> later_;
+    bool keepsDirectory_ = false;
     unsigned version_ = 0;
     unsigned sequence_ = 0;
-    SoakReport report_;
+    std::vector<std::string> states_; ///< Of the replicas, as they last wrote them.
+    std::vector<int> rebirths_;       ///< New instances at the addresses of the replicas.
+    int storeFaults_ = 0;
 };
 
 } // namespace
 
 SoakReport runSoak(const SoakOptions &options)
 {
+    const std::uint64_t memory = static_cast<std::uint64_t>(sysconf(_SC_PHYS_PAGES))
+                                 * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+    if (options.daemons == 0 || options.replicas < 3)
+        throw std::runtime_error("a soak needs a daemon and three replicas");
+    if (options.daemons * kDaemonMemoryBytes > memory / 2)
+        throw std::runtime_error("these daemons may take more than half of the memory; run fewer");
+    if (options.daemons + options.replicas > kMaxAddresses)
+        throw std::runtime_error(
+                fmt::format("a soak has at most {} daemons and replicas", kMaxAddresses));
     return Soak(options).run();
 }
 
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -9,6 +9,7 @@
 
 #include <cstdlib>
 #include <stdexcept>
+#include <utility>
 
 namespace cicadafork::test {
 
@@ -107,6 +108,12 @@
     return newest;
 }
 
+void StoreStandin::refuseWaitingReads()
+{
+    for (const PendingRead &read : std::exchange(pending_, {}))
+        respond(read.caller, 503, {});
+}
+
 void StoreStandin::respond(const std::shared_ptr<HttpServerConnection> &caller, int status,
                            const std::string &body)
 {
@@ -230,6 +237,13 @@
     const std::string *expected = request.headers.find(platform::kExpectInstance);
     const std::string name = requestId ? *requestId : std::string();
     HeaderList plain = plainHeaders(name);
+    const std::string *workspace = request.headers.find(platform::kTenant);
+    log.push_back({.endpoint = id,
+                   .requestId = name,
+                   .workspace = workspace ? *workspace : std::string(),
+                   .at = caller->requestStart(),
+                   .answeredAt = steadyNow(),
+                   .saysLeaving = leaving});
     if (expected && *expected != id) {
         caller->respond(421, std::move(plain), {});
         return;
@@ -237,7 +251,11 @@
     const EndpointBehaviour behaviour = script.empty() ? EndpointBehaviour::Answer : script.front();
     if (!script.empty())
         script.pop_front();
-    if (behaviour == EndpointBehaviour::NotRun || quietFor) {
+    const bool refused = behaviour == EndpointBehaviour::NotRun || quietFor;
+    log.back().behaviour = behaviour;
+    log.back().ran = !refused;
+    log.back().quietFor = quietFor.value_or(Millis(0));
+    if (refused) {
         plain.add(platform::kNotRun, "1");
         if (quietFor)
             plain.add(platform::kRetryAfter,
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -39,6 +39,10 @@
     std::uint64_t era() const { return era_; }
     /// Value of the newest record of a key; nothing if there is none or it was deleted.
     std::optional<std::string> value(const std::string &topic, const std::string &key) const;
+    /// Offset of the topic's next record.
+    std::size_t end(const std::string &topic) { return topics_[topic].size(); }
+    /// Answers the reads that wait for records with 503, as a store that goes away does.
+    void refuseWaitingReads();
 
     bool refuses = false; ///< Answers every request with 503.
     unsigned calls = 0;
@@ -100,6 +104,19 @@
         HttpRequest request;
         std::shared_ptr<HttpServerConnection> connection;
     };
+    /// A request that the endpoint has received, whether or not it was executed.
+    struct Arrival
+    {
+        std::string endpoint;
+        std::string requestId;
+        std::string workspace;
+        TimePoint at{};
+        TimePoint answeredAt{}; ///< Later than `at` by the rest of a silence.
+        EndpointBehaviour behaviour = EndpointBehaviour::NotRun;
+        bool ran = false;
+        bool saysLeaving = false;
+        Millis quietFor{0}; ///< Stated in a refusal; 0 if none was.
+    };
 
     EndpointStandin(asio::io_context &context, const Address &address, std::string id);
 
@@ -110,6 +127,7 @@
     const std::string id;
     std::deque<EndpointBehaviour> script; ///< For the next requests; Answer once it is empty.
     std::vector<Run> runs;                ///< Requests that were executed, at least in part.
+    std::vector<Arrival> log;
     unsigned arrivals = 0;
     Millis eventGap{3};
     std::size_t padding = 0;        ///< Bytes added to an answer that is no stream.
