--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -272,7 +272,7 @@
     }
     const TimePoint now = steadyNow();
     departed_.expire(now);
-    if (version.revision > 0)
+    if (row || version.revision > 0)
         departed_.note(id, {version, now - goneFor});
     if (!row)
         return;
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -113,7 +113,7 @@
     }
 
     void writeRecord(const EndpointStandin &endpoint, const std::string &service,
-                     const std::string &state, unsigned revision = 1)
+                     const std::string &state, unsigned revision = 0)
     {
         store.put("keyed.servers", endpoint.id,
                   fmt::format(R"({{"service":"{}","address":"{}","zone":"east","slots":4,
