--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -144,7 +144,8 @@
     /// The store no longer lists the endpoint; `last` is what is known of its last record.
     void onEndpointMissing(const std::string &id, const EndpointVersion &last,
                            std::optional<TimePoint> mayReturnUntil);
-    void updateEndpoint(EndpointRecord record, const char *source);
+    /// Returns false if the record says nothing new because it comes from an older copy.
+    bool updateEndpoint(EndpointRecord record, const char *source);
     void removeEndpoint(const std::string &id, const char *why, const EndpointVersion &last,
                         Millis goneFor = Millis(0));
     void noteEndpointChange(const std::string &id, EndpointChange change, const char *source);
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -188,9 +188,11 @@
                  {{"endpoint", id}, {"error", record.error().message}});
         return;
     }
-    unconfirmedEndpoints_.erase(id);
     record->storeEra = era;
-    updateEndpoint(std::move(*record), kFromStore);
+    const bool restored = unconfirmedEndpoints_.contains(id);
+    // Other daemons may have found the record missing too, and do not read again in time.
+    if (updateEndpoint(*record, kFromStore) && restored)
+        pendingUpdates_.push_back({id, std::move(*record)});
 }
 
 void Gateway::onEndpointMissing(const std::string &id, const EndpointVersion &last,
@@ -217,9 +219,10 @@
     });
 }
 
-void Gateway::updateEndpoint(EndpointRecord record, const char *source)
+bool Gateway::updateEndpoint(EndpointRecord record, const char *source)
 {
     const TimePoint now = steadyNow();
+    unconfirmedEndpoints_.erase(record.id);
     const EndpointRow *row = endpoints_.findById(record.id);
     const bool outdated
             = row ? undoesDraining(record, row->record) : departed_.outdates(record, now);
@@ -230,13 +233,14 @@
                   {"source", source},
                   {"era", std::to_string(record.storeEra)},
                   {"revision", std::to_string(record.revision)}});
-        return;
+        return false;
     }
     // An older copy shows lower revisions than were known.
     if (row && row->record.bornMs == record.bornMs)
         record.revision = std::max(record.revision, row->record.revision);
     departed_.forget(record.id);
     noteEndpointChange(record.id, endpoints_.update(record, now), source);
+    return true;
 }
 
 void Gateway::noteEndpointChange(const std::string &id, EndpointChange change, const char *source)
--- a/tests/unit/gatewaypeers_test.cpp
+++ b/tests/unit/gatewaypeers_test.cpp
@@ -303,6 +303,27 @@
     CHECK_TRUE_TEXT(allKnow(kEndpoints + 1, 1), "the record was restored in time");
 }
 
+// Guards against daemons that drop an endpoint whose record was restored in time, because they do
+// not read the store often and the readers do not tell them.
+TEST(GatewayPeers, restoredRecordsKeepTheirEndpointsAtAllDaemons)
+{
+    constexpr unsigned kEndpoints = 20;
+    for (unsigned i = 0; i < kEndpoints; ++i)
+        putEndpoint(i);
+    start(5);
+    store.refuses = true;
+    serveFor(Millis(2000));
+    store.put(kEndpointsTopic, "e3", std::nullopt);
+    store.refuses = false;
+    const auto anyLacksOne = [&] {
+        return std::ranges::any_of(
+                daemons, [](const auto &daemon) { return daemon->endpoints() != kEndpoints; });
+    };
+    CHECK_FALSE(runUntil(anyLacksOne, Millis(1600)));
+    putEndpoint(3, 2);
+    CHECK_FALSE(runUntil(anyLacksOne, Millis(2200) + kConfigInForce));
+}
+
 // Guards against a version that goes back at some daemons because the copy has an older one, and
 // against a starting daemon that stays on it.
 TEST(GatewayPeers, theVersionOfAnOlderCopyIsNotTakenOver)
