Spread the heartbeats of daemons that have started together

Daemons that start together send theirs at the same time, and from then on at the same time. In the rest of each interval a daemon hears nobody, takes itself for isolated after 0.5 s and reads the configuration and the endpoints. 88 daemons in one process without traffic: 17 store calls in each of three spans of 3 s, where 45 daemons made 9 to 11.

Change: when the interval has grown, the next heartbeat follows after a random part of it. No two heartbeats are further apart than before, so that failures are noticed as before.

Ruled out: jitter in each interval; it would have to be small against the time after which a peer counts as failed and would take dozens of rounds to spread the heartbeats.

--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -1,6 +1,7 @@
 #include "gateway/mesh.h"
 
 #include "base/hash.h"
+#include "base/jitter.h"
 #include "base/log.h"
 #include "gateway/meshwire.h"
 
@@ -52,6 +53,7 @@
     , socket_(context)
     , heartbeatTimer_(context)
     , batchTimer_(context)
+    , lastInterval_(options_.heartbeatInterval)
 {
 }
 
@@ -273,7 +275,12 @@
         }
     }
     ++heartbeatsSent_;
-    heartbeatTimer_.expires_after(heartbeatInterval());
+    const Millis interval = heartbeatInterval();
+    // Daemons that start together learn of each other together. If their rare heartbeats coincided,
+    // each would hear nobody in between and take itself for isolated.
+    const bool grown = interval > lastInterval_;
+    lastInterval_ = interval;
+    heartbeatTimer_.expires_after(grown ? randomMillis(Millis(0), interval) : interval);
     heartbeatTimer_.async_wait([this](const asio::error_code &error) {
         if (!error)
             sendHeartbeat();
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -220,6 +220,7 @@
     bool batchArmed_ = false;
     std::uint32_t newestJob_ = 0;
     unsigned heartbeatsSent_ = 0;
+    Millis lastInterval_; ///< Heartbeat interval at the last heartbeat.
     unsigned relayRound_ = 0;
     TimePoint lastHeard_{}; ///< Of any peer.
     MeshCounters counters_;
--- a/tests/unit/mesh_test.cpp
+++ b/tests/unit/mesh_test.cpp
@@ -55,6 +55,7 @@
     AddressPool addresses;
     std::vector<std::unique_ptr<LoadTracker>> trackers;
     std::vector<std::unique_ptr<Mesh>> members;
+    unsigned isolated = 0;
 
     void start(unsigned count, Millis heartbeatIntervalPerPeer)
     {
@@ -77,7 +78,7 @@
                               .messageReceived = [](const PeerInfo &) {},
                               .endpointUpdatesReceived = [](const PeerInfo &, const auto &) {},
                               .configChangeReceived = [](const PeerInfo &, const ConfigChange &) {},
-                              .isolated = [] {}}));
+                              .isolated = [this] { ++isolated; }}));
             CHECK_TRUE(static_cast<bool>(capture([&] { return members.back()->start(); })));
         }
     }
@@ -97,6 +98,16 @@
 };
 // clang-format on
 
+// Guards against daemons that start together and then all send at the same time: in a large fleet,
+// whose heartbeats are rare, each would hear nobody in between and read the store itself.
+TEST(MeshHeartbeats, daemonsThatStartTogetherDoNotTakeThemselvesForIsolated)
+{
+    start(40, Millis(30));
+    eventually(context, Millis(5000), Millis(100), [] { return false; });
+    CHECK_TRUE(connected());
+    LONGS_EQUAL(0, isolated);
+}
+
 // Guards against daemons that all name the same few members in their heartbeats, so that a fleet
 // that starts while the store is unavailable knows itself only after many of them.
 TEST(MeshHeartbeats, daemonsThatStartWithoutTheStoreSoonKnowEachOther)
