--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -345,6 +345,9 @@
     json["store"] = {{"reached", storeReached_},
                      {"endpoints_position", endpointFollower_.position()},
                      {"last_contact_ms_ago", age(endpointFollower_.lastContact())}};
+    json["reader_role"] = toString(isPrimaryReader_         ? ReaderRole::Primary
+                                   : announcesStoreChanges_ ? ReaderRole::Secondary
+                                                            : ReaderRole::Standby);
     json["requests"] = exchanges_.size();
     json["waiting"] = waiting_.size();
     json["jobs"] = loadTracker_.size();
--- a/tests/unit/gatewaypeers_test.cpp
+++ b/tests/unit/gatewaypeers_test.cpp
@@ -151,6 +151,14 @@
     }
 
     void start(unsigned count)
+    {
+        launch(count);
+        CHECK_TRUE_TEXT(runUntil([&] { return allHaveConfig(1) && connectedDaemons() == count; }),
+                        "all gateways have the configuration and have heard each other");
+        serveFor(Millis(700));
+    }
+
+    void launch(unsigned count)
     {
         store.put(kConfigTopic, "config", configText(1, 200));
         // All members use the same ports, and the first one is the seed.
@@ -171,9 +179,6 @@
             settings.retries = {0.2, 1000, Millis(10'000)};
             daemons.push_back(std::make_unique<Daemon>(context, settings));
         }
-        CHECK_TRUE_TEXT(runUntil([&] { return allHaveConfig(1) && connectedDaemons() == count; }),
-                        "all gateways have the configuration and have heard each other");
-        serveFor(Millis(700));
     }
 
     void putEndpoint(unsigned number)
@@ -193,6 +198,18 @@
         return true;
     }
 
+    bool readersAgreed() const
+    {
+        unsigned primaries = 0;
+        unsigned secondaries = 0;
+        for (const auto &daemon : daemons) {
+            const auto role = daemon->state()["reader_role"].get<std::string>();
+            primaries += role == "first" ? 1 : 0;
+            secondaries += role == "second" ? 1 : 0;
+        }
+        return primaries == 1 && secondaries == 1;
+    }
+
     /// Number of daemons that see all others as alive.
     std::size_t connectedDaemons() const
     {
@@ -210,6 +227,18 @@
     }
 };
 
+// Guards against daemons that start together and do not know each other, or read the store as if
+// they did not, when the users' rules begin to hold for them.
+TEST(GatewayPeers, daemonsThatStartTogetherSoonAgreeOnTheReaders)
+{
+    constexpr Millis kStabilityWindow{3000};
+    constexpr unsigned kDaemons = 8;
+    launch(kDaemons);
+    CHECK_TRUE(runUntil(
+            [&] { return allHaveConfig(1) && readersAgreed() && connectedDaemons() == kDaemons; },
+            kStabilityWindow));
+}
+
 // Guards against every daemon reading every change from the store: each call is charged, and 361
 // daemons would make 361 calls at once.
 TEST(GatewayPeers, configurationChangesAreReadOnlyByTheReaders)
