Delay attempts once every endpoint of a service has refused connections

Cause: an attempt that made no connection is taken out of the number of sends, so it was followed by the next one at once, without a delay or a limit, as long as the endpoint's record remained. Each return to the queue also began the time in the queue again, and triedEndpoints got an entry per attempt.

Change: endpoints that were not tried are tried at once. When there is none, the request waits 10 to 20 ms in the queue, and up to 160 ms later on. The time in the queue goes on over attempts of which nothing reached an endpoint, so the caller gets its 503 at its end. The same holds for attempts that could not reserve memory. An attempt that reached an endpoint begins a new time in the queue, as before. A stream that is being relayed keeps the time of its last return to the queue, so it is not broken off sooner. Requests that wait for such a delay do not count as tried in a dispatch.

Ruled out: counting these attempts as sends, since they would use up the endpoints that a request may be sent to and the retry budget.

requestsGoOnAtTheFirstEndpointThatAcceptsConnections guards the other side; it was not run without the change. The stand-in of an endpoint may now end in the middle of a stream: its pending steps end with it.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -65,10 +65,12 @@
     std::string workspace;
     int priority = 0;
     TimePoint arrivedAt{};
-    TimePoint objective{};     ///< A first event after this time counts as late.
-    TimePoint deadline{};      ///< The caller's or the route's, whichever is earlier.
-    TimePoint queueDeadline{}; ///< The request ends if no endpoint has taken it by then.
-    TimePoint notBefore{};     ///< Earliest time of the next attempt.
+    TimePoint objective{};         ///< A first event after this time counts as late.
+    TimePoint deadline{};          ///< The caller's or the route's, whichever is earlier.
+    TimePoint queueDeadline{};     ///< The request ends if no endpoint has taken it by then.
+    unsigned queuedAfterSends = 0; ///< Value of sendCount for which queueDeadline was set.
+    TimePoint notBefore{};         ///< Earliest time of the next attempt.
+    Millis reconnectDelay{0};      ///< The last one after no endpoint could be connected to.
     ExchangeState state = ExchangeState::Waiting;
     std::unique_ptr<Attempt> attempt;
     /// An attempt at a silent endpoint that `attempt` is to replace. It stays open until the first
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -103,6 +103,8 @@
     /// True when an endpoint was chosen. A request that can never be placed is ended with an error,
     /// so the exchange may no longer exist when this returns false.
     bool tryPlace(Exchange &exchange);
+    /// The endpoints to which the request has not been sent.
+    std::vector<EndpointView> untriedViews(const Exchange &exchange) const;
     std::vector<EndpointView> viewsFor(const Exchange &exchange) const;
     /// Cost model of the engines that serve the request; null for plain calls.
     const EngineModel *engineFor(const Exchange &exchange) const;
@@ -124,6 +126,8 @@
     /// Takes the attempt out of sendCount and the retry budget, because nothing of it has reached
     /// an endpoint.
     void undoSend(Exchange &exchange);
+    /// Delays the next attempt if every endpoint that could serve the request was tried.
+    void delayReconnect(Exchange &exchange);
     void relayEvents(Exchange &exchange);
     void beginRelay(Exchange &exchange);
     void forwardWholeAnswer(Exchange &exchange);
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -1,5 +1,6 @@
 // Gateway: attempts at endpoints and relaying of their answers.
 
+#include "base/jitter.h"
 #include "base/log.h"
 #include "gateway/gateway.h"
 
@@ -35,6 +36,10 @@
 constexpr Millis kJobExpiryMargin{2000};
 // Delay before the next attempt when memory could not be reserved, so that other requests can end.
 constexpr Millis kMemoryRetryDelay{150};
+// Delay before the next attempt when all endpoints were tried and the last one could not be
+// connected to. It doubles with each attempt.
+constexpr Millis kMinReconnectDelay{20};
+constexpr Millis kMaxReconnectDelay{160};
 // Expected time of a call to a service without an engine model.
 constexpr FloatMillis kExpectedCallTime{30};
 
@@ -87,7 +92,8 @@
               {"send", std::to_string(exchange.sendCount + 1)},
               {"config", std::to_string(exchange.config->version)}});
     ++exchange.sendCount;
-    exchange.triedEndpoints.push_back(placement.head);
+    if (std::ranges::find(exchange.triedEndpoints, placement.head) == exchange.triedEndpoints.end())
+        exchange.triedEndpoints.push_back(placement.head);
     exchange.lastProgressAt = now;
     if (exchange.state == ExchangeState::Waiting)
         exchange.state = ExchangeState::Sent;
@@ -331,6 +337,7 @@
     switch (end) {
     case UpstreamOutcome::NotSent:
         undoSend(*exchange);
+        delayReconnect(*exchange);
         onAttemptFailed(*exchange, EndpointFailure::NoConnection, false, "no_connection");
         return;
     case UpstreamOutcome::NoAnswer:
@@ -360,6 +367,16 @@
         retryBudget_.refund(exchange.service);
 }
 
+void Gateway::delayReconnect(Exchange &exchange)
+{
+    if (!untriedViews(exchange).empty())
+        return;
+    exchange.reconnectDelay
+            = std::clamp(2 * exchange.reconnectDelay, kMinReconnectDelay, kMaxReconnectDelay);
+    exchange.notBefore
+            = steadyNow() + randomMillis(exchange.reconnectDelay / 2, exchange.reconnectDelay);
+}
+
 void Gateway::finishRelay(Exchange &exchange)
 {
     Attempt &attempt = *exchange.attempt;
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -51,20 +51,24 @@
 
 } // namespace
 
-std::vector<EndpointView> Gateway::viewsFor(const Exchange &exchange) const
+std::vector<EndpointView> Gateway::untriedViews(const Exchange &exchange) const
 {
-    const TimePoint now = steadyNow();
-    auto views = endpoints_.views(
+    return endpoints_.views(
             exchange.service, settings_.failureDomain, incarnation_, exchange.triedEndpoints,
             [this](const std::string &domain) { return mesh_.seemsCutOff(domain); }, loadTracker_,
-            now);
+            steadyNow());
+}
+
+std::vector<EndpointView> Gateway::viewsFor(const Exchange &exchange) const
+{
+    auto views = untriedViews(exchange);
     if (!views.empty())
         return views;
     // The request has tried every ready endpoint of the service. Trying one of them again is better
     // than not trying at all.
     return endpoints_.views(
             exchange.service, settings_.failureDomain, incarnation_, {},
-            [](const auto &) { return false; }, loadTracker_, now);
+            [](const auto &) { return false; }, loadTracker_, steadyNow());
 }
 
 const EngineModel *Gateway::engineFor(const Exchange &exchange) const
@@ -145,7 +149,14 @@
     if (std::ranges::find(waiting_, exchange.id) != waiting_.end())
         return;
     const TimePoint now = steadyNow();
-    exchange.queueDeadline = now + longestWait(exchange.route);
+    // Attempts of which nothing reached an endpoint are part of the wait, except within a stream:
+    // breaking it off would be no refusal.
+    const bool goesOn = exchange.queueDeadline != TimePoint{}
+                        && exchange.queuedAfterSends == exchange.sendCount
+                        && exchange.state != ExchangeState::Relaying;
+    if (!goesOn)
+        exchange.queueDeadline = now + longestWait(exchange.route);
+    exchange.queuedAfterSends = exchange.sendCount;
     waiting_.push_back(exchange.id);
     WaitReasons reasons;
     if (const EngineModel *engine = engineFor(exchange))
@@ -205,7 +216,7 @@
     std::size_t tries = 0;
     for (const std::uint64_t id : ids) {
         Exchange *exchange = find(id);
-        if (!exchange || ++tries > kMaxRequestsPerDispatch)
+        if (!exchange || now < exchange->notBefore || ++tries > kMaxRequestsPerDispatch)
             continue;
         if (!tryPlace(*exchange))
             continue;
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -309,8 +309,9 @@
 void EndpointStandin::runAt(TimePoint time, std::function<void()> step)
 {
     const auto timer = std::make_shared<asio::steady_timer>(context_, std::max(time, silentUntil_));
-    timer->async_wait([this, timer, step = std::move(step)](const asio::error_code &error) {
-        if (error)
+    timer->async_wait([this, timer, alive = std::weak_ptr<int>(alive_),
+                       step = std::move(step)](const asio::error_code &error) {
+        if (error || alive.expired())
             return;
         if (steadyNow() < silentUntil_)
             runAt(silentUntil_, step);
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -126,6 +126,7 @@
 
     asio::io_context &context_;
     TimePoint silentUntil_{};
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0); ///< Steps end with the stand-in.
     AsyncHttpServer server_;
 };
 
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -618,6 +618,64 @@
     CHECK_FALSE(isListed());
 }
 
+// Guards against thousands of connections a second to endpoints that have ended.
+TEST(GatewayPath, endpointThatRefusesConnectionsIsNotTriedInATightLoop)
+{
+    addEndpoint("plain");
+    publishConfig();
+    endpoints.clear(); // Its record stays.
+    const auto answer = sendRequest("once", "key", Millis(1000));
+    CHECK_TRUE(runUntil([&] { return answer->ended; }));
+    const auto metrics = std::make_unique<Answer>();
+    const auto call = callerPool.call(
+            settings.control, {.head = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"},
+            {.head = [](HttpResponseHead &&) { return HeadAction::Accept; },
+             .body = [&](std::string_view bytes) { metrics->body += bytes; },
+             .end = [&](UpstreamOutcome) { metrics->ended = true; }});
+    CHECK_TRUE(runUntil([&] { return metrics->ended; }));
+    const std::string name = "reason=\"no_connection\"} ";
+    const std::size_t at = metrics->body.find(name);
+    const int tries
+            = at == std::string::npos ? 0 : std::stoi(metrics->body.substr(at + name.size()));
+    CHECK_TRUE_TEXT(tries <= 20,
+                    fmt::format("{} attempts, status {}", tries, answer->status).c_str());
+    LONGS_EQUAL(503, answer->status); // It has not run.
+}
+
+// Guards against a delay before endpoints that were not tried, and against breaking off a stream
+// that an endpoint could still resume.
+TEST(GatewayPath, requestsGoOnAtTheFirstEndpointThatAcceptsConnections)
+{
+    constexpr Millis kCallObjective{100};
+    constexpr Millis kOutage{2700}; // Longer than a request may wait for an endpoint.
+    constexpr Millis kDeadline{6000};
+    for (int i = 0; i < 3; ++i)
+        addEndpoint("plain");
+    EndpointStandin &broken = addEndpoint("pool");
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 3}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    waitForEndpoints();
+    endpoints.erase(endpoints.begin(), endpoints.begin() + 2); // Their records stay.
+    for (int i = 0; i < 6; ++i) {
+        const TimePoint sent = steadyNow();
+        LONGS_EQUAL(200, sendRequestAndWait("once")->status);
+        CHECK_TRUE(steadyNow() - sent < kCallObjective);
+    }
+    broken.eventGap = Millis(20);
+    const auto answer = sendRequest("stream", "key", kDeadline);
+    CHECK_TRUE(runUntil([&] { return !answer->body.empty(); }));
+    const Address address = broken.address;
+    const std::string id = broken.id;
+    endpoints.pop_back();
+    runUntil([] { return false; }, kOutage);
+    CHECK_FALSE(answer->ended);
+    endpoints.push_back(std::make_unique<EndpointStandin>(context, address, id));
+    CHECK_TRUE(runUntil([&] { return answer->ended; }));
+    CHECK_TRUE(answer->complete);
+    STRCMP_EQUAL(allEvents().c_str(), answer->body.c_str());
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
