Refuse waiting streams before their callers abandon them

waitingStreamIsRefusedBeforeItsCallerGivesUp failed without this change with an answer after 2,500 ms; its bound is 2,000 ms.

Cause: a stream waited 2.5 s for an endpoint, whatever its route. Callers leave after the longest of 2 s, four times the objective and eight times the longest pause between events, so those of routes with short times never saw the 503.

Change: the end of the wait is a free function, endOfWait(), with a table test. It is the same as before, but 100 ms before the caller leaves, counted from the request's arrival, if that is sooner. A stream that is being relayed is excepted, as it must not be broken off sooner; so is a caller that has stayed for longer than that time.

Ruled out: a shorter wait for all streams, which would refuse streams whose callers wait longer.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/exchange.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace cicadafork::gateway {
@@ -9,6 +10,18 @@
 // An attempt with less time than this before the deadline has no prospect of success.
 constexpr Millis kMinAttemptTime{30};
 
+// A request that has waited this long for an endpoint is refused with Retry-After. A stream may
+// wait for as long as its route's objective if that is longer.
+constexpr Millis kMaxStreamWait{2500};
+constexpr Millis kMaxCallWait{250};
+// Callers abandon a stream that sends nothing for the longest of this time and these multiples of
+// the route's objective and largest event gap.
+constexpr Millis kMinCallerPatience{2000};
+constexpr int kCallerPatienceObjectives = 4;
+constexpr int kCallerPatienceGaps = 8;
+// Time for a refusal to reach the caller.
+constexpr Millis kRefusalMargin{100};
+
 } // namespace
 
 bool isRepeatable(const Route &route)
@@ -29,6 +42,21 @@
     return facts.anyAttemptMayHaveRun ? Recovery::FailMayHaveRun : Recovery::RefuseNotRun;
 }
 
+TimePoint endOfWait(const WaitFacts &facts, TimePoint now)
+{
+    if (!facts.stream)
+        return now + kMaxCallWait;
+    const TimePoint end = now + std::max(kMaxStreamWait, facts.objective);
+    const TimePoint callerLeaves
+            = facts.arrivedAt
+              + std::max({kMinCallerPatience, kCallerPatienceObjectives * facts.objective,
+                          kCallerPatienceGaps * facts.maxEventGap});
+    // A caller that has stayed for longer may stay on.
+    if (facts.relaying || now >= callerLeaves)
+        return end;
+    return std::min(end, callerLeaves - kRefusalMargin);
+}
+
 std::string takeEvent(std::string &buffer)
 {
     std::size_t end = std::string::npos;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -118,6 +118,20 @@
 
 Recovery recoverFrom(const FailureFacts &facts);
 
+/// Input of endOfWait(): a request for which no endpoint is free.
+struct WaitFacts
+{
+    bool stream = false;
+    bool relaying = false; ///< Events have gone to the caller.
+    Millis objective{0};
+    Millis maxEventGap{0};
+    TimePoint arrivedAt{};
+};
+
+/// End of the time for which a request that begins to wait now may wait for an endpoint. A stream
+/// that has not begun is refused before its caller abandons it.
+TimePoint endOfWait(const WaitFacts &facts, TimePoint now);
+
 /// Removes the first complete server-sent event, including its blank line, from the buffer and
 /// returns it; returns an empty string when the buffer holds no complete event.
 std::string takeEvent(std::string &buffer);
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -22,10 +22,6 @@
 // placed.
 constexpr Millis kDispatchDelayPerDaemon{2};
 constexpr std::size_t kMaxRequestsPerDispatch = 24;
-// A request that has waited this long for an endpoint is refused with Retry-After. A stream may
-// wait for as long as its route's objective if that is longer.
-constexpr Millis kMaxStreamWait{2500};
-constexpr Millis kMaxCallWait{250};
 
 // Time between two reports of the endpoints' load to other failure domains by a primary reader, and
 // the number of such times between those of a secondary reader.
@@ -43,10 +39,13 @@
 // For a long prompt, the upper end of the range as a multiple of the mean prefill backlog.
 constexpr double kRetryAfterBacklogFactor = 1.5;
 
-Millis longestWait(const Route &route)
+WaitFacts waitFacts(const Exchange &exchange)
 {
-    return route.kind == RouteKind::Stream ? std::max(kMaxStreamWait, route.objective)
-                                           : kMaxCallWait;
+    return {.stream = exchange.route.kind == RouteKind::Stream,
+            .relaying = exchange.state == ExchangeState::Relaying,
+            .objective = exchange.route.objective,
+            .maxEventGap = exchange.route.maxEventGap,
+            .arrivedAt = exchange.arrivedAt};
 }
 
 } // namespace
@@ -116,7 +115,7 @@
 {
     const bool waits = std::ranges::find(waiting_, exchange.id) != waiting_.end();
     return std::min(exchange.deadline,
-                    waits ? exchange.queueDeadline : now + longestWait(exchange.route));
+                    waits ? exchange.queueDeadline : endOfWait(waitFacts(exchange), now));
 }
 
 bool Gateway::tryPlace(Exchange &exchange)
@@ -155,7 +154,7 @@
                         && exchange.queuedAfterSends == exchange.sendCount
                         && exchange.state != ExchangeState::Relaying;
     if (!goesOn)
-        exchange.queueDeadline = now + longestWait(exchange.route);
+        exchange.queueDeadline = endOfWait(waitFacts(exchange), now);
     exchange.queuedAfterSends = exchange.sendCount;
     waiting_.push_back(exchange.id);
     WaitReasons reasons;
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -110,6 +110,50 @@
     }
 }
 
+TEST_GROUP(Wait){};
+
+// Guards against refusals that reach no caller, and against those of requests whose callers wait.
+TEST(Wait, endsBeforeTheCallerAbandonsTheStream)
+{
+    struct Case
+    {
+        const char *name;
+        WaitFacts facts;
+        Millis waited; ///< From the arrival to the begin of the wait.
+        Millis atLeast;
+        Millis lessThan; ///< Both from the arrival.
+    };
+    constexpr Millis kShort{200};
+    constexpr Millis kLongest{60'000};
+    const Case cases[] = {
+            {"call", {}, Millis(100), Millis(350), Millis(351)},
+            {"short objective", {true, false, kShort, kShort}, {}, Millis(1800), Millis(2000)},
+            {"queued late", {true, false, kShort, kShort}, Millis(900), Millis(1800), Millis(2000)},
+            {"four times the objective",
+             {true, false, Millis(600), {}},
+             {},
+             Millis(2200),
+             Millis(2400)},
+            {"eight times the gap",
+             {true, false, kShort, Millis(300)},
+             {},
+             Millis(2200),
+             Millis(2400)},
+            {"long gap", {true, false, kShort, Millis(1000)}, {}, Millis(2500), Millis(2501)},
+            {"long objective", {true, false, Millis(5000), kShort}, {}, Millis(5000), Millis(5001)},
+            {"about to leave", {true, false, kShort, kShort}, Millis(1999), {}, Millis(2000)},
+            {"has stayed", {true, false, kShort, kShort}, Millis(3000), Millis(5500), kLongest},
+            {"relaying", {true, true, kShort, kShort}, Millis(100), Millis(2600), kLongest},
+    };
+    for (const Case &row : cases) {
+        WaitFacts facts = row.facts;
+        facts.arrivedAt = kStart;
+        const TimePoint end = endOfWait(facts, kStart + row.waited);
+        CHECK_TRUE_TEXT(end >= kStart + row.atLeast, row.name);
+        CHECK_TRUE_TEXT(end < kStart + row.lessThan, row.name);
+    }
+}
+
 TEST_GROUP(Events){};
 
 TEST(Events, areSplitAtBlankLines)
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -676,6 +676,24 @@
     STRCMP_EQUAL(allEvents().c_str(), answer->body.c_str());
 }
 
+// Guards against a wait whose end no caller sees.
+TEST(GatewayPath, waitingStreamIsRefusedBeforeItsCallerGivesUp)
+{
+    // Callers give up on a stream after a gap of two seconds.
+    constexpr Millis kPatience{2000};
+    constexpr Millis kDeadline{8000};
+    addEndpoint("plain");
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 2}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    const TimePoint sent = steadyNow();
+    const auto answer = sendRequest("stream", "key", kDeadline);
+    CHECK_TRUE(runUntil([&] { return answer->ended; }));
+    const auto took = std::chrono::duration_cast<Millis>(steadyNow() - sent);
+    LONGS_EQUAL(503, answer->status);
+    CHECK_TRUE_TEXT(took < kPatience, fmt::format("{} ms", took.count()).c_str());
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
