Do not let requests of a service without endpoints hold up those of others

waitingRequestsOfAServiceWithoutEndpointsDoNotHoldUpThoseOfOthers failed without this change with an answer after 1,910 ms; its bound is the objective, 300 ms.

Cause: a dispatch tries the first 24 waiting requests by rank. Requests that no endpoint accepts stayed there until they were refused.

Change: requests whose service has no ready endpoint that accepts are counted apart, with the same limit, as some may have to be refused. Whether one accepts is looked up once per service and dispatch.

Ruled out: not limiting these requests at all, since each try looks at all endpoints, and a dispatch follows every few milliseconds.

Not covered: requests that wait for a slot or memory of their own service still count, so 24 of them can hold up those of another service.

--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -212,10 +212,18 @@
     };
     std::ranges::sort(waiting_, [&](auto left, auto right) { return rank(left) < rank(right); });
     const std::vector<std::uint64_t> ids = waiting_;
+    // Requests that no endpoint accepts are counted apart, so that they do not hold up others.
+    std::unordered_map<std::string, bool> accepted; // By service.
     std::size_t tries = 0;
+    std::size_t triesWithoutEndpoint = 0;
     for (const std::uint64_t id : ids) {
         Exchange *exchange = find(id);
-        if (!exchange || now < exchange->notBefore || ++tries > kMaxRequestsPerDispatch)
+        if (!exchange || now < exchange->notBefore)
+            continue;
+        const auto [service, isNew] = accepted.try_emplace(exchange->service);
+        if (isNew)
+            service->second = endpoints_.anyAccepts(exchange->service, now);
+        if (++(service->second ? tries : triesWithoutEndpoint) > kMaxRequestsPerDispatch)
             continue;
         if (!tryPlace(*exchange))
             continue;
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -694,6 +694,38 @@
     CHECK_TRUE_TEXT(took < kPatience, fmt::format("{} ms", took.count()).c_str());
 }
 
+TEST(GatewayPath, waitingRequestsOfAServiceWithoutEndpointsDoNotHoldUpThoseOfOthers)
+{
+    constexpr Millis kObjective{300};
+    constexpr Millis kDeadline{8000};
+    constexpr int kWaiting = 30;
+    addEndpoint("pool");
+    const std::string engine = R"("engine":{"slots":4,"kvCapacity":450000,"stride":4,"step_ms":1,
+               "read_per_s":256000,"pairs_per_m":0.09})";
+    const auto route = [&](const char *name, const char *service, int priority) {
+        return fmt::format(R"({{"name":"{0}","host":"h","pathPrefix":"/{0}/","kind":"streaming",
+                "service":"{1}","timeoutMs":{2},"targetLatencyMs":{3},"maxAttempts":2,
+                "resumable":true,"gapGoalMs":200,"priority":{4}}})",
+                           name, service, kDeadline.count(), kObjective.count(), priority);
+    };
+    store.put("keyed.op", "config",
+              fmt::format(R"({{"version":3,"routes":[{},{}],"services":[{{"name":"pool",{}}},
+               {{"name":"empty",{}}}],"tenants":[{{"name":"ws","apiKeys":["key"]}}]}})",
+                          route("stream", "pool", 1), route("fixed", "empty", 0), engine, engine));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    std::vector<std::unique_ptr<Answer>> waiting;
+    for (int i = 0; i < kWaiting; ++i)
+        waiting.push_back(sendRequest("fixed", "key", kDeadline));
+    const std::string all = fmt::format("\"waiting\":{}", kWaiting);
+    CHECK_TRUE(runUntil([&] { return gateway->dump().find(all) != std::string::npos; }));
+    const TimePoint sent = steadyNow();
+    const auto answer = sendRequest("stream", "key", kDeadline);
+    CHECK_TRUE(runUntil([&] { return answer->ended; }));
+    const auto took = std::chrono::duration_cast<Millis>(steadyNow() - sent);
+    LONGS_EQUAL(200, answer->status);
+    CHECK_TRUE_TEXT(took < kObjective, fmt::format("{} ms", took.count()).c_str());
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
