--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -66,10 +66,12 @@
     std::string workspace;
     int priority = 0;
     TimePoint arrivedAt{};
-    TimePoint objective{};     ///< A first event after this time counts as late.
-    TimePoint deadline{};      ///< The caller's or the route's, whichever is earlier.
-    TimePoint queueDeadline{}; ///< The request ends if no endpoint has taken it by then.
-    TimePoint notBefore{};     ///< Earliest time of the next attempt.
+    TimePoint objective{};         ///< A first event after this time counts as late.
+    TimePoint deadline{};          ///< The caller's or the route's, whichever is earlier.
+    TimePoint queueDeadline{};     ///< The request ends if no endpoint has taken it by then.
+    unsigned queuedAfterSends = 0; ///< Value of sendCount for which queueDeadline was set.
+    TimePoint notBefore{};         ///< Earliest time of the next attempt.
+    Millis reconnectDelay{0};      ///< The last one after no endpoint could be connected to.
     ExchangeState state = ExchangeState::Waiting;
     std::unique_ptr<Attempt> attempt;
     /// Attempts at silent endpoints that `attempt` is to replace, the newest last. They stay open
@@ -122,6 +124,20 @@
 
 Recovery recoverFrom(const FailureFacts &facts);
 
+/// Input of endOfWait(): a request for which no endpoint is free.
+struct WaitFacts
+{
+    bool stream = false;
+    bool relaying = false; ///< Events have gone to the caller.
+    Millis objective{0};
+    Millis maxEventGap{0};
+    TimePoint arrivedAt{};
+};
+
+/// End of the time for which a request that begins to wait now may wait for an endpoint. A stream
+/// that has not begun is refused before its caller abandons it.
+TimePoint endOfWait(const WaitFacts &facts, TimePoint now);
+
 /// Removes the first complete server-sent event, including its blank line, from the buffer and
 /// returns it; returns an empty string when the buffer holds no complete event.
 std::string takeEvent(std::string &buffer);
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -22,10 +22,6 @@
 // placed.
 constexpr Millis kDispatchDelayPerDaemon{2};
 constexpr std::size_t kMaxRequestsPerDispatch = 24;
-// A request that has waited this long for an endpoint is refused with Retry-After. A stream may
-// wait for as long as its route's objective if that is longer.
-constexpr Millis kMaxStreamWait{2500};
-constexpr Millis kMaxCallWait{250};
 
 // Time between two reports of the endpoints' load to other failure domains by a primary reader, and
 // the number of such times between those of a secondary reader.
@@ -43,28 +39,35 @@
 // For a long prompt, the upper end of the range as a multiple of the mean prefill backlog.
 constexpr double kRetryAfterBacklogFactor = 1.5;
 
-Millis longestWait(const Route &route)
+WaitFacts waitFacts(const Exchange &exchange)
 {
-    return route.kind == RouteKind::Stream ? std::max(kMaxStreamWait, route.objective)
-                                           : kMaxCallWait;
+    return {.stream = exchange.route.kind == RouteKind::Stream,
+            .relaying = exchange.state == ExchangeState::Relaying,
+            .objective = exchange.route.objective,
+            .maxEventGap = exchange.route.maxEventGap,
+            .arrivedAt = exchange.arrivedAt};
 }
 
 } // namespace
 
-std::vector<EndpointView> Gateway::viewsFor(const Exchange &exchange) const
+std::vector<EndpointView> Gateway::untriedViews(const Exchange &exchange) const
 {
-    const TimePoint now = steadyNow();
-    auto views = endpoints_.views(
+    return endpoints_.views(
             exchange.service, settings_.failureDomain, incarnation_, exchange.triedEndpoints,
             [this](const std::string &domain) { return mesh_.seemsCutOff(domain); }, loadTracker_,
-            now);
+            steadyNow());
+}
+
+std::vector<EndpointView> Gateway::viewsFor(const Exchange &exchange) const
+{
+    auto views = untriedViews(exchange);
     if (!views.empty())
         return views;
     // The request has tried every ready endpoint of the service. Trying one of them again is better
     // than not trying at all.
     return endpoints_.views(
             exchange.service, settings_.failureDomain, incarnation_, {},
-            [](const auto &) { return false; }, loadTracker_, now);
+            [](const auto &) { return false; }, loadTracker_, steadyNow());
 }
 
 const EngineModel *Gateway::engineFor(const Exchange &exchange) const
@@ -112,7 +115,7 @@
 {
     const bool waits = std::ranges::find(waiting_, exchange.id) != waiting_.end();
     return std::min(exchange.deadline,
-                    waits ? exchange.queueDeadline : now + longestWait(exchange.route));
+                    waits ? exchange.queueDeadline : endOfWait(waitFacts(exchange), now));
 }
 
 bool Gateway::tryPlace(Exchange &exchange)
@@ -145,7 +148,14 @@
     if (std::ranges::find(waiting_, exchange.id) != waiting_.end())
         return;
     const TimePoint now = steadyNow();
-    exchange.queueDeadline = now + longestWait(exchange.route);
+    // Attempts of which nothing reached an endpoint are part of the wait, except within a stream:
+    // breaking it off would be no refusal.
+    const bool goesOn = exchange.queueDeadline != TimePoint{}
+                        && exchange.queuedAfterSends == exchange.sendCount
+                        && exchange.state != ExchangeState::Relaying;
+    if (!goesOn)
+        exchange.queueDeadline = endOfWait(waitFacts(exchange), now);
+    exchange.queuedAfterSends = exchange.sendCount;
     waiting_.push_back(exchange.id);
     WaitReasons reasons;
     if (const EngineModel *engine = engineFor(exchange))
@@ -202,10 +212,18 @@
     };
     std::ranges::sort(waiting_, [&](auto left, auto right) { return rank(left) < rank(right); });
     const std::vector<std::uint64_t> ids = waiting_;
+    // Requests that no endpoint accepts are counted apart, so that they do not hold up others.
+    std::unordered_map<std::string, bool> accepted; // By service.
     std::size_t tries = 0;
+    std::size_t triesWithoutEndpoint = 0;
     for (const std::uint64_t id : ids) {
         Exchange *exchange = find(id);
-        if (!exchange || ++tries > kMaxRequestsPerDispatch)
+        if (!exchange || now < exchange->notBefore)
+            continue;
+        const auto [service, isNew] = accepted.try_emplace(exchange->service);
+        if (isNew)
+            service->second = endpoints_.anyAccepts(exchange->service, now);
+        if (++(service->second ? tries : triesWithoutEndpoint) > kMaxRequestsPerDispatch)
             continue;
         if (!tryPlace(*exchange))
             continue;
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -698,6 +698,114 @@
     LONGS_EQUAL(1, endpoint.arrivals);
 }
 
+// Guards against thousands of connections a second to endpoints that have ended.
+TEST(GatewayPath, endpointThatRefusesConnectionsIsNotTriedInATightLoop)
+{
+    addEndpoint("plain");
+    publishConfig();
+    endpoints.clear(); // Its record stays.
+    const auto answer = sendRequest("once", "key", Millis(1000));
+    CHECK_TRUE(runUntil([&] { return answer->ended; }));
+    const auto metrics = std::make_unique<Answer>();
+    const auto call = callerPool.call(
+            settings.control, {.head = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"},
+            {.head = [](HttpResponseHead &&) { return HeadAction::Accept; },
+             .body = [&](std::string_view bytes) { metrics->body += bytes; },
+             .end = [&](UpstreamOutcome) { metrics->ended = true; }});
+    CHECK_TRUE(runUntil([&] { return metrics->ended; }));
+    const std::string name = "reason=\"no_connection\"} ";
+    const std::size_t at = metrics->body.find(name);
+    const int tries
+            = at == std::string::npos ? 0 : std::stoi(metrics->body.substr(at + name.size()));
+    CHECK_TRUE_TEXT(tries <= 20,
+                    fmt::format("{} attempts, status {}", tries, answer->status).c_str());
+    LONGS_EQUAL(503, answer->status); // It has not run.
+}
+
+// Guards against a delay before endpoints that were not tried, and against breaking off a stream
+// that an endpoint could still resume.
+TEST(GatewayPath, requestsGoOnAtTheFirstEndpointThatAcceptsConnections)
+{
+    constexpr Millis kCallObjective{100};
+    constexpr Millis kOutage{2700}; // Longer than a request may wait for an endpoint.
+    constexpr Millis kDeadline{6000};
+    for (int i = 0; i < 3; ++i)
+        addEndpoint("plain");
+    EndpointStandin &broken = addEndpoint("pool");
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 3}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    waitForEndpoints();
+    endpoints.erase(endpoints.begin(), endpoints.begin() + 2); // Their records stay.
+    for (int i = 0; i < 6; ++i) {
+        const TimePoint sent = steadyNow();
+        LONGS_EQUAL(200, sendRequestAndWait("once")->status);
+        CHECK_TRUE(steadyNow() - sent < kCallObjective);
+    }
+    broken.eventGap = Millis(20);
+    const auto answer = sendRequest("stream", "key", kDeadline);
+    CHECK_TRUE(runUntil([&] { return !answer->body.empty(); }));
+    const Address address = broken.address;
+    const std::string id = broken.id;
+    endpoints.pop_back();
+    runUntil([] { return false; }, kOutage);
+    CHECK_FALSE(answer->ended);
+    endpoints.push_back(std::make_unique<EndpointStandin>(context, address, id));
+    CHECK_TRUE(runUntil([&] { return answer->ended; }));
+    CHECK_TRUE(answer->complete);
+    STRCMP_EQUAL(allEvents().c_str(), answer->body.c_str());
+}
+
+// Guards against a wait whose end no caller sees.
+TEST(GatewayPath, waitingStreamIsRefusedBeforeItsCallerGivesUp)
+{
+    // Callers give up on a stream after a gap of two seconds.
+    constexpr Millis kPatience{2000};
+    constexpr Millis kDeadline{8000};
+    addEndpoint("plain");
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 2}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    const TimePoint sent = steadyNow();
+    const auto answer = sendRequest("stream", "key", kDeadline);
+    CHECK_TRUE(runUntil([&] { return answer->ended; }));
+    const auto took = std::chrono::duration_cast<Millis>(steadyNow() - sent);
+    LONGS_EQUAL(503, answer->status);
+    CHECK_TRUE_TEXT(took < kPatience, fmt::format("{} ms", took.count()).c_str());
+}
+
+TEST(GatewayPath, waitingRequestsOfAServiceWithoutEndpointsDoNotHoldUpThoseOfOthers)
+{
+    constexpr Millis kObjective{300};
+    constexpr Millis kDeadline{8000};
+    constexpr int kWaiting = 30;
+    addEndpoint("pool");
+    const std::string engine = R"("engine":{"slots":4,"kvCapacity":450000,"stride":4,"step_ms":1,
+               "read_per_s":256000,"pairs_per_m":0.09})";
+    const auto route = [&](const char *name, const char *service, int priority) {
+        return fmt::format(R"({{"name":"{0}","host":"h","pathPrefix":"/{0}/","kind":"streaming",
+                "service":"{1}","timeoutMs":{2},"targetLatencyMs":{3},"maxAttempts":2,
+                "resumable":true,"gapGoalMs":200,"priority":{4}}})",
+                           name, service, kDeadline.count(), kObjective.count(), priority);
+    };
+    store.put("keyed.op", "config",
+              fmt::format(R"({{"version":3,"routes":[{},{}],"services":[{{"name":"pool",{}}},
+               {{"name":"empty",{}}}],"tenants":[{{"name":"ws","apiKeys":["key"]}}]}})",
+                          route("stream", "pool", 1), route("fixed", "empty", 0), engine, engine));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    std::vector<std::unique_ptr<Answer>> waiting;
+    for (int i = 0; i < kWaiting; ++i)
+        waiting.push_back(sendRequest("fixed", "key", kDeadline));
+    const std::string all = fmt::format("\"waiting\":{}", kWaiting);
+    CHECK_TRUE(runUntil([&] { return gateway->dump().find(all) != std::string::npos; }));
+    const TimePoint sent = steadyNow();
+    const auto answer = sendRequest("stream", "key", kDeadline);
+    CHECK_TRUE(runUntil([&] { return answer->ended; }));
+    const auto took = std::chrono::duration_cast<Millis>(steadyNow() - sent);
+    LONGS_EQUAL(200, answer->status);
+    CHECK_TRUE_TEXT(took < kObjective, fmt::format("{} ms", took.count()).c_str());
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
