Answer requests that arrive while the daemon stops

Cause: a stopping daemon ended once no request was in progress and no answer was unsent. A request that had been read in part, unread input, or a connection in the listener's backlog did not count, so its caller got a reset instead of an answer. Idle closing also closed connections whose caller had not confirmed the last answer.

Change: after the load balancer's delay the daemon ends only when no connection is in use: AsyncHttpServer::inUse(), which replaces connectionsAfterLastAnswer(). The header timeout, the time to wait for a caller's close and the grace period bound the wait. Requests that arrive then are refused with 503 as before.

Ruled out: waiting for all connections to close, as idle callers may keep theirs open.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -445,10 +445,8 @@
     const auto elapsed = steadyNow() - drainStartedAt_;
     if (elapsed >= kLoadBalancerDelay)
         callers_.closeIdleConnections();
-    // The process must not end before the callers have received the last answers.
-    const bool idle = elapsed >= kLoadBalancerDelay && exchanges_.empty()
-                      && callers_.connectionsWithUnsentBytes() == 0
-                      && callers_.connectionsAfterLastAnswer() == 0;
+    // The process must not end before each request that arrives has its answer.
+    const bool idle = elapsed >= kLoadBalancerDelay && exchanges_.empty() && !callers_.inUse();
     const bool overdue = elapsed >= settings_.shutdownGrace - kGraceMargin;
     if (!idle && !overdue) {
         drainTimer_.expires_after(kDrainCheckInterval);
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -4,6 +4,7 @@
 
 #include <asio/error.hpp>
 #include <fmt/format.h>
+#include <poll.h>
 
 #include <algorithm>
 
@@ -291,10 +292,14 @@
 
 void HttpServerConnection::closeWhenIdle()
 {
-    if (handlingRequest_ || parser_.started() || !input_.empty() || unsentBytes() > 0)
-        return;
-    if (!hasUnreadInput())
-        close(lingering_ ? ConnectionEnd::AfterLastAnswer : ConnectionEnd::Draining);
+    if (!inUse())
+        close(ConnectionEnd::Draining);
+}
+
+bool HttpServerConnection::inUse() const
+{
+    return handlingRequest_ || parser_.started() || !input_.empty() || unsentBytes() > 0
+           || lingering_ || hasUnreadInput();
 }
 
 bool HttpServerConnection::hasUnreadInput() const
@@ -403,23 +408,29 @@
     }
 }
 
-template <class Predicate>
-std::size_t AsyncHttpServer::countConnections(Predicate predicate) const
+std::size_t AsyncHttpServer::connectionsWithUnsentBytes() const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(connections_, [&](const auto &entry) {
+    return static_cast<std::size_t>(std::ranges::count_if(connections_, [](const auto &entry) {
         const auto connection = entry.second.lock();
-        return connection && predicate(*connection);
+        return connection && connection->unsentBytes() > 0;
     }));
 }
 
-std::size_t AsyncHttpServer::connectionsWithUnsentBytes() const
+bool AsyncHttpServer::inUse()
 {
-    return countConnections([](const auto &connection) { return connection.unsentBytes() > 0; });
+    return hasUnacceptedConnection() || std::ranges::any_of(connections_, [](const auto &entry) {
+               const auto connection = entry.second.lock();
+               return connection && connection->inUse();
+           });
 }
 
-std::size_t AsyncHttpServer::connectionsAfterLastAnswer() const
+bool AsyncHttpServer::hasUnacceptedConnection()
 {
-    return countConnections([](const auto &connection) { return connection.lingering(); });
+    if (!acceptor_.is_open())
+        return false;
+    // Closing the listener would reset it, and its request may have arrived.
+    pollfd listener{.fd = acceptor_.native_handle(), .events = POLLIN, .revents = 0};
+    return ::poll(&listener, 1, 0) > 0;
 }
 
 void AsyncHttpServer::closeAll()
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -81,11 +81,11 @@
     void onDisconnect(std::function<void()> handler) { disconnectHandler_ = std::move(handler); }
     /// Response bytes that are buffered here and not yet written to the socket.
     std::size_t unsentBytes() const { return output_.size() - written_; }
-    /// The last answer is written; waits for the caller to close the connection.
-    bool lingering() const { return lingering_; }
     bool open() const { return socket_.is_open(); }
-    /// Closes the connection if it is idle; does nothing if a request is in progress or has
-    /// arrived, or if an answer is not yet sent.
+    /// True if a request is in progress or arrives, or if the caller may not have received the last
+    /// answer yet.
+    bool inUse() const;
+    /// Closes the connection if it is not in use.
     void closeWhenIdle();
     /// When parsing of the current request began.
     TimePoint requestStart() const { return requestStart_; }
@@ -139,7 +139,7 @@
     void stopListening();
     /// Adds "Connection: close" to all further responses.
     void beginDrain() { draining_ = true; }
-    /// Closes all connections without a request in progress.
+    /// Closes all connections that are not in use.
     void closeIdleConnections();
     /// Stops listening and aborts all connections.
     void closeAll();
@@ -150,8 +150,8 @@
     std::size_t connections() const { return connections_.size(); }
     /// Connections with response bytes that are not yet written to the socket.
     std::size_t connectionsWithUnsentBytes() const;
-    /// Connections that are closing and whose callers may not have received the last answer yet.
-    std::size_t connectionsAfterLastAnswer() const;
+    /// True if a connection is in use or waits to be accepted.
+    bool inUse();
     bool draining() const { return draining_; }
     const ServerOptions &options() const { return options_; }
 
@@ -159,8 +159,7 @@
     friend class HttpServerConnection;
 
     void accept();
-    template <class Predicate>
-    std::size_t countConnections(Predicate predicate) const;
+    bool hasUnacceptedConnection();
 
     ServerOptions options_;
     Handler handler_;
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -680,6 +680,29 @@
     CHECK_TRUE(answer.size() > kPadding);
 }
 
+// Guards against a daemon that stops while a request is arriving, which then gets no answer.
+TEST(GatewayPath, stoppingDaemonAnswersARequestThatItHasReadInPart)
+{
+    addEndpoint("plain");
+    publishConfig();
+    asio::ip::tcp::socket caller(context);
+    caller.connect({asio::ip::make_address_v4(settings.callers.ip), settings.callers.port});
+    const std::string request = "GET /safe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                                "Authorization: Token key\r\nDeadline-Ms: 1200\r\n\r\n";
+    bool done = false;
+    gateway->shutDown([&] { done = true; });
+    runUntil([] { return false; }, Millis(2500));
+    asio::write(caller, asio::buffer(request.substr(0, 20)));
+    runUntil([] { return false; }, Millis(1200));
+    CHECK_FALSE(done);
+    asio::write(caller, asio::buffer(request.substr(20)));
+    CHECK_TRUE(runUntil([&] { return caller.available() > 0; }));
+    std::string answer(caller.available(), '\0');
+    asio::read(caller, asio::buffer(answer));
+    CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 503 "), answer.c_str());
+    CHECK_TRUE(runUntil([&] { return done; }));
+}
+
 TEST(GatewayPath, keepsServingWhileTheStoreRefusesCalls)
 {
     addEndpoint("plain");
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -10,6 +10,7 @@
 #include <asio/write.hpp>
 #include <fmt/format.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -123,6 +124,54 @@
     CHECK_TRUE(answer.ends_with(body));
 }
 
+// Guards against a process that ends while a caller's request or last answer is on its way.
+TEST(NetServer, requestsAndAnswersOnTheirWayKeepTheServerInUse)
+{
+    const auto accept = [&] {
+        CHECK_TRUE(eventually(context, kWaitLimit, [&] { return server->connections() == 1; }));
+    };
+    const auto send = [&](std::size_t bytes) {
+        asio::write(callers[0], asio::buffer(kRequest.substr(0, bytes)));
+    };
+    struct Case
+    {
+        const char *name;
+        bool inUse;
+        std::function<void()> arrange;
+    };
+    const Case cases[] = {
+            {"idle connection", false, accept},
+            {"connection that is not accepted", true, [] {}},
+            {"unread request", true,
+             [&] {
+                 accept();
+                 send(kRequest.size());
+             }},
+            {"part of a request", true,
+             [&] {
+                 accept();
+                 send(10);
+                 eventually(context, Millis(20), [] { return false; });
+             }},
+            {"last answer", true,
+             [&] {
+                 server->beginDrain();
+                 send(kRequest.size());
+                 CHECK_TRUE(eventually(context, kWaitLimit,
+                                       [&] { return callers[0].available() > 0; }));
+             }},
+    };
+    for (const Case &row : cases) {
+        connect();
+        row.arrange();
+        server->closeIdleConnections();
+        CHECK_EQUAL_TEXT(row.inUse, server->inUse(), row.name);
+        callers.clear();
+        CHECK_TRUE_TEXT(eventually(context, kWaitLimit, [&] { return !server->inUse(); }),
+                        row.name);
+    }
+}
+
 TEST(NetServer, idleTimeoutDoesNotCutAnAnswerThatIsReadSlowly)
 {
     body.assign(24 * 1024 * 1024, 'x');
