--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -12,9 +12,12 @@
 
 #include <CppUTest/TestHarness.h>
 #include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
 
+#include <array>
+#include <functional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -618,6 +621,76 @@
     CHECK_FALSE(isListed());
 }
 
+// Guards against ending a request that may run only once because its endpoint pauses while the
+// request's body is sent.
+TEST(GatewayPath, endpointMayPauseWhileItReceivesABody)
+{
+    constexpr Millis kPause{1600};
+    constexpr Millis kDeadline{6000};
+    const Address address = addresses.next();
+    asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::v4());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+    acceptor.bind({asio::ip::make_address_v4(address.ip), address.port});
+    acceptor.listen();
+    asio::ip::tcp::socket endpoint(context);
+    std::string received;
+    std::array<char, 65536> buffer{};
+    constexpr std::size_t kBody = 200'000;
+    bool answered = false;
+    std::function<void()> read = [&] {
+        endpoint.async_read_some(
+                asio::buffer(buffer), [&](const asio::error_code &error, std::size_t count) {
+                    received.append(buffer.data(), count);
+                    if (error)
+                        return;
+                    const std::size_t head = received.find("\r\n\r\n");
+                    if (head != std::string::npos && received.size() >= head + 4 + kBody) {
+                        answered = true;
+                        const std::string text = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+                                                 "Response-Seal: s\r\nContent-Length: 2\r\n\r\nok";
+                        asio::error_code ignored;
+                        asio::write(endpoint, asio::buffer(text), ignored);
+                        return;
+                    }
+                    read();
+                });
+    };
+    asio::steady_timer pause(context);
+    acceptor.async_accept(endpoint, [&](const asio::error_code &) {
+        pause.expires_after(kPause);
+        pause.async_wait([&](const asio::error_code &) { read(); });
+    });
+    store.put("keyed.servers", "i-9",
+              fmt::format(R"({{"service":"plain","address":"{}","zone":"east","slots":4,
+                      "state":"ready","seq":1,"born":5}})",
+                          toString(address)));
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 2}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    HeaderList headers;
+    headers.add("Host", "h");
+    headers.add("Request-Id", "r1");
+    headers.add("Authorization", "Token key");
+    headers.add("Deadline-Ms", std::to_string(kDeadline.count()));
+    headers.add("Content-Length", std::to_string(kBody));
+    Answer answer;
+    const auto call
+            = callerPool.call(settings.callers,
+                              {.head = serializeRequestHead("POST", "/once/x", headers),
+                               .body = std::string(kBody, 'b')},
+                              {.head =
+                                       [&](HttpResponseHead &&head) {
+                                           answer.status = head.status;
+                                           return HeadAction::Accept;
+                                       },
+                               .body = [&](std::string_view bytes) { answer.body += bytes; },
+                               .end = [&](UpstreamOutcome) { answer.ended = true; }});
+    CHECK_TRUE(runUntil([&] { return answer.ended; }));
+    LONGS_EQUAL(200, answer.status);
+    CHECK_TRUE(answered);
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
