Resume broken streams of a stopped service

Cause: the pause before a resume ended at once when the service was stopped, since all pauses of a request did. A stop ends what waits for its first or a further attempt; an attempt in progress ends by itself, and a resume belongs to it.

Change: ActiveRequest::pause() ends early only on cancel and deadline. Pauses before a further attempt use pauseBeforeAttempt(), which a stop also ends.

--- a/src/frontend/modelrun.cpp
+++ b/src/frontend/modelrun.cpp
@@ -111,7 +111,8 @@
     if (!result) {
         noteFinished(placement, AttemptStatus::Cancelled);
         request_.setState(RequestState::Retrying, "memory of a group of engines");
-        if (!request_.pause(std::max(kMemoryPauseMinimum, context_.admission.retryDelay(attempt_))))
+        if (!request_.pauseBeforeAttempt(
+                    std::max(kMemoryPauseMinimum, context_.admission.retryDelay(attempt_))))
             end(request_.waitingEnded() ? serviceProblem(
                         request_.facts().service, ServiceState::Stopped, request_.execution())
                                         : deadlineProblem(request_.execution()));
@@ -154,7 +155,7 @@
     context_.counters.retries.Increment();
     route_.excluded.push_back(placement.endpoints.back().id);
     request_.setState(RequestState::Retrying, "delay before the next attempt");
-    if (request_.pause(context_.admission.retryDelay(attempt_)))
+    if (request_.pauseBeforeAttempt(context_.admission.retryDelay(attempt_)))
         return Next::Again;
     end(lastProblem_);
     return Next::Done;
--- a/src/frontend/requesttable.cpp
+++ b/src/frontend/requesttable.cpp
@@ -114,12 +114,22 @@
     stop_.interrupt();
 }
 
-bool ActiveRequest::pause(Millis duration)
+template <class Predicate>
+bool ActiveRequest::pauseUnless(Millis duration, Predicate ended)
 {
     std::unique_lock lock(mutex_);
     const TimePoint until = std::min(steadyNow() + duration, facts_.deadline);
-    cancelChanged_.wait_until(lock, until, [this] { return cancelled_ || waitingEnded_; });
-    return !cancelled_ && !waitingEnded_ && steadyNow() < facts_.deadline;
+    return !cancelChanged_.wait_until(lock, until, ended) && steadyNow() < facts_.deadline;
+}
+
+bool ActiveRequest::pause(Millis duration)
+{
+    return pauseUnless(duration, [this] { return cancelled_; });
+}
+
+bool ActiveRequest::pauseBeforeAttempt(Millis duration)
+{
+    return pauseUnless(duration, [this] { return cancelled_ || waitingEnded_; });
 }
 
 void ActiveRequest::endWaiting()
--- a/src/frontend/requesttable.h
+++ b/src/frontend/requesttable.h
@@ -105,8 +105,10 @@
     /// by itself.
     void endWaiting();
     bool waitingEnded() const;
-    /// Sleeps; false when the request was cancelled, its service stopped or its deadline passed.
+    /// Sleeps; false when the request was cancelled or its deadline passed.
     bool pause(Millis duration);
+    /// Like pause(), but false also when the request's service was stopped.
+    bool pauseBeforeAttempt(Millis duration);
 
     void setState(RequestState state, std::string waitsFor, const std::string &endpoint = "");
     void setAttempt(unsigned attempt, Millis expectedFirstToken);
@@ -114,6 +116,9 @@
     RequestView view(TimePoint now) const;
 
 private:
+    template <class Predicate>
+    bool pauseUnless(Millis duration, Predicate ended);
+
     const RequestFacts facts_;
     const std::string key_;
     AttemptStop stop_;
--- a/src/frontend/servicerun.cpp
+++ b/src/frontend/servicerun.cpp
@@ -187,7 +187,7 @@
             context_.counters.retries.Increment();
             excluded_.push_back(placement.endpoints.front().id);
             request_.setState(RequestState::Retrying, "delay before the next attempt");
-            if (!request_.pause(context_.admission.retryDelay(attempt))) {
+            if (!request_.pauseBeforeAttempt(context_.admission.retryDelay(attempt))) {
                 finished(false);
                 return *last;
             }
--- a/tests/unit/frontendlimits_test.cpp
+++ b/tests/unit/frontendlimits_test.cpp
@@ -58,6 +58,27 @@
     CHECK_FALSE((*waiting)->get_header_value("Retry-After").empty());
 }
 
+// Guards against a change of the configuration that ends an answer which its engine can still
+// complete.
+TEST(FrontendLimits, brokenStreamOfAStoppedServiceIsResumed)
+{
+    FrontendFixture fixture;
+    fixture.engine(0).set(
+            {.fault = StreamFault::Truncated, .faultAt = 3, .tokenDelay = Millis(150)});
+    std::optional<httplib::Result> answer;
+    std::jthread caller(
+            [&] { answer.emplace(fixture.post("/v1/completions", completionBody(true))); });
+    const bool sent = FrontendFixture::eventually([&] { return fixture.executions() == 1; });
+    Configuration stopped = *fixture.configuration.current();
+    stopped.services["writer"].state = ServiceState::Stopped;
+    fixture.frontend().endStopped(stopped);
+    caller.join();
+    CHECK_TRUE(sent);
+    const ParsedStream parsed = parseStream((*answer)->body);
+    STRCMP_EQUAL(fakeAnswer("a prompt", 5).c_str(), parsed.text.c_str());
+    CHECK_TRUE(parsed.done);
+}
+
 // Guards against idle connections, and requests that stop in the middle, that hold server threads
 // for long. A connection that sends a byte now and then is not bounded; docs/OPERATING.md says so.
 TEST(FrontendLimits, silentConnectionsAreClosed)
