Let calls that may run only once wait for a silent endpoint

Cause: Frontend::breakOffSilent() interrupted every request at an endpoint that gave no sign of life. A non-repeatable call cannot go elsewhere, so the interrupt turned an answer that was still to come into 502 outcome-unknown.

Change: waitsForSilentEndpoint() is false for requests that may run only once. The caller's deadline bounds them, as before. docs/PROOFS.md says so.

The new row of Silence needs the new field.

--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -187,12 +187,12 @@
 
 std::shared_ptr<ActiveRequest> Frontend::begin(const CallerContext &caller, const Service &service,
                                                const std::string &model, std::uint64_t promptTokens,
-                                               httplib::Response &response)
+                                               bool nonRepeatable, httplib::Response &response)
 {
     auto request = std::make_shared<ActiveRequest>(
             RequestFacts{caller.requestId, caller.workspace->id, service.id, model,
                          caller.priority.value_or(service.priority), promptTokens, caller.started,
-                         caller.deadline, caller.earlierAttemptPossible});
+                         caller.deadline, caller.earlierAttemptPossible, nonRepeatable});
     Problem problem = notAccepting("too-many-requests", "the request table is full");
     switch (table_.add(request)) {
     case AddOutcome::Added:
@@ -269,7 +269,7 @@
                                    "send \"stream\": true"));
     }
     const auto active
-            = begin(caller, *service, body.model, countTokens(body.prompt.size()), response);
+            = begin(caller, *service, body.model, countTokens(body.prompt.size()), false, response);
     if (!active)
         return;
     const auto served = std::make_shared<ServedRequest>(table_, active);
@@ -320,7 +320,8 @@
     }
     work.requestSha256
             = sha256Hex(fmt::format("{}\n{}\n{}", service.id, work.operation, work.body));
-    const auto active = begin(caller, service, "", countTokens(work.body.size()), response);
+    const auto active = begin(caller, service, "", countTokens(work.body.size()),
+                              work.nonRepeatable, response);
     if (!active)
         return;
     const ServedRequest served(table_, active);
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -83,7 +83,7 @@
     /// Adds the request to the table; nothing and a problem written when that fails.
     std::shared_ptr<ActiveRequest> begin(const CallerContext &caller, const Service &service,
                                          const std::string &model, std::uint64_t promptTokens,
-                                         httplib::Response &response);
+                                         bool nonRepeatable, httplib::Response &response);
     void startModelRun(const std::shared_ptr<ActiveRequest> &request, const CallerContext &caller,
                        CompletionBody body);
     void reject(const httplib::Request &request, httplib::Response &response, Problem problem);
--- a/src/frontend/requesttable.cpp
+++ b/src/frontend/requesttable.cpp
@@ -52,6 +52,7 @@
     view_.model = facts_.model;
     view_.priority = facts_.priority;
     view_.promptTokens = facts_.promptTokens;
+    view_.nonRepeatable = facts_.nonRepeatable;
     view_.waitsFor = "admission";
 }
 
--- a/src/frontend/requesttable.h
+++ b/src/frontend/requesttable.h
@@ -54,6 +54,7 @@
     Millis sinceProgress{0}; ///< Since the last change of state or the last token.
     Millis expectedFirstToken{0};
     Millis untilDeadline{0};
+    bool nonRepeatable = false;
 };
 
 struct RequestFacts
@@ -67,6 +68,7 @@
     TimePoint started;
     TimePoint deadline;
     bool earlierAttemptPossible = false; ///< With the same idempotency key, see CallerContext.
+    bool nonRepeatable = false;          ///< Runs at most once, so at one endpoint only.
 };
 
 /// Identity towards engines and peers. The workspace is a part of it, so that no workspace can
--- a/src/frontend/silence.cpp
+++ b/src/frontend/silence.cpp
@@ -12,6 +12,9 @@
 
 bool waitsForSilentEndpoint(const RequestView &request, Millis reportAge, Millis limit)
 {
+    // It could not go to another endpoint, and this one may still answer.
+    if (request.nonRepeatable)
+        return false;
     switch (request.state) {
     case RequestState::Prefilling:
     case RequestState::Dispatched:
--- a/src/frontend/silence.h
+++ b/src/frontend/silence.h
@@ -30,8 +30,8 @@
 /// a pause every report is old.
 bool watches(SilenceWatchState &state, Millis limit, TimePoint now);
 
-/// True when the request is at an endpoint and neither a token nor a status report of the endpoint
-/// has arrived for the limit.
+/// True when the request is at an endpoint, may go to another one, and neither a token nor a status
+/// report of the endpoint has arrived for the limit.
 bool waitsForSilentEndpoint(const RequestView &request, Millis reportAge, Millis limit);
 
 } // namespace cicadafork
--- a/tests/unit/frontendlimits_test.cpp
+++ b/tests/unit/frontendlimits_test.cpp
@@ -1,3 +1,4 @@
+#include "base/ids.h"
 #include "support/frontendfakes.h"
 
 #include <arpa/inet.h>
@@ -79,6 +80,33 @@
     CHECK_TRUE(parsed.done);
 }
 
+// Guards against ending a call that may run only once, and so cannot be sent elsewhere, because its
+// endpoint is silent.
+TEST(FrontendLimits, nonRepeatableCallAtASilentEndpointIsNotBrokenOff)
+{
+    constexpr Millis kSilence{20'000};
+    FrontendFixture fixture;
+    fixture.engine(0).set({.acceptDelay = Millis(600)});
+    std::optional<httplib::Result> answer;
+    std::jthread caller([&] {
+        answer.emplace(fixture.post("/v1/services/gate/open", R"({"gate":1})",
+                                    {{"Idempotency-Key", newUuidV7(wallNow())},
+                                     {"X-Attempt", "1"},
+                                     {"X-Request-Timeout-Ms", "30000"}}));
+    });
+    const bool sent = FrontendFixture::eventually([&] {
+        const auto requests = fixture.frontend().requests(steadyNow());
+        return !requests.empty() && requests.front().state == RequestState::Dispatched;
+    });
+    std::this_thread::sleep_for(Millis(100));
+    const TimePoint now = steadyNow();
+    for (Millis passed{0}; passed < kSilence; passed += Millis(200))
+        fixture.frontend().breakOffSilent({{"engine-0", kSilence}}, now + passed);
+    caller.join();
+    CHECK_TRUE(sent);
+    LONGS_EQUAL(200, (*answer)->status);
+}
+
 // Guards against idle connections, and requests that stop in the middle, that hold server threads
 // for long. A connection that sends a byte now and then is not bounded; docs/OPERATING.md says so.
 TEST(FrontendLimits, silentConnectionsAreClosed)
--- a/tests/unit/silence_test.cpp
+++ b/tests/unit/silence_test.cpp
@@ -25,6 +25,7 @@
         Millis sinceProgress;
         Millis reportAge;
         bool interrupted;
+        bool nonRepeatable = false;
     };
     const std::vector<Case> cases = {
             {"frozen before acceptance", RequestState::Dispatched, kLimit, kLimit, true},
@@ -34,6 +35,7 @@
             {"long prefill", RequestState::Dispatched, Millis(60'000), Millis(250), false},
             {"reports lost, tokens arrive", RequestState::Streaming, Millis(40), kLimit, false},
             {"sent just now", RequestState::Dispatched, Millis(10), kLimit, false},
+            {"may run only once", RequestState::Dispatched, kLimit, kLimit, false, true},
             {"queued", RequestState::Queued, Millis(60'000), kLimit, false},
             {"waits for the log", RequestState::Claiming, Millis(60'000), kLimit, false},
             {"delay before a retry", RequestState::Retrying, Millis(60'000), kLimit, false},
@@ -42,6 +44,7 @@
         RequestView view;
         view.state = c.state;
         view.sinceProgress = c.sinceProgress;
+        view.nonRepeatable = c.nonRepeatable;
         CHECK_EQUAL_TEXT(c.interrupted, waitsForSilentEndpoint(view, c.reportAge, kLimit), c.name);
     }
 }
