Apply raised timeouts to connections that already wait

Cause: a change of the configuration that raised the idle or header timeout left timers that already ran as they were, so a connection was closed at the old limit although its caller trusted the new one.

Change: when the timer ends, the limit in force is compared with the time since it was armed, and the timer goes on for the rest. A shorter limit still applies the next time that it is started.

Ruled out: arming all timers again in setLimits(), which would touch every connection for each change of the configuration.

Test, before: NetServer raisedTimeoutsApplyToConnectionsThatAlreadyWait ended at its first case, idle timeout: closed before the raised timeout of 600 ms (the test took 81 ms). Its second case, header timeout, was not seen to fail. After: both cases pass; all 5 tests of NetServer passed, and five tests of GatewayPath (shutdown, stop, configuration).

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -143,23 +143,43 @@
 
 void HttpServerConnection::armTimer(Millis timeout)
 {
-    timer_.expires_after(timeout);
+    timerStart_ = steadyNow();
+    resumeTimer(timeout);
+}
+
+void HttpServerConnection::resumeTimer(Millis rest)
+{
+    timer_.expires_after(rest);
     timer_.async_wait([weak = weak_from_this()](const asio::error_code &error) {
         const auto self = weak.lock();
         // cancel() can't stop a handler that is already queued, so the timer may have been
         // restarted.
-        if (error || !self || self->handlingRequest_ || steadyNow() < self->timer_.expiry())
-            return;
-        if (!self->lingering_ && self->hasUnreadInput()) {
-            self->armTimer(kUnreadInputDelay);
-            return;
-        }
-        self->close(self->lingering_          ? ConnectionEnd::AfterLastAnswer
-                    : self->parser_.started() ? ConnectionEnd::IncompleteRequest
-                                              : ConnectionEnd::Idle);
+        if (!error && self && !self->handlingRequest_ && steadyNow() >= self->timer_.expiry())
+            self->onTimer();
     });
 }
 
+void HttpServerConnection::onTimer()
+{
+    if (lingering_) {
+        close(ConnectionEnd::AfterLastAnswer);
+        return;
+    }
+    if (hasUnreadInput()) {
+        resumeTimer(kUnreadInputDelay);
+        return;
+    }
+    // The timeout may have been raised since the timer was armed.
+    const Millis timeout
+            = parser_.started() ? server_.options_.headerTimeout : server_.options_.idleTimeout;
+    const auto rest = std::chrono::ceil<Millis>(timerStart_ + timeout - steadyNow());
+    if (rest > Millis(0)) {
+        resumeTimer(rest);
+        return;
+    }
+    close(parser_.started() ? ConnectionEnd::IncompleteRequest : ConnectionEnd::Idle);
+}
+
 void HttpServerConnection::respond(int status, HeaderList headers, std::string_view body)
 {
     if (!socket_.is_open() || !handlingRequest_)
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -96,6 +96,8 @@
     void consume();
     void failRequest(int status);
     void armTimer(Millis timeout);
+    void resumeTimer(Millis rest);
+    void onTimer();
     void sendOutput();
     void finishExchange();
     void shutdownAndLinger();
@@ -107,6 +109,7 @@
     asio::ip::tcp::socket socket_;
     std::uint64_t id_;
     asio::steady_timer timer_;
+    TimePoint timerStart_{};
     RequestParser parser_;
     std::string input_; ///< Received bytes that are not parsed yet.
     std::string output_;
@@ -144,8 +147,8 @@
     /// Stops listening and aborts all connections.
     void closeAll();
 
-    /// Changes the options. `limits` applies to new connections only, the timeouts to all the next
-    /// time that they are started.
+    /// Changes the options. `limits` applies to new connections only, a longer timeout to all at
+    /// once, and a shorter one to all the next time that it is started.
     void setLimits(RequestLimits limits, Millis headerTimeout, Millis idleTimeout);
     std::size_t connections() const { return connections_.size(); }
     /// Connections with response bytes that are not yet written to the socket.
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -172,6 +172,30 @@
     }
 }
 
+// Guards against connections that are closed before the limit which their callers know by then.
+TEST(NetServer, raisedTimeoutsApplyToConnectionsThatAlreadyWait)
+{
+    constexpr Millis kRaisedTimeout{600};
+    struct Case
+    {
+        const char *name;
+        std::size_t firstBytes; ///< Of the request, sent before the timeouts are raised.
+    };
+    const Case cases[] = {{"idle timeout", 0}, {"header timeout", 10}};
+    for (const Case &row : cases) {
+        server->setLimits({}, kIdleTimeout, kIdleTimeout);
+        connect();
+        asio::write(callers[0], asio::buffer(kRequest.substr(0, row.firstBytes)));
+        const TimePoint begin = steadyNow();
+        CHECK_TRUE(eventually(context, kWaitLimit, [&] { return server->connections() == 1; }));
+        eventually(context, kIdleTimeout / 4, [] { return false; });
+        server->setLimits({}, kRaisedTimeout, kRaisedTimeout);
+        CHECK_TRUE(eventually(context, kWaitLimit, [&] { return server->connections() == 0; }));
+        CHECK_TRUE_TEXT(steadyNow() - begin >= kRaisedTimeout, row.name);
+        callers.clear();
+    }
+}
+
 TEST(NetServer, idleTimeoutDoesNotCutAnAnswerThatIsReadSlowly)
 {
     body.assign(24 * 1024 * 1024, 'x');
