--- a/src/frontend/requesttable.cpp
+++ b/src/frontend/requesttable.cpp
@@ -52,6 +52,7 @@
     view_.model = facts_.model;
     view_.priority = facts_.priority;
     view_.promptTokens = facts_.promptTokens;
+    view_.nonRepeatable = facts_.nonRepeatable;
     view_.waitsFor = "admission";
 }
 
@@ -114,12 +115,22 @@
     stop_.interrupt();
 }
 
-bool ActiveRequest::pause(Millis duration)
+template <class Predicate>
+bool ActiveRequest::pauseUnless(Millis duration, Predicate ended)
 {
     std::unique_lock lock(mutex_);
     const TimePoint until = std::min(steadyNow() + duration, facts_.deadline);
-    cancelChanged_.wait_until(lock, until, [this] { return cancelled_ || waitingEnded_; });
-    return !cancelled_ && !waitingEnded_ && steadyNow() < facts_.deadline;
+    return !cancelChanged_.wait_until(lock, until, ended) && steadyNow() < facts_.deadline;
+}
+
+bool ActiveRequest::pause(Millis duration)
+{
+    return pauseUnless(duration, [this] { return cancelled_; });
+}
+
+bool ActiveRequest::pauseBeforeAttempt(Millis duration)
+{
+    return pauseUnless(duration, [this] { return cancelled_ || waitingEnded_; });
 }
 
 void ActiveRequest::endWaiting()
--- a/src/frontend/requesttable.h
+++ b/src/frontend/requesttable.h
@@ -54,6 +54,7 @@
     Millis sinceProgress{0}; ///< Since the last change of state or the last token.
     Millis expectedFirstToken{0};
     Millis untilDeadline{0};
+    bool nonRepeatable = false;
 };
 
 struct RequestFacts
@@ -67,6 +68,7 @@
     TimePoint started;
     TimePoint deadline;
     bool earlierAttemptPossible = false; ///< With the same idempotency key, see CallerContext.
+    bool nonRepeatable = false;          ///< Runs at most once, so at one endpoint only.
 };
 
 /// Identity towards engines and peers. The workspace is a part of it, so that no workspace can
@@ -105,8 +107,10 @@
     /// by itself.
     void endWaiting();
     bool waitingEnded() const;
-    /// Sleeps; false when the request was cancelled, its service stopped or its deadline passed.
+    /// Sleeps; false when the request was cancelled or its deadline passed.
     bool pause(Millis duration);
+    /// Like pause(), but false also when the request's service was stopped.
+    bool pauseBeforeAttempt(Millis duration);
 
     void setState(RequestState state, std::string waitsFor, const std::string &endpoint = "");
     void setAttempt(unsigned attempt, Millis expectedFirstToken);
@@ -114,6 +118,9 @@
     RequestView view(TimePoint now) const;
 
 private:
+    template <class Predicate>
+    bool pauseUnless(Millis duration, Predicate ended);
+
     const RequestFacts facts_;
     const std::string key_;
     AttemptStop stop_;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -4,6 +4,7 @@
 
 #include <asio/error.hpp>
 #include <fmt/format.h>
+#include <poll.h>
 
 #include <algorithm>
 
@@ -142,23 +143,43 @@
 
 void HttpServerConnection::armTimer(Millis timeout)
 {
-    timer_.expires_after(timeout);
+    timerStart_ = steadyNow();
+    resumeTimer(timeout);
+}
+
+void HttpServerConnection::resumeTimer(Millis rest)
+{
+    timer_.expires_after(rest);
     timer_.async_wait([weak = weak_from_this()](const asio::error_code &error) {
         const auto self = weak.lock();
         // cancel() can't stop a handler that is already queued, so the timer may have been
         // restarted.
-        if (error || !self || self->handlingRequest_ || steadyNow() < self->timer_.expiry())
-            return;
-        if (!self->lingering_ && self->hasUnreadInput()) {
-            self->armTimer(kUnreadInputDelay);
-            return;
-        }
-        self->close(self->lingering_          ? ConnectionEnd::AfterLastAnswer
-                    : self->parser_.started() ? ConnectionEnd::IncompleteRequest
-                                              : ConnectionEnd::Idle);
+        if (!error && self && !self->handlingRequest_ && steadyNow() >= self->timer_.expiry())
+            self->onTimer();
     });
 }
 
+void HttpServerConnection::onTimer()
+{
+    if (lingering_) {
+        close(ConnectionEnd::AfterLastAnswer);
+        return;
+    }
+    if (hasUnreadInput()) {
+        resumeTimer(kUnreadInputDelay);
+        return;
+    }
+    // The timeout may have been raised since the timer was armed.
+    const Millis timeout
+            = parser_.started() ? server_.options_.headerTimeout : server_.options_.idleTimeout;
+    const auto rest = std::chrono::ceil<Millis>(timerStart_ + timeout - steadyNow());
+    if (rest > Millis(0)) {
+        resumeTimer(rest);
+        return;
+    }
+    close(parser_.started() ? ConnectionEnd::IncompleteRequest : ConnectionEnd::Idle);
+}
+
 void HttpServerConnection::respond(int status, HeaderList headers, std::string_view body)
 {
     if (!socket_.is_open() || !handlingRequest_)
@@ -291,10 +312,14 @@
 
 void HttpServerConnection::closeWhenIdle()
 {
-    if (handlingRequest_ || parser_.started() || !input_.empty() || unsentBytes() > 0)
-        return;
-    if (!hasUnreadInput())
-        close(lingering_ ? ConnectionEnd::AfterLastAnswer : ConnectionEnd::Draining);
+    if (!inUse())
+        close(ConnectionEnd::Draining);
+}
+
+bool HttpServerConnection::inUse() const
+{
+    return handlingRequest_ || parser_.started() || !input_.empty() || unsentBytes() > 0
+           || lingering_ || hasUnreadInput();
 }
 
 bool HttpServerConnection::hasUnreadInput() const
@@ -403,23 +428,29 @@
     }
 }
 
-template <class Predicate>
-std::size_t AsyncHttpServer::countConnections(Predicate predicate) const
+std::size_t AsyncHttpServer::connectionsWithUnsentBytes() const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(connections_, [&](const auto &entry) {
+    return static_cast<std::size_t>(std::ranges::count_if(connections_, [](const auto &entry) {
         const auto connection = entry.second.lock();
-        return connection && predicate(*connection);
+        return connection && connection->unsentBytes() > 0;
     }));
 }
 
-std::size_t AsyncHttpServer::connectionsWithUnsentBytes() const
+bool AsyncHttpServer::inUse()
 {
-    return countConnections([](const auto &connection) { return connection.unsentBytes() > 0; });
+    return hasUnacceptedConnection() || std::ranges::any_of(connections_, [](const auto &entry) {
+               const auto connection = entry.second.lock();
+               return connection && connection->inUse();
+           });
 }
 
-std::size_t AsyncHttpServer::connectionsAfterLastAnswer() const
+bool AsyncHttpServer::hasUnacceptedConnection()
 {
-    return countConnections([](const auto &connection) { return connection.lingering(); });
+    if (!acceptor_.is_open())
+        return false;
+    // Closing the listener would reset it, and its request may have arrived.
+    pollfd listener{.fd = acceptor_.native_handle(), .events = POLLIN, .revents = 0};
+    return ::poll(&listener, 1, 0) > 0;
 }
 
 void AsyncHttpServer::closeAll()
--- a/tests/unit/frontendlimits_test.cpp
+++ b/tests/unit/frontendlimits_test.cpp
@@ -1,3 +1,4 @@
+#include "base/ids.h"
 #include "support/frontendfakes.h"
 
 #include <arpa/inet.h>
@@ -58,6 +59,54 @@
     CHECK_FALSE((*waiting)->get_header_value("Retry-After").empty());
 }
 
+// Guards against a change of the configuration that ends an answer which its engine can still
+// complete.
+TEST(FrontendLimits, brokenStreamOfAStoppedServiceIsResumed)
+{
+    FrontendFixture fixture;
+    fixture.engine(0).set(
+            {.fault = StreamFault::Truncated, .faultAt = 3, .tokenDelay = Millis(150)});
+    std::optional<httplib::Result> answer;
+    std::jthread caller(
+            [&] { answer.emplace(fixture.post("/v1/completions", completionBody(true))); });
+    const bool sent = FrontendFixture::eventually([&] { return fixture.executions() == 1; });
+    Configuration stopped = *fixture.configuration.current();
+    stopped.services["writer"].state = ServiceState::Stopped;
+    fixture.frontend().endStopped(stopped);
+    caller.join();
+    CHECK_TRUE(sent);
+    const ParsedStream parsed = parseStream((*answer)->body);
+    STRCMP_EQUAL(fakeAnswer("a prompt", 5).c_str(), parsed.text.c_str());
+    CHECK_TRUE(parsed.done);
+}
+
+// Guards against ending a call that may run only once, and so cannot be sent elsewhere, because its
+// endpoint is silent.
+TEST(FrontendLimits, nonRepeatableCallAtASilentEndpointIsNotBrokenOff)
+{
+    constexpr Millis kSilence{20'000};
+    FrontendFixture fixture;
+    fixture.engine(0).set({.acceptDelay = Millis(600)});
+    std::optional<httplib::Result> answer;
+    std::jthread caller([&] {
+        answer.emplace(fixture.post("/v1/services/gate/open", R"({"gate":1})",
+                                    {{"Idempotency-Key", newUuidV7(wallNow())},
+                                     {"X-Attempt", "1"},
+                                     {"X-Request-Timeout-Ms", "30000"}}));
+    });
+    const bool sent = FrontendFixture::eventually([&] {
+        const auto requests = fixture.frontend().requests(steadyNow());
+        return !requests.empty() && requests.front().state == RequestState::Dispatched;
+    });
+    std::this_thread::sleep_for(Millis(100));
+    const TimePoint now = steadyNow();
+    for (Millis passed{0}; passed < kSilence; passed += Millis(200))
+        fixture.frontend().breakOffSilent({{"engine-0", kSilence}}, now + passed);
+    caller.join();
+    CHECK_TRUE(sent);
+    LONGS_EQUAL(200, (*answer)->status);
+}
+
 // Guards against idle connections, and requests that stop in the middle, that hold server threads
 // for long. A connection that sends a byte now and then is not bounded; docs/OPERATING.md says so.
 TEST(FrontendLimits, silentConnectionsAreClosed)
