Wait until a program has stopped after SIGSTOP

Cause: kill() returns once SIGSTOP is queued. Until a thread of the program has run and taken the signal, the other threads go on and answer. So the fault is the test support's, not the program's.

Change: ChildProcess::sendSignal(SIGSTOP) returns when the program is reported as stopped, and throws after 10 s. The checks are as they were.

--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -14,6 +14,7 @@
 #include <future>
 #include <mutex>
 #include <sstream>
+#include <stdexcept>
 #include <system_error>
 #include <thread>
 
@@ -22,6 +23,7 @@
 namespace {
 
 constexpr Millis kWaitPoll{5};
+constexpr Millis kStopTimeout{10'000};
 
 int exitStatus(int status)
 {
@@ -135,8 +137,27 @@
 void ChildProcess::sendSignal(int signal)
 {
     // After the child was collected, its id may belong to another process.
-    if (running())
-        kill(id_, signal);
+    if (!running())
+        return;
+    kill(id_, signal);
+    if (signal == SIGSTOP)
+        awaitStop();
+}
+
+void ChildProcess::awaitStop()
+{
+    // kill() returns before the threads have stopped, and until then they go on answering.
+    const TimePoint limit = steadyNow() + kStopTimeout;
+    while (running()) {
+        siginfo_t info{};
+        // WNOWAIT keeps the report for the next SIGSTOP to a program that is already stopped.
+        if (waitid(P_PID, static_cast<id_t>(id_), &info, WSTOPPED | WNOHANG | WNOWAIT) == 0
+            && info.si_pid == id_)
+            return;
+        if (steadyNow() >= limit)
+            throw std::runtime_error("the program did not stop within 10 s after SIGSTOP");
+        std::this_thread::sleep_for(kWaitPoll);
+    }
 }
 
 std::optional<int> ChildProcess::wait(Millis timeout)
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -28,7 +28,9 @@
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
 
-    /// SIGKILL, SIGSTOP, SIGCONT or SIGTERM; nothing happens after the program has ended.
+    /// SIGKILL, SIGSTOP, SIGCONT or SIGTERM; nothing happens after the program has ended. After
+    /// SIGSTOP it returns when all threads of the program have stopped; throws std::runtime_error
+    /// if they have not within 10 s.
     void sendSignal(int signal);
 
     /// Exit status, or 128 + signal; nothing when the program still runs after the timeout.
@@ -39,6 +41,8 @@
     std::string errorOutput() const;
 
 private:
+    void awaitStop();
+
     std::string errorFile_;
     pid_t id_ = -1;
     std::optional<int> status_;
