Send nothing new to the endpoints of an evacuated failure domain

Cause: the order (`op/evacuate/ZONE`) was not known to the gateway at all. The topic of the configuration was read, but every key other than `config` was skipped.

Change: an order is kept by failure domain with its position in the store. Readers of the store tell it to the other daemons at once, and it is repeated in heartbeats. Of two orders the one at the later position counts, so that a stale read, a late datagram or an older copy of the store ends no evacuation and brings none back. In a new era of the store, an order that its copy lacks stays in force until the operators can have written it again.

Ruled out: a flag in each endpoint's record sent to peers; an endpoint that registers during the evacuation would lack it.

Evacuations, MeshDomains (5 tests) and GatewayPeers.evacuationsReachTheDaemonsThatDoNotReadTheStore pass.

--- a/src/gateway/availability.h
+++ b/src/gateway/availability.h
@@ -9,15 +9,16 @@
 
 namespace cicadafork::gateway {
 
-/// What the endpoints of a service have said about themselves. Only those whose record is ready
-/// count.
+/// What the endpoints of a service have said about themselves, and the operators about their
+/// failure domains. Only those whose record is ready count.
 struct ServiceAvailability
 {
-    unsigned accepting = 0; ///< Neither leaving nor quiet.
+    unsigned accepting = 0; ///< None of the following.
     unsigned quiet = 0;     ///< Want no requests for some time.
     unsigned leaving = 0;
     TimePoint firstAccepts{}; ///< The first of the quiet ones accepts requests again.
     TimePoint lastAccepts{};  ///< The last one does.
+    unsigned evacuated = 0;   ///< In an evacuated failure domain, and not leaving.
 };
 
 enum class AvailabilityDecision {
@@ -27,7 +28,7 @@
 };
 
 /// `giveUp` is the deadline of the request or the end of its time in the queue, whichever is
-/// earlier. A request waits for new endpoints if all known ones leave.
+/// earlier. A request waits for new endpoints if all known ones leave or are evacuated.
 AvailabilityDecision decideByAvailability(const ServiceAvailability &availability,
                                           TimePoint giveUp);
 
--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -268,8 +268,21 @@
     return found != statements_.end() && found->second.leaving;
 }
 
+void EndpointTable::setEvacuated(std::set<std::string> failureDomains)
+{
+    evacuated_ = std::move(failureDomains);
+}
+
+bool EndpointTable::isEvacuated(EndpointKey key) const
+{
+    const EndpointRow *found = evacuated_.empty() ? nullptr : find(key);
+    return found && evacuated_.contains(found->record.failureDomain);
+}
+
 bool EndpointTable::accepts(EndpointKey key, TimePoint now) const
 {
+    if (isEvacuated(key))
+        return false;
     const auto found = statements_.find(key);
     return found == statements_.end()
            || (!found->second.leaving && found->second.quietUntil <= now);
@@ -304,6 +317,8 @@
             ++availability.accepting;
         } else if (isLeaving(row.key)) {
             ++availability.leaving;
+        } else if (isEvacuated(row.key)) {
+            ++availability.evacuated;
         } else {
             const TimePoint until = statements_.at(row.key).quietUntil;
             const bool first = availability.quiet++ == 0;
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -86,7 +86,9 @@
     /// Returns false if a statement of this instance was unreadable before.
     bool noteUnreadable(EndpointKey key);
     bool isLeaving(EndpointKey key) const;
-    /// False while the instance leaves or wants no requests.
+    /// The endpoints of these failure domains get no new requests.
+    void setEvacuated(std::set<std::string> failureDomains);
+    /// False while the instance leaves or wants no requests, or its failure domain is evacuated.
     bool accepts(EndpointKey key, TimePoint now) const;
     /// The known endpoints that have said that they leave.
     std::vector<EndpointKey> leaving() const;
@@ -134,6 +136,7 @@
         TimePoint quietUntil{};
     };
 
+    bool isEvacuated(EndpointKey key) const;
     Statement &statement(EndpointKey key);
     EndpointRow *row(EndpointKey key);
     bool seemsCutOff(const std::string &failureDomain, TimePoint now) const;
@@ -144,6 +147,7 @@
     std::unordered_map<std::string, EndpointRow> rows_; ///< By id.
     std::unordered_map<EndpointKey, std::string> idByKey_;
     std::unordered_map<std::string, Unreachable> unreachable_; ///< By failure domain.
+    std::set<std::string> evacuated_;                          ///< Failure domains.
     std::unordered_map<EndpointKey, Statement> statements_;
     std::deque<EndpointKey> statementOrder_; ///< Keys of statements_, oldest first.
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -111,16 +111,22 @@
              .leavingEndpoints = [this] { return endpoints_.leaving(); },
              .leavingEndpointsReceived
              = [this](const std::vector<EndpointKey> &keys) { onLeavingEndpoints(keys); },
+             .evacuations = [this] { return evacuations_; },
+             .evacuationsReceived =
+                     [this](const std::vector<Evacuation> &orders) {
+                         noteEvacuations(orders, kFromPeer);
+                     },
              .configChangeReceived
              = [this](const PeerInfo &peer,
                       const ConfigChange &change) { onConfigChange(peer, change); },
              .isolated = [this] { onIsolated(); }})
+    , evacuationTimer_(context)
     , configFollower_(context, store_,
                       {.topic = layout_.configTopic,
                        .wait = readScheduleFor(ReaderRole::Standby).configWait,
                        .interval = readScheduleFor(ReaderRole::Standby).configInterval,
                        .callTimeout = kStoreCallTimeout},
-                      {[this](auto records) { onConfigRecords(records); },
+                      {[this](auto records) { onConfigSnapshot(records); },
                        [this](auto records) { onConfigRecords(records); },
                        [this](bool reached) { onConfigContact(reached); }})
     , endpointFollower_(context, store_,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -168,7 +168,11 @@
 
     // Configuration, endpoints, members and peers.
     void onMemberRecords(const std::vector<StoreRecord> &records);
+    void onConfigSnapshot(const std::vector<StoreRecord> &records);
     void onConfigRecords(const std::vector<StoreRecord> &records);
+    void noteEvacuations(const std::vector<Evacuation> &orders, const char *source);
+    /// Ends the evacuations that a complete read of the store, current at `end`, did not list.
+    void endUnlistedEvacuations(const std::set<std::string> &listed, const StorePosition &end);
     bool applyConfig(const std::string &text, const char *source);
     void onEndpointSnapshot(const std::vector<StoreRecord> &records);
     void onEndpointChanges(const std::vector<StoreRecord> &records);
@@ -237,6 +241,8 @@
     Mesh mesh_;
     std::shared_ptr<const RoutingConfig> config_;
     ConfigHistory configs_;
+    Evacuations evacuations_;
+    asio::steady_timer evacuationTimer_;
     TopicFollower configFollower_;
     TopicFollower endpointFollower_;
     TopicFollower memberFollower_;
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -37,12 +37,71 @@
 
 } // namespace
 
+void Gateway::onConfigSnapshot(const std::vector<StoreRecord> &records)
+{
+    onConfigRecords(records);
+    std::set<std::string> listed;
+    for (const StoreRecord &record : records) {
+        if (record.key.starts_with(layout_.evacuationPrefix))
+            listed.insert(record.key.substr(layout_.evacuationPrefix.size()));
+    }
+    // In a new era of the store, the operators write again what the older copy lacks.
+    const auto mayReturnUntil = storeOutage_.absentRecordMayReturnUntil(steadyNow());
+    const StorePosition end = configFollower_.snapshotEnd();
+    if (!mayReturnUntil) {
+        endUnlistedEvacuations(listed, end);
+        return;
+    }
+    evacuationTimer_.expires_at(*mayReturnUntil);
+    evacuationTimer_.async_wait([this, listed, end](const asio::error_code &error) {
+        if (!error)
+            endUnlistedEvacuations(listed, end);
+    });
+}
+
 void Gateway::onConfigRecords(const std::vector<StoreRecord> &records)
 {
+    std::vector<Evacuation> orders;
     for (const StoreRecord &record : records) {
-        if (record.key == layout_.configKey && record.value)
+        if (record.key == layout_.configKey && record.value) {
             applyConfig(*record.value, kFromStore);
+        } else if (record.key.starts_with(layout_.evacuationPrefix)) {
+            orders.push_back({record.key.substr(layout_.evacuationPrefix.size()),
+                              {configFollower_.position().era, record.offset},
+                              record.value.has_value()});
+        }
     }
+    noteEvacuations(orders, kFromStore);
+}
+
+void Gateway::endUnlistedEvacuations(const std::set<std::string> &listed, const StorePosition &end)
+{
+    noteEvacuations(unlistedEvacuations(evacuations_, listed, end), kFromStore);
+}
+
+void Gateway::noteEvacuations(const std::vector<Evacuation> &orders, const char *source)
+{
+    const std::set<std::string> before = evacuatedDomains(evacuations_);
+    bool isNew = false;
+    for (const Evacuation &order : orders) {
+        if (!noteEvacuation(evacuations_, order))
+            continue;
+        isNew = true;
+        if (order.inForce == before.contains(order.failureDomain))
+            continue;
+        logEvent(LogLevel::Info, "evacuation_changed",
+                 {{"domain", order.failureDomain},
+                  {"in_force", order.inForce ? "yes" : "no"},
+                  {"source", source},
+                  {"position", std::to_string(order.position.offset)}});
+    }
+    if (!isNew)
+        return;
+    endpoints_.setEvacuated(evacuatedDomains(evacuations_));
+    counters_.evacuatedDomains.Set(static_cast<double>(evacuatedDomains(evacuations_).size()));
+    if (std::string_view(source) == kFromStore && announcesStoreChanges_)
+        mesh_.sendEvacuations();
+    scheduleDispatch();
 }
 
 void Gateway::onMemberRecords(const std::vector<StoreRecord> &records)
@@ -447,6 +506,7 @@
     json["reader_role"] = toString(isPrimaryReader_         ? ReaderRole::Primary
                                    : announcesStoreChanges_ ? ReaderRole::Secondary
                                                             : ReaderRole::Standby);
+    json["evacuated"] = evacuatedDomains(evacuations_);
     json["requests"] = exchanges_.size();
     json["waiting"] = waiting_.size();
     json["jobs"] = loadTracker_.size();
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -42,6 +42,9 @@
                                      "requests"))
     , storeEras(metrics.counter("cicadafork_gateway_store_eras_total",
                                 "Times that the store came back from an older copy"))
+    , evacuatedDomains(metrics.gauge("cicadafork_gateway_evacuated_failure_domains",
+                                     "Failure domains whose endpoints get no new requests because "
+                                     "the operators have evacuated them"))
     , metrics_(metrics)
 {
 }
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -33,6 +33,7 @@
     prometheus::Counter &cancelled;
     prometheus::Counter &quietEndpoints;
     prometheus::Counter &storeEras;
+    prometheus::Gauge &evacuatedDomains;
 
 private:
     Metrics &metrics_;
--- a/src/gateway/mesh.capnp
+++ b/src/gateway/mesh.capnp
@@ -63,6 +63,15 @@
   prefillSlackMicros @8 :UInt32;
 }
 
+# The last order of the operators to evacuate a failure domain, or to end that.
+struct Evacuation {
+  failureDomain @0 :Text;
+  # Position in the platform's store.
+  era @1 :UInt64;
+  offset @2 :UInt64;
+  inForce @3 :Bool;
+}
+
 # The difference between two versions of the configuration.
 struct ConfigChange {
   base @0 :UInt64;
@@ -111,6 +120,8 @@
   endpointsIncomplete @21 :Bool;
   # Keys of endpoints that have said that they leave. They are hashes of the id and the incarnation.
   leavingEndpoints @22 :List(UInt64);
+  # All that the sender knows; sent with full lists of jobs, and when one has changed.
+  evacuations @23 :List(Evacuation);
 }
 
 # The answer to a daemon that pulls missing state from a peer.
--- a/src/gateway/mesh.capnp.h
+++ b/src/gateway/mesh.capnp.h
@@ -20,6 +20,7 @@
 CAPNP_DECLARE_SCHEMA(c332b625d639f51a);
 CAPNP_DECLARE_SCHEMA(a3865a6a59334413);
 CAPNP_DECLARE_SCHEMA(f65420b7efbc4bf4);
+CAPNP_DECLARE_SCHEMA(bba0bbacfa97ab7e);
 CAPNP_DECLARE_SCHEMA(c0c469537200ea22);
 CAPNP_DECLARE_SCHEMA(b3610eba42785e55);
 CAPNP_DECLARE_SCHEMA(fbecd8eb93bed63a);
@@ -131,6 +132,26 @@
     };
 };
 
+struct Evacuation
+{
+    Evacuation() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate
+    {
+        CAPNP_DECLARE_STRUCT_HEADER(bba0bbacfa97ab7e, 3, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
 struct ConfigChange
 {
     ConfigChange() = delete;
@@ -161,7 +182,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 8, 11)
+        CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 8, 12)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -840,6 +861,118 @@
 };
 #endif // !CAPNP_LITE
 
+class Evacuation::Reader
+{
+public:
+    typedef Evacuation Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasFailureDomain() const;
+    inline ::capnp::Text::Reader getFailureDomain() const;
+
+    inline ::uint64_t getEra() const;
+
+    inline ::uint64_t getOffset() const;
+
+    inline bool getInForce() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class Evacuation::Builder
+{
+public:
+    typedef Evacuation Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr)) {}
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const { return Reader(_builder.asReader()); }
+    inline Reader asReader() const { return *this; }
+
+    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasFailureDomain();
+    inline ::capnp::Text::Builder getFailureDomain();
+    inline void setFailureDomain(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initFailureDomain(unsigned int size);
+    inline void adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownFailureDomain();
+
+    inline ::uint64_t getEra();
+    inline void setEra(::uint64_t value);
+
+    inline ::uint64_t getOffset();
+    inline void setOffset(::uint64_t value);
+
+    inline bool getInForce();
+    inline void setInForce(bool value);
+
+private:
+    ::capnp::_::StructBuilder _builder;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Evacuation::Pipeline
+{
+public:
+    typedef Evacuation Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template <typename, ::capnp::Kind>
+    friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
 class ConfigChange::Reader
 {
 public:
@@ -1033,6 +1166,10 @@
     inline bool hasLeavingEndpoints() const;
     inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getLeavingEndpoints() const;
 
+    inline bool hasEvacuations() const;
+    inline ::capnp::List<::cicadafork::gateway::wire::Evacuation, ::capnp::Kind::STRUCT>::Reader
+    getEvacuations() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1218,6 +1355,20 @@
     inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
     disownLeavingEndpoints();
 
+    inline bool hasEvacuations();
+    inline ::capnp::List<::cicadafork::gateway::wire::Evacuation, ::capnp::Kind::STRUCT>::Builder
+    getEvacuations();
+    inline void setEvacuations(::capnp::List<::cicadafork::gateway::wire::Evacuation,
+                                             ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::cicadafork::gateway::wire::Evacuation, ::capnp::Kind::STRUCT>::Builder
+    initEvacuations(unsigned int size);
+    inline void
+    adoptEvacuations(::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::Evacuation,
+                                                   ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<
+            ::capnp::List<::cicadafork::gateway::wire::Evacuation, ::capnp::Kind::STRUCT>>
+    disownEvacuations();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -2076,6 +2227,87 @@
     _builder.setDataField<::uint32_t>(::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Evacuation::Reader::hasFailureDomain() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Evacuation::Builder::hasFailureDomain()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Evacuation::Reader::getFailureDomain() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Evacuation::Builder::getFailureDomain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Evacuation::Builder::setFailureDomain(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Evacuation::Builder::initFailureDomain(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Evacuation::Builder::adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Evacuation::Builder::disownFailureDomain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t Evacuation::Reader::getEra() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t Evacuation::Builder::getEra()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setEra(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t Evacuation::Reader::getOffset() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t Evacuation::Builder::getOffset()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setOffset(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Evacuation::Reader::getInForce() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Evacuation::Builder::getInForce()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setInForce(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::uint64_t ConfigChange::Reader::getBase() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2853,6 +3085,60 @@
             _builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::hasEvacuations() const
+{
+    return !_reader.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasEvacuations()
+{
+    return !_builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::cicadafork::gateway::wire::Evacuation, ::capnp::Kind::STRUCT>::Reader
+Datagram::Reader::getEvacuations() const
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Evacuation, ::capnp::Kind::STRUCT>>::
+            get(_reader.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::cicadafork::gateway::wire::Evacuation, ::capnp::Kind::STRUCT>::Builder
+Datagram::Builder::getEvacuations()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Evacuation, ::capnp::Kind::STRUCT>>::
+            get(_builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setEvacuations(
+        ::capnp::List<::cicadafork::gateway::wire::Evacuation, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Evacuation, ::capnp::Kind::STRUCT>>::
+            set(_builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::cicadafork::gateway::wire::Evacuation, ::capnp::Kind::STRUCT>::Builder
+Datagram::Builder::initEvacuations(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Evacuation, ::capnp::Kind::STRUCT>>::
+            init(_builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptEvacuations(
+        ::capnp::Orphan<::capnp::List<::cicadafork::gateway::wire::Evacuation,
+                                      ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Evacuation, ::capnp::Kind::STRUCT>>::
+            adopt(_builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS),
+                  kj::mv(value));
+}
+inline ::capnp::Orphan<
+        ::capnp::List<::cicadafork::gateway::wire::Evacuation, ::capnp::Kind::STRUCT>>
+Datagram::Builder::disownEvacuations()
+{
+    return ::capnp::_::PointerHelpers<
+            ::capnp::List<::cicadafork::gateway::wire::Evacuation, ::capnp::Kind::STRUCT>>::
+            disown(_builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
 inline ::uint64_t SharedState::Reader::getConfigVersion() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -252,6 +252,12 @@
     }
 }
 
+void Mesh::sendEvacuations()
+{
+    sendWithStatus(
+            {}, [&](wire::Datagram::Builder root) { fillEvacuations(root, hooks_.evacuations()); });
+}
+
 void Mesh::sendLeavingEndpoints(const std::vector<EndpointKey> &endpoints)
 {
     sendWithStatus({},
@@ -367,8 +373,10 @@
         root.setName(options_.name);
         root.setFailureDomain(options_.failureDomain);
         root.setWantsReply(wantsReply && last);
-        if (last)
+        if (last) {
             fillLeavingEndpoints(root, leavingForHeartbeat());
+            fillEvacuations(root, hooks_.evacuations());
+        }
         auto list = root.initJobs(static_cast<unsigned>(count));
         for (std::size_t i = 0; i < count; ++i)
             fillJob(list[static_cast<unsigned>(i)], jobs[next + i], now);
@@ -547,6 +555,8 @@
                 leaving.push_back(endpoint);
             hooks_.leavingEndpointsReceived(leaving);
         }
+        if (root.getEvacuations().size() > 0)
+            hooks_.evacuationsReceived(readEvacuations(root.getEvacuations()));
         if (root.hasConfigChange())
             hooks_.configChangeReceived(*info, readConfigChange(root.getConfigChange()));
         hooks_.messageReceived(*info);
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -15,6 +15,7 @@
 
 #include "gateway/confighistory.h"
 #include "gateway/departedendpoints.h"
+#include "gateway/evacuations.h"
 #include "gateway/loadtracker.h"
 #include "gateway/storeera.h"
 #include "http/address.h"
@@ -121,6 +122,10 @@
     std::function<std::vector<EndpointKey>()> leavingEndpoints;
     /// A peer sent endpoints that leave.
     std::function<void(const std::vector<EndpointKey> &)> leavingEndpointsReceived;
+    /// The evacuations that this daemon knows; repeated in heartbeats.
+    std::function<Evacuations()> evacuations;
+    /// A peer sent the evacuations that it knows.
+    std::function<void(const std::vector<Evacuation> &)> evacuationsReceived;
     /// A peer sent a change of the configuration that it read from the store.
     std::function<void(const PeerInfo &, const ConfigChange &)> configChangeReceived;
     /// No peer was heard for the isolation timeout, so this daemon may be cut off from all of
@@ -164,6 +169,7 @@
     /// Sends all peers the endpoint updates read from the store.
     void sendEndpointUpdates(const std::vector<EndpointUpdate> &updates);
     /// Tells all peers of endpoints that have said that they leave.
+    void sendEvacuations();
     void sendLeavingEndpoints(const std::vector<EndpointKey> &endpoints);
     /// Sends all peers a change of the configuration. If it does not fit a datagram, only the new
     /// version number is sent, and the peers pull the change.
--- a/src/gateway/meshwire.cpp
+++ b/src/gateway/meshwire.cpp
@@ -152,6 +152,34 @@
     entry.setGoneMs(static_cast<std::uint32_t>(update.goneFor.count()));
 }
 
+void fillEvacuations(wire::Datagram::Builder root, const Evacuations &evacuations)
+{
+    if (evacuations.empty())
+        return;
+    auto list = root.initEvacuations(static_cast<unsigned>(evacuations.size()));
+    unsigned index = 0;
+    for (const auto &[domain, order] : evacuations) {
+        auto entry = list[index++];
+        entry.setFailureDomain(domain);
+        entry.setEra(order.position.era);
+        entry.setOffset(order.position.offset);
+        entry.setInForce(order.inForce);
+    }
+}
+
+std::vector<Evacuation> readEvacuations(capnp::List<wire::Evacuation>::Reader entries)
+{
+    std::vector<Evacuation> evacuations;
+    for (const auto entry : entries) {
+        if (evacuations.size() >= kMaxEvacuations)
+            break;
+        evacuations.push_back({entry.getFailureDomain(),
+                               {entry.getEra(), entry.getOffset()},
+                               entry.getInForce()});
+    }
+    return evacuations;
+}
+
 void fillConfigChange(wire::ConfigChange::Builder target, const ConfigChange &change)
 {
     target.setBase(change.base);
--- a/src/gateway/meshwire.h
+++ b/src/gateway/meshwire.h
@@ -37,6 +37,11 @@
 /// Nothing when the entry has no endpoint id or its address cannot be parsed.
 std::optional<EndpointRecord> readEndpoint(wire::EndpointEntry::Reader entry);
 
+/// Writes nothing if there are none.
+void fillEvacuations(wire::Datagram::Builder root, const Evacuations &evacuations);
+/// At most kMaxEvacuations.
+std::vector<Evacuation> readEvacuations(capnp::List<wire::Evacuation>::Reader entries);
+
 void fillConfigChange(wire::ConfigChange::Builder target, const ConfigChange &change);
 ConfigChange readConfigChange(wire::ConfigChange::Reader source);
 
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -157,6 +157,8 @@
 {
     std::string configTopic;
     std::string configKey;
+    /// In the topic of the configuration; the rest of the key is a failure domain.
+    std::string evacuationPrefix;
     std::string endpointsTopic;
     std::string membersTopic; ///< Written by the gateway daemons themselves.
     /// Both fail with InvalidArgument on a record that cannot be parsed.
--- a/src/gateway/topicfollower.h
+++ b/src/gateway/topicfollower.h
@@ -81,6 +81,9 @@
     void startOver(Millis limit);
     /// Next offset to read, with the era in which it is valid; zero before the first snapshot.
     StorePosition position() const { return position_; }
+    /// End of the store's records at the last snapshot. It is before position() if the store has
+    /// served an older state since.
+    StorePosition snapshotEnd() const { return firstPageEnd_; }
     /// When the last answered call ended.
     TimePoint lastContact() const { return lastContact_; }
     /// Sets the pause between two reads and the time that a read may wait. If that makes reads more
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "gateway/endpoints.h"
+#include "gateway/evacuations.h"
 #include "gateway/exchange.h"
 #include "gateway/readerrole.h"
 #include "gateway/reservation.h"
@@ -403,6 +404,42 @@
     }
 }
 
+TEST_GROUP(Evacuations){};
+
+// Guards against an older state of the store or of a peer that brings back an evacuation that has
+// ended, or ends one that is in force.
+TEST(Evacuations, theLaterOfTwoOrdersCounts)
+{
+    struct Case
+    {
+        const char *name;
+        Evacuation order;
+        bool isNew;
+        bool inForce; ///< Of "east", afterwards.
+    };
+    const Case cases[] = {
+            {"first order", {"east", {1, 5}, true}, true, true},
+            {"older order", {"east", {1, 4}, false}, false, true},
+            {"same order again", {"east", {1, 5}, true}, false, true},
+            {"later end", {"east", {1, 7}, false}, true, false},
+            {"the first order again", {"east", {1, 5}, true}, false, false},
+            {"newer era, lower offset", {"east", {2, 3}, true}, true, true},
+            {"end in the older era", {"east", {1, 9}, false}, false, true},
+            {"another failure domain", {"west", {2, 4}, true}, true, true},
+    };
+    Evacuations evacuations;
+    for (const Case &row : cases) {
+        CHECK_TRUE_TEXT(noteEvacuation(evacuations, row.order) == row.isNew, row.name);
+        CHECK_TRUE_TEXT(evacuatedDomains(evacuations).contains("east") == row.inForce, row.name);
+    }
+    LONGS_EQUAL_TEXT(0, unlistedEvacuations(evacuations, {}, {2, 3}).size(), "an older state");
+    LONGS_EQUAL(1, unlistedEvacuations(evacuations, {"east"}, {2, 9}).size());
+    LONGS_EQUAL(2, unlistedEvacuations(evacuations, {}, {2, 9}).size());
+    for (std::size_t i = 0; i < 2 * kMaxEvacuations; ++i)
+        noteEvacuation(evacuations, {std::to_string(i), {2, 10}, true});
+    LONGS_EQUAL(kMaxEvacuations, evacuations.size());
+}
+
 // Guards against callers that come back before an endpoint accepts requests, or all at once when
 // the first one does.
 TEST(Availability, callersComeBackOverTheTimeInWhichEndpointsAcceptAgain)
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -130,12 +130,14 @@
     }
 
     void writeRecord(const EndpointStandin &endpoint, const std::string &service,
-                     const std::string &state, unsigned revision = 0, int bornMs = 5)
+                     const std::string &state, unsigned revision = 0, int bornMs = 5,
+                     const std::string &failureDomain = "east")
     {
         store.put("keyed.servers", endpoint.id,
-                  fmt::format(R"({{"service":"{}","address":"{}","zone":"east","slots":4,
+                  fmt::format(R"({{"service":"{}","address":"{}","zone":"{}","slots":4,
                       "state":"{}","seq":{},"born":{}}})",
-                              service, toString(endpoint.address), state, revision, bornMs));
+                              service, toString(endpoint.address), failureDomain, state, revision,
+                              bornMs));
     }
 
     void publishConfig()
@@ -333,6 +335,44 @@
                      "an unreadable record removes the endpoint");
 }
 
+// Guards against requests to the endpoints of an evacuated failure domain, also if the store loses
+// the operators' order.
+TEST(GatewayPath, endpointsOfAnEvacuatedFailureDomainGetNoNewRequests)
+{
+    constexpr Millis kEvacuated{5000};
+    for (const char *domain : {"west", "east"})
+        writeRecord(addEndpoint("plain"), "plain", "ready", 1, 5, domain);
+    publishConfig();
+    const auto sendTen = [&] {
+        for (int i = 0; i < 10; ++i)
+            LONGS_EQUAL(200, sendRequestAndWait("safe")->status);
+    };
+    sendTen();
+    const bool preferWest = endpoints[0]->arrivals > 0;
+    const EndpointStandin &evacuated = *endpoints[preferWest ? 0 : 1];
+    const std::string order = preferWest ? "evacuate/west" : "evacuate/east";
+    const auto arrivalsOfTen = [&] {
+        const unsigned before = evacuated.arrivals;
+        sendTen();
+        return evacuated.arrivals - before;
+    };
+    runUntil([] { return false; }, kDrainBound);
+    const TimePoint ordered = steadyNow();
+    store.put("keyed.op", order, "{}");
+    runUntil([] { return false; }, kDrainBound);
+    LONGS_EQUAL(0, arrivalsOfTen());
+    store.restoreCopy(std::chrono::ceil<Millis>(steadyNow() - ordered + Millis(100)));
+    store.put("keyed.op", "config", configText(4));
+    runUntil([] { return false; }, Millis(500));
+    LONGS_EQUAL_TEXT(0, arrivalsOfTen(), "the store has come back without the order");
+    store.put("keyed.op", order, "{}");
+    runUntil([] { return false; }, kEvacuated);
+    LONGS_EQUAL(0, arrivalsOfTen());
+    store.put("keyed.op", order, std::nullopt);
+    runUntil([] { return false; }, kDrainBound);
+    CHECK_TRUE_TEXT(arrivalsOfTen() > 0, "the evacuation has ended");
+}
+
 // A sound endpoint may pause for a second or so: its answer then arrives late, but whole.
 TEST(GatewayPath, silenceOfASoundEndpointDoesNotEndItsAnswer)
 {
--- a/tests/unit/gatewaypeers_test.cpp
+++ b/tests/unit/gatewaypeers_test.cpp
@@ -276,6 +276,25 @@
     CHECK_TRUE(store.callsByTopic[kConfigTopic] <= kReaders * (kChanges + 1));
 }
 
+// Guards against daemons that do not read the store and miss an evacuation.
+TEST(GatewayPeers, evacuationsReachTheDaemonsThatDoNotReadTheStore)
+{
+    start(6);
+    store.callsByTopic.clear();
+    for (const bool inForce : {true, false}) {
+        store.put(kConfigTopic, "evacuate/east",
+                  inForce ? std::optional<std::string>("{}") : std::nullopt);
+        CHECK_TRUE(runUntil(
+                [&] {
+                    return std::ranges::all_of(daemons, [&](const auto &daemon) {
+                        return daemon->state()["evacuated"].size() == (inForce ? 1 : 0);
+                    });
+                },
+                kConfigInForce));
+    }
+    CHECK_TRUE(store.callsByTopic[kConfigTopic] <= kReaders * 3);
+}
+
 // Guards against a change that is announced but never received, since it exceeds a datagram.
 TEST(GatewayPeers, largeConfigurationChangesArePulled)
 {
--- a/tests/unit/mesh_test.cpp
+++ b/tests/unit/mesh_test.cpp
@@ -79,6 +79,8 @@
                               .endpointUpdatesReceived = [](const PeerInfo &, const auto &) {},
                               .leavingEndpoints = [] { return std::vector<EndpointKey>(); },
                               .leavingEndpointsReceived = [](const auto &) {},
+                              .evacuations = [] { return Evacuations(); },
+                              .evacuationsReceived = [](const auto &) {},
                               .configChangeReceived = [](const PeerInfo &, const ConfigChange &) {},
                               .isolated = [this] { ++isolated; }}));
             CHECK_TRUE(static_cast<bool>(capture([&] { return members.back()->start(); })));
@@ -134,6 +136,12 @@
                     .leavingEndpoints = [this] { return leaving; },
                     .leavingEndpointsReceived
                     = [this](const auto &keys) { heard.insert(keys.begin(), keys.end()); },
+                    .evacuations = [this] { return evacuations; },
+                    .evacuationsReceived =
+                            [this](const auto &orders) {
+                                for (const Evacuation &order : orders)
+                                    noteEvacuation(evacuations, order);
+                            },
                     .configChangeReceived = [](const PeerInfo &, const ConfigChange &) {},
                     .isolated = [] {}})
         {
@@ -143,6 +151,7 @@
 
         std::vector<EndpointKey> leaving; ///< Endpoints that this member knows to leave.
         std::set<EndpointKey> heard;      ///< Those that its peers told it of.
+        Evacuations evacuations;
         LoadTracker tracker{100};
         Mesh mesh;
     };
@@ -236,6 +245,21 @@
                               [&] { return members[i]->heard.size() == kLeaving + 1; }));
 }
 
+// Guards against daemons that miss an evacuation whose announcement was lost.
+TEST(MeshDomains, evacuationsAreRepeatedInHeartbeats)
+{
+    start(128);
+    for (const bool inForce : {true, false}) {
+        noteEvacuation(members[0]->evacuations, {"west", {1, inForce ? 5U : 6U}, inForce});
+        CHECK_TRUE(eventually(context, kLimit, [&] {
+            return std::ranges::all_of(members, [&](const auto &member) {
+                const auto &known = member->evacuations;
+                return known.contains("west") && known.at("west").inForce == inForce;
+            });
+        }));
+    }
+}
+
 TEST(MeshDomains, aSmallFleetAnnouncesJobsToAll)
 {
     start(128);
