Keep the memory of a divided prompt through a silence of its holder

Callers of a prompt that is divided among several endpoints could get their stream cut: an endpoint that holds a share of its memory falls silent for 1.5 s, its lease runs out meanwhile, and the memory is freed.

Cause: a lease of 1.9 s that is renewed every 0.55 s outlasts a silence of 1.35 s at most, and renewals were given up after 0.4 s, so that one that reached the silent endpoint might not be carried out at its end.

Change: leases are renewed every 0.35 s, counted from the last confirmed renewal of each holder, and every 0.55 s while it is not confirmed, as before. So a lease outlasts a silence of 1.5 s at any phase, and two consecutive lost renewals. Renewals and releases stay open as long as the lease may run; a first reservation is still given up after 0.4 s, since another endpoint may take the request at once.

Ruled out: a longer lease. An order that is carried out seconds late, or after the release, would hold memory for 2 s or more with no one left to release it.

The stand-in of an endpoint now keeps leases, and carries out no order whose sender has closed the connection during a silence. The time in doesNotRenewAfterDestructionInTheSameTurn moves from 500 to 300 ms, as the destruction must be due before the renewal.

--- a/src/gateway/reservation.h
+++ b/src/gateway/reservation.h
@@ -7,7 +7,7 @@
 //   ...                                            // renewed until it is destroyed
 //
 // Leases are short, so that memory is soon free again when this process dies or an endpoint carries
-// out an order late.
+// out an order late. They outlast a pause of an endpoint, and two consecutive lost renewals.
 
 #include "base/clock.h"
 #include "gateway/protocol.h"
@@ -29,6 +29,16 @@
     std::uint64_t tokens = 0;
 };
 
+/// What is known of the lease at one target.
+struct LeaseFacts
+{
+    TimePoint lastSent{};      ///< When the last order that reserves or renews was sent.
+    TimePoint lastConfirmed{}; ///< When the last such order that was carried out was sent.
+};
+
+/// Time of the next renewal.
+TimePoint nextRenewal(const LeaseFacts &facts);
+
 class Reservation
 {
 public:
@@ -46,14 +56,20 @@
     const std::string &ticket() const { return ticket_; }
 
 private:
+    struct Lease
+    {
+        ReservationTarget target;
+        LeaseFacts facts;
+        asio::steady_timer timer;
+    };
+
+    void sendReserve(Lease &lease, Millis timeout, std::function<void(OrderOutcome)> done);
     void onOrderOutcome(OrderOutcome outcome);
-    void scheduleRenewal();
-    void renew();
+    void scheduleRenewal(Lease &lease);
 
     const OrderCalls &orders_;
     std::string ticket_;
-    std::vector<ReservationTarget> targets_;
-    asio::steady_timer timer_;
+    std::vector<Lease> leases_; ///< Not resized: callbacks refer to its elements.
     std::function<void(bool)> done_;
     std::size_t pending_ = 0;
     bool refused_ = false;
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -232,6 +232,10 @@
         runAt(silentUntil_, [this, caller, held] { onRequest(caller, std::move(*held)); });
         return;
     }
+    const bool isOrder = request.target == platform::kOrderPath;
+    // An order that its sender has given up may not be carried out.
+    if (isOrder && !caller->open())
+        return;
     ++arrivals;
     const std::string *requestId = request.headers.find(platform::kRequestId);
     const std::string *expected = request.headers.find(platform::kExpectInstance);
@@ -297,6 +301,8 @@
     case EndpointBehaviour::NotRun:
         break;
     }
+    if (isOrder)
+        carryOutOrder(runs.back().request.body);
     if (!streams) {
         caller->respond(200, signedHeaders(name), "answer of " + name + std::string(padding, '.'));
         return;
@@ -305,6 +311,34 @@
     stream(caller, next, behaviour == EndpointBehaviour::BreaksStream);
 }
 
+void EndpointStandin::carryOutOrder(const std::string &body)
+{
+    const nlohmann::json order = nlohmann::json::parse(body);
+    const std::string ticket = order.at("id");
+    if (order.at("operation") == "release") {
+        leases.erase(ticket);
+        return;
+    }
+    const TimePoint end = steadyNow() + Millis(order.at("holdMs").get<Millis::rep>());
+    leases[ticket] = end;
+    const auto timer = std::make_shared<asio::steady_timer>(context_, end);
+    timer->async_wait([this, timer, ticket, end,
+                       alive = std::weak_ptr<int>(alive_)](const asio::error_code &error) {
+        if (!error && !alive.expired())
+            endLease(ticket, end);
+    });
+}
+
+void EndpointStandin::endLease(const std::string &ticket, TimePoint expected)
+{
+    const auto found = leases.find(ticket);
+    if (found == leases.end() || found->second != expected)
+        return; // It was renewed or released.
+    leases.erase(found);
+    if (onLapse)
+        onLapse(ticket);
+}
+
 void EndpointStandin::stream(const std::shared_ptr<HttpServerConnection> &caller, unsigned next,
                              bool breaks)
 {
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -130,12 +130,18 @@
     std::vector<Arrival> log;
     unsigned arrivals = 0;
     Millis eventGap{3};
-    std::size_t padding = 0;        ///< Bytes added to an answer that is no stream.
-    bool leaving = false;           ///< Says in all its responses that it leaves.
+    std::size_t padding = 0;                 ///< Bytes added to an answer that is no stream.
+    bool leaving = false;                    ///< Says in all its responses that it leaves.
+    std::map<std::string, TimePoint> leases; ///< End of each lease of memory, by ticket.
+    /// Called when a lease ends without a release.
+    std::function<void(const std::string &ticket)> onLapse;
     std::optional<Millis> quietFor; ///< Refuses every request and asks for this time without any.
 
 private:
     void onRequest(const std::shared_ptr<HttpServerConnection> &caller, HttpRequest request);
+    /// Reserves or releases memory. Leases run out during a silence too.
+    void carryOutOrder(const std::string &body);
+    void endLease(const std::string &ticket, TimePoint expected);
     void stream(const std::shared_ptr<HttpServerConnection> &caller, unsigned next, bool breaks);
     /// Runs the step at the given time, or when the silence ends if that is later.
     void runAt(TimePoint time, std::function<void()> step);
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -576,7 +576,7 @@
 {
     auto reservation = std::make_unique<Reservation>(context, orders, "t", targets);
     asio::steady_timer first(context);
-    first.expires_after(Millis(500));
+    first.expires_after(Millis(300));
     first.async_wait([&](const asio::error_code &) { reservation.reset(); });
     reservation->acquire([](bool) {});
     context.poll();
@@ -588,6 +588,88 @@
 
 namespace {
 
+/// An endpoint with one lease that falls silent once, some time after it was renewed. Orders that
+/// arrive during the silence are carried out at its end, unless they have been given up.
+struct PausingHolder
+{
+    asio::io_context &context;
+    Millis silentAfterRenewal;
+    Millis silence;
+    int orders = 0;
+    TimePoint silentFrom{};
+    TimePoint leaseEnd{};
+    bool lapsed = false;
+
+    OrderCalls functions()
+    {
+        OrderCalls calls;
+        calls.reserve = [this](const Address &, const std::string &, const std::string &,
+                               std::uint64_t, Millis lease, Millis timeout,
+                               std::function<void(const OrderReply &)> done) {
+            const TimePoint now = steadyNow();
+            if (++orders == 2)
+                silentFrom = now + silentAfterRenewal;
+            const bool waits = orders > 2 && now >= silentFrom && now < silentFrom + silence;
+            const TimePoint carriedOut = waits ? silentFrom + silence : now;
+            const TimePoint answered = std::min(carriedOut, now + timeout);
+            auto timer = std::make_shared<asio::steady_timer>(context, answered);
+            timer->async_wait([this, timer, lease, carriedOut, answered,
+                               done = std::move(done)](const asio::error_code &) {
+                if (answered < carriedOut) {
+                    done({OrderOutcome::Unknown, {}});
+                    return;
+                }
+                lapsed = lapsed || (leaseEnd != TimePoint() && carriedOut > leaseEnd);
+                leaseEnd = std::max(leaseEnd, carriedOut + lease);
+                done({OrderOutcome::Done, {}});
+            });
+        };
+        calls.release = [](const Address &, const std::string &, const std::string &, Millis,
+                           const std::function<void(const OrderReply &)> &) {};
+        return calls;
+    }
+};
+
+} // namespace
+
+// Guards against the end of a request whose memory lapses because a holder pauses, whatever the
+// time between the last renewal and the pause.
+TEST(Reservation, leaseOutlastsASilenceOfItsHolder)
+{
+    constexpr Millis kSilence{1500};
+    constexpr Millis kStep{25};
+    constexpr Millis kLongestInterval{600};
+    constexpr Millis kRunTime{5000};
+    constexpr int kMostOrders = 16;
+    struct Run
+    {
+        PausingHolder holder;
+        OrderCalls calls;
+        std::unique_ptr<Reservation> reservation;
+    };
+    std::vector<std::unique_ptr<Run>> runs;
+    for (Millis phase{0}; phase <= kLongestInterval; phase += kStep) {
+        runs.push_back(std::make_unique<Run>(Run{{context, phase, kSilence}, {}, {}}));
+        Run &run = *runs.back();
+        run.calls = run.holder.functions();
+        run.reservation = std::make_unique<Reservation>(
+                context, run.calls, "t", std::vector<ReservationTarget>{targets.front()});
+        run.reservation->acquire([](bool held) { CHECK_TRUE(held); });
+    }
+    context.run_for(kRunTime);
+    for (const auto &run : runs) {
+        const std::string text
+                = fmt::format("silent {} ms after a renewal, {} orders",
+                              run->holder.silentAfterRenewal.count(), run->holder.orders);
+        CHECK_FALSE_TEXT(run->holder.lapsed, text.c_str());
+        CHECK_TRUE_TEXT(run->holder.leaseEnd > steadyNow(), text.c_str());
+        CHECK_TRUE_TEXT(run->holder.orders <= kMostOrders, text.c_str());
+    }
+    runs.clear();
+}
+
+namespace {
+
 /// A store with one topic whose answers the test gives by hand.
 struct ScriptedStore
 {
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -3,6 +3,7 @@
 #include "base/json.h"
 #include "gateway/gateway.h"
 #include "platform/headers.h"
+#include "platform/names.h"
 #include "platform/orderclient.h"
 #include "platform/records.h"
 #include "platform/storeclient.h"
@@ -16,6 +17,7 @@
 #include <asio/write.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <string>
@@ -192,6 +194,22 @@
                         "the gateway knows all endpoints");
     }
 
+    /// An endpoint ends a request if the memory that it uses there or elsewhere is freed.
+    void endRequestsWhoseMemoryLapses()
+    {
+        const auto end = [this](const std::string &ticket) {
+            for (const auto &head : endpoints) {
+                for (const EndpointStandin::Run &run : head->runs) {
+                    const std::string *helpers = run.request.headers.find(platform::kHelpers);
+                    if (helpers && helpers->find(ticket) != std::string::npos)
+                        run.connection->abort();
+                }
+            }
+        };
+        for (const auto &endpoint : endpoints)
+            endpoint->onLapse = end;
+    }
+
     unsigned arrivals() const
     {
         unsigned count = 0;
@@ -382,6 +400,46 @@
     }
 }
 
+// Guards against the end of a request whose memory lapses because a holder pauses, and against
+// memory that stays reserved after its request.
+TEST(GatewayPath, silenceOfAHolderNeitherEndsItsRequestNorKeepsItsMemory)
+{
+    struct Case
+    {
+        unsigned event;      ///< The last one that the caller has before the silence.
+        Millis afterRenewal; ///< From the renewal of the lease to the silence; 0 for at once.
+    };
+    const Case cases[]
+            = {{1, Millis(300)}, {1, Millis(480)}, {EndpointStandin::kStreamEvents, Millis(0)}};
+    constexpr Millis kSilence{1500};
+    constexpr Millis kDeadline{8000};
+    constexpr Millis kFreeBound{4000}; // Of the users' rules, from the end of the request.
+    for (int i = 0; i < 2; ++i)
+        addEndpoint("small").eventGap = Millis(500);
+    endRequestsWhoseMemoryLapses();
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 1}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    waitForEndpoints();
+    for (const Case &row : cases) {
+        const std::string text = fmt::format("{} {}", row.event, row.afterRenewal.count());
+        const auto answer = sendRequest("split", "key", kDeadline);
+        const std::string begun = fmt::format("id: {}\n", row.event);
+        CHECK_TRUE(runUntil([&] { return answer->body.find(begun) != std::string::npos; }));
+        EndpointStandin &holder = *endpoints[endpoints[0]->leases.empty() ? 1 : 0];
+        LONGS_EQUAL_TEXT(1, holder.leases.size(), text.c_str());
+        const unsigned before = holder.arrivals;
+        CHECK_TRUE(runUntil(
+                [&] { return row.afterRenewal == Millis(0) || holder.arrivals > before; }));
+        runUntil([] { return false; }, row.afterRenewal);
+        holder.fallSilent(kSilence);
+        CHECK_TRUE_TEXT(runUntil([&] { return answer->ended; }), text.c_str());
+        CHECK_TRUE_TEXT(answer->complete, text.c_str());
+        STRCMP_EQUAL_TEXT(allEvents().c_str(), answer->body.c_str(), text.c_str());
+        CHECK_TRUE_TEXT(runUntil([&] { return holder.leases.empty(); }, kFreeBound), text.c_str());
+    }
+}
+
 TEST(GatewayPath, silentEndpointGoesOnWhenTheOneThatTookOverFails)
 {
     struct Case
