Do not repeat renewals that an endpoint has turned away

An endpoint that answers an order with 503 and Retry-After wants nothing for that time. The daemon went on renewing the memory of a running request there every 0.55 s: three orders in a quiet time of 2.5 s, of which the users allow two.

Cause: the outcome of a renewal was ignored.

Change: after a renewal that was turned away, one more is sent, at the end of the quiet time or 0.2 s before the lease ends, whichever is earlier, and then none until the quiet time has ended. With the release these are two orders. Renewals that the endpoint carries out go on, also after it said that it leaves or turned away a request: they belong to a request that it has taken, which it would otherwise cut off.

Ruled out: no order at all, which ends every request whose memory is there, although a quiet time shorter than the lease costs it nothing.

--- a/src/gateway/reservation.cpp
+++ b/src/gateway/reservation.cpp
@@ -13,6 +13,8 @@
 constexpr Millis kRenewalInterval{350};
 // Time between renewals while the last one is not confirmed.
 constexpr Millis kRepeatInterval{550};
+// A renewal that an endpoint turned away is repeated this long before the lease ends.
+constexpr Millis kLastRenewalMargin{200};
 // The request waits for the answers to the first orders; another endpoint may answer at once.
 constexpr Millis kReserveTimeout{400};
 // Renewals and releases stay open while the lease may run, because a silent endpoint carries out
@@ -27,7 +29,11 @@
 TimePoint nextRenewal(const LeaseFacts &facts)
 {
     const bool confirmed = facts.lastConfirmed == facts.lastSent;
-    return facts.lastSent + (confirmed ? kRenewalInterval : kRepeatInterval);
+    const TimePoint regular = facts.lastSent + (confirmed ? kRenewalInterval : kRepeatInterval);
+    if (facts.quietUntil <= regular)
+        return regular;
+    const TimePoint last = facts.lastConfirmed + kLeaseDuration - kLastRenewalMargin;
+    return last > facts.lastSent ? std::min(last, facts.quietUntil) : facts.quietUntil;
 }
 
 Reservation::Reservation(asio::io_context &context, const OrderCalls &orders, std::string ticket,
@@ -71,6 +77,8 @@
                         LeaseFacts &facts = lease.facts;
                         if (reply.outcome == OrderOutcome::Done)
                             facts.lastConfirmed = std::max(facts.lastConfirmed, sentAt);
+                        if (reply.statement.quietFor)
+                            facts.quietUntil = steadyNow() + *reply.statement.quietFor;
                         scheduleRenewal(lease);
                         done(reply.outcome);
                     });
--- a/src/gateway/reservation.h
+++ b/src/gateway/reservation.h
@@ -34,6 +34,7 @@
 {
     TimePoint lastSent{};      ///< When the last order that reserves or renews was sent.
     TimePoint lastConfirmed{}; ///< When the last such order that was carried out was sent.
+    TimePoint quietUntil{};    ///< The endpoint turned a renewal away and wants none until then.
 };
 
 /// Time of the next renewal.
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -586,6 +586,32 @@
     STRCMP_EQUAL("release 10.0.0.2 t", recorded.calls.back().c_str());
 }
 
+TEST(Reservation, renewsOftenButNotWhereItWasTurnedAway)
+{
+    struct Case
+    {
+        const char *name;
+        Millis confirmed; ///< When the last confirmed order was sent.
+        Millis sent;      ///< When the last order was sent.
+        Millis quietUntil;
+        Millis next;
+    };
+    const Case cases[] = {
+            {"confirmed", Millis(1000), Millis(1000), Millis(0), Millis(1350)},
+            {"not confirmed", Millis(1000), Millis(1350), Millis(0), Millis(1900)},
+            {"turned away for a moment", Millis(1000), Millis(1350), Millis(1800), Millis(1900)},
+            {"for less than the lease", Millis(1000), Millis(1350), Millis(2500), Millis(2500)},
+            {"for longer", Millis(1000), Millis(1350), Millis(9000), Millis(2700)},
+            {"again, at the end of the lease", Millis(1000), Millis(2700), Millis(9000),
+             Millis(9000)},
+    };
+    for (const Case &row : cases) {
+        const LeaseFacts facts{kStart + row.sent, kStart + row.confirmed, kStart + row.quietUntil};
+        const auto next = std::chrono::duration_cast<Millis>(nextRenewal(facts) - kStart);
+        LONGS_EQUAL_TEXT(row.next.count(), next.count(), row.name);
+    }
+}
+
 namespace {
 
 /// An endpoint with one lease that falls silent once, some time after it was renewed. Orders that
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -548,6 +548,59 @@
     }
 }
 
+// Guards against the end of a running request because its orders stop, against new work at the
+// endpoint that holds its memory, and against orders that the endpoint has turned away and gets
+// again and again.
+TEST(GatewayPath, endpointsThatLeaveOrWantNothingGetOnlyTheOrdersOfRunningRequests)
+{
+    struct Case
+    {
+        Millis quiet; ///< 0 for an endpoint that leaves.
+        bool completes;
+    };
+    const Case cases[] = {{Millis(1000), true}, {Millis(2000), false}, {Millis(0), true}};
+    constexpr Millis kDeadline{8000};
+    constexpr Millis kQuietSlack{500}; // The users' rules allow two requests after this time.
+    for (int i = 0; i < 2; ++i)
+        addEndpoint("small").eventGap = Millis(600);
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 1}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    waitForEndpoints();
+    endRequestsWhoseMemoryLapses();
+    for (const Case &row : cases) {
+        const std::string text = fmt::format("quiet {}", row.quiet.count());
+        const auto answer = sendRequest("split", "key", kDeadline);
+        CHECK_TRUE_TEXT(runUntil([&] { return !answer->body.empty(); }), text.c_str());
+        EndpointStandin &holder = *endpoints[endpoints[0]->leases.empty() ? 1 : 0];
+        const std::string ticket = holder.leases.begin()->first;
+        const std::size_t before = holder.log.size();
+        if (row.quiet > Millis(0))
+            holder.quietFor = row.quiet;
+        else
+            holder.leaving = true;
+        CHECK_TRUE_TEXT(runUntil([&] { return holder.log.size() > before; }), text.c_str());
+        const TimePoint said = steadyNow();
+        const auto refused = sendRequest("split", "key", Millis(400));
+        CHECK_TRUE_TEXT(runUntil([&] { return refused->ended; }), text.c_str());
+        LONGS_EQUAL_TEXT(503, refused->status, text.c_str());
+        runUntil([&] { return steadyNow() > said + row.quiet; }, row.quiet);
+        holder.quietFor.reset();
+        CHECK_TRUE_TEXT(runUntil([&] { return answer->ended; }), text.c_str());
+        CHECK_EQUAL_TEXT(row.completes, answer->complete, text.c_str());
+        CHECK_TRUE_TEXT(runUntil([&] { return holder.leases.empty(); }), text.c_str());
+        const auto unwanted = std::ranges::count_if(holder.log, [&](const auto &arrival) {
+            return arrival.at > said + kQuietSlack && arrival.at < said + row.quiet;
+        });
+        CHECK_TRUE_TEXT(unwanted <= 2, fmt::format("{}: {}", text, unwanted).c_str());
+        const std::string &last = holder.runs.back().request.body;
+        CHECK_TRUE_TEXT(!row.completes || last.find("release") != std::string::npos, last.c_str());
+        CHECK_TRUE_TEXT(last.find(ticket) != std::string::npos, last.c_str());
+        // Lets suspensions of endpoints end, and the time that the last refusal stated.
+        runUntil([] { return false; }, row.quiet + Millis(600));
+    }
+}
+
 // Guards against requests to an endpoint that wants none for some time, and against callers that
 // wait although it is known that no endpoint will take their request in time.
 TEST(GatewayPath, anEndpointThatAsksForQuietGetsNothingUntilItsTimeEnds)
