Let the second case of answersToOrdersCountAsStatementsToo reach its endpoints

The case of endpoints that want nothing passed without an order: the endpoints had the ids and start times of those that had left in the case before, so the daemon still took them for leaving ones. With a check that orders arrive the test failed: "quiet, arrivals() > 0 failed". Each case now has instances of its own, and that check stays.

--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -533,13 +533,18 @@
         endpoints.clear();
         for (int i = 0; i < 2; ++i) {
             EndpointStandin &endpoint = addEndpoint("small");
+            // Statements of one instance do not count for the next.
+            writeRecord(endpoint, "small", "ready", 0, leaving ? 5 : 6);
             endpoint.leaving = leaving;
             if (!leaving)
                 endpoint.quietFor = Millis(5000);
         }
         publishConfig();
         waitForEndpoints();
+        CHECK_TRUE(runUntil(
+                [&] { return gateway->dump().find("\"accepts\":false") == std::string::npos; }));
         LONGS_EQUAL(503, sendRequestAndWait("split")->status);
+        CHECK_TRUE_TEXT(arrivals() > 0, leaving ? "leaving" : "quiet");
         for (const auto &endpoint : endpoints) {
             for (const EndpointStandin::Run &run : endpoint->runs)
                 STRCMP_EQUAL("POST", run.request.method.c_str());
