Test renewals at a silent holder that accepts no connections

With renewals given up after 0.4 s no test failed: one of them was always under way when a silence of 1.5 s ended. A holder that accepts no connection while it is silent can carry out the first one only, which has a connection.

--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -614,6 +614,8 @@
 
 namespace {
 
+constexpr Millis kConnectTimeout{150};
+
 /// An endpoint with one lease that falls silent once, some time after it was renewed. Orders that
 /// arrive during the silence are carried out at its end, unless they have been given up.
 struct PausingHolder
@@ -621,7 +623,9 @@
     asio::io_context &context;
     Millis silentAfterRenewal;
     Millis silence;
+    bool accepts; ///< New connections during the silence; only the first order needs none.
     int orders = 0;
+    int waiting = 0;
     TimePoint silentFrom{};
     TimePoint leaseEnd{};
     bool lapsed = false;
@@ -636,8 +640,12 @@
             if (++orders == 2)
                 silentFrom = now + silentAfterRenewal;
             const bool waits = orders > 2 && now >= silentFrom && now < silentFrom + silence;
-            const TimePoint carriedOut = waits ? silentFrom + silence : now;
-            const TimePoint answered = std::min(carriedOut, now + timeout);
+            const bool lost = waits && ++waiting > 1 && !accepts;
+            const TimePoint carriedOut = lost    ? TimePoint::max()
+                                         : waits ? silentFrom + silence
+                                                 : now;
+            const TimePoint answered
+                    = std::min(carriedOut, now + (lost ? kConnectTimeout : timeout));
             auto timer = std::make_shared<asio::steady_timer>(context, answered);
             timer->async_wait([this, timer, lease, carriedOut, answered,
                                done = std::move(done)](const asio::error_code &) {
@@ -674,8 +682,9 @@
         std::unique_ptr<Reservation> reservation;
     };
     std::vector<std::unique_ptr<Run>> runs;
-    for (Millis phase{0}; phase <= kLongestInterval; phase += kStep) {
-        runs.push_back(std::make_unique<Run>(Run{{context, phase, kSilence}, {}, {}}));
+    for (int i = 0; i <= 2 * (kLongestInterval / kStep); ++i) {
+        runs.push_back(
+                std::make_unique<Run>(Run{{context, i / 2 * kStep, kSilence, i % 2 == 0}, {}, {}}));
         Run &run = *runs.back();
         run.calls = run.holder.functions();
         run.reservation = std::make_unique<Reservation>(
@@ -684,9 +693,10 @@
     }
     context.run_for(kRunTime);
     for (const auto &run : runs) {
-        const std::string text
-                = fmt::format("silent {} ms after a renewal, {} orders",
-                              run->holder.silentAfterRenewal.count(), run->holder.orders);
+        const std::string text = fmt::format("silent {} ms after a renewal, {}, {} orders",
+                                             run->holder.silentAfterRenewal.count(),
+                                             run->holder.accepts ? "accepts" : "does not accept",
+                                             run->holder.orders);
         CHECK_FALSE_TEXT(run->holder.lapsed, text.c_str());
         CHECK_TRUE_TEXT(run->holder.leaseEnd > steadyNow(), text.c_str());
         CHECK_TRUE_TEXT(run->holder.orders <= kMostOrders, text.c_str());
