--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -613,7 +613,7 @@
 {
     auto reservation = std::make_unique<Reservation>(context, orders, "t", targets);
     asio::steady_timer first(context);
-    first.expires_after(Millis(500));
+    first.expires_after(Millis(300));
     first.async_wait([&](const asio::error_code &) { reservation.reset(); });
     reservation->acquire([](bool) {});
     context.poll();
@@ -623,6 +623,124 @@
     STRCMP_EQUAL("release 10.0.0.2 t", recorded.calls.back().c_str());
 }
 
+TEST(Reservation, renewsOftenButNotWhereItWasTurnedAway)
+{
+    struct Case
+    {
+        const char *name;
+        Millis confirmed; ///< When the last confirmed order was sent.
+        Millis sent;      ///< When the last order was sent.
+        Millis quietUntil;
+        Millis next;
+    };
+    const Case cases[] = {
+            {"confirmed", Millis(1000), Millis(1000), Millis(0), Millis(1350)},
+            {"not confirmed", Millis(1000), Millis(1350), Millis(0), Millis(1900)},
+            {"turned away for a moment", Millis(1000), Millis(1350), Millis(1800), Millis(1900)},
+            {"for less than the lease", Millis(1000), Millis(1350), Millis(2500), Millis(2500)},
+            {"for longer", Millis(1000), Millis(1350), Millis(9000), Millis(2700)},
+            {"again, at the end of the lease", Millis(1000), Millis(2700), Millis(9000),
+             Millis(9000)},
+    };
+    for (const Case &row : cases) {
+        const LeaseFacts facts{kStart + row.sent, kStart + row.confirmed, kStart + row.quietUntil};
+        const auto next = std::chrono::duration_cast<Millis>(nextRenewal(facts) - kStart);
+        LONGS_EQUAL_TEXT(row.next.count(), next.count(), row.name);
+    }
+}
+
+namespace {
+
+constexpr Millis kConnectTimeout{150};
+
+/// An endpoint with one lease that falls silent once, some time after it was renewed. Orders that
+/// arrive during the silence are carried out at its end, unless they have been given up.
+struct PausingHolder
+{
+    asio::io_context &context;
+    Millis silentAfterRenewal;
+    Millis silence;
+    bool accepts; ///< New connections during the silence; only the first order needs none.
+    int orders = 0;
+    int waiting = 0;
+    TimePoint silentFrom{};
+    TimePoint leaseEnd{};
+    bool lapsed = false;
+
+    OrderCalls functions()
+    {
+        OrderCalls calls;
+        calls.reserve = [this](const Address &, const std::string &, const std::string &,
+                               std::uint64_t, Millis lease, Millis timeout,
+                               std::function<void(const OrderReply &)> done) {
+            const TimePoint now = steadyNow();
+            if (++orders == 2)
+                silentFrom = now + silentAfterRenewal;
+            const bool waits = orders > 2 && now >= silentFrom && now < silentFrom + silence;
+            const bool lost = waits && ++waiting > 1 && !accepts;
+            const TimePoint carriedOut = lost    ? TimePoint::max()
+                                         : waits ? silentFrom + silence
+                                                 : now;
+            const TimePoint answered
+                    = std::min(carriedOut, now + (lost ? kConnectTimeout : timeout));
+            auto timer = std::make_shared<asio::steady_timer>(context, answered);
+            timer->async_wait([this, timer, lease, carriedOut, answered,
+                               done = std::move(done)](const asio::error_code &) {
+                if (answered < carriedOut) {
+                    done({OrderOutcome::Unknown, {}});
+                    return;
+                }
+                lapsed = lapsed || (leaseEnd != TimePoint() && carriedOut > leaseEnd);
+                leaseEnd = std::max(leaseEnd, carriedOut + lease);
+                done({OrderOutcome::Done, {}});
+            });
+        };
+        calls.release = [](const Address &, const std::string &, const std::string &, Millis,
+                           const std::function<void(const OrderReply &)> &) {};
+        return calls;
+    }
+};
+
+} // namespace
+
+// Guards against the end of a request whose memory lapses because a holder pauses, whatever the
+// time between the last renewal and the pause.
+TEST(Reservation, leaseOutlastsASilenceOfItsHolder)
+{
+    constexpr Millis kSilence{1500};
+    constexpr Millis kStep{25};
+    constexpr Millis kLongestInterval{600};
+    constexpr Millis kRunTime{5000};
+    constexpr int kMostOrders = 16;
+    struct Run
+    {
+        PausingHolder holder;
+        OrderCalls calls;
+        std::unique_ptr<Reservation> reservation;
+    };
+    std::vector<std::unique_ptr<Run>> runs;
+    for (int i = 0; i <= 2 * (kLongestInterval / kStep); ++i) {
+        runs.push_back(
+                std::make_unique<Run>(Run{{context, i / 2 * kStep, kSilence, i % 2 == 0}, {}, {}}));
+        Run &run = *runs.back();
+        run.calls = run.holder.functions();
+        run.reservation = std::make_unique<Reservation>(
+                context, run.calls, "t", std::vector<ReservationTarget>{targets.front()});
+        run.reservation->acquire([](bool held) { CHECK_TRUE(held); });
+    }
+    context.run_for(kRunTime);
+    for (const auto &run : runs) {
+        const std::string text = fmt::format("silent {} ms after a renewal, {}, {} orders",
+                                             run->holder.silentAfterRenewal.count(),
+                                             run->holder.accepts ? "accepts" : "does not accept",
+                                             run->holder.orders);
+        CHECK_FALSE_TEXT(run->holder.lapsed, text.c_str());
+        CHECK_TRUE_TEXT(run->holder.leaseEnd > steadyNow(), text.c_str());
+        CHECK_TRUE_TEXT(run->holder.orders <= kMostOrders, text.c_str());
+    }
+    runs.clear();
+}
+
 namespace {
 
 /// A store with one topic whose answers the test gives by hand.
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -3,6 +3,7 @@
 #include "base/json.h"
 #include "gateway/gateway.h"
 #include "platform/headers.h"
+#include "platform/names.h"
 #include "platform/orderclient.h"
 #include "platform/records.h"
 #include "platform/storeclient.h"
@@ -16,6 +17,7 @@
 #include <asio/write.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <string>
@@ -194,6 +196,22 @@
                         "the gateway knows all endpoints");
     }
 
+    /// An endpoint ends a request if the memory that it uses there or elsewhere is freed.
+    void endRequestsWhoseMemoryLapses()
+    {
+        const auto end = [this](const std::string &ticket) {
+            for (const auto &head : endpoints) {
+                for (const EndpointStandin::Run &run : head->runs) {
+                    const std::string *helpers = run.request.headers.find(platform::kHelpers);
+                    if (helpers && helpers->find(ticket) != std::string::npos)
+                        run.connection->abort();
+                }
+            }
+        };
+        for (const auto &endpoint : endpoints)
+            endpoint->onLapse = end;
+    }
+
     unsigned arrivals() const
     {
         unsigned count = 0;
@@ -422,6 +440,46 @@
     }
 }
 
+// Guards against the end of a request whose memory lapses because a holder pauses, and against
+// memory that stays reserved after its request.
+TEST(GatewayPath, silenceOfAHolderNeitherEndsItsRequestNorKeepsItsMemory)
+{
+    struct Case
+    {
+        unsigned event;      ///< The last one that the caller has before the silence.
+        Millis afterRenewal; ///< From the renewal of the lease to the silence; 0 for at once.
+    };
+    const Case cases[]
+            = {{1, Millis(300)}, {1, Millis(480)}, {EndpointStandin::kStreamEvents, Millis(0)}};
+    constexpr Millis kSilence{1500};
+    constexpr Millis kDeadline{8000};
+    constexpr Millis kFreeBound{4000}; // Of the users' rules, from the end of the request.
+    for (int i = 0; i < 2; ++i)
+        addEndpoint("small").eventGap = Millis(500);
+    endRequestsWhoseMemoryLapses();
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 1}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    waitForEndpoints();
+    for (const Case &row : cases) {
+        const std::string text = fmt::format("{} {}", row.event, row.afterRenewal.count());
+        const auto answer = sendRequest("split", "key", kDeadline);
+        const std::string begun = fmt::format("id: {}\n", row.event);
+        CHECK_TRUE(runUntil([&] { return answer->body.find(begun) != std::string::npos; }));
+        EndpointStandin &holder = *endpoints[endpoints[0]->leases.empty() ? 1 : 0];
+        LONGS_EQUAL_TEXT(1, holder.leases.size(), text.c_str());
+        const unsigned before = holder.arrivals;
+        CHECK_TRUE(runUntil(
+                [&] { return row.afterRenewal == Millis(0) || holder.arrivals > before; }));
+        runUntil([] { return false; }, row.afterRenewal);
+        holder.fallSilent(kSilence);
+        CHECK_TRUE_TEXT(runUntil([&] { return answer->ended; }), text.c_str());
+        CHECK_TRUE_TEXT(answer->complete, text.c_str());
+        STRCMP_EQUAL_TEXT(allEvents().c_str(), answer->body.c_str(), text.c_str());
+        CHECK_TRUE_TEXT(runUntil([&] { return holder.leases.empty(); }, kFreeBound), text.c_str());
+    }
+}
+
 TEST(GatewayPath, silentEndpointGoesOnWhenTheOneThatTookOverFails)
 {
     struct Case
@@ -515,13 +573,18 @@
         endpoints.clear();
         for (int i = 0; i < 2; ++i) {
             EndpointStandin &endpoint = addEndpoint("small");
+            // Statements of one instance do not count for the next.
+            writeRecord(endpoint, "small", "ready", 0, leaving ? 5 : 6);
             endpoint.leaving = leaving;
             if (!leaving)
                 endpoint.quietFor = Millis(5000);
         }
         publishConfig();
         waitForEndpoints();
+        CHECK_TRUE(runUntil(
+                [&] { return gateway->dump().find("\"accepts\":false") == std::string::npos; }));
         LONGS_EQUAL(503, sendRequestAndWait("split")->status);
+        CHECK_TRUE_TEXT(arrivals() > 0, leaving ? "leaving" : "quiet");
         for (const auto &endpoint : endpoints) {
             for (const EndpointStandin::Run &run : endpoint->runs)
                 STRCMP_EQUAL("POST", run.request.method.c_str());
@@ -530,6 +593,59 @@
     }
 }
 
+// Guards against the end of a running request because its orders stop, against new work at the
+// endpoint that holds its memory, and against orders that the endpoint has turned away and gets
+// again and again.
+TEST(GatewayPath, endpointsThatLeaveOrWantNothingGetOnlyTheOrdersOfRunningRequests)
+{
+    struct Case
+    {
+        Millis quiet; ///< 0 for an endpoint that leaves.
+        bool completes;
+    };
+    const Case cases[] = {{Millis(1000), true}, {Millis(2000), false}, {Millis(0), true}};
+    constexpr Millis kDeadline{8000};
+    constexpr Millis kQuietSlack{500}; // The users' rules allow two requests after this time.
+    for (int i = 0; i < 2; ++i)
+        addEndpoint("small").eventGap = Millis(600);
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 1}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    waitForEndpoints();
+    endRequestsWhoseMemoryLapses();
+    for (const Case &row : cases) {
+        const std::string text = fmt::format("quiet {}", row.quiet.count());
+        const auto answer = sendRequest("split", "key", kDeadline);
+        CHECK_TRUE_TEXT(runUntil([&] { return !answer->body.empty(); }), text.c_str());
+        EndpointStandin &holder = *endpoints[endpoints[0]->leases.empty() ? 1 : 0];
+        const std::string ticket = holder.leases.begin()->first;
+        const std::size_t before = holder.log.size();
+        if (row.quiet > Millis(0))
+            holder.quietFor = row.quiet;
+        else
+            holder.leaving = true;
+        CHECK_TRUE_TEXT(runUntil([&] { return holder.log.size() > before; }), text.c_str());
+        const TimePoint said = steadyNow();
+        const auto refused = sendRequest("split", "key", Millis(400));
+        CHECK_TRUE_TEXT(runUntil([&] { return refused->ended; }), text.c_str());
+        LONGS_EQUAL_TEXT(503, refused->status, text.c_str());
+        runUntil([&] { return steadyNow() > said + row.quiet; }, row.quiet);
+        holder.quietFor.reset();
+        CHECK_TRUE_TEXT(runUntil([&] { return answer->ended; }), text.c_str());
+        CHECK_EQUAL_TEXT(row.completes, answer->complete, text.c_str());
+        CHECK_TRUE_TEXT(runUntil([&] { return holder.leases.empty(); }), text.c_str());
+        const auto unwanted = std::ranges::count_if(holder.log, [&](const auto &arrival) {
+            return arrival.at > said + kQuietSlack && arrival.at < said + row.quiet;
+        });
+        CHECK_TRUE_TEXT(unwanted <= 2, fmt::format("{}: {}", text, unwanted).c_str());
+        const std::string &last = holder.runs.back().request.body;
+        CHECK_TRUE_TEXT(!row.completes || last.find("release") != std::string::npos, last.c_str());
+        CHECK_TRUE_TEXT(last.find(ticket) != std::string::npos, last.c_str());
+        // Lets suspensions of endpoints end, and the time that the last refusal stated.
+        runUntil([] { return false; }, row.quiet + Millis(600));
+    }
+}
+
 // Guards against requests to an endpoint that wants none for some time, and against callers that
 // wait although it is known that no endpoint will take their request in time.
 TEST(GatewayPath, anEndpointThatAsksForQuietGetsNothingUntilItsTimeEnds)
