Report endpoints as current in a new era when peers have told them

Operators saw: store_topic_current of a daemon that learns from peers up to a minute after store_era_changed, as if it had used the old state until then.

Cause: the follower of a topic logs the event after its own read of the new era, which such a daemon spreads over 60 s to spare the store. By then it has long taken over the state of the readers.

Change: the event is logged as well when the endpoints equal those of a peer that has read the new era (its position has that era, its digest is the same, and neither awaits records that may return). The field source says which. No call of the store is added; the test's bound on calls is unchanged.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,10 +37,6 @@
 
 namespace cicadafork::gateway {
 
-// Sources of state, in the log.
-inline constexpr const char *kFromStore = "store";
-inline constexpr const char *kFromPeer = "peer";
-
 class Gateway
 {
 public:
--- a/src/gateway/gatewaypeersync.cpp
+++ b/src/gateway/gatewaypeersync.cpp
@@ -145,6 +145,10 @@
         newestPeerPosition_ = peer.endpointsPosition;
         storeOutage_.notePeerRead(now);
     }
+    const bool sharesState = !peer.endpointsIncomplete && unconfirmedEndpoints_.empty()
+                             && peer.endpointsDigest == endpoints_.digest();
+    if (sharesState && peer.endpointsPosition.era == storeEra_.known())
+        endpointFollower_.notePeerState(peer.endpointsPosition);
     const bool newerConfig = peer.configVersion > configs_.newest();
     const bool otherEndpoints = !peer.endpointsIncomplete
                                 && peer.endpointsPosition > endpointsPosition()
--- a/src/gateway/topicfollower.cpp
+++ b/src/gateway/topicfollower.cpp
@@ -121,6 +121,12 @@
     after(std::chrono::ceil<Millis>(next - now), &TopicFollower::continueReading);
 }
 
+void TopicFollower::notePeerState(const StorePosition &position)
+{
+    if (position.era > position_.era)
+        reportCurrent(position.era, kFromPeer);
+}
+
 void TopicFollower::pause()
 {
     paused_ = true;
@@ -195,14 +201,7 @@
     position_ = std::max(position_, firstPageEnd_);
     bootstrapped_ = true;
     canReadOn_ = true;
-    if (startedOverAt_ != TimePoint()) {
-        const auto took = std::chrono::duration_cast<Millis>(steadyNow() - startedOverAt_);
-        logEvent(LogLevel::Info, "store_topic_current",
-                 {{"topic", options_.topic},
-                  {"era", std::to_string(position_.era)},
-                  {"took_ms", std::to_string(took.count())}});
-        startedOverAt_ = {};
-    }
+    reportCurrent(position_.era, kFromStore);
     hooks_.snapshot(std::move(collected_));
     collected_.clear();
     // A store that states no era may have come back older: its end is behind the position, and it
@@ -257,6 +256,19 @@
     after(randomMillis(delay.shortest, delay.longest), step);
 }
 
+void TopicFollower::reportCurrent(std::uint64_t era, const char *source)
+{
+    if (startedOverAt_ == TimePoint())
+        return;
+    const auto took = std::chrono::duration_cast<Millis>(steadyNow() - startedOverAt_);
+    logEvent(LogLevel::Info, "store_topic_current",
+             {{"topic", options_.topic},
+              {"era", std::to_string(era)},
+              {"source", source},
+              {"took_ms", std::to_string(took.count())}});
+    startedOverAt_ = {};
+}
+
 void TopicFollower::noteContact(bool reached)
 {
     calling_ = false;
--- a/src/gateway/topicfollower.h
+++ b/src/gateway/topicfollower.h
@@ -25,6 +25,10 @@
 
 namespace cicadafork::gateway {
 
+// Sources of state, in the log.
+inline constexpr const char *kFromStore = "store";
+inline constexpr const char *kFromPeer = "peer";
+
 struct FollowerOptions
 {
     std::string topic;
@@ -79,6 +83,9 @@
     /// progress and reads the newest record of every key after a random time up to the limit, or
     /// when the next call is due if that is earlier. Until then position() stays what it was.
     void startOver(Millis limit);
+    /// What this daemon knows equals what a peer knows at that position. In a new era the topic is
+    /// current then, which is reported; the read that startOver() has scheduled is still made.
+    void notePeerState(const StorePosition &position);
     /// Next offset to read, with the era in which it is valid; zero before the first snapshot.
     StorePosition position() const { return position_; }
     /// When the last answered call ended.
@@ -97,6 +104,8 @@
     void onRead(StoreFailure failure, StorePage page);
     void after(Millis delay, void (TopicFollower::*step)());
     void retry(void (TopicFollower::*step)());
+    /// Ends the time since startOver().
+    void reportCurrent(std::uint64_t era, const char *source);
     void noteContact(bool reached);
 
     const StoreCalls &calls_;
@@ -110,7 +119,7 @@
     unsigned failures_ = 0;
     bool bootstrapped_ = false; ///< A snapshot has been delivered.
     bool canReadOn_ = false;    ///< The position is valid, so no snapshot is needed.
-    TimePoint startedOverAt_{}; ///< Of the last startOver() until its snapshot; unset otherwise.
+    TimePoint startedOverAt_{}; ///< Of the last startOver() until current again; unset otherwise.
     bool paused_ = false;
     bool calling_ = false; ///< A call is in progress.
     TimePoint lastContact_{};
--- a/tests/unit/gatewaypeers_test.cpp
+++ b/tests/unit/gatewaypeers_test.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace cicadafork;
@@ -138,6 +139,8 @@
 
     void teardown() override
     {
+        setLogLevel(LogLevel::Error);
+        setLogSink(nullptr);
         daemons.clear();
         setLogLevel(LogLevel::Info);
     }
@@ -428,12 +431,19 @@
 }
 
 // Guards against a fleet that reads everything again at once, and against standbys that wait for a
-// read of their own.
+// read of their own, or report that they are current only after it.
 TEST(GatewayPeers, aNewEraCostsFewCallsAndReachesTheStandbys)
 {
     constexpr unsigned kDaemons = 12;
     putEndpoint(1);
     start(kDaemons);
+    unsigned reports = 0;
+    setLogLevel(LogLevel::Info);
+    setLogSink([&](std::string_view line) {
+        const bool reported = line.find("store_topic_current") != std::string_view::npos
+                              && line.find(kEndpointsTopic) != std::string_view::npos;
+        reports += reported ? 1 : 0;
+    });
     store.callsByTopic.clear();
     store.restoreCopy(Millis(0));
     const auto allCurrent = [&] {
@@ -441,7 +451,10 @@
                 daemons, [&](const auto &daemon) { return daemon->state()["store"]["era"] == 2; });
     };
     CHECK_TRUE(runUntil(allCurrent, kConfigInForce));
+    CHECK_TRUE_TEXT(runUntil([&] { return reports == kDaemons; }, kConfigInForce),
+                    fmt::format("{} daemons report that they are current", reports).c_str());
     serveFor(Millis(300));
+    LONGS_EQUAL_TEXT(kDaemons, reports, "once each");
     // If every daemon read both topics again, that alone would take as many calls.
     CHECK_TRUE(store.callsByTopic[kConfigTopic] + store.callsByTopic[kEndpointsTopic]
                < 2 * kDaemons);
