Test a reset at each point of an exchange with an endpoint

answersAResetAtEachPointOfAnExchangeWithAnEndpoint resets the connection before the request is read, within it, after it, in the answer's head, in its body and in a stream, on new and on used connections, for each kind of route. Unsafe requests are answered 502 and run at most once; safe ones and resumable streams give the whole answer.

--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -9,6 +9,7 @@
 #include "support/eventually.h"
 #include "support/network.h"
 #include "support/platformstandin.h"
+#include "support/resettinglink.h"
 
 #include <CppUTest/TestHarness.h>
 #include <asio/read.hpp>
@@ -18,6 +19,7 @@
 
 #include <array>
 #include <functional>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -130,12 +132,14 @@
     }
 
     void writeRecord(const EndpointStandin &endpoint, const std::string &service,
-                     const std::string &state, unsigned revision = 0, int bornMs = 5)
+                     const std::string &state, unsigned revision = 0, int bornMs = 5,
+                     const std::optional<Address> &address = std::nullopt)
     {
         store.put("keyed.servers", endpoint.id,
                   fmt::format(R"({{"service":"{}","address":"{}","zone":"east","slots":4,
                       "state":"{}","seq":{},"born":{}}})",
-                              service, toString(endpoint.address), state, revision, bornMs));
+                              service, toString(address.value_or(endpoint.address)), state,
+                              revision, bornMs));
     }
 
     void publishConfig()
@@ -298,6 +302,77 @@
     }
 }
 
+// Guards against a second run of a request that may run only once, and against its caller being
+// told that it has not run, when the connection to the endpoint is reset; others go on.
+TEST(GatewayPath, answersAResetAtEachPointOfAnExchangeWithAnEndpoint)
+{
+    const ResetPoint before;
+    const ResetPoint inRequest{.after = "Request-Id: "};
+    const ResetPoint afterRequest{.inAnswer = true, .after = ""};
+    const ResetPoint inHead{.inAnswer = true, .after = "HTTP/1.1 2"};
+    const ResetPoint inBody{.inAnswer = true, .after = "answer "};
+    const ResetPoint inStream{.inAnswer = true, .after = "id: 3\nda"};
+    struct Case
+    {
+        const char *name;
+        const char *route;
+        ResetPoint point;
+        int status;
+        bool complete = true;
+    };
+    const Case cases[] = {
+            {"safe, before the request is read", "safe", before, 200},
+            {"safe, within the request", "safe", inRequest, 200},
+            {"safe, after the request", "safe", afterRequest, 200},
+            {"safe, within the head", "safe", inHead, 200},
+            {"safe, within the body", "safe", inBody, 200},
+            {"once, before the request is read", "once", before, 502},
+            {"once, within the request", "once", inRequest, 502},
+            {"once, after the request", "once", afterRequest, 502},
+            {"once, within the head", "once", inHead, 502},
+            {"once, within the body", "once", inBody, 502},
+            {"stream, before the request is read", "stream", before, 200},
+            {"stream, after the request", "stream", afterRequest, 200},
+            {"stream, within the head", "stream", inHead, 200},
+            {"stream, within an event", "stream", inStream, 200},
+            {"fixed stream, after the request", "fixed", afterRequest, 502},
+            {"fixed stream, within an event", "fixed", inStream, 200, false},
+    };
+    std::vector<std::unique_ptr<ResettingLink>> links;
+    for (const char *service : {"plain", "pool"}) {
+        const Address address = addresses.next();
+        const EndpointStandin &endpoint = addEndpoint(service);
+        links.push_back(std::make_unique<ResettingLink>(context, address, endpoint.address));
+        writeRecord(endpoint, service, "ready", 1, 5, address);
+    }
+    publishConfig();
+    for (const Case &row : cases) {
+        const bool streams
+                = std::string(row.route) == "stream" || std::string(row.route) == "fixed";
+        for (const bool reusesConnection : {false, true}) {
+            const std::string text
+                    = fmt::format("{}, {} connection", row.name, reusesConnection ? "used" : "new");
+            pool.closeIdle(links[streams ? 1 : 0]->address());
+            if (reusesConnection)
+                LONGS_EQUAL_TEXT(200, sendRequestAndWait(row.route)->status, text.c_str());
+            const std::size_t runsBefore = runs();
+            ResettingLink &link = *links[streams ? 1 : 0];
+            link.resetAt(row.point);
+            const auto answer = sendRequestAndWait(row.route);
+            CHECK_TRUE_TEXT(link.hasReset(), text.c_str());
+            LONGS_EQUAL_TEXT(row.status, answer->status, text.c_str());
+            CHECK_EQUAL_TEXT(row.complete, answer->complete, text.c_str());
+            if (row.status == 502 || !row.complete)
+                CHECK_TRUE_TEXT(runs() <= runsBefore + 1, text.c_str());
+            if (row.status == 200 && row.complete) {
+                const std::string expected
+                        = streams ? allEvents() : fmt::format("answer of r{}", requests);
+                STRCMP_EQUAL_TEXT(expected.c_str(), answer->body.c_str(), text.c_str());
+            }
+        }
+    }
+}
+
 TEST(GatewayPath, checksKeysAndRoutesAndAppliesConfigurationChanges)
 {
     addEndpoint("plain");
