Test a reset at each point of a call to the store

aResetAtEachPointOfACallDelaysNoChange resets one of the first connections of a starting daemon and one that is open when the configuration changes: before the request is read, within it, after it, in the answer's head and before its body.

--- a/tests/unit/gatewaypeers_test.cpp
+++ b/tests/unit/gatewaypeers_test.cpp
@@ -9,6 +9,7 @@
 #include "support/eventually.h"
 #include "support/network.h"
 #include "support/platformstandin.h"
+#include "support/resettinglink.h"
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
@@ -17,6 +18,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 using namespace cicadafork;
@@ -32,6 +34,7 @@
 constexpr unsigned kReaders = 2;
 constexpr const char *kConfigTopic = "keyed.op";
 constexpr const char *kEndpointsTopic = "keyed.servers";
+constexpr const char *kMembersTopic = "keyed.gateways";
 
 std::string configText(unsigned version, unsigned routes)
 {
@@ -287,6 +290,34 @@
     CHECK_TRUE(runUntil([&] { return allHaveConfig(2); }, kConfigInForce));
 }
 
+// Guards against a change that is missed, and a member that others can't find, because a connection
+// to the store was reset.
+TEST(GatewayPeers, aResetAtEachPointOfACallDelaysNoChange)
+{
+    const std::pair<const char *, ResetPoint> cases[] = {
+            {"before the request is read", {.inAnswer = false, .after = ""}},
+            {"within the request", {.inAnswer = false, .after = " HTTP/1.1"}},
+            {"after the request", {.inAnswer = true, .after = ""}},
+            {"within the head", {.inAnswer = true, .after = "HTTP/1.1 2"}},
+            {"before the body", {.inAnswer = true, .after = "\r\n\r\n"}},
+    };
+    const Address linkAddress = addresses.next();
+    ResettingLink link(context, linkAddress, std::exchange(storeAddress, linkAddress));
+    for (const auto &[name, point] : cases) {
+        daemons.clear();
+        store.put(kMembersTopic, "front-1", std::nullopt);
+        link.resetAt(point);
+        start(1);
+        CHECK_TRUE_TEXT(link.hasReset(), name);
+        CHECK_TRUE_TEXT(runUntil([&] { return store.value(kMembersTopic, "front-1").has_value(); }),
+                        name);
+        link.resetAt(point);
+        store.put(kConfigTopic, "config", configText(2, 201));
+        CHECK_TRUE_TEXT(runUntil([&] { return allHaveConfig(2); }, kConfigInForce), name);
+        CHECK_TRUE_TEXT(runUntil([&] { return link.hasReset(); }), name);
+    }
+}
+
 // Guards against a daemon that waits for updates from peers that it no longer hears.
 TEST(GatewayPeers, isolatedDaemonReadsTheStoreItself)
 {
