--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,10 +37,6 @@
 
 namespace cicadafork::gateway {
 
-// Sources of state, in the log.
-inline constexpr const char *kFromStore = "store";
-inline constexpr const char *kFromPeer = "peer";
-
 class Gateway
 {
 public:
@@ -286,6 +282,7 @@
     std::vector<std::uint64_t> waiting_;
     asio::steady_timer dispatchTimer_;
     bool dispatchScheduled_ = false;
+    std::string lastDispatchedService_; ///< Of the request that was tried last.
     asio::steady_timer loadReportTimer_;
     unsigned loadReportRound_ = 0;
 
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -10,6 +10,7 @@
 #include "support/eventually.h"
 #include "support/network.h"
 #include "support/platformstandin.h"
+#include "support/resettinglink.h"
 
 #include <CppUTest/TestHarness.h>
 #include <asio/read.hpp>
@@ -20,6 +21,7 @@
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -133,13 +135,14 @@
 
     void writeRecord(const EndpointStandin &endpoint, const std::string &service,
                      const std::string &state, unsigned revision = 0, int bornMs = 5,
+                     const std::optional<Address> &address = std::nullopt,
                      const std::string &failureDomain = "east")
     {
         store.put("keyed.servers", endpoint.id,
                   fmt::format(R"({{"service":"{}","address":"{}","zone":"{}","slots":4,
                       "state":"{}","seq":{},"born":{}}})",
-                              service, toString(endpoint.address), failureDomain, state, revision,
-                              bornMs));
+                              service, toString(address.value_or(endpoint.address)), failureDomain,
+                              state, revision, bornMs));
     }
 
     void publishConfig()
@@ -318,6 +321,77 @@
     }
 }
 
+// Guards against a second run of a request that may run only once, and against its caller being
+// told that it has not run, when the connection to the endpoint is reset; others go on.
+TEST(GatewayPath, answersAResetAtEachPointOfAnExchangeWithAnEndpoint)
+{
+    const ResetPoint before;
+    const ResetPoint inRequest{.after = "Request-Id: "};
+    const ResetPoint afterRequest{.inAnswer = true, .after = ""};
+    const ResetPoint inHead{.inAnswer = true, .after = "HTTP/1.1 2"};
+    const ResetPoint inBody{.inAnswer = true, .after = "answer "};
+    const ResetPoint inStream{.inAnswer = true, .after = "id: 3\nda"};
+    struct Case
+    {
+        const char *name;
+        const char *route;
+        ResetPoint point;
+        int status;
+        bool complete = true;
+    };
+    const Case cases[] = {
+            {"safe, before the request is read", "safe", before, 200},
+            {"safe, within the request", "safe", inRequest, 200},
+            {"safe, after the request", "safe", afterRequest, 200},
+            {"safe, within the head", "safe", inHead, 200},
+            {"safe, within the body", "safe", inBody, 200},
+            {"once, before the request is read", "once", before, 502},
+            {"once, within the request", "once", inRequest, 502},
+            {"once, after the request", "once", afterRequest, 502},
+            {"once, within the head", "once", inHead, 502},
+            {"once, within the body", "once", inBody, 502},
+            {"stream, before the request is read", "stream", before, 200},
+            {"stream, after the request", "stream", afterRequest, 200},
+            {"stream, within the head", "stream", inHead, 200},
+            {"stream, within an event", "stream", inStream, 200},
+            {"fixed stream, after the request", "fixed", afterRequest, 502},
+            {"fixed stream, within an event", "fixed", inStream, 200, false},
+    };
+    std::vector<std::unique_ptr<ResettingLink>> links;
+    for (const char *service : {"plain", "pool"}) {
+        const Address address = addresses.next();
+        const EndpointStandin &endpoint = addEndpoint(service);
+        links.push_back(std::make_unique<ResettingLink>(context, address, endpoint.address));
+        writeRecord(endpoint, service, "ready", 1, 5, address);
+    }
+    publishConfig();
+    for (const Case &row : cases) {
+        const bool streams
+                = std::string(row.route) == "stream" || std::string(row.route) == "fixed";
+        for (const bool reusesConnection : {false, true}) {
+            const std::string text
+                    = fmt::format("{}, {} connection", row.name, reusesConnection ? "used" : "new");
+            pool.closeIdle(links[streams ? 1 : 0]->address());
+            if (reusesConnection)
+                LONGS_EQUAL_TEXT(200, sendRequestAndWait(row.route)->status, text.c_str());
+            const std::size_t runsBefore = runs();
+            ResettingLink &link = *links[streams ? 1 : 0];
+            link.resetAt(row.point);
+            const auto answer = sendRequestAndWait(row.route);
+            CHECK_TRUE_TEXT(link.hasReset(), text.c_str());
+            LONGS_EQUAL_TEXT(row.status, answer->status, text.c_str());
+            CHECK_EQUAL_TEXT(row.complete, answer->complete, text.c_str());
+            if (row.status == 502 || !row.complete)
+                CHECK_TRUE_TEXT(runs() <= runsBefore + 1, text.c_str());
+            if (row.status == 200 && row.complete) {
+                const std::string expected
+                        = streams ? allEvents() : fmt::format("answer of r{}", requests);
+                STRCMP_EQUAL_TEXT(expected.c_str(), answer->body.c_str(), text.c_str());
+            }
+        }
+    }
+}
+
 TEST(GatewayPath, checksKeysAndRoutesAndAppliesConfigurationChanges)
 {
     addEndpoint("plain");
@@ -359,7 +433,7 @@
 {
     constexpr Millis kEvacuated{5000};
     for (const char *domain : {"west", "east"})
-        writeRecord(addEndpoint("plain"), "plain", "ready", 1, 5, domain);
+        writeRecord(addEndpoint("plain"), "plain", "ready", 1, 5, std::nullopt, domain);
     publishConfig();
     const auto sendTen = [&] {
         for (int i = 0; i < 10; ++i)
@@ -933,12 +1007,14 @@
     CHECK_TRUE_TEXT(took < kPatience, fmt::format("{} ms", took.count()).c_str());
 }
 
-TEST(GatewayPath, waitingRequestsOfAServiceWithoutEndpointsDoNotHoldUpThoseOfOthers)
+TEST(GatewayPath, waitingRequestsOfOneServiceDoNotHoldUpThoseOfOthers)
 {
     constexpr Millis kObjective{300};
     constexpr Millis kDeadline{8000};
-    constexpr int kWaiting = 30;
+    constexpr unsigned kSlots = 4;
+    constexpr unsigned kWaiting = 30;
     addEndpoint("pool");
+    EndpointStandin &full = addEndpoint("full");
     const std::string engine = R"("engine":{"slots":4,"kvCapacity":450000,"stride":4,"step_ms":1,
                "read_per_s":256000,"pairs_per_m":0.09})";
     const auto route = [&](const char *name, const char *service, int priority) {
@@ -947,22 +1023,34 @@
                 "resumable":true,"gapGoalMs":200,"priority":{4}}})",
                            name, service, kDeadline.count(), kObjective.count(), priority);
     };
-    store.put("keyed.op", "config",
-              fmt::format(R"({{"version":3,"routes":[{},{}],"services":[{{"name":"pool",{}}},
-               {{"name":"empty",{}}}],"tenants":[{{"name":"ws","apiKeys":["key"]}}]}})",
-                          route("stream", "pool", 1), route("fixed", "empty", 0), engine, engine));
-    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
-    std::vector<std::unique_ptr<Answer>> waiting;
-    for (int i = 0; i < kWaiting; ++i)
-        waiting.push_back(sendRequest("fixed", "key", kDeadline));
-    const std::string all = fmt::format("\"waiting\":{}", kWaiting);
-    CHECK_TRUE(runUntil([&] { return gateway->dump().find(all) != std::string::npos; }));
-    const TimePoint sent = steadyNow();
-    const auto answer = sendRequest("stream", "key", kDeadline);
-    CHECK_TRUE(runUntil([&] { return answer->ended; }));
-    const auto took = std::chrono::duration_cast<Millis>(steadyNow() - sent);
-    LONGS_EQUAL(200, answer->status);
-    CHECK_TRUE_TEXT(took < kObjective, fmt::format("{} ms", took.count()).c_str());
+    unsigned version = 2;
+    for (const char *other : {"empty", "full"}) {
+        store.put(
+                "keyed.op", "config",
+                fmt::format(R"({{"version":{0},"routes":[{1},{2}],"services":[{{"name":"pool",{4}}},
+                   {{"name":"{3}",{4}}}],"tenants":[{{"name":"ws","apiKeys":["key"]}}]}})",
+                            ++version, route("stream", "pool", 1), route("fixed", other, 0), other,
+                            engine));
+        const std::string inForce = fmt::format("\"config_version\":{}", version);
+        CHECK_TRUE(runUntil([&] { return gateway->dump().find(inForce) != std::string::npos; }));
+        waitForEndpoints();
+        full.fallSilent(kDeadline);
+        std::vector<std::unique_ptr<Answer>> others;
+        for (unsigned i = 0; i < kWaiting + (other == std::string("full") ? kSlots : 0); ++i)
+            others.push_back(sendRequest("fixed", "key", kDeadline));
+        const std::string all = fmt::format("\"waiting\":{}", kWaiting);
+        CHECK_TRUE_TEXT(runUntil([&] { return gateway->dump().find(all) != std::string::npos; }),
+                        other);
+        const TimePoint sent = steadyNow();
+        const auto answer = sendRequest("stream", "key", kDeadline);
+        CHECK_TRUE_TEXT(runUntil([&] { return answer->ended; }), other);
+        const auto took = std::chrono::duration_cast<Millis>(steadyNow() - sent);
+        LONGS_EQUAL_TEXT(200, answer->status, other);
+        CHECK_TRUE_TEXT(took < kObjective, fmt::format("{}: {} ms", other, took.count()).c_str());
+        callerCalls.clear();
+        const std::string none = "\"requests\":0";
+        CHECK_TRUE(runUntil([&] { return gateway->dump().find(none) != std::string::npos; }));
+    }
 }
 
 // Guards against ending a request that may run only once because its endpoint pauses while the
--- a/tests/unit/gatewaypeers_test.cpp
+++ b/tests/unit/gatewaypeers_test.cpp
@@ -9,6 +9,7 @@
 #include "support/eventually.h"
 #include "support/network.h"
 #include "support/platformstandin.h"
+#include "support/resettinglink.h"
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
@@ -16,6 +17,8 @@
 #include <algorithm>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 using namespace cicadafork;
@@ -31,6 +34,7 @@
 constexpr unsigned kReaders = 2;
 constexpr const char *kConfigTopic = "keyed.op";
 constexpr const char *kEndpointsTopic = "keyed.servers";
+constexpr const char *kMembersTopic = "keyed.gateways";
 
 std::string configText(unsigned version, unsigned routes)
 {
@@ -138,6 +142,8 @@
 
     void teardown() override
     {
+        setLogLevel(LogLevel::Error);
+        setLogSink(nullptr);
         daemons.clear();
         setLogLevel(LogLevel::Info);
     }
@@ -303,6 +309,34 @@
     CHECK_TRUE(runUntil([&] { return allHaveConfig(2); }, kConfigInForce));
 }
 
+// Guards against a change that is missed, and a member that others can't find, because a connection
+// to the store was reset.
+TEST(GatewayPeers, aResetAtEachPointOfACallDelaysNoChange)
+{
+    const std::pair<const char *, ResetPoint> cases[] = {
+            {"before the request is read", {.inAnswer = false, .after = ""}},
+            {"within the request", {.inAnswer = false, .after = " HTTP/1.1"}},
+            {"after the request", {.inAnswer = true, .after = ""}},
+            {"within the head", {.inAnswer = true, .after = "HTTP/1.1 2"}},
+            {"before the body", {.inAnswer = true, .after = "\r\n\r\n"}},
+    };
+    const Address linkAddress = addresses.next();
+    ResettingLink link(context, linkAddress, std::exchange(storeAddress, linkAddress));
+    for (const auto &[name, point] : cases) {
+        daemons.clear();
+        store.put(kMembersTopic, "front-1", std::nullopt);
+        link.resetAt(point);
+        start(1);
+        CHECK_TRUE_TEXT(link.hasReset(), name);
+        CHECK_TRUE_TEXT(runUntil([&] { return store.value(kMembersTopic, "front-1").has_value(); }),
+                        name);
+        link.resetAt(point);
+        store.put(kConfigTopic, "config", configText(2, 201));
+        CHECK_TRUE_TEXT(runUntil([&] { return allHaveConfig(2); }, kConfigInForce), name);
+        CHECK_TRUE_TEXT(runUntil([&] { return link.hasReset(); }), name);
+    }
+}
+
 // Guards against a daemon that waits for updates from peers that it no longer hears.
 TEST(GatewayPeers, isolatedDaemonReadsTheStoreItself)
 {
@@ -447,12 +481,19 @@
 }
 
 // Guards against a fleet that reads everything again at once, and against standbys that wait for a
-// read of their own.
+// read of their own, or report that they are current only after it.
 TEST(GatewayPeers, aNewEraCostsFewCallsAndReachesTheStandbys)
 {
     constexpr unsigned kDaemons = 12;
     putEndpoint(1);
     start(kDaemons);
+    unsigned reports = 0;
+    setLogLevel(LogLevel::Info);
+    setLogSink([&](std::string_view line) {
+        const bool reported = line.find("store_topic_current") != std::string_view::npos
+                              && line.find(kEndpointsTopic) != std::string_view::npos;
+        reports += reported ? 1 : 0;
+    });
     store.callsByTopic.clear();
     store.restoreCopy(Millis(0));
     const auto allCurrent = [&] {
@@ -460,7 +501,10 @@
                 daemons, [&](const auto &daemon) { return daemon->state()["store"]["era"] == 2; });
     };
     CHECK_TRUE(runUntil(allCurrent, kConfigInForce));
+    CHECK_TRUE_TEXT(runUntil([&] { return reports == kDaemons; }, kConfigInForce),
+                    fmt::format("{} daemons report that they are current", reports).c_str());
     serveFor(Millis(300));
+    LONGS_EQUAL_TEXT(kDaemons, reports, "once each");
     // If every daemon read both topics again, that alone would take as many calls.
     CHECK_TRUE(store.callsByTopic[kConfigTopic] + store.callsByTopic[kEndpointsTopic]
                < 2 * kDaemons);
