Let a broken stream go on at an endpoint that would be late

Callers saw a stream broken off 2.5 s or more after its endpoint had failed or fallen silent, though another endpoint could take it.

Cause: the placement of a stream that is resumed counted the whole objective from now, at every try. A request that can still meet its objective waits for an endpoint that would be on time; so a stream whose prompt takes longer to read than the objective, but not longer than the objective when divided, waited until the end of its wait and was cut. That of a silent endpoint was never moved.

Change: the objective of a resumed stream counts from its last event.

--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -87,9 +87,9 @@
     request.answerTokens = exchange.fields.answerHint.value_or(exchange.fields.maxAnswerTokens);
     request.maxEventGap = exchange.route.maxEventGap;
     request.untilObjective = exchange.objective - now;
-    // A resumed stream gets the full objective again, as if it had just arrived.
+    // A resumed stream gets the full objective again, as if it had arrived with its last event.
     if (exchange.state == ExchangeState::Relaying)
-        request.untilObjective = FloatMillis(exchange.route.objective);
+        request.untilObjective = exchange.lastEventAt + exchange.route.objective - now;
     request.untilDeadline = exchange.deadline - now;
     return request;
 }
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -145,7 +145,8 @@
     }
 
     std::unique_ptr<Answer> sendRequest(const std::string &route, const std::string &key = "key",
-                                        Millis deadline = Millis(1200))
+                                        Millis deadline = Millis(1200),
+                                        const char *tokens = "1000,24")
     {
         auto answer = std::make_unique<Answer>();
         HeaderList headers;
@@ -154,7 +155,7 @@
         headers.add("Authorization", "Token " + key);
         headers.add("Deadline-Ms", std::to_string(deadline.count()));
         if (route == "stream" || route == "fixed" || route == "split")
-            headers.add("Token-Count", "1000,24");
+            headers.add("Token-Count", tokens);
         Answer &target = *answer;
         callerCalls.push_back(callerPool.call(
                 settings.callers,
@@ -686,6 +687,31 @@
     CHECK_TRUE_TEXT(took < kPatience, fmt::format("{} ms", took.count()).c_str());
 }
 
+// Guards against a broken stream that waits until it is cut for an endpoint that would be on time.
+TEST(GatewayPath, brokenStreamGoesOnAtAnEndpointThatWouldBeLate)
+{
+    constexpr Millis kDeadline{12'000};
+    for (int i = 0; i < 2; ++i)
+        addEndpoint("pool").script = {EndpointBehaviour::BreaksStream};
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 2}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    waitForEndpoints();
+    // Takes more than a second to read, with an objective of 300 ms.
+    const auto answer = sendRequest("stream", "key", kDeadline, "140000,24");
+    CHECK_TRUE(runUntil([&] {
+        for (const auto &endpoint : endpoints) {
+            if (endpoint->script.empty()) {
+                for (const auto &other : endpoints)
+                    other->script.clear();
+            }
+        }
+        return answer->ended;
+    }));
+    CHECK_TRUE(answer->complete);
+    STRCMP_EQUAL(allEvents().c_str(), answer->body.c_str());
+}
+
 TEST(GatewayPath, silentEndpointGetsARequestOnlyOnce)
 {
     constexpr Millis kDeadline{4000};
