Look for a silent endpoint as soon as the first event has arrived

Callers saw a stream that stopped after its first events go on later than needed, or left it: 2 s are all that they wait.

Cause: the timer of a request was armed for the silence that is allowed before the first event, which includes twice the expected time of that event, and was not armed anew when the event came early.

silenceWithinAStreamIsFoundWhateverItsFirstEventWasExpectedToTake failed (went on after 4,130 ms, with an expected first event of 1,436 ms that came at once) and passes (less than 2,000 ms).

--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -233,8 +233,9 @@
             beginRelay(exchange);
         if (id)
             exchange.lastEventId = id;
-        if (exchange.eventsRelayed == 0 || !loadTracker_.find(attempt.job)
-            || !loadTracker_.find(attempt.job)->started)
+        const Job *job = loadTracker_.find(attempt.job);
+        const bool first = exchange.eventsRelayed == 0 || !job || !job->started;
+        if (first)
             noteFirstAnswer(exchange);
         const TimePoint now = steadyNow();
         if (exchange.eventsRelayed > 0)
@@ -242,6 +243,8 @@
                     = std::max(exchange.longestGap, FloatMillis(now - exchange.lastEventAt));
         exchange.lastEventAt = now;
         ++exchange.eventsRelayed;
+        if (first)
+            armTimer(exchange); // The limit of a silence is lower from now on.
         exchange.caller->write(event);
         if (!exchange.attempt)
             return; // The caller has disconnected.
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -712,6 +712,33 @@
     STRCMP_EQUAL(allEvents().c_str(), answer->body.c_str());
 }
 
+// Guards against a stream whose endpoint falls silent after an early first event, and which goes on
+// elsewhere only once the first event is overdue.
+TEST(GatewayPath, silenceWithinAStreamIsFoundWhateverItsFirstEventWasExpectedToTake)
+{
+    // Callers give up on a stream after a gap of two seconds.
+    constexpr Millis kPatience{2000};
+    constexpr Millis kDeadline{12'000};
+    for (int i = 0; i < 2; ++i)
+        addEndpoint("pool").eventGap = Millis(20);
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 2}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    waitForEndpoints();
+    // The first event is expected after more than a second.
+    const auto answer = sendRequest("stream", "key", kDeadline, "140000,24");
+    CHECK_TRUE(runUntil([&] { return answer->body.find("id: 2\n") != std::string::npos; }));
+    const TimePoint silent = steadyNow();
+    for (const auto &endpoint : endpoints) {
+        if (!endpoint->runs.empty())
+            endpoint->fallSilent(kDeadline);
+    }
+    CHECK_TRUE(runUntil([&] { return answer->ended; }, kDeadline));
+    STRCMP_EQUAL(allEvents().c_str(), answer->body.c_str());
+    const auto took = std::chrono::duration_cast<Millis>(steadyNow() - silent);
+    CHECK_TRUE_TEXT(took < kPatience, fmt::format("{} ms", took.count()).c_str());
+}
+
 TEST(GatewayPath, silentEndpointGetsARequestOnlyOnce)
 {
     constexpr Millis kDeadline{4000};
