Show the state of a daemon whatever bytes its requests are named with

A caller whose Request-Id is not UTF-8 made the daemon end, with all its requests, when an operator read /debug/dump meanwhile: the JSON library throws on such text. It is now shown with replacement characters.

stateCanBeShownWhateverACallerNamesItsRequest ended the test program (type_error.316) and passes.

--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -483,7 +483,8 @@
                  {"sends", exchange->sendCount},
                  {"events", exchange->eventsRelayed}});
     }
-    return json.dump();
+    // Callers may name their requests with bytes that are not UTF-8.
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace cicadafork::gateway
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -88,6 +88,7 @@
     std::unique_ptr<Gateway> gateway;
     std::vector<std::unique_ptr<UpstreamCall>> callerCalls;
     int requests = 0;
+    std::string requestPrefix = "r";
 
     void setup() override
     {
@@ -151,7 +152,7 @@
         auto answer = std::make_unique<Answer>();
         HeaderList headers;
         headers.add("Host", "h");
-        headers.add("Request-Id", fmt::format("r{}", ++requests));
+        headers.add("Request-Id", fmt::format("{}{}", requestPrefix, ++requests));
         headers.add("Authorization", "Token " + key);
         headers.add("Deadline-Ms", std::to_string(deadline.count()));
         if (route == "stream" || route == "fixed" || route == "split")
@@ -932,6 +933,17 @@
     CHECK_TRUE(answered);
 }
 
+// Guards against a daemon that ends when an operator looks at it.
+TEST(GatewayPath, stateCanBeShownWhateverACallerNamesItsRequest)
+{
+    addEndpoint("plain").fallSilent(kWaitLimit);
+    publishConfig();
+    requestPrefix = "\xff";
+    const auto answer = sendRequest("once");
+    const std::string inProgress = "\"requests\":1";
+    CHECK_TRUE(runUntil([&] { return gateway->dump().find(inProgress) != std::string::npos; }));
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
