Use a new connection if the kept one has ended before anything was sent

A call that may run only once was answered 502 as if it might have run, if its endpoint had closed the kept connection and the daemon had not yet noticed; others used up one of their attempts and of the shared budget.

Cause: the end of a connection before the answer counted as no answer, whether or not a byte of the request had been written. The end may be found between the choice of the connection and the first write, or by that write.

Change: if nothing was written, a call on a kept connection connects anew, and one on a new connection ends as not sent.

Upstream.callOnAConnectionThatTheServerHasResetUsesANewOne failed (the call ended) and passes.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -62,7 +62,8 @@
         written_ = 0;
         inCall_ = true;
         parser_.reset();
-        if (socket_.is_open()) {
+        reused_ = socket_.is_open();
+        if (reused_) {
             // Posted, because handlers must not run before UpstreamPool::call() has returned.
             asio::post(pool_.context_, [self = shared_from_this()] { self->send(); });
             return number;
@@ -131,7 +132,7 @@
 
     void send()
     {
-        if (!inCall_)
+        if (!inCall_ || !connected_)
             return;
         armRead();
         // Other write errors are ignored here: the server may have responded before it closed the
@@ -196,9 +197,27 @@
                 return;
             }
         }
+        if (written_ == 0) {
+            onNothingSent();
+            return;
+        }
         end(headAccepted_ ? UpstreamOutcome::Broken : UpstreamOutcome::NoAnswer);
     }
 
+    void onNothingSent()
+    {
+        if (!reused_) {
+            end(UpstreamOutcome::NotSent);
+            return;
+        }
+        // The server has closed an idle connection.
+        asio::error_code ignored;
+        socket_.close(ignored);
+        reused_ = false;
+        connected_ = false;
+        connect();
+    }
+
     void onBytes(std::string_view bytes)
     {
         const auto self = shared_from_this();
@@ -288,6 +307,7 @@
     Millis idleLimit_;
     TimePoint idleSince_{};
     bool connected_ = false;
+    bool reused_ = false; ///< The call began on a connection that had been idle.
     bool inCall_ = false;
     bool readArmed_ = false;
     bool paused_ = false;
