Do not handle the next request of a caller that has left

A pipelined request could be sent to an endpoint after its caller had closed the connection, and nothing cancelled it: the answer to the request before it posted the next step, which did not look whether the connection was still open.

NetServer.requestsOfACallerThatHasLeftAreNotHandled failed (2 requests handled instead of 1) and passes.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -100,6 +100,9 @@
 
 void HttpServerConnection::consume()
 {
+    // The caller may have left since this was posted.
+    if (!socket_.is_open())
+        return;
     if (handlingRequest_) {
         if (input_.size() < kMaxBufferedBytes)
             armRead();
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -196,6 +196,31 @@
     }
 }
 
+// Guards against requests that run although nobody can be told of them.
+TEST(NetServer, requestsOfACallerThatHasLeftAreNotHandled)
+{
+    int handled = 0;
+    std::shared_ptr<HttpServerConnection> first;
+    const Address other = addresses.next();
+    AsyncHttpServer held(context, {.address = other}, [&](const auto &caller, const HttpRequest &) {
+        ++handled;
+        first = caller;
+    });
+    CHECK_TRUE(static_cast<bool>(capture([&] { return held.start(); })));
+    callers.emplace_back(context);
+    callers[0].connect({asio::ip::make_address_v4(other.ip), other.port});
+    asio::write(callers[0], asio::buffer(std::string(kRequest) + std::string(kRequest)));
+    CHECK_TRUE(eventually(context, kWaitLimit, [&] { return handled == 1; }));
+    eventually(context, Millis(20), [] { return false; });
+    callers[0].set_option(asio::socket_base::linger(true, 0));
+    callers[0].close();
+    std::this_thread::sleep_for(Millis(20));
+    first->respond(200, {}, body); // Finds that the connection is reset.
+    eventually(context, Millis(50), [] { return false; });
+    LONGS_EQUAL(1, handled);
+    first.reset();
+}
+
 TEST(NetServer, idleTimeoutDoesNotCutAnAnswerThatIsReadSlowly)
 {
     body.assign(24 * 1024 * 1024, 'x');
