Apply changed limits to the next request of a kept connection

After a change of the configuration that raises the limits of requests, callers got 413 or 431 on the connections that they had kept: each connection used the limits that were in force when it was accepted.

NetServer.changedLimitsApplyToTheNextRequestOfAConnection failed (413 instead of 200) and passes.

--- a/src/net/parser.h
+++ b/src/net/parser.h
@@ -40,6 +40,8 @@
     /// The status code with which to reject a request that failed to parse: 400, 413 or 431.
     int failureStatus() const { return failureStatus_; }
     bool started() const { return started_; }
+    /// For the next request; must not be called once a request has started.
+    void setLimits(RequestLimits limits) { limits_ = limits; }
     /// The head is complete and the caller expects "100 Continue" before it sends the body.
     bool awaitsContinue() const { return awaitsContinue_; }
     void continueSent() { awaitsContinue_ = false; }
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -111,6 +111,7 @@
     if (!input_.empty() && !closing_) {
         if (!parser_.started()) {
             requestStart_ = steadyNow();
+            parser_.setLimits(server_.options_.limits);
             armTimer(server_.options_.headerTimeout);
         }
         const std::size_t used = parser_.feed(input_);
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -147,8 +147,8 @@
     /// Stops listening and aborts all connections.
     void closeAll();
 
-    /// Changes the options. `limits` applies to new connections only, a longer timeout to all at
-    /// once, and a shorter one to all the next time that it is started.
+    /// Changes the options. `limits` applies to the next request of each connection, a longer
+    /// timeout to all at once, and a shorter one to all the next time that it is started.
     void setLimits(RequestLimits limits, Millis headerTimeout, Millis idleTimeout);
     std::size_t connections() const { return connections_.size(); }
     /// Connections with response bytes that are not yet written to the socket.
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -221,6 +221,27 @@
     first.reset();
 }
 
+// Guards against kept connections on which the limits of an older configuration stay in force.
+TEST(NetServer, changedLimitsApplyToTheNextRequestOfAConnection)
+{
+    const auto statusOf = [&](const std::string &request) {
+        asio::write(callers[0], asio::buffer(request));
+        CHECK_TRUE(eventually(context, kWaitLimit, [&] { return callers[0].available() > 0; }));
+        std::string answer(callers[0].available(), '\0');
+        asio::read(callers[0], asio::buffer(answer));
+        return answer.substr(0, 12);
+    };
+    const std::string large = fmt::format(
+            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n{}", std::string(2000, 'x'));
+    server->setLimits({.maxBodyBytes = 1000}, kWaitLimit, kWaitLimit);
+    connect();
+    STRCMP_EQUAL("HTTP/1.1 200", statusOf(std::string(kRequest)).c_str());
+    server->setLimits({.maxBodyBytes = 3000}, kWaitLimit, kWaitLimit);
+    STRCMP_EQUAL("HTTP/1.1 200", statusOf(large).c_str());
+    server->setLimits({.maxBodyBytes = 1000}, kWaitLimit, kWaitLimit);
+    STRCMP_EQUAL("HTTP/1.1 413", statusOf(large).c_str());
+}
+
 TEST(NetServer, idleTimeoutDoesNotCutAnAnswerThatIsReadSlowly)
 {
     body.assign(24 * 1024 * 1024, 'x');
