Answer 408 to a request that does not arrive in time

A caller whose request had arrived in part when the header timeout ended saw its connection closed without an answer, and could not know that a request which may run only once had not run. 408 says so, and the connection ends as after any last answer; the counter of ended connections still shows it as incomplete_request.

NetServer.requestThatDoesNotArriveInTimeIsAnswered failed (closed, no bytes) and passes.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -166,7 +166,7 @@
 void HttpServerConnection::onTimer()
 {
     if (lingering_) {
-        close(ConnectionEnd::AfterLastAnswer);
+        close(lingerEnd_);
         return;
     }
     if (hasUnreadInput()) {
@@ -181,7 +181,13 @@
         resumeTimer(rest);
         return;
     }
-    close(parser_.started() ? ConnectionEnd::IncompleteRequest : ConnectionEnd::Idle);
+    if (!parser_.started()) {
+        close(ConnectionEnd::Idle);
+        return;
+    }
+    // The caller can repeat a request of which it is told that it has not run.
+    lingerEnd_ = ConnectionEnd::IncompleteRequest;
+    failRequest(408);
 }
 
 void HttpServerConnection::respond(int status, HeaderList headers, std::string_view body)
@@ -337,7 +343,7 @@
 {
     const auto handler = std::move(disconnectHandler_);
     disconnectHandler_ = nullptr;
-    close(lingering_ ? ConnectionEnd::AfterLastAnswer : ConnectionEnd::ByCaller);
+    close(lingering_ ? lingerEnd_ : ConnectionEnd::ByCaller);
     if (handler)
         handler();
 }
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -124,6 +124,7 @@
     bool writing_ = false;
     bool closing_ = false;   ///< Close once all output is written.
     bool lingering_ = false; ///< All output is written; waiting for the caller to close.
+    ConnectionEnd lingerEnd_ = ConnectionEnd::AfterLastAnswer;
 };
 
 class AsyncHttpServer
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -221,6 +221,33 @@
     first.reset();
 }
 
+// Guards against a close without an answer, after which a caller can't know whether it may retry.
+TEST(NetServer, requestThatDoesNotArriveInTimeIsAnswered)
+{
+    server->setLimits({}, kIdleTimeout, kIdleTimeout);
+    struct Case
+    {
+        const char *name;
+        std::string sent;
+    };
+    const Case cases[] = {
+            {"part of the head", "GET / HT"},
+            {"part of the body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc"},
+    };
+    for (const Case &row : cases) {
+        connect();
+        asio::write(callers[0], asio::buffer(row.sent));
+        CHECK_TRUE_TEXT(eventually(context, kWaitLimit,
+                                   [&] { return callers[0].available() > 0 || !server->inUse(); }),
+                        row.name);
+        std::string answer(callers[0].available(), '\0');
+        asio::read(callers[0], asio::buffer(answer));
+        CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 408 "), row.name);
+        callers.clear();
+        CHECK_TRUE(eventually(context, kWaitLimit, [&] { return server->connections() == 0; }));
+    }
+}
+
 // Guards against kept connections on which the limits of an older configuration stay in force.
 TEST(NetServer, changedLimitsApplyToTheNextRequestOfAConnection)
 {
