Refuse waiting requests before their deadline

A request that waited for an endpoint until its deadline was refused at the moment at which its caller left, so that the caller got neither an answer nor a refusal. This could happen to repeated requests, whose deadline is nearer than the end of the usual wait.

Change: the wait ends 100 ms before the deadline, as it does before a caller abandons a stream. A stream that has begun is not cut sooner.

The rows "call, deadline" and "stream, deadline" of Wait.endsBeforeTheCallerAbandonsTheStream failed and pass.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -62,17 +62,20 @@
 
 TimePoint endOfWait(const WaitFacts &facts, TimePoint now)
 {
+    const TimePoint refusal = facts.deadline - kRefusalMargin;
     if (!facts.stream)
-        return now + kMaxCallWait;
+        return std::min(now + kMaxCallWait, refusal);
     const TimePoint end = now + std::max(kMaxStreamWait, facts.objective);
     const TimePoint callerLeaves
             = facts.arrivedAt
               + std::max({kMinCallerPatience, kCallerPatienceObjectives * facts.objective,
                           kCallerPatienceGaps * facts.maxEventGap});
     // A caller that has stayed for longer may stay on.
-    if (facts.relaying || now >= callerLeaves)
+    if (facts.relaying)
         return end;
-    return std::min(end, callerLeaves - kRefusalMargin);
+    if (now >= callerLeaves)
+        return std::min(end, refusal);
+    return std::min({end, callerLeaves - kRefusalMargin, refusal});
 }
 
 std::string takeEvent(std::string &buffer)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -132,10 +132,11 @@
     Millis objective{0};
     Millis maxEventGap{0};
     TimePoint arrivedAt{};
+    TimePoint deadline = TimePoint::max();
 };
 
-/// End of the time for which a request that begins to wait now may wait for an endpoint. A stream
-/// that has not begun is refused before its caller abandons it.
+/// End of the time for which a request that begins to wait now may wait for an endpoint. A request
+/// whose answer has not begun is refused before its caller leaves.
 TimePoint endOfWait(const WaitFacts &facts, TimePoint now);
 
 /// Removes the first complete server-sent event, including its blank line, from the buffer and
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -45,7 +45,8 @@
             .relaying = exchange.state == ExchangeState::Relaying,
             .objective = exchange.route.objective,
             .maxEventGap = exchange.route.maxEventGap,
-            .arrivedAt = exchange.arrivedAt};
+            .arrivedAt = exchange.arrivedAt,
+            .deadline = exchange.deadline};
 }
 
 } // namespace
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -144,6 +144,21 @@
             {"about to leave", {true, false, kShort, kShort}, Millis(1999), {}, Millis(2000)},
             {"has stayed", {true, false, kShort, kShort}, Millis(3000), Millis(5500), kLongest},
             {"relaying", {true, true, kShort, kShort}, Millis(100), Millis(2600), kLongest},
+            {"call, deadline",
+             {.deadline = kStart + Millis(600)},
+             Millis(400),
+             Millis(500),
+             Millis(600)},
+            {"stream, deadline",
+             {true, false, Millis(600), {}, {}, kStart + Millis(1500)},
+             {},
+             Millis(1400),
+             Millis(1500)},
+            {"relaying, deadline",
+             {true, true, kShort, kShort, {}, kStart + Millis(1500)},
+             Millis(100),
+             Millis(1500),
+             kLongest},
     };
     for (const Case &row : cases) {
         WaitFacts facts = row.facts;
