Do not send a stream whose caller leaves before its first event

A caller of a long prompt got neither an answer nor a refusal, and two endpoints worked for it for 10 s: the stream was sent with an expected first event 12.7 s after its arrival, while callers leave after four times the objective, 12 s.

Cause: the latest first event was bounded by the deadline only. The end of the wait already knew when callers leave.

Change: the placement knows it too. A request that can't have its first event by then waits, and is refused at once if it can't even when divided as far as possible.

Placement.requestsWhoseCallersLeaveBeforeTheFirstEventAreNotSent failed at "leaves before it" (sent) and passes.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -60,22 +60,25 @@
     return facts.anyAttemptMayHaveRun ? Recovery::FailMayHaveRun : Recovery::RefuseNotRun;
 }
 
-TimePoint endOfWait(const WaitFacts &facts, TimePoint now)
+TimePoint callerLeavesAt(const WaitFacts &facts, TimePoint now)
 {
-    const TimePoint refusal = facts.deadline - kRefusalMargin;
-    if (!facts.stream)
-        return std::min(now + kMaxCallWait, refusal);
-    const TimePoint end = now + std::max(kMaxStreamWait, facts.objective);
-    const TimePoint callerLeaves
+    const TimePoint leaves
             = facts.arrivedAt
               + std::max({kMinCallerPatience, kCallerPatienceObjectives * facts.objective,
                           kCallerPatienceGaps * facts.maxEventGap});
     // A caller that has stayed for longer may stay on.
-    if (facts.relaying)
-        return end;
-    if (now >= callerLeaves)
-        return std::min(end, refusal);
-    return std::min({end, callerLeaves - kRefusalMargin, refusal});
+    return !facts.stream || facts.relaying || now >= leaves ? facts.deadline
+                                                            : std::min(leaves, facts.deadline);
+}
+
+TimePoint endOfWait(const WaitFacts &facts, TimePoint now)
+{
+    const TimePoint refusal = callerLeavesAt(facts, now) - kRefusalMargin;
+    if (!facts.stream)
+        return std::min(now + kMaxCallWait, refusal);
+    const TimePoint end = now + std::max(kMaxStreamWait, facts.objective);
+    // Breaking a stream off is no refusal.
+    return facts.relaying ? end : std::min(end, refusal);
 }
 
 std::string takeEvent(std::string &buffer)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -124,7 +124,7 @@
 
 Recovery recoverFrom(const FailureFacts &facts);
 
-/// Input of endOfWait(): a request for which no endpoint is free.
+/// Input of endOfWait() and callerLeavesAt(): a request for which no endpoint is free.
 struct WaitFacts
 {
     bool stream = false;
@@ -135,6 +135,9 @@
     TimePoint deadline = TimePoint::max();
 };
 
+/// When the caller leaves if nothing of the answer has reached it by then.
+TimePoint callerLeavesAt(const WaitFacts &facts, TimePoint now);
+
 /// End of the time for which a request that begins to wait now may wait for an endpoint. A request
 /// whose answer has not begun is refused before its caller leaves.
 TimePoint endOfWait(const WaitFacts &facts, TimePoint now);
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -92,6 +92,7 @@
     if (exchange.state == ExchangeState::Relaying)
         request.untilObjective = exchange.lastEventAt + exchange.route.objective - now;
     request.untilDeadline = exchange.deadline - now;
+    request.untilCallerLeaves = callerLeavesAt(waitFacts(exchange), now) - now;
     return request;
 }
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -387,16 +387,17 @@
     const FloatMillis minDecodeTime
             = kAssumedDecodeShare
               * decodeTime(engine, request.answerTokens, 1, request.promptTokens);
-    if (wholePrefill / kPartCounts.back() + minDecodeTime > request.untilDeadline) {
+    const FloatMillis latestFirstEvent
+            = std::min(request.untilDeadline - minDecodeTime, request.untilCallerLeaves);
+    if (wholePrefill / kPartCounts.back() > latestFirstEvent) {
         placement.outcome = PlacementOutcome::Reject;
-        placement.reason = "too little time is left before the deadline for prefill and decode";
+        placement.reason = "too little time is left before the caller leaves";
         return placement;
     }
     const FloatMillis earliestFirstEvent = wholePrefill / kPartCounts.back()
                                            + decodePassTime(engine, 1, request.promptTokens)
                                            + kNetworkRoundTrip;
-    const FloatMillis limits[]
-            = {kObjectiveShare * request.untilObjective, request.untilDeadline - minDecodeTime};
+    const FloatMillis limits[] = {kObjectiveShare * request.untilObjective, latestFirstEvent};
     for (const FloatMillis limit : limits) {
         const bool onTime = limit == limits[0];
         division.late = !onTime;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -45,6 +45,8 @@
     Millis maxEventGap{1000};
     FloatMillis untilObjective{0}; ///< Time left until the first event is late; can be negative.
     FloatMillis untilDeadline{0};
+    /// Time left until the caller leaves if it has no event by then.
+    FloatMillis untilCallerLeaves = FloatMillis::max();
 };
 
 enum class PlacementOutcome {
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -243,6 +243,29 @@
     CHECK_FALSE(placement.onTime);
 }
 
+// Guards against a long prefill for a caller that leaves before the first event.
+TEST(Placement, requestsWhoseCallersLeaveBeforeTheFirstEventAreNotSent)
+{
+    struct Case
+    {
+        const char *name;
+        Millis untilCallerLeaves;
+        PlacementOutcome expected;
+    };
+    const Case cases[] = {
+            {"stays for the first event", Millis(3500), PlacementOutcome::Send},
+            {"leaves before it", Millis(2500), PlacementOutcome::Wait},
+            {"leaves before it even if divided", Millis(100), PlacementOutcome::Reject},
+    };
+    for (const Case &row : cases) {
+        PlacementRequest late = longPrompt(210'000); // Read by one endpoint in 2.8 s.
+        late.untilObjective = Millis(-100);
+        late.untilCallerLeaves = row.untilCallerLeaves;
+        CHECK_TRUE_TEXT(placeStream(late, engine, idleEndpoints(1)).outcome == row.expected,
+                        row.name);
+    }
+}
+
 // A late long prompt must not occupy endpoints that other requests need to be on time.
 TEST(Placement, lateLongPrefillsUseIdleEndpointsOnly)
 {
