Send a repeatable call elsewhere when half of its time has passed in silence

A call that may be repeated ended without an answer, or with 504 at its deadline, if its endpoint was silent, though another could answer at once: the silence that is allowed, 1.2 s, is longer than the 600 ms that such callers wait.

Change: for plain calls the limit is at most half of the time that was left when the call was sent. The first attempt stays open as before, and the shared budget and the route's limit of endpoints hold as before.

--- a/src/gateway/gatewaysilence.cpp
+++ b/src/gateway/gatewaysilence.cpp
@@ -35,7 +35,12 @@
         return std::max(kSilenceTimeout, kSilenceGapFactor * exchange.route.maxEventGap);
     const auto expected = std::chrono::duration_cast<Millis>(kSilenceExpectedFactor
                                                              * exchange.attempt->expected);
-    return expected + kSilenceTimeout;
+    const Millis limit = expected + kSilenceTimeout;
+    if (exchange.route.kind == RouteKind::Stream)
+        return limit;
+    // The other half of the time is for another endpoint.
+    const TimePoint sentAt = exchange.attempt->sentAt;
+    return std::min(limit, std::chrono::duration_cast<Millis>((exchange.deadline - sentAt) / 2));
 }
 
 void Gateway::noteProgress(const Exchange &exchange, Attempt &attempt)
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -740,6 +740,28 @@
     CHECK_TRUE_TEXT(took < kPatience, fmt::format("{} ms", took.count()).c_str());
 }
 
+// Guards against a call that may be repeated and still waits for one silent endpoint until its
+// caller leaves.
+TEST(GatewayPath, repeatableCallAtASilentEndpointIsAnsweredByAnother)
+{
+    constexpr Millis kDeadline{600};
+    for (int i = 0; i < 2; ++i)
+        addEndpoint("plain");
+    publishConfig();
+    waitForEndpoints();
+    const auto answer = sendRequest("safe", "key", kDeadline);
+    const TimePoint sent = steadyNow();
+    for (const auto &endpoint : endpoints)
+        endpoint->fallSilent(2 * kDeadline);
+    runUntil([] { return false; }, Millis(50));
+    const bool atFirst = gateway->dump().find("\"endpoint\":\"i-1\"") != std::string::npos;
+    endpoints[atFirst ? 1 : 0]->fallSilent(Millis(0));
+    CHECK_TRUE(runUntil([&] { return answer->ended; }));
+    LONGS_EQUAL(200, answer->status);
+    CHECK_TRUE(steadyNow() - sent < kDeadline);
+    LONGS_EQUAL(1, runs());
+}
+
 TEST(GatewayPath, silentEndpointGetsARequestOnlyOnce)
 {
     constexpr Millis kDeadline{4000};
