--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -48,7 +48,8 @@
             .relaying = exchange.state == ExchangeState::Relaying,
             .objective = exchange.route.objective,
             .maxEventGap = exchange.route.maxEventGap,
-            .arrivedAt = exchange.arrivedAt};
+            .arrivedAt = exchange.arrivedAt,
+            .deadline = exchange.deadline};
 }
 
 } // namespace
@@ -90,10 +91,11 @@
     request.answerTokens = exchange.fields.answerHint.value_or(exchange.fields.maxAnswerTokens);
     request.maxEventGap = exchange.route.maxEventGap;
     request.untilObjective = exchange.objective - now;
-    // A resumed stream gets the full objective again, as if it had just arrived.
+    // A resumed stream gets the full objective again, as if it had arrived with its last event.
     if (exchange.state == ExchangeState::Relaying)
-        request.untilObjective = FloatMillis(exchange.route.objective);
+        request.untilObjective = exchange.lastEventAt + exchange.route.objective - now;
     request.untilDeadline = exchange.deadline - now;
+    request.untilCallerLeaves = callerLeavesAt(waitFacts(exchange), now) - now;
     return request;
 }
 
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -92,6 +92,7 @@
     std::unique_ptr<Gateway> gateway;
     std::vector<std::unique_ptr<UpstreamCall>> callerCalls;
     int requests = 0;
+    std::string requestPrefix = "r";
 
     void setup() override
     {
@@ -152,16 +153,17 @@
     }
 
     std::unique_ptr<Answer> sendRequest(const std::string &route, const std::string &key = "key",
-                                        Millis deadline = Millis(1200))
+                                        Millis deadline = Millis(1200),
+                                        const char *tokens = "1000,24")
     {
         auto answer = std::make_unique<Answer>();
         HeaderList headers;
         headers.add("Host", "h");
-        headers.add("Request-Id", fmt::format("r{}", ++requests));
+        headers.add("Request-Id", fmt::format("{}{}", requestPrefix, ++requests));
         headers.add("Authorization", "Token " + key);
         headers.add("Deadline-Ms", std::to_string(deadline.count()));
         if (route == "stream" || route == "fixed" || route == "split")
-            headers.add("Token-Count", "1000,24");
+            headers.add("Token-Count", tokens);
         Answer &target = *answer;
         callerCalls.push_back(callerPool.call(
                 settings.callers,
@@ -916,6 +918,80 @@
     CHECK_TRUE_TEXT(took < kPatience, fmt::format("{} ms", took.count()).c_str());
 }
 
+// Guards against a broken stream that waits until it is cut for an endpoint that would be on time.
+TEST(GatewayPath, brokenStreamGoesOnAtAnEndpointThatWouldBeLate)
+{
+    constexpr Millis kDeadline{12'000};
+    for (int i = 0; i < 2; ++i)
+        addEndpoint("pool").script = {EndpointBehaviour::BreaksStream};
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 2}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    waitForEndpoints();
+    // Takes more than a second to read, with an objective of 300 ms.
+    const auto answer = sendRequest("stream", "key", kDeadline, "140000,24");
+    CHECK_TRUE(runUntil([&] {
+        for (const auto &endpoint : endpoints) {
+            if (endpoint->script.empty()) {
+                for (const auto &other : endpoints)
+                    other->script.clear();
+            }
+        }
+        return answer->ended;
+    }));
+    CHECK_TRUE(answer->complete);
+    STRCMP_EQUAL(allEvents().c_str(), answer->body.c_str());
+}
+
+// Guards against a stream whose endpoint falls silent after an early first event, and which goes on
+// elsewhere only once the first event is overdue.
+TEST(GatewayPath, silenceWithinAStreamIsFoundWhateverItsFirstEventWasExpectedToTake)
+{
+    // Callers give up on a stream after a gap of two seconds.
+    constexpr Millis kPatience{2000};
+    constexpr Millis kDeadline{12'000};
+    for (int i = 0; i < 2; ++i)
+        addEndpoint("pool").eventGap = Millis(20);
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {static_cast<unsigned>(kDeadline.count()), 2}));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    waitForEndpoints();
+    // The first event is expected after more than a second.
+    const auto answer = sendRequest("stream", "key", kDeadline, "140000,24");
+    CHECK_TRUE(runUntil([&] { return answer->body.find("id: 2\n") != std::string::npos; }));
+    const TimePoint silent = steadyNow();
+    for (const auto &endpoint : endpoints) {
+        if (!endpoint->runs.empty())
+            endpoint->fallSilent(kDeadline);
+    }
+    CHECK_TRUE(runUntil([&] { return answer->ended; }, kDeadline));
+    STRCMP_EQUAL(allEvents().c_str(), answer->body.c_str());
+    const auto took = std::chrono::duration_cast<Millis>(steadyNow() - silent);
+    CHECK_TRUE_TEXT(took < kPatience, fmt::format("{} ms", took.count()).c_str());
+}
+
+// Guards against a call that may be repeated and still waits for one silent endpoint until its
+// caller leaves.
+TEST(GatewayPath, repeatableCallAtASilentEndpointIsAnsweredByAnother)
+{
+    constexpr Millis kDeadline{600};
+    for (int i = 0; i < 2; ++i)
+        addEndpoint("plain");
+    publishConfig();
+    waitForEndpoints();
+    const auto answer = sendRequest("safe", "key", kDeadline);
+    const TimePoint sent = steadyNow();
+    for (const auto &endpoint : endpoints)
+        endpoint->fallSilent(2 * kDeadline);
+    runUntil([] { return false; }, Millis(50));
+    const bool atFirst = gateway->dump().find("\"endpoint\":\"i-1\"") != std::string::npos;
+    endpoints[atFirst ? 1 : 0]->fallSilent(Millis(0));
+    CHECK_TRUE(runUntil([&] { return answer->ended; }));
+    LONGS_EQUAL(200, answer->status);
+    CHECK_TRUE(steadyNow() - sent < kDeadline);
+    LONGS_EQUAL(1, runs());
+}
+
 TEST(GatewayPath, silentEndpointGetsARequestOnlyOnce)
 {
     constexpr Millis kDeadline{4000};
@@ -1123,6 +1199,17 @@
     CHECK_TRUE(answered);
 }
 
+// Guards against a daemon that ends when an operator looks at it.
+TEST(GatewayPath, stateCanBeShownWhateverACallerNamesItsRequest)
+{
+    addEndpoint("plain").fallSilent(kWaitLimit);
+    publishConfig();
+    requestPrefix = "\xff";
+    const auto answer = sendRequest("once");
+    const std::string inProgress = "\"requests\":1";
+    CHECK_TRUE(runUntil([&] { return gateway->dump().find(inProgress) != std::string::npos; }));
+}
+
 // Guards against endpoints that keep working for a caller that has disconnected.
 TEST(GatewayPath, cancelsTheAttemptWhenTheCallerDisconnects)
 {
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -196,6 +196,79 @@
     }
 }
 
+// Guards against requests that run although nobody can be told of them.
+TEST(NetServer, requestsOfACallerThatHasLeftAreNotHandled)
+{
+    int handled = 0;
+    std::shared_ptr<HttpServerConnection> first;
+    const Address other = addresses.next();
+    AsyncHttpServer held(context, {.address = other}, [&](const auto &caller, const HttpRequest &) {
+        ++handled;
+        first = caller;
+    });
+    CHECK_TRUE(static_cast<bool>(capture([&] { return held.start(); })));
+    callers.emplace_back(context);
+    callers[0].connect({asio::ip::make_address_v4(other.ip), other.port});
+    asio::write(callers[0], asio::buffer(std::string(kRequest) + std::string(kRequest)));
+    CHECK_TRUE(eventually(context, kWaitLimit, [&] { return handled == 1; }));
+    eventually(context, Millis(20), [] { return false; });
+    callers[0].set_option(asio::socket_base::linger(true, 0));
+    callers[0].close();
+    std::this_thread::sleep_for(Millis(20));
+    first->respond(200, {}, body); // Finds that the connection is reset.
+    eventually(context, Millis(50), [] { return false; });
+    LONGS_EQUAL(1, handled);
+    first.reset();
+}
+
+// Guards against a close without an answer, after which a caller can't know whether it may retry.
+TEST(NetServer, requestThatDoesNotArriveInTimeIsAnswered)
+{
+    server->setLimits({}, kIdleTimeout, kIdleTimeout);
+    struct Case
+    {
+        const char *name;
+        std::string sent;
+    };
+    const Case cases[] = {
+            {"part of the head", "GET / HT"},
+            {"part of the body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc"},
+    };
+    for (const Case &row : cases) {
+        connect();
+        asio::write(callers[0], asio::buffer(row.sent));
+        CHECK_TRUE_TEXT(eventually(context, kWaitLimit,
+                                   [&] { return callers[0].available() > 0 || !server->inUse(); }),
+                        row.name);
+        std::string answer(callers[0].available(), '\0');
+        asio::read(callers[0], asio::buffer(answer));
+        CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 408 "), row.name);
+        callers.clear();
+        CHECK_TRUE(eventually(context, kWaitLimit, [&] { return server->connections() == 0; }));
+    }
+}
+
+// Guards against kept connections on which the limits of an older configuration stay in force.
+TEST(NetServer, changedLimitsApplyToTheNextRequestOfAConnection)
+{
+    const auto statusOf = [&](const std::string &request) {
+        asio::write(callers[0], asio::buffer(request));
+        CHECK_TRUE(eventually(context, kWaitLimit, [&] { return callers[0].available() > 0; }));
+        std::string answer(callers[0].available(), '\0');
+        asio::read(callers[0], asio::buffer(answer));
+        return answer.substr(0, 12);
+    };
+    const std::string large = fmt::format(
+            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n{}", std::string(2000, 'x'));
+    server->setLimits({.maxBodyBytes = 1000}, kWaitLimit, kWaitLimit);
+    connect();
+    STRCMP_EQUAL("HTTP/1.1 200", statusOf(std::string(kRequest)).c_str());
+    server->setLimits({.maxBodyBytes = 3000}, kWaitLimit, kWaitLimit);
+    STRCMP_EQUAL("HTTP/1.1 200", statusOf(large).c_str());
+    server->setLimits({.maxBodyBytes = 1000}, kWaitLimit, kWaitLimit);
+    STRCMP_EQUAL("HTTP/1.1 413", statusOf(large).c_str());
+}
+
 TEST(NetServer, idleTimeoutDoesNotCutAnAnswerThatIsReadSlowly)
 {
     body.assign(24 * 1024 * 1024, 'x');
