Answer a request that does not arrive in full with 408

What callers saw: a request whose head or body was not complete within the header timeout ended with a closed connection, no answer and no log line. The caller can't tell whether it ran.

Cause: the timer of a request in progress closed the connection in the same way as that of an idle one.

Change: the server answers 408 (not run, by the users' rules), with the request id if the head has arrived, and closes after the caller has had the time to read the answer. A connection that has sent nothing is still closed silently. The gateway logs and counts such answers, and those to malformed requests, as `rejected`. Input after the last answer is dropped, where it was kept without limit while that answer was unsent.

Ruled out: 408 on idle connections, which some servers send; a caller may take it for the answer to its next request.

NetServer.requestThatDoesNotArriveInFullIsAnswered before: part of the head: expected <HTTP/1.1 408 > but was <>. After: passes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -54,17 +54,19 @@
     return options;
 }
 
-ServerOptions
-callerOptions(const GatewaySettings &settings,
-              std::function<void(ConnectionEnd, std::size_t unusedBytes)> connectionEnded)
+/// Why the server of the callers answered a request that the gateway did not get.
+const char *serverAnswerReason(int status)
 {
-    ServerOptions options;
-    options.connectionEnded = std::move(connectionEnded);
-    options.address = settings.callers;
-    options.maxConnections = std::max(
-            kMinConnections,
-            settings.maxDescriptors - std::min(settings.maxDescriptors, kReservedDescriptors));
-    return options;
+    switch (status) {
+    case 408:
+        return "incomplete_request";
+    case 413:
+        return "body_too_large";
+    case 431:
+        return "head_too_large";
+    default:
+        return "malformed_request";
+    }
 }
 
 /// Answers with a status and no header fields or body.
@@ -139,11 +141,7 @@
     , departed_(kMaxEndpoints, kDepartedLifetime)
     , unconfirmedTimer_(context)
     , roleTimer_(context)
-    , callers_(context,
-               callerOptions(settings_,
-                             [this](ConnectionEnd end, std::size_t unusedBytes) {
-                                 onCallerConnectionEnded(end, unusedBytes);
-                             }),
+    , callers_(context, callerOptions(),
                [this](const auto &caller, HttpRequest request) {
                    onRequest(caller, std::move(request));
                })
@@ -168,6 +166,23 @@
         exchange->caller->onDisconnect(nullptr);
 }
 
+ServerOptions Gateway::callerOptions()
+{
+    ServerOptions options;
+    options.address = settings_.callers;
+    options.maxConnections = std::max(
+            kMinConnections,
+            settings_.maxDescriptors - std::min(settings_.maxDescriptors, kReservedDescriptors));
+    options.connectionEnded = [this](ConnectionEnd end, std::size_t unusedBytes) {
+        onCallerConnectionEnded(end, unusedBytes);
+    };
+    options.serverAnswers = [this](int status, const HttpRequest &head) {
+        return noteRejected(protocol_.readCaller(head).requestId, status,
+                            serverAnswerReason(status), std::nullopt);
+    };
+    return options;
+}
+
 Result<void> Gateway::start()
 {
     for (AsyncHttpServer *server : {&callers_, &readiness_, &control_})
@@ -242,13 +257,7 @@
 {
     CallerFields fields = protocol_.readCaller(request);
     const auto reject = [&](int status, const char *reason, std::optional<Millis> retryAfter) {
-        logEvent(LogLevel::Info, "rejected",
-                 {{"request", fields.requestId},
-                  {"status", std::to_string(status)},
-                  {"reason", reason},
-                  {"config", std::to_string(configs_.newest())}});
-        counters_.outcome(reason).Increment();
-        caller->respond(status, protocol_.ownAnswerHeaders(fields.requestId, retryAfter), {});
+        caller->respond(status, noteRejected(fields.requestId, status, reason, retryAfter), {});
         return nullptr;
     };
     if (!config_)
@@ -312,6 +321,18 @@
               {"config", std::to_string(configs_.newest())}});
 }
 
+HeaderList Gateway::noteRejected(const std::string &requestId, int status, const char *reason,
+                                 std::optional<Millis> retryAfter)
+{
+    logEvent(LogLevel::Info, "rejected",
+             {{"request", requestId},
+              {"status", std::to_string(status)},
+              {"reason", reason},
+              {"config", std::to_string(configs_.newest())}});
+    counters_.outcome(reason).Increment();
+    return protocol_.ownAnswerHeaders(requestId, retryAfter);
+}
+
 void Gateway::onDeadline(std::uint64_t id)
 {
     Exchange *exchange = find(id);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -74,6 +74,11 @@
     std::unique_ptr<Exchange> admit(const std::shared_ptr<HttpServerConnection> &caller,
                                     HttpRequest &&request);
     void onCallerDisconnected(std::uint64_t id);
+    ServerOptions callerOptions();
+    /// Logs and counts a request that does not become an exchange; returns the header fields of
+    /// its answer.
+    HeaderList noteRejected(const std::string &requestId, int status, const char *reason,
+                            std::optional<Millis> retryAfter);
     void onCallerConnectionEnded(ConnectionEnd end, std::size_t unusedBytes);
     void onDeadline(std::uint64_t id);
     /// Ends the request unsuccessfully: aborts the stream if events have gone to the caller,
--- a/src/net/parser.cpp
+++ b/src/net/parser.cpp
@@ -78,6 +78,7 @@
     state_ = ParseState::Reading;
     headerBytes_ = 0;
     started_ = false;
+    headComplete_ = false;
     lastWasValue_ = false;
     awaitsContinue_ = false;
 }
@@ -176,6 +177,7 @@
     self.request_.keepAlive = http_should_keep_alive(parser) != 0 && parser->upgrade == 0;
     const std::string *expect = self.request_.headers.find("expect");
     self.awaitsContinue_ = expect && equalsIgnoringCase(*expect, "100-continue");
+    self.headComplete_ = true;
     return kContinueParsing;
 }
 
--- a/src/net/parser.h
+++ b/src/net/parser.h
@@ -40,6 +40,8 @@
     /// The status code with which to reject a request that failed to parse: 400, 413 or 431.
     int failureStatus() const { return failureStatus_; }
     bool started() const { return started_; }
+    /// The request as far as it has arrived, with a complete head; null while the head is not.
+    const HttpRequest *head() const { return headComplete_ ? &request_ : nullptr; }
     /// The head is complete and the caller expects "100 Continue" before it sends the body.
     bool awaitsContinue() const { return awaitsContinue_; }
     void continueSent() { awaitsContinue_ = false; }
@@ -67,6 +69,7 @@
     int failureStatus_ = 0;
     std::size_t headerBytes_ = 0;
     bool started_ = false;
+    bool headComplete_ = false;
     bool lastWasValue_ = false;
     bool awaitsContinue_ = false;
 };
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -24,6 +24,7 @@
 constexpr Millis kUnreadInputDelay{1};
 // How long to wait for the caller to close the connection after the last response.
 constexpr Millis kLingerTimeout{1000};
+constexpr int kRequestTimeout = 408;
 // Delay after a failed accept, for example when no file descriptors are left.
 constexpr Millis kAcceptRetryDelay{50};
 
@@ -90,7 +91,7 @@
         notifyDisconnect();
         return;
     }
-    if (lingering_) {
+    if (lingering_ || closing_) {
         armRead();
         return;
     }
@@ -135,10 +136,16 @@
 
 void HttpServerConnection::failRequest(int status)
 {
-    // After a parse error the start of the next request is unknown, so the connection must close.
+    // The start of the next request is unknown, so the connection must close.
     keepAlive_ = false;
     handlingRequest_ = true;
-    respond(status, {}, {});
+    input_.clear();
+    HeaderList headers;
+    if (server_.options_.serverAnswers) {
+        const HttpRequest *head = parser_.head();
+        headers = server_.options_.serverAnswers(status, head ? *head : HttpRequest{});
+    }
+    respond(status, std::move(headers), {});
 }
 
 void HttpServerConnection::armTimer(Millis timeout)
@@ -162,7 +169,7 @@
 void HttpServerConnection::onTimer()
 {
     if (lingering_) {
-        close(ConnectionEnd::AfterLastAnswer);
+        close(lastAnswerEnd_);
         return;
     }
     if (hasUnreadInput()) {
@@ -177,7 +184,12 @@
         resumeTimer(rest);
         return;
     }
-    close(parser_.started() ? ConnectionEnd::IncompleteRequest : ConnectionEnd::Idle);
+    if (!parser_.started()) {
+        close(ConnectionEnd::Idle);
+        return;
+    }
+    lastAnswerEnd_ = ConnectionEnd::IncompleteRequest;
+    failRequest(kRequestTimeout);
 }
 
 void HttpServerConnection::respond(int status, HeaderList headers, std::string_view body)
@@ -333,7 +345,7 @@
 {
     const auto handler = std::move(disconnectHandler_);
     disconnectHandler_ = nullptr;
-    close(lingering_ ? ConnectionEnd::AfterLastAnswer : ConnectionEnd::ByCaller);
+    close(lingering_ ? lastAnswerEnd_ : ConnectionEnd::ByCaller);
     if (handler)
         handler();
 }
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -52,6 +52,9 @@
     /// Called for each connection that ends, with the number of bytes received on it that belong to
     /// no complete request.
     std::function<void(ConnectionEnd end, std::size_t unusedBytes)> connectionEnded = {};
+    /// Called when the server itself answers a request that the handler does not get; returns the
+    /// header fields of the answer. `head` is empty unless the request's head is complete.
+    std::function<HeaderList(int status, const HttpRequest &head)> serverAnswers = {};
 };
 
 class AsyncHttpServer;
@@ -94,6 +97,7 @@
     void armRead();
     void onReadable();
     void consume();
+    /// Answers a request that has not arrived in full, and closes the connection.
     void failRequest(int status);
     void armTimer(Millis timeout);
     void resumeTimer(Millis rest);
@@ -124,6 +128,7 @@
     bool writing_ = false;
     bool closing_ = false;   ///< Close once all output is written.
     bool lingering_ = false; ///< All output is written; waiting for the caller to close.
+    ConnectionEnd lastAnswerEnd_ = ConnectionEnd::AfterLastAnswer; ///< Why it was the last one.
 };
 
 class AsyncHttpServer
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -70,6 +70,17 @@
         asio::read(caller, asio::dynamic_buffer(text), error);
         return text;
     }
+
+    /// The same while this thread runs the server.
+    std::string readAllWhileServing(asio::ip::tcp::socket & caller)
+    {
+        std::string text;
+        bool ended = false;
+        asio::async_read(caller, asio::dynamic_buffer(text),
+                         [&](const asio::error_code &, std::size_t) { ended = true; });
+        CHECK_TRUE(eventually(context, kWaitLimit, [&] { return ended; }));
+        return text;
+    }
 };
 
 // The event loop may be busy for longer than the idle timeout, and then finds timer and request
@@ -196,6 +207,34 @@
     }
 }
 
+// Guards against a caller that gets neither an answer nor a refusal because its request is slow.
+TEST(NetServer, requestThatDoesNotArriveInFullIsAnswered)
+{
+    struct Case
+    {
+        const char *name;
+        std::string sent;
+        std::string_view answer;
+    };
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n";
+    const Case cases[] = {{"nothing", "", ""},
+                          {"part of the head", head.substr(0, 20), "HTTP/1.1 408 "},
+                          {"head", head, "HTTP/1.1 408 "},
+                          {"part of the body", head + "part", "HTTP/1.1 408 "}};
+    server->setLimits({}, kIdleTimeout, kIdleTimeout);
+    for (const Case &row : cases) {
+        connect();
+        asio::write(callers[0], asio::buffer(row.sent));
+        const std::string text = readAllWhileServing(callers[0]);
+        STRCMP_EQUAL_TEXT(std::string(row.answer).c_str(),
+                          text.substr(0, row.answer.size()).c_str(), row.name);
+        CHECK_EQUAL_TEXT(row.answer.empty(), text.empty(), row.name);
+        CHECK_EQUAL_TEXT(!row.answer.empty(),
+                         text.find("Connection: close\r\n") != std::string::npos, row.name);
+        callers.clear();
+    }
+}
+
 TEST(NetServer, idleTimeoutDoesNotCutAnAnswerThatIsReadSlowly)
 {
     body.assign(24 * 1024 * 1024, 'x');
