Refuse requests above the limit of connections, and when descriptors run out

What callers saw: a connection above the limit was accepted and closed at once, with its request unread. When the process had no descriptors left, connections stayed unaccepted, with whole requests on them, until one was free.

Cause: the server had no way to answer a connection that it can't serve.

Change: a few such connections at a time are read up to the end of the request's head, or for 500 ms, get 503 with Retry-After, `Connection: close` and their request id, and are closed after the caller has had the time to read that. Bodies are dropped. Further connections wait in the listener's queue instead of being closed. The server holds spare descriptors and gives them to refusals when accept fails for lack of others. The limit of callers' connections leaves 300 descriptors and a quarter of the others to files and connections to endpoints, instead of 700 in all: callers get 2,925 of 4,200 and 5,919 of 8,192.

Ruled out: closing idle connections to make room, which may cross a request; a descriptor that is freed only by closing a file, since files and sockets have separate limits on the platform.

Before: NetServer.requestsOnConnectionsAboveTheLimitAreRefused: whole request: expected <true> but was <false>; fewConnectionsAreRefusedAtATimeAndAllInTheEnd: expected <100> but was <0>; requestsAreRefusedWhenDescriptorsRunOut: no answer in 3,000 ms; GatewayPath.requestsThatTheServerDoesNotTakeAreAnsweredAsNotRun: no 503. After: all pass.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,9 +13,13 @@
 
 namespace {
 
-// Descriptors reserved for endpoints, the store, peers and files.
-constexpr std::size_t kReservedDescriptors = 700;
+// Descriptors for files, and for connections other than those of callers and to endpoints.
+constexpr std::size_t kReservedDescriptors = 300;
+// One of so many of the other descriptors is for connections to endpoints, the rest for callers.
+constexpr std::size_t kEndpointDescriptorShare = 4;
 constexpr std::size_t kMinConnections = 64;
+// Kept for refusing callers when the process has no other descriptors left.
+constexpr std::size_t kSpareDescriptors = 16;
 // Enough for 600 endpoints with 32 requests each.
 constexpr std::size_t kMaxJobs = 32'768;
 constexpr std::size_t kMaxEndpoints = 4096;
@@ -29,6 +33,8 @@
 constexpr Millis kMemberInterval{300'000};
 // Retry-After of requests that arrive before there is a configuration.
 constexpr Millis kNoConfigRetryAfter{300};
+// Retry-After of requests that this daemon has no room for.
+constexpr Millis kOverloadRetryAfter{500};
 // The load balancer stops sending requests to an entry VM after two failed readiness checks, one
 // second apart.
 constexpr Millis kLoadBalancerDelay{3000};
@@ -64,6 +70,8 @@
         return "body_too_large";
     case 431:
         return "head_too_large";
+    case 503:
+        return "too_many_connections";
     default:
         return "malformed_request";
     }
@@ -170,15 +178,22 @@
 {
     ServerOptions options;
     options.address = settings_.callers;
-    options.maxConnections = std::max(
-            kMinConnections,
-            settings_.maxDescriptors - std::min(settings_.maxDescriptors, kReservedDescriptors));
+    const std::size_t descriptors
+            = settings_.maxDescriptors - std::min(settings_.maxDescriptors, kReservedDescriptors);
+    options.maxConnections
+            = std::max(kMinConnections, descriptors - descriptors / kEndpointDescriptorShare);
+    options.spareDescriptors = kSpareDescriptors;
     options.connectionEnded = [this](ConnectionEnd end, std::size_t unusedBytes) {
         onCallerConnectionEnded(end, unusedBytes);
     };
     options.serverAnswers = [this](int status, const HttpRequest &head) {
         return noteRejected(protocol_.readCaller(head).requestId, status,
-                            serverAnswerReason(status), std::nullopt);
+                            serverAnswerReason(status),
+                            status == 503 ? std::optional(kOverloadRetryAfter) : std::nullopt);
+    };
+    options.acceptFailed = [this](const std::string &error) {
+        logEvent(LogLevel::Error, "accept_failed",
+                 {{"error", error}, {"connections", std::to_string(callers_.connections())}});
     };
     return options;
 }
@@ -281,7 +296,7 @@
     if (draining_ && now - drainStartedAt_ > kLoadBalancerDelay)
         return reject(503, "shutting_down", Millis(20));
     if (exchanges_.size() >= kMaxExchanges)
-        return reject(503, "too_many_requests", Millis(500));
+        return reject(503, "too_many_requests", kOverloadRetryAfter);
     auto exchange = std::make_unique<Exchange>(context_);
     exchange->id = ++nextExchange_;
     exchange->requestId = fields.requestId;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -24,7 +24,10 @@
 constexpr Millis kUnreadInputDelay{1};
 // How long to wait for the caller to close the connection after the last response.
 constexpr Millis kLingerTimeout{1000};
+// How long to wait for the request of a connection that is to be refused.
+constexpr Millis kRefusalTimeout{500};
 constexpr int kRequestTimeout = 408;
+constexpr int kServiceUnavailable = 503;
 // Delay after a failed accept, for example when no file descriptors are left.
 constexpr Millis kAcceptRetryDelay{50};
 
@@ -43,6 +46,8 @@
         return "after_last_answer";
     case ConnectionEnd::Draining:
         return "draining";
+    case ConnectionEnd::OverLimit:
+        return "over_limit";
     case ConnectionEnd::Aborted:
         return "aborted";
     }
@@ -50,19 +55,22 @@
 }
 
 HttpServerConnection::HttpServerConnection(AsyncHttpServer &server, asio::ip::tcp::socket socket,
-                                           std::uint64_t id)
+                                           std::uint64_t id, Role role)
     : server_(server)
     , socket_(std::move(socket))
     , id_(id)
+    , role_(role)
     , timer_(socket_.get_executor())
     , parser_(server.options_.limits)
+    , lastAnswerEnd_(role == Role::Refuse ? ConnectionEnd::OverLimit
+                                          : ConnectionEnd::AfterLastAnswer)
 {
 }
 
 void HttpServerConnection::start()
 {
     tuneSocket(socket_, {.userTimeout = kCallerUserTimeout, .keepAliveIdle = kCallerKeepAliveIdle});
-    armTimer(server_.options_.idleTimeout);
+    armTimer(inputTimeout());
     armRead();
 }
 
@@ -109,7 +117,8 @@
     if (!input_.empty() && !closing_) {
         if (!parser_.started()) {
             requestStart_ = steadyNow();
-            armTimer(server_.options_.headerTimeout);
+            if (role_ == Role::Serve)
+                armTimer(server_.options_.headerTimeout);
         }
         const std::size_t used = parser_.feed(input_);
         input_.erase(0, used);
@@ -117,6 +126,10 @@
             failRequest(parser_.failureStatus());
             return;
         }
+        if (role_ == Role::Refuse && parser_.head()) {
+            failRequest(kServiceUnavailable);
+            return;
+        }
         if (parser_.state() == ParseState::Reading && parser_.awaitsContinue()) {
             parser_.continueSent();
             output_ += "HTTP/1.1 100 Continue\r\n\r\n";
@@ -148,6 +161,13 @@
     respond(status, std::move(headers), {});
 }
 
+Millis HttpServerConnection::inputTimeout() const
+{
+    if (role_ == Role::Refuse)
+        return kRefusalTimeout;
+    return parser_.started() ? server_.options_.headerTimeout : server_.options_.idleTimeout;
+}
+
 void HttpServerConnection::armTimer(Millis timeout)
 {
     timerStart_ = steadyNow();
@@ -177,19 +197,19 @@
         return;
     }
     // The timeout may have been raised since the timer was armed.
-    const Millis timeout
-            = parser_.started() ? server_.options_.headerTimeout : server_.options_.idleTimeout;
-    const auto rest = std::chrono::ceil<Millis>(timerStart_ + timeout - steadyNow());
+    const auto rest = std::chrono::ceil<Millis>(timerStart_ + inputTimeout() - steadyNow());
     if (rest > Millis(0)) {
         resumeTimer(rest);
         return;
     }
+    const bool refuses = role_ == Role::Refuse;
     if (!parser_.started()) {
-        close(ConnectionEnd::Idle);
+        close(refuses ? ConnectionEnd::OverLimit : ConnectionEnd::Idle);
         return;
     }
-    lastAnswerEnd_ = ConnectionEnd::IncompleteRequest;
-    failRequest(kRequestTimeout);
+    if (!refuses)
+        lastAnswerEnd_ = ConnectionEnd::IncompleteRequest;
+    failRequest(refuses ? kServiceUnavailable : kRequestTimeout);
 }
 
 void HttpServerConnection::respond(int status, HeaderList headers, std::string_view body)
@@ -363,7 +383,7 @@
     }
     socket_.close(ignored);
     handlingRequest_ = false;
-    server_.connections_.erase(id_);
+    server_.onConnectionClosed(id_, role_);
 }
 
 AsyncHttpServer::AsyncHttpServer(asio::io_context &context, ServerOptions options, Handler handler)
@@ -397,6 +417,7 @@
                 fmt::format("cannot listen on {}: {}", toString(options_.address), error.message()),
                 "choose an address of this machine and a port that no other process uses");
     }
+    keepSpares();
     accept();
     return {};
 }
@@ -407,28 +428,87 @@
         if (error == asio::error::operation_aborted || !acceptor_.is_open())
             return;
         if (error) {
-            acceptRetry_.expires_after(kAcceptRetryDelay);
-            acceptRetry_.async_wait([this](const asio::error_code &cancelled) {
-                if (!cancelled)
-                    accept();
-            });
+            onAcceptFailed(error);
             return;
         }
-        if (connections_.size() < options_.maxConnections) {
-            const std::uint64_t id = ++nextId_;
-            const auto connection
-                    = std::make_shared<HttpServerConnection>(*this, std::move(socket), id);
-            connections_.emplace(id, connection);
-            connection->start();
-        }
+        add(std::move(socket));
+        acceptFailing_ = acceptFailing_ && spares_.size() < options_.spareDescriptors;
+        acceptPaused_ = mustRefuse() && refused_ >= options_.maxRefusedConnections;
+        if (!acceptPaused_)
+            accept();
+    });
+}
+
+void AsyncHttpServer::onAcceptFailed(const asio::error_code &error)
+{
+    if (!acceptFailing_ && options_.acceptFailed)
+        options_.acceptFailed(error.message());
+    acceptFailing_ = true;
+    if (error == asio::error::no_descriptors && !spares_.empty()) {
+        spares_.pop_back();
+        accept();
+        return;
+    }
+    acceptPaused_ = true;
+    acceptRetry_.expires_after(kAcceptRetryDelay);
+    acceptRetry_.async_wait([this](const asio::error_code &cancelled) {
+        if (cancelled || !acceptPaused_)
+            return;
+        acceptPaused_ = false;
         accept();
     });
 }
 
+void AsyncHttpServer::add(asio::ip::tcp::socket socket)
+{
+    keepSpares();
+    const auto role
+            = mustRefuse() ? HttpServerConnection::Role::Refuse : HttpServerConnection::Role::Serve;
+    if (role == HttpServerConnection::Role::Refuse)
+        ++refused_;
+    const std::uint64_t id = ++nextId_;
+    const auto connection
+            = std::make_shared<HttpServerConnection>(*this, std::move(socket), id, role);
+    connections_.emplace(id, connection);
+    connection->start();
+}
+
+void AsyncHttpServer::onConnectionClosed(std::uint64_t id, HttpServerConnection::Role role)
+{
+    connections_.erase(id);
+    if (role == HttpServerConnection::Role::Refuse)
+        --refused_;
+    keepSpares();
+    if (!acceptPaused_ || !acceptor_.is_open())
+        return;
+    acceptPaused_ = false;
+    acceptRetry_.cancel();
+    accept();
+}
+
+void AsyncHttpServer::keepSpares()
+{
+    while (acceptor_.is_open() && spares_.size() < options_.spareDescriptors) {
+        asio::ip::tcp::socket spare(acceptor_.get_executor());
+        asio::error_code error;
+        spare.open(asio::ip::tcp::v4(), error);
+        if (error)
+            return;
+        spares_.push_back(std::move(spare));
+    }
+}
+
+bool AsyncHttpServer::mustRefuse() const
+{
+    return connections_.size() - refused_ >= options_.maxConnections
+           || spares_.size() < options_.spareDescriptors;
+}
+
 void AsyncHttpServer::stopListening()
 {
     asio::error_code ignored;
     acceptor_.close(ignored);
+    spares_.clear();
 }
 
 void AsyncHttpServer::closeIdleConnections()
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -27,6 +27,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace cicadafork {
 
@@ -37,6 +38,7 @@
     IncompleteRequest, ///< A request did not arrive in full within the header timeout.
     AfterLastAnswer,   ///< The answer said that it is the last one of the connection.
     Draining,          ///< It was idle when the server closed its idle connections.
+    OverLimit,         ///< There were too many connections; a request on it was refused.
     Aborted,           ///< The handler aborted the response, or the server closed all connections.
 };
 
@@ -46,15 +48,21 @@
 {
     Address address;
     RequestLimits limits = {};
-    Millis headerTimeout{3000}; ///< From the first byte of a request to the end of its body.
-    Millis idleTimeout{15'000}; ///< Limit for a connection without a request.
-    std::size_t maxConnections = 3500;
+    Millis headerTimeout{3000};        ///< From the first byte of a request to the end of its body.
+    Millis idleTimeout{15'000};        ///< Limit for a connection without a request.
+    std::size_t maxConnections = 3500; ///< Requests of further ones are refused with 503.
+    /// Connections that are refused at a time; further ones wait to be accepted.
+    std::size_t maxRefusedConnections = 32;
+    /// Descriptors that are kept for refusing connections when the process has no others left.
+    std::size_t spareDescriptors = 0;
     /// Called for each connection that ends, with the number of bytes received on it that belong to
     /// no complete request.
     std::function<void(ConnectionEnd end, std::size_t unusedBytes)> connectionEnded = {};
     /// Called when the server itself answers a request that the handler does not get; returns the
     /// header fields of the answer. `head` is empty unless the request's head is complete.
     std::function<HeaderList(int status, const HttpRequest &head)> serverAnswers = {};
+    /// Called when accepting begins to fail, for example for lack of descriptors.
+    std::function<void(const std::string &error)> acceptFailed = {};
 };
 
 class AsyncHttpServer;
@@ -64,7 +72,10 @@
 class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection>
 {
 public:
-    HttpServerConnection(AsyncHttpServer &server, asio::ip::tcp::socket socket, std::uint64_t id);
+    enum class Role { Serve, Refuse };
+
+    HttpServerConnection(AsyncHttpServer &server, asio::ip::tcp::socket socket, std::uint64_t id,
+                         Role role);
 
     void start();
 
@@ -99,6 +110,8 @@
     void consume();
     /// Answers a request that has not arrived in full, and closes the connection.
     void failRequest(int status);
+    /// Limit for the part of a request that is awaited.
+    Millis inputTimeout() const;
     void armTimer(Millis timeout);
     void resumeTimer(Millis rest);
     void onTimer();
@@ -112,6 +125,7 @@
     AsyncHttpServer &server_;
     asio::ip::tcp::socket socket_;
     std::uint64_t id_;
+    Role role_;
     asio::steady_timer timer_;
     TimePoint timerStart_{};
     RequestParser parser_;
@@ -126,9 +140,9 @@
     bool acceptsChunked_ = true;
     bool readArmed_ = false;
     bool writing_ = false;
-    bool closing_ = false;   ///< Close once all output is written.
-    bool lingering_ = false; ///< All output is written; waiting for the caller to close.
-    ConnectionEnd lastAnswerEnd_ = ConnectionEnd::AfterLastAnswer; ///< Why it was the last one.
+    bool closing_ = false;        ///< Close once all output is written.
+    bool lingering_ = false;      ///< All output is written; waiting for the caller to close.
+    ConnectionEnd lastAnswerEnd_; ///< Why the connection ends after its last answer.
 };
 
 class AsyncHttpServer
@@ -167,6 +181,11 @@
     friend class HttpServerConnection;
 
     void accept();
+    void onAcceptFailed(const asio::error_code &error);
+    void add(asio::ip::tcp::socket socket);
+    void onConnectionClosed(std::uint64_t id, HttpServerConnection::Role role);
+    void keepSpares();
+    bool mustRefuse() const;
     bool hasUnacceptedConnection();
 
     ServerOptions options_;
@@ -174,7 +193,11 @@
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer acceptRetry_;
     std::unordered_map<std::uint64_t, std::weak_ptr<HttpServerConnection>> connections_;
+    std::size_t refused_ = 0; ///< Number of connections that are being refused.
+    std::vector<asio::ip::tcp::socket> spares_;
     std::uint64_t nextId_ = 0;
+    bool acceptPaused_ = false;  ///< Until a connection ends, or acceptRetry_.
+    bool acceptFailing_ = false; ///< Accepting has failed, and spares are still missing.
     bool draining_ = false;
     /// Shared by all connections, so that idle connections need no read buffer of their own.
     std::array<char, 64 * 1024> readBuffer_;
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -32,6 +32,9 @@
 // By then, the users require, a daemon sends nothing to an endpoint whose record says that it
 // drains.
 constexpr Millis kDrainBound{2000};
+// The smallest number that the settings accept, and the connections that it leaves for callers.
+constexpr std::size_t kDescriptors = 256;
+constexpr std::size_t kCallerConnections = 64;
 
 struct RouteLimits
 {
@@ -40,7 +43,7 @@
 };
 
 std::string configText(unsigned version, const std::string &keys = "\"key\"",
-                       RouteLimits limits = {})
+                       RouteLimits limits = {}, const std::string &moreFields = {})
 {
     const auto route = [&](const char *name, const char *kind, const char *service,
                            const char *extraFields) {
@@ -49,13 +52,14 @@
                            name, kind, service, extraFields, limits.timeoutMs, limits.maxAttempts);
     };
     return fmt::format(
-            R"({{"version":{},"routes":[{},{},{},{},{}],"services":[{{"name":"plain"}},
+            R"({{"version":{},{}"routes":[{},{},{},{},{}],"services":[{{"name":"plain"}},
                {{"name":"pool","engine":{{"slots":4,"kvCapacity":450000,"stride":4,"step_ms":1,
                "read_per_s":256000,"pairs_per_m":0.09}}}},
                {{"name":"small","engine":{{"slots":4,"kvCapacity":1000,"stride":4,"step_ms":1,
                "read_per_s":256000,"pairs_per_m":0.09}}}}],
                "tenants":[{{"name":"ws","apiKeys":[{}]}}]}})",
-            version, route("safe", "safe", "plain", ""), route("once", "unsafe", "plain", ""),
+            version, moreFields, route("safe", "safe", "plain", ""),
+            route("once", "unsafe", "plain", ""),
             route("stream", "streaming", "pool", R"(,"resumable":true,"gapGoalMs":200)"),
             route("fixed", "streaming", "pool", R"(,"resumable":false,"gapGoalMs":200)"),
             route("split", "streaming", "small", R"(,"resumable":true,"gapGoalMs":200)"), keys);
@@ -101,6 +105,7 @@
         settings.peers.ip = settings.control.ip;
         settings.store = storeAddress;
         settings.retries = {0.2, 1000, Millis(10'000)};
+        settings.maxDescriptors = kDescriptors;
         gateway = std::make_unique<Gateway>(context, settings, platform::wireProtocol(),
                                             platform::storeLayout(), storeClient.calls(),
                                             orders.calls(), pool);
@@ -228,6 +233,49 @@
     LONGS_EQUAL(200, sendRequestAndWait("safe")->status);
 }
 
+// Guards against a request that ends without a word, or whose caller can't tell that it didn't run.
+TEST(GatewayPath, requestsThatTheServerDoesNotTakeAreAnsweredAsNotRun)
+{
+    struct Case
+    {
+        const char *name;
+        std::string sent;
+        std::string_view status;
+        bool overLimit;
+        bool comeBack;
+    };
+    const std::string head = "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                             "Authorization: Token key\r\nContent-Length: ";
+    const Case cases[] = {{"connection above the limit", head + "0\r\n\r\n", "503", true, true},
+                          {"body not complete", head + "9\r\n\r\nxx", "408", false, false}};
+    addEndpoint("plain");
+    store.put("keyed.op", "config",
+              configText(3, "\"key\"", {}, R"("limits":{"headerTimeoutMs":150},)"));
+    CHECK_TRUE(runUntil([&] { return gateway->ready(); }));
+    for (const Case &row : cases) {
+        std::vector<asio::ip::tcp::socket> callers;
+        const std::size_t others = row.overLimit ? kCallerConnections : 0;
+        const asio::ip::tcp::endpoint target{asio::ip::make_address_v4(settings.callers.ip),
+                                             settings.callers.port};
+        for (std::size_t i = 0; i <= others; ++i) {
+            callers.emplace_back(context);
+            callers.back().connect(target);
+        }
+        asio::write(callers.back(), asio::buffer(row.sent));
+        std::string text;
+        bool ended = false;
+        asio::async_read(callers.back(), asio::dynamic_buffer(text),
+                         [&](const asio::error_code &, std::size_t) { ended = true; });
+        CHECK_TRUE_TEXT(runUntil([&] { return ended; }), row.name);
+        CHECK_TRUE_TEXT(text.starts_with(fmt::format("HTTP/1.1 {} ", row.status)), row.name);
+        CHECK_TRUE_TEXT(text.find("Request-Id: r1\r\n") != std::string::npos, row.name);
+        CHECK_TRUE_TEXT(text.find("Connection: close\r\n") != std::string::npos, row.name);
+        CHECK_EQUAL_TEXT(row.comeBack, text.find("Retry-After: 0.500\r\n") != std::string::npos,
+                         row.name);
+    }
+    LONGS_EQUAL(0, arrivals());
+}
+
 // Checks the caller's answer for each kind of failure of the first endpoint, when a second endpoint
 // works.
 TEST(GatewayPath, answersEachKindOfEndpointFailure)
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -9,6 +9,8 @@
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <functional>
 #include <memory>
@@ -25,6 +27,26 @@
 constexpr Millis kWaitLimit{3000};
 constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
+/// Leaves this process only a number of further descriptors.
+class FewerDescriptors
+{
+public:
+    explicit FewerDescriptors(rlim_t left)
+    {
+        getrlimit(RLIMIT_NOFILE, &before_);
+        const int next = dup(STDIN_FILENO);
+        close(next);
+        const rlimit limit{static_cast<rlim_t>(next) + left, before_.rlim_max};
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+    ~FewerDescriptors() { setrlimit(RLIMIT_NOFILE, &before_); }
+    FewerDescriptors(const FewerDescriptors &) = delete;
+    FewerDescriptors &operator=(const FewerDescriptors &) = delete;
+
+private:
+    rlimit before_{};
+};
+
 } // namespace
 
 TEST_GROUP(NetServer)
@@ -38,9 +60,14 @@
 
     void setup() override
     {
+        start({.address = address, .idleTimeout = kIdleTimeout});
+    }
+
+    void start(const ServerOptions &options)
+    {
+        server.reset();
         server = std::make_unique<AsyncHttpServer>(
-                context, ServerOptions{.address = address, .idleTimeout = kIdleTimeout},
-                [this](const auto &caller, const HttpRequest &) {
+                context, options, [this](const auto &caller, const HttpRequest &) {
                     // An answer on a later turn of the event loop, as that of an endpoint.
                     const auto timer = std::make_shared<asio::steady_timer>(context, Millis(5));
                     timer->async_wait([this, timer, caller](const asio::error_code &) {
@@ -62,6 +89,12 @@
         callers.back().connect({asio::ip::make_address_v4(address.ip), address.port});
     }
 
+    void connectAndSend(std::string_view text)
+    {
+        connect();
+        asio::write(callers.back(), asio::buffer(text));
+    }
+
     /// All bytes until the server closes the connection.
     std::string readAll(asio::ip::tcp::socket & caller)
     {
@@ -235,6 +268,76 @@
     }
 }
 
+// Guards against a connection above the limit that is closed without a word.
+TEST(NetServer, requestsOnConnectionsAboveTheLimitAreRefused)
+{
+    struct Case
+    {
+        const char *name;
+        std::string sent;
+        bool refused = true;
+    };
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000000\r\n\r\n";
+    const Case cases[] = {{"whole request", std::string(kRequest)},
+                          {"head without its body", head},
+                          {"part of a long body", head + std::string(300'000, 'x')},
+                          {"part of the head", "GET / HT"},
+                          {"nothing", "", false}};
+    start({.address = address, .maxConnections = 1});
+    connect();
+    CHECK_TRUE(eventually(context, kWaitLimit, [&] { return server->connections() == 1; }));
+    for (const Case &row : cases) {
+        connectAndSend(row.sent);
+        const std::string text = readAllWhileServing(callers[1]);
+        CHECK_EQUAL_TEXT(row.refused, text.starts_with("HTTP/1.1 503 "), row.name);
+        CHECK_EQUAL_TEXT(row.refused, text.find("Connection: close\r\n") != std::string::npos,
+                         row.name);
+        callers.pop_back();
+    }
+    // A kept connection still works, and its end makes room for another one.
+    asio::write(callers[0], asio::buffer(kRequest));
+    CHECK_TRUE(eventually(context, kWaitLimit, [&] { return callers[0].available() > 0; }));
+    callers.clear();
+    CHECK_TRUE(eventually(context, kWaitLimit, [&] { return server->connections() == 0; }));
+    connectAndSend(kRequest);
+    CHECK_TRUE(eventually(context, kWaitLimit, [&] { return callers[0].available() > 0; }));
+    std::string answer(12, ' ');
+    asio::read(callers[0], asio::buffer(answer));
+    STRCMP_EQUAL("HTTP/1.1 200", answer.c_str());
+}
+
+// Guards against refusals that use up memory and descriptors, and against callers left over.
+TEST(NetServer, fewConnectionsAreRefusedAtATimeAndAllInTheEnd)
+{
+    constexpr std::size_t kConnections = 100;
+    constexpr std::size_t kRefusedAtATime = 4;
+    start({.address = address, .maxConnections = 0, .maxRefusedConnections = kRefusedAtATime});
+    for (std::size_t i = 0; i < kConnections; ++i)
+        connectAndSend(kRequest);
+    std::size_t refused = 0;
+    for (auto &caller : callers) {
+        refused += readAllWhileServing(caller).starts_with("HTTP/1.1 503 ") ? 1 : 0;
+        CHECK_TRUE(server->connections() <= kRefusedAtATime);
+        caller.close();
+    }
+    LONGS_EQUAL(kConnections, refused);
+}
+
+// Guards against requests that wait unread for as long as the process has no descriptors left.
+TEST(NetServer, requestsAreRefusedWhenDescriptorsRunOut)
+{
+    std::string failure;
+    start({.address = address,
+           .spareDescriptors = 2,
+           .acceptFailed = [&](const std::string &error) { failure += error + ";"; }});
+    for (int i = 0; i < 5; ++i)
+        connectAndSend(kRequest);
+    const FewerDescriptors none(0);
+    for (auto &caller : callers)
+        CHECK_TRUE(readAllWhileServing(caller).starts_with("HTTP/1.1 503 "));
+    STRCMP_EQUAL("Too many open files;", failure.c_str());
+}
+
 TEST(NetServer, idleTimeoutDoesNotCutAnAnswerThatIsReadSlowly)
 {
     body.assign(24 * 1024 * 1024, 'x');
