Handle signals before anything else at the start of the gateway

What operators saw: a daemon that gets SIGTERM shortly after its start ends with status 143, and SIGHUP kills it too. Once the listener is open, requests of callers are lost with it.

Cause: the signals were set up after the gateway had started.

Change: they are set up first; those that arrive during the start are handled when the event loop runs. A signal before main() still has its default effect.

Ruled out: blocking the signals during the start, which does the same with more steps.

GatewaySignals.signalsDuringTheStartDoNotKillTheDaemon, which sends them while the daemon reads its settings, before: stop: expected <0> but was <143>. After: passes.

--- a/src/cli/gatewaycommand.cpp
+++ b/src/cli/gatewaycommand.cpp
@@ -30,12 +30,12 @@
 class SettingsWatch
 {
 public:
-    SettingsWatch(asio::io_context &context, std::string path, std::string text,
-                  gateway::Gateway &gateway)
+    SettingsWatch(asio::io_context &context, asio::signal_set &hangup, std::string path,
+                  std::string text, gateway::Gateway &gateway)
         : path_(std::move(path))
         , text_(std::move(text))
         , gateway_(gateway)
-        , hangup_(context, SIGHUP)
+        , hangup_(hangup)
         , timer_(context)
     {
         awaitSignal();
@@ -82,12 +82,17 @@
     std::string path_;
     std::string text_;
     gateway::Gateway &gateway_;
-    asio::signal_set hangup_;
+    asio::signal_set &hangup_;
     asio::steady_timer timer_;
 };
 
 int runGateway(const std::string &path)
 {
+    asio::io_context context(1);
+    // Signals that arrive during the start are handled once the event loop runs.
+    asio::signal_set stop(context, SIGTERM, SIGINT);
+    asio::signal_set hangup(context, SIGHUP);
+    std::signal(SIGPIPE, SIG_IGN);
     const auto text = capture([&] { return settingsFileText(path); });
     if (!text) {
         fmt::print(stderr, "{}\n", text.error().message);
@@ -98,8 +103,6 @@
         fmt::print(stderr, "{}\n", settings.error().message);
         return ExitUsage;
     }
-    std::signal(SIGPIPE, SIG_IGN);
-    asio::io_context context(1);
     LogQueue logs(context, STDOUT_FILENO);
     setLogLevel(settings->logLevel);
     setLogContext(fmt::format("member={}", settings->member));
@@ -115,12 +118,11 @@
                  {{"error", started.error().message}, {"remedy", started.error().remedy}});
         return ExitFailure;
     }
-    asio::signal_set signals(context, SIGTERM, SIGINT);
-    signals.async_wait([&](const asio::error_code &error, int) {
+    stop.async_wait([&](const asio::error_code &error, int) {
         if (!error)
             gateway.shutDown([&] { context.stop(); });
     });
-    SettingsWatch watch(context, path, *text, gateway);
+    SettingsWatch watch(context, hangup, path, *text, gateway);
     context.run();
     return ExitSuccess;
 }
