Judge a request's body by its progress

What callers saw: a body that arrives steadily, but for longer than the header timeout, ended the request.

Cause: the header timeout covered head and body together. The users' limit is for the head; their callers keep to it, but a long body on a narrow link takes longer.

Change: the head as a whole and each pause within the body may take the header timeout, the whole request 15 s.

Ruled out: a least rate of bytes, since bodies are small and links pause.

NetServer.slowRequestsHaveALimitForTheHeadForPausesAndInAll before: body: no answer. After: passes.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -70,7 +70,7 @@
 void HttpServerConnection::start()
 {
     tuneSocket(socket_, {.userTimeout = kCallerUserTimeout, .keepAliveIdle = kCallerKeepAliveIdle});
-    armTimer(inputTimeout());
+    awaitInput();
     armRead();
 }
 
@@ -115,11 +115,9 @@
         return;
     }
     if (!input_.empty() && !closing_) {
-        if (!parser_.started()) {
+        const bool begins = !parser_.started();
+        if (begins)
             requestStart_ = steadyNow();
-            if (role_ == Role::Serve)
-                armTimer(server_.options_.headerTimeout);
-        }
         const std::size_t used = parser_.feed(input_);
         input_.erase(0, used);
         if (parser_.state() == ParseState::Failed) {
@@ -130,6 +128,10 @@
             failRequest(kServiceUnavailable);
             return;
         }
+        // The head has a limit as a whole, and a body must make progress.
+        const bool progress = begins || parser_.head();
+        if (parser_.state() == ParseState::Reading && role_ == Role::Serve && progress)
+            awaitInput();
         if (parser_.state() == ParseState::Reading && parser_.awaitsContinue()) {
             parser_.continueSent();
             output_ += "HTTP/1.1 100 Continue\r\n\r\n";
@@ -161,22 +163,26 @@
     respond(status, std::move(headers), {});
 }
 
-Millis HttpServerConnection::inputTimeout() const
+TimePoint HttpServerConnection::inputDeadline() const
 {
+    const ServerOptions &options = server_.options_;
     if (role_ == Role::Refuse)
-        return kRefusalTimeout;
-    return parser_.started() ? server_.options_.headerTimeout : server_.options_.idleTimeout;
+        return inputAwaitedSince_ + kRefusalTimeout;
+    if (!parser_.started())
+        return inputAwaitedSince_ + options.idleTimeout;
+    return std::min(inputAwaitedSince_ + options.headerTimeout,
+                    requestStart_ + std::max(options.requestTimeout, options.headerTimeout));
 }
 
-void HttpServerConnection::armTimer(Millis timeout)
+void HttpServerConnection::awaitInput()
 {
-    timerStart_ = steadyNow();
-    resumeTimer(timeout);
+    inputAwaitedSince_ = steadyNow();
+    armTimer(std::chrono::ceil<Millis>(inputDeadline() - inputAwaitedSince_));
 }
 
-void HttpServerConnection::resumeTimer(Millis rest)
+void HttpServerConnection::armTimer(Millis timeout)
 {
-    timer_.expires_after(rest);
+    timer_.expires_after(timeout);
     timer_.async_wait([weak = weak_from_this()](const asio::error_code &error) {
         const auto self = weak.lock();
         // cancel() can't stop a handler that is already queued, so the timer may have been
@@ -193,13 +199,13 @@
         return;
     }
     if (hasUnreadInput()) {
-        resumeTimer(kUnreadInputDelay);
+        armTimer(kUnreadInputDelay);
         return;
     }
     // The timeout may have been raised since the timer was armed.
-    const auto rest = std::chrono::ceil<Millis>(timerStart_ + inputTimeout() - steadyNow());
+    const auto rest = std::chrono::ceil<Millis>(inputDeadline() - steadyNow());
     if (rest > Millis(0)) {
-        resumeTimer(rest);
+        armTimer(rest);
         return;
     }
     const bool refuses = role_ == Role::Refuse;
@@ -276,7 +282,7 @@
     chunked_ = false;
     closing_ = !keepAlive_;
     if (!closing_)
-        armTimer(server_.options_.idleTimeout);
+        awaitInput();
     sendOutput();
     // Posted instead of called directly, so that pipelined requests do not recurse.
     if (!closing_ && !input_.empty())
@@ -311,7 +317,7 @@
             return;
         // A caller that reads the answer slowly is not idle.
         if (!self->handlingRequest_ && !self->closing_ && !self->parser_.started())
-            self->armTimer(self->server_.options_.idleTimeout);
+            self->awaitInput();
         self->sendOutput();
     });
 }
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -48,7 +48,9 @@
 {
     Address address;
     RequestLimits limits = {};
-    Millis headerTimeout{3000};        ///< From the first byte of a request to the end of its body.
+    /// From the first byte of a request to the end of its head, and for each pause within its body.
+    Millis headerTimeout{3000};
+    Millis requestTimeout{15'000};     ///< From the first byte of a request to the end of its body.
     Millis idleTimeout{15'000};        ///< Limit for a connection without a request.
     std::size_t maxConnections = 3500; ///< Requests of further ones are refused with 503.
     /// Connections that are refused at a time; further ones wait to be accepted.
@@ -110,10 +112,10 @@
     void consume();
     /// Answers a request that has not arrived in full, and closes the connection.
     void failRequest(int status);
-    /// Limit for the part of a request that is awaited.
-    Millis inputTimeout() const;
+    /// When the part of a request that is awaited has to be here.
+    TimePoint inputDeadline() const;
+    void awaitInput();
     void armTimer(Millis timeout);
-    void resumeTimer(Millis rest);
     void onTimer();
     void sendOutput();
     void finishExchange();
@@ -127,7 +129,7 @@
     std::uint64_t id_;
     Role role_;
     asio::steady_timer timer_;
-    TimePoint timerStart_{};
+    TimePoint inputAwaitedSince_{};
     RequestParser parser_;
     std::string input_; ///< Received bytes that are not parsed yet.
     std::string output_;
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -268,6 +268,43 @@
     }
 }
 
+// Guards against a request that is given up although its body arrives steadily, and against one
+// that holds its connection without end.
+TEST(NetServer, slowRequestsHaveALimitForTheHeadForPausesAndInAll)
+{
+    struct Case
+    {
+        const char *name;
+        std::string start; ///< Sent at once; the rest comes a byte at a time.
+        std::size_t rest;
+        std::string_view answer;
+    };
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n";
+    const std::string longHead = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n";
+    const Case cases[] = {{"body", head, 20, "HTTP/1.1 200 "},
+                          {"long body", longHead, 200, "HTTP/1.1 408 "},
+                          {"head", "POST / HTTP/1.1\r\nHost: ", 20, "HTTP/1.1 408 "}};
+    constexpr Millis kRequestTimeout = 20 * kIdleTimeout;
+    start({.address = address, .headerTimeout = kIdleTimeout, .requestTimeout = kRequestTimeout});
+    for (const Case &row : cases) {
+        connectAndSend(row.start);
+        std::size_t sent = 0;
+        const auto answered = [&] {
+            asio::error_code error;
+            return callers[0].available(error) > 0 || error;
+        };
+        asio::error_code closed;
+        while (!closed && sent < row.rest && !eventually(context, kIdleTimeout / 4, answered))
+            sent += asio::write(callers[0], asio::buffer("x", 1), closed);
+        CHECK_TRUE_TEXT(eventually(context, kWaitLimit, answered), row.name);
+        std::string answer(row.answer.size(), ' ');
+        asio::error_code error;
+        asio::read(callers[0], asio::buffer(answer), error);
+        STRCMP_EQUAL_TEXT(std::string(row.answer).c_str(), answer.c_str(), row.name);
+        callers.clear();
+    }
+}
+
 // Guards against a connection above the limit that is closed without a word.
 TEST(NetServer, requestsOnConnectionsAboveTheLimitAreRefused)
 {
