Answer all requests that have arrived before a draining server closes a connection

What callers saw: a request that followed another one on its connection got no answer if the daemon was told to stop before it had answered the first.

Cause: the answer to the first said `Connection: close`, and the requests behind it, read or unread, were dropped.

Change: only an answer behind which no further input waits is the last one.

Ruled out: the same for answers that end a connection because the caller asked for it or a request was malformed: what follows is no request then.

NetServer.drainingServerAnswersAllRequestsThatHaveArrived before: expected <3> but was <1>. After: passes.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -222,7 +222,7 @@
 {
     if (!socket_.is_open() || !handlingRequest_)
         return;
-    if (server_.draining_)
+    if (mustClose())
         keepAlive_ = false;
     headers.set("Content-Length", std::to_string(body.size()));
     if (!keepAlive_)
@@ -232,12 +232,18 @@
     finishExchange();
 }
 
+bool HttpServerConnection::mustClose() const
+{
+    // A further request that has arrived would be lost.
+    return server_.draining_ && input_.empty() && !hasUnreadInput();
+}
+
 void HttpServerConnection::beginStream(int status, HeaderList headers)
 {
     if (!socket_.is_open() || !handlingRequest_)
         return;
     chunked_ = acceptsChunked_;
-    if (server_.draining_ || !chunked_)
+    if (mustClose() || !chunked_)
         keepAlive_ = false;
     if (chunked_)
         headers.set("Transfer-Encoding", "chunked");
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -123,6 +123,8 @@
     void close(ConnectionEnd end);
     void notifyDisconnect();
     bool hasUnreadInput() const;
+    /// True if the connection is to end with the answer that begins now.
+    bool mustClose() const;
 
     AsyncHttpServer &server_;
     asio::ip::tcp::socket socket_;
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -168,6 +168,23 @@
     CHECK_TRUE(answer.ends_with(body));
 }
 
+// Guards against a whole request that gets no answer because the server drains.
+TEST(NetServer, drainingServerAnswersAllRequestsThatHaveArrived)
+{
+    constexpr std::size_t kPipelined = 3;
+    connect();
+    for (std::size_t i = 0; i < kPipelined; ++i)
+        asio::write(callers[0], asio::buffer(kRequest));
+    server->beginDrain();
+    const std::string text = readAllWhileServing(callers[0]);
+    std::size_t answers = 0;
+    for (std::size_t at = text.find("200 OK"); at != std::string::npos;
+         at = text.find("200 OK", at + 1))
+        ++answers;
+    LONGS_EQUAL(kPipelined, answers);
+    CHECK_TRUE(text.find("Connection: close") > text.rfind("200 OK"));
+}
+
 // Guards against a process that ends while a caller's request or last answer is on its way.
 TEST(NetServer, requestsAndAnswersOnTheirWayKeepTheServerInUse)
 {
