Do not handle a pipelined request of a connection that has been closed

What happened: a request that waits behind another one was handed on although its connection had been closed in the meantime. It went to an endpoint, nobody could get the answer, and the caller's leaving did not cancel it.

Cause: the step that takes the next request is queued when an answer ends, and did not check the connection.

NetServer.pipelinedRequestOfAClosedConnectionIsNotHandled before: expected <1> but was <2>. After: passes.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -109,6 +109,8 @@
 
 void HttpServerConnection::consume()
 {
+    if (!socket_.is_open())
+        return; // Closed since this call was posted.
     if (handlingRequest_) {
         if (input_.size() < kMaxBufferedBytes)
             armRead();
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -185,6 +185,23 @@
     CHECK_TRUE(text.find("Connection: close") > text.rfind("200 OK"));
 }
 
+// Guards against work for a caller that is gone: nobody would get the answer or cancel the request.
+TEST(NetServer, pipelinedRequestOfAClosedConnectionIsNotHandled)
+{
+    unsigned handled = 0;
+    server = std::make_unique<AsyncHttpServer>(context, ServerOptions{.address = addresses.next()},
+                                               [&](const auto &caller, const HttpRequest &) {
+                                                   ++handled;
+                                                   caller->respond(200, {}, body);
+                                                   server->closeAll();
+                                               });
+    CHECK_TRUE(static_cast<bool>(capture([&] { return server->start(); })));
+    address = server->options().address;
+    connectAndSend(std::string(kRequest) + std::string(kRequest));
+    eventually(context, kIdleTimeout, [] { return false; });
+    LONGS_EQUAL(1, handled);
+}
+
 // Guards against a process that ends while a caller's request or last answer is on its way.
 TEST(NetServer, requestsAndAnswersOnTheirWayKeepTheServerInUse)
 {
