Refuse a request that is complete only after its deadline

What callers saw: a request whose last byte arrives after its deadline was sent to an endpoint with 1 ms left and answered 504, which leaves open whether it ran.

Change: it is refused with 503, since it has not run.

GatewayPath.requestThatIsCompleteAfterItsDeadlineIsRefused before: expected <HTTP/1.1 503> but was <HTTP/1.1 504>. After: passes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -297,6 +297,10 @@
         return reject(503, "shutting_down", Millis(20));
     if (exchanges_.size() >= kMaxExchanges)
         return reject(503, "too_many_requests", kOverloadRetryAfter);
+    const TimePoint arrivedAt = caller->requestStart();
+    const TimePoint deadline = arrivedAt + std::min(fields.deadline, route->timeout);
+    if (now >= deadline)
+        return reject(503, "arrived_too_late", std::nullopt);
     auto exchange = std::make_unique<Exchange>(context_);
     exchange->id = ++nextExchange_;
     exchange->requestId = fields.requestId;
@@ -306,9 +310,9 @@
     exchange->service = pickService(*route, fields.requestId);
     exchange->workspace = std::move(workspaceName);
     exchange->priority = priority;
-    exchange->arrivedAt = caller->requestStart();
+    exchange->arrivedAt = arrivedAt;
     exchange->objective = exchange->arrivedAt + route->objective;
-    exchange->deadline = exchange->arrivedAt + std::min(fields.deadline, route->timeout);
+    exchange->deadline = deadline;
     exchange->lastEventId = fields.lastEventId;
     exchange->fields = std::move(fields);
     exchange->request = std::move(request);
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -276,6 +276,28 @@
     LONGS_EQUAL(0, arrivals());
 }
 
+// Guards against sending a request to an endpoint when its caller has given up already.
+TEST(GatewayPath, requestThatIsCompleteAfterItsDeadlineIsRefused)
+{
+    addEndpoint("plain");
+    publishConfig();
+    asio::ip::tcp::socket caller(context);
+    caller.connect({asio::ip::make_address_v4(settings.callers.ip), settings.callers.port});
+    asio::write(caller,
+                asio::buffer(std::string("POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                                         "Authorization: Token key\r\nDeadline-Ms: 100\r\n"
+                                         "Connection: close\r\nContent-Length: 2\r\n\r\nx")));
+    runUntil([] { return false; }, Millis(150));
+    asio::write(caller, asio::buffer("x", 1));
+    std::string text;
+    bool ended = false;
+    asio::async_read(caller, asio::dynamic_buffer(text),
+                     [&](const asio::error_code &, std::size_t) { ended = true; });
+    CHECK_TRUE(runUntil([&] { return ended; }));
+    STRCMP_EQUAL("HTTP/1.1 503", text.substr(0, 12).c_str());
+    LONGS_EQUAL(0, arrivals());
+}
+
 // Checks the caller's answer for each kind of failure of the first endpoint, when a second endpoint
 // works.
 TEST(GatewayPath, answersEachKindOfEndpointFailure)
