Replace an idle connection to an endpoint that was closed before the request is sent

What callers saw: 502 for a request that may run only once, although no byte of it had been sent.

Cause: an endpoint closes an idle connection, and the event loop takes it for the next request before it sees that. The end then counted as one without an answer, after which the request may have run. Bytes that belong to no request could be read as its answer.

Change: an idle connection is checked just before the first byte of a request is written, and if it is closed or readable, the request goes out on a new one.

Ruled out: retrying after the write, since the endpoint may have read the request then.

NetServer.callOnAnIdleConnectionThatTheServerHasClosedIsSentOnANewOne before: found later: expected <0> but was <2>, and found first: the same (2 is NoAnswer). After: passes.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -62,7 +62,8 @@
         written_ = 0;
         inCall_ = true;
         parser_.reset();
-        if (socket_.is_open()) {
+        reused_ = socket_.is_open();
+        if (reused_) {
             // Posted, because handlers must not run before UpstreamPool::call() has returned.
             asio::post(pool_.context_, [self = shared_from_this()] { self->send(); });
             return number;
@@ -131,8 +132,12 @@
 
     void send()
     {
-        if (!inCall_)
+        if (!inCall_ || !connected_)
+            return;
+        if (written_ == 0 && reused_ && isStale()) {
+            reconnect();
             return;
+        }
         armRead();
         // Other write errors are ignored here: the server may have responded before it closed the
         // connection. The read side delivers that response and then reports the end.
@@ -140,6 +145,25 @@
             armWrite();
     }
 
+    /// True if the server has closed an idle connection or sent bytes that belong to no request.
+    bool isStale()
+    {
+        char byte = 0;
+        asio::error_code error;
+        socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        return error != asio::error::would_block;
+    }
+
+    /// Replaces an idle connection that was found to be stale before anything was sent.
+    void reconnect()
+    {
+        asio::error_code ignored;
+        socket_.close(ignored);
+        connected_ = false;
+        reused_ = false;
+        connect();
+    }
+
     void armWrite()
     {
         socket_.async_wait(asio::ip::tcp::socket::wait_write,
@@ -159,12 +183,14 @@
                                self->readArmed_ = false;
                                if (!error)
                                    self->onReadable();
+                               else if (self->inCall_ && self->connected_)
+                                   self->armRead(); // The wait was for the stale connection.
                            });
     }
 
     void onReadable()
     {
-        if (!socket_.is_open() || paused_)
+        if (!connected_ || !socket_.is_open() || paused_)
             return;
         asio::error_code error;
         const std::size_t count = socket_.read_some(asio::buffer(pool_.readBuffer_), error);
@@ -178,6 +204,10 @@
             close();
             return;
         }
+        if (written_ == 0) {
+            reconnect();
+            return;
+        }
         if (error) {
             onConnectionEnd(error);
             return;
@@ -288,6 +318,7 @@
     Millis idleLimit_;
     TimePoint idleSince_{};
     bool connected_ = false;
+    bool reused_ = false; ///< The connection has served an earlier call.
     bool inCall_ = false;
     bool readArmed_ = false;
     bool paused_ = false;
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -1,11 +1,14 @@
 // Tests of the event-driven HTTP server over loopback, with blocking sockets as callers.
 
 #include "net/server.h"
+#include "net/upstream.h"
 #include "support/eventually.h"
 #include "support/network.h"
 
 #include <CppUTest/TestHarness.h>
 #include <asio/connect.hpp>
+#include <asio/local/connect_pair.hpp>
+#include <asio/local/stream_protocol.hpp>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
@@ -409,6 +412,47 @@
     STRCMP_EQUAL("Too many open files;", failure.c_str());
 }
 
+// Guards against a request whose fate is unknown although it was never sent: its connection had
+// been closed while it was idle.
+TEST(NetServer, callOnAnIdleConnectionThatTheServerHasClosedIsSentOnANewOne)
+{
+    UpstreamPool pool(context, {});
+    std::string outcomes;
+    const auto call = [&] {
+        return pool.call(address, {.head = std::string(kRequest)},
+                         {.head = [](HttpResponseHead &&) { return HeadAction::Accept; },
+                          .body = {},
+                          .end =
+                                  [&](UpstreamOutcome outcome) {
+                                      outcomes += std::to_string(static_cast<int>(outcome));
+                                  }});
+    };
+    const auto waitForEnd = [&] {
+        CHECK_TRUE(eventually(context, kWaitLimit, [&] { return !outcomes.empty(); }));
+    };
+    for (const bool closeIsFoundFirst : {false, true}) {
+        auto running = call();
+        waitForEnd();
+        outcomes.clear();
+        asio::local::stream_protocol::socket trigger(context);
+        asio::local::stream_protocol::socket other(context);
+        asio::local::connect_pair(trigger, other);
+        if (closeIsFoundFirst) {
+            // The event loop finds the reason for the call and the close together, in this order.
+            trigger.async_wait(asio::socket_base::wait_read,
+                               [&](const asio::error_code &) { running = call(); });
+            eventually(context, Millis(1), [] { return false; });
+            asio::write(other, asio::buffer("x", 1));
+        } else {
+            running = call();
+        }
+        server->closeIdleConnections();
+        waitForEnd();
+        STRCMP_EQUAL_TEXT(std::to_string(static_cast<int>(UpstreamOutcome::Complete)).c_str(),
+                          outcomes.c_str(), closeIsFoundFirst ? "found first" : "found later");
+    }
+}
+
 TEST(NetServer, idleTimeoutDoesNotCutAnAnswerThatIsReadSlowly)
 {
     body.assign(24 * 1024 * 1024, 'x');
