Do not cut a complete answer when its caller sends no more requests

What callers saw: the end of an answer missing, if the caller closed its sending side while it was still reading.

Cause: the end of the input counted as the caller's leaving, also when the answer was complete and only had to be written.

Change: the rest is written, then the connection ends. A request in progress is still cancelled: the end of the input is also what a caller that leaves looks like, and the users require that its request is given up.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -95,6 +95,12 @@
         armRead();
         return;
     }
+    if (error == asio::error::eof && !handlingRequest_ && unsentBytes() > 0) {
+        // The caller sends nothing more, but it may still read its answer, which is complete.
+        closing_ = true;
+        timer_.cancel();
+        return;
+    }
     if (error) {
         notifyDisconnect();
         return;
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -453,25 +453,31 @@
     }
 }
 
+// Guards against an answer that is cut because its caller reads slowly or will send nothing more.
 TEST(NetServer, idleTimeoutDoesNotCutAnAnswerThatIsReadSlowly)
 {
     body.assign(24 * 1024 * 1024, 'x');
-    callers.emplace_back(context);
-    callers[0].open(asio::ip::tcp::v4());
-    callers[0].set_option(asio::socket_base::receive_buffer_size(256 * 1024));
-    callers[0].connect({asio::ip::make_address_v4(address.ip), address.port});
-    asio::write(callers[0], asio::buffer(kRequest));
-    CHECK_TRUE(eventually(context, kWaitLimit,
-                          [&] { return server->connectionsWithUnsentBytes() == 1; }));
-    // The caller reads a part at a time, for longer than the idle timeout.
-    std::vector<char> part(512 * 1024);
-    std::size_t received = 0;
-    const TimePoint limit = steadyNow() + kWaitLimit;
-    while (received < body.size() && steadyNow() < limit) {
-        eventually(context, kIdleTimeout / 16, [] { return false; });
-        asio::error_code error;
-        if (callers[0].available(error) > 0)
-            received += callers[0].read_some(asio::buffer(part), error);
+    for (const bool callerHalfCloses : {false, true}) {
+        callers.clear();
+        callers.emplace_back(context);
+        callers[0].open(asio::ip::tcp::v4());
+        callers[0].set_option(asio::socket_base::receive_buffer_size(256 * 1024));
+        callers[0].connect({asio::ip::make_address_v4(address.ip), address.port});
+        asio::write(callers[0], asio::buffer(kRequest));
+        CHECK_TRUE(eventually(context, kWaitLimit,
+                              [&] { return server->connectionsWithUnsentBytes() == 1; }));
+        if (callerHalfCloses)
+            callers[0].shutdown(asio::ip::tcp::socket::shutdown_send);
+        // The caller reads a part at a time, for longer than the idle timeout.
+        std::vector<char> part(512 * 1024);
+        std::size_t received = 0;
+        const TimePoint limit = steadyNow() + kWaitLimit;
+        while (received < body.size() && steadyNow() < limit) {
+            eventually(context, kIdleTimeout / 16, [] { return false; });
+            asio::error_code error;
+            if (callers[0].available(error) > 0)
+                received += callers[0].read_some(asio::buffer(part), error);
+        }
+        CHECK_TRUE_TEXT(received >= body.size(), callerHalfCloses ? "half-closed" : "open");
     }
-    CHECK_TRUE(received >= body.size());
 }
