--- a/src/cli/explaincommand.cpp
+++ b/src/cli/explaincommand.cpp
@@ -56,7 +56,7 @@
     const char *text;
 };
 
-constexpr std::array<ReasonText, 16> kReasons = {{
+constexpr std::array<ReasonText, 22> kReasons = {{
         {"no_endpoint",
          "no endpoint could take it in time; its queued line counts what was in the way"},
         {"no_connection", "the endpoint could not be reached"},
@@ -77,6 +77,13 @@
         {"unknown_key", "no workspace holds its key in the configuration named"},
         {"no_route", "no route matches its host and path in the configuration named"},
         {"no_configuration", "the daemon knew no configuration yet"},
+        {"arrived_too_late", "its deadline had passed when it was complete"},
+        {"incomplete_request", "it did not arrive in full within the limits"},
+        {"too_many_connections",
+         "the daemon had too many callers' connections, or no file descriptors left"},
+        {"body_too_large", "its body is larger than the configuration allows"},
+        {"head_too_large", "its head is larger than the configuration allows"},
+        {"malformed_request", "it was not valid HTTP"},
 }};
 
 std::string reasonText(const std::string &reason)
