--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,9 +13,13 @@
 
 namespace {
 
-// Descriptors reserved for endpoints, the store, peers and files.
-constexpr std::size_t kReservedDescriptors = 700;
+// Descriptors for files, and for connections other than those of callers and to endpoints.
+constexpr std::size_t kReservedDescriptors = 300;
+// One of so many of the other descriptors is for connections to endpoints, the rest for callers.
+constexpr std::size_t kEndpointDescriptorShare = 4;
 constexpr std::size_t kMinConnections = 64;
+// Kept for refusing callers when the process has no other descriptors left.
+constexpr std::size_t kSpareDescriptors = 16;
 // Enough for 600 endpoints with 32 requests each.
 constexpr std::size_t kMaxJobs = 32'768;
 constexpr std::size_t kMaxEndpoints = 4096;
@@ -29,6 +33,8 @@
 constexpr Millis kMemberInterval{300'000};
 // Retry-After of requests that arrive before there is a configuration.
 constexpr Millis kNoConfigRetryAfter{300};
+// Retry-After of requests that this daemon has no room for.
+constexpr Millis kOverloadRetryAfter{500};
 // The load balancer stops sending requests to an entry VM after two failed readiness checks, one
 // second apart.
 constexpr Millis kLoadBalancerDelay{3000};
@@ -54,17 +60,21 @@
     return options;
 }
 
-ServerOptions
-callerOptions(const GatewaySettings &settings,
-              std::function<void(ConnectionEnd, std::size_t unusedBytes)> connectionEnded)
+/// Why the server of the callers answered a request that the gateway did not get.
+const char *serverAnswerReason(int status)
 {
-    ServerOptions options;
-    options.connectionEnded = std::move(connectionEnded);
-    options.address = settings.callers;
-    options.maxConnections = std::max(
-            kMinConnections,
-            settings.maxDescriptors - std::min(settings.maxDescriptors, kReservedDescriptors));
-    return options;
+    switch (status) {
+    case 408:
+        return "incomplete_request";
+    case 413:
+        return "body_too_large";
+    case 431:
+        return "head_too_large";
+    case 503:
+        return "too_many_connections";
+    default:
+        return "malformed_request";
+    }
 }
 
 /// Answers with a status and no header fields or body.
@@ -145,11 +155,7 @@
     , departed_(kMaxEndpoints, kDepartedLifetime)
     , unconfirmedTimer_(context)
     , roleTimer_(context)
-    , callers_(context,
-               callerOptions(settings_,
-                             [this](ConnectionEnd end, std::size_t unusedBytes) {
-                                 onCallerConnectionEnded(end, unusedBytes);
-                             }),
+    , callers_(context, callerOptions(),
                [this](const auto &caller, HttpRequest request) {
                    onRequest(caller, std::move(request));
                })
@@ -174,6 +180,30 @@
         exchange->caller->onDisconnect(nullptr);
 }
 
+ServerOptions Gateway::callerOptions()
+{
+    ServerOptions options;
+    options.address = settings_.callers;
+    const std::size_t descriptors
+            = settings_.maxDescriptors - std::min(settings_.maxDescriptors, kReservedDescriptors);
+    options.maxConnections
+            = std::max(kMinConnections, descriptors - descriptors / kEndpointDescriptorShare);
+    options.spareDescriptors = kSpareDescriptors;
+    options.connectionEnded = [this](ConnectionEnd end, std::size_t unusedBytes) {
+        onCallerConnectionEnded(end, unusedBytes);
+    };
+    options.serverAnswers = [this](int status, const HttpRequest &head) {
+        return noteRejected(protocol_.readCaller(head).requestId, status,
+                            serverAnswerReason(status),
+                            status == 503 ? std::optional(kOverloadRetryAfter) : std::nullopt);
+    };
+    options.acceptFailed = [this](const std::string &error) {
+        logEvent(LogLevel::Error, "accept_failed",
+                 {{"error", error}, {"connections", std::to_string(callers_.connections())}});
+    };
+    return options;
+}
+
 Result<void> Gateway::start()
 {
     for (AsyncHttpServer *server : {&callers_, &readiness_, &control_})
@@ -248,13 +278,7 @@
 {
     CallerFields fields = protocol_.readCaller(request);
     const auto reject = [&](int status, const char *reason, std::optional<Millis> retryAfter) {
-        logEvent(LogLevel::Info, "rejected",
-                 {{"request", fields.requestId},
-                  {"status", std::to_string(status)},
-                  {"reason", reason},
-                  {"config", std::to_string(configs_.newest())}});
-        counters_.outcome(reason).Increment();
-        caller->respond(status, protocol_.ownAnswerHeaders(fields.requestId, retryAfter), {});
+        caller->respond(status, noteRejected(fields.requestId, status, reason, retryAfter), {});
         return nullptr;
     };
     if (!config_)
@@ -278,7 +302,11 @@
     if (draining_ && now - drainStartedAt_ > kLoadBalancerDelay)
         return reject(503, "shutting_down", Millis(20));
     if (exchanges_.size() >= kMaxExchanges)
-        return reject(503, "too_many_requests", Millis(500));
+        return reject(503, "too_many_requests", kOverloadRetryAfter);
+    const TimePoint arrivedAt = caller->requestStart();
+    const TimePoint deadline = arrivedAt + std::min(fields.deadline, route->timeout);
+    if (now >= deadline)
+        return reject(503, "arrived_too_late", std::nullopt);
     auto exchange = std::make_unique<Exchange>(context_);
     exchange->id = ++nextExchange_;
     exchange->requestId = fields.requestId;
@@ -288,9 +316,9 @@
     exchange->service = pickService(*route, fields.requestId);
     exchange->workspace = std::move(workspaceName);
     exchange->priority = priority;
-    exchange->arrivedAt = caller->requestStart();
+    exchange->arrivedAt = arrivedAt;
     exchange->objective = exchange->arrivedAt + route->objective;
-    exchange->deadline = exchange->arrivedAt + std::min(fields.deadline, route->timeout);
+    exchange->deadline = deadline;
     exchange->lastEventId = fields.lastEventId;
     exchange->fields = std::move(fields);
     exchange->request = std::move(request);
@@ -318,6 +346,18 @@
               {"config", std::to_string(configs_.newest())}});
 }
 
+HeaderList Gateway::noteRejected(const std::string &requestId, int status, const char *reason,
+                                 std::optional<Millis> retryAfter)
+{
+    logEvent(LogLevel::Info, "rejected",
+             {{"request", requestId},
+              {"status", std::to_string(status)},
+              {"reason", reason},
+              {"config", std::to_string(configs_.newest())}});
+    counters_.outcome(reason).Increment();
+    return protocol_.ownAnswerHeaders(requestId, retryAfter);
+}
+
 void Gateway::onDeadline(std::uint64_t id)
 {
     Exchange *exchange = find(id);
--- a/src/net/parser.h
+++ b/src/net/parser.h
@@ -42,6 +42,8 @@
     bool started() const { return started_; }
     /// For the next request; must not be called once a request has started.
     void setLimits(RequestLimits limits) { limits_ = limits; }
+    /// The request as far as it has arrived, with a complete head; null while the head is not.
+    const HttpRequest *head() const { return headComplete_ ? &request_ : nullptr; }
     /// The head is complete and the caller expects "100 Continue" before it sends the body.
     bool awaitsContinue() const { return awaitsContinue_; }
     void continueSent() { awaitsContinue_ = false; }
@@ -69,6 +71,7 @@
     int failureStatus_ = 0;
     std::size_t headerBytes_ = 0;
     bool started_ = false;
+    bool headComplete_ = false;
     bool lastWasValue_ = false;
     bool awaitsContinue_ = false;
 };
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -24,6 +24,10 @@
 constexpr Millis kUnreadInputDelay{1};
 // How long to wait for the caller to close the connection after the last response.
 constexpr Millis kLingerTimeout{1000};
+// How long to wait for the request of a connection that is to be refused.
+constexpr Millis kRefusalTimeout{500};
+constexpr int kRequestTimeout = 408;
+constexpr int kServiceUnavailable = 503;
 // Delay after a failed accept, for example when no file descriptors are left.
 constexpr Millis kAcceptRetryDelay{50};
 
@@ -42,6 +46,8 @@
         return "after_last_answer";
     case ConnectionEnd::Draining:
         return "draining";
+    case ConnectionEnd::OverLimit:
+        return "over_limit";
     case ConnectionEnd::Aborted:
         return "aborted";
     }
@@ -49,19 +55,22 @@
 }
 
 HttpServerConnection::HttpServerConnection(AsyncHttpServer &server, asio::ip::tcp::socket socket,
-                                           std::uint64_t id)
+                                           std::uint64_t id, Role role)
     : server_(server)
     , socket_(std::move(socket))
     , id_(id)
+    , role_(role)
     , timer_(socket_.get_executor())
     , parser_(server.options_.limits)
+    , lastAnswerEnd_(role == Role::Refuse ? ConnectionEnd::OverLimit
+                                          : ConnectionEnd::AfterLastAnswer)
 {
 }
 
 void HttpServerConnection::start()
 {
     tuneSocket(socket_, {.userTimeout = kCallerUserTimeout, .keepAliveIdle = kCallerKeepAliveIdle});
-    armTimer(server_.options_.idleTimeout);
+    awaitInput();
     armRead();
 }
 
@@ -86,11 +95,17 @@
         armRead();
         return;
     }
+    if (error == asio::error::eof && !handlingRequest_ && unsentBytes() > 0) {
+        // The caller sends nothing more, but it may still read its answer, which is complete.
+        closing_ = true;
+        timer_.cancel();
+        return;
+    }
     if (error) {
         notifyDisconnect();
         return;
     }
-    if (lingering_) {
+    if (lingering_ || closing_) {
         armRead();
         return;
     }
@@ -100,19 +115,18 @@
 
 void HttpServerConnection::consume()
 {
-    // The caller may have left since this was posted.
     if (!socket_.is_open())
-        return;
+        return; // Closed since this call was posted.
     if (handlingRequest_) {
         if (input_.size() < kMaxBufferedBytes)
             armRead();
         return;
     }
     if (!input_.empty() && !closing_) {
-        if (!parser_.started()) {
+        const bool begins = !parser_.started();
+        if (begins) {
             requestStart_ = steadyNow();
             parser_.setLimits(server_.options_.limits);
-            armTimer(server_.options_.headerTimeout);
         }
         const std::size_t used = parser_.feed(input_);
         input_.erase(0, used);
@@ -120,6 +134,14 @@
             failRequest(parser_.failureStatus());
             return;
         }
+        if (role_ == Role::Refuse && parser_.head()) {
+            failRequest(kServiceUnavailable);
+            return;
+        }
+        // The head has a limit as a whole, and a body must make progress.
+        const bool progress = begins || parser_.head();
+        if (parser_.state() == ParseState::Reading && role_ == Role::Serve && progress)
+            awaitInput();
         if (parser_.state() == ParseState::Reading && parser_.awaitsContinue()) {
             parser_.continueSent();
             output_ += "HTTP/1.1 100 Continue\r\n\r\n";
@@ -139,21 +161,38 @@
 
 void HttpServerConnection::failRequest(int status)
 {
-    // After a parse error the start of the next request is unknown, so the connection must close.
+    // The start of the next request is unknown, so the connection must close.
     keepAlive_ = false;
     handlingRequest_ = true;
-    respond(status, {}, {});
+    input_.clear();
+    HeaderList headers;
+    if (server_.options_.serverAnswers) {
+        const HttpRequest *head = parser_.head();
+        headers = server_.options_.serverAnswers(status, head ? *head : HttpRequest{});
+    }
+    respond(status, std::move(headers), {});
 }
 
-void HttpServerConnection::armTimer(Millis timeout)
+TimePoint HttpServerConnection::inputDeadline() const
 {
-    timerStart_ = steadyNow();
-    resumeTimer(timeout);
+    const ServerOptions &options = server_.options_;
+    if (role_ == Role::Refuse)
+        return inputAwaitedSince_ + kRefusalTimeout;
+    if (!parser_.started())
+        return inputAwaitedSince_ + options.idleTimeout;
+    return std::min(inputAwaitedSince_ + options.headerTimeout,
+                    requestStart_ + std::max(options.requestTimeout, options.headerTimeout));
 }
 
-void HttpServerConnection::resumeTimer(Millis rest)
+void HttpServerConnection::awaitInput()
 {
-    timer_.expires_after(rest);
+    inputAwaitedSince_ = steadyNow();
+    armTimer(std::chrono::ceil<Millis>(inputDeadline() - inputAwaitedSince_));
+}
+
+void HttpServerConnection::armTimer(Millis timeout)
+{
+    timer_.expires_after(timeout);
     timer_.async_wait([weak = weak_from_this()](const asio::error_code &error) {
         const auto self = weak.lock();
         // cancel() can't stop a handler that is already queued, so the timer may have been
@@ -166,35 +205,34 @@
 void HttpServerConnection::onTimer()
 {
     if (lingering_) {
-        close(lingerEnd_);
+        close(lastAnswerEnd_);
         return;
     }
     if (hasUnreadInput()) {
-        resumeTimer(kUnreadInputDelay);
+        armTimer(kUnreadInputDelay);
         return;
     }
     // The timeout may have been raised since the timer was armed.
-    const Millis timeout
-            = parser_.started() ? server_.options_.headerTimeout : server_.options_.idleTimeout;
-    const auto rest = std::chrono::ceil<Millis>(timerStart_ + timeout - steadyNow());
+    const auto rest = std::chrono::ceil<Millis>(inputDeadline() - steadyNow());
     if (rest > Millis(0)) {
-        resumeTimer(rest);
+        armTimer(rest);
         return;
     }
+    const bool refuses = role_ == Role::Refuse;
     if (!parser_.started()) {
-        close(ConnectionEnd::Idle);
+        close(refuses ? ConnectionEnd::OverLimit : ConnectionEnd::Idle);
         return;
     }
-    // The caller can repeat a request of which it is told that it has not run.
-    lingerEnd_ = ConnectionEnd::IncompleteRequest;
-    failRequest(408);
+    if (!refuses)
+        lastAnswerEnd_ = ConnectionEnd::IncompleteRequest;
+    failRequest(refuses ? kServiceUnavailable : kRequestTimeout);
 }
 
 void HttpServerConnection::respond(int status, HeaderList headers, std::string_view body)
 {
     if (!socket_.is_open() || !handlingRequest_)
         return;
-    if (server_.draining_)
+    if (mustClose())
         keepAlive_ = false;
     headers.set("Content-Length", std::to_string(body.size()));
     if (!keepAlive_)
@@ -204,12 +242,18 @@
     finishExchange();
 }
 
+bool HttpServerConnection::mustClose() const
+{
+    // A further request that has arrived would be lost.
+    return server_.draining_ && input_.empty() && !hasUnreadInput();
+}
+
 void HttpServerConnection::beginStream(int status, HeaderList headers)
 {
     if (!socket_.is_open() || !handlingRequest_)
         return;
     chunked_ = acceptsChunked_;
-    if (server_.draining_ || !chunked_)
+    if (mustClose() || !chunked_)
         keepAlive_ = false;
     if (chunked_)
         headers.set("Transfer-Encoding", "chunked");
@@ -254,7 +298,7 @@
     chunked_ = false;
     closing_ = !keepAlive_;
     if (!closing_)
-        armTimer(server_.options_.idleTimeout);
+        awaitInput();
     sendOutput();
     // Posted instead of called directly, so that pipelined requests do not recurse.
     if (!closing_ && !input_.empty())
@@ -289,7 +333,7 @@
             return;
         // A caller that reads the answer slowly is not idle.
         if (!self->handlingRequest_ && !self->closing_ && !self->parser_.started())
-            self->armTimer(self->server_.options_.idleTimeout);
+            self->awaitInput();
         self->sendOutput();
     });
 }
@@ -343,7 +387,7 @@
 {
     const auto handler = std::move(disconnectHandler_);
     disconnectHandler_ = nullptr;
-    close(lingering_ ? lingerEnd_ : ConnectionEnd::ByCaller);
+    close(lingering_ ? lastAnswerEnd_ : ConnectionEnd::ByCaller);
     if (handler)
         handler();
 }
@@ -361,7 +405,7 @@
     }
     socket_.close(ignored);
     handlingRequest_ = false;
-    server_.connections_.erase(id_);
+    server_.onConnectionClosed(id_, role_);
 }
 
 AsyncHttpServer::AsyncHttpServer(asio::io_context &context, ServerOptions options, Handler handler)
@@ -395,6 +439,7 @@
                 fmt::format("cannot listen on {}: {}", toString(options_.address), error.message()),
                 "choose an address of this machine and a port that no other process uses");
     }
+    keepSpares();
     accept();
     return {};
 }
@@ -405,28 +450,87 @@
         if (error == asio::error::operation_aborted || !acceptor_.is_open())
             return;
         if (error) {
-            acceptRetry_.expires_after(kAcceptRetryDelay);
-            acceptRetry_.async_wait([this](const asio::error_code &cancelled) {
-                if (!cancelled)
-                    accept();
-            });
+            onAcceptFailed(error);
             return;
         }
-        if (connections_.size() < options_.maxConnections) {
-            const std::uint64_t id = ++nextId_;
-            const auto connection
-                    = std::make_shared<HttpServerConnection>(*this, std::move(socket), id);
-            connections_.emplace(id, connection);
-            connection->start();
-        }
+        add(std::move(socket));
+        acceptFailing_ = acceptFailing_ && spares_.size() < options_.spareDescriptors;
+        acceptPaused_ = mustRefuse() && refused_ >= options_.maxRefusedConnections;
+        if (!acceptPaused_)
+            accept();
+    });
+}
+
+void AsyncHttpServer::onAcceptFailed(const asio::error_code &error)
+{
+    if (!acceptFailing_ && options_.acceptFailed)
+        options_.acceptFailed(error.message());
+    acceptFailing_ = true;
+    if (error == asio::error::no_descriptors && !spares_.empty()) {
+        spares_.pop_back();
+        accept();
+        return;
+    }
+    acceptPaused_ = true;
+    acceptRetry_.expires_after(kAcceptRetryDelay);
+    acceptRetry_.async_wait([this](const asio::error_code &cancelled) {
+        if (cancelled || !acceptPaused_)
+            return;
+        acceptPaused_ = false;
         accept();
     });
 }
 
+void AsyncHttpServer::add(asio::ip::tcp::socket socket)
+{
+    keepSpares();
+    const auto role
+            = mustRefuse() ? HttpServerConnection::Role::Refuse : HttpServerConnection::Role::Serve;
+    if (role == HttpServerConnection::Role::Refuse)
+        ++refused_;
+    const std::uint64_t id = ++nextId_;
+    const auto connection
+            = std::make_shared<HttpServerConnection>(*this, std::move(socket), id, role);
+    connections_.emplace(id, connection);
+    connection->start();
+}
+
+void AsyncHttpServer::onConnectionClosed(std::uint64_t id, HttpServerConnection::Role role)
+{
+    connections_.erase(id);
+    if (role == HttpServerConnection::Role::Refuse)
+        --refused_;
+    keepSpares();
+    if (!acceptPaused_ || !acceptor_.is_open())
+        return;
+    acceptPaused_ = false;
+    acceptRetry_.cancel();
+    accept();
+}
+
+void AsyncHttpServer::keepSpares()
+{
+    while (acceptor_.is_open() && spares_.size() < options_.spareDescriptors) {
+        asio::ip::tcp::socket spare(acceptor_.get_executor());
+        asio::error_code error;
+        spare.open(asio::ip::tcp::v4(), error);
+        if (error)
+            return;
+        spares_.push_back(std::move(spare));
+    }
+}
+
+bool AsyncHttpServer::mustRefuse() const
+{
+    return connections_.size() - refused_ >= options_.maxConnections
+           || spares_.size() < options_.spareDescriptors;
+}
+
 void AsyncHttpServer::stopListening()
 {
     asio::error_code ignored;
     acceptor_.close(ignored);
+    spares_.clear();
 }
 
 void AsyncHttpServer::closeIdleConnections()
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -134,6 +134,10 @@
     {
         if (!inCall_ || !connected_)
             return;
+        if (written_ == 0 && reused_ && isStale()) {
+            reconnect();
+            return;
+        }
         armRead();
         // Other write errors are ignored here: the server may have responded before it closed the
         // connection. The read side delivers that response and then reports the end.
@@ -141,6 +145,25 @@
             armWrite();
     }
 
+    /// True if the server has closed an idle connection or sent bytes that belong to no request.
+    bool isStale()
+    {
+        char byte = 0;
+        asio::error_code error;
+        socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        return error != asio::error::would_block;
+    }
+
+    /// Replaces an idle connection that was found to be stale before anything was sent.
+    void reconnect()
+    {
+        asio::error_code ignored;
+        socket_.close(ignored);
+        connected_ = false;
+        reused_ = false;
+        connect();
+    }
+
     void armWrite()
     {
         socket_.async_wait(asio::ip::tcp::socket::wait_write,
@@ -160,12 +183,14 @@
                                self->readArmed_ = false;
                                if (!error)
                                    self->onReadable();
+                               else if (self->inCall_ && self->connected_)
+                                   self->armRead(); // The wait was for the stale connection.
                            });
     }
 
     void onReadable()
     {
-        if (!socket_.is_open() || paused_)
+        if (!connected_ || !socket_.is_open() || paused_)
             return;
         asio::error_code error;
         const std::size_t count = socket_.read_some(asio::buffer(pool_.readBuffer_), error);
@@ -179,6 +204,14 @@
             close();
             return;
         }
+        if (written_ == 0) {
+            // Only a kept connection may have ended while it was idle.
+            if (reused_)
+                reconnect();
+            else
+                end(UpstreamOutcome::NotSent);
+            return;
+        }
         if (error) {
             onConnectionEnd(error);
             return;
@@ -197,27 +230,9 @@
                 return;
             }
         }
-        if (written_ == 0) {
-            onNothingSent();
-            return;
-        }
         end(headAccepted_ ? UpstreamOutcome::Broken : UpstreamOutcome::NoAnswer);
     }
 
-    void onNothingSent()
-    {
-        if (!reused_) {
-            end(UpstreamOutcome::NotSent);
-            return;
-        }
-        // The server has closed an idle connection.
-        asio::error_code ignored;
-        socket_.close(ignored);
-        reused_ = false;
-        connected_ = false;
-        connect();
-    }
-
     void onBytes(std::string_view bytes)
     {
         const auto self = shared_from_this();
@@ -307,7 +322,7 @@
     Millis idleLimit_;
     TimePoint idleSince_{};
     bool connected_ = false;
-    bool reused_ = false; ///< The call began on a connection that had been idle.
+    bool reused_ = false; ///< The connection has served an earlier call.
     bool inCall_ = false;
     bool readArmed_ = false;
     bool paused_ = false;
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -1,14 +1,19 @@
 // Tests of the event-driven HTTP server over loopback, with blocking sockets as callers.
 
 #include "net/server.h"
+#include "net/upstream.h"
 #include "support/eventually.h"
 #include "support/network.h"
 
 #include <CppUTest/TestHarness.h>
 #include <asio/connect.hpp>
+#include <asio/local/connect_pair.hpp>
+#include <asio/local/stream_protocol.hpp>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <functional>
 #include <memory>
@@ -25,6 +30,26 @@
 constexpr Millis kWaitLimit{3000};
 constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
+/// Leaves this process only a number of further descriptors.
+class FewerDescriptors
+{
+public:
+    explicit FewerDescriptors(rlim_t left)
+    {
+        getrlimit(RLIMIT_NOFILE, &before_);
+        const int next = dup(STDIN_FILENO);
+        close(next);
+        const rlimit limit{static_cast<rlim_t>(next) + left, before_.rlim_max};
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+    ~FewerDescriptors() { setrlimit(RLIMIT_NOFILE, &before_); }
+    FewerDescriptors(const FewerDescriptors &) = delete;
+    FewerDescriptors &operator=(const FewerDescriptors &) = delete;
+
+private:
+    rlimit before_{};
+};
+
 } // namespace
 
 TEST_GROUP(NetServer)
@@ -38,9 +63,14 @@
 
     void setup() override
     {
+        start({.address = address, .idleTimeout = kIdleTimeout});
+    }
+
+    void start(const ServerOptions &options)
+    {
+        server.reset();
         server = std::make_unique<AsyncHttpServer>(
-                context, ServerOptions{.address = address, .idleTimeout = kIdleTimeout},
-                [this](const auto &caller, const HttpRequest &) {
+                context, options, [this](const auto &caller, const HttpRequest &) {
                     // An answer on a later turn of the event loop, as that of an endpoint.
                     const auto timer = std::make_shared<asio::steady_timer>(context, Millis(5));
                     timer->async_wait([this, timer, caller](const asio::error_code &) {
@@ -62,6 +92,12 @@
         callers.back().connect({asio::ip::make_address_v4(address.ip), address.port});
     }
 
+    void connectAndSend(std::string_view text)
+    {
+        connect();
+        asio::write(callers.back(), asio::buffer(text));
+    }
+
     /// All bytes until the server closes the connection.
     std::string readAll(asio::ip::tcp::socket & caller)
     {
@@ -70,6 +106,17 @@
         asio::read(caller, asio::dynamic_buffer(text), error);
         return text;
     }
+
+    /// The same while this thread runs the server.
+    std::string readAllWhileServing(asio::ip::tcp::socket & caller)
+    {
+        std::string text;
+        bool ended = false;
+        asio::async_read(caller, asio::dynamic_buffer(text),
+                         [&](const asio::error_code &, std::size_t) { ended = true; });
+        CHECK_TRUE(eventually(context, kWaitLimit, [&] { return ended; }));
+        return text;
+    }
 };
 
 // The event loop may be busy for longer than the idle timeout, and then finds timer and request
@@ -124,6 +171,40 @@
     CHECK_TRUE(answer.ends_with(body));
 }
 
+// Guards against a whole request that gets no answer because the server drains.
+TEST(NetServer, drainingServerAnswersAllRequestsThatHaveArrived)
+{
+    constexpr std::size_t kPipelined = 3;
+    connect();
+    for (std::size_t i = 0; i < kPipelined; ++i)
+        asio::write(callers[0], asio::buffer(kRequest));
+    server->beginDrain();
+    const std::string text = readAllWhileServing(callers[0]);
+    std::size_t answers = 0;
+    for (std::size_t at = text.find("200 OK"); at != std::string::npos;
+         at = text.find("200 OK", at + 1))
+        ++answers;
+    LONGS_EQUAL(kPipelined, answers);
+    CHECK_TRUE(text.find("Connection: close") > text.rfind("200 OK"));
+}
+
+// Guards against work for a caller that is gone: nobody would get the answer or cancel the request.
+TEST(NetServer, pipelinedRequestOfAClosedConnectionIsNotHandled)
+{
+    unsigned handled = 0;
+    server = std::make_unique<AsyncHttpServer>(context, ServerOptions{.address = addresses.next()},
+                                               [&](const auto &caller, const HttpRequest &) {
+                                                   ++handled;
+                                                   caller->respond(200, {}, body);
+                                                   server->closeAll();
+                                               });
+    CHECK_TRUE(static_cast<bool>(capture([&] { return server->start(); })));
+    address = server->options().address;
+    connectAndSend(std::string(kRequest) + std::string(kRequest));
+    eventually(context, kIdleTimeout, [] { return false; });
+    LONGS_EQUAL(1, handled);
+}
+
 // Guards against a process that ends while a caller's request or last answer is on its way.
 TEST(NetServer, requestsAndAnswersOnTheirWayKeepTheServerInUse)
 {
@@ -221,33 +302,6 @@
     first.reset();
 }
 
-// Guards against a close without an answer, after which a caller can't know whether it may retry.
-TEST(NetServer, requestThatDoesNotArriveInTimeIsAnswered)
-{
-    server->setLimits({}, kIdleTimeout, kIdleTimeout);
-    struct Case
-    {
-        const char *name;
-        std::string sent;
-    };
-    const Case cases[] = {
-            {"part of the head", "GET / HT"},
-            {"part of the body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc"},
-    };
-    for (const Case &row : cases) {
-        connect();
-        asio::write(callers[0], asio::buffer(row.sent));
-        CHECK_TRUE_TEXT(eventually(context, kWaitLimit,
-                                   [&] { return callers[0].available() > 0 || !server->inUse(); }),
-                        row.name);
-        std::string answer(callers[0].available(), '\0');
-        asio::read(callers[0], asio::buffer(answer));
-        CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 408 "), row.name);
-        callers.clear();
-        CHECK_TRUE(eventually(context, kWaitLimit, [&] { return server->connections() == 0; }));
-    }
-}
-
 // Guards against kept connections on which the limits of an older configuration stay in force.
 TEST(NetServer, changedLimitsApplyToTheNextRequestOfAConnection)
 {
@@ -269,25 +323,207 @@
     STRCMP_EQUAL("HTTP/1.1 413", statusOf(large).c_str());
 }
 
+// Guards against a caller that gets neither an answer nor a refusal because its request is slow.
+TEST(NetServer, requestThatDoesNotArriveInFullIsAnswered)
+{
+    struct Case
+    {
+        const char *name;
+        std::string sent;
+        std::string_view answer;
+    };
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n";
+    const Case cases[] = {{"nothing", "", ""},
+                          {"part of the head", head.substr(0, 20), "HTTP/1.1 408 "},
+                          {"head", head, "HTTP/1.1 408 "},
+                          {"part of the body", head + "part", "HTTP/1.1 408 "}};
+    server->setLimits({}, kIdleTimeout, kIdleTimeout);
+    for (const Case &row : cases) {
+        connect();
+        asio::write(callers[0], asio::buffer(row.sent));
+        const std::string text = readAllWhileServing(callers[0]);
+        STRCMP_EQUAL_TEXT(std::string(row.answer).c_str(),
+                          text.substr(0, row.answer.size()).c_str(), row.name);
+        CHECK_EQUAL_TEXT(row.answer.empty(), text.empty(), row.name);
+        CHECK_EQUAL_TEXT(!row.answer.empty(),
+                         text.find("Connection: close\r\n") != std::string::npos, row.name);
+        callers.clear();
+    }
+}
+
+// Guards against a request that is given up although its body arrives steadily, and against one
+// that holds its connection without end.
+TEST(NetServer, slowRequestsHaveALimitForTheHeadForPausesAndInAll)
+{
+    struct Case
+    {
+        const char *name;
+        std::string start; ///< Sent at once; the rest comes a byte at a time.
+        std::size_t rest;
+        std::string_view answer;
+    };
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n";
+    const std::string longHead = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n";
+    const Case cases[] = {{"body", head, 20, "HTTP/1.1 200 "},
+                          {"long body", longHead, 200, "HTTP/1.1 408 "},
+                          {"head", "POST / HTTP/1.1\r\nHost: ", 20, "HTTP/1.1 408 "}};
+    constexpr Millis kRequestTimeout = 20 * kIdleTimeout;
+    start({.address = address, .headerTimeout = kIdleTimeout, .requestTimeout = kRequestTimeout});
+    for (const Case &row : cases) {
+        connectAndSend(row.start);
+        std::size_t sent = 0;
+        const auto answered = [&] {
+            asio::error_code error;
+            return callers[0].available(error) > 0 || error;
+        };
+        asio::error_code closed;
+        while (!closed && sent < row.rest && !eventually(context, kIdleTimeout / 4, answered))
+            sent += asio::write(callers[0], asio::buffer("x", 1), closed);
+        CHECK_TRUE_TEXT(eventually(context, kWaitLimit, answered), row.name);
+        std::string answer(row.answer.size(), ' ');
+        asio::error_code error;
+        asio::read(callers[0], asio::buffer(answer), error);
+        STRCMP_EQUAL_TEXT(std::string(row.answer).c_str(), answer.c_str(), row.name);
+        callers.clear();
+    }
+}
+
+// Guards against a connection above the limit that is closed without a word.
+TEST(NetServer, requestsOnConnectionsAboveTheLimitAreRefused)
+{
+    struct Case
+    {
+        const char *name;
+        std::string sent;
+        bool refused = true;
+    };
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000000\r\n\r\n";
+    const Case cases[] = {{"whole request", std::string(kRequest)},
+                          {"head without its body", head},
+                          {"part of a long body", head + std::string(300'000, 'x')},
+                          {"part of the head", "GET / HT"},
+                          {"nothing", "", false}};
+    start({.address = address, .maxConnections = 1});
+    connect();
+    CHECK_TRUE(eventually(context, kWaitLimit, [&] { return server->connections() == 1; }));
+    for (const Case &row : cases) {
+        connectAndSend(row.sent);
+        const std::string text = readAllWhileServing(callers[1]);
+        CHECK_EQUAL_TEXT(row.refused, text.starts_with("HTTP/1.1 503 "), row.name);
+        CHECK_EQUAL_TEXT(row.refused, text.find("Connection: close\r\n") != std::string::npos,
+                         row.name);
+        callers.pop_back();
+    }
+    // A kept connection still works, and its end makes room for another one.
+    asio::write(callers[0], asio::buffer(kRequest));
+    CHECK_TRUE(eventually(context, kWaitLimit, [&] { return callers[0].available() > 0; }));
+    callers.clear();
+    CHECK_TRUE(eventually(context, kWaitLimit, [&] { return server->connections() == 0; }));
+    connectAndSend(kRequest);
+    CHECK_TRUE(eventually(context, kWaitLimit, [&] { return callers[0].available() > 0; }));
+    std::string answer(12, ' ');
+    asio::read(callers[0], asio::buffer(answer));
+    STRCMP_EQUAL("HTTP/1.1 200", answer.c_str());
+}
+
+// Guards against refusals that use up memory and descriptors, and against callers left over.
+TEST(NetServer, fewConnectionsAreRefusedAtATimeAndAllInTheEnd)
+{
+    constexpr std::size_t kConnections = 100;
+    constexpr std::size_t kRefusedAtATime = 4;
+    start({.address = address, .maxConnections = 0, .maxRefusedConnections = kRefusedAtATime});
+    for (std::size_t i = 0; i < kConnections; ++i)
+        connectAndSend(kRequest);
+    std::size_t refused = 0;
+    for (auto &caller : callers) {
+        refused += readAllWhileServing(caller).starts_with("HTTP/1.1 503 ") ? 1 : 0;
+        CHECK_TRUE(server->connections() <= kRefusedAtATime);
+        caller.close();
+    }
+    LONGS_EQUAL(kConnections, refused);
+}
+
+// Guards against requests that wait unread for as long as the process has no descriptors left.
+TEST(NetServer, requestsAreRefusedWhenDescriptorsRunOut)
+{
+    std::string failure;
+    start({.address = address,
+           .spareDescriptors = 2,
+           .acceptFailed = [&](const std::string &error) { failure += error + ";"; }});
+    for (int i = 0; i < 5; ++i)
+        connectAndSend(kRequest);
+    const FewerDescriptors none(0);
+    for (auto &caller : callers)
+        CHECK_TRUE(readAllWhileServing(caller).starts_with("HTTP/1.1 503 "));
+    STRCMP_EQUAL("Too many open files;", failure.c_str());
+}
+
+// Guards against a request whose fate is unknown although it was never sent: its connection had
+// been closed while it was idle.
+TEST(NetServer, callOnAnIdleConnectionThatTheServerHasClosedIsSentOnANewOne)
+{
+    UpstreamPool pool(context, {});
+    std::string outcomes;
+    const auto call = [&] {
+        return pool.call(address, {.head = std::string(kRequest)},
+                         {.head = [](HttpResponseHead &&) { return HeadAction::Accept; },
+                          .body = {},
+                          .end =
+                                  [&](UpstreamOutcome outcome) {
+                                      outcomes += std::to_string(static_cast<int>(outcome));
+                                  }});
+    };
+    const auto waitForEnd = [&] {
+        CHECK_TRUE(eventually(context, kWaitLimit, [&] { return !outcomes.empty(); }));
+    };
+    for (const bool closeIsFoundFirst : {false, true}) {
+        auto running = call();
+        waitForEnd();
+        outcomes.clear();
+        asio::local::stream_protocol::socket trigger(context);
+        asio::local::stream_protocol::socket other(context);
+        asio::local::connect_pair(trigger, other);
+        if (closeIsFoundFirst) {
+            // The event loop finds the reason for the call and the close together, in this order.
+            trigger.async_wait(asio::socket_base::wait_read,
+                               [&](const asio::error_code &) { running = call(); });
+            eventually(context, Millis(1), [] { return false; });
+            asio::write(other, asio::buffer("x", 1));
+        } else {
+            running = call();
+        }
+        server->closeIdleConnections();
+        waitForEnd();
+        STRCMP_EQUAL_TEXT(std::to_string(static_cast<int>(UpstreamOutcome::Complete)).c_str(),
+                          outcomes.c_str(), closeIsFoundFirst ? "found first" : "found later");
+    }
+}
+
+// Guards against an answer that is cut because its caller reads slowly or will send nothing more.
 TEST(NetServer, idleTimeoutDoesNotCutAnAnswerThatIsReadSlowly)
 {
     body.assign(24 * 1024 * 1024, 'x');
-    callers.emplace_back(context);
-    callers[0].open(asio::ip::tcp::v4());
-    callers[0].set_option(asio::socket_base::receive_buffer_size(256 * 1024));
-    callers[0].connect({asio::ip::make_address_v4(address.ip), address.port});
-    asio::write(callers[0], asio::buffer(kRequest));
-    CHECK_TRUE(eventually(context, kWaitLimit,
-                          [&] { return server->connectionsWithUnsentBytes() == 1; }));
-    // The caller reads a part at a time, for longer than the idle timeout.
-    std::vector<char> part(512 * 1024);
-    std::size_t received = 0;
-    const TimePoint limit = steadyNow() + kWaitLimit;
-    while (received < body.size() && steadyNow() < limit) {
-        eventually(context, kIdleTimeout / 16, [] { return false; });
-        asio::error_code error;
-        if (callers[0].available(error) > 0)
-            received += callers[0].read_some(asio::buffer(part), error);
+    for (const bool callerHalfCloses : {false, true}) {
+        callers.clear();
+        callers.emplace_back(context);
+        callers[0].open(asio::ip::tcp::v4());
+        callers[0].set_option(asio::socket_base::receive_buffer_size(256 * 1024));
+        callers[0].connect({asio::ip::make_address_v4(address.ip), address.port});
+        asio::write(callers[0], asio::buffer(kRequest));
+        CHECK_TRUE(eventually(context, kWaitLimit,
+                              [&] { return server->connectionsWithUnsentBytes() == 1; }));
+        if (callerHalfCloses)
+            callers[0].shutdown(asio::ip::tcp::socket::shutdown_send);
+        // The caller reads a part at a time, for longer than the idle timeout.
+        std::vector<char> part(512 * 1024);
+        std::size_t received = 0;
+        const TimePoint limit = steadyNow() + kWaitLimit;
+        while (received < body.size() && steadyNow() < limit) {
+            eventually(context, kIdleTimeout / 16, [] { return false; });
+            asio::error_code error;
+            if (callers[0].available(error) > 0)
+                received += callers[0].read_some(asio::buffer(part), error);
+        }
+        CHECK_TRUE_TEXT(received >= body.size(), callerHalfCloses ? "half-closed" : "open");
     }
-    CHECK_TRUE(received >= body.size());
 }
