Drill an older store in the soak when every daemon is calm and current

It came in the middle of other faults, so that mostly a daemon had just started or been frozen; that one had a lower offset or none, read the rewritten records and told its peers. A caller sees the fault only when every daemon has read to the end of what is lost and as many records are written again: each goes on at its offset and never reads the newest one.

After the last fault, once all daemons are ready and current, the soak now writes endpoints and configuration, lets all read them, restores a copy that lacks them, and writes as many again, of which the last ones differ: a newer version, and an endpoint that drains. Both must take effect. The callers go on until the end, also while the last faults run out. The former drill at the end of the faults stays.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -37,6 +37,14 @@
 // Every daemon has an address of its own in the net of the address pool.
 constexpr unsigned kMaxAddresses = 240;
 constexpr std::uint64_t kDaemonMemoryBytes = 64ULL * 1024 * 1024;
+// The drill. Within the first time every daemon that reads the endpoints' records has read again.
+constexpr Millis kAllHaveRead{1800};
+constexpr Millis kDrillOutage{100};
+// An endpoint without a request for this long, beside busy clients, no longer gets any.
+constexpr Millis kNoArrivals{500};
+// A store that came back counts as stable after 3 s; 2 s later a record must have its effect.
+constexpr Millis kDrainLimit{5000};
+
 /// The workspace of the key is named after the version, so that an endpoint sees which version has
 /// admitted a request.
 std::string configurationText(unsigned version)
@@ -117,10 +125,7 @@
             for (; fault != plan_.end() && steadyNow() >= start + fault->at; ++fault)
                 inject(*fault);
         }
-        for (const auto &client : clients_)
-            client->stop();
-        while (std::ranges::any_of(clients_, [](const auto &client) { return client->busy(); })
-               || !later_.empty())
+        while (!later_.empty())
             step();
         for (const auto &replica : replicas_)
             replica->script.clear();
@@ -128,6 +133,12 @@
             report_.broken.push_back("the daemons are not ready again after the last fault");
         else if (!becomeCurrent())
             report_.broken.push_back("not all daemons have the newest configuration at the end");
+        else
+            drillOlderStore();
+        for (const auto &client : clients_)
+            client->stop();
+        while (std::ranges::any_of(clients_, [](const auto &client) { return client->busy(); }))
+            step();
         judge();
         return std::move(report_);
     }
@@ -211,6 +222,64 @@
         after(duration, [this] { store_.refuses = --storeFaults_ > 0; });
     }
 
+    void runFor(Millis duration)
+    {
+        for (const TimePoint end = steadyNow() + duration; steadyNow() < end;)
+            step();
+    }
+
+    /// The store comes back from an older copy when every daemon has read it to its end. What it
+    /// has lost is written again in as many records, the last of which have something new: a daemon
+    /// that goes on at its offset never reads them.
+    void drillOlderStore()
+    {
+        const std::size_t target = random_() % replicas_.size() / 3 * 3; // Others serve the same.
+        const Millis pause(random_() % 2 * (random_() % 400));
+        runFor(kStep * 2); // Earlier records stay in the copy.
+        const TimePoint begun = steadyNow();
+        for (std::size_t i = 0; i < replicas_.size(); ++i)
+            writeReplica(i, "ready");
+        writeReplica(target, "ready");
+        writeConfiguration();
+        runFor(kAllHaveRead);
+        holdStoreAway(kDrillOutage);
+        while (!later_.empty())
+            step();
+        const std::size_t lost
+                = restoreStore(std::chrono::ceil<Millis>(steadyNow() - begun) + kStep);
+        runFor(pause);
+        writeAgain(lost);
+        writeReplica(target, "draining");
+        if (!becomeCurrent())
+            report_.broken.push_back("drill: not all daemons have the newest configuration");
+        if (!becomeUnused(target))
+            report_.broken.push_back(
+                    fmt::format("drill: {} drains and still gets requests", replicas_[target]->id));
+    }
+
+    /// Waits until the endpoint gets no more requests.
+    bool becomeUnused(std::size_t replica)
+    {
+        const TimePoint end = steadyNow() + kDrainLimit;
+        for (unsigned before = 0; before != replicas_[replica]->arrivals;) {
+            if (steadyNow() > end)
+                return false;
+            before = replicas_[replica]->arrivals;
+            runFor(kNoArrivals);
+        }
+        return true;
+    }
+
+    /// Returns the number of lost versions of the configuration.
+    std::size_t restoreStore(Millis age)
+    {
+        const std::size_t end = store_.end("keyed.op");
+        store_.restoreCopy(age);
+        evidence_.storeFaults.push_back({0, steadyNow(), steadyNow()});
+        note(fmt::format("store_restored age_ms={} era={}", age.count(), store_.era()));
+        return end - store_.end("keyed.op");
+    }
+
     void addClient()
     {
         SoakClientHooks hooks;
@@ -255,8 +324,7 @@
                          .body = nullptr,
                          .end = nullptr}));
             }
-            for (const TimePoint next = steadyNow() + Millis(100); steadyNow() < next;)
-                step();
+            runFor(Millis(100));
         }
         return true;
     }
@@ -280,8 +348,7 @@
                 const auto call
                         = pool_.call(daemons_.callers(i),
                                      {.head = serializeRequestHead("GET", "/safe/x", headers)}, {});
-                for (const TimePoint next = steadyNow() + Millis(50); steadyNow() < next;)
-                    step();
+                runFor(Millis(50));
                 for (const auto &replica : replicas_) {
                     for (const EndpointStandin::Arrival &arrival : replica->log) {
                         if (arrival.requestId == *headers.find("Request-Id"))
@@ -319,15 +386,11 @@
         case FaultKind::StoreOlder:
             holdStoreAway(fault.duration);
             after(fault.duration, [this, age = fault.age, delay = fault.writeAgainAfter] {
-                const std::size_t end = store_.end("keyed.op");
-                store_.restoreCopy(age);
-                const std::size_t lost = end - store_.end("keyed.op");
+                const std::size_t lost = restoreStore(age);
                 if (delay == Millis(0))
                     writeAgain(lost);
                 else
                     after(delay, [this, lost] { writeAgain(lost); });
-                evidence_.storeFaults.push_back({0, steadyNow(), steadyNow()});
-                note(fmt::format("store_restored age_ms={} era={}", age.count(), store_.era()));
             });
             break;
         case FaultKind::EndpointSilent:
