Check in the soak that revoked keys are denied and stay so

The soak had one key, which was never revoked, so it could not see a key that works on after the store has acknowledged its end. Now every fifth version of the configuration revokes a key, and one in four requests has a key that was revoked lately or will be next. A revoked key must get 401 once its version is due at a calm daemon, no request of it may reach an endpoint, and a 401 counts as the effect of that version: the same process must not go back behind it, whatever the store does. A key must not be denied before. The drill of the store loses the version before a revocation and writes the revoking one in its place.

The table test covers each check and its excuses.

--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -133,8 +133,12 @@
             report(call, "has another answer than its own, or not the whole");
         if (call.status == 200 && !expected.starts_with(call.body))
             report(call, "has bytes that are not of its answer");
-        if (complete && (call.status == 401 || call.status == 404))
-            report(call, "was denied, though its route and key were always there");
+        if (complete && (call.status == 404 || (call.status == 401 && !mayBeRevoked(call))))
+            report(call, "was denied, though its route and key were there");
+        if (complete && call.status == 401 && !arrivals.empty())
+            report(call, "was denied, and reached an endpoint");
+        if (isRevoked(call) && (complete ? call.status != 401 : !arrivals.empty()))
+            report(call, "was not denied, though its key was revoked");
         if (call.end == CallEnd::Abandoned && !overlaps(evidence_.disturbances, call))
             report(call, "has no end by its deadline");
         else if (classify(evidence_, call) == Unanswered::Lost)
@@ -143,6 +147,24 @@
             judgeFailure(call, arrivals);
     }
 
+    /// When the store acknowledged that the key is revoked; never if it did not.
+    TimePoint revokedAt(const SoakCall &call) const
+    {
+        const auto write = std::ranges::find_if(evidence_.writes, [&](const auto &each) {
+            return call.revokedBy != 0 && each.version >= call.revokedBy;
+        });
+        return write == evidence_.writes.end() ? TimePoint::max() : write->at;
+    }
+
+    bool mayBeRevoked(const SoakCall &call) const { return revokedAt(call) <= call.ended; }
+
+    /// Its daemon must know that the key is revoked.
+    bool isRevoked(const SoakCall &call) const
+    {
+        const TimePoint due = call.begun - kApplyWithin;
+        return revokedAt(call) < due && isStable(call, due - kStableFor);
+    }
+
     /// A request that sound endpoints would have answered must not fail before its deadline.
     void judgeFailure(const SoakCall &call, const std::vector<Arrival> &arrivals)
     {
@@ -152,8 +174,8 @@
             report(call, "failed before its deadline, though its endpoints were sound");
     }
 
-    /// A request that was sent after an endpoint had seen the effect of a version must not be
-    /// handled by an older one, in one incarnation of a daemon.
+    /// A request that was sent after an endpoint or a caller had seen the effect of a version must
+    /// not be handled by an older one, in one incarnation of a daemon.
     void judgeVersions()
     {
         struct Effect
@@ -170,10 +192,13 @@
                  std::pair<std::vector<Effect>, std::vector<Handled>>>
                 incarnations;
         for (const SoakCall &call : evidence_.calls) {
+            auto &[effects, handled] = incarnations[{call.daemon, call.incarnation}];
+            // Only versions that lack the key deny it.
+            if (call.end == CallEnd::Complete && call.status == 401)
+                effects.push_back({call.ended, call.revokedBy});
             for (const Arrival &arrival : arrivalsOf(evidence_, call)) {
                 if (versionOf(arrival) == 0)
                     continue;
-                auto &[effects, handled] = incarnations[{call.daemon, call.incarnation}];
                 effects.push_back({arrival.at, versionOf(arrival)});
                 handled.push_back({&call, versionOf(arrival)});
             }
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -18,6 +18,11 @@
 
 } // namespace
 
+std::string keyName(RevokedBy version)
+{
+    return version == 0 ? "key" : fmt::format("key-{}", version);
+}
+
 SoakClient::SoakClient(asio::io_context &context, std::uint64_t seed, SoakClientHooks hooks)
     : hooks_(std::move(hooks))
     , random_(seed)
@@ -102,6 +107,7 @@
 {
     call_ = &hooks_.newCall();
     call_->route = &kSoakRoutes[random_() % std::size(kSoakRoutes)];
+    call_->revokedBy = hooks_.pickKey();
     call_->daemon = target_.daemon;
     call_->incarnation = incarnation_;
     call_->deadline = kDeadlines[random_() % std::size(kDeadlines)];
@@ -109,7 +115,7 @@
     HeaderList headers;
     headers.add("Host", "h");
     headers.add("Request-Id", call_->id);
-    headers.add("Authorization", "Token key");
+    headers.add("Authorization", "Token " + keyName(call_->revokedBy));
     headers.add("Deadline-Ms", std::to_string(call_->deadline.count()));
     if (isStream(*call_->route))
         headers.add("Token-Count", "1000,24");
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -46,6 +46,15 @@
         {"stream-single", "streaming", "pool", 1},
 };
 
+/// The version of the configuration that revokes a key, for keys that have it in their name; every
+/// earlier version has the key. 0 for the key that is never revoked.
+using RevokedBy = unsigned;
+
+inline constexpr RevokedBy kRevokeEvery = 5; ///< Versions.
+inline constexpr RevokedBy kLastRevoked = 1000;
+
+std::string keyName(RevokedBy version);
+
 inline bool isStream(const SoakRoute &route)
 {
     return std::string_view(route.kind) == "streaming";
@@ -68,6 +77,7 @@
 {
     std::string id;
     const SoakRoute *route = nullptr;
+    RevokedBy revokedBy = 0; ///< Of its key.
     std::size_t daemon = 0;
     unsigned incarnation = 0; ///< Of the daemon's process that accepted the connection.
     Millis deadline{0};
@@ -92,6 +102,7 @@
     std::function<unsigned(std::size_t daemon)> connected;
     /// A new record with its id; it must stay where it is.
     std::function<SoakCall &()> newCall;
+    std::function<RevokedBy()> pickKey;
     /// Bytes arrived while no request was waiting.
     std::function<void(std::size_t daemon)> unsolicited;
 };
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -57,11 +57,16 @@
             "resumable":true,"gapGoalMs":200}})",
                               route.name, route.kind, route.service, route.maxAttempts);
     }
+    std::string keys = fmt::format(R"("{}")", keyName(0));
+    for (RevokedBy revoked = kRevokeEvery; revoked <= kLastRevoked; revoked += kRevokeEvery) {
+        if (version < revoked)
+            keys += fmt::format(R"(,"{}")", keyName(revoked));
+    }
     return fmt::format(R"({{"version":{0},"routes":[{1}],"services":[{{"name":"plain"}},
         {{"name":"pool","engine":{{"slots":16,"kvCapacity":450000,"stride":4,"step_ms":1,
         "read_per_s":256000,"pairs_per_m":0.09}}}}],
-        "tenants":[{{"name":"ws-{0}","apiKeys":["key"]}}]}})",
-                       version, routes);
+        "tenants":[{{"name":"ws-{0}","apiKeys":[{2}]}}]}})",
+                       version, routes, keys);
 }
 
 std::string makeDirectory()
@@ -240,6 +245,8 @@
         for (std::size_t i = 0; i < replicas_.size(); ++i)
             writeReplica(i, "ready");
         writeReplica(target, "ready");
+        // The version that follows the lost one revokes a key.
+        version_ = (version_ / kRevokeEvery + 2) * kRevokeEvery - 2;
         writeConfiguration();
         runFor(kAllHaveRead);
         holdStoreAway(kDrillOutage);
@@ -280,6 +287,16 @@
         return end - store_.end("keyed.op");
     }
 
+    /// One in four requests has a key that was revoked lately, or will be next.
+    RevokedBy pickKey()
+    {
+        const unsigned back = random_() % 4;
+        const unsigned next = version_ / kRevokeEvery + 1;
+        if (random_() % 4 != 0 || back >= next || next * kRevokeEvery > kLastRevoked)
+            return 0;
+        return (next - back) * kRevokeEvery;
+    }
+
     void addClient()
     {
         SoakClientHooks hooks;
@@ -293,6 +310,7 @@
             call.id = fmt::format("r{}", evidence_.calls.size());
             return call;
         };
+        hooks.pickKey = [this] { return pickKey(); };
         hooks.unsolicited = [this](std::size_t daemon) {
             report_.broken.push_back(
                     fmt::format("daemon {} sent bytes that no request waited for", daemon));
@@ -343,7 +361,7 @@
                 HeaderList headers;
                 headers.add("Host", "h");
                 headers.add("Request-Id", fmt::format("current-{}-{}", i, attempt));
-                headers.add("Authorization", "Token key");
+                headers.add("Authorization", "Token " + keyName(0));
                 headers.add("Deadline-Ms", "1000");
                 const auto call
                         = pool_.call(daemons_.callers(i),
--- a/tests/unit/soakchecks_test.cpp
+++ b/tests/unit/soakchecks_test.cpp
@@ -301,6 +301,51 @@
     }
 }
 
+// Guards against a key that works after it was revoked, and against a denial before.
+TEST(SoakChecks, aKeyThatIsNotRevokedInTimeIsFound)
+{
+    struct Case
+    {
+        const char *name;
+        int status;
+        int revokedAt;
+        int storeFaultAt;
+        const char *earlier; ///< Workspace of a request of the same process; none is denied.
+        bool broken;
+    };
+    // The key is revoked by version 5. The request begins at 0 and ends at 50.
+    const int never = -90'000;
+    const std::vector<Case> cases = {
+            {"served, just revoked", 200, -1900, never, "ws-4", false},
+            {"served, long revoked", 200, -2040, never, "ws-4", true},
+            {"served, store away lately", 200, -2040, -3000, "ws-4", false},
+            {"served, denied before", 200, -1900, never, "", true},
+            {"refused, long revoked", 503, -2040, never, "ws-4", true},
+            {"denied, long revoked", 401, -2040, never, "ws-4", false},
+            {"denied, just revoked", 401, 20, never, "ws-4", false},
+            {"denied, not yet revoked", 401, 60, never, "ws-4", true},
+    };
+    for (const Case &c : cases) {
+        const bool denied = *c.earlier == '\0';
+        SoakEvidence evidence;
+        SoakCall earlier = callOf("safe", CallEnd::Complete, denied ? 401 : 200, -10);
+        earlier.begun = at(-50);
+        earlier.revokedBy = 5;
+        earlier.id = "r0";
+        earlier.body = "answer of r0";
+        evidence.calls.push_back(earlier);
+        if (!denied)
+            evidence.arrivals["r0"] = {arrivalOf(EndpointBehaviour::Answer, c.earlier, -45)};
+        evidence.calls.push_back(callOf("safe", CallEnd::Complete, c.status, 50));
+        evidence.calls.back().revokedBy = 5;
+        if (c.status == 200)
+            evidence.arrivals["r1"] = {arrivalOf(EndpointBehaviour::Answer, "ws-4")};
+        evidence.writes = {{4, at(-80'000)}, {5, at(c.revokedAt)}};
+        evidence.storeFaults = {from(c.storeFaultAt, c.storeFaultAt)};
+        CHECK_EQUAL_TEXT(c.broken, !brokenPromises(evidence).empty(), c.name);
+    }
+}
+
 // Guards against an endpoint that gets requests though the store has long said that it drains.
 TEST(SoakChecks, aRequestToADrainingEndpointIsFound)
 {
