--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -11,6 +11,7 @@
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 
@@ -19,6 +20,8 @@
 
 namespace {
 
+constexpr std::size_t kMaxShown = 25;
+
 bool runSeed(const SoakOptions &options)
 {
     const SoakReport report = runSoak(options);
@@ -28,8 +31,11 @@
     fmt::print("seed {}: {}, {} faults, {} requests, {} unanswered{}\n", options.seed,
                report.broken.empty() ? "holds" : "BROKEN", report.faults, report.requests,
                report.unanswered, outcomes);
-    for (const std::string &broken : report.broken)
-        fmt::print("  {}\n", broken);
+    const std::size_t shown = std::min(report.broken.size(), kMaxShown);
+    for (std::size_t i = 0; i < shown; ++i)
+        fmt::print("  {}\n", report.broken[i]);
+    if (shown < report.broken.size())
+        fmt::print("  and {} more\n", report.broken.size() - shown);
     if (!report.directory.empty())
         fmt::print("  logs: {}\n", report.directory);
     std::fflush(stdout);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -106,7 +106,8 @@
         writeConfiguration();
         for (unsigned i = 0; i < options.daemons; ++i)
             daemons_.add(addresses_.next().ip);
-        const unsigned clients = std::min(options.daemons * kClientsPerDaemon, kMaxClients);
+        const unsigned clients = std::min(options.daemons * kClientsPerDaemon,
+                                          std::max(options.daemons, kMaxClients));
         for (unsigned i = 0; i < clients; ++i)
             addClient();
     }
