--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -10,7 +10,7 @@
 // The store and the replicas are stand-ins in this program, the daemons are processes. A seed
 // chooses the faults, which come in series and overlap: signals to daemons, restarts, changes of
 // the settings and of the configuration, a store that is away or comes back older, endpoints that
-// pause, answer wrongly or drain.
+// pause, answer wrongly or drain, links that are slow, silent one way or reset.
 
 #include "base/clock.h"
 
