--- a/tests/soak/daemons.cpp
+++ b/tests/soak/daemons.cpp
@@ -69,7 +69,7 @@
     return daemons_[daemon].incarnation;
 }
 
-void DaemonFleet::writeSettings(const Daemon &daemon)
+void DaemonFleet::writeSettings(const Daemon &daemon) const
 {
     // Renamed into place, so that the daemon never reads a part of it.
     const std::string draft = daemon.settings + ".new";
@@ -138,15 +138,26 @@
             evidence_.shutdowns.push_back({daemon.number, now});
         }
     } else if (fault.kind == FaultKind::Hangup) {
+        if (daemon.settingsWritten.valid())
+            return;
         daemon.limits = 1 - daemon.limits;
-        writeSettings(daemon);
-        daemon.process->sendSignal(SIGHUP);
+        // A busy disk can take seconds to replace a file, which must not hold up the stand-ins.
+        daemon.settingsWritten
+                = std::async(std::launch::async, [this, &daemon] { writeSettings(daemon); });
     }
 }
 
 void DaemonFleet::tend(TimePoint now)
 {
     for (Daemon &daemon : daemons_) {
+        const bool written
+                = daemon.settingsWritten.valid()
+                  && daemon.settingsWritten.wait_for(Millis(0)) == std::future_status::ready;
+        if (written) {
+            daemon.settingsWritten.get();
+            if (daemon.listening)
+                daemon.process->sendSignal(SIGHUP);
+        }
         if (daemon.process->running()) {
             tendRunning(daemon, now);
         } else if (daemon.startAgain == TimePoint{}) {
--- a/tests/soak/daemons.h
+++ b/tests/soak/daemons.h
@@ -13,6 +13,7 @@
 #include "support/process.h"
 
 #include <functional>
+#include <future>
 #include <memory>
 #include <string>
 #include <vector>
@@ -53,6 +54,7 @@
         std::string settings;
         std::string log;
         std::unique_ptr<ChildProcess> process;
+        std::future<void> settingsWritten; ///< Then it gets SIGHUP.
         unsigned incarnation = 0;
         unsigned limits = 0;    ///< Set of limits in the settings file.
         bool listening = false; ///< A connection was accepted; signals are handled.
@@ -64,7 +66,7 @@
         Millis restartDelay{200};
     };
 
-    void writeSettings(const Daemon &daemon);
+    void writeSettings(const Daemon &daemon) const;
     void start(Daemon &daemon);
     void kill(Daemon &daemon);
     void tendRunning(Daemon &daemon, TimePoint now);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -19,6 +19,7 @@
 #include <fstream>
 #include <memory>
 #include <random>
+#include <sstream>
 #include <stdexcept>
 #include <utility>
 
@@ -102,7 +103,6 @@
         , random_(options.seed)
         , plan_(planFaults(options))
         , directory_(makeDirectory())
-        , timeline_(directory_ + "/faults.log")
         , storeAddress_(addresses_.next())
         , store_(context_, storeAddress_)
         , pool_(context_, {})
@@ -175,6 +175,7 @@
 private:
     void step()
     {
+        noteHoldUp();
         context_.restart();
         context_.run_for(kStep);
         const TimePoint now = steadyNow();
@@ -186,6 +187,20 @@
         daemons_.tend(now);
     }
 
+    /// Callers and stand-ins that were held up themselves show nothing about the daemons.
+    void noteHoldUp()
+    {
+        const TimePoint now = steadyNow();
+        const TimePoint last = std::exchange(lastStep_, now);
+        if (last == TimePoint{} || now - last < kAnswerMargin)
+            return;
+        const auto took = std::chrono::duration_cast<Millis>(now - last);
+        note(fmt::format("held_up ms={}", took.count()));
+        report_.broken.push_back(fmt::format(
+                "the soak itself was held up for {} ms until {}, which may explain what follows",
+                took.count(), timeOfDay(now)));
+    }
+
     void after(Millis delay, std::function<void()> action)
     {
         later_.emplace(steadyNow() + delay, std::move(action));
@@ -428,7 +443,7 @@
 
     void note(const std::string &event)
     {
-        timeline_ << timeOfDay(steadyNow()) << ' ' << event << std::endl;
+        timeline_ << timeOfDay(steadyNow()) << ' ' << event << '\n';
     }
 
     void inject(const Fault &fault)
@@ -517,8 +532,10 @@
                 report_.broken.push_back(fmt::format("no request of {} was served", route.name));
         }
         keepsDirectory_ = options_.keepLogs || !report_.broken.empty();
-        if (keepsDirectory_)
+        if (keepsDirectory_) {
             report_.directory = directory_;
+            std::ofstream(directory_ + "/faults.log") << timeline_.str();
+        }
     }
 
     SoakOptions options_;
@@ -526,7 +543,7 @@
     std::vector<Fault> plan_;
     asio::io_context context_;
     std::string directory_;
-    std::ofstream timeline_;
+    std::ostringstream timeline_; ///< Written at the end, as a busy disk may hold up a write.
     SoakReport report_;
     AddressPool addresses_;
     Address storeAddress_;
@@ -545,6 +562,7 @@
     std::vector<std::string> states_; ///< Of the replicas, as they last wrote them.
     std::vector<int> rebirths_;       ///< New instances at the addresses of the replicas.
     int storeFaults_ = 0;
+    TimePoint lastStep_{};
 };
 
 } // namespace
