--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -9,6 +9,7 @@
 
 constexpr Millis kFirstFault{500};
 constexpr Millis kLastFaults{200}; ///< Before the end.
+constexpr Millis kRunsOut{2500};   ///< All faults have ended this long after the end.
 constexpr std::size_t kMaxRolledDaemons = 20;
 constexpr unsigned kScriptedBehaviours = 9; ///< Values of EndpointBehaviour.
 constexpr unsigned kLinkFaults = 4;         ///< Values of LinkFault.
@@ -29,6 +30,8 @@
         std::erase_if(faults_, [&](const Fault &fault) {
             return fault.at >= options_.length - kLastFaults;
         });
+        for (Fault &fault : faults_)
+            fault.duration = std::min(fault.duration, options_.length + kRunsOut - fault.at);
         // A store that comes back older is the last fault, so that no later change of the
         // configuration hides a daemon that has missed one.
         add(FaultKind::ChangeConfiguration, options_.length - kLastFaults, 0);
