--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -125,9 +125,13 @@
             writeReplica(i, "ready");
         }
         writeConfiguration();
-        for (unsigned i = 0; i < options.daemons; ++i) {
+        // The pool gives each IP address out once before it repeats them with other ports.
+        std::vector<std::string> ips;
+        for (unsigned i = 0; i < options.daemons; ++i)
+            ips.push_back(addresses_.next().ip);
+        for (const std::string &ip : ips) {
             storeLinks_.push_back(makeLink(storeAddress_));
-            daemons_.add(addresses_.next().ip, storeLinks_.back()->address);
+            daemons_.add(ip, storeLinks_.back()->address);
         }
         const unsigned clients = std::min(options.daemons * kClientsPerDaemon,
                                           std::max(options.daemons, kMaxClients));
