--- a/tests/soak/daemons.h
+++ b/tests/soak/daemons.h
@@ -13,6 +13,7 @@
 #include "support/process.h"
 
 #include <functional>
+#include <future>
 #include <memory>
 #include <string>
 #include <vector>
@@ -30,10 +31,9 @@
 public:
     /// Settings and logs are put into the directory; disturbances, shutdowns and restarts are added
     /// to the evidence.
-    DaemonFleet(std::string directory, Address store, SoakEvidence &evidence,
-                DaemonFleetHooks hooks);
+    DaemonFleet(std::string directory, SoakEvidence &evidence, DaemonFleetHooks hooks);
 
-    void add(const std::string &ip);
+    void add(const std::string &ip, const Address &store);
     std::size_t size() const { return daemons_.size(); }
     Address callers(std::size_t daemon) const;
     Address readiness(std::size_t daemon) const;
@@ -50,9 +50,11 @@
     {
         std::size_t number = 0;
         std::string ip;
+        Address store;
         std::string settings;
         std::string log;
         std::unique_ptr<ChildProcess> process;
+        std::future<void> settingsWritten; ///< Then it gets SIGHUP.
         unsigned incarnation = 0;
         unsigned limits = 0;    ///< Set of limits in the settings file.
         bool listening = false; ///< A connection was accepted; signals are handled.
@@ -64,14 +66,13 @@
         Millis restartDelay{200};
     };
 
-    void writeSettings(const Daemon &daemon);
+    void writeSettings(const Daemon &daemon) const;
     void start(Daemon &daemon);
     void kill(Daemon &daemon);
     void tendRunning(Daemon &daemon, TimePoint now);
     void noteEnd(Daemon &daemon, TimePoint now);
 
     std::string directory_;
-    Address store_;
     SoakEvidence &evidence_;
     DaemonFleetHooks hooks_;
     std::vector<Daemon> daemons_;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,5 +1,6 @@
 #include "soak/soak.h"
 
+#include "fault-proxy/proxy.h"
 #include "net/upstream.h"
 #include "soak/checks.h"
 #include "soak/clients.h"
@@ -18,6 +19,7 @@
 #include <fstream>
 #include <memory>
 #include <random>
+#include <sstream>
 #include <stdexcept>
 #include <utility>
 
@@ -31,12 +33,22 @@
 constexpr Millis kStep{4};
 // Streams last long enough that most faults meet some of them.
 constexpr Millis kEventGap{40};
+constexpr Millis kLinkDelay{150};
+constexpr Millis kLinkSettles{500}; ///< What the link held back has arrived, resets are seen.
 constexpr int kFirstBorn = 5;
 constexpr unsigned kClientsPerDaemon = 8;
 constexpr unsigned kMaxClients = 96;
 // Every daemon has an address of its own in the net of the address pool.
 constexpr unsigned kMaxAddresses = 240;
 constexpr std::uint64_t kDaemonMemoryBytes = 64ULL * 1024 * 1024;
+// The drill. Within the first time every daemon that reads the endpoints' records has read again.
+constexpr Millis kAllHaveRead{1800};
+constexpr Millis kDrillOutage{100};
+// An endpoint without a request for this long, beside busy clients, no longer gets any.
+constexpr Millis kNoArrivals{500};
+// A store that came back counts as stable after 3 s; 2 s later a record must have its effect.
+constexpr Millis kDrainLimit{5000};
+
 /// The workspace of the key is named after the version, so that an endpoint sees which version has
 /// admitted a request.
 std::string configurationText(unsigned version)
@@ -49,11 +61,16 @@
             "resumable":true,"gapGoalMs":200}})",
                               route.name, route.kind, route.service, route.maxAttempts);
     }
+    std::string keys = fmt::format(R"("{}")", keyName(0));
+    for (RevokedBy revoked = kRevokeEvery; revoked <= kLastRevoked; revoked += kRevokeEvery) {
+        if (version < revoked)
+            keys += fmt::format(R"(,"{}")", keyName(revoked));
+    }
     return fmt::format(R"({{"version":{0},"routes":[{1}],"services":[{{"name":"plain"}},
         {{"name":"pool","engine":{{"slots":16,"kvCapacity":450000,"stride":4,"step_ms":1,
         "read_per_s":256000,"pairs_per_m":0.09}}}}],
-        "tenants":[{{"name":"ws-{0}","apiKeys":["key"]}}]}})",
-                       version, routes);
+        "tenants":[{{"name":"ws-{0}","apiKeys":[{2}]}}]}})",
+                       version, routes, keys);
 }
 
 std::string makeDirectory()
@@ -64,6 +81,20 @@
     return name;
 }
 
+/// A link through a proxy.
+struct Link
+{
+    Link(asio::io_context &context, const Address &listen, const Address &target)
+        : address(listen)
+        , proxy(context, listen, target, faults)
+    {
+    }
+
+    const Address address;
+    standin::ProxyFaults faults;
+    standin::Proxy proxy;
+};
+
 class Soak
 {
 public:
@@ -72,11 +103,10 @@
         , random_(options.seed)
         , plan_(planFaults(options))
         , directory_(makeDirectory())
-        , timeline_(directory_ + "/faults.log")
         , storeAddress_(addresses_.next())
         , store_(context_, storeAddress_)
         , pool_(context_, {})
-        , daemons_(directory_, storeAddress_, evidence_,
+        , daemons_(directory_, evidence_,
                    {.note = [this](const std::string &event) { note(event); },
                     .broken
                     = [this](std::string text) { report_.broken.push_back(std::move(text)); }})
@@ -84,6 +114,10 @@
         for (unsigned i = 0; i < options.replicas; ++i)
             replicas_.push_back(std::make_unique<EndpointStandin>(context_, addresses_.next(),
                                                                   fmt::format("i-{}", i + 1)));
+        for (std::size_t i = 0; i < replicas_.size(); ++i) {
+            if (hasLink(i))
+                endpointLinks_.emplace(i, makeLink(replicas_[i]->address));
+        }
         states_.resize(replicas_.size());
         rebirths_.resize(replicas_.size());
         for (std::size_t i = 0; i < replicas_.size(); ++i) {
@@ -91,9 +125,16 @@
             writeReplica(i, "ready");
         }
         writeConfiguration();
+        // The pool gives each IP address out once before it repeats them with other ports.
+        std::vector<std::string> ips;
         for (unsigned i = 0; i < options.daemons; ++i)
-            daemons_.add(addresses_.next().ip);
-        const unsigned clients = std::min(options.daemons * kClientsPerDaemon, kMaxClients);
+            ips.push_back(addresses_.next().ip);
+        for (const std::string &ip : ips) {
+            storeLinks_.push_back(makeLink(storeAddress_));
+            daemons_.add(ip, storeLinks_.back()->address);
+        }
+        const unsigned clients = std::min(options.daemons * kClientsPerDaemon,
+                                          std::max(options.daemons, kMaxClients));
         for (unsigned i = 0; i < clients; ++i)
             addClient();
     }
@@ -117,10 +158,7 @@
             for (; fault != plan_.end() && steadyNow() >= start + fault->at; ++fault)
                 inject(*fault);
         }
-        for (const auto &client : clients_)
-            client->stop();
-        while (std::ranges::any_of(clients_, [](const auto &client) { return client->busy(); })
-               || !later_.empty())
+        while (!later_.empty())
             step();
         for (const auto &replica : replicas_)
             replica->script.clear();
@@ -128,6 +166,12 @@
             report_.broken.push_back("the daemons are not ready again after the last fault");
         else if (!becomeCurrent())
             report_.broken.push_back("not all daemons have the newest configuration at the end");
+        else
+            drillOlderStore();
+        for (const auto &client : clients_)
+            client->stop();
+        while (std::ranges::any_of(clients_, [](const auto &client) { return client->busy(); }))
+            step();
         judge();
         return std::move(report_);
     }
@@ -135,6 +179,7 @@
 private:
     void step()
     {
+        noteHoldUp();
         context_.restart();
         context_.run_for(kStep);
         const TimePoint now = steadyNow();
@@ -146,11 +191,48 @@
         daemons_.tend(now);
     }
 
+    /// Callers and stand-ins that were held up themselves show nothing about the daemons.
+    void noteHoldUp()
+    {
+        const TimePoint now = steadyNow();
+        const TimePoint last = std::exchange(lastStep_, now);
+        if (last == TimePoint{} || now - last < kAnswerMargin)
+            return;
+        const auto took = std::chrono::duration_cast<Millis>(now - last);
+        note(fmt::format("held_up ms={}", took.count()));
+        report_.broken.push_back(fmt::format(
+                "the soak itself was held up for {} ms until {}, which may explain what follows",
+                took.count(), timeOfDay(now)));
+    }
+
     void after(Millis delay, std::function<void()> action)
     {
         later_.emplace(steadyNow() + delay, std::move(action));
     }
 
+    std::unique_ptr<Link> makeLink(const Address &target)
+    {
+        return std::make_unique<Link>(context_, addresses_.next(), target);
+    }
+
+    void disturbLink(Link &link, const Fault &fault)
+    {
+        const bool silent = fault.link == LinkFault::SilentToTarget
+                            || fault.link == LinkFault::SilentToDaemon;
+        if (fault.link == LinkFault::Delay)
+            link.faults.delay = kLinkDelay;
+        link.faults.cutToTarget |= fault.link == LinkFault::SilentToTarget;
+        link.faults.cutToClient |= fault.link == LinkFault::SilentToDaemon;
+        // A connection that has lost bytes must not go on.
+        after(silent || fault.link == LinkFault::Delay ? fault.duration : Millis(0),
+              [&link, &fault] {
+                  const bool lossy = link.faults.cutToTarget || link.faults.cutToClient;
+                  link.faults = {};
+                  if (lossy || fault.link == LinkFault::Reset)
+                      link.proxy.resetAll();
+              });
+    }
+
     bool isEngine(std::size_t replica) const { return replica % 3 == 2; }
 
     void writeReplica(std::size_t index, const std::string &state)
@@ -164,8 +246,9 @@
                    fmt::format(R"({{"service":"{}","address":"{}","zone":"z{}","slots":16,
                        "state":"{}","seq":{},"born":{}}})",
                                isEngine(index) ? "pool" : "plain",
-                               toString(replicas_[index]->address), index % 2, state, ++sequence_,
-                               kFirstBorn + rebirths_[index]));
+                               toString(hasLink(index) ? endpointLinks_[index]->address
+                                                       : replicas_[index]->address),
+                               index % 2, state, ++sequence_, kFirstBorn + rebirths_[index]));
     }
 
     /// Another instance takes over the address of an endpoint that leaves.
@@ -211,6 +294,76 @@
         after(duration, [this] { store_.refuses = --storeFaults_ > 0; });
     }
 
+    void runFor(Millis duration)
+    {
+        for (const TimePoint end = steadyNow() + duration; steadyNow() < end;)
+            step();
+    }
+
+    /// The store comes back from an older copy when every daemon has read it to its end. What it
+    /// has lost is written again in as many records, the last of which have something new: a daemon
+    /// that goes on at its offset never reads them.
+    void drillOlderStore()
+    {
+        const std::size_t target = random_() % replicas_.size() / 3 * 3; // Others serve the same.
+        const Millis pause(random_() % 2 * (random_() % 400));
+        runFor(kStep * 2); // Earlier records stay in the copy.
+        const TimePoint begun = steadyNow();
+        for (std::size_t i = 0; i < replicas_.size(); ++i)
+            writeReplica(i, "ready");
+        writeReplica(target, "ready");
+        // The version that follows the lost one revokes a key.
+        version_ = (version_ / kRevokeEvery + 2) * kRevokeEvery - 2;
+        writeConfiguration();
+        runFor(kAllHaveRead);
+        holdStoreAway(kDrillOutage);
+        while (!later_.empty())
+            step();
+        const std::size_t lost
+                = restoreStore(std::chrono::ceil<Millis>(steadyNow() - begun) + kStep);
+        runFor(pause);
+        writeAgain(lost);
+        writeReplica(target, "draining");
+        if (!becomeCurrent())
+            report_.broken.push_back("drill: not all daemons have the newest configuration");
+        if (!becomeUnused(target))
+            report_.broken.push_back(
+                    fmt::format("drill: {} drains and still gets requests", replicas_[target]->id));
+    }
+
+    /// Waits until the endpoint gets no more requests.
+    bool becomeUnused(std::size_t replica)
+    {
+        const TimePoint end = steadyNow() + kDrainLimit;
+        for (unsigned before = 0; before != replicas_[replica]->arrivals;) {
+            if (steadyNow() > end)
+                return false;
+            before = replicas_[replica]->arrivals;
+            runFor(kNoArrivals);
+        }
+        return true;
+    }
+
+    /// Returns the number of lost versions of the configuration.
+    std::size_t restoreStore(Millis age)
+    {
+        const std::size_t end = store_.end("keyed.op");
+        store_.restoreCopy(age);
+        evidence_.storeFaults.push_back({0, steadyNow(), steadyNow()});
+        note(fmt::format("store_restored age_ms={} era={}", age.count(), store_.era()));
+        return end - store_.end("keyed.op");
+    }
+
+    /// One in four requests has a key that was revoked lately, or will be next.
+    RevokedBy pickKey()
+    {
+        const unsigned back = random_() % 4;
+        const unsigned next = version_ / kRevokeEvery + 1;
+        if (random_() % 4 != 0 || back >= next || next * kRevokeEvery > kLastRevoked)
+            return 0;
+        return (next - back) * kRevokeEvery;
+    }
+
     void addClient()
     {
         SoakClientHooks hooks;
@@ -224,6 +377,7 @@
             call.id = fmt::format("r{}", evidence_.calls.size());
             return call;
         };
+        hooks.pickKey = [this] { return pickKey(); };
         hooks.unsolicited = [this](std::size_t daemon) {
             report_.broken.push_back(
                     fmt::format("daemon {} sent bytes that no request waited for", daemon));
@@ -255,8 +409,7 @@
                          .body = nullptr,
                          .end = nullptr}));
             }
-            for (const TimePoint next = steadyNow() + Millis(100); steadyNow() < next;)
-                step();
+            runFor(Millis(100));
         }
         return true;
     }
@@ -275,13 +428,12 @@
                 HeaderList headers;
                 headers.add("Host", "h");
                 headers.add("Request-Id", fmt::format("current-{}-{}", i, attempt));
-                headers.add("Authorization", "Token key");
+                headers.add("Authorization", "Token " + keyName(0));
                 headers.add("Deadline-Ms", "1000");
                 const auto call
                         = pool_.call(daemons_.callers(i),
                                      {.head = serializeRequestHead("GET", "/safe/x", headers)}, {});
-                for (const TimePoint next = steadyNow() + Millis(50); steadyNow() < next;)
-                    step();
+                runFor(Millis(50));
                 for (const auto &replica : replicas_) {
                     for (const EndpointStandin::Arrival &arrival : replica->log) {
                         if (arrival.requestId == *headers.find("Request-Id"))
@@ -295,7 +447,7 @@
 
     void note(const std::string &event)
     {
-        timeline_ << timeOfDay(steadyNow()) << ' ' << event << std::endl;
+        timeline_ << timeOfDay(steadyNow()) << ' ' << event << '\n';
     }
 
     void inject(const Fault &fault)
@@ -310,6 +462,16 @@
         case FaultKind::Hangup:
             daemons_.disturb(fault);
             break;
+        case FaultKind::StoreLink:
+            evidence_.storeLinks.push_back(
+                    {fault.target, steadyNow(), steadyNow() + fault.duration + kLinkSettles});
+            disturbLink(*storeLinks_[fault.target], fault);
+            break;
+        case FaultKind::EndpointLink:
+            evidence_.endpointLinks.push_back({replicas_[fault.target]->id, steadyNow(),
+                                               steadyNow() + fault.duration + kLinkSettles});
+            disturbLink(*endpointLinks_[fault.target], fault);
+            break;
         case FaultKind::ChangeConfiguration:
             writeConfiguration();
             break;
@@ -319,15 +481,11 @@
         case FaultKind::StoreOlder:
             holdStoreAway(fault.duration);
             after(fault.duration, [this, age = fault.age, delay = fault.writeAgainAfter] {
-                const std::size_t end = store_.end("keyed.op");
-                store_.restoreCopy(age);
-                const std::size_t lost = end - store_.end("keyed.op");
+                const std::size_t lost = restoreStore(age);
                 if (delay == Millis(0))
                     writeAgain(lost);
                 else
                     after(delay, [this, lost] { writeAgain(lost); });
-                evidence_.storeFaults.push_back({0, steadyNow(), steadyNow()});
-                note(fmt::format("store_restored age_ms={} era={}", age.count(), store_.era()));
             });
             break;
         case FaultKind::EndpointSilent:
@@ -378,8 +536,10 @@
                 report_.broken.push_back(fmt::format("no request of {} was served", route.name));
         }
         keepsDirectory_ = options_.keepLogs || !report_.broken.empty();
-        if (keepsDirectory_)
+        if (keepsDirectory_) {
             report_.directory = directory_;
+            std::ofstream(directory_ + "/faults.log") << timeline_.str();
+        }
     }
 
     SoakOptions options_;
@@ -387,12 +547,14 @@
     std::vector<Fault> plan_;
     asio::io_context context_;
     std::string directory_;
-    std::ofstream timeline_;
+    std::ostringstream timeline_; ///< Written at the end, as a busy disk may hold up a write.
     SoakReport report_;
     AddressPool addresses_;
     Address storeAddress_;
     StoreStandin store_;
     std::vector<std::unique_ptr<EndpointStandin>> replicas_;
+    std::vector<std::unique_ptr<Link>> storeLinks_; ///< Of the daemons.
+    std::map<std::size_t, std::unique_ptr<Link>> endpointLinks_;
     UpstreamPool pool_;
     SoakEvidence evidence_;
     DaemonFleet daemons_;
@@ -404,6 +566,7 @@
     std::vector<std::string> states_; ///< Of the replicas, as they last wrote them.
     std::vector<int> rebirths_;       ///< New instances at the addresses of the replicas.
     int storeFaults_ = 0;
+    TimePoint lastStep_{};
 };
 
 } // namespace
