Test that a queued idle timer does not close a connection that lingers

No test failed without the check that a restarted timer's old handler does nothing: on a connection that goes on, the handler finds time left. It matters when a request is refused in the same turn, as the server then waits for the end of the caller's input. Without the check the new test fails: LONGS_EQUAL(1, server->connections()), but was 0.

--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -109,6 +109,25 @@
     }
 }
 
+// Guards against the reset of a connection by a queued handler of its idle timer: the caller may
+// still send, and a reset may discard the answer before it has been read.
+TEST(NetServer, idleTimeoutDoesNotCloseAConnectionWhoseRequestWasJustRefused)
+{
+    connect();
+    CHECK_TRUE(eventually(context, kWaitLimit, [&] { return server->connections() == 1; }));
+    std::this_thread::sleep_for(kIdleTimeout + Millis(20));
+    asio::write(callers[0], asio::buffer(std::string_view("malformed\r\n\r\n")));
+    CHECK_TRUE(eventually(context, kWaitLimit, [&] { return callers[0].available() > 0; }));
+    eventually(context, Millis(20), [] { return false; });
+    LONGS_EQUAL(1, server->connections());
+    std::string answer;
+    asio::error_code error;
+    asio::read(callers[0], asio::dynamic_buffer(answer), error);
+    STRCMP_CONTAINS("HTTP/1.1 400", answer.c_str());
+    callers.clear();
+    CHECK_TRUE(eventually(context, kWaitLimit, [&] { return server->connections() == 0; }));
+}
+
 TEST(NetServer, closingAllConnectionsKeepsAnswersThatAreOnTheirWay)
 {
     body.assign(400'000, 'x');
