Keep a new connection open for its first request while the server drains

What callers saw: from 3 s after SIGTERM a daemon closed, every 200 ms, all connections without a request, also those that it had just accepted and whose first request was on its way.

Cause: a new connection counted as idle.

Change: a connection without a request so far is in use for its first 500 ms. A drain waits for it in the same way as for a request that has arrived in part; the grace period still ends it.

The row "idle connection" of requestsAndAnswersOnTheirWayKeepTheServerInUse meant a connection that never had a request; it is now one whose request has been answered, and the row "new connection" is added.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -28,6 +28,9 @@
 constexpr Millis kRefusalTimeout{500};
 constexpr int kRequestTimeout = 408;
 constexpr int kServiceUnavailable = 503;
+// A new connection may be without a request for this long when the server drains. The load balancer
+// may have chosen this server before it saw that it leaves.
+constexpr Millis kFirstRequestTimeout{500};
 // Delay after a failed accept, for example when no file descriptors are left.
 constexpr Millis kAcceptRetryDelay{50};
 
@@ -126,6 +129,7 @@
         const bool begins = !parser_.started();
         if (begins) {
             requestStart_ = steadyNow();
+            awaitsFirstRequest_ = false;
             parser_.setLimits(server_.options_.limits);
         }
         const std::size_t used = parser_.feed(input_);
@@ -372,7 +376,9 @@
 
 bool HttpServerConnection::inUse() const
 {
-    return handlingRequest_ || parser_.started() || !input_.empty() || unsentBytes() > 0
+    const bool isNew
+            = awaitsFirstRequest_ && steadyNow() - inputAwaitedSince_ < kFirstRequestTimeout;
+    return isNew || handlingRequest_ || parser_.started() || !input_.empty() || unsentBytes() > 0
            || lingering_ || hasUnreadInput();
 }
 
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -144,6 +144,7 @@
     bool acceptsChunked_ = true;
     bool readArmed_ = false;
     bool writing_ = false;
+    bool awaitsFirstRequest_ = true;
     bool closing_ = false;        ///< Close once all output is written.
     bool lingering_ = false;      ///< All output is written; waiting for the caller to close.
     ConnectionEnd lastAnswerEnd_; ///< Why the connection ends after its last answer.
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -240,7 +240,13 @@
         std::function<void()> arrange;
     };
     const Case cases[] = {
-            {"idle connection", false, accept},
+            {"new connection", true, accept},
+            {"idle connection", false,
+             [&] {
+                 send(kRequest.size());
+                 CHECK_TRUE(eventually(context, kWaitLimit,
+                                       [&] { return callers[0].available() > 0; }));
+             }},
             {"connection that is not accepted", true, [] {}},
             {"unread request", true,
              [&] {
