--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -3,6 +3,7 @@
 #
 #   scripts/mutate.sh [NAME...]      all lines of tests/mutations.tsv, or those named
 #
+# The last column of a line is a test group, or Group.test for a single test of a group that runs long.
 # Exits with 1 when a change goes unnoticed or does not apply. Takes about half a minute a line.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -19,6 +20,8 @@
   if [ $# -gt 0 ] && [[ " $* " != *" $name "* ]]; then continue; fi
   from=${from//\\n/$'\n'}
   to=${to//\\n/$'\n'}
+  test=""
+  [[ $group == *.* ]] && test=${group#*.}
   cp "$file" original
   from="$from" to="$to" perl -0pi -e 's/\Q$ENV{from}\E/$ENV{to}/ or exit 3' "$file" || {
     echo "$name: does not apply to $file"
@@ -29,7 +32,7 @@
   if ! cmake --build build --target unit_tests >build.log 2>&1; then
     echo "$name: does not build"
     unnoticed=1
-  elif timeout 120 build/unit_tests -sg "$group" >test.log 2>&1; then
+  elif timeout 300 build/unit_tests -sg "${group%%.*}" ${test:+-sn "$test"} >test.log 2>&1; then
     echo "$name: NOT noticed by $group"
     unnoticed=1
   else
