Keep the stand-ins' connections out of the daemons that a soak starts

The soak had reset the endpoint's link, and nothing happened for 2.9 s; then all its connections ended at the millisecond at which another daemon was killed.

Cause: a daemon that the soak starts again inherits the sockets that the stand-ins have open, as asio does not mark them close-on-exec. A connection that the soak closes stays open until that daemon ends. So broken-off answers and resets of connections older than the last start of any daemon were silences. Sockets are now marked before each start.

--- a/tests/soak/daemons.cpp
+++ b/tests/soak/daemons.cpp
@@ -3,6 +3,8 @@
 #include "support/environment.h"
 
 #include <fmt/format.h>
+#include <linux/close_range.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
@@ -103,6 +105,8 @@
     daemon.shutdownAt = {};
     daemon.startAgain = {};
     daemon.wakeUp = {};
+    // A daemon that inherited a connection of the stand-ins would keep it open after their close.
+    close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     daemon.process = std::make_unique<ChildProcess>(
             binaryDirectory() + "/cicadafork",
             std::vector<std::string>{"gateway", "--settings", daemon.settings}, daemon.log);
