Do not let programs that tests start inherit the tests' sockets

Cause: descriptors above standard error were inherited.

Change: they are closed before the program starts, for every user of ChildProcess.

--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -88,6 +88,8 @@
         dup2(output, STDOUT_FILENO);
         dup2(output, STDERR_FILENO);
     }
+    // A program that kept the test's sockets would hold connections open that the test has closed.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(argv[0], argv);
     _exit(127);
 }
