--- a/src/net/server.h
+++ b/src/net/server.h
@@ -98,8 +98,8 @@
     /// Response bytes that are buffered here and not yet written to the socket.
     std::size_t unsentBytes() const { return output_.size() - written_; }
     bool open() const { return socket_.is_open(); }
-    /// True if a request is in progress or arrives, or if the caller may not have received the last
-    /// answer yet.
+    /// True if a request is in progress or arrives, if the first one may be on its way, or if the
+    /// caller may not have received the last answer yet.
     bool inUse() const;
     /// Closes the connection if it is not in use.
     void closeWhenIdle();
