Give the parts of requests on which endpoints may crash a type of their own

A part of a prompt is one thing in a request on which endpoints may crash. RequestPart says of which kind such a part is, so that others can be remembered, told and blocked by the same decision. No change of behaviour: the only kind is that of prompts, and datagrams and records stay as they are.

Tests: CrashEvidence, BlockedRecord, MeshDomains and GatewayCrash pass unchanged but for the type.

--- a/src/gateway/blockedrecord.cpp
+++ b/src/gateway/blockedrecord.cpp
@@ -26,7 +26,9 @@
                           WallTime wallNow)
 {
     nlohmann::json json;
-    json["parts"] = blocked.parts;
+    json["parts"] = nlohmann::json::array();
+    for (const RequestPart &part : blocked.parts)
+        json["parts"].push_back(part.id);
     json["crashes"] = nlohmann::json::array();
     for (const EndpointCrash &crash : crashesExplainedBy(evidence, blocked)) {
         const auto ago = std::chrono::duration_cast<Millis>(now - crash.at);
@@ -42,7 +44,7 @@
     const nlohmann::json json = parseJson(text);
     std::vector<EndpointCrash> crashes;
     try {
-        const auto parts = json.at("parts").get<PromptParts>();
+        const auto parts = promptParts(json.at("parts").get<std::vector<PromptPartId>>());
         Millis newest{0};
         for (const nlohmann::json &entry : json.at("crashes"))
             newest = std::max(newest, Millis(entry.at("at_ms").get<Millis::rep>()));
--- a/src/gateway/crashevidence.cpp
+++ b/src/gateway/crashevidence.cpp
@@ -1,7 +1,6 @@
 #include "gateway/crashevidence.h"
 
 #include <fmt/format.h>
-#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <functional>
@@ -36,16 +35,16 @@
 // Bounds the memory however many parts callers invent.
 constexpr std::size_t kMaxClearedParts = 4096;
 
-bool containsAll(const PromptParts &parts, const PromptParts &wanted)
+bool containsAll(const RequestParts &parts, const RequestParts &wanted)
 {
-    return std::ranges::all_of(wanted, [&](PromptPartId part) {
+    return std::ranges::all_of(wanted, [&](RequestPart part) {
         return std::ranges::find(parts, part) != parts.end();
     });
 }
 
 bool explains(const BlockedParts &blocked, const EndpointCrash &crash)
 {
-    return std::ranges::any_of(crash.suspects, [&](const PromptParts &parts) {
+    return std::ranges::any_of(crash.suspects, [&](const RequestParts &parts) {
         return containsAll(parts, blocked.parts);
     });
 }
@@ -58,7 +57,7 @@
     return found == blocked.end() ? nullptr : &*found;
 }
 
-std::optional<TimePoint> clearedAt(const ClearedParts &cleared, PromptPartId part)
+std::optional<TimePoint> clearedAt(const ClearedParts &cleared, RequestPart part)
 {
     for (const auto *parts : {&cleared.recent, &cleared.older}) {
         const auto found = parts->find(part);
@@ -68,7 +67,7 @@
     return std::nullopt;
 }
 
-void clear(ClearedParts &cleared, PromptPartId part, TimePoint at)
+void clear(ClearedParts &cleared, RequestPart part, TimePoint at)
 {
     const TimePoint newest = std::max(at, clearedAt(cleared, part).value_or(at));
     if (cleared.recent.size() >= kMaxClearedParts / 2 && !cleared.recent.contains(part)) {
@@ -82,12 +81,12 @@
 /// counted as one.
 struct PartStatistics
 {
-    PromptPartId part = 0;
+    RequestPart part;
     bool everSound = false;  ///< An answer on it has ended well, before the crashes.
     unsigned crashes = 0;    ///< That it is suspected of.
     unsigned allCrashes = 0; ///< From the first to the last of `crashes`.
     unsigned requests = 0;   ///< Suspects that have the part.
-    PromptParts together;    ///< Uncleared parts that all these suspects have, including this one.
+    RequestParts together;   ///< Uncleared parts that all these suspects have, including this one.
 
     bool isConclusive() const
     {
@@ -121,10 +120,11 @@
 }
 
 /// The parts of a suspect on which no answer has ended well since the crash, sorted.
-PromptParts unclearedParts(const ClearedParts &cleared, const PromptParts &suspect, TimePoint crash)
+RequestParts unclearedParts(const ClearedParts &cleared, const RequestParts &suspect,
+                            TimePoint crash)
 {
-    PromptParts parts;
-    for (const PromptPartId part : suspect) {
+    RequestParts parts;
+    for (const RequestPart part : suspect) {
         const auto at = clearedAt(cleared, part);
         if (!at || *at < crash)
             parts.push_back(part);
@@ -138,17 +138,17 @@
 {
     std::size_t crashes = 0;
     const EndpointCrash *lastCrash = nullptr;
-    std::vector<PromptParts> suspects;
+    std::vector<RequestParts> suspects;
 };
 
-std::map<PromptPartId, GroupSuspects> suspectsByPart(const ClearedParts &cleared,
-                                                     const CrashGroup &group)
+std::map<RequestPart, GroupSuspects> suspectsByPart(const ClearedParts &cleared,
+                                                    const CrashGroup &group)
 {
-    std::map<PromptPartId, GroupSuspects> byPart;
+    std::map<RequestPart, GroupSuspects> byPart;
     for (const EndpointCrash *crash : group) {
-        for (const PromptParts &suspect : crash->suspects) {
-            const PromptParts parts = unclearedParts(cleared, suspect, crash->at);
-            for (const PromptPartId part : parts) {
+        for (const RequestParts &suspect : crash->suspects) {
+            const RequestParts parts = unclearedParts(cleared, suspect, crash->at);
+            for (const RequestPart part : parts) {
                 GroupSuspects &found = byPart[part];
                 if (std::exchange(found.lastCrash, crash) != crash)
                     ++found.crashes;
@@ -163,8 +163,8 @@
                                        const std::vector<BlockedParts> &blocked)
 {
     const std::vector<CrashGroup> groups = unexplainedGroups(evidence, blocked);
-    std::map<PromptPartId, PartStatistics> byPart;
-    std::map<PromptPartId, unsigned> firstGroups;
+    std::map<RequestPart, PartStatistics> byPart;
+    std::map<RequestPart, unsigned> firstGroups;
     for (unsigned i = 0; i < groups.size(); ++i) {
         for (const auto &[part, found] : suspectsByPart(evidence.cleared, groups[i])) {
             if (2 * found.crashes < groups[i].size())
@@ -177,9 +177,9 @@
                 firstGroups[part] = i;
             }
             ofPart.allCrashes = i - firstGroups[part] + 1;
-            for (const PromptParts &suspect : found.suspects) {
+            for (const RequestParts &suspect : found.suspects) {
                 ++ofPart.requests;
-                std::erase_if(ofPart.together, [&](PromptPartId other) {
+                std::erase_if(ofPart.together, [&](RequestPart other) {
                     return !std::ranges::binary_search(suspect, other);
                 });
             }
@@ -236,13 +236,13 @@
 }
 
 /// Peers repeat a suspect without the parts that are not blocked.
-void addSuspect(std::vector<PromptParts> &suspects, PromptParts suspect)
+void addSuspect(std::vector<RequestParts> &suspects, RequestParts suspect)
 {
     const bool known = std::ranges::any_of(
-            suspects, [&](const PromptParts &other) { return containsAll(other, suspect); });
+            suspects, [&](const RequestParts &other) { return containsAll(other, suspect); });
     if (known)
         return;
-    std::erase_if(suspects, [&](const PromptParts &other) { return containsAll(suspect, other); });
+    std::erase_if(suspects, [&](const RequestParts &other) { return containsAll(suspect, other); });
     suspects.push_back(std::move(suspect));
 }
 
@@ -291,9 +291,23 @@
 
 } // namespace
 
-std::string toString(const PromptParts &parts)
+RequestParts promptParts(const std::vector<PromptPartId> &ids)
 {
-    return fmt::format("{:x}", fmt::join(parts, ","));
+    RequestParts parts;
+    for (const PromptPartId id : ids)
+        parts.push_back(promptPart(id));
+    return parts;
+}
+
+std::string toString(const RequestParts &parts)
+{
+    std::string text;
+    for (const RequestPart &part : parts) {
+        if (!text.empty())
+            text += ',';
+        text += fmt::format("{:x}", part.id);
+    }
+    return text;
 }
 
 void noteCrash(CrashEvidence &evidence, EndpointCrash crash)
@@ -308,7 +322,7 @@
                 = std::ranges::upper_bound(evidence.crashes, crash.at, {}, &EndpointCrash::at);
         evidence.crashes.insert(later, std::move(crash));
     } else {
-        for (PromptParts &suspect : crash.suspects)
+        for (RequestParts &suspect : crash.suspects)
             addSuspect(known->suspects, std::move(suspect));
         limitSuspects(*known);
         known->neededAt = std::max(known->neededAt, crash.neededAt);
@@ -317,14 +331,14 @@
     limitCrashes(evidence);
 }
 
-PromptParts noteCompleted(CrashEvidence &evidence, const PromptParts &parts, TimePoint at)
+RequestParts noteCompleted(CrashEvidence &evidence, const RequestParts &parts, TimePoint at)
 {
-    PromptParts suspected;
-    for (const PromptPartId part : parts) {
+    RequestParts suspected;
+    for (const RequestPart part : parts) {
         const TimePoint before = clearedAt(evidence.cleared, part).value_or(TimePoint::min());
         const bool isSuspected = std::ranges::any_of(evidence.crashes, [&](const auto &crash) {
             return crash.at > before && crash.at <= at
-                   && std::ranges::any_of(crash.suspects, [&](const PromptParts &suspect) {
+                   && std::ranges::any_of(crash.suspects, [&](const RequestParts &suspect) {
                           return std::ranges::find(suspect, part) != suspect.end();
                       });
         });
@@ -337,7 +351,7 @@
     return suspected;
 }
 
-const BlockedParts *findBlocked(const CrashEvidence &evidence, const PromptParts &parts)
+const BlockedParts *findBlocked(const CrashEvidence &evidence, const RequestParts &parts)
 {
     const auto found = std::ranges::find_if(evidence.blocked, [&](const BlockedParts &blocked) {
         return containsAll(parts, blocked.parts);
--- a/src/gateway/crashevidence.h
+++ b/src/gateway/crashevidence.h
@@ -1,10 +1,10 @@
 #pragma once
 
-// Finds the part of a prompt on which endpoints crash when they begin to write an answer.
+// Finds the parts of requests on which endpoints crash.
 //
 //   CrashEvidence evidence;
-//   noteCrash(evidence, {endpoint, now, {{0x5c1e07a2, 0x91bd3f06}}});
-//   noteCompleted(evidence, {0x5c1e07a2}, now);
+//   noteCrash(evidence, {endpoint, now, {{promptPart(0x5c1e07a2), promptPart(0x91bd3f06)}}});
+//   noteCompleted(evidence, {promptPart(0x5c1e07a2)}, now);
 //   if (const BlockedParts *blocked = findBlocked(evidence, parts))
 //       refuse(request);
 //
@@ -13,20 +13,51 @@
 // is blocked once it is suspected of several crashes that were not at the same time. The daemons
 // exchange crashes and cleared parts, and each derives the blocked parts from all of them.
 
+#include "base/hash.h"
 #include "gateway/loadtracker.h"
 #include "gateway/protocol.h"
 
+#include <compare>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace cicadafork::gateway {
 
-using PromptParts = std::vector<PromptPartId>;
+enum class RequestPartKind : std::uint8_t {
+    Prompt, ///< A part of the prompt that other requests may share.
+};
+
+/// Something in a request on which endpoints may crash.
+struct RequestPart
+{
+    RequestPartKind kind = RequestPartKind::Prompt;
+    std::uint64_t id = 0;
+
+    auto operator<=>(const RequestPart &) const = default;
+};
+
+struct RequestPartHash
+{
+    std::size_t operator()(const RequestPart &part) const
+    {
+        return mix64(part.id + static_cast<std::uint64_t>(part.kind));
+    }
+};
+
+using RequestParts = std::vector<RequestPart>;
+
+constexpr RequestPart promptPart(PromptPartId id)
+{
+    return {RequestPartKind::Prompt, id};
+}
+
+RequestParts promptParts(const std::vector<PromptPartId> &ids);
 
 /// Hexadecimal, separated by commas.
-std::string toString(const PromptParts &parts);
+std::string toString(const RequestParts &parts);
 
 /// An instance of an endpoint that has crashed.
 struct EndpointCrash
@@ -34,14 +65,14 @@
     EndpointKey endpoint = 0;
     TimePoint at{};
     /// The shared parts of each request that may have caused it, the likeliest first.
-    std::vector<PromptParts> suspects;
+    std::vector<RequestParts> suspects;
     TimePoint neededAt{}; ///< Last time at which a request was refused because of it.
 };
 
 /// Requests that have all of these parts are refused.
 struct BlockedParts
 {
-    PromptParts parts; ///< More than one only while nothing tells them apart.
+    RequestParts parts; ///< More than one only while nothing tells them apart.
     unsigned crashes = 0;
 
     bool operator==(const BlockedParts &other) const { return parts == other.parts; }
@@ -50,8 +81,8 @@
 /// The last times at which answers on parts ended well; forgets the oldest parts.
 struct ClearedParts
 {
-    std::unordered_map<PromptPartId, TimePoint> recent;
-    std::unordered_map<PromptPartId, TimePoint> older;
+    std::unordered_map<RequestPart, TimePoint, RequestPartHash> recent;
+    std::unordered_map<RequestPart, TimePoint, RequestPartHash> older;
 };
 
 struct CrashEvidence
@@ -73,10 +104,10 @@
 
 /// An answer on these parts has ended well. Returns those that were suspected until then, which
 /// peers must learn.
-PromptParts noteCompleted(CrashEvidence &evidence, const PromptParts &parts, TimePoint at);
+RequestParts noteCompleted(CrashEvidence &evidence, const RequestParts &parts, TimePoint at);
 
 /// The blocked parts that a request with these parts has, or null.
-const BlockedParts *findBlocked(const CrashEvidence &evidence, const PromptParts &parts);
+const BlockedParts *findBlocked(const CrashEvidence &evidence, const RequestParts &parts);
 
 /// A request was refused because of the blocked parts: keeps them blocked for longer.
 void keepBlocked(CrashEvidence &evidence, const BlockedParts &blocked, TimePoint now);
--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -32,7 +32,7 @@
 {
 }
 
-void CrashWatch::noteBroken(EndpointKey endpoint, const Address &address, const PromptParts &parts,
+void CrashWatch::noteBroken(EndpointKey endpoint, const Address &address, const RequestParts &parts,
                             AnswerProgress progress)
 {
     if (parts.empty())
@@ -137,15 +137,15 @@
     change([&] { gateway::noteCrash(evidence_, std::move(crash)); });
 }
 
-void CrashWatch::noteCompleted(const PromptParts &parts)
+void CrashWatch::noteCompleted(const RequestParts &parts)
 {
-    PromptParts suspected;
+    RequestParts suspected;
     change([&] { suspected = gateway::noteCompleted(evidence_, parts, steadyNow()); });
     if (!suspected.empty())
         hooks_.cleared(suspected);
 }
 
-void CrashWatch::noteCleared(const PromptParts &parts, TimePoint at)
+void CrashWatch::noteCleared(const RequestParts &parts, TimePoint at)
 {
     change([&] { gateway::noteCompleted(evidence_, parts, at); });
 }
@@ -155,7 +155,7 @@
     keepBlocked(evidence_, blocked, steadyNow());
 }
 
-const BlockedParts *CrashWatch::findBlocked(const PromptParts &parts) const
+const BlockedParts *CrashWatch::findBlocked(const RequestParts &parts) const
 {
     return gateway::findBlocked(evidence_, parts);
 }
--- a/src/gateway/crashwatch.h
+++ b/src/gateway/crashwatch.h
@@ -34,7 +34,7 @@
     /// are known.
     std::function<void(const EndpointCrash &)> crashed;
     /// Parts that were suspected until now have proved sound at this daemon.
-    std::function<void(const PromptParts &)> cleared;
+    std::function<void(const RequestParts &)> cleared;
     std::function<void(const BlockedParts &, bool blocked)> blockedChanged;
 };
 
@@ -44,21 +44,21 @@
     CrashWatch(asio::io_context &context, CrashWatchHooks hooks);
 
     /// The connection of a request ended before its answer was complete.
-    void noteBroken(EndpointKey endpoint, const Address &address, const PromptParts &parts,
+    void noteBroken(EndpointKey endpoint, const Address &address, const RequestParts &parts,
                     AnswerProgress progress);
     /// An endpoint did not accept a connection.
     void noteRefusedConnection(EndpointKey endpoint);
     /// An answer on these parts has ended well.
-    void noteCompleted(const PromptParts &parts);
+    void noteCompleted(const RequestParts &parts);
     /// A request was refused because of the blocked parts.
     void noteRefused(const BlockedParts &blocked);
 
     /// From peers.
     void noteCrash(EndpointCrash crash);
-    void noteCleared(const PromptParts &parts, TimePoint at);
+    void noteCleared(const RequestParts &parts, TimePoint at);
 
     /// The blocked parts that a request with these parts has, or null.
-    const BlockedParts *findBlocked(const PromptParts &parts) const;
+    const BlockedParts *findBlocked(const RequestParts &parts) const;
     const std::vector<BlockedParts> &blocked() const { return evidence_.blocked; }
     const CrashEvidence &evidence() const { return evidence_; }
     std::vector<EndpointCrash> crashesToRepeat() const;
@@ -69,7 +69,7 @@
     struct Suspect
     {
         AnswerProgress progress;
-        PromptParts parts;
+        RequestParts parts;
     };
     /// An endpoint at which an answer has broken off.
     struct Suspicion
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -138,7 +138,7 @@
                          return crashWatch_.crashesToRepeat();
                      },
              .crashReceived = [this](const EndpointCrash &crash) { crashWatch_.noteCrash(crash); },
-             .clearedPartsReceived = [this](const PromptParts &parts,
+             .clearedPartsReceived = [this](const RequestParts &parts,
                                             TimePoint at) { crashWatch_.noteCleared(parts, at); },
              .limits =
                      [this] {
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -83,7 +83,7 @@
               {"helpers", helperIds},
               {"holders", std::to_string(placement.holders)},
               {"prompt_tokens", std::to_string(exchange.fields.promptTokens)},
-              {"parts", toString(exchange.fields.sharedPromptParts)},
+              {"parts", toString(promptParts(exchange.fields.sharedPromptParts))},
               {"expected_ms", fmt::format("{:.0f}", placement.firstEvent.count())},
               {"waited_ms", fmt::format("{:.1f}", FloatMillis(now - exchange.arrivedAt).count())},
               {"reason", placement.reason},
@@ -371,7 +371,7 @@
     if (exchange.state != ExchangeState::Relaying)
         beginRelay(exchange);
     if (attempt.events > 0)
-        crashWatch_.noteCompleted(exchange.fields.sharedPromptParts);
+        crashWatch_.noteCompleted(promptParts(exchange.fields.sharedPromptParts));
     exchange.caller->finish();
     finish(exchange, "completed", 200);
 }
@@ -421,7 +421,8 @@
     facts.relaying = exchange.state == ExchangeState::Relaying;
     facts.sendCount = exchange.sendCount;
     facts.maxEndpoints = exchange.route.maxEndpoints;
-    facts.crashesEndpoints = crashWatch_.findBlocked(exchange.fields.sharedPromptParts) != nullptr;
+    facts.crashesEndpoints
+            = crashWatch_.findBlocked(promptParts(exchange.fields.sharedPromptParts)) != nullptr;
     facts.retryBudgetLeft = exchange.sendCount == 0
                             || retryBudget_.available(exchange.service, daemonCount(), now);
     facts.timeLeft = std::chrono::duration_cast<Millis>(exchange.deadline - now);
--- a/src/gateway/gatewaycrashes.cpp
+++ b/src/gateway/gatewaycrashes.cpp
@@ -34,7 +34,7 @@
 CrashWatchHooks Gateway::crashWatchHooks()
 {
     return {.crashed = [this](const EndpointCrash &crash) { onEndpointCrashed(crash); },
-            .cleared = [this](const PromptParts &parts) { mesh_.sendClearedParts(parts); },
+            .cleared = [this](const RequestParts &parts) { mesh_.sendClearedParts(parts); },
             .blockedChanged = [this](const BlockedParts &parts,
                                      bool blocked) { onBlockedPartsChanged(parts, blocked); }};
 }
@@ -43,15 +43,15 @@
 {
     if (attempt.events > 0 && steadyNow() - attempt.firstEventAt > kSoundAfterWriting)
         return;
-    crashWatch_.noteBroken(attempt.endpoint, attempt.address, exchange.fields.sharedPromptParts,
-                           progressOf(attempt));
+    crashWatch_.noteBroken(attempt.endpoint, attempt.address,
+                           promptParts(exchange.fields.sharedPromptParts), progressOf(attempt));
 }
 
 void Gateway::onEndpointCrashed(const EndpointCrash &crash)
 {
     const EndpointRow *row = endpoints_.find(crash.endpoint);
     std::string suspects;
-    for (const PromptParts &parts : crash.suspects) {
+    for (const RequestParts &parts : crash.suspects) {
         if (!suspects.empty())
             suspects += ';';
         suspects += toString(parts);
@@ -125,7 +125,7 @@
 {
     std::vector<std::uint64_t> ids;
     for (const auto &[id, exchange] : exchanges_) {
-        if (crashWatch_.findBlocked(exchange->fields.sharedPromptParts))
+        if (crashWatch_.findBlocked(promptParts(exchange->fields.sharedPromptParts)))
             ids.push_back(id);
     }
     for (const std::uint64_t id : ids)
@@ -151,7 +151,7 @@
 bool Gateway::rejectCrashingRequest(const std::shared_ptr<HttpServerConnection> &caller,
                                     const CallerFields &fields)
 {
-    const BlockedParts *blocked = crashWatch_.findBlocked(fields.sharedPromptParts);
+    const BlockedParts *blocked = crashWatch_.findBlocked(promptParts(fields.sharedPromptParts));
     if (!blocked)
         return false;
     respondToCrashingRequest(
@@ -167,9 +167,10 @@
               {"route", exchange.route.name},
               {"reason", kCrashingPrompt},
               {"sends", std::to_string(exchange.sendCount)}});
-    respondToCrashingRequest(*exchange.caller,
-                             *crashWatch_.findBlocked(exchange.fields.sharedPromptParts),
-                             protocol_.ownAnswerHeaders(exchange.requestId, std::nullopt));
+    respondToCrashingRequest(
+            *exchange.caller,
+            *crashWatch_.findBlocked(promptParts(exchange.fields.sharedPromptParts)),
+            protocol_.ownAnswerHeaders(exchange.requestId, std::nullopt));
     finish(exchange, kCrashingPrompt, kCrashingPromptStatus);
 }
 
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -286,12 +286,12 @@
     });
 }
 
-void Mesh::sendClearedParts(const PromptParts &parts)
+void Mesh::sendClearedParts(const RequestParts &parts)
 {
     sendWithStatus({}, [&](wire::Datagram::Builder root) {
         auto list = root.initClearedParts(static_cast<unsigned>(parts.size()));
         for (unsigned i = 0; i < parts.size(); ++i)
-            list.set(i, parts[i]);
+            list.set(i, parts[i].id);
     });
 }
 
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -133,7 +133,7 @@
     /// A peer sent a crash that it noticed or heard of.
     std::function<void(const EndpointCrash &)> crashReceived;
     /// A peer sent parts of prompts on which an answer has ended well at the given time.
-    std::function<void(const PromptParts &, TimePoint)> clearedPartsReceived;
+    std::function<void(const RequestParts &, TimePoint)> clearedPartsReceived;
     /// The limits that endpoints have stated; repeated in heartbeats.
     std::function<std::vector<EndpointLimit>()> limits;
     /// A peer sent a limit that it knows.
@@ -186,7 +186,7 @@
     /// Tells all peers of an endpoint that has crashed.
     void sendCrash(const EndpointCrash &crash);
     /// Tells all peers of parts of prompts on which an answer has ended well.
-    void sendClearedParts(const PromptParts &parts);
+    void sendClearedParts(const RequestParts &parts);
     /// Tells all peers of a limit that an endpoint has stated, or that it states none any more.
     void sendLimit(const EndpointLimit &limit);
     /// Sends all peers a change of the configuration. If it does not fit a datagram, only the new
--- a/src/gateway/meshwire.cpp
+++ b/src/gateway/meshwire.cpp
@@ -195,20 +195,20 @@
     target.setNeededAgoMs(millisSince(crash.neededAt, now));
     auto suspects = target.initSuspects(static_cast<unsigned>(crash.suspects.size()));
     for (unsigned i = 0; i < crash.suspects.size(); ++i) {
-        const PromptParts &parts = crash.suspects[i];
+        const RequestParts &parts = crash.suspects[i];
         auto list = suspects.init(i, static_cast<unsigned>(parts.size()));
         for (unsigned part = 0; part < parts.size(); ++part)
-            list.set(part, parts[part]);
+            list.set(part, parts[part].id);
     }
 }
 
-PromptParts readParts(capnp::List<std::uint64_t>::Reader source)
+RequestParts readParts(capnp::List<std::uint64_t>::Reader source)
 {
-    PromptParts parts;
+    RequestParts parts;
     for (const PromptPartId part : source) {
         if (parts.size() >= kMaxSuspectParts)
             break;
-        parts.push_back(part);
+        parts.push_back(promptPart(part));
     }
     return parts;
 }
--- a/src/gateway/meshwire.h
+++ b/src/gateway/meshwire.h
@@ -49,7 +49,7 @@
 void fillCrashes(wire::Datagram::Builder root, const std::vector<EndpointCrash> &crashes,
                  TimePoint now);
 /// At most kMaxSuspectParts.
-PromptParts readParts(capnp::List<std::uint64_t>::Reader source);
+RequestParts readParts(capnp::List<std::uint64_t>::Reader source);
 
 /// Writes nothing if there are none.
 void fillLimits(wire::Datagram::Builder root, const std::vector<EndpointLimit> &limits,
--- a/tests/unit/blockedrecord_test.cpp
+++ b/tests/unit/blockedrecord_test.cpp
@@ -25,7 +25,7 @@
         for (int i = 0; i < 4; ++i)
             noteCrash(evidence, {0xfedcba9876543210 + static_cast<EndpointKey>(i),
                                  kNow - Millis(5000 - 200 * i),
-                                 {{1, 0xbad0}},
+                                 {{promptPart(1), promptPart(0xbad0)}},
                                  {}});
         LONGS_EQUAL(1, evidence.blocked.size());
     }
--- a/tests/unit/crashevidence_test.cpp
+++ b/tests/unit/crashevidence_test.cpp
@@ -23,19 +23,19 @@
 }
 
 // Parts: kA is the first part of all prompts, kX and kY crash endpoints, the others are sound.
-constexpr PromptPartId kA = 1;
-constexpr PromptPartId kB = 2;
-constexpr PromptPartId kC = 3;
-constexpr PromptPartId kD = 4;
-constexpr PromptPartId kX = 100;
-constexpr PromptPartId kY = 101;
+constexpr RequestPart kA = promptPart(1);
+constexpr RequestPart kB = promptPart(2);
+constexpr RequestPart kC = promptPart(3);
+constexpr RequestPart kD = promptPart(4);
+constexpr RequestPart kX = promptPart(100);
+constexpr RequestPart kY = promptPart(101);
 
 /// A crash if there are suspects, else an answer that ended well.
 struct Event
 {
     int millis;
-    std::vector<PromptParts> suspects;
-    PromptParts completed = {};
+    std::vector<RequestParts> suspects;
+    RequestParts completed = {};
 };
 
 } // namespace
@@ -59,8 +59,8 @@
     {
         std::string text;
         for (const BlockedParts &parts : evidence.blocked) {
-            for (const PromptPartId part : parts.parts)
-                text += fmt::format("{} ", part);
+            for (const RequestPart &part : parts.parts)
+                text += fmt::format("{} ", part.id);
             text += "/ ";
         }
         return text;
@@ -130,17 +130,17 @@
              "100 / "},
             {"most crashes have another cause",
              {{0, {{kB}}},
-              {200, {{10}}},
-              {400, {{11}}},
-              {600, {{12}}},
+              {200, {{promptPart(10)}}},
+              {400, {{promptPart(11)}}},
+              {600, {{promptPart(12)}}},
               {800, {{kB}}},
-              {1000, {{13}}},
-              {1200, {{14}}},
-              {1400, {{15}}},
+              {1000, {{promptPart(13)}}},
+              {1200, {{promptPart(14)}}},
+              {1400, {{promptPart(15)}}},
               {1600, {{kB}}},
-              {1800, {{16}}},
-              {2000, {{17}}},
-              {2200, {{18}}},
+              {1800, {{promptPart(16)}}},
+              {2000, {{promptPart(17)}}},
+              {2200, {{promptPart(18)}}},
               {2400, {{kB}}}},
              ""},
             {"all crash at the same time",
@@ -149,27 +149,27 @@
             {"many crash at a time, a few requests at each have the part",
              {{0, {{kB}}},
               {5, {{kC}}},
-              {10, {{10}}},
-              {300, {{11}}},
+              {10, {{promptPart(10)}}},
+              {300, {{promptPart(11)}}},
               {305, {{kB}}},
-              {310, {{12}}},
-              {600, {{13}}},
-              {605, {{14}}},
+              {310, {{promptPart(12)}}},
+              {600, {{promptPart(13)}}},
+              {605, {{promptPart(14)}}},
               {610, {{kB}}},
               {900, {{kB}}},
-              {905, {{15}}},
-              {910, {{16}}},
+              {905, {{promptPart(15)}}},
+              {910, {{promptPart(16)}}},
               {1200, {{kB}}},
-              {1205, {{17}}},
-              {1210, {{18}}}},
+              {1205, {{promptPart(17)}}},
+              {1210, {{promptPart(18)}}}},
              ""},
             {"one of two that crash at a time has the part",
              {{0, {{kX}}},
               {5, {{kC}}},
-              {300, {{11}}},
+              {300, {{promptPart(11)}}},
               {305, {{kX}}},
               {600, {{kX}}},
-              {605, {{14}}},
+              {605, {{promptPart(14)}}},
               {900, {{kX}}}},
              "100 / "},
             {"answers end well in between",
@@ -228,11 +228,11 @@
 TEST(CrashEvidence, requestsWithAllBlockedPartsAreFound)
 {
     play({{0, {{kB, kX}}}, {200, {{kB, kX}}}, {400, {{kB, kX}}}, {600, {{kB, kX}}}});
-    const std::pair<PromptParts, bool> cases[] = {{{kA, kB, kX, kC}, true},
-                                                  {{kX, kB}, true},
-                                                  {{kA, kB}, false},
-                                                  {{kX}, false},
-                                                  {{}, false}};
+    const std::pair<RequestParts, bool> cases[] = {{{kA, kB, kX, kC}, true},
+                                                   {{kX, kB}, true},
+                                                   {{kA, kB}, false},
+                                                   {{kX}, false},
+                                                   {{}, false}};
     for (const auto &[parts, found] : cases)
         CHECK_EQUAL(found, findBlocked(evidence, parts) != nullptr);
 }
@@ -262,12 +262,12 @@
     std::mt19937 random(7);
     int millis = 0;
     for (int i = 0; i < kCrashes; ++i) {
-        std::vector<PromptParts> suspects{{kA, kX}};
+        std::vector<RequestParts> suspects{{kA, kX}};
         for (int suspect = 0; suspect < 40; ++suspect)
-            suspects.push_back({++invented, ++invented, ++invented});
+            suspects.push_back(promptParts({++invented, ++invented, ++invented}));
         millis += static_cast<int>(random() % 150);
         play({{millis, suspects}});
-        noteCompleted(evidence, {kA, ++invented}, at(millis));
+        noteCompleted(evidence, {kA, promptPart(++invented)}, at(millis));
         CHECK_TRUE(evidence.crashes.size() <= kMaxCrashes);
         for (const EndpointCrash &crash : evidence.crashes)
             CHECK_TRUE(crash.suspects.size() <= kMaxCrashSuspects);
@@ -282,7 +282,7 @@
     constexpr int kOtherCrashes = 300;
     play({{0, {{kX}}}, {200, {{kX}}}, {400, {{kX}}}, {600, {{kX}}}});
     for (int i = 0; i < kOtherCrashes; ++i) {
-        play({{1000 + 200 * i, {{1000 + static_cast<PromptPartId>(i)}}}});
+        play({{1000 + 200 * i, {{promptPart(1000 + static_cast<PromptPartId>(i))}}}});
         STRCMP_EQUAL("100 / ", blocked().c_str());
     }
 }
@@ -300,7 +300,9 @@
     constexpr int kFirstCrashMillis = 3000;
     for (unsigned day = 0; day < kDays; ++day) {
         std::mt19937 random(day);
-        const auto parts = [&] { return PromptParts{kA, 1000 + random() % kSessions}; };
+        const auto parts = [&] {
+            return RequestParts{kA, promptPart(1000 + random() % kSessions)};
+        };
         std::vector<Event> events;
         for (int millis = 0; millis < kDayMillis; millis += 10) {
             // Each second, 100 of 200 requests in progress end well. Every few seconds, up to a
@@ -311,7 +313,7 @@
             const unsigned crashes = 1 + random() % (kEndpoints / 3);
             const int gap = random() % 2 == 0 ? 2 : 150;
             for (unsigned i = 0; i < crashes; ++i) {
-                std::vector<PromptParts> suspects(1 + random() % kRequestsPerEndpoint);
+                std::vector<RequestParts> suspects(1 + random() % kRequestsPerEndpoint);
                 std::ranges::generate(suspects, parts);
                 events.push_back({millis + static_cast<int>(i) * gap, suspects});
             }
--- a/tests/unit/mesh_test.cpp
+++ b/tests/unit/mesh_test.cpp
@@ -84,7 +84,7 @@
                               .evacuationsReceived = [](const auto &) {},
                               .crashesToRepeat = [] { return std::vector<EndpointCrash>(); },
                               .crashReceived = [](const EndpointCrash &) {},
-                              .clearedPartsReceived = [](const PromptParts &, TimePoint) {},
+                              .clearedPartsReceived = [](const RequestParts &, TimePoint) {},
                               .limits = [] { return std::vector<EndpointLimit>(); },
                               .limitReceived = [](const EndpointLimit &) {},
                               .configChangeReceived = [](const PeerInfo &, const ConfigChange &) {},
@@ -152,7 +152,7 @@
                     .crashReceived
                     = [this](const EndpointCrash &crash) { heardCrashes[crash.endpoint] = crash; },
                     .clearedPartsReceived
-                    = [this](const PromptParts &parts, TimePoint) { cleared = parts; },
+                    = [this](const RequestParts &parts, TimePoint) { cleared = parts; },
                     .limits = [this] { return limits; },
                     .limitReceived
                     = [this](const EndpointLimit &limit) { heardLimits[limit.endpoint] = limit; },
@@ -168,7 +168,7 @@
         Evacuations evacuations;
         std::vector<EndpointCrash> crashes; ///< That this member repeats.
         std::map<EndpointKey, EndpointCrash> heardCrashes;
-        PromptParts cleared; ///< What a peer told last.
+        RequestParts cleared; ///< What a peer told last.
         std::vector<EndpointLimit> limits;
         std::map<EndpointKey, EndpointLimit> heardLimits;
         LoadTracker tracker{100};
@@ -288,17 +288,17 @@
     constexpr Millis kLatency{500}; // Of the messages, at most.
     start(128);
     const TimePoint at = steadyNow() - kAge;
-    const std::vector<PromptParts> suspects{{1, 2}, {3}};
+    const std::vector<RequestParts> suspects{{promptPart(1), promptPart(2)}, {promptPart(3)}};
     members[0]->mesh.sendCrash({kCrashes + 1, at, suspects, at});
     for (EndpointKey key = 1; key <= kCrashes; ++key)
         members[0]->crashes.push_back({key, at, suspects, at});
-    members[0]->mesh.sendClearedParts({8, 9});
+    members[0]->mesh.sendClearedParts({promptPart(8), promptPart(9)});
     for (unsigned i = 1; i < members.size(); ++i) {
         const Member &member = *members[i];
         CHECK_TRUE(eventually(context, kLimit, [&] {
             return member.heardCrashes.size() == kCrashes + 1 && !member.cleared.empty();
         }));
-        CHECK_TRUE(member.cleared == (PromptParts{8, 9}));
+        CHECK_TRUE(member.cleared == (RequestParts{promptPart(8), promptPart(9)}));
         for (const auto &[key, crash] : member.heardCrashes) {
             CHECK_TRUE(crash.suspects == suspects);
             CHECK_TRUE(crash.at >= at - Millis(1) && crash.at <= at + kLatency);
