Log a digest of each request whose attempt failed and may have run

The logs could not tell whether endpoints that end one after the other have a request in common: no line said which requests are the same. attempt_failed names a digest of path, workspace, prompt and body, so that repetitions have the same one and nothing of the request itself is written. Computed for failed attempts only.

--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -2,9 +2,13 @@
 
 #include <fmt/format.h>
 #include <openssl/crypto.h>
+#include <openssl/evp.h>
 #include <openssl/sha.h>
 
 #include <algorithm>
+#include <array>
+#include <cstring>
+#include <memory>
 
 namespace cicadafork {
 
@@ -61,6 +65,23 @@
     return text;
 }
 
+std::uint64_t sha256Prefix(std::initializer_list<std::string_view> fields)
+{
+    const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(),
+                                                                          EVP_MD_CTX_free);
+    EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
+    for (const std::string_view field : fields) {
+        const std::uint64_t size = field.size();
+        EVP_DigestUpdate(context.get(), &size, sizeof(size));
+        EVP_DigestUpdate(context.get(), field.data(), field.size());
+    }
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
+    std::uint64_t prefix = 0;
+    std::memcpy(&prefix, digest.data(), sizeof(prefix));
+    return prefix;
+}
+
 bool constantTimeEqual(std::string_view left, std::string_view right)
 {
     return left.size() == right.size()
--- a/src/base/hash.h
+++ b/src/base/hash.h
@@ -1,11 +1,12 @@
 #pragma once
 
-// Hashes: FNV-1a for identities that need speed, SHA-256 for credentials and request bodies.
+// Hashes: FNV-1a for identities that need speed, SHA-256 for credentials and requests.
 //
 //   std::vector<std::string> order = rendezvousOrder("endpoint-7", members);
 //   bool mine = !order.empty() && order.front() == selfId;
 
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,10 @@
 /// SHA-256 as 64 lower-case hex digits.
 std::string sha256Hex(std::string_view bytes);
 
+/// The first 64 bits of the SHA-256 of the fields. Fields that differ only in where one ends give
+/// different results.
+std::uint64_t sha256Prefix(std::initializer_list<std::string_view> fields);
+
 /// Compares without a data-dependent early exit; for credentials.
 bool constantTimeEqual(std::string_view left, std::string_view right);
 
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -1,8 +1,10 @@
 // Gateway: attempts at endpoints and relaying of their answers.
 
+#include "base/hash.h"
 #include "base/jitter.h"
 #include "base/log.h"
 #include "gateway/gateway.h"
+#include "gateway/requestparts.h"
 
 #include <asio/post.hpp>
 #include <fmt/format.h>
@@ -450,6 +452,9 @@
              {{"request", exchange.requestId},
               {"endpoint", attempt ? attempt->endpointId : "none"},
               {"reason", reason},
+              {"digest", mayHaveRun ? hex64(requestDigest(exchange.request, exchange.fields,
+                                                          exchange.workspace))
+                                    : std::string()},
               {"status", std::to_string(attempt ? attempt->head.status : 0)},
               {"events", std::to_string(attempt ? attempt->events : 0)},
               {"may_have_run", mayHaveRun ? "yes" : "no"},
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -31,6 +31,7 @@
     std::optional<std::uint64_t> lastEventId; ///< Resume the stream after this event.
     /// The parts of the prompt that other requests may share, in order: all but the last one.
     std::vector<PromptPartId> sharedPromptParts;
+    std::string prompt; ///< All parts of the prompt, as the caller names them.
 };
 
 /// Endpoint that computes a part of the prompt for another endpoint.
--- /dev/null
+++ b/src/gateway/requestparts.h
@@ -0,0 +1,19 @@
+#pragma once
+
+// The parts of a request on which endpoints may crash.
+//
+//   const std::uint64_t digest = requestDigest(exchange.request, exchange.fields, "depot");
+
+#include "gateway/protocol.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace cicadafork::gateway {
+
+/// The same for requests that do the same at an endpoint: those with the same path, workspace,
+/// prompt and body. Deadlines, request ids and other header fields do not count.
+std::uint64_t requestDigest(const HttpRequest &request, const CallerFields &fields,
+                            std::string_view workspace);
+
+} // namespace cicadafork::gateway
