Add a failing test of one request that crashes endpoints of a plain service

GatewayCrash.repetitionsOfARequestThatCrashesEndpointsAreContained repeats one request, whose endpoints come back as other instances, at one and three daemons, on routes that may be repeated, that may not, and with streams. The stand-in of an endpoint crashes under a given body before it answers, and the fleet of the tests has a plain service.

--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// Several gateways of one failure domain before the endpoints of one service, all on one event
-// loop, as the base of test groups.
+// Several gateways of one failure domain before the endpoints of an engine and of a plain service,
+// all on one event loop, as the base of test groups.
 //
 //   TEST_GROUP_BASE(GatewayLimit, GatewayFleet){};
 //   start(3, 6);
@@ -24,12 +24,17 @@
 namespace cicadafork::test {
 
 inline constexpr const char *kEndpointsTopic = "keyed.servers";
+inline constexpr const char *kPool = "pool";   ///< Service of the route /r/, streams.
+inline constexpr const char *kPlain = "plain"; ///< Of the routes /safe/ and /once/.
 inline constexpr const char *kFleetConfig
         = R"({"version":3,"routes":[{"name":"r","host":"h","pathPrefix":"/r/","kind":"streaming",
         "service":"pool","timeoutMs":4000,"targetLatencyMs":300,"maxAttempts":2,"resumable":true,
-        "gapGoalMs":200}],"services":[{"name":"pool","engine":{"slots":4,"kvCapacity":450000,
-        "stride":4,"step_ms":1,"read_per_s":256000,"pairs_per_m":0.09}}],
-        "tenants":[{"name":"ws","apiKeys":["key"]}]})";
+        "gapGoalMs":200},{"name":"safe","host":"h","pathPrefix":"/safe/","kind":"safe",
+        "service":"plain","timeoutMs":1500,"targetLatencyMs":300,"maxAttempts":2},{"name":"once",
+        "host":"h","pathPrefix":"/once/","kind":"unsafe","service":"plain","timeoutMs":1500,
+        "targetLatencyMs":300,"maxAttempts":2}],"services":[{"name":"pool","engine":{"slots":4,
+        "kvCapacity":450000,"stride":4,"step_ms":1,"read_per_s":256000,"pairs_per_m":0.09}},
+        {"name":"plain"}],"tenants":[{"name":"ws","apiKeys":["key"]}]})";
 
 struct Answer
 {
@@ -78,7 +83,7 @@
     /// Called for each endpoint that is added.
     virtual void prepare(EndpointStandin &) {}
 
-    void addEndpoint(bool chunksStreams = true)
+    void addEndpoint(bool chunksStreams = true, const char *service = kPool)
     {
         endpoints.push_back(std::make_unique<EndpointStandin>(
                 context, addresses.next(), fmt::format("i-{}", endpoints.size() + 1),
@@ -86,9 +91,9 @@
         EndpointStandin &endpoint = *endpoints.back();
         prepare(endpoint);
         store.put(kEndpointsTopic, endpoint.id,
-                  fmt::format(R"({{"service":"pool","address":"{}","zone":"east","slots":4,
+                  fmt::format(R"({{"service":"{}","address":"{}","zone":"east","slots":4,
                       "state":"ready","seq":1,"born":{}}})",
-                              toString(endpoint.address), endpoints.size()));
+                              service, toString(endpoint.address), endpoints.size()));
     }
 
     std::size_t endpointsInService() const
@@ -97,11 +102,11 @@
                 endpoints, [](const auto &endpoint) { return !endpoint->crashed; }));
     }
 
-    void start(unsigned daemonCount, unsigned endpointCount)
+    void start(unsigned daemonCount, unsigned endpointCount, const char *service = kPool)
     {
         store.put("keyed.op", "config", kFleetConfig);
         for (unsigned i = 0; i < endpointCount; ++i)
-            addEndpoint();
+            addEndpoint(true, service);
         // All members use the same ports, and the first one is the seed.
         Address address = addresses.next();
         const Address first = address;
@@ -134,18 +139,30 @@
 
     /// The last part of the prompt belongs to the request.
     const Answer &send(const Daemon &daemon, const std::string &sharedParts)
+    {
+        return sendRequest(daemon, "/r/x", {},
+                           fmt::format("{},{:x}:10", sharedParts, 0x10000 + requests + 1));
+    }
+
+    /// A request without a prompt is no stream.
+    const Answer &sendRequest(const Daemon &daemon, const std::string &target,
+                              const std::string &body, const std::string &prompt = {})
     {
         HeaderList headers;
         headers.add("Host", "h");
         headers.add("Request-Id", fmt::format("r{}", ++requests));
         headers.add("Authorization", "Token key");
-        headers.add("Deadline-Ms", "4000");
-        headers.add("Token-Count", "1000,24");
-        headers.add("Prompt-Prefix", fmt::format("{},{:x}:10", sharedParts, 0x10000 + requests));
+        headers.add("Deadline-Ms", prompt.empty() ? "1500" : "4000");
+        headers.add("Content-Length", std::to_string(body.size()));
+        if (!prompt.empty()) {
+            headers.add("Token-Count", "1000,24");
+            headers.add("Prompt-Prefix", prompt);
+        }
         answers.push_back(std::make_unique<Answer>());
         Answer &answer = *answers.back();
         calls.push_back(callerPool.call(
-                daemon.callers, {.head = serializeRequestHead("GET", "/r/x", headers)},
+                daemon.callers,
+                {.head = serializeRequestHead("POST", target, headers), .body = body},
                 {.head =
                          [&answer](HttpResponseHead &&head) {
                              answer.status = head.status;
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -108,6 +108,21 @@
     return newest;
 }
 
+std::vector<std::string> StoreStandin::keys(const std::string &topic) const
+{
+    std::map<std::string, bool> hasValue;
+    if (const auto records = topics_.find(topic); records != topics_.end()) {
+        for (const Record &record : records->second)
+            hasValue[record.key] = record.value.has_value();
+    }
+    std::vector<std::string> keys;
+    for (const auto &[key, exists] : hasValue) {
+        if (exists)
+            keys.push_back(key);
+    }
+    return keys;
+}
+
 void StoreStandin::refuseWaitingReads()
 {
     for (const PendingRead &read : std::exchange(pending_, {}))
@@ -274,6 +289,10 @@
     const unsigned next = lastEvent ? static_cast<unsigned>(std::stoul(*lastEvent)) + 1 : 1;
     const bool streams = request.headers.find(platform::kTokenCount) != nullptr;
     runs.push_back({name, std::move(request), caller});
+    if (!crashingBody.empty() && runs.back().request.body == crashingBody) {
+        runAt(steadyNow() + crashDelay, [this] { crash(); });
+        return;
+    }
     switch (behaviour) {
     case EndpointBehaviour::Fails:
         caller->respond(500, signedHeaders(name), "failed");
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -39,6 +39,8 @@
     std::uint64_t era() const { return era_; }
     /// Value of the newest record of a key; nothing if there is none or it was deleted.
     std::optional<std::string> value(const std::string &topic, const std::string &key) const;
+    /// Keys that have a value.
+    std::vector<std::string> keys(const std::string &topic) const;
     /// Offset of the topic's next record.
     std::size_t end(const std::string &topic) { return topics_[topic].size(); }
     /// Answers the reads that wait for records with 503, as a store that goes away does.
@@ -143,7 +145,9 @@
     /// Part of a prompt on which the endpoint crashes when it begins to write an answer, unless it
     /// is the last one: it sends the head, and then all its connections end and it listens no more.
     std::string crashingPart;
-    Millis crashDelay{5};          ///< From the head of the answer to the crash.
+    /// Body of requests under which the endpoint crashes before it answers.
+    std::string crashingBody;
+    Millis crashDelay{5}; ///< From the head of the answer, or from the request, to the crash.
     std::function<void()> onCrash; ///< May not destroy the endpoint.
     bool crashed = false;
     /// Before an endpoint that does not send chunks crashes, its answers end in an orderly way.
--- a/tests/unit/gatewaycrash_test.cpp
+++ b/tests/unit/gatewaycrash_test.cpp
@@ -1,4 +1,4 @@
-// Gateways before endpoints that crash when they begin to write an answer on one part of a prompt.
+// Gateways before endpoints that crash on one part of a prompt or on one request.
 
 #include "support/gatewayfleet.h"
 
@@ -21,6 +21,9 @@
 constexpr unsigned kCrashesBeforeTheWindow = 5;
 constexpr Millis kStabilityWindow{3000};
 constexpr std::size_t kArrivalsAfterTheWindow = 3;
+// The same for one request that crashes endpoints.
+constexpr std::size_t kCrashesOfARequestBeforeTheWindow = 3;
+constexpr const char *kBadBody = "bad request";
 
 } // namespace
 
@@ -30,11 +33,13 @@
     std::vector<TimePoint> crashes;
     Millis restartDelay{300};
     std::string badPart = "bad0";
+    const char *service = kPool;
 
     /// An endpoint that crashes comes back as another instance.
     void prepare(EndpointStandin & endpoint) override
     {
         endpoint.crashingPart = badPart;
+        endpoint.crashingBody = kBadBody;
         endpoint.onCrash = [this, id = endpoint.id] {
             crashes.push_back(steadyNow());
             timers.push_back(std::make_unique<asio::steady_timer>(context, restartDelay));
@@ -42,11 +47,46 @@
                 if (error)
                     return;
                 store.put(kEndpointsTopic, id, std::nullopt);
-                addEndpoint();
+                addEndpoint(true, service);
             });
         };
     }
 
+    const Answer &sendToRoute(const Daemon &daemon, const std::string &path, const char *body)
+    {
+        return path == "/r/" ? sendRequest(daemon, "/r/x", body, "a1:40,c1:20")
+                             : sendRequest(daemon, path + "x", body);
+    }
+
+    /// Waits until a sound request gets its answer.
+    bool isServed(const Daemon &daemon, const std::string &path)
+    {
+        const TimePoint end = steadyNow() + kStartLimit;
+        while (steadyNow() < end) {
+            const Answer &answer = sendToRoute(daemon, path, "sound request");
+            if (!runUntil([&] { return answer.ended; }))
+                return false;
+            if (answer.status == 200 && answer.complete)
+                return true;
+            serveFor(Millis(50));
+        }
+        return false;
+    }
+
+    /// When the bad request has reached endpoints, in order.
+    std::vector<TimePoint> badArrivals() const
+    {
+        std::vector<TimePoint> times;
+        for (const auto &endpoint : endpoints) {
+            for (const EndpointStandin::Run &run : endpoint->runs) {
+                if (run.request.body == kBadBody)
+                    times.push_back(run.connection->requestStart());
+            }
+        }
+        std::ranges::sort(times);
+        return times;
+    }
+
     static std::size_t blockedParts(const Daemon &daemon)
     {
         return daemon.state()["blocked_prompt_parts"].size();
@@ -233,3 +273,39 @@
         CHECK_TRUE_TEXT(!crashes.empty(), row.name);
     }
 }
+
+// Guards against a request that ends the endpoints of its service again whenever it is repeated.
+TEST(GatewayCrash, repetitionsOfARequestThatCrashesEndpointsAreContained)
+{
+    struct Case
+    {
+        const char *name;
+        const char *path;
+        const char *service;
+        unsigned daemons;
+    };
+    const Case cases[] = {{"may be repeated, one daemon", "/safe/", kPlain, 1},
+                          {"may be repeated, several daemons", "/safe/", kPlain, 3},
+                          {"may not be repeated", "/once/", kPlain, 3},
+                          {"stream", "/r/", kPool, 3}};
+    constexpr unsigned kRepetitions = 8;
+    for (const Case &row : cases) {
+        timers.clear();
+        reset();
+        crashes.clear();
+        service = row.service;
+        for (const auto &key : store.keys("keyed.gateways"))
+            store.put("keyed.gateways", key, std::nullopt);
+        start(row.daemons, 3, service);
+        for (unsigned i = 0; i < kRepetitions; ++i) {
+            const Daemon &daemon = *daemons[i % row.daemons];
+            CHECK_TRUE_TEXT(isServed(daemon, row.path), row.name);
+            const Answer &bad = sendToRoute(daemon, row.path, kBadBody);
+            CHECK_TRUE_TEXT(runUntil([&] { return bad.ended; }), row.name);
+        }
+        const auto arrivals = badArrivals();
+        CHECK_TRUE_TEXT(arrivals.size()
+                                <= kCrashesOfARequestBeforeTheWindow + kArrivalsAfterTheWindow,
+                        fmt::format("{}: {} arrivals", row.name, arrivals.size()).c_str());
+    }
+}
