--- a/src/gateway/blockedrecord.cpp
+++ b/src/gateway/blockedrecord.cpp
@@ -27,13 +27,15 @@
 {
     nlohmann::json json;
     json["parts"] = nlohmann::json::array();
+    json["requests"] = nlohmann::json::array();
     for (const RequestPart &part : blocked.parts)
-        json["parts"].push_back(part.id);
+        json[part.kind == RequestPartKind::Whole ? "requests" : "parts"].push_back(part.id);
     json["crashes"] = nlohmann::json::array();
     for (const EndpointCrash &crash : crashesExplainedBy(evidence, blocked)) {
         const auto ago = std::chrono::duration_cast<Millis>(now - crash.at);
-        json["crashes"].push_back(
-                {{"endpoint", crash.endpoint}, {"at_ms", (sinceEpoch(wallNow) - ago).count()}});
+        json["crashes"].push_back({{"endpoint", crash.endpoint},
+                                   {"at_ms", (sinceEpoch(wallNow) - ago).count()},
+                                   {"sent_again", !crash.sentAgain.empty()}});
     }
     return json.dump();
 }
@@ -44,7 +46,11 @@
     const nlohmann::json json = parseJson(text);
     std::vector<EndpointCrash> crashes;
     try {
-        const auto parts = promptParts(json.at("parts").get<std::vector<PromptPartId>>());
+        RequestParts parts = promptParts(json.at("parts").get<std::vector<PromptPartId>>());
+        RequestParts requests;
+        for (const auto digest : json.value("requests", std::vector<std::uint64_t>()))
+            requests.push_back(wholeRequest(digest));
+        parts.insert(parts.end(), requests.begin(), requests.end());
         Millis newest{0};
         for (const nlohmann::json &entry : json.at("crashes"))
             newest = std::max(newest, Millis(entry.at("at_ms").get<Millis::rep>()));
@@ -56,7 +62,8 @@
             crashes.push_back({entry.at("endpoint").get<EndpointKey>(),
                                now - newestAgo - std::min(before, kCrashLifetime),
                                {parts},
-                               now});
+                               now,
+                               entry.value("sent_again", false) ? requests : RequestParts()});
         }
     } catch (const nlohmann::json::exception &error) {
         return fail(ErrorCode::InvalidArgument, error.what(),
--- a/src/gateway/crashevidence.cpp
+++ b/src/gateway/crashevidence.cpp
@@ -24,7 +24,8 @@
 constexpr unsigned kMaxCrashesPerSuspectedOne = 3;
 // Crashes that are closer together than this count as one: they may have a common cause, such as a
 // rack without power, while one request ends one endpoint after the other. A part is suspected of
-// them only if at least half of the endpoints had a request with it.
+// them only if at least half of the endpoints had a request with it. A request that was sent to an
+// endpoint after the one before had crashed met two crashes.
 constexpr Millis kMinCrashDistance{100};
 // How long a crash is repeated that has not blocked a part.
 constexpr Millis kRepeatTime{5000};
@@ -42,6 +43,11 @@
     });
 }
 
+bool wasSentAgain(const EndpointCrash &crash, const RequestPart &part)
+{
+    return std::ranges::find(crash.sentAgain, part) != crash.sentAgain.end();
+}
+
 bool explains(const BlockedParts &blocked, const EndpointCrash &crash)
 {
     return std::ranges::any_of(crash.suspects, [&](const RequestParts &parts) {
@@ -90,8 +96,10 @@
 
     bool isConclusive() const
     {
+        // A whole request is suspected by chance only as often as it is sent.
         return crashes >= (everSound ? kCrashesOfAnyPart : kCrashesOfAnUnknownPart)
-               && allCrashes <= kMaxCrashesPerSuspectedOne * crashes;
+               && (part.kind == RequestPartKind::Whole
+                   || allCrashes <= kMaxCrashesPerSuspectedOne * crashes);
     }
 
     /// Crashes, weighted by the share of the suspects with the part that caused one. Any part that
@@ -137,6 +145,7 @@
 struct GroupSuspects
 {
     std::size_t crashes = 0;
+    std::size_t sentAgain = 0; ///< Crashes after an earlier one of the group.
     const EndpointCrash *lastCrash = nullptr;
     std::vector<RequestParts> suspects;
 };
@@ -150,8 +159,10 @@
             const RequestParts parts = unclearedParts(cleared, suspect, crash->at);
             for (const RequestPart part : parts) {
                 GroupSuspects &found = byPart[part];
-                if (std::exchange(found.lastCrash, crash) != crash)
+                if (std::exchange(found.lastCrash, crash) != crash) {
                     ++found.crashes;
+                    found.sentAgain += found.crashes > 1 && wasSentAgain(*crash, part);
+                }
                 found.suspects.push_back(parts);
             }
         }
@@ -170,12 +181,13 @@
             if (2 * found.crashes < groups[i].size())
                 continue;
             PartStatistics &ofPart = byPart[part];
-            if (ofPart.crashes++ == 0) {
+            if (ofPart.crashes == 0) {
                 ofPart.part = part;
                 ofPart.everSound = clearedAt(evidence.cleared, part).has_value();
                 ofPart.together = found.suspects.front();
                 firstGroups[part] = i;
             }
+            ofPart.crashes += 1 + static_cast<unsigned>(found.sentAgain);
             ofPart.allCrashes = i - firstGroups[part] + 1;
             for (const RequestParts &suspect : found.suspects) {
                 ++ofPart.requests;
@@ -264,6 +276,7 @@
     {
         std::size_t count = 0;
         TimePoint earliest{};
+        bool countsApart = false; ///< The earliest one, from one shortly before.
     };
     std::map<const BlockedParts *, Kept> keptByBlock;
     std::vector<bool> drop(evidence.crashes.size(), false);
@@ -278,12 +291,15 @@
         }
         Kept &kept = keptByBlock[blocked];
         drop[i] = explaining >= kMaxCrashes || kept.count >= kMaxCrashesOfABlock
-                  || (kept.count > 0 && kept.earliest - crash.at < kMinCrashDistance);
+                  || (kept.count > 0 && !kept.countsApart
+                      && kept.earliest - crash.at < kMinCrashDistance);
         if (drop[i])
             continue;
         ++explaining;
         ++kept.count;
         kept.earliest = crash.at;
+        kept.countsApart = std::ranges::any_of(
+                blocked->parts, [&](const RequestPart &part) { return wasSentAgain(crash, part); });
     }
     std::size_t next = 0;
     std::erase_if(evidence.crashes, [&](const EndpointCrash &) { return drop[next++]; });
@@ -305,11 +321,43 @@
     for (const RequestPart &part : parts) {
         if (!text.empty())
             text += ',';
-        text += fmt::format("{:x}", part.id);
+        text += part.kind == RequestPartKind::Whole ? fmt::format("request:{:016x}", part.id)
+                                                    : fmt::format("{:x}", part.id);
     }
     return text;
 }
 
+RequestParts sentAgain(const CrashEvidence &evidence, const std::vector<SentSuspect> &suspects,
+                       TimePoint crash)
+{
+    RequestParts found;
+    for (const SentSuspect &suspect : suspects) {
+        for (const RequestPart &part : suspect.parts) {
+            const bool again
+                    = part.kind == RequestPartKind::Whole
+                      && std::ranges::any_of(evidence.crashes, [&](const EndpointCrash &known) {
+                             return known.at <= suspect.sentAt
+                                    && crash - known.at < kMinCrashDistance
+                                    && explains({{part}}, known);
+                         });
+            if (again && std::ranges::find(found, part) == found.end())
+                found.push_back(part);
+        }
+    }
+    return found;
+}
+
+unsigned crashesOf(const CrashEvidence &evidence, const RequestParts &parts)
+{
+    unsigned most = 0;
+    for (const PartStatistics &ofPart : statistics(evidence, {})) {
+        if (ofPart.part.kind == RequestPartKind::Whole
+            && std::ranges::find(parts, ofPart.part) != parts.end())
+            most = std::max(most, ofPart.crashes);
+    }
+    return most;
+}
+
 void noteCrash(CrashEvidence &evidence, EndpointCrash crash)
 {
     limitSuspects(crash);
@@ -325,6 +373,10 @@
         for (RequestParts &suspect : crash.suspects)
             addSuspect(known->suspects, std::move(suspect));
         limitSuspects(*known);
+        for (const RequestPart &part : crash.sentAgain) {
+            if (!wasSentAgain(*known, part) && known->sentAgain.size() < kMaxCrashSuspects)
+                known->sentAgain.push_back(part);
+        }
         known->neededAt = std::max(known->neededAt, crash.neededAt);
     }
     decide(evidence);
@@ -390,7 +442,8 @@
     std::vector<EndpointCrash> crashes;
     for (const EndpointCrash &crash : evidence.crashes) {
         if (const BlockedParts *blocked = explanationOf(evidence.blocked, crash))
-            crashes.push_back({crash.endpoint, crash.at, {blocked->parts}, crash.neededAt});
+            crashes.push_back(
+                    {crash.endpoint, crash.at, {blocked->parts}, crash.neededAt, crash.sentAgain});
         else if (now - crash.at <= kRepeatTime)
             crashes.push_back(crash);
     }
--- a/src/gateway/crashevidence.h
+++ b/src/gateway/crashevidence.h
@@ -9,9 +9,10 @@
 //       refuse(request);
 //
 // The suspects of a crash are the parts of all requests that the endpoint had begun shortly before,
-// or was about to begin. An answer that ends well clears its parts of the crashes before it. A part
-// is blocked once it is suspected of several crashes that were not at the same time. The daemons
-// exchange crashes and cleared parts, and each derives the blocked parts from all of them.
+// or was about to begin. A whole request counts as one of its own parts. An answer that ends well
+// clears its parts of the crashes before it. A part is blocked once it is suspected of several
+// crashes that were not at the same time. The daemons exchange crashes and cleared parts, and each
+// derives the blocked parts from all of them.
 
 #include "base/hash.h"
 #include "gateway/loadtracker.h"
@@ -28,13 +29,14 @@
 
 enum class RequestPartKind : std::uint8_t {
     Prompt, ///< A part of the prompt that other requests may share.
+    Whole,  ///< All that does not change when the request is repeated.
 };
 
 /// Something in a request on which endpoints may crash.
 struct RequestPart
 {
     RequestPartKind kind = RequestPartKind::Prompt;
-    std::uint64_t id = 0;
+    std::uint64_t id = 0; ///< For a whole request, its digest.
 
     auto operator<=>(const RequestPart &) const = default;
 };
@@ -54,9 +56,14 @@
     return {RequestPartKind::Prompt, id};
 }
 
+constexpr RequestPart wholeRequest(std::uint64_t digest)
+{
+    return {RequestPartKind::Whole, digest};
+}
+
 RequestParts promptParts(const std::vector<PromptPartId> &ids);
 
-/// Hexadecimal, separated by commas.
+/// Hexadecimal, separated by commas; digests of whole requests follow "request:".
 std::string toString(const RequestParts &parts);
 
 /// An instance of an endpoint that has crashed.
@@ -67,6 +74,16 @@
     /// The shared parts of each request that may have caused it, the likeliest first.
     std::vector<RequestParts> suspects;
     TimePoint neededAt{}; ///< Last time at which a request was refused because of it.
+    /// Whole requests that were sent to this endpoint after an endpoint had crashed with them
+    /// shortly before, so that both crashes count.
+    RequestParts sentAgain = {};
+};
+
+/// A suspect of a crash, and when it was sent to the endpoint.
+struct SentSuspect
+{
+    RequestParts parts;
+    TimePoint sentAt{};
 };
 
 /// Requests that have all of these parts are refused.
@@ -99,6 +116,14 @@
 inline constexpr std::size_t kMaxCrashSuspects = 32;
 inline constexpr std::size_t kMaxSuspectParts = 128;
 
+/// Whole requests of the suspects that were sent after a known crash of which they are suspected
+/// too, shortly before a crash at the given time.
+RequestParts sentAgain(const CrashEvidence &evidence, const std::vector<SentSuspect> &suspects,
+                       TimePoint crash);
+
+/// Number of crashes that count against a whole request which no answer has cleared since.
+unsigned crashesOf(const CrashEvidence &evidence, const RequestParts &parts);
+
 /// Adds a crash, or further suspects of a known one, and decides anew what is blocked.
 void noteCrash(CrashEvidence &evidence, EndpointCrash crash);
 
--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -32,11 +32,9 @@
 {
 }
 
-void CrashWatch::noteBroken(EndpointKey endpoint, const Address &address, const RequestParts &parts,
-                            AnswerProgress progress)
+void CrashWatch::noteBroken(EndpointKey endpoint, const Address &address,
+                            const SentSuspect &request, AnswerProgress progress)
 {
-    if (parts.empty())
-        return;
     const auto found = suspicions_.find(endpoint);
     const bool first = found == suspicions_.end();
     if (first && suspicions_.size() >= kMaxSuspicions)
@@ -48,7 +46,7 @@
         suspicion->since = steadyNow();
     }
     if (suspicion->suspects.size() < kMaxCrashSuspects)
-        suspicion->suspects.push_back({progress, parts});
+        suspicion->suspects.push_back({progress, request});
     if (first)
         probe(endpoint);
     else if (suspicion->confirmed)
@@ -111,8 +109,12 @@
     EndpointCrash crash;
     crash.endpoint = endpoint;
     crash.at = suspicion.since;
-    for (const Suspect &suspect : suspicion.suspects)
-        crash.suspects.push_back(suspect.parts);
+    std::vector<SentSuspect> requests;
+    for (const Suspect &suspect : suspicion.suspects) {
+        crash.suspects.push_back(suspect.request.parts);
+        requests.push_back(suspect.request);
+    }
+    crash.sentAgain = sentAgain(evidence_, requests, crash.at);
     hooks_.crashed(crash);
     noteCrash(std::move(crash));
 }
@@ -160,6 +162,11 @@
     return gateway::findBlocked(evidence_, parts);
 }
 
+unsigned CrashWatch::crashesOf(const RequestParts &parts) const
+{
+    return gateway::crashesOf(evidence_, parts);
+}
+
 std::vector<EndpointCrash> CrashWatch::crashesToRepeat() const
 {
     return gateway::crashesToRepeat(evidence_, steadyNow());
--- a/src/gateway/crashwatch.h
+++ b/src/gateway/crashwatch.h
@@ -1,9 +1,9 @@
 #pragma once
 
-// Notices that endpoints crash, and tells from which prompts requests must be kept away.
+// Notices that endpoints crash, and tells which requests must be kept away from them.
 //
 //   CrashWatch watch(context, {.crashed = ..., .cleared = ..., .blockedChanged = ...});
-//   watch.noteBroken(endpoint, address, parts, progress);
+//   watch.noteBroken(endpoint, address, {parts, sentAt}, progress);
 //   if (watch.findBlocked(parts))
 //       refuse(request);
 //
@@ -44,7 +44,7 @@
     CrashWatch(asio::io_context &context, CrashWatchHooks hooks);
 
     /// The connection of a request ended before its answer was complete.
-    void noteBroken(EndpointKey endpoint, const Address &address, const RequestParts &parts,
+    void noteBroken(EndpointKey endpoint, const Address &address, const SentSuspect &request,
                     AnswerProgress progress);
     /// An endpoint did not accept a connection.
     void noteRefusedConnection(EndpointKey endpoint);
@@ -59,6 +59,10 @@
 
     /// The blocked parts that a request with these parts has, or null.
     const BlockedParts *findBlocked(const RequestParts &parts) const;
+    /// True if a crash is known.
+    bool knowsCrashes() const { return !evidence_.crashes.empty(); }
+    /// Number of crashes that count against the request as a whole.
+    unsigned crashesOf(const RequestParts &parts) const;
     const std::vector<BlockedParts> &blocked() const { return evidence_.blocked; }
     const CrashEvidence &evidence() const { return evidence_; }
     std::vector<EndpointCrash> crashesToRepeat() const;
@@ -69,7 +73,7 @@
     struct Suspect
     {
         AnswerProgress progress;
-        RequestParts parts;
+        SentSuspect request;
     };
     /// An endpoint at which an answer has broken off.
     struct Suspicion
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -50,7 +50,7 @@
 
 Recovery recoverFrom(const FailureFacts &facts)
 {
-    const bool allowed = facts.repeatable || !facts.attemptMayHaveRun;
+    const bool allowed = (facts.repeatable || !facts.attemptMayHaveRun) && !facts.suspected;
     const bool retry = allowed && !facts.crashesEndpoints && facts.sendCount < facts.maxEndpoints
                        && facts.retryBudgetLeft && facts.timeLeft >= kMinAttemptTime;
     if (retry)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -115,7 +115,8 @@
     unsigned maxEndpoints = 1;
     bool retryBudgetLeft = false;
     Millis timeLeft{0};
-    bool crashesEndpoints = false; ///< Endpoints crash on a part of its prompt.
+    bool crashesEndpoints = false; ///< Endpoints crash on it or on a part of its prompt.
+    bool suspected = false; ///< The failed attempt may be another crash of several that it caused.
 };
 
 enum class Recovery {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -319,7 +319,7 @@
         workspaceName = workspace->name;
         priority = workspace->priority.value_or(priority);
     }
-    if (rejectCrashingRequest(caller, fields))
+    if (rejectCrashingRequest(caller, request, fields, workspaceName))
         return nullptr;
     const TimePoint now = steadyNow();
     if (draining_ && now - drainStartedAt_ > kLoadBalancerDelay)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -164,10 +164,17 @@
     /// Time without progress after which another endpoint is tried.
     Millis silenceLimit(const Exchange &exchange) const;
 
-    // Prompts on which endpoints crash.
+    // Requests on which endpoints crash.
     CrashWatchHooks crashWatchHooks();
     /// The connection of the attempt ended before its answer was complete.
     void noteBrokenAnswer(const Exchange &exchange, const Attempt &attempt);
+    /// The parts of the request on which endpoints may crash. Without its digest while no crash is
+    /// known, since that takes time for large bodies.
+    RequestParts partsOf(const HttpRequest &request, const CallerFields &fields,
+                         const std::string &workspace) const;
+    RequestParts partsOf(const Exchange &exchange) const;
+    /// True if the request has met so many crashes that it must not meet two more at once.
+    bool hasMetCrashes(const Exchange &exchange) const;
     void onEndpointCrashed(const EndpointCrash &crash);
     void onBlockedPartsChanged(const BlockedParts &parts, bool blocked);
     /// Writes what has been blocked or unblocked to the store, if that is this daemon's task.
@@ -179,7 +186,8 @@
     void refuseCrashingRequest(Exchange &exchange);
     /// Answers a request that has just arrived if it has blocked parts; returns false if not.
     bool rejectCrashingRequest(const std::shared_ptr<HttpServerConnection> &caller,
-                               const CallerFields &fields);
+                               const HttpRequest &request, const CallerFields &fields,
+                               const std::string &workspace);
     void respondToCrashingRequest(HttpServerConnection &caller, const BlockedParts &blocked,
                                   HeaderList headers);
 
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -373,7 +373,7 @@
     if (exchange.state != ExchangeState::Relaying)
         beginRelay(exchange);
     if (attempt.events > 0)
-        crashWatch_.noteCompleted(promptParts(exchange.fields.sharedPromptParts));
+        crashWatch_.noteCompleted(partsOf(exchange));
     exchange.caller->finish();
     finish(exchange, "completed", 200);
 }
@@ -386,6 +386,10 @@
         failAttempt(exchange, attempt, EndpointFailure::Broken, true, "invalid_answer");
         return;
     }
+    // Whether endpoints crash on its prompt, only an answer that was begun shows.
+    if (attempt.reply.sealed && crashWatch_.knowsCrashes())
+        crashWatch_.noteCompleted({wholeRequest(
+                requestDigest(exchange.request, exchange.fields, exchange.workspace))});
     if (status >= 500 && isRepeatable(exchange.route)) {
         failAttempt(exchange, attempt, EndpointFailure::Error, true, "endpoint_error");
         return;
@@ -423,8 +427,8 @@
     facts.relaying = exchange.state == ExchangeState::Relaying;
     facts.sendCount = exchange.sendCount;
     facts.maxEndpoints = exchange.route.maxEndpoints;
-    facts.crashesEndpoints
-            = crashWatch_.findBlocked(promptParts(exchange.fields.sharedPromptParts)) != nullptr;
+    facts.crashesEndpoints = crashWatch_.findBlocked(partsOf(exchange)) != nullptr;
+    facts.suspected = attemptMayHaveRun && hasMetCrashes(exchange);
     facts.retryBudgetLeft = exchange.sendCount == 0
                             || retryBudget_.available(exchange.service, daemonCount(), now);
     facts.timeLeft = std::chrono::duration_cast<Millis>(exchange.deadline - now);
--- a/src/gateway/gatewaycrashes.cpp
+++ b/src/gateway/gatewaycrashes.cpp
@@ -1,8 +1,9 @@
-// Gateway: requests with parts of a prompt on which endpoints crash.
+// Gateway: requests on which endpoints crash.
 
 #include "base/log.h"
 #include "gateway/blockedrecord.h"
 #include "gateway/gateway.h"
+#include "gateway/requestparts.h"
 
 #include <fmt/format.h>
 
@@ -14,8 +15,11 @@
 namespace {
 
 // Bad Request: unlike 503, callers do not ask again.
-constexpr int kCrashingPromptStatus = 400;
-constexpr const char *kCrashingPrompt = "prompt_crashes_endpoints";
+constexpr int kCrashingRequestStatus = 400;
+constexpr const char *kCrashingRequest = "crashes_endpoints";
+// A request that has met so many crashes is not sent again when its endpoint breaks off: the next
+// crashes decide whether it is blocked, and there may be few.
+constexpr unsigned kCrashesBeforeSingleSends = 2;
 // An endpoint that has written an answer for this long does not crash because it begins to.
 constexpr Millis kSoundAfterWriting{1000};
 // Of the records in the store; the same as for the record of a member.
@@ -43,8 +47,28 @@
 {
     if (attempt.events > 0 && steadyNow() - attempt.firstEventAt > kSoundAfterWriting)
         return;
-    crashWatch_.noteBroken(attempt.endpoint, attempt.address,
-                           promptParts(exchange.fields.sharedPromptParts), progressOf(attempt));
+    crashWatch_.noteBroken(
+            attempt.endpoint, attempt.address,
+            {requestParts(exchange.request, exchange.fields, exchange.workspace), attempt.sentAt},
+            progressOf(attempt));
+}
+
+RequestParts Gateway::partsOf(const HttpRequest &request, const CallerFields &fields,
+                              const std::string &workspace) const
+{
+    return crashWatch_.knowsCrashes() ? requestParts(request, fields, workspace)
+                                      : promptParts(fields.sharedPromptParts);
+}
+
+RequestParts Gateway::partsOf(const Exchange &exchange) const
+{
+    return partsOf(exchange.request, exchange.fields, exchange.workspace);
+}
+
+bool Gateway::hasMetCrashes(const Exchange &exchange) const
+{
+    return crashWatch_.knowsCrashes()
+           && crashWatch_.crashesOf(partsOf(exchange)) >= kCrashesBeforeSingleSends;
 }
 
 void Gateway::onEndpointCrashed(const EndpointCrash &crash)
@@ -66,7 +90,7 @@
 void Gateway::onBlockedPartsChanged(const BlockedParts &parts, bool blocked)
 {
     counters_.blockedParts.Set(static_cast<double>(crashWatch_.blocked().size()));
-    logEvent(LogLevel::Warning, blocked ? "prompt_parts_blocked" : "prompt_parts_unblocked",
+    logEvent(LogLevel::Warning, blocked ? "parts_blocked" : "parts_unblocked",
              {{"parts", toString(parts.parts)}, {"crashes", std::to_string(parts.crashes)}});
     unsavedBlocks_[blockedKey(parts)] = parts;
     saveBlocks();
@@ -125,7 +149,7 @@
 {
     std::vector<std::uint64_t> ids;
     for (const auto &[id, exchange] : exchanges_) {
-        if (crashWatch_.findBlocked(promptParts(exchange->fields.sharedPromptParts)))
+        if (crashWatch_.findBlocked(partsOf(*exchange)))
             ids.push_back(id);
     }
     for (const std::uint64_t id : ids)
@@ -141,22 +165,23 @@
     const bool sent
             = (exchange.attempt && exchange.attempt->call) || !exchange.silentAttempts.empty();
     if (exchange.state == ExchangeState::Relaying)
-        abortStream(exchange, kCrashingPrompt);
+        abortStream(exchange, kCrashingRequest);
     else if (sent || exchange.mayHaveRun)
-        fail(exchange, 502, kCrashingPrompt);
+        fail(exchange, 502, kCrashingRequest);
     else
         refuseCrashingRequest(exchange);
 }
 
 bool Gateway::rejectCrashingRequest(const std::shared_ptr<HttpServerConnection> &caller,
-                                    const CallerFields &fields)
+                                    const HttpRequest &request, const CallerFields &fields,
+                                    const std::string &workspace)
 {
-    const BlockedParts *blocked = crashWatch_.findBlocked(promptParts(fields.sharedPromptParts));
+    const BlockedParts *blocked = crashWatch_.findBlocked(partsOf(request, fields, workspace));
     if (!blocked)
         return false;
     respondToCrashingRequest(
             *caller, *blocked,
-            noteRejected(fields.requestId, kCrashingPromptStatus, kCrashingPrompt, std::nullopt));
+            noteRejected(fields.requestId, kCrashingRequestStatus, kCrashingRequest, std::nullopt));
     return true;
 }
 
@@ -165,23 +190,25 @@
     logEvent(LogLevel::Info, "refused",
              {{"request", exchange.requestId},
               {"route", exchange.route.name},
-              {"reason", kCrashingPrompt},
+              {"reason", kCrashingRequest},
               {"sends", std::to_string(exchange.sendCount)}});
-    respondToCrashingRequest(
-            *exchange.caller,
-            *crashWatch_.findBlocked(promptParts(exchange.fields.sharedPromptParts)),
-            protocol_.ownAnswerHeaders(exchange.requestId, std::nullopt));
-    finish(exchange, kCrashingPrompt, kCrashingPromptStatus);
+    respondToCrashingRequest(*exchange.caller, *crashWatch_.findBlocked(partsOf(exchange)),
+                             protocol_.ownAnswerHeaders(exchange.requestId, std::nullopt));
+    finish(exchange, kCrashingRequest, kCrashingRequestStatus);
 }
 
 void Gateway::respondToCrashingRequest(HttpServerConnection &caller, const BlockedParts &blocked,
                                        HeaderList headers)
 {
     headers.add("Content-Type", "text/plain");
-    caller.respond(kCrashingPromptStatus, std::move(headers),
-                   fmt::format("Not run: endpoints crash on part {} of this prompt. "
-                               "Do not send it again.\n",
-                               toString(blocked.parts)));
+    const bool whole = std::ranges::any_of(blocked.parts, [](const RequestPart &part) {
+        return part.kind == RequestPartKind::Whole;
+    });
+    const std::string cause
+            = whole ? std::string("this request")
+                    : fmt::format("part {} of this prompt", toString(blocked.parts));
+    caller.respond(kCrashingRequestStatus, std::move(headers),
+                   fmt::format("Not run: endpoints crash on {}. Do not send it again.\n", cause));
     crashWatch_.noteRefused(blocked);
 }
 
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -514,9 +514,9 @@
                                    : announcesStoreChanges_ ? ReaderRole::Secondary
                                                             : ReaderRole::Standby);
     json["evacuated"] = evacuatedDomains(evacuations_);
-    json["blocked_prompt_parts"] = nlohmann::json::array();
+    json["blocked_parts"] = nlohmann::json::array();
     for (const BlockedParts &blocked : crashWatch_.blocked())
-        json["blocked_prompt_parts"].push_back(
+        json["blocked_parts"].push_back(
                 {{"parts", toString(blocked.parts)}, {"crashes", blocked.crashes}});
     json["requests"] = exchanges_.size();
     json["waiting"] = waiting_.size();
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -47,9 +47,9 @@
                                      "the operators have evacuated them"))
     , endpointCrashes(metrics.counter("cicadafork_gateway_endpoint_crashes_total",
                                       "Endpoints that crashed with requests of this daemon"))
-    , blockedParts(metrics.gauge("cicadafork_gateway_blocked_prompt_parts",
-                                 "Parts of prompts that are refused because endpoints crash on "
-                                 "them"))
+    , blockedParts(metrics.gauge("cicadafork_gateway_blocked_parts",
+                                 "Requests and parts of prompts that are refused because "
+                                 "endpoints crash on them"))
     , metrics_(metrics)
 {
 }
--- a/src/gateway/mesh.capnp
+++ b/src/gateway/mesh.capnp
@@ -84,10 +84,14 @@
 struct EndpointCrash {
   endpoint @0 :UInt64;
   agoMs @1 :UInt32;
-  # The shared parts of each prompt that may have caused it.
+  # The shared parts of the prompt of each request that may have caused it.
   suspects @2 :List(List(UInt64));
   # Time since a request was last refused because of it.
   neededAgoMs @3 :UInt32;
+  # The digest of each of these requests; 0 if only its parts are suspected.
+  requests @4 :List(UInt64);
+  # Digests of those that were sent to it after another endpoint had crashed with them.
+  sentAgain @5 :List(UInt64);
 }
 
 # A limit of requests that an endpoint has stated, for all daemons together.
@@ -145,6 +149,8 @@
   crashes @24 :List(EndpointCrash);
   # Parts of prompts on which an answer has just ended well.
   clearedParts @25 :List(UInt64);
+  # Digests of requests of which an answer has just ended well.
+  clearedRequests @27 :List(UInt64);
   # Those that have changed; some of all, with full lists of jobs.
   limits @26 :List(EndpointLimit);
 }
--- a/src/gateway/mesh.capnp.h
+++ b/src/gateway/mesh.capnp.h
@@ -184,7 +184,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(d8015229862238aa, 2, 1)
+        CAPNP_DECLARE_STRUCT_HEADER(d8015229862238aa, 2, 3)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -224,7 +224,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 8, 15)
+        CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 8, 16)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -1158,6 +1158,12 @@
 
     inline ::uint32_t getNeededAgoMs() const;
 
+    inline bool hasRequests() const;
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getRequests() const;
+
+    inline bool hasSentAgain() const;
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getSentAgain() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1221,6 +1227,26 @@
     inline ::uint32_t getNeededAgoMs();
     inline void setNeededAgoMs(::uint32_t value);
 
+    inline bool hasRequests();
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder getRequests();
+    inline void setRequests(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+    inline void setRequests(::kj::ArrayPtr<const ::uint64_t> value);
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+    initRequests(unsigned int size);
+    inline void
+    adoptRequests(::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> disownRequests();
+
+    inline bool hasSentAgain();
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder getSentAgain();
+    inline void setSentAgain(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+    inline void setSentAgain(::kj::ArrayPtr<const ::uint64_t> value);
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+    initSentAgain(unsigned int size);
+    inline void
+    adoptSentAgain(::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> disownSentAgain();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -1456,6 +1482,9 @@
     inline ::capnp::List<::cicadafork::gateway::wire::EndpointLimit, ::capnp::Kind::STRUCT>::Reader
     getLimits() const;
 
+    inline bool hasClearedRequests() const;
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getClearedRequests() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1694,6 +1723,18 @@
             ::capnp::List<::cicadafork::gateway::wire::EndpointLimit, ::capnp::Kind::STRUCT>>
     disownLimits();
 
+    inline bool hasClearedRequests();
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder getClearedRequests();
+    inline void
+    setClearedRequests(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+    inline void setClearedRequests(::kj::ArrayPtr<const ::uint64_t> value);
+    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+    initClearedRequests(unsigned int size);
+    inline void adoptClearedRequests(
+            ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+    disownClearedRequests();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -2829,6 +2870,106 @@
     _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool EndpointCrash::Reader::hasRequests() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointCrash::Builder::hasRequests()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+EndpointCrash::Reader::getRequests() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+EndpointCrash::Builder::getRequests()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EndpointCrash::Builder::setRequests(
+        ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void EndpointCrash::Builder::setRequests(::kj::ArrayPtr<const ::uint64_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+EndpointCrash::Builder::initRequests(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void EndpointCrash::Builder::adoptRequests(
+        ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+EndpointCrash::Builder::disownRequests()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
+            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool EndpointCrash::Reader::hasSentAgain() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointCrash::Builder::hasSentAgain()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+EndpointCrash::Reader::getSentAgain() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+EndpointCrash::Builder::getSentAgain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void EndpointCrash::Builder::setSentAgain(
+        ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void EndpointCrash::Builder::setSentAgain(::kj::ArrayPtr<const ::uint64_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+EndpointCrash::Builder::initSentAgain(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void EndpointCrash::Builder::adoptSentAgain(
+        ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+EndpointCrash::Builder::disownSentAgain()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
+            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline ::uint64_t EndpointLimit::Reader::getEndpoint() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3793,6 +3934,56 @@
             disown(_builder.getPointerField(::capnp::bounded<14>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::hasClearedRequests() const
+{
+    return !_reader.getPointerField(::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasClearedRequests()
+{
+    return !_builder.getPointerField(::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+Datagram::Reader::getClearedRequests() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _reader.getPointerField(::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+Datagram::Builder::getClearedRequests()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+            _builder.getPointerField(::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setClearedRequests(
+        ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<15>() * ::capnp::POINTERS), value);
+}
+inline void Datagram::Builder::setClearedRequests(::kj::ArrayPtr<const ::uint64_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+            _builder.getPointerField(::capnp::bounded<15>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+Datagram::Builder::initClearedRequests(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+            _builder.getPointerField(::capnp::bounded<15>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptClearedRequests(
+        ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+            _builder.getPointerField(::capnp::bounded<15>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+Datagram::Builder::disownClearedRequests()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
+            _builder.getPointerField(::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+
 inline ::uint64_t SharedState::Reader::getConfigVersion() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -288,11 +288,7 @@
 
 void Mesh::sendClearedParts(const RequestParts &parts)
 {
-    sendWithStatus({}, [&](wire::Datagram::Builder root) {
-        auto list = root.initClearedParts(static_cast<unsigned>(parts.size()));
-        for (unsigned i = 0; i < parts.size(); ++i)
-            list.set(i, parts[i].id);
-    });
+    sendWithStatus({}, [&](wire::Datagram::Builder root) { fillClearedParts(root, parts); });
 }
 
 void Mesh::sendLimit(const EndpointLimit &limit)
@@ -603,8 +599,8 @@
             hooks_.limitReceived(readLimit(limit, now));
         for (const auto crash : root.getCrashes())
             hooks_.crashReceived(readCrash(crash, now));
-        if (root.getClearedParts().size() > 0)
-            hooks_.clearedPartsReceived(readParts(root.getClearedParts()), now);
+        if (const RequestParts cleared = readClearedParts(root); !cleared.empty())
+            hooks_.clearedPartsReceived(cleared, now);
         if (root.hasConfigChange())
             hooks_.configChangeReceived(*info, readConfigChange(root.getConfigChange()));
         hooks_.messageReceived(*info);
--- a/src/gateway/meshwire.cpp
+++ b/src/gateway/meshwire.cpp
@@ -31,6 +31,33 @@
     return static_cast<std::uint32_t>(std::clamp<Millis::rep>(elapsed, 0, kLongest));
 }
 
+std::vector<std::uint64_t> idsOf(const RequestParts &parts, RequestPartKind kind)
+{
+    std::vector<std::uint64_t> ids;
+    for (const RequestPart &part : parts) {
+        if (part.kind == kind)
+            ids.push_back(part.id);
+    }
+    return ids;
+}
+
+void fillIds(capnp::List<std::uint64_t>::Builder target, const std::vector<std::uint64_t> &ids)
+{
+    for (unsigned i = 0; i < ids.size(); ++i)
+        target.set(i, ids[i]);
+}
+
+RequestParts readParts(capnp::List<std::uint64_t>::Reader source, RequestPartKind kind)
+{
+    RequestParts parts;
+    for (const std::uint64_t id : source) {
+        if (parts.size() >= kMaxSuspectParts)
+            break;
+        parts.push_back({kind, id});
+    }
+    return parts;
+}
+
 } // namespace
 
 std::string encodeDatagram(capnp::MallocMessageBuilder &message)
@@ -193,23 +220,34 @@
     target.setEndpoint(crash.endpoint);
     target.setAgoMs(millisSince(crash.at, now));
     target.setNeededAgoMs(millisSince(crash.neededAt, now));
-    auto suspects = target.initSuspects(static_cast<unsigned>(crash.suspects.size()));
-    for (unsigned i = 0; i < crash.suspects.size(); ++i) {
-        const RequestParts &parts = crash.suspects[i];
-        auto list = suspects.init(i, static_cast<unsigned>(parts.size()));
-        for (unsigned part = 0; part < parts.size(); ++part)
-            list.set(part, parts[part].id);
+    const auto count = static_cast<unsigned>(crash.suspects.size());
+    auto suspects = target.initSuspects(count);
+    auto requests = target.initRequests(count);
+    for (unsigned i = 0; i < count; ++i) {
+        const std::vector<std::uint64_t> parts = idsOf(crash.suspects[i], RequestPartKind::Prompt);
+        const std::vector<std::uint64_t> digests = idsOf(crash.suspects[i], RequestPartKind::Whole);
+        fillIds(suspects.init(i, static_cast<unsigned>(parts.size())), parts);
+        requests.set(i, digests.empty() ? 0 : digests.front());
     }
+    const auto again = idsOf(crash.sentAgain, RequestPartKind::Whole);
+    fillIds(target.initSentAgain(static_cast<unsigned>(again.size())), again);
 }
 
-RequestParts readParts(capnp::List<std::uint64_t>::Reader source)
+void fillClearedParts(wire::Datagram::Builder root, const RequestParts &parts)
 {
-    RequestParts parts;
-    for (const PromptPartId part : source) {
-        if (parts.size() >= kMaxSuspectParts)
-            break;
-        parts.push_back(promptPart(part));
-    }
+    const auto prompts = idsOf(parts, RequestPartKind::Prompt);
+    const auto requests = idsOf(parts, RequestPartKind::Whole);
+    if (!prompts.empty())
+        fillIds(root.initClearedParts(static_cast<unsigned>(prompts.size())), prompts);
+    if (!requests.empty())
+        fillIds(root.initClearedRequests(static_cast<unsigned>(requests.size())), requests);
+}
+
+RequestParts readClearedParts(wire::Datagram::Reader root)
+{
+    RequestParts parts = readParts(root.getClearedParts(), RequestPartKind::Prompt);
+    const RequestParts requests = readParts(root.getClearedRequests(), RequestPartKind::Whole);
+    parts.insert(parts.end(), requests.begin(), requests.end());
     return parts;
 }
 
@@ -219,12 +257,20 @@
     crash.endpoint = source.getEndpoint();
     crash.at = now - Millis(source.getAgoMs());
     crash.neededAt = now - Millis(source.getNeededAgoMs());
-    for (const auto parts : source.getSuspects()) {
+    const auto requests = source.getRequests();
+    unsigned next = 0;
+    for (const auto prompt : source.getSuspects()) {
         if (crash.suspects.size() >= kMaxCrashSuspects)
             break;
-        if (parts.size() > 0)
-            crash.suspects.push_back(readParts(parts));
+        RequestParts parts = readParts(prompt, RequestPartKind::Prompt);
+        const std::uint64_t digest = next < requests.size() ? requests[next] : 0;
+        ++next;
+        if (digest != 0)
+            parts.push_back(wholeRequest(digest));
+        if (!parts.empty())
+            crash.suspects.push_back(std::move(parts));
     }
+    crash.sentAgain = readParts(source.getSentAgain(), RequestPartKind::Whole);
     return crash;
 }
 
--- a/src/gateway/meshwire.h
+++ b/src/gateway/meshwire.h
@@ -48,8 +48,10 @@
 /// Writes nothing if there are none.
 void fillCrashes(wire::Datagram::Builder root, const std::vector<EndpointCrash> &crashes,
                  TimePoint now);
-/// At most kMaxSuspectParts.
-RequestParts readParts(capnp::List<std::uint64_t>::Reader source);
+/// Writes the parts of prompts and the digests of whole requests into a list each.
+void fillClearedParts(wire::Datagram::Builder root, const RequestParts &parts);
+/// At most kMaxSuspectParts of each kind.
+RequestParts readClearedParts(wire::Datagram::Reader root);
 
 /// Writes nothing if there are none.
 void fillLimits(wire::Datagram::Builder root, const std::vector<EndpointLimit> &limits,
--- a/src/gateway/requestparts.cpp
+++ b/src/gateway/requestparts.cpp
@@ -12,4 +12,12 @@
                          workspace, fields.prompt, request.body});
 }
 
+RequestParts requestParts(const HttpRequest &request, const CallerFields &fields,
+                          std::string_view workspace)
+{
+    RequestParts parts = promptParts(fields.sharedPromptParts);
+    parts.push_back(wholeRequest(requestDigest(request, fields, workspace)));
+    return parts;
+}
+
 } // namespace cicadafork::gateway
--- a/src/gateway/requestparts.h
+++ b/src/gateway/requestparts.h
@@ -2,8 +2,9 @@
 
 // The parts of a request on which endpoints may crash.
 //
-//   const std::uint64_t digest = requestDigest(exchange.request, exchange.fields, "depot");
+//   const RequestParts parts = requestParts(exchange.request, exchange.fields, "depot");
 
+#include "gateway/crashevidence.h"
 #include "gateway/protocol.h"
 
 #include <cstdint>
@@ -16,4 +17,8 @@
 std::uint64_t requestDigest(const HttpRequest &request, const CallerFields &fields,
                             std::string_view workspace);
 
+/// The parts of the prompt that other requests may share, and the request as a whole.
+RequestParts requestParts(const HttpRequest &request, const CallerFields &fields,
+                          std::string_view workspace);
+
 } // namespace cicadafork::gateway
--- a/tests/unit/blockedrecord_test.cpp
+++ b/tests/unit/blockedrecord_test.cpp
@@ -1,4 +1,4 @@
-// Records of blocked parts of prompts in the store.
+// Records of blocked requests and parts of prompts in the store.
 
 #include "gateway/blockedrecord.h"
 
@@ -44,15 +44,25 @@
     const Case cases[] = {{"soon", Millis(100), Millis(2000)},
                           {"its clock is behind", Millis(100), Millis(-8000)},
                           {"a day later", Millis(100'000), Millis(86'400'000)}};
-    const std::string record = blockedRecord(evidence, evidence.blocked.front(), kNow, kWallNow);
+    for (int i = 0; i < 4; ++i)
+        noteCrash(evidence, {i + 1U,
+                             kNow - Millis(1000 - 50 * i),
+                             {{wholeRequest(0xbad1)}},
+                             {},
+                             i % 2 == 0 ? RequestParts() : RequestParts{wholeRequest(0xbad1)}});
+    noteCrash(evidence, {5, kNow, {{wholeRequest(0xbad1)}}, {}});
+    LONGS_EQUAL(2, evidence.blocked.size());
     for (const Case &row : cases) {
         const TimePoint now = TimePoint(row.uptime);
-        const auto crashes
-                = capture([&] { return readBlockedRecord(record, now, kWallNow + row.later); });
-        CHECK_TRUE_TEXT(static_cast<bool>(crashes), row.name);
         CrashEvidence other;
-        for (const EndpointCrash &crash : *crashes)
-            noteCrash(other, crash);
+        for (const BlockedParts &blocked : evidence.blocked) {
+            const std::string record = blockedRecord(evidence, blocked, kNow, kWallNow);
+            const auto crashes
+                    = capture([&] { return readBlockedRecord(record, now, kWallNow + row.later); });
+            CHECK_TRUE_TEXT(static_cast<bool>(crashes), row.name);
+            for (const EndpointCrash &crash : *crashes)
+                noteCrash(other, crash);
+        }
         expireCrashes(other, now);
         CHECK_TRUE_TEXT(other.blocked == evidence.blocked, row.name);
     }
--- a/tests/unit/crashevidence_test.cpp
+++ b/tests/unit/crashevidence_test.cpp
@@ -1,4 +1,4 @@
-// Which part of a prompt is blocked after crashes of endpoints and answers that ended well.
+// What is blocked after crashes of endpoints and answers that ended well.
 
 #include "gateway/crashevidence.h"
 
@@ -30,12 +30,18 @@
 constexpr RequestPart kX = promptPart(100);
 constexpr RequestPart kY = promptPart(101);
 
+// Whole requests: kBad and kWorse crash endpoints, kSound does not.
+constexpr RequestPart kBad = wholeRequest(200);
+constexpr RequestPart kWorse = wholeRequest(201);
+constexpr RequestPart kSound = wholeRequest(202);
+
 /// A crash if there are suspects, else an answer that ended well.
 struct Event
 {
     int millis;
     std::vector<RequestParts> suspects;
     RequestParts completed = {};
+    RequestParts sentAgain = {};
 };
 
 } // namespace
@@ -51,7 +57,8 @@
             if (event.suspects.empty())
                 noteCompleted(evidence, event.completed, at(event.millis));
             else
-                noteCrash(evidence, {++lastEndpoint, at(event.millis), event.suspects, {}});
+                noteCrash(evidence,
+                          {++lastEndpoint, at(event.millis), event.suspects, {}, event.sentAgain});
         }
     }
 
@@ -206,6 +213,125 @@
     }
 }
 
+// Guards against a request that ends more endpoints than the users allow, and against refusing a
+// sound one that was beside it.
+TEST(CrashEvidence, blocksTheRequestToBlameAlone)
+{
+    struct Case
+    {
+        const char *name;
+        std::vector<Event> events;
+        const char *blocked;
+    };
+    const Case cases[] = {
+            {"three crashes", {{0, {{kBad}}}, {4000, {{kBad}}}, {8000, {{kBad}}}}, ""},
+            {"four crashes",
+             {{0, {{kBad}}}, {4000, {{kBad}}}, {8000, {{kBad}}}, {12'000, {{kBad}}}},
+             "200 / "},
+            {"sent again at once",
+             {{0, {{kBad}}},
+              {50, {{kBad}}, {}, {kBad}},
+              {4000, {{kBad}}},
+              {4050, {{kBad}}, {}, {kBad}}},
+             "200 / "},
+            {"four endpoints crash at a time",
+             {{0, {{kBad}}}, {5, {{kBad}}}, {10, {{kBad}}}, {15, {{kBad}}}},
+             ""},
+            {"twice at two endpoints that crash at a time",
+             {{0, {{kBad}}}, {5, {{kBad}}}, {4000, {{kBad}}}, {4005, {{kBad}}}},
+             ""},
+            {"another request is at each crash",
+             {{0, {{kBad}, {kSound}}},
+              {50, {{kBad}, {kSound}}, {}, {kBad, kSound}},
+              {4000, {{kBad}, {kSound}}},
+              {4050, {{kBad}, {kSound}}, {}, {kBad, kSound}}},
+             ""},
+            {"another request is at most crashes",
+             {{0, {{kBad}, {kSound}}},
+              {50, {{kBad}, {kSound}}, {}, {kBad, kSound}},
+              {4000, {{kBad}, {kSound}}},
+              {4050, {{kBad}}, {}, {kBad}}},
+             "200 / "},
+            {"answers end well in between",
+             {{0, {{kBad}}},
+              {100, {}, {kBad}},
+              {4000, {{kBad}}},
+              {4100, {}, {kBad}},
+              {8000, {{kBad}}},
+              {12'000, {{kBad}}}},
+             ""},
+            {"most crashes have another cause",
+             {{0, {{kBad}}},
+              {200, {{promptPart(10)}}},
+              {400, {{promptPart(11)}}},
+              {600, {{promptPart(12)}}},
+              {800, {{kBad}}},
+              {1000, {{promptPart(13)}}},
+              {1200, {{promptPart(14)}}},
+              {1400, {{promptPart(15)}}},
+              {1600, {{kBad}}},
+              {1800, {{promptPart(16)}}},
+              {2000, {{promptPart(17)}}},
+              {2200, {{promptPart(18)}}},
+              {2400, {{kBad}}}},
+             "200 / "},
+            {"two bad requests",
+             {{0, {{kBad}}},
+              {50, {{kBad}}, {}, {kBad}},
+              {200, {{kWorse}}},
+              {4000, {{kBad}}},
+              {4200, {{kWorse}}},
+              {8000, {{kBad}}},
+              {8200, {{kWorse}}},
+              {12'200, {{kWorse}}}},
+             "200 / 201 / "},
+            {"a stream whose session has other prompts",
+             {{0, {{kA, kB, kBad}}},
+              {200, {{kA, kB, kBad}}},
+              {400, {{kA, kB, kBad}}},
+              {600, {{kA, kB, kBad}}},
+              {700, {}, {kA, kB, kSound}}},
+             "200 / "},
+            {"streams with a bad part, one of them repeated",
+             {{0, {{kA, kX, kBad}}},
+              {100, {}, {kA}},
+              {200, {{kA, kX, kBad}}},
+              {400, {{kA, kX, kWorse}}},
+              {600, {{kA, kX, kSound}}}},
+             "100 / "},
+    };
+    for (const Case &row : cases) {
+        evidence = {};
+        play(row.events);
+        STRCMP_EQUAL_TEXT(row.blocked, blocked().c_str(), row.name);
+        CrashEvidence peer;
+        for (const EndpointCrash &crash : crashesToRepeat(evidence, at(60'000)))
+            noteCrash(peer, crash);
+        CHECK_TRUE_TEXT(peer.blocked == evidence.blocked, row.name);
+    }
+}
+
+// Guards against counting endpoints that lose power together as crashes of one request.
+TEST(CrashEvidence, onlyRequestsThatWereSentAfterACrashWereSentAgain)
+{
+    struct Case
+    {
+        const char *name;
+        SentSuspect suspect;
+        bool again;
+    };
+    const Case cases[] = {{"sent before", {{kBad}, at(-1)}, false},
+                          {"sent after", {{kBad}, at(1)}, true},
+                          {"another request", {{kSound}, at(1)}, false},
+                          {"another with the same part", {{kX, kSound}, at(1)}, false}};
+    play({{0, {{kX, kBad}}}});
+    for (const Case &row : cases) {
+        const bool again = !sentAgain(evidence, {row.suspect}, at(50)).empty();
+        CHECK_EQUAL_TEXT(row.again, again, row.name);
+    }
+    CHECK_TRUE_TEXT(sentAgain(evidence, {{{kBad}, at(1)}}, at(4000)).empty(), "long after");
+}
+
 // Guards against a crash that counts for more the more daemons tell of it, and against a block that
 // ends because peers tell only what they need to.
 TEST(CrashEvidence, repeatedCrashesChangeNothing)
--- a/tests/unit/gatewaycrash_test.cpp
+++ b/tests/unit/gatewaycrash_test.cpp
@@ -89,7 +89,7 @@
 
     static std::size_t blockedParts(const Daemon &daemon)
     {
-        return daemon.state()["blocked_prompt_parts"].size();
+        return daemon.state()["blocked_parts"].size();
     }
 
     const Answer &sendBad(const Daemon &daemon)
--- a/tests/unit/mesh_test.cpp
+++ b/tests/unit/mesh_test.cpp
@@ -288,19 +288,22 @@
     constexpr Millis kLatency{500}; // Of the messages, at most.
     start(128);
     const TimePoint at = steadyNow() - kAge;
-    const std::vector<RequestParts> suspects{{promptPart(1), promptPart(2)}, {promptPart(3)}};
-    members[0]->mesh.sendCrash({kCrashes + 1, at, suspects, at});
+    const std::vector<RequestParts> suspects{
+            {promptPart(1), promptPart(2)}, {promptPart(3), wholeRequest(4)}, {wholeRequest(5)}};
+    const RequestParts sentAgain{wholeRequest(5)};
+    members[0]->mesh.sendCrash({kCrashes + 1, at, suspects, at, sentAgain});
     for (EndpointKey key = 1; key <= kCrashes; ++key)
-        members[0]->crashes.push_back({key, at, suspects, at});
-    members[0]->mesh.sendClearedParts({promptPart(8), promptPart(9)});
+        members[0]->crashes.push_back({key, at, suspects, at, sentAgain});
+    members[0]->mesh.sendClearedParts({promptPart(8), wholeRequest(9)});
     for (unsigned i = 1; i < members.size(); ++i) {
         const Member &member = *members[i];
         CHECK_TRUE(eventually(context, kLimit, [&] {
             return member.heardCrashes.size() == kCrashes + 1 && !member.cleared.empty();
         }));
-        CHECK_TRUE(member.cleared == (RequestParts{promptPart(8), promptPart(9)}));
+        CHECK_TRUE(member.cleared == (RequestParts{promptPart(8), wholeRequest(9)}));
         for (const auto &[key, crash] : member.heardCrashes) {
             CHECK_TRUE(crash.suspects == suspects);
+            CHECK_TRUE(crash.sentAgain == sentAgain);
             CHECK_TRUE(crash.at >= at - Millis(1) && crash.at <= at + kLatency);
             CHECK_TRUE(crash.neededAt >= at - Millis(1) && crash.neededAt <= at + kLatency);
         }
