Let one daemon at a time try a request that several endpoints crashed with

Callers would see: repetitions of a request at all daemons at the same moment end as many endpoints each time, since endpoints that crash at the same time count as one crash.

Change: a whole request that three endpoints crashed with is on trial. Only the first daemon by rendezvous hashing sends it, once at a time and to one endpoint; the others answer 503 with a time to come back, as the request has not run. The trial ends with a block, or with an answer at any daemon.

Ruled out: to count simultaneous crashes apart for whole requests, since three endpoints may lose power while each has a copy of a request that many callers send; and to block after three crashes, as nobody could then show that the request is sound.

CrashEvidence.requestsThatSeveralEndpointsCrashedWithAreOnTrial and Trial.belongsToOneDaemon are new.

--- a/src/gateway/crashevidence.cpp
+++ b/src/gateway/crashevidence.cpp
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace cicadafork::gateway {
@@ -27,6 +28,8 @@
 // them only if at least half of the endpoints had a request with it. A request that was sent to an
 // endpoint after the one before had crashed met two crashes.
 constexpr Millis kMinCrashDistance{100};
+// Endpoints that crashed with a whole request before it is on trial.
+constexpr unsigned kEndpointsBeforeTrial = 3;
 // How long a crash is repeated that has not blocked a part.
 constexpr Millis kRepeatTime{5000};
 // Crashes that explain what is blocked; there may be as many others.
@@ -232,6 +235,30 @@
     });
 }
 
+RequestParts requestsOnTrial(const CrashEvidence &evidence)
+{
+    std::map<RequestPart, unsigned> endpoints;
+    for (const EndpointCrash &crash : evidence.crashes) {
+        if (explanationOf(evidence.blocked, crash))
+            continue;
+        std::set<RequestPart> requests;
+        for (const RequestParts &suspect : crash.suspects) {
+            for (const RequestPart &part : unclearedParts(evidence.cleared, suspect, crash.at)) {
+                if (part.kind == RequestPartKind::Whole)
+                    requests.insert(part);
+            }
+        }
+        for (const RequestPart &request : requests)
+            ++endpoints[request];
+    }
+    RequestParts onTrial;
+    for (const auto &[request, count] : endpoints) {
+        if (count >= kEndpointsBeforeTrial)
+            onTrial.push_back(request);
+    }
+    return onTrial;
+}
+
 void decide(CrashEvidence &evidence)
 {
     std::vector<BlockedParts> blocked;
@@ -245,6 +272,7 @@
         blocked.push_back(toBlock(conclusive.front()));
     }
     evidence.blocked = std::move(blocked);
+    evidence.onTrial = requestsOnTrial(evidence);
 }
 
 /// Peers repeat a suspect without the parts that are not blocked.
@@ -411,6 +439,14 @@
     return found == evidence.blocked.end() ? nullptr : &*found;
 }
 
+const RequestPart *findOnTrial(const CrashEvidence &evidence, const RequestParts &parts)
+{
+    const auto found = std::ranges::find_if(evidence.onTrial, [&](const RequestPart &part) {
+        return std::ranges::find(parts, part) != parts.end();
+    });
+    return found == evidence.onTrial.end() ? nullptr : &*found;
+}
+
 void keepBlocked(CrashEvidence &evidence, const BlockedParts &blocked, TimePoint now)
 {
     for (EndpointCrash &crash : evidence.crashes) {
--- a/src/gateway/crashevidence.h
+++ b/src/gateway/crashevidence.h
@@ -107,6 +107,9 @@
     std::vector<EndpointCrash> crashes; ///< In the order of their times.
     ClearedParts cleared;
     std::vector<BlockedParts> blocked;
+    /// Whole requests that several endpoints crashed with, perhaps at the same time, which is not
+    /// enough to block them. They may be sent by one daemon, once at a time.
+    RequestParts onTrial;
 };
 
 /// How long a crash is remembered after the last request with a part that is blocked for it.
@@ -134,6 +137,9 @@
 /// The blocked parts that a request with these parts has, or null.
 const BlockedParts *findBlocked(const CrashEvidence &evidence, const RequestParts &parts);
 
+/// The part of a request with these parts that is on trial, or null.
+const RequestPart *findOnTrial(const CrashEvidence &evidence, const RequestParts &parts);
+
 /// A request was refused because of the blocked parts: keeps them blocked for longer.
 void keepBlocked(CrashEvidence &evidence, const BlockedParts &blocked, TimePoint now);
 
--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -162,6 +162,11 @@
     return gateway::findBlocked(evidence_, parts);
 }
 
+const RequestPart *CrashWatch::findOnTrial(const RequestParts &parts) const
+{
+    return gateway::findOnTrial(evidence_, parts);
+}
+
 unsigned CrashWatch::crashesOf(const RequestParts &parts) const
 {
     return gateway::crashesOf(evidence_, parts);
--- a/src/gateway/crashwatch.h
+++ b/src/gateway/crashwatch.h
@@ -63,6 +63,9 @@
     bool knowsCrashes() const { return !evidence_.crashes.empty(); }
     /// Number of crashes that count against the request as a whole.
     unsigned crashesOf(const RequestParts &parts) const;
+    /// The part of a request with these parts that is on trial, or null.
+    const RequestPart *findOnTrial(const RequestParts &parts) const;
+    const RequestParts &onTrial() const { return evidence_.onTrial; }
     const std::vector<BlockedParts> &blocked() const { return evidence_.blocked; }
     const CrashEvidence &evidence() const { return evidence_; }
     std::vector<EndpointCrash> crashesToRepeat() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -34,6 +34,8 @@
 constexpr Millis kMemberInterval{300'000};
 // Retry-After of requests that arrive before there is a configuration.
 constexpr Millis kNoConfigRetryAfter{300};
+// Retry-After of requests of which another one is on trial; it takes about as long as a call.
+constexpr Millis kTrialRetryAfter{100};
 // Retry-After of requests that this daemon has no room for.
 constexpr Millis kOverloadRetryAfter{500};
 // The load balancer stops sending requests to an entry VM after two failed readiness checks, one
@@ -321,6 +323,8 @@
     }
     if (rejectCrashingRequest(caller, request, fields, workspaceName))
         return nullptr;
+    if (!crashWatch_.onTrial().empty() && !mayTry(partsOf(request, fields, workspaceName), nullptr))
+        return reject(503, "on_trial", kTrialRetryAfter);
     const TimePoint now = steadyNow();
     if (draining_ && now - drainStartedAt_ > kLoadBalancerDelay)
         return reject(503, "shutting_down", Millis(20));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -175,6 +175,11 @@
     RequestParts partsOf(const Exchange &exchange) const;
     /// True if the request has met so many crashes that it must not meet two more at once.
     bool hasMetCrashes(const Exchange &exchange) const;
+    /// False if the request is on trial and another daemon may send it, or this one sends it
+    /// already. `self` is its exchange if it has one.
+    bool mayTry(const RequestParts &parts, const Exchange *self) const;
+    /// The addresses of this daemon and of those that are alive and do not leave, hashed.
+    std::vector<std::uint64_t> daemonKeys() const;
     void onEndpointCrashed(const EndpointCrash &crash);
     void onBlockedPartsChanged(const BlockedParts &parts, bool blocked);
     /// Writes what has been blocked or unblocked to the store, if that is this daemon's task.
--- a/src/gateway/gatewaycrashes.cpp
+++ b/src/gateway/gatewaycrashes.cpp
@@ -1,5 +1,6 @@
 // Gateway: requests on which endpoints crash.
 
+#include "base/hash.h"
 #include "base/log.h"
 #include "gateway/blockedrecord.h"
 #include "gateway/gateway.h"
@@ -67,8 +68,21 @@
 
 bool Gateway::hasMetCrashes(const Exchange &exchange) const
 {
-    return crashWatch_.knowsCrashes()
-           && crashWatch_.crashesOf(partsOf(exchange)) >= kCrashesBeforeSingleSends;
+    const RequestParts parts = partsOf(exchange);
+    return crashWatch_.findOnTrial(parts)
+           || crashWatch_.crashesOf(parts) >= kCrashesBeforeSingleSends;
+}
+
+bool Gateway::mayTry(const RequestParts &parts, const Exchange *self) const
+{
+    const RequestPart *request = crashWatch_.findOnTrial(parts);
+    if (!request)
+        return true;
+    return ownsTrial(*request, fnv1a64(settings_.peers.ip), daemonKeys())
+           && std::ranges::none_of(exchanges_, [&](const auto &entry) {
+                  const Exchange &other = *entry.second;
+                  return &other != self && crashWatch_.findOnTrial(partsOf(other)) == request;
+              });
 }
 
 void Gateway::onEndpointCrashed(const EndpointCrash &crash)
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -138,6 +138,12 @@
     const TimePoint now = steadyNow();
     if (now < exchange.notBefore)
         return false;
+    // A stream that goes on has not crashed the endpoint which wrote its first events.
+    if (!crashWatch_.onTrial().empty() && exchange.state != ExchangeState::Relaying
+        && !mayTry(partsOf(exchange), &exchange)) {
+        endWithError(exchange, 502, "on_trial");
+        return false;
+    }
     const Placement placement = place(exchange);
     switch (placement.outcome) {
     case PlacementOutcome::Send:
--- a/src/gateway/gatewaystatements.cpp
+++ b/src/gateway/gatewaystatements.cpp
@@ -116,15 +116,20 @@
 {
     limitTimer_.cancel();
     limitTimerArmed_ = false;
-    std::vector<DaemonKey> daemons;
+    limits_.assignOwners(daemonKeys(), steadyNow());
+    scheduleDispatch();
+}
+
+std::vector<std::uint64_t> Gateway::daemonKeys() const
+{
+    std::vector<std::uint64_t> daemons;
     if (!draining_)
         daemons.push_back(fnv1a64(settings_.peers.ip));
     for (const auto &[ip, peer] : mesh_.peers()) {
         if (peer.alive && !peer.leaving)
             daemons.push_back(fnv1a64(ip));
     }
-    limits_.assignOwners(daemons, steadyNow());
-    scheduleDispatch();
+    return daemons;
 }
 
 void Gateway::assignLimitOwnersSoon()
--- a/src/gateway/requestparts.cpp
+++ b/src/gateway/requestparts.cpp
@@ -2,6 +2,8 @@
 
 #include "base/hash.h"
 
+#include <algorithm>
+
 namespace cicadafork::gateway {
 
 std::uint64_t requestDigest(const HttpRequest &request, const CallerFields &fields,
@@ -20,4 +22,12 @@
     return parts;
 }
 
+bool ownsTrial(const RequestPart &request, std::uint64_t daemon,
+               const std::vector<std::uint64_t> &others)
+{
+    const auto weight = [&](std::uint64_t candidate) { return mix64(request.id ^ candidate); };
+    return std::ranges::none_of(
+            others, [&](std::uint64_t other) { return weight(other) > weight(daemon); });
+}
+
 } // namespace cicadafork::gateway
--- a/tests/unit/crashevidence_test.cpp
+++ b/tests/unit/crashevidence_test.cpp
@@ -311,6 +311,35 @@
     }
 }
 
+// Guards against sending a request at several daemons after it may have ended several endpoints,
+// and against holding back requests that are sound.
+TEST(CrashEvidence, requestsThatSeveralEndpointsCrashedWithAreOnTrial)
+{
+    struct Case
+    {
+        const char *name;
+        std::vector<Event> events;
+        bool onTrial;
+    };
+    const Case cases[] = {
+            {"two endpoints", {{0, {{kBad}}}, {5, {{kBad}}}}, false},
+            {"three endpoints at a time", {{0, {{kBad}}}, {5, {{kBad}}}, {10, {{kBad}}}}, true},
+            {"different requests with the same part",
+             {{0, {{kX, kBad}}}, {5, {{kX, kWorse}}}, {10, {{kX, kSound}}}},
+             false},
+            {"an answer ended well",
+             {{0, {{kBad}}}, {5, {{kBad}}}, {10, {{kBad}}}, {60, {}, {kBad}}},
+             false},
+            {"blocked", {{0, {{kBad}}}, {200, {{kBad}}}, {400, {{kBad}}}, {600, {{kBad}}}}, false},
+    };
+    for (const Case &row : cases) {
+        evidence = {};
+        play(row.events);
+        CHECK_EQUAL_TEXT(row.onTrial, findOnTrial(evidence, {kBad}) != nullptr, row.name);
+        POINTERS_EQUAL_TEXT(nullptr, findOnTrial(evidence, {kA, kC}), row.name);
+    }
+}
+
 // Guards against counting endpoints that lose power together as crashes of one request.
 TEST(CrashEvidence, onlyRequestsThatWereSentAfterACrashWereSentAgain)
 {
--- a/tests/unit/gatewaycrash_test.cpp
+++ b/tests/unit/gatewaycrash_test.cpp
@@ -309,3 +309,38 @@
                         fmt::format("{}: {} arrivals", row.name, arrivals.size()).c_str());
     }
 }
+
+// Guards against a request that is repeated at all daemons at the same moment, and ends as many
+// endpoints each time.
+TEST(GatewayCrash, repetitionsAtAllDaemonsAtOnceAreContained)
+{
+    constexpr unsigned kDaemons = 6;
+    constexpr unsigned kBursts = 4;
+    service = kPlain;
+    start(kDaemons, 3, service);
+    std::vector<const Answer *> lastBurst;
+    for (unsigned burst = 0; burst < kBursts; ++burst) {
+        for (const auto &daemon : daemons)
+            CHECK_TRUE(isServed(*daemon, "/safe/"));
+        lastBurst.clear();
+        for (const auto &daemon : daemons)
+            lastBurst.push_back(&sendToRoute(*daemon, "/safe/", kBadBody));
+        CHECK_TRUE(runUntil([&] {
+            return std::ranges::all_of(lastBurst, [](const Answer *bad) { return bad->ended; });
+        }));
+        if (burst == 0)
+            serveFor(kStabilityWindow);
+    }
+    CHECK_TRUE(crashes.size() >= kCrashesOfARequestBeforeTheWindow);
+    const TimePoint windowEnd = crashes[kCrashesOfARequestBeforeTheWindow - 1] + kStabilityWindow;
+    const auto arrivals = badArrivals();
+    const auto late
+            = std::ranges::count_if(arrivals, [&](TimePoint time) { return time >= windowEnd; });
+    CHECK_TRUE_TEXT(late <= static_cast<std::ptrdiff_t>(kArrivalsAfterTheWindow),
+                    fmt::format("{} arrivals", late).c_str());
+    for (const auto &daemon : daemons) {
+        const Answer &bad = sendToRoute(*daemon, "/safe/", kBadBody);
+        CHECK_TRUE(runUntil([&] { return bad.ended; }));
+        LONGS_EQUAL(400, bad.status);
+    }
+}
--- a/tests/unit/requestparts_test.cpp
+++ b/tests/unit/requestparts_test.cpp
@@ -1,10 +1,11 @@
-// Which requests are the same for an endpoint.
+// Which requests are the same for an endpoint, and who may try one that may crash it.
 
 #include "gateway/requestparts.h"
 #include "platform/headers.h"
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -66,3 +67,22 @@
     for (const Case &row : cases)
         CHECK_EQUAL_TEXT(row.same, digestOf(row.sent) == digest, row.name);
 }
+
+TEST_GROUP(Trial){};
+
+// Guards against a request on trial that several daemons send, or none.
+TEST(Trial, belongsToOneDaemon)
+{
+    constexpr unsigned kRequests = 64;
+    for (const unsigned daemons : {1U, 3U, 8U, 295U}) {
+        std::vector<std::uint64_t> all;
+        for (unsigned i = 0; i < daemons; ++i)
+            all.push_back(fnv1a64("10.1.0." + std::to_string(i)));
+        for (unsigned id = 0; id < kRequests; ++id) {
+            const auto owners = std::ranges::count_if(all, [&](std::uint64_t daemon) {
+                return ownsTrial(wholeRequest(id), daemon, all);
+            });
+            LONGS_EQUAL(1, owners);
+        }
+    }
+}
