Open connections through a dialer

The clients open connections by a dependency that their constructor takes, so that tests can cut the links of one daemon.

--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -26,8 +26,9 @@
 
 } // namespace
 
-CrashWatch::CrashWatch(asio::io_context &context, CrashWatchHooks hooks)
+CrashWatch::CrashWatch(asio::io_context &context, const Dialer &dialer, CrashWatchHooks hooks)
     : context_(context)
+    , dialer_(dialer)
     , hooks_(std::move(hooks))
 {
 }
@@ -64,7 +65,7 @@
     Suspicion &suspicion = *suspicions_.at(endpoint);
     ++suspicion.probes;
     suspicion.probe = std::make_unique<ListenProbe>(
-            context_, suspicion.address, kProbeTimeout,
+            context_, dialer_, suspicion.address, kProbeTimeout,
             [this, endpoint](ProbeResult result) { onProbed(endpoint, result); });
 }
 
--- a/src/gateway/crashwatch.h
+++ b/src/gateway/crashwatch.h
@@ -41,7 +41,7 @@
 class CrashWatch
 {
 public:
-    CrashWatch(asio::io_context &context, CrashWatchHooks hooks);
+    CrashWatch(asio::io_context &context, const Dialer &dialer, CrashWatchHooks hooks);
 
     /// The connection of a request ended before its answer was complete.
     void noteBroken(EndpointKey endpoint, const Address &address, const SentSuspect &request,
@@ -105,6 +105,7 @@
     void change(const std::function<void()> &apply);
 
     asio::io_context &context_;
+    const Dialer &dialer_;
     CrashWatchHooks hooks_;
     CrashEvidence evidence_;
     std::unordered_map<EndpointKey, std::unique_ptr<Suspicion>> suspicions_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -105,7 +105,7 @@
     , limits_(fnv1a64(settings_.peers.ip), kMaxEndpoints)
     , limitTimer_(context)
     , retryBudget_(settings_.retries)
-    , crashWatch_(context, crashWatchHooks())
+    , crashWatch_(context, pool.dialer(), crashWatchHooks())
     , crashTimer_(context)
     , saveTimer_(context)
     , mesh_(context, meshOptions(settings_, incarnation_), loadTracker_,
--- a/src/net/listenprobe.cpp
+++ b/src/net/listenprobe.cpp
@@ -1,7 +1,5 @@
 #include "net/listenprobe.h"
 
-#include <asio/post.hpp>
-
 #include <utility>
 
 namespace cicadafork {
@@ -30,30 +28,23 @@
     }
 };
 
-ListenProbe::ListenProbe(asio::io_context &context, const Address &address, Millis timeout,
-                         Done done)
+ListenProbe::ListenProbe(asio::io_context &context, const Dialer &dialer, const Address &address,
+                         Millis timeout, Done done)
     : state_(std::make_shared<State>(context, std::move(done)))
 {
-    asio::error_code error;
-    const auto ip = asio::ip::make_address_v4(address.ip, error);
-    if (error) {
-        asio::post(context, [state = state_] { state->finish(ProbeResult::Unknown); });
-        return;
-    }
     state_->timer.expires_after(timeout);
     state_->timer.async_wait([state = state_](const asio::error_code &cancelled) {
         if (!cancelled)
             state->finish(ProbeResult::Unknown);
     });
-    state_->socket.async_connect({ip, address.port},
-                                 [state = state_](const asio::error_code &failed) {
-                                     if (!failed)
-                                         state->finish(ProbeResult::Listens);
-                                     else if (failed == asio::error::connection_refused)
-                                         state->finish(ProbeResult::Refused);
-                                     else
-                                         state->finish(ProbeResult::Unknown);
-                                 });
+    dialer.connect(state_->socket, address, [state = state_](const asio::error_code &failed) {
+        if (!failed)
+            state->finish(ProbeResult::Listens);
+        else if (failed == asio::error::connection_refused)
+            state->finish(ProbeResult::Refused);
+        else
+            state->finish(ProbeResult::Unknown);
+    });
 }
 
 ListenProbe::~ListenProbe()
--- a/src/net/listenprobe.h
+++ b/src/net/listenprobe.h
@@ -2,10 +2,11 @@
 
 // Finds out whether a server still listens, by connecting to it.
 //
-//   ListenProbe probe(context, address, Millis(300), [](ProbeResult result) { ... });
+//   ListenProbe probe(context, dialer, address, Millis(300), [](ProbeResult result) { ... });
 
 #include "base/clock.h"
 #include "http/address.h"
+#include "net/dialer.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -29,7 +30,8 @@
 
     /// Starts the probe. Calls done exactly once, from the event loop, unless the probe is
     /// destroyed before.
-    ListenProbe(asio::io_context &context, const Address &address, Millis timeout, Done done);
+    ListenProbe(asio::io_context &context, const Dialer &dialer, const Address &address,
+                Millis timeout, Done done);
     ~ListenProbe();
     ListenProbe(const ListenProbe &) = delete;
     ListenProbe &operator=(const ListenProbe &) = delete;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -77,6 +77,13 @@
     armRead();
 }
 
+std::string HttpServerConnection::remoteIp() const
+{
+    asio::error_code error;
+    const auto remote = socket_.remote_endpoint(error);
+    return error ? std::string() : remote.address().to_string();
+}
+
 void HttpServerConnection::armRead()
 {
     if (readArmed_ || !socket_.is_open())
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -105,6 +105,8 @@
     bool inUse() const;
     /// Closes the connection if it is not in use.
     void closeWhenIdle();
+    /// IP address of the caller; empty if the connection has ended.
+    std::string remoteIp() const;
     /// When parsing of the current request began.
     TimePoint requestStart() const { return requestStart_; }
 
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -114,20 +114,21 @@
             if (!error && self && !self->connected_)
                 self->end(UpstreamOutcome::NotSent);
         });
-        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address_v4(address.ip), address.port);
-        socket_.async_connect(endpoint, [self = shared_from_this()](const asio::error_code &error) {
-            if (!self->inCall_)
-                return;
-            self->timer_.cancel();
-            if (error) {
-                self->end(UpstreamOutcome::NotSent);
-                return;
-            }
-            self->connected_ = true;
-            tuneSocket(self->socket_, {.userTimeout = self->pool_.options_.userTimeout,
-                                       .keepAliveIdle = self->pool_.options_.keepAliveIdle});
-            self->send();
-        });
+        pool_.dialer_.connect(socket_, address,
+                              [self = shared_from_this()](const asio::error_code &error) {
+                                  if (!self->inCall_)
+                                      return;
+                                  self->timer_.cancel();
+                                  if (error) {
+                                      self->end(UpstreamOutcome::NotSent);
+                                      return;
+                                  }
+                                  self->connected_ = true;
+                                  tuneSocket(self->socket_,
+                                             {.userTimeout = self->pool_.options_.userTimeout,
+                                              .keepAliveIdle = self->pool_.options_.keepAliveIdle});
+                                  self->send();
+                              });
     }
 
     void send()
@@ -347,9 +348,10 @@
     connection_->pauseReading(callNumber_, paused);
 }
 
-UpstreamPool::UpstreamPool(asio::io_context &context, UpstreamOptions options)
+UpstreamPool::UpstreamPool(asio::io_context &context, UpstreamOptions options, Dialer dialer)
     : context_(context)
     , options_(options)
+    , dialer_(std::move(dialer))
 {
 }
 
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -14,6 +14,7 @@
 
 #include "base/clock.h"
 #include "http/address.h"
+#include "net/dialer.h"
 #include "net/parser.h"
 
 #include <asio/io_context.hpp>
@@ -104,7 +105,7 @@
 class UpstreamPool
 {
 public:
-    UpstreamPool(asio::io_context &context, UpstreamOptions options);
+    UpstreamPool(asio::io_context &context, UpstreamOptions options, Dialer dialer = anyDialer());
     ~UpstreamPool();
     UpstreamPool(const UpstreamPool &) = delete;
     UpstreamPool &operator=(const UpstreamPool &) = delete;
@@ -114,6 +115,8 @@
     std::unique_ptr<UpstreamCall> call(const Address &address, UpstreamRequest request,
                                        UpstreamHandlers handlers);
 
+    const Dialer &dialer() const { return dialer_; }
+
     /// Closes the idle connections to an address, for example when its server has been removed.
     void closeIdle(const Address &address);
 
@@ -126,6 +129,7 @@
 
     asio::io_context &context_;
     UpstreamOptions options_;
+    Dialer dialer_;
     /// Keyed by the address as text.
     std::unordered_map<std::string, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
     std::array<char, 64 * 1024> readBuffer_;
