Add a failing test of daemons that are cut off from all endpoints

GatewayRelay.daemonsThatAreCutOffFromAllEndpointsServeTheirCallers cuts two of four daemons off from all endpoints of an engine and of a plain service, in four ways: connections hang, are reset with new ones refused or hanging, or live on while new ones are refused. From 3 s after the cut, none of 150 requests at these daemons is served. The users ask for two thirds of what the others serve, the test for 0.95. The daemons of the tests have links of their own, and the stand-in of an endpoint silences or resets what a daemon has open.

--- /dev/null
+++ b/tests/support/cutlinks.cpp
@@ -0,0 +1,25 @@
+#include "support/cutlinks.h"
+
+#include <asio/error.hpp>
+#include <asio/post.hpp>
+
+#include <utility>
+
+namespace cicadafork::test {
+
+Dialer cuttableDialer(const std::string &ip, const CutLinks &links)
+{
+    return {[&links, direct = localDialer(ip)](asio::ip::tcp::socket &socket,
+                                               const Address &address, Dialer::Done done) {
+        const std::string target = toString(address);
+        if (links.silent.contains(target))
+            return;
+        if (links.refusing.contains(target))
+            asio::post(socket.get_executor(),
+                       [done = std::move(done)] { done(asio::error::connection_refused); });
+        else
+            direct.connect(socket, address, std::move(done));
+    }};
+}
+
+} // namespace cicadafork::test
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -96,6 +96,23 @@
                               service, toString(endpoint.address), endpoints.size()));
     }
 
+    /// Cuts a daemon off from all endpoints. New connections are refused, or hang.
+    void cutOff(Daemon &daemon, OpenConnections connections, bool refusesNew)
+    {
+        for (const auto &endpoint : endpoints) {
+            endpoint->cutOff(daemon.ip, connections);
+            auto &targets = refusesNew ? daemon.links.refusing : daemon.links.silent;
+            targets.insert(toString(endpoint->address));
+        }
+    }
+
+    void heal(Daemon &daemon)
+    {
+        daemon.links = {};
+        for (const auto &endpoint : endpoints)
+            endpoint->heal(daemon.ip);
+    }
+
     std::size_t endpointsInService() const
     {
         return static_cast<std::size_t>(std::ranges::count_if(
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -95,6 +96,9 @@
     Silent,       ///< Never responds.
 };
 
+/// What becomes of the open connections of a daemon that is cut off from an endpoint.
+enum class OpenConnections { Reset, Silent, LiveOn };
+
 class EndpointStandin
 {
 public:
@@ -124,6 +128,10 @@
     EndpointStandin(asio::io_context &context, const Address &address, std::string id,
                     bool chunksStreams = true);
 
+    /// The open connections from the IP address are reset, or nothing is read or written on them.
+    void cutOff(const std::string &ip, OpenConnections connections);
+    /// Connections that were silent stay so, as what was sent on them is lost.
+    void heal(const std::string &ip);
     /// Reads and writes nothing for a while, with all connections open, and then goes on.
     void fallSilent(Millis duration) { silentUntil_ = steadyNow() + duration; }
 
@@ -166,7 +174,12 @@
     HeaderList plainHeaders(const std::string &requestId) const;
     HeaderList signedHeaders(const std::string &requestId) const;
 
+    bool isCutOff(const HttpServerConnection &caller) const;
+
     asio::io_context &context_;
+    std::map<std::string, OpenConnections> cutOff_;           ///< By IP address.
+    std::set<const HttpServerConnection *> lost_;             ///< Silent for good.
+    std::vector<std::shared_ptr<HttpServerConnection>> held_; ///< Of requests that got lost.
     TimePoint silentUntil_{};
     std::shared_ptr<int> alive_ = std::make_shared<int>(0); ///< Steps end with the stand-in.
     AsyncHttpServer server_;
