--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -184,6 +184,17 @@
     found->slowdown += kSlowdownWeight * (slowdown - found->slowdown);
 }
 
+void EndpointTable::endSuspensions(const std::string &service)
+{
+    for (auto &[id, row] : rows_) {
+        if (row.record.service != service)
+            continue;
+        row.consecutiveFailures = 0;
+        row.suspendedUntil = {};
+        unreachable_.erase(row.record.failureDomain);
+    }
+}
+
 void EndpointTable::noteAlive(EndpointKey key)
 {
     EndpointRow *found = row(key);
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -74,6 +74,8 @@
     /// pause an endpoint briefly, return false.
     bool noteFailure(EndpointKey key, EndpointFailure failure, TimePoint now);
 
+    /// The endpoints of the service can be reached again: ends their suspensions.
+    void endSuspensions(const std::string &service);
     /// An endpoint that was silent has gone on: ends its suspension.
     void noteAlive(EndpointKey key);
     /// True when the endpoint is known, ready and not suspended.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -51,8 +51,9 @@
 Recovery recoverFrom(const FailureFacts &facts)
 {
     const bool allowed = (facts.repeatable || !facts.attemptMayHaveRun) && !facts.suspected;
-    const bool retry = allowed && !facts.crashesEndpoints && facts.sendCount < facts.maxEndpoints
-                       && facts.retryBudgetLeft && facts.timeLeft >= kMinAttemptTime;
+    const bool retry = allowed && !facts.crashesEndpoints && !facts.refusedByPeer
+                       && facts.sendCount < facts.maxEndpoints && facts.retryBudgetLeft
+                       && facts.timeLeft >= kMinAttemptTime;
     if (retry)
         return Recovery::Retry;
     if (facts.relaying)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -30,7 +30,8 @@
 /// One sending of a request to one endpoint.
 struct Attempt
 {
-    EndpointKey endpoint = 0;
+    EndpointKey endpoint = 0; ///< 0 if a peer has the request.
+    std::string peer;         ///< IP address of the peer it is handed over to; empty if to none.
     std::vector<EndpointKey> helperKeys;
     std::string endpointId;
     Address address;
@@ -44,6 +45,7 @@
     /// sound endpoint may pause, but it is replaced as soon as another endpoint can take over.
     bool silent = false;
     TimePoint nextSilenceCheck{};
+    bool reachChecked = false; ///< The way to the endpoints was asked for, as nothing came.
     TimePoint lastProgressAt{}; ///< Time of the send, or of the last bytes received.
     TimePoint firstEventAt{};   ///< Unset until the endpoint has sent a whole event.
     unsigned events = 0;        ///< Whole events that the endpoint has sent.
@@ -80,6 +82,10 @@
     /// until one of all of them has the next event or the answer.
     std::vector<std::unique_ptr<Attempt>> silentAttempts;
     std::vector<EndpointKey> triedEndpoints;
+    std::vector<std::string> triedPeers; ///< IP addresses.
+    bool fromPeer = false;               ///< A peer has handed it over.
+    bool refusedByPeer = false;
+    std::optional<Millis> peerRetryAfter; ///< What the peer that refused it has said.
     unsigned sendCount = 0;  ///< Attempts of which something may have reached an endpoint.
     bool mayHaveRun = false; ///< True after a failed attempt that is not known not to have run.
     bool refusedWhileFull = false;
@@ -116,6 +122,7 @@
     bool retryBudgetLeft = false;
     Millis timeLeft{0};
     bool crashesEndpoints = false; ///< Endpoints crash on it or on a part of its prompt.
+    bool refusedByPeer = false;    ///< A peer that reaches the endpoints has no room for it.
     bool suspected = false; ///< The failed attempt may be another crash of several that it caused.
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "base/log.h"
+#include "gateway/handover.h"
 #include "gateway/readerrole.h"
 
 #include <asio/post.hpp>
@@ -106,6 +107,7 @@
     , limitTimer_(context)
     , retryBudget_(settings_.retries)
     , crashWatch_(context, pool.dialer(), crashWatchHooks())
+    , reach_(context, pool.dialer(), reachHooks())
     , crashTimer_(context)
     , saveTimer_(context)
     , mesh_(context, meshOptions(settings_, incarnation_), loadTracker_,
@@ -117,7 +119,8 @@
                                            .endpointsIncomplete = !unconfirmedEndpoints_.empty(),
                                            .storeEra = storeEra_.known(),
                                            .leaving = draining_,
-                                           .storeLost = storeLost_};
+                                           .storeLost = storeLost_,
+                                           .servicesOutOfReach = reach_.cutOffServices()};
                      },
              .loadChanged = [this] { scheduleDispatch(); },
              .peerChanged = [this](const PeerInfo &peer) { onPeerChanged(peer); },
@@ -180,7 +183,7 @@
     , roleTimer_(context)
     , callers_(context, callerOptions(),
                [this](const auto &caller, HttpRequest request) {
-                   onRequest(caller, std::move(request));
+                   onRequest(caller, std::move(request), std::nullopt);
                })
     , readiness_(context, {.address = settings_.readiness},
                  [this](const auto &caller, const HttpRequest &request) {
@@ -191,6 +194,10 @@
                [this](const auto &caller, const HttpRequest &request) {
                    onControl(caller, request);
                })
+    , handovers_(context, handoverOptions(),
+                 [this](const auto &caller, HttpRequest request) {
+                     onHandedOver(caller, std::move(request));
+                 })
     , dispatchTimer_(context)
     , loadReportTimer_(context)
     , drainTimer_(context)
@@ -216,9 +223,9 @@
         onCallerConnectionEnded(end, unusedBytes);
     };
     options.serverAnswers = [this](int status, const HttpRequest &head) {
-        return noteRejected(protocol_.readCaller(head).requestId, status,
-                            serverAnswerReason(status),
-                            status == 503 ? std::optional(kOverloadRetryAfter) : std::nullopt);
+        return noteRejected(
+                protocol_.readCaller(head).requestId, status, serverAnswerReason(status),
+                status == 503 ? std::optional(kOverloadRetryAfter) : std::nullopt, false);
     };
     options.acceptFailed = [this](const std::string &error) {
         logEvent(LogLevel::Error, "accept_failed",
@@ -229,7 +236,7 @@
 
 Result<void> Gateway::start()
 {
-    for (AsyncHttpServer *server : {&callers_, &readiness_, &control_})
+    for (AsyncHttpServer *server : {&callers_, &readiness_, &control_, &handovers_})
         BOOST_LEAF_CHECK(server->start());
     startedAt_ = steadyNow();
     BOOST_LEAF_CHECK(mesh_.start());
@@ -278,18 +285,22 @@
     return found == exchanges_.end() ? nullptr : found->second.get();
 }
 
-void Gateway::onRequest(const std::shared_ptr<HttpServerConnection> &caller, HttpRequest request)
+void Gateway::onRequest(const std::shared_ptr<HttpServerConnection> &caller, HttpRequest request,
+                        std::optional<unsigned> peerAttempts)
 {
-    std::unique_ptr<Exchange> admitted = admit(caller, std::move(request));
+    std::unique_ptr<Exchange> admitted = admit(caller, std::move(request), peerAttempts);
     if (!admitted)
         return;
     Exchange &exchange = *admitted;
     const std::uint64_t id = exchange.id;
     caller->onDisconnect([this, id] { onCallerDisconnected(id); });
     exchanges_.emplace(id, std::move(admitted));
-    retryBudget_.noteRequest(exchange.service, steadyNow());
+    // The daemon of the caller counts it.
+    if (!exchange.fromPeer)
+        retryBudget_.noteRequest(exchange.service, steadyNow());
     // A request for an engine must not overtake those that already wait.
-    const bool mustQueue = engineFor(exchange) != nullptr && !waiting_.empty();
+    const bool mustQueue = engineFor(exchange) != nullptr && !waiting_.empty()
+                           && !reach_.isCutOff(exchange.service);
     if (!mustQueue && tryPlace(exchange))
         return;
     if (find(id))
@@ -297,11 +308,14 @@
 }
 
 std::unique_ptr<Exchange> Gateway::admit(const std::shared_ptr<HttpServerConnection> &caller,
-                                         HttpRequest &&request)
+                                         HttpRequest &&request,
+                                         std::optional<unsigned> peerAttempts)
 {
     CallerFields fields = protocol_.readCaller(request);
+    const bool fromPeer = peerAttempts.has_value();
     const auto reject = [&](int status, const char *reason, std::optional<Millis> retryAfter) {
-        caller->respond(status, noteRejected(fields.requestId, status, reason, retryAfter), {});
+        caller->respond(status,
+                        noteRejected(fields.requestId, status, reason, retryAfter, fromPeer), {});
         return nullptr;
     };
     if (!config_)
@@ -321,7 +335,7 @@
         workspaceName = workspace->name;
         priority = workspace->priority.value_or(priority);
     }
-    if (rejectCrashingRequest(caller, request, fields, workspaceName))
+    if (rejectCrashingRequest(caller, request, fields, workspaceName, fromPeer))
         return nullptr;
     if (!crashWatch_.onTrial().empty() && !mayTry(partsOf(request, fields, workspaceName), nullptr))
         return reject(503, "on_trial", kTrialRetryAfter);
@@ -340,6 +354,9 @@
     exchange->caller = caller;
     exchange->config = config_;
     exchange->route = *route;
+    exchange->fromPeer = fromPeer;
+    if (peerAttempts)
+        exchange->route.maxEndpoints = std::min(route->maxEndpoints, *peerAttempts);
     exchange->service = pickService(*route, fields.requestId);
     exchange->workspace = std::move(workspaceName);
     exchange->priority = priority;
@@ -374,7 +391,7 @@
 }
 
 HeaderList Gateway::noteRejected(const std::string &requestId, int status, const char *reason,
-                                 std::optional<Millis> retryAfter)
+                                 std::optional<Millis> retryAfter, bool fromPeer)
 {
     logEvent(LogLevel::Info, "rejected",
              {{"request", requestId},
@@ -382,7 +399,10 @@
               {"reason", reason},
               {"config", std::to_string(configs_.newest())}});
     counters_.outcome(reason).Increment();
-    return protocol_.ownAnswerHeaders(requestId, retryAfter);
+    HeaderList headers = protocol_.ownAnswerHeaders(requestId, retryAfter);
+    if (fromPeer)
+        headers.add(kHandoverSends, "0");
+    return headers;
 }
 
 void Gateway::onDeadline(std::uint64_t id)
@@ -405,12 +425,19 @@
         onSilence(*exchange);
         return;
     }
+    if (exchange->attempt && !exchange->attempt->reachChecked
+        && now - exchange->attempt->lastProgressAt >= reachCheckLimit(*exchange)) {
+        exchange->attempt->reachChecked = true;
+        reach_.noteSilence(exchange->service);
+    }
     armTimer(*exchange);
 }
 
 void Gateway::armTimer(Exchange &exchange)
 {
     TimePoint next = exchange.deadline;
+    if (exchange.attempt && !exchange.attempt->reachChecked)
+        next = std::min(next, exchange.attempt->lastProgressAt + reachCheckLimit(exchange));
     if (!exchange.attempt)
         next = std::min(next, exchange.queueDeadline);
     else if (isRepeatable(exchange.route))
@@ -435,14 +462,15 @@
 
 void Gateway::refuse(Exchange &exchange, const char *reason)
 {
-    const Millis retryAfter = suggestedRetryAfter(exchange);
+    const Millis retryAfter
+            = exchange.peerRetryAfter ? *exchange.peerRetryAfter : suggestedRetryAfter(exchange);
     logEvent(LogLevel::Info, "refused",
              {{"request", exchange.requestId},
               {"route", exchange.route.name},
               {"reason", reason},
               {"retry_after_ms", std::to_string(retryAfter.count())},
               {"sends", std::to_string(exchange.sendCount)}});
-    exchange.caller->respond(503, protocol_.ownAnswerHeaders(exchange.requestId, retryAfter), {});
+    exchange.caller->respond(503, ownAnswerHeaders(exchange, retryAfter), {});
     finish(exchange, "refused", 503);
 }
 
@@ -453,8 +481,7 @@
               {"route", exchange.route.name},
               {"reason", reason},
               {"sends", std::to_string(exchange.sendCount)}});
-    exchange.caller->respond(status, protocol_.ownAnswerHeaders(exchange.requestId, std::nullopt),
-                             {});
+    exchange.caller->respond(status, ownAnswerHeaders(exchange, std::nullopt), {});
     finish(exchange, "failed", status);
 }
 
@@ -506,6 +533,7 @@
     drainStartedAt_ = steadyNow();
     onDrained_ = std::move(done);
     callers_.beginDrain();
+    handovers_.beginDrain();
     assignLimitOwners();
     store_.put(layout_.membersTopic, settings_.member, {}, kStoreCallTimeout,
                [](StoreFailure, std::optional<std::uint64_t>) {});
@@ -516,10 +544,13 @@
 void Gateway::checkDrain()
 {
     const auto elapsed = steadyNow() - drainStartedAt_;
-    if (elapsed >= kLoadBalancerDelay)
+    if (elapsed >= kLoadBalancerDelay) {
         callers_.closeIdleConnections();
+        handovers_.closeIdleConnections();
+    }
     // The process must not end before each request that arrives has its answer.
-    const bool idle = elapsed >= kLoadBalancerDelay && exchanges_.empty() && !callers_.inUse();
+    const bool idle = elapsed >= kLoadBalancerDelay && exchanges_.empty() && !callers_.inUse()
+                      && !handovers_.inUse();
     const bool overdue = elapsed >= settings_.shutdownGrace - kGraceMargin;
     if (!idle && !overdue) {
         drainTimer_.expires_after(kDrainCheckInterval);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "gateway/exchange.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/mesh.h"
+#include "gateway/reachwatch.h"
 #include "gateway/settings.h"
 #include "gateway/sharedretrybudget.h"
 #include "gateway/storeera.h"
@@ -68,15 +69,18 @@
 
 private:
     // Callers.
-    void onRequest(const std::shared_ptr<HttpServerConnection> &caller, HttpRequest request);
+    /// `peerAttempts` is the number of endpoints that a request of a peer may be sent to; absent
+    /// for a request of a caller.
+    void onRequest(const std::shared_ptr<HttpServerConnection> &caller, HttpRequest request,
+                   std::optional<unsigned> peerAttempts);
     std::unique_ptr<Exchange> admit(const std::shared_ptr<HttpServerConnection> &caller,
-                                    HttpRequest &&request);
+                                    HttpRequest &&request, std::optional<unsigned> peerAttempts);
     void onCallerDisconnected(std::uint64_t id);
     ServerOptions callerOptions();
     /// Logs and counts a request that does not become an exchange; returns the header fields of
     /// its answer.
     HeaderList noteRejected(const std::string &requestId, int status, const char *reason,
-                            std::optional<Millis> retryAfter);
+                            std::optional<Millis> retryAfter, bool fromPeer);
     void onCallerConnectionEnded(ConnectionEnd end, std::size_t unusedBytes);
     void onDeadline(std::uint64_t id);
     /// Ends the request unsuccessfully: aborts the stream if events have gone to the caller,
@@ -125,6 +129,7 @@
     void announceJob(const Exchange &exchange, const Placement &placement);
     void reserve(Exchange &exchange, const Placement &placement);
     void startCall(Exchange &exchange);
+    void startCall(Exchange &exchange, HeaderList headers);
     HeadAction onHead(std::uint64_t id, JobId job, HttpResponseHead &&head);
     void onBody(std::uint64_t id, JobId job, std::string_view bytes);
     void onEnd(std::uint64_t id, JobId job, UpstreamOutcome end);
@@ -163,6 +168,24 @@
                           const char *reason);
     /// Time without progress after which another endpoint is tried.
     Millis silenceLimit(const Exchange &exchange) const;
+    /// Time without progress after which this daemon finds out whether it is cut off.
+    Millis reachCheckLimit(const Exchange &exchange) const;
+
+    // Requests that are handed over because a daemon is cut off from the endpoints.
+    ReachHooks reachHooks();
+    void onReachChanged(const std::string &service, bool cutOff);
+    static bool isHandedOver(const Exchange &exchange);
+    /// IP address of the peer to hand the request over to; empty if this daemon reaches the
+    /// endpoints, or no peer does.
+    std::string peerFor(const Exchange &exchange) const;
+    void handOver(Exchange &exchange, const std::string &peer);
+    /// The head of an answer has come from a peer, which may have answered itself.
+    void noteAnswerOfPeer(Exchange &exchange, Attempt &attempt);
+    ServerOptions handoverOptions();
+    void onHandedOver(const std::shared_ptr<HttpServerConnection> &caller, HttpRequest request);
+    HeaderList ownAnswerHeaders(const Exchange &exchange, std::optional<Millis> retryAfter) const;
+    /// Ends a request of a peer that this daemon can do nothing for; returns false if it can.
+    bool returnToPeer(Exchange &exchange);
 
     // Requests on which endpoints crash.
     CrashWatchHooks crashWatchHooks();
@@ -192,7 +215,7 @@
     /// Answers a request that has just arrived if it has blocked parts; returns false if not.
     bool rejectCrashingRequest(const std::shared_ptr<HttpServerConnection> &caller,
                                const HttpRequest &request, const CallerFields &fields,
-                               const std::string &workspace);
+                               const std::string &workspace, bool fromPeer);
     void respondToCrashingRequest(HttpServerConnection &caller, const BlockedParts &blocked,
                                   HeaderList headers);
 
@@ -287,6 +310,7 @@
     bool limitTimerArmed_ = false;
     SharedRetryBudget retryBudget_;
     CrashWatch crashWatch_;
+    ReachWatch reach_;
     asio::steady_timer crashTimer_;
     std::map<std::string, BlockedParts>
             unsavedBlocks_; ///< By key; their records are to be written.
@@ -332,6 +356,7 @@
     AsyncHttpServer callers_;
     AsyncHttpServer readiness_;
     AsyncHttpServer control_;
+    AsyncHttpServer handovers_; ///< Requests that peers hand over.
     std::unique_ptr<AsyncHttpServer> metricsServer_;
     std::unordered_map<std::uint64_t, std::unique_ptr<Exchange>> exchanges_;
     std::uint64_t nextExchange_ = 0;
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -169,6 +169,12 @@
     dispatch.helpers = attempt.helpers;
     HeaderList headers = exchange.request.headers;
     protocol_.prepareForEndpoint(headers, dispatch);
+    startCall(exchange, std::move(headers));
+}
+
+void Gateway::startCall(Exchange &exchange, HeaderList headers)
+{
+    Attempt &attempt = *exchange.attempt;
     if (!exchange.request.body.empty() || exchange.request.method != "GET")
         headers.set("Content-Length", std::to_string(exchange.request.body.size()));
     UpstreamRequest request;
@@ -179,6 +185,8 @@
     const std::uint64_t id = exchange.id;
     const JobId job = attempt.job;
     UpstreamHandlers handlers;
+    if (attempt.peer.empty())
+        handlers.connected = [this, service = exchange.service] { reach_.noteConnected(service); };
     handlers.head = [this, id, job](HttpResponseHead &&received) {
         return onHead(id, job, std::move(received));
     };
@@ -195,7 +203,8 @@
         return HeadAction::Skip;
     Attempt &attempt = *found;
     ReplyFields reply = protocol_.readReply(head);
-    noteStatement(attempt.endpoint, reply.statement, exchange->requestId);
+    if (attempt.peer.empty())
+        noteStatement(attempt.endpoint, reply.statement, exchange->requestId);
     if (!reply.requestId.empty() && reply.requestId != exchange->requestId) {
         logEvent(LogLevel::Warning, "stray_answer",
                  {{"request", exchange->requestId},
@@ -209,6 +218,8 @@
             = head.status == 200 && reply.sealed && exchange->route.kind == RouteKind::Stream;
     attempt.reply = std::move(reply);
     attempt.head = std::move(head);
+    if (!attempt.peer.empty())
+        noteAnswerOfPeer(*exchange, attempt);
     return HeadAction::Accept;
 }
 
@@ -282,10 +293,12 @@
     const TimePoint now = steadyNow();
     Attempt &attempt = *exchange.attempt;
     const FloatMillis took = now - attempt.sentAt;
-    loadTracker_.started(attempt.job, now);
-    mesh_.started(attempt.job);
-    const bool hasPrompt = exchange.fields.promptTokens > 0;
-    endpoints_.noteSuccess(attempt.endpoint, hasPrompt ? took / attempt.expected : 1.0);
+    if (attempt.peer.empty()) {
+        loadTracker_.started(attempt.job, now);
+        mesh_.started(attempt.job);
+        const bool hasPrompt = exchange.fields.promptTokens > 0;
+        endpoints_.noteSuccess(attempt.endpoint, hasPrompt ? took / attempt.expected : 1.0);
+    }
     if (exchange.eventsRelayed == 0)
         counters_.firstEventSeconds.Observe(
                 std::chrono::duration<double>(now - exchange.arrivedAt).count());
@@ -309,8 +322,13 @@
         pool_.closeIdle(attempt.address);
     switch (end) {
     case UpstreamOutcome::NotSent:
-        crashWatch_.noteRefusedConnection(attempt.endpoint);
         undoSend(*exchange, attempt);
+        if (!attempt.peer.empty()) {
+            failAttempt(*exchange, attempt, EndpointFailure::NoConnection, false, "no_peer");
+            return;
+        }
+        crashWatch_.noteRefusedConnection(attempt.endpoint);
+        reach_.noteNotConnected(exchange->service, attempt.endpoint);
         if (&attempt == exchange->attempt.get())
             delayReconnect(*exchange);
         failAttempt(*exchange, attempt, EndpointFailure::NoConnection, false, "no_connection");
@@ -329,7 +347,8 @@
         break;
     }
     if (attempt.notRun) {
-        failAttempt(*exchange, attempt, EndpointFailure::Refused, false, "endpoint_refused");
+        failAttempt(*exchange, attempt, EndpointFailure::Refused, false,
+                    attempt.peer.empty() ? "endpoint_refused" : "peer_refused");
         return;
     }
     if (attempt.streams)
@@ -428,6 +447,7 @@
     facts.sendCount = exchange.sendCount;
     facts.maxEndpoints = exchange.route.maxEndpoints;
     facts.crashesEndpoints = crashWatch_.findBlocked(partsOf(exchange)) != nullptr;
+    facts.refusedByPeer = exchange.refusedByPeer;
     facts.suspected = attemptMayHaveRun && hasMetCrashes(exchange);
     facts.retryBudgetLeft = exchange.sendCount == 0
                             || retryBudget_.available(exchange.service, daemonCount(), now);
@@ -526,6 +546,8 @@
 
 void Gateway::noteJobEnded(const Attempt &attempt)
 {
+    if (!attempt.peer.empty())
+        return; // It is the peer's job.
     loadTracker_.ended(attempt.job, steadyNow());
     mesh_.ended(attempt.job);
 }
--- a/src/gateway/gatewaycrashes.cpp
+++ b/src/gateway/gatewaycrashes.cpp
@@ -46,6 +46,8 @@
 
 void Gateway::noteBrokenAnswer(const Exchange &exchange, const Attempt &attempt)
 {
+    if (!attempt.peer.empty())
+        return; // The peer has the connection of the endpoint.
     if (attempt.events > 0 && steadyNow() - attempt.firstEventAt > kSoundAfterWriting)
         return;
     crashWatch_.noteBroken(
@@ -188,14 +190,14 @@
 
 bool Gateway::rejectCrashingRequest(const std::shared_ptr<HttpServerConnection> &caller,
                                     const HttpRequest &request, const CallerFields &fields,
-                                    const std::string &workspace)
+                                    const std::string &workspace, bool fromPeer)
 {
     const BlockedParts *blocked = crashWatch_.findBlocked(partsOf(request, fields, workspace));
     if (!blocked)
         return false;
-    respondToCrashingRequest(
-            *caller, *blocked,
-            noteRejected(fields.requestId, kCrashingRequestStatus, kCrashingRequest, std::nullopt));
+    respondToCrashingRequest(*caller, *blocked,
+                             noteRejected(fields.requestId, kCrashingRequestStatus,
+                                          kCrashingRequest, std::nullopt, fromPeer));
     return true;
 }
 
@@ -207,7 +209,7 @@
               {"reason", kCrashingRequest},
               {"sends", std::to_string(exchange.sendCount)}});
     respondToCrashingRequest(*exchange.caller, *crashWatch_.findBlocked(partsOf(exchange)),
-                             protocol_.ownAnswerHeaders(exchange.requestId, std::nullopt));
+                             ownAnswerHeaders(exchange, std::nullopt));
     finish(exchange, kCrashingRequest, kCrashingRequestStatus);
 }
 
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -33,6 +33,8 @@
 constexpr Millis kReaderRereadSpread{250};
 // The other daemons learn from the readers, and read again in case all messages of these are lost.
 constexpr Millis kStandbyRereadSpread{60'000};
+// What daemons add to the head of a request that they hand over.
+constexpr std::size_t kHandoverHeaderBytes = 512;
 // In a new era of the store, all daemons write their member records again within this time.
 constexpr Millis kReregisterSpread{3000};
 
@@ -132,6 +134,8 @@
     const CallerLimits &limits = config_->limits;
     callers_.setLimits({limits.maxHeaderBytes, limits.maxBodyBytes}, limits.headerTimeout,
                        limits.idleTimeout);
+    handovers_.setLimits({limits.maxHeaderBytes + kHandoverHeaderBytes, limits.maxBodyBytes},
+                         limits.headerTimeout, limits.idleTimeout);
     logEvent(LogLevel::Info, "configuration_in_force",
              {{"version", std::to_string(config_->version)},
               {"before", std::to_string(before)},
@@ -464,8 +468,14 @@
               {"config", std::to_string(peer.configVersion)}});
     updateReaderRole();
     assignLimitOwners();
-    if (!peer.alive)
+    if (!peer.alive) {
         scheduleDispatch();
+        // The limit of a silence is another one now.
+        for (const auto &[id, exchange] : exchanges_) {
+            if (exchange->attempt && exchange->attempt->peer == peer.ip)
+                armTimer(*exchange);
+        }
+    }
     const TimePoint now = steadyNow();
     const bool mayHaveReturned = storeLost_ && peer.alive && !peer.storeLost
                                  && peer.failureDomain == settings_.failureDomain;
@@ -518,6 +528,7 @@
     for (const BlockedParts &blocked : crashWatch_.blocked())
         json["blocked_parts"].push_back(
                 {{"parts", toString(blocked.parts)}, {"crashes", blocked.crashes}});
+    json["services_out_of_reach"] = reach_.cutOffServices();
     json["requests"] = exchanges_.size();
     json["waiting"] = waiting_.size();
     json["jobs"] = loadTracker_.size();
--- /dev/null
+++ b/src/gateway/gatewayhandover.cpp
@@ -0,0 +1,210 @@
+// Gateway: requests that are handed over to a peer, or by one, because a daemon is cut off from the
+// endpoints of their service.
+
+#include "base/log.h"
+#include "base/number.h"
+#include "gateway/gateway.h"
+#include "gateway/handover.h"
+
+#include <algorithm>
+
+namespace cicadafork::gateway {
+
+namespace {
+
+// Peers that one request may be handed over to, one after the other.
+constexpr std::size_t kMaxPeersTried = 3;
+// Connections of all peers together.
+constexpr std::size_t kMaxHandoverConnections = 512;
+// Misdirected Request: this daemon can do nothing for the request, and another one may.
+constexpr int kMisdirected = 421;
+
+bool isPromiseOfNotRun(int status)
+{
+    return status == 503 || status == kMisdirected || status == 429 || status == 408;
+}
+
+} // namespace
+
+ReachHooks Gateway::reachHooks()
+{
+    return {.endpointsOf =
+                    [this](const std::string &service) {
+                        std::vector<ReachTarget> targets;
+                        for (const auto &[id, row] : endpoints_.rows()) {
+                            const EndpointRecord &record = row.record;
+                            if (record.service == service && record.state == EndpointState::Ready
+                                && !endpoints_.isLeaving(row.key))
+                                targets.push_back(
+                                        {{row.key, record.failureDomain}, record.address});
+                        }
+                        return targets;
+                    },
+            .changed
+            = [this](const std::string &service, bool cutOff) { onReachChanged(service, cutOff); }};
+}
+
+void Gateway::onReachChanged(const std::string &service, bool cutOff)
+{
+    logEvent(LogLevel::Warning, cutOff ? "service_out_of_reach" : "service_in_reach",
+             {{"service", service}});
+    counters_.servicesOutOfReach.Set(static_cast<double>(reach_.cutOffServices().size()));
+    mesh_.sendStatus();
+    if (cutOff) {
+        // What is sent on a connection after the cut may be lost even when the cut has ended.
+        for (const auto &[id, row] : endpoints_.rows()) {
+            if (row.record.service == service)
+                pool_.closeIdle(row.record.address);
+        }
+    } else {
+        // What failed did so for want of a way to the endpoints.
+        endpoints_.endSuspensions(service);
+    }
+    // The limit of a silence is another one now. A handler of a request may be running.
+    for (const auto &[id, exchange] : exchanges_) {
+        if (exchange->service == service)
+            armTimer(*exchange);
+    }
+    scheduleDispatch(true);
+}
+
+bool Gateway::isHandedOver(const Exchange &exchange)
+{
+    return exchange.attempt && !exchange.attempt->peer.empty();
+}
+
+std::string Gateway::peerFor(const Exchange &exchange) const
+{
+    if (exchange.fromPeer || !reach_.isCutOff(exchange.service)
+        || exchange.triedPeers.size() >= kMaxPeersTried)
+        return {};
+    std::map<std::string, std::size_t> inProgress;
+    for (const auto &[id, other] : exchanges_) {
+        if (isHandedOver(*other))
+            ++inProgress[other->attempt->peer];
+    }
+    std::vector<HandoverPeer> candidates;
+    for (const auto &[ip, peer] : mesh_.peers()) {
+        const bool tried = std::ranges::find(exchange.triedPeers, ip) != exchange.triedPeers.end();
+        if (!peer.alive || peer.leaving || tried
+            || peer.servicesOutOfReach.contains(exchange.service))
+            continue;
+        candidates.push_back({ip, peer.configVersion >= exchange.config->version,
+                              peer.failureDomain == settings_.failureDomain, inProgress[ip]});
+    }
+    const HandoverPeer *chosen = choosePeer(candidates, incarnation_ + exchange.id);
+    return chosen ? chosen->ip : std::string();
+}
+
+void Gateway::handOver(Exchange &exchange, const std::string &peer)
+{
+    const TimePoint now = steadyNow();
+    if (exchange.sendCount > 0 && !retryBudget_.take(exchange.service, daemonCount(), now)) {
+        onAttemptFailed(exchange, EndpointFailure::Refused, false, "no_retry_budget");
+        return;
+    }
+    std::erase(waiting_, exchange.id);
+    auto attempt = std::make_unique<Attempt>();
+    attempt->peer = peer;
+    attempt->endpointId = "peer " + peer;
+    attempt->address = {peer, settings_.peers.port};
+    attempt->sentAt = now;
+    attempt->lastProgressAt = now;
+    attempt->job = {incarnation_, ++nextJob_};
+    exchange.attempt = std::move(attempt);
+    exchange.triedPeers.push_back(peer);
+    if (exchange.state == ExchangeState::Waiting)
+        exchange.state = ExchangeState::Sent;
+    logEvent(LogLevel::Info, "handed_over",
+             {{"request", exchange.requestId},
+              {"route", exchange.route.name},
+              {"peer", peer},
+              {"send", std::to_string(exchange.sendCount + 1)},
+              {"config", std::to_string(exchange.config->version)}});
+    counters_.handovers("to_peer").Increment();
+    DispatchFields dispatch;
+    dispatch.deadline = std::chrono::duration_cast<Millis>(exchange.deadline - now);
+    dispatch.lastEventId = exchange.lastEventId;
+    HeaderList headers = exchange.request.headers;
+    protocol_.prepareForPeer(headers, dispatch);
+    headers.set(kHandoverAttempts,
+                std::to_string(exchange.route.maxEndpoints
+                               - std::min(exchange.sendCount, exchange.route.maxEndpoints - 1)));
+    ++exchange.sendCount;
+    startCall(exchange, std::move(headers));
+    armTimer(exchange);
+}
+
+void Gateway::noteAnswerOfPeer(Exchange &exchange, Attempt &attempt)
+{
+    const std::string *sends = attempt.head.headers.find(kHandoverSends);
+    if (!sends)
+        return; // The endpoint's answer.
+    const unsigned used = parseNumber<unsigned>(*sends).value_or(1);
+    attempt.head.headers.remove(kHandoverSends);
+    attempt.notRun = isPromiseOfNotRun(attempt.head.status);
+    attempt.streams = false;
+    // Another peer would find the same endpoints busy.
+    exchange.refusedByPeer = attempt.notRun && attempt.head.status != kMisdirected;
+    exchange.peerRetryAfter = attempt.reply.statement.quietFor;
+    // The handover counted as one send.
+    if (used == 0)
+        undoSend(exchange, attempt);
+    else
+        exchange.sendCount += used - 1;
+}
+
+ServerOptions Gateway::handoverOptions()
+{
+    ServerOptions options;
+    options.address = settings_.peers;
+    options.maxConnections = kMaxHandoverConnections;
+    options.serverAnswers = [this](int status, const HttpRequest &head) {
+        return noteRejected(protocol_.readCaller(head).requestId, status, "handover_unreadable",
+                            std::nullopt, true);
+    };
+    return options;
+}
+
+void Gateway::onHandedOver(const std::shared_ptr<HttpServerConnection> &caller, HttpRequest request)
+{
+    const std::string *attempts = request.headers.find(kHandoverAttempts);
+    const unsigned allowed = attempts ? parseNumber<unsigned>(*attempts).value_or(0) : 0;
+    const auto peer = mesh_.peers().find(caller->remoteIp());
+    const bool isMember = peer != mesh_.peers().end() && peer->second.heard;
+    if (!isMember || allowed == 0 || draining_) {
+        logEvent(LogLevel::Warning, "handover_refused",
+                 {{"from", caller->remoteIp()},
+                  {"reason", !isMember   ? "no member"
+                             : draining_ ? "shutting down"
+                                         : "malformed"}});
+        HeaderList headers;
+        headers.add(kHandoverSends, "0");
+        caller->respond(kMisdirected, std::move(headers), {});
+        return;
+    }
+    request.headers.remove(kHandoverAttempts);
+    counters_.handovers("from_peer").Increment();
+    onRequest(caller, std::move(request), allowed);
+}
+
+HeaderList Gateway::ownAnswerHeaders(const Exchange &exchange,
+                                     std::optional<Millis> retryAfter) const
+{
+    HeaderList headers = protocol_.ownAnswerHeaders(exchange.requestId, retryAfter);
+    if (exchange.fromPeer)
+        headers.add(kHandoverSends, std::to_string(exchange.sendCount));
+    return headers;
+}
+
+bool Gateway::returnToPeer(Exchange &exchange)
+{
+    if (!exchange.fromPeer || !reach_.isCutOff(exchange.service) || exchange.sendCount > 0
+        || exchange.state != ExchangeState::Waiting)
+        return false;
+    exchange.caller->respond(kMisdirected, ownAnswerHeaders(exchange, std::nullopt), {});
+    finish(exchange, "returned_to_peer", kMisdirected);
+    return true;
+}
+
+} // namespace cicadafork::gateway
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -50,6 +50,8 @@
     , blockedParts(metrics.gauge("cicadafork_gateway_blocked_parts",
                                  "Requests and parts of prompts that are refused because "
                                  "endpoints crash on them"))
+    , servicesOutOfReach(metrics.gauge("cicadafork_gateway_services_out_of_reach",
+                                       "Services to whose endpoints this daemon cannot connect"))
     , metrics_(metrics)
 {
 }
@@ -79,4 +81,11 @@
                       "Endpoints that leave, by where this daemon learned it", "source", source);
 }
 
+prometheus::Counter &GatewayMetrics::handovers(const std::string &direction)
+{
+    return counterFor(handovers_, metrics_, "cicadafork_gateway_handovers_total",
+                      "Requests that were handed over to a peer, or by one", "direction",
+                      direction);
+}
+
 } // namespace cicadafork::gateway
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -25,6 +25,8 @@
     prometheus::Counter &connectionEnd(const std::string &reason);
     /// Number of endpoints learned to leave from this source.
     prometheus::Counter &leavingEndpoints(const std::string &source);
+    /// Number of requests handed over, by direction.
+    prometheus::Counter &handovers(const std::string &direction);
     prometheus::Histogram &firstEventSeconds;
     prometheus::Histogram &answerSeconds;
     prometheus::Histogram &waitSeconds;
@@ -36,6 +38,7 @@
     prometheus::Gauge &evacuatedDomains;
     prometheus::Counter &endpointCrashes;
     prometheus::Gauge &blockedParts;
+    prometheus::Gauge &servicesOutOfReach;
 
 private:
     Metrics &metrics_;
@@ -43,6 +46,7 @@
     std::map<std::string, prometheus::Counter *> failures_;
     std::map<std::string, prometheus::Counter *> connectionEnds_;
     std::map<std::string, prometheus::Counter *> leaving_;
+    std::map<std::string, prometheus::Counter *> handovers_;
 };
 
 } // namespace cicadafork::gateway
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -144,6 +144,12 @@
         endWithError(exchange, 502, "on_trial");
         return false;
     }
+    if (returnToPeer(exchange))
+        return false;
+    if (const std::string peer = peerFor(exchange); !peer.empty()) {
+        handOver(exchange, peer);
+        return true;
+    }
     const Placement placement = place(exchange);
     switch (placement.outcome) {
     case PlacementOutcome::Send:
@@ -261,7 +267,7 @@
         counters_.waitSeconds.Observe(
                 std::chrono::duration<double>(steadyNow() - exchange->arrivedAt).count());
         // At most one per service, because all daemons see a freed endpoint at the same time.
-        if (engineFor(*exchange) != nullptr)
+        if (engineFor(*exchange) != nullptr && !isHandedOver(*exchange))
             servicesWithStream.insert(exchange->service);
     }
     // What can be placed also changes with time alone, for example when a request becomes late.
--- a/src/gateway/gatewaysilence.cpp
+++ b/src/gateway/gatewaysilence.cpp
@@ -14,10 +14,15 @@
 // Another endpoint may take over a repeatable request after this time without progress. It is less
 // than the 2 s after which callers disconnect.
 constexpr Millis kSilenceTimeout{1200};
+// An endpoint that is silent for this time longer than expected may be out of reach.
+constexpr Millis kReachCheckTimeout{250};
 // Time between two searches for an endpoint that can take over from a silent one.
 constexpr Millis kSilenceCheckInterval{100};
+// The same while this daemon is cut off from the endpoints.
+constexpr Millis kSilenceTimeoutIfCutOff{400};
 // After the first event, the timeout is at least this multiple of the route's largest event gap.
 constexpr int kSilenceGapFactor = 4;
+constexpr int kSilenceGapFactorIfCutOff = 2;
 // Before the first event, this multiple of its expected time is added to the timeout.
 constexpr double kSilenceExpectedFactor = 2;
 
@@ -30,12 +35,23 @@
 
 Millis Gateway::silenceLimit(const Exchange &exchange) const
 {
+    // A peer watches the endpoints itself, so only its own end counts.
+    if (isHandedOver(exchange)) {
+        const auto peer = mesh_.peers().find(exchange.attempt->peer);
+        const bool alive = peer != mesh_.peers().end() && peer->second.alive;
+        return alive ? std::chrono::ceil<Millis>(exchange.deadline - exchange.attempt->sentAt)
+                     : Millis(0);
+    }
+    const bool cutOff = reach_.isCutOff(exchange.service);
+    const Millis timeout = cutOff ? kSilenceTimeoutIfCutOff : kSilenceTimeout;
     const Job *job = loadTracker_.find(exchange.attempt->job);
-    if (exchange.eventsRelayed > 0 && job && job->started)
-        return std::max(kSilenceTimeout, kSilenceGapFactor * exchange.route.maxEventGap);
+    if (exchange.eventsRelayed > 0 && job && job->started) {
+        const int factor = cutOff ? kSilenceGapFactorIfCutOff : kSilenceGapFactor;
+        return std::max(timeout, factor * exchange.route.maxEventGap);
+    }
     const auto expected = std::chrono::duration_cast<Millis>(kSilenceExpectedFactor
                                                              * exchange.attempt->expected);
-    const Millis limit = expected + kSilenceTimeout;
+    const Millis limit = expected + timeout;
     if (exchange.route.kind == RouteKind::Stream)
         return limit;
     // The other half of the time is for another endpoint.
@@ -43,6 +59,18 @@
     return std::min(limit, std::chrono::duration_cast<Millis>((exchange.deadline - sentAt) / 2));
 }
 
+Millis Gateway::reachCheckLimit(const Exchange &exchange) const
+{
+    if (isHandedOver(exchange))
+        return std::chrono::ceil<Millis>(exchange.deadline - exchange.attempt->sentAt);
+    const Job *job = loadTracker_.find(exchange.attempt->job);
+    if (exchange.eventsRelayed > 0 && job && job->started)
+        return kReachCheckTimeout + kSilenceGapFactorIfCutOff * exchange.route.maxEventGap;
+    return kReachCheckTimeout
+           + std::chrono::duration_cast<Millis>(kSilenceExpectedFactor
+                                                * exchange.attempt->expected);
+}
+
 void Gateway::noteProgress(const Exchange &exchange, Attempt &attempt)
 {
     const TimePoint now = steadyNow();
@@ -55,6 +83,7 @@
                   {"endpoint", attempt.endpointId},
                   {"silent_ms", silentTime(attempt, now)}});
     }
+    attempt.reachChecked = false;
     attempt.lastProgressAt = now;
 }
 
@@ -71,11 +100,16 @@
         counters_.silences.Increment();
     }
     Placement placement;
-    if (recoverFrom(failureFacts(exchange, true, now)) == Recovery::Retry)
-        placement = place(exchange);
-    const bool canMove = placement.outcome == PlacementOutcome::Send
-                         && endpoints_.isAvailable(placement.head, now)
-                         && !isOpenAt(exchange, placement.head);
+    std::string peer;
+    if (recoverFrom(failureFacts(exchange, true, now)) == Recovery::Retry) {
+        peer = peerFor(exchange);
+        if (peer.empty())
+            placement = place(exchange);
+    }
+    const bool canMove = !peer.empty()
+                         || (placement.outcome == PlacementOutcome::Send
+                             && endpoints_.isAvailable(placement.head, now)
+                             && !isOpenAt(exchange, placement.head));
     if (firstCheck || canMove) {
         logEvent(LogLevel::Info, "endpoint_silent",
                  {{"request", exchange.requestId},
@@ -90,7 +124,10 @@
     counters_.attemptFailure("silent").Increment();
     exchange.mayHaveRun = true;
     exchange.silentAttempts.push_back(std::move(exchange.attempt));
-    send(exchange, placement);
+    if (peer.empty())
+        send(exchange, placement);
+    else
+        handOver(exchange, peer);
 }
 
 void Gateway::settleOn(Exchange &exchange, Attempt &attempt)
--- /dev/null
+++ b/src/gateway/handover.cpp
@@ -0,0 +1,21 @@
+#include "gateway/handover.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cicadafork::gateway {
+
+const HandoverPeer *choosePeer(const std::vector<HandoverPeer> &candidates,
+                               std::uint64_t tieBreaker)
+{
+    const auto rank = [&](const HandoverPeer &peer) {
+        return std::tuple(!peer.hasConfig, peer.inProgress, !peer.inOwnDomain,
+                          mix64(fnv1a64(peer.ip) ^ tieBreaker));
+    };
+    const auto best = std::ranges::min_element(candidates, {}, rank);
+    return best == candidates.end() ? nullptr : &*best;
+}
+
+} // namespace cicadafork::gateway
--- a/src/gateway/mesh.capnp
+++ b/src/gateway/mesh.capnp
@@ -153,6 +153,8 @@
   clearedRequests @27 :List(UInt64);
   # Those that have changed; some of all, with full lists of jobs.
   limits @26 :List(EndpointLimit);
+  # The sender can connect to no endpoint of these services.
+  servicesOutOfReach @28 :List(Text);
 }
 
 # The answer to a daemon that pulls missing state from a peer.
--- a/src/gateway/mesh.capnp.h
+++ b/src/gateway/mesh.capnp.h
@@ -224,7 +224,7 @@
 
     struct _capnpPrivate
     {
-        CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 8, 16)
+        CAPNP_DECLARE_STRUCT_HEADER(b3610eba42785e55, 8, 17)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -1485,6 +1485,9 @@
     inline bool hasClearedRequests() const;
     inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getClearedRequests() const;
 
+    inline bool hasServicesOutOfReach() const;
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getServicesOutOfReach() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -1735,6 +1738,18 @@
     inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
     disownClearedRequests();
 
+    inline bool hasServicesOutOfReach();
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getServicesOutOfReach();
+    inline void
+    setServicesOutOfReach(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+    inline void setServicesOutOfReach(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+    initServicesOutOfReach(unsigned int size);
+    inline void adoptServicesOutOfReach(
+            ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+    disownServicesOutOfReach();
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -3984,6 +3999,57 @@
             _builder.getPointerField(::capnp::bounded<15>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::hasServicesOutOfReach() const
+{
+    return !_reader.getPointerField(::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasServicesOutOfReach()
+{
+    return !_builder.getPointerField(::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+Datagram::Reader::getServicesOutOfReach() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+            _reader.getPointerField(::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+Datagram::Builder::getServicesOutOfReach()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+            _builder.getPointerField(::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setServicesOutOfReach(
+        ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+            _builder.getPointerField(::capnp::bounded<16>() * ::capnp::POINTERS), value);
+}
+inline void
+Datagram::Builder::setServicesOutOfReach(::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+            _builder.getPointerField(::capnp::bounded<16>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+Datagram::Builder::initServicesOutOfReach(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+            _builder.getPointerField(::capnp::bounded<16>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptServicesOutOfReach(
+        ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+            _builder.getPointerField(::capnp::bounded<16>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+Datagram::Builder::disownServicesOutOfReach()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+            _builder.getPointerField(::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+
 inline ::uint64_t SharedState::Reader::getConfigVersion() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -557,6 +557,7 @@
         const bool changed = !info->alive || info->leaving != root.getLeaving()
                              || info->storeLost != root.getStoreLost();
         info->storeLost = root.getStoreLost();
+        info->servicesOutOfReach = readServicesOutOfReach(root);
         info->leaving = root.getLeaving();
         info->returned = info->heard && !info->alive;
         info->heard = true;
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -78,6 +78,7 @@
     bool alive = false;
     bool leaving = false;
     bool storeLost = false; ///< Gets no answers from the store.
+    std::set<std::string> servicesOutOfReach = {}; ///< It can connect to none of their endpoints.
 };
 
 /// The status of the sender; part of every datagram.
@@ -90,6 +91,7 @@
     std::uint64_t storeEra = 0;
     bool leaving = false;
     bool storeLost = false;
+    std::vector<std::string> servicesOutOfReach = {};
 };
 
 /// Load of an endpoint, for daemons that are not told of all its jobs.
--- a/src/gateway/meshwire.cpp
+++ b/src/gateway/meshwire.cpp
@@ -15,6 +15,8 @@
 constexpr Millis kJobLifetime{20'000};
 // No request has more parts than this; further parts in a message are ignored.
 constexpr std::size_t kMaxParts = 32;
+// They are in every datagram. Requests for further services are not handed over.
+constexpr std::size_t kMaxServicesOutOfReach = 16;
 // Slack of an endpoint without pending prefills.
 constexpr std::uint32_t kNoPrefill = std::numeric_limits<std::uint32_t>::max();
 
@@ -100,6 +102,23 @@
     root.setEndpointsDigest(status.endpointsDigest);
     root.setLeaving(status.leaving);
     root.setStoreLost(status.storeLost);
+    const std::size_t count = std::min(status.servicesOutOfReach.size(), kMaxServicesOutOfReach);
+    if (count == 0)
+        return;
+    auto services = root.initServicesOutOfReach(static_cast<unsigned>(count));
+    for (unsigned i = 0; i < count; ++i)
+        services.set(i, status.servicesOutOfReach[i]);
+}
+
+std::set<std::string> readServicesOutOfReach(wire::Datagram::Reader root)
+{
+    std::set<std::string> services;
+    for (const auto service : root.getServicesOutOfReach()) {
+        if (services.size() >= kMaxServicesOutOfReach)
+            break;
+        services.insert(service);
+    }
+    return services;
 }
 
 Job readJob(wire::Job::Reader source, std::uint64_t owner, TimePoint now)
--- a/src/gateway/meshwire.h
+++ b/src/gateway/meshwire.h
@@ -12,6 +12,7 @@
 #include <capnp/message.h>
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,9 @@
 
 void fillStatus(wire::Datagram::Builder root, const MeshOptions &options, const MeshStatus &status);
 
+/// At most kMaxServicesOutOfReach.
+std::set<std::string> readServicesOutOfReach(wire::Datagram::Reader root);
+
 /// Times are encoded as durations from now, since the daemons' clocks differ.
 void fillJob(wire::Job::Builder target, const Job &job, TimePoint now);
 Job readJob(wire::Job::Reader source, std::uint64_t owner, TimePoint now);
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -81,6 +81,9 @@
     CallerFields (*readCaller)(const HttpRequest &request);
     /// Removes the header fields that callers may not set and adds those of the dispatch.
     void (*prepareForEndpoint)(HeaderList &headers, const DispatchFields &fields);
+    /// Removes the header fields of the caller's connection and adds what another daemon must know
+    /// of the dispatch: the deadline and the last event.
+    void (*prepareForPeer)(HeaderList &headers, const DispatchFields &fields);
     ReplyFields (*readReply)(const HttpResponseHead &head);
     /// Header fields of an answer that the gateway itself produces.
     HeaderList (*ownAnswerHeaders)(const std::string &requestId, std::optional<Millis> retryAfter);
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -127,6 +127,8 @@
                                   tuneSocket(self->socket_,
                                              {.userTimeout = self->pool_.options_.userTimeout,
                                               .keepAliveIdle = self->pool_.options_.keepAliveIdle});
+                                  if (self->handlers_.connected)
+                                      self->handlers_.connected();
                                   self->send();
                               });
     }
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -77,6 +77,8 @@
 
 struct UpstreamHandlers
 {
+    /// A new connection was established for the call.
+    std::function<void()> connected = {};
     std::function<HeadAction(HttpResponseHead &&)> head;
     std::function<void(std::string_view)> body;
     std::function<void(UpstreamOutcome)> end;
--- a/tests/support/gatewaydaemon.h
+++ b/tests/support/gatewaydaemon.h
@@ -72,6 +72,7 @@
     Daemon(asio::io_context &context, const GatewaySettings &settings)
         : ip(settings.peers.ip)
         , callers(settings.callers)
+        , handovers(settings.peers)
         , pool(context, {}, cuttableDialer(settings.peers.ip, links))
         , calls(context, pool)
         , store(calls, settings.store)
@@ -93,6 +94,7 @@
 
     const std::string ip;
     const Address callers;
+    const Address handovers; ///< Where peers hand requests over.
     StoreAccess storeAccess = StoreAccess::Served;
     CutLinks links;
     UpstreamPool pool;
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -175,11 +175,16 @@
             headers.add("Token-Count", "1000,24");
             headers.add("Prompt-Prefix", prompt);
         }
+        return call(daemon.callers, target, headers, body);
+    }
+
+    const Answer &call(const Address &address, const std::string &target, const HeaderList &headers,
+                       const std::string &body)
+    {
         answers.push_back(std::make_unique<Answer>());
         Answer &answer = *answers.back();
         calls.push_back(callerPool.call(
-                daemon.callers,
-                {.head = serializeRequestHead("POST", target, headers), .body = body},
+                address, {.head = serializeRequestHead("POST", target, headers), .body = body},
                 {.head =
                          [&answer](HttpResponseHead &&head) {
                              answer.status = head.status;
--- /dev/null
+++ b/tests/unit/gatewayhandover_test.cpp
@@ -0,0 +1,295 @@
+// Gateways of which some are cut off from all endpoints.
+
+#include "support/gatewayfleet.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace cicadafork;
+using namespace cicadafork::gateway;
+using namespace cicadafork::test;
+
+namespace {
+
+// From the users' rule RECOVER: the time from the cut on that does not count.
+constexpr Millis kStabilityWindow{3000};
+// The project's goal: first attempts at daemons that are cut off, against those at the others. The
+// users' bound is two thirds.
+constexpr double kServedShare = 0.95;
+
+struct Cut
+{
+    const char *name;
+    OpenConnections open;
+    bool refusesNew;
+};
+
+const Cut kCuts[] = {{"connections hang", OpenConnections::Silent, false},
+                     {"connections are reset, new ones refused", OpenConnections::Reset, true},
+                     {"connections are reset, new ones hang", OpenConnections::Reset, false},
+                     {"connections live on, new ones are refused", OpenConnections::LiveOn, true}};
+
+} // namespace
+
+TEST_GROUP_BASE(GatewayHandover, GatewayFleet)
+{
+    static constexpr unsigned kEndpoints = 6;
+    static constexpr unsigned kPlainEndpoints = 3;
+
+    void startBoth(unsigned daemonCount)
+    {
+        for (unsigned i = 0; i < kPlainEndpoints; ++i)
+            addEndpoint(true, kPlain);
+        start(daemonCount, kEndpoints);
+    }
+
+    /// A request of each route.
+    std::vector<const Answer *> sendEach(const Daemon &daemon)
+    {
+        return {&send(daemon, "a1:40,c1:20"), &sendRequest(daemon, "/safe/x", "card"),
+                &sendRequest(daemon, "/once/x", "alert")};
+    }
+
+    /// Cuts the daemon off, and sends requests until it has noticed.
+    void cutOffAndNotice(Daemon & daemon)
+    {
+        cutOff(daemon, OpenConnections::Reset, true);
+        CHECK_TRUE(runUntil([&] {
+            if (daemon.state()["requests"].get<int>() == 0)
+                sendEach(daemon);
+            return daemon.state()["services_out_of_reach"].size() == 2;
+        }));
+        CHECK_TRUE(runUntil([&] {
+            return std::ranges::all_of(answers, [](const auto &answer) { return answer->ended; });
+        }));
+    }
+
+    std::string lastRequestId() const
+    {
+        return fmt::format("r{}", requests);
+    }
+
+    std::size_t runsOf(const std::string &id) const
+    {
+        std::size_t count = 0;
+        for (const auto &endpoint : endpoints)
+            count += static_cast<std::size_t>(
+                    std::ranges::count(endpoint->runs, id, &EndpointStandin::Run::requestId));
+        return count;
+    }
+
+    std::size_t openRunsOf(const std::string &id) const
+    {
+        std::size_t count = 0;
+        for (const auto &endpoint : endpoints) {
+            for (const EndpointStandin::Run &run : endpoint->runs)
+                count += run.requestId == id && run.connection->open();
+        }
+        return count;
+    }
+
+    bool haveEnded(const std::vector<const Answer *> &sent)
+    {
+        return runUntil([&] {
+            return std::ranges::all_of(sent, [](const Answer *answer) { return answer->ended; });
+        });
+    }
+
+    static std::size_t served(const std::vector<const Answer *> &sent)
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(sent, [](const Answer *answer) {
+            return answer->status == 200 && answer->complete;
+        }));
+    }
+};
+
+// Guards against callers that fail because their daemon reaches no endpoint, while its peers do.
+TEST(GatewayHandover, daemonsThatAreCutOffFromAllEndpointsServeTheirCallers)
+{
+    constexpr unsigned kDaemons = 4;
+    constexpr unsigned kCutOff = 2;
+    constexpr unsigned kRounds = 25;
+    constexpr Millis kInterval{80};
+    for (const Cut &cut : kCuts) {
+        reset();
+        startBoth(kDaemons);
+        std::vector<const Answer *> before;
+        for (const auto &daemon : daemons)
+            std::ranges::copy(sendEach(*daemon), std::back_inserter(before));
+        CHECK_TRUE_TEXT(haveEnded(before), cut.name);
+        LONGS_EQUAL_TEXT(before.size(), served(before), cut.name);
+        for (unsigned i = 0; i < kCutOff; ++i)
+            cutOff(*daemons[i], cut.open, cut.refusesNew);
+        const TimePoint windowEnd = steadyNow() + kStabilityWindow;
+        while (steadyNow() < windowEnd) {
+            for (const auto &daemon : daemons)
+                sendEach(*daemon);
+            serveFor(kInterval);
+        }
+        std::vector<const Answer *> sent;
+        for (unsigned round = 0; round < kRounds; ++round) {
+            for (unsigned i = 0; i < kCutOff; ++i)
+                std::ranges::copy(sendEach(*daemons[i]), std::back_inserter(sent));
+            serveFor(kInterval);
+        }
+        CHECK_TRUE_TEXT(haveEnded(sent), cut.name);
+        CHECK_TRUE_TEXT(static_cast<double>(served(sent))
+                                >= kServedShare * static_cast<double>(sent.size()),
+                        fmt::format("{}: {} of {}", cut.name, served(sent), sent.size()).c_str());
+    }
+}
+
+// Guards against requests of strangers that reach endpoints without a key check at their entry.
+TEST(GatewayHandover, strangersCannotHandRequestsOver)
+{
+    startBoth(2);
+    HeaderList headers;
+    headers.add("Host", "h");
+    headers.add("Request-Id", "stranger");
+    headers.add("Authorization", "Token key");
+    headers.add("Deadline-Ms", "1500");
+    headers.add("Handover-Attempts", "2");
+    headers.add("Content-Length", "0");
+    const Answer &answer = call(daemons[0]->handovers, "/safe/x", headers, {});
+    CHECK_TRUE(haveEnded({&answer}));
+    LONGS_EQUAL(421, answer.status);
+    LONGS_EQUAL(0, runsOf("stranger"));
+}
+
+// Guards against requests that daemons hand to each other without end.
+TEST(GatewayHandover, requestsAreHandedOverOnceAndRefusedIfNoDaemonReachesEndpoints)
+{
+    startBoth(3);
+    for (const auto &daemon : daemons)
+        cutOff(*daemon, OpenConnections::Reset, true);
+    std::vector<const Answer *> sent;
+    for (unsigned round = 0; round < 5; ++round) {
+        for (const auto &daemon : daemons)
+            std::ranges::copy(sendEach(*daemon), std::back_inserter(sent));
+        serveFor(Millis(100));
+    }
+    CHECK_TRUE(haveEnded(sent));
+    for (const Answer *answer : sent)
+        LONGS_EQUAL(503, answer->status);
+    for (const auto &daemon : daemons)
+        LONGS_EQUAL(0, daemon->state()["requests"].get<int>());
+    for (const auto &endpoint : endpoints)
+        LONGS_EQUAL(0, endpoint->runs.size());
+}
+
+// Guards against endpoints that work for callers who have left.
+TEST(GatewayHandover, aCallerThatLeavesCancelsAtTheEndpoint)
+{
+    constexpr Millis kCancelLimit{100};
+    startBoth(2);
+    cutOffAndNotice(*daemons[0]);
+    for (const auto &endpoint : endpoints)
+        endpoint->script = {EndpointBehaviour::Silent};
+    const Answer &stream = send(*daemons[0], "a1:40,c1:20");
+    CHECK_TRUE(runUntil([&] { return openRunsOf(lastRequestId()) == 1; }));
+    CHECK_FALSE(stream.ended);
+    calls.pop_back();
+    CHECK_TRUE(runUntil([&] { return openRunsOf(lastRequestId()) == 0; }, kCancelLimit));
+}
+
+// Guards against a request that runs twice, or a stream that is lost, when the peer that has it
+// ends.
+TEST(GatewayHandover, thePeerEndsInTheMiddle)
+{
+    struct Case
+    {
+        const char *name;
+        const char *path;
+        int status;
+        std::size_t runs;
+    };
+    const Case cases[] = {{"may not be repeated", "/once/", 502, 1},
+                          {"may be repeated", "/safe/", 200, 2},
+                          {"stream", "/r/", 200, 2}};
+    for (const Case &row : cases) {
+        reset();
+        startBoth(3);
+        cutOffAndNotice(*daemons[0]);
+        const bool streams = std::string(row.path) == "/r/";
+        for (const auto &endpoint : endpoints) {
+            endpoint->eventGap = Millis(100);
+            if (!streams)
+                endpoint->script = {EndpointBehaviour::Silent};
+        }
+        const Answer &answer = streams ? send(*daemons[0], "a1:40,c1:20")
+                                       : sendRequest(*daemons[0], std::string(row.path) + "x", "");
+        const std::string id = lastRequestId();
+        CHECK_TRUE_TEXT(runUntil([&] { return openRunsOf(id) == 1; }), row.name);
+        serveFor(Millis(50));
+        for (const auto &endpoint : endpoints)
+            endpoint->script.clear();
+        const bool first = daemons[1]->state()["requests"].get<int>() > 0;
+        daemons.erase(daemons.begin() + (first ? 1 : 2));
+        CHECK_TRUE_TEXT(haveEnded({&answer}), row.name);
+        LONGS_EQUAL_TEXT(row.status, answer.status, row.name);
+        CHECK_TRUE_TEXT(answer.complete, row.name);
+        LONGS_EQUAL_TEXT(row.runs, runsOf(id), row.name);
+        if (streams) {
+            for (unsigned event = 1; event <= EndpointStandin::kStreamEvents; ++event)
+                CHECK_TRUE(answer.body.find(fmt::format("data: event {}\n", event))
+                           != std::string::npos);
+        }
+    }
+}
+
+// Guards against more attempts than the route allows, counted at two daemons.
+TEST(GatewayHandover, attemptsAreCountedOnceForBothDaemons)
+{
+    constexpr std::size_t kMaxAttempts = 2;
+    startBoth(3);
+    cutOffAndNotice(*daemons[0]);
+    for (const auto &endpoint : endpoints)
+        endpoint->script.assign(10, EndpointBehaviour::Resets);
+    const Answer &answer = sendRequest(*daemons[0], "/safe/x", "");
+    CHECK_TRUE(haveEnded({&answer}));
+    LONGS_EQUAL(502, answer.status);
+    LONGS_EQUAL(kMaxAttempts, runsOf(lastRequestId()));
+}
+
+// Guards against callers that are not told, or told too early, when to come back.
+TEST(GatewayHandover, theRefusalOfThePeerReachesTheCaller)
+{
+    startBoth(2);
+    cutOffAndNotice(*daemons[0]);
+    for (const auto &endpoint : endpoints)
+        endpoint->quietFor = Millis(3000);
+    // The peer learns it from the first one.
+    const Answer &first = sendRequest(*daemons[1], "/safe/x", "");
+    CHECK_TRUE(haveEnded({&first}));
+    for (unsigned i = 0; i < kPlainEndpoints; ++i)
+        CHECK_TRUE(haveEnded({&sendRequest(*daemons[1], "/safe/x", "")}));
+    const Answer &refused = sendRequest(*daemons[0], "/safe/x", "");
+    CHECK_TRUE(haveEnded({&refused}));
+    LONGS_EQUAL(503, refused.status);
+    const std::string *retryAfter = refused.headers.find("Retry-After");
+    CHECK_TRUE(retryAfter != nullptr);
+    CHECK_TRUE(std::stod(*retryAfter) > 1.5);
+    POINTERS_EQUAL(nullptr, refused.headers.find("Handover-Sends"));
+}
+
+// Guards against a daemon that stays on the way through its peers when its own is back.
+TEST(GatewayHandover, theDaemonFindsTheWayBack)
+{
+    constexpr Millis kLimit{1000};
+    startBoth(2);
+    cutOffAndNotice(*daemons[0]);
+    heal(*daemons[0]);
+    CHECK_TRUE(
+            runUntil([&] { return daemons[0]->state()["services_out_of_reach"].empty(); }, kLimit));
+    const auto sent = sendEach(*daemons[0]);
+    CHECK_TRUE(haveEnded(sent));
+    LONGS_EQUAL(sent.size(), served(sent));
+    daemons.pop_back();
+    const auto alone = sendEach(*daemons[0]);
+    CHECK_TRUE(haveEnded(alone));
+    LONGS_EQUAL(alone.size(), served(alone));
+}
