Take no endpoint for crashed while the daemon is cut off from it

Callers could see: sound requests refused after several cuts.

Change: only a refused probe counts, and only if another endpoint of the service accepts a connection from here. If none does, the daemon waits 0.2 s for what its peers say of their own way; the crash counts if none of them reaches the service either.

GatewayHandover.cutsAreNotTakenForCrashes failed before (4 crashes known after connections were reset and new ones refused) and passes. GatewayCrash.repetitionsAtAllDaemonsAtOnceAreContained waits until the block is known before it checks that all daemons answer 400: a crash is confirmed a round trip later than before, after the last answer of the burst.

--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -14,6 +14,8 @@
 // The connections of an endpoint that crashes may end before it stops listening.
 constexpr Millis kSecondProbeDelay{100};
 constexpr unsigned kMaxProbes = 2;
+// Time for peers to say that they do not reach the service either.
+constexpr Millis kVerdictDelay{200};
 // Requests whose connections end within this time after a crash was confirmed are suspects too.
 constexpr Millis kStragglerTime{1000};
 // Endpoints that are watched at the same time; many more than crash together.
@@ -54,12 +56,6 @@
         report(endpoint);
 }
 
-void CrashWatch::noteRefusedConnection(EndpointKey endpoint)
-{
-    if (suspicions_.contains(endpoint))
-        confirm(endpoint);
-}
-
 void CrashWatch::probe(EndpointKey endpoint)
 {
     Suspicion &suspicion = *suspicions_.at(endpoint);
@@ -72,18 +68,50 @@
 void CrashWatch::onProbed(EndpointKey endpoint, ProbeResult result)
 {
     if (result == ProbeResult::Refused) {
-        confirm(endpoint);
+        askWitnesses(endpoint);
         return;
     }
-    Suspicion &suspicion = *suspicions_.at(endpoint);
-    if (suspicion.confirmed)
-        return;
+    const Suspicion &suspicion = *suspicions_.at(endpoint);
     if (suspicion.probes < kMaxProbes)
         schedule(endpoint, kSecondProbeDelay, [this, endpoint] { probe(endpoint); });
     else
         schedule(endpoint, Millis(0), [this, endpoint] { suspicions_.erase(endpoint); });
 }
 
+void CrashWatch::askWitnesses(EndpointKey endpoint)
+{
+    Suspicion &suspicion = *suspicions_.at(endpoint);
+    const std::vector<Address> addresses = hooks_.witnesses(endpoint);
+    suspicion.pendingWitnesses = addresses.size();
+    for (const Address &address : addresses) {
+        suspicion.witnesses.push_back(std::make_unique<ListenProbe>(
+                context_, dialer_, address, kProbeTimeout,
+                [this, endpoint](ProbeResult result) { onWitness(endpoint, result); }));
+    }
+    if (addresses.empty())
+        schedule(endpoint, kVerdictDelay, [this, endpoint] { confirmUnlessCutOff(endpoint); });
+}
+
+void CrashWatch::onWitness(EndpointKey endpoint, ProbeResult result)
+{
+    Suspicion &suspicion = *suspicions_.at(endpoint);
+    --suspicion.pendingWitnesses;
+    if (suspicion.confirmed)
+        return;
+    if (result == ProbeResult::Listens)
+        confirm(endpoint);
+    else if (suspicion.pendingWitnesses == 0)
+        schedule(endpoint, kVerdictDelay, [this, endpoint] { confirmUnlessCutOff(endpoint); });
+}
+
+void CrashWatch::confirmUnlessCutOff(EndpointKey endpoint)
+{
+    if (hooks_.peersReach(endpoint))
+        suspicions_.erase(endpoint);
+    else
+        confirm(endpoint);
+}
+
 void CrashWatch::schedule(EndpointKey endpoint, Millis delay, std::function<void()> step)
 {
     asio::steady_timer &timer = suspicions_.at(endpoint)->timer;
--- a/src/gateway/crashwatch.h
+++ b/src/gateway/crashwatch.h
@@ -8,7 +8,8 @@
 //       refuse(request);
 //
 // An answer that breaks off is no proof of a crash, so the endpoint is then asked for a connection.
-// Only if it refuses one has it crashed.
+// Only if it refuses one has it crashed, and only if the daemon is not cut off: another endpoint of
+// the service must accept a connection, or no peer may reach the service.
 
 #include "gateway/crashevidence.h"
 #include "http/address.h"
@@ -36,6 +37,10 @@
     /// Parts that were suspected until now have proved sound at this daemon.
     std::function<void(const RequestParts &)> cleared;
     std::function<void(const BlockedParts &, bool blocked)> blockedChanged;
+    /// Addresses of other endpoints of the service that should accept a connection.
+    std::function<std::vector<Address>(EndpointKey)> witnesses;
+    /// True if a peer reaches the service of the endpoint.
+    std::function<bool(EndpointKey)> peersReach;
 };
 
 class CrashWatch
@@ -46,8 +51,6 @@
     /// The connection of a request ended before its answer was complete.
     void noteBroken(EndpointKey endpoint, const Address &address, const SentSuspect &request,
                     AnswerProgress progress);
-    /// An endpoint did not accept a connection.
-    void noteRefusedConnection(EndpointKey endpoint);
     /// An answer on these parts has ended well.
     void noteCompleted(const RequestParts &parts);
     /// A request was refused because of the blocked parts.
@@ -92,11 +95,16 @@
         bool confirmed = false;
         unsigned probes = 0;
         std::unique_ptr<ListenProbe> probe;
+        std::vector<std::unique_ptr<ListenProbe>> witnesses;
+        std::size_t pendingWitnesses = 0;
         asio::steady_timer timer;
     };
 
     void probe(EndpointKey endpoint);
     void onProbed(EndpointKey endpoint, ProbeResult result);
+    void askWitnesses(EndpointKey endpoint);
+    void onWitness(EndpointKey endpoint, ProbeResult result);
+    void confirmUnlessCutOff(EndpointKey endpoint);
     void confirm(EndpointKey endpoint);
     void report(EndpointKey endpoint);
     /// Runs the step after a delay, unless the suspicion has ended by then.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -189,6 +189,9 @@
 
     // Requests on which endpoints crash.
     CrashWatchHooks crashWatchHooks();
+    /// Other endpoints of the service, one of each failure domain, that accept connections unless
+    /// this daemon is cut off.
+    std::vector<Address> witnessesFor(EndpointKey endpoint) const;
     /// The connection of the attempt ended before its answer was complete.
     void noteBrokenAnswer(const Exchange &exchange, const Attempt &attempt);
     /// The parts of the request on which endpoints may crash. Without its digest while no crash is
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -327,7 +327,6 @@
             failAttempt(*exchange, attempt, EndpointFailure::NoConnection, false, "no_peer");
             return;
         }
-        crashWatch_.noteRefusedConnection(attempt.endpoint);
         reach_.noteNotConnected(exchange->service, attempt.endpoint);
         if (&attempt == exchange->attempt.get())
             delayReconnect(*exchange);
--- a/src/gateway/gatewaycrashes.cpp
+++ b/src/gateway/gatewaycrashes.cpp
@@ -41,7 +41,38 @@
     return {.crashed = [this](const EndpointCrash &crash) { onEndpointCrashed(crash); },
             .cleared = [this](const RequestParts &parts) { mesh_.sendClearedParts(parts); },
             .blockedChanged = [this](const BlockedParts &parts,
-                                     bool blocked) { onBlockedPartsChanged(parts, blocked); }};
+                                     bool blocked) { onBlockedPartsChanged(parts, blocked); },
+            .witnesses = [this](EndpointKey endpoint) { return witnessesFor(endpoint); },
+            .peersReach =
+                    [this](EndpointKey endpoint) {
+                        const EndpointRow *row = endpoints_.find(endpoint);
+                        return row && std::ranges::any_of(mesh_.peers(), [&](const auto &entry) {
+                                   const PeerInfo &peer = entry.second;
+                                   return peer.alive && !peer.leaving
+                                          && !peer.servicesOutOfReach.contains(row->record.service);
+                               });
+                    }};
+}
+
+std::vector<Address> Gateway::witnessesFor(EndpointKey endpoint) const
+{
+    const EndpointRow *suspected = endpoints_.find(endpoint);
+    if (!suspected)
+        return {};
+    const TimePoint now = steadyNow();
+    std::vector<ProbeCandidate> candidates;
+    std::vector<Address> addresses;
+    for (const auto &[id, row] : endpoints_.rows()) {
+        if (&row == suspected || row.record.service != suspected->record.service
+            || !endpoints_.isAvailable(row.key, now))
+            continue;
+        candidates.push_back({row.key, row.record.failureDomain});
+        addresses.push_back(row.record.address);
+    }
+    std::vector<Address> chosen;
+    for (const std::size_t index : chooseProbes({}, candidates, incarnation_ ^ endpoint))
+        chosen.push_back(addresses[index]);
+    return chosen;
 }
 
 void Gateway::noteBrokenAnswer(const Exchange &exchange, const Attempt &attempt)
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -528,6 +528,7 @@
     for (const BlockedParts &blocked : crashWatch_.blocked())
         json["blocked_parts"].push_back(
                 {{"parts", toString(blocked.parts)}, {"crashes", blocked.crashes}});
+    json["known_crashes"] = crashWatch_.evidence().crashes.size();
     json["services_out_of_reach"] = reach_.cutOffServices();
     json["requests"] = exchanges_.size();
     json["waiting"] = waiting_.size();
--- a/tests/unit/gatewaycrash_test.cpp
+++ b/tests/unit/gatewaycrash_test.cpp
@@ -339,6 +339,8 @@
     CHECK_TRUE_TEXT(late <= static_cast<std::ptrdiff_t>(kArrivalsAfterTheWindow),
                     fmt::format("{} arrivals", late).c_str());
     for (const auto &daemon : daemons) {
+        // The last answer comes before its crash is confirmed.
+        CHECK_TRUE(runUntil([&] { return blockedParts(*daemon) > 0; }));
         const Answer &bad = sendToRoute(*daemon, "/safe/", kBadBody);
         CHECK_TRUE(runUntil([&] { return bad.ended; }));
         LONGS_EQUAL(400, bad.status);
--- a/tests/unit/gatewayhandover_test.cpp
+++ b/tests/unit/gatewayhandover_test.cpp
@@ -143,6 +143,32 @@
     }
 }
 
+// Guards against blocking sound requests because a cut off daemon takes endpoints for crashed.
+TEST(GatewayHandover, cutsAreNotTakenForCrashes)
+{
+    constexpr Millis kLastTimeout{4500}; // Of connections that hang.
+    for (const Cut &cut : kCuts) {
+        reset();
+        startBoth(3);
+        for (const auto &endpoint : endpoints) {
+            endpoint->eventGap = Millis(700);
+            endpoint->script = {EndpointBehaviour::Silent};
+        }
+        std::vector<const Answer *> sent;
+        for (unsigned i = 0; i < 4; ++i)
+            std::ranges::copy(sendEach(*daemons[0]), std::back_inserter(sent));
+        serveFor(Millis(50));
+        cutOff(*daemons[0], cut.open, cut.refusesNew);
+        const TimePoint end = steadyNow() + kLastTimeout;
+        while (steadyNow() < end) {
+            sendEach(*daemons[0]);
+            serveFor(Millis(100));
+        }
+        for (const auto &daemon : daemons)
+            LONGS_EQUAL_TEXT(0, daemon->state()["known_crashes"].get<int>(), cut.name);
+    }
+}
+
 // Guards against requests of strangers that reach endpoints without a key check at their entry.
 TEST(GatewayHandover, strangersCannotHandRequestsOver)
 {
