Run the handlers that are due before tests end a daemon

A handler of a timer that has expired runs even if its timer is destroyed. Where a test ended a daemon and went on with the same event loop, such a handler ran on the daemon that was gone: GatewayHandover.cutsAreNotTakenForCrashes ended with a segmentation fault in Gateway::dispatchWaiting, in at least 2 of 24 runs. In a process of its own the event loop ends with the gateway, so nothing changes there.

--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -53,16 +53,28 @@
 
     void teardown() override
     {
-        calls.clear();
-        daemons.clear();
+        endDaemons();
         setLogLevel(LogLevel::Info);
     }
 
+    void endDaemons()
+    {
+        calls.clear();
+        while (!daemons.empty())
+            endDaemon(daemons.size() - 1);
+    }
+
+    void endDaemon(std::size_t index)
+    {
+        // Handlers of timers that have expired run even if their timer is destroyed.
+        context.poll();
+        daemons.erase(daemons.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+
     /// Ends all daemons and endpoints, so that others can be started.
     void reset()
     {
-        calls.clear();
-        daemons.clear();
+        endDaemons();
         for (const auto &endpoint : endpoints)
             store.put(kEndpointsTopic, endpoint->id, std::nullopt);
         endpoints.clear();
--- a/tests/unit/gatewaycrash_test.cpp
+++ b/tests/unit/gatewaycrash_test.cpp
@@ -165,8 +165,7 @@
         return blockedParts(*daemons[0]) > 0 && blockedParts(*daemons[1]) > 0;
     }));
     serveFor(restartDelay + kInterval);
-    calls.clear();
-    daemons.clear();
+    endDaemons();
     start(2, 0);
     const TimePoint restarted = steadyNow();
     for (const auto &daemon : daemons) {
--- a/tests/unit/gatewayhandover_test.cpp
+++ b/tests/unit/gatewayhandover_test.cpp
@@ -254,7 +254,7 @@
         for (const auto &endpoint : endpoints)
             endpoint->script.clear();
         const bool first = daemons[1]->state()["requests"].get<int>() > 0;
-        daemons.erase(daemons.begin() + (first ? 1 : 2));
+        endDaemon(first ? 1 : 2);
         CHECK_TRUE_TEXT(haveEnded({&answer}), row.name);
         LONGS_EQUAL_TEXT(row.status, answer.status, row.name);
         CHECK_TRUE_TEXT(answer.complete, row.name);
@@ -314,7 +314,7 @@
     const auto sent = sendEach(*daemons[0]);
     CHECK_TRUE(haveEnded(sent));
     LONGS_EQUAL(sent.size(), served(sent));
-    daemons.pop_back();
+    endDaemon(1);
     const auto alone = sendEach(*daemons[0]);
     CHECK_TRUE(haveEnded(alone));
     LONGS_EQUAL(alone.size(), served(alone));
--- a/tests/unit/gatewaypeers_test.cpp
+++ b/tests/unit/gatewaypeers_test.cpp
@@ -246,6 +246,7 @@
     const Address linkAddress = addresses.next();
     ResettingLink link(context, linkAddress, std::exchange(storeAddress, linkAddress));
     for (const auto &[name, point] : cases) {
+        context.poll(); // Handlers of expired timers run even if their timer is destroyed.
         daemons.clear();
         store.put(kMembersTopic, "front-1", std::nullopt);
         link.resetAt(point);
@@ -265,8 +266,10 @@
 {
     start(4);
     // The remaining daemon is a standby in two of four cases, whatever the order of the members is.
-    while (daemons.size() > 1)
+    while (daemons.size() > 1) {
+        context.poll();
         daemons.pop_back();
+    }
     store.put(kConfigTopic, "config", configText(2, 201));
     CHECK_TRUE(runUntil([&] { return allHaveConfig(2); }, kConfigInForce));
 }
