--- a/src/gateway/crashevidence.h
+++ b/src/gateway/crashevidence.h
@@ -22,6 +22,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -38,7 +39,11 @@
     RequestPartKind kind = RequestPartKind::Prompt;
     std::uint64_t id = 0; ///< For a whole request, its digest.
 
-    auto operator<=>(const RequestPart &) const = default;
+    bool operator==(const RequestPart &) const = default;
+    auto operator<=>(const RequestPart &other) const
+    {
+        return std::tie(kind, id) <=> std::tie(other.kind, other.id);
+    }
 };
 
 struct RequestPartHash
--- a/src/gateway/requestparts.cpp
+++ b/src/gateway/requestparts.cpp
@@ -23,11 +23,11 @@
 }
 
 bool ownsTrial(const RequestPart &request, std::uint64_t daemon,
-               const std::vector<std::uint64_t> &others)
+               const std::vector<std::uint64_t> &daemons)
 {
     const auto weight = [&](std::uint64_t candidate) { return mix64(request.id ^ candidate); };
     return std::ranges::none_of(
-            others, [&](std::uint64_t other) { return weight(other) > weight(daemon); });
+            daemons, [&](std::uint64_t other) { return weight(other) > weight(daemon); });
 }
 
 } // namespace cicadafork::gateway
--- a/src/gateway/requestparts.h
+++ b/src/gateway/requestparts.h
@@ -22,9 +22,9 @@
 RequestParts requestParts(const HttpRequest &request, const CallerFields &fields,
                           std::string_view workspace);
 
-/// True if this daemon may send a request on trial: the first one by rendezvous hashing, so that all
-/// daemons choose the same.
+/// True if this daemon may send a request on trial: the first one by rendezvous hashing, so that
+/// all daemons choose the same.
 bool ownsTrial(const RequestPart &request, std::uint64_t daemon,
-               const std::vector<std::uint64_t> &others);
+               const std::vector<std::uint64_t> &daemons);
 
 } // namespace cicadafork::gateway
