--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -45,7 +45,7 @@
     /// sound endpoint may pause, but it is replaced as soon as another endpoint can take over.
     bool silent = false;
     TimePoint nextSilenceCheck{};
-    bool reachChecked = false; ///< The way to the endpoints was asked for, as nothing came.
+    bool reachChecked = false;  ///< The way to the endpoints was asked for, as nothing came.
     TimePoint lastProgressAt{}; ///< Time of the send, or of the last bytes received.
     TimePoint firstEventAt{};   ///< Unset until the endpoint has sent a whole event.
     unsigned events = 0;        ///< Whole events that the endpoint has sent.
--- a/src/gateway/gatewayhandover.cpp
+++ b/src/gateway/gatewayhandover.cpp
@@ -60,7 +60,7 @@
         // What failed did so for want of a way to the endpoints.
         endpoints_.endSuspensions(service);
     }
-    // The limit of a silence is another one now. A handler of a request may be running.
+    // The limit of a silence is another one now.
     for (const auto &[id, exchange] : exchanges_) {
         if (exchange->service == service)
             armTimer(*exchange);
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -77,7 +77,7 @@
     bool returned = false; ///< Had failed before it was last heard.
     bool alive = false;
     bool leaving = false;
-    bool storeLost = false; ///< Gets no answers from the store.
+    bool storeLost = false;                        ///< Gets no answers from the store.
     std::set<std::string> servicesOutOfReach = {}; ///< It can connect to none of their endpoints.
 };
 
