Let no peer judge a request by an older configuration

A daemon that takes itself for cut off hands a request over, and a peer whose failure domain had been cut off judged it by version 18 instead of 28. It could as well have accepted a revoked key, used a service that the route has left, or applied an old timeout.

Change: the request carries the version of the configuration that it was accepted with (Handover-Config). A peer that lacks it answers 421 with its own version and Handover-Sends: 0, and the daemon asks another peer, or waits 50 ms for one to get the version. Peers that announce an older version are not chosen at all. A peer with a newer version judges by it. A request of an earlier build names no version; the peer then requires the one that the sender has announced.

Ruled out: era and position of the record. Versions rise across eras, so that the number alone orders two configurations.

GatewayHandover.aPeerWithAnOlderConfigurationDoesNotJudgeARequest fails with the check taken out (404 instead of 421). The row of Handover 'an older configuration only' stated the fault and now expects no peer.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -83,6 +83,8 @@
     std::vector<std::unique_ptr<Attempt>> silentAttempts;
     std::vector<EndpointKey> triedEndpoints;
     std::vector<std::string> triedPeers; ///< IP addresses.
+    /// Those that turned the request away, as they lack the configuration it was accepted with.
+    std::vector<std::string> peersBehind;
     bool fromPeer = false;               ///< A peer has handed it over.
     bool refusedByPeer = false;
     std::optional<Millis> peerRetryAfter; ///< What the peer that refused it has said.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "gateway/endpoints.h"
 #include "gateway/exchange.h"
 #include "gateway/gatewaymetrics.h"
+#include "gateway/handover.h"
 #include "gateway/mesh.h"
 #include "gateway/reachwatch.h"
 #include "gateway/settings.h"
@@ -175,9 +176,11 @@
     ReachHooks reachHooks();
     void onReachChanged(const std::string &service, bool cutOff);
     static bool isHandedOver(const Exchange &exchange);
-    /// IP address of the peer to hand the request over to; empty if this daemon reaches the
-    /// endpoints, or no peer does.
-    std::string peerFor(const Exchange &exchange) const;
+    /// The peers that the request may be handed over to; none if this daemon reaches the endpoints.
+    std::vector<HandoverPeer> handoverCandidates(const Exchange &exchange) const;
+    /// Hands the request over, or lets it wait for a peer to get its configuration. Returns whether
+    /// it was handed over, or nothing if no peer can take it and it must be placed here.
+    std::optional<bool> tryHandOver(Exchange &exchange);
     void handOver(Exchange &exchange, const std::string &peer);
     /// The head of an answer has come from a peer, which may have answered itself.
     void noteAnswerOfPeer(Exchange &exchange, Attempt &attempt);
--- a/src/gateway/gatewayhandover.cpp
+++ b/src/gateway/gatewayhandover.cpp
@@ -4,9 +4,9 @@
 #include "base/log.h"
 #include "base/number.h"
 #include "gateway/gateway.h"
-#include "gateway/handover.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace cicadafork::gateway {
 
@@ -16,6 +16,9 @@
 constexpr std::size_t kMaxPeersTried = 3;
 // Connections of all peers together.
 constexpr std::size_t kMaxHandoverConnections = 512;
+// Time after which peers that lack the configuration are asked again. A daemon that is behind asks
+// its peers for it after 50 ms.
+constexpr Millis kPeerBehindDelay{50};
 // Misdirected Request: this daemon can do nothing for the request, and another one may.
 constexpr int kMisdirected = 421;
 
@@ -73,7 +76,7 @@
     return exchange.attempt && !exchange.attempt->peer.empty();
 }
 
-std::string Gateway::peerFor(const Exchange &exchange) const
+std::vector<HandoverPeer> Gateway::handoverCandidates(const Exchange &exchange) const
 {
     if (exchange.fromPeer || !reach_.isCutOff(exchange.service)
         || exchange.triedPeers.size() >= kMaxPeersTried)
@@ -83,17 +86,34 @@
         if (isHandedOver(*other))
             ++inProgress[other->attempt->peer];
     }
+    const auto contains = [](const std::vector<std::string> &peers, const std::string &ip) {
+        return std::ranges::find(peers, ip) != peers.end();
+    };
     std::vector<HandoverPeer> candidates;
     for (const auto &[ip, peer] : mesh_.peers()) {
-        const bool tried = std::ranges::find(exchange.triedPeers, ip) != exchange.triedPeers.end();
-        if (!peer.alive || peer.leaving || tried
+        if (!peer.alive || peer.leaving || contains(exchange.triedPeers, ip)
             || peer.servicesOutOfReach.contains(exchange.service))
             continue;
-        candidates.push_back({ip, peer.configVersion >= exchange.config->version,
-                              peer.failureDomain == settings_.failureDomain, inProgress[ip]});
+        const bool hasConfig = peer.configVersion >= exchange.config->version
+                               && !contains(exchange.peersBehind, ip);
+        candidates.push_back({ip, hasConfig, peer.failureDomain == settings_.failureDomain,
+                              inProgress[ip]});
     }
-    const HandoverPeer *chosen = choosePeer(candidates, incarnation_ + exchange.id);
-    return chosen ? chosen->ip : std::string();
+    return candidates;
+}
+
+std::optional<bool> Gateway::tryHandOver(Exchange &exchange)
+{
+    const std::vector<HandoverPeer> candidates = handoverCandidates(exchange);
+    if (candidates.empty())
+        return std::nullopt;
+    if (const HandoverPeer *peer = choosePeer(candidates, incarnation_ + exchange.id)) {
+        handOver(exchange, peer->ip);
+        return true;
+    }
+    exchange.peersBehind.clear();
+    exchange.notBefore = steadyNow() + kPeerBehindDelay;
+    return false;
 }
 
 void Gateway::handOver(Exchange &exchange, const std::string &peer)
@@ -130,6 +150,7 @@
     headers.set(kHandoverAttempts,
                 std::to_string(exchange.route.maxEndpoints
                                - std::min(exchange.sendCount, exchange.route.maxEndpoints - 1)));
+    headers.set(kHandoverConfig, std::to_string(exchange.config->version));
     ++exchange.sendCount;
     startCall(exchange, std::move(headers));
     armTimer(exchange);
@@ -144,6 +165,16 @@
     attempt.head.headers.remove(kHandoverSends);
     attempt.notRun = isPromiseOfNotRun(attempt.head.status);
     attempt.streams = false;
+    if (const std::string *behind = attempt.head.headers.find(kHandoverConfig)) {
+        logEvent(LogLevel::Info, "peer_behind",
+                 {{"request", exchange.requestId},
+                  {"peer", attempt.peer},
+                  {"config", std::to_string(exchange.config->version)},
+                  {"config_of_peer", *behind}});
+        std::erase(exchange.triedPeers, attempt.peer);
+        exchange.peersBehind.push_back(attempt.peer);
+        attempt.head.headers.remove(kHandoverConfig);
+    }
     // Another peer would find the same endpoints busy.
     exchange.refusedByPeer = attempt.notRun && attempt.head.status != kMisdirected;
     exchange.peerRetryAfter = attempt.reply.statement.quietFor;
@@ -172,18 +203,37 @@
     const unsigned allowed = attempts ? parseNumber<unsigned>(*attempts).value_or(0) : 0;
     const auto peer = mesh_.peers().find(caller->remoteIp());
     const bool isMember = peer != mesh_.peers().end() && peer->second.heard;
-    if (!isMember || allowed == 0 || draining_) {
-        logEvent(LogLevel::Warning, "handover_refused",
-                 {{"from", caller->remoteIp()},
-                  {"reason", !isMember   ? "no member"
-                             : draining_ ? "shutting down"
-                                         : "malformed"}});
+    const char *reason = !isMember      ? "no member"
+                         : draining_    ? "shutting down"
+                         : allowed == 0 ? "malformed"
+                                        : nullptr;
+    // A daemon of an earlier build names no version; it had at least the one that it announced.
+    std::uint64_t needed = isMember ? peer->second.configVersion : 0;
+    if (const std::string *version = request.headers.find(kHandoverConfig))
+        needed = parseNumber<std::uint64_t>(*version).value_or(
+                std::numeric_limits<std::uint64_t>::max());
+    const std::uint64_t known = configs_.newest();
+    const bool isBehind = !reason && known < needed;
+    if (isBehind)
+        reason = "older configuration";
+    if (reason) {
+        logEvent(isBehind ? LogLevel::Info : LogLevel::Warning, "handover_refused",
+                 {{"request", protocol_.readCaller(request).requestId},
+                  {"from", caller->remoteIp()},
+                  {"reason", reason},
+                  {"config", std::to_string(known)},
+                  {"needed", std::to_string(needed)}});
         HeaderList headers;
         headers.add(kHandoverSends, "0");
+        if (isBehind) {
+            headers.add(kHandoverConfig, std::to_string(known));
+            counters_.handovers("behind").Increment();
+        }
         caller->respond(kMisdirected, std::move(headers), {});
         return;
     }
     request.headers.remove(kHandoverAttempts);
+    request.headers.remove(kHandoverConfig);
     counters_.handovers("from_peer").Increment();
     onRequest(caller, std::move(request), allowed);
 }
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -146,10 +146,8 @@
     }
     if (returnToPeer(exchange))
         return false;
-    if (const std::string peer = peerFor(exchange); !peer.empty()) {
-        handOver(exchange, peer);
-        return true;
-    }
+    if (const std::optional<bool> handedOver = tryHandOver(exchange))
+        return *handedOver;
     const Placement placement = place(exchange);
     switch (placement.outcome) {
     case PlacementOutcome::Send:
--- a/src/gateway/gatewaysilence.cpp
+++ b/src/gateway/gatewaysilence.cpp
@@ -102,8 +102,10 @@
     Placement placement;
     std::string peer;
     if (recoverFrom(failureFacts(exchange, true, now)) == Recovery::Retry) {
-        peer = peerFor(exchange);
-        if (peer.empty())
+        const std::vector<HandoverPeer> candidates = handoverCandidates(exchange);
+        if (const HandoverPeer *chosen = choosePeer(candidates, incarnation_ + exchange.id))
+            peer = chosen->ip;
+        else if (candidates.empty())
             placement = place(exchange);
     }
     const bool canMove = !peer.empty()
--- a/src/gateway/handover.cpp
+++ b/src/gateway/handover.cpp
@@ -15,7 +15,7 @@
                           mix64(fnv1a64(peer.ip) ^ tieBreaker));
     };
     const auto best = std::ranges::min_element(candidates, {}, rank);
-    return best == candidates.end() ? nullptr : &*best;
+    return best == candidates.end() || !best->hasConfig ? nullptr : &*best;
 }
 
 } // namespace cicadafork::gateway
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -192,10 +192,16 @@
 
     const Answer &call(const Address &address, const std::string &target, const HeaderList &headers,
                        const std::string &body)
+    {
+        return callThrough(callerPool, address, target, headers, body);
+    }
+
+    const Answer &callThrough(UpstreamPool &pool, const Address &address, const std::string &target,
+                              const HeaderList &headers, const std::string &body)
     {
         answers.push_back(std::make_unique<Answer>());
         Answer &answer = *answers.back();
-        calls.push_back(callerPool.call(
+        calls.push_back(pool.call(
                 address, {.head = serializeRequestHead("POST", target, headers), .body = body},
                 {.head =
                          [&answer](HttpResponseHead &&head) {
--- a/tests/unit/gatewayhandover_test.cpp
+++ b/tests/unit/gatewayhandover_test.cpp
@@ -68,6 +68,13 @@
         }));
     }
 
+    /// Calls an address as the daemon would.
+    const Answer &callFrom(Daemon & daemon, const Address &address, const std::string &target,
+                           const HeaderList &headers)
+    {
+        return callThrough(daemon.pool, address, target, headers, {});
+    }
+
     std::string lastRequestId() const
     {
         return fmt::format("r{}", requests);
@@ -186,6 +193,97 @@
     LONGS_EQUAL(0, runsOf("stranger"));
 }
 
+// Guards against a peer with an older configuration than the daemon that accepted the request: it
+// would answer 404 for a route that was added, accept a key that was revoked, use a service that the
+// route has left, or apply an old timeout.
+TEST(GatewayHandover, aPeerWithAnOlderConfigurationDoesNotJudgeARequest)
+{
+    constexpr std::uint64_t kVersionOfPeer = 3; // Of kFleetConfig.
+    struct Case
+    {
+        const char *name;
+        const char *target;
+        const char *key;
+        std::uint64_t version; // Of the daemon that hands the request over; 0 to name none.
+        int status;
+        std::size_t runs;
+    };
+    const Case cases[] = {
+            {"route that the peer does not know", "/new/x", "key", kVersionOfPeer + 1, 421, 0},
+            {"key that the peer does not know", "/safe/x", "new", kVersionOfPeer + 1, 421, 0},
+            {"key that was revoked", "/safe/x", "key", kVersionOfPeer + 1, 421, 0},
+            {"route that has left its service", "/once/x", "key", kVersionOfPeer + 7, 421, 0},
+            {"route with another timeout", "/safe/x", "key", kVersionOfPeer + 1, 421, 0},
+            {"the same version", "/safe/x", "key", kVersionOfPeer, 200, 1},
+            {"the same version, unknown route", "/new/x", "key", kVersionOfPeer, 404, 0},
+            {"an older version than the peer's", "/safe/x", "key", kVersionOfPeer - 1, 200, 1},
+            {"an older version, revoked key", "/safe/x", "old", kVersionOfPeer - 1, 401, 0},
+            {"a daemon of an earlier build", "/safe/x", "key", 0, 200, 1},
+    };
+    startBoth(2);
+    for (const Case &row : cases) {
+        HeaderList headers;
+        headers.add("Host", "h");
+        headers.add("Request-Id", row.name);
+        headers.add("Authorization", fmt::format("Token {}", row.key));
+        headers.add("Deadline-Ms", "1500");
+        headers.add("Handover-Attempts", "2");
+        if (row.version > 0)
+            headers.add("Handover-Config", std::to_string(row.version));
+        headers.add("Content-Length", "0");
+        const Answer &answer = callFrom(*daemons[0], daemons[1]->handovers, row.target, headers);
+        CHECK_TRUE_TEXT(haveEnded({&answer}), row.name);
+        LONGS_EQUAL_TEXT(row.status, answer.status, row.name);
+        LONGS_EQUAL_TEXT(row.runs, runsOf(row.name), row.name);
+        const std::string *behind = answer.headers.find("Handover-Config");
+        CHECK_EQUAL_TEXT(row.status == 421, behind != nullptr, row.name);
+        if (row.status == 421) {
+            STRCMP_EQUAL_TEXT("3", behind->c_str(), row.name);
+            STRCMP_EQUAL_TEXT("0", answer.headers.find("Handover-Sends")->c_str(), row.name);
+        }
+    }
+}
+
+// Guards against a daemon that passes on a peer's answer of an older configuration, asks the same
+// peer without end, or gives the request up although the peer gets the configuration soon.
+TEST(GatewayHandover, aRequestWaitsForAPeerThatLacksTheConfiguration)
+{
+    struct Case
+    {
+        const char *name;
+        unsigned daemons;
+        unsigned behindFor; ///< Requests that the peer turns away before it is up to date.
+        unsigned minAsked;
+        unsigned maxAsked;
+    };
+    const Case cases[] = {{"another peer has it", 3, 1000, 0, 1}, {"no other peer", 2, 2, 3, 3}};
+    for (const Case &row : cases) {
+        reset();
+        startBoth(row.daemons);
+        cutOffAndNotice(*daemons[0]);
+        const Address peer = daemons[1]->handovers;
+        endDaemon(1);
+        unsigned asked = 0;
+        AsyncHttpServer standin(context, {.address = peer},
+                                [&](const auto &caller, const HttpRequest &request) {
+                                    const bool behind = ++asked <= row.behindFor;
+                                    HeaderList headers;
+                                    headers.add("Request-Id", *request.headers.find("Request-Id"));
+                                    headers.add("Handover-Sends", behind ? "0" : "1");
+                                    if (behind)
+                                        headers.add("Handover-Config", "2");
+                                    caller->respond(behind ? 421 : 503, headers, {});
+                                });
+        CHECK_TRUE_TEXT(static_cast<bool>(capture([&] { return standin.start(); })), row.name);
+        const Answer &answer = sendRequest(*daemons[0], "/safe/x", "");
+        CHECK_TRUE_TEXT(haveEnded({&answer}), row.name);
+        // The stand-in has no endpoint, so it refuses what it judges.
+        LONGS_EQUAL_TEXT(row.daemons > 2 ? 200 : 503, answer.status, row.name);
+        CHECK_TRUE_TEXT(asked >= row.minAsked && asked <= row.maxAsked, row.name);
+        POINTERS_EQUAL(nullptr, answer.headers.find("Handover-Config"));
+    }
+}
+
 // Guards against requests that daemons hand to each other without end.
 TEST(GatewayHandover, requestsAreHandedOverOnceAndRefusedIfNoDaemonReachesEndpoints)
 {
--- a/tests/unit/handover_test.cpp
+++ b/tests/unit/handover_test.cpp
@@ -112,7 +112,8 @@
 
 TEST_GROUP(Handover){};
 
-// Guards against one peer that gets all requests of the daemons that are cut off.
+// Guards against one peer that gets all requests of the daemons that are cut off, and against a
+// peer that would judge a request by an older configuration.
 TEST(Handover, thePeerWithTheFewestRequestsIsChosen)
 {
     struct Case
@@ -127,7 +128,7 @@
             {"fewest requests", {{"a", true, true, 2}, {"b", true, false, 1}}, "b"},
             {"own domain", {{"a", true, false, 1}, {"b", true, true, 1}}, "b"},
             {"configuration", {{"a", false, true, 0}, {"b", true, false, 9}}, "b"},
-            {"an older configuration only", {{"a", false, true, 1}, {"b", false, false, 0}}, "b"},
+            {"an older configuration only", {{"a", false, true, 1}, {"b", false, false, 0}}, ""},
     };
     for (const Case &row : cases) {
         const HandoverPeer *peer = choosePeer(row.peers, 7);
