Keep requests within the regions that routes and workspaces allow

Change: `allowedRegions` of routes and workspaces are decoded, the VM's region and those of the failure domains are read from the settings, and src/residency decides. The regions go with a handover, since the peer may have another version of the configuration. Without an allowed endpoint in service the request is refused at once, logged and counted.

Ruled out: filtering the views after they are weighed, since a request would wait while all allowed endpoints are suspended; taking a list that can't be read for an absent one; a daemon that does not start when its settings name two regions for its failure domain.

--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -35,6 +35,11 @@
 // belong to instances whose record is gone.
 constexpr std::size_t kStatementsPerEndpoint = 2;
 
+bool counts(const EndpointRow &row, const DomainFilter &allowed)
+{
+    return !allowed || allowed(row.record.failureDomain);
+}
+
 std::uint64_t digestOf(const EndpointRow &row)
 {
     const EndpointRecord &record = row.record;
@@ -310,17 +315,18 @@
 }
 
 bool EndpointTable::anyAccepts(const std::string &service, const EndpointLimits &limits,
-                               TimePoint now) const
+                               TimePoint now, const DomainFilter &allowed) const
 {
     return std::ranges::any_of(rows_, [&](const auto &entry) {
         const EndpointRow &row = entry.second;
         return row.record.service == service && row.record.state == EndpointState::Ready
-               && accepts(row.key, now) && limits.allows(row.key, now);
+               && counts(row, allowed) && accepts(row.key, now) && limits.allows(row.key, now);
     });
 }
 
 ServiceAvailability EndpointTable::availability(const std::string &service,
-                                                const EndpointLimits &limits, TimePoint now) const
+                                                const EndpointLimits &limits, TimePoint now,
+                                                const DomainFilter &allowed) const
 {
     ServiceAvailability availability;
     const auto addWaiting = [&](unsigned &count, TimePoint until) {
@@ -330,7 +336,8 @@
         availability.lastAccepts = std::max(availability.lastAccepts, until);
     };
     for (const auto &[id, row] : rows_) {
-        if (row.record.service != service || row.record.state != EndpointState::Ready)
+        if (row.record.service != service || row.record.state != EndpointState::Ready
+            || !counts(row, allowed))
             continue;
         if (accepts(row.key, now)) {
             availability.perSecond += limits.ownPerSecond(row.key);
@@ -351,6 +358,26 @@
     return availability;
 }
 
+bool EndpointTable::anyInService(const std::string &service, const DomainFilter &allowed,
+                                 TimePoint now) const
+{
+    return std::ranges::any_of(rows_, [&](const auto &entry) {
+        const EndpointRow &row = entry.second;
+        return row.record.service == service && row.record.state == EndpointState::Ready
+               && counts(row, allowed) && !isLeaving(row.key) && !isEvacuated(row.key)
+               && !seemsUnreachable(row, now);
+    });
+}
+
+bool EndpointTable::seemsUnreachable(const EndpointRow &row, TimePoint now) const
+{
+    if (seemsCutOff(row.record.failureDomain, now))
+        return true;
+    const auto found = unreachable_.find(row.record.failureDomain);
+    return row.suspendedUntil > now && found != unreachable_.end()
+           && found->second.endpoints.contains(row.key);
+}
+
 bool EndpointTable::seemsCutOff(const std::string &failureDomain, TimePoint now) const
 {
     const auto found = unreachable_.find(failureDomain);
@@ -380,13 +407,15 @@
 EndpointTable::views(const std::string &service, const std::string &ownDomain, std::uint64_t daemon,
                      const std::vector<EndpointKey> &excluded,
                      const std::function<bool(const std::string &)> &cutOff,
-                     const LoadTracker &loadTracker, TimePoint now) const
+                     const LoadTracker &loadTracker, TimePoint now,
+                     const DomainFilter &allowed) const
 {
     std::vector<EndpointView> views;
     std::vector<const EndpointRow *> rows;
     double errorSum = 0;
     for (const auto &[id, row] : rows_) {
-        if (row.record.service != service || row.record.state != EndpointState::Ready)
+        if (row.record.service != service || row.record.state != EndpointState::Ready
+            || !counts(row, allowed))
             continue;
         if (!accepts(row.key, now) || std::ranges::find(excluded, row.key) != excluded.end())
             continue;
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -52,6 +52,9 @@
 
 std::size_t endpointGroup(const std::string &id);
 
+/// Tells whether the endpoints of a failure domain count; empty if those of all do.
+using DomainFilter = std::function<bool(const std::string &failureDomain)>;
+
 class EndpointTable
 {
 public:
@@ -97,9 +100,13 @@
     std::vector<EndpointKey> leaving() const;
     /// True if some ready endpoint of the service accepts requests of this daemon; faster than
     /// availability().
-    bool anyAccepts(const std::string &service, const EndpointLimits &limits, TimePoint now) const;
+    bool anyAccepts(const std::string &service, const EndpointLimits &limits, TimePoint now,
+                    const DomainFilter &allowed = {}) const;
     ServiceAvailability availability(const std::string &service, const EndpointLimits &limits,
-                                     TimePoint now) const;
+                                     TimePoint now, const DomainFilter &allowed = {}) const;
+    /// True if an endpoint of the service is ready, does not leave, is not evacuated and could be
+    /// connected to as far as this daemon has tried lately.
+    bool anyInService(const std::string &service, const DomainFilter &allowed, TimePoint now) const;
 
     const EndpointRow *find(EndpointKey key) const;
     const EndpointRow *findById(const std::string &id) const;
@@ -114,7 +121,8 @@
     std::vector<EndpointView> views(const std::string &service, const std::string &ownDomain,
                                     std::uint64_t daemon, const std::vector<EndpointKey> &excluded,
                                     const std::function<bool(const std::string &)> &cutOff,
-                                    const LoadTracker &loadTracker, TimePoint now) const;
+                                    const LoadTracker &loadTracker, TimePoint now,
+                                    const DomainFilter &allowed = {}) const;
     std::size_t size() const { return rows_.size(); }
     /// Equal at two daemons that know the same endpoints with the same addresses and states.
     std::uint64_t digest() const { return digest_; }
@@ -145,6 +153,8 @@
     Statement &statement(EndpointKey key);
     EndpointRow *row(EndpointKey key);
     bool seemsCutOff(const std::string &failureDomain, TimePoint now) const;
+    /// Connections to it failed lately, and it is not due for another attempt.
+    bool seemsUnreachable(const EndpointRow &row, TimePoint now) const;
 
     std::size_t limit_;
     std::uint64_t digest_ = 0;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -12,6 +12,7 @@
 #include "gateway/reservation.h"
 #include "net/server.h"
 #include "net/upstream.h"
+#include "residency/residency.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -68,6 +69,8 @@
     Route route;
     std::string service;
     std::string workspace;
+    /// Where it may be handled, by the configuration in force when it arrived at its first daemon.
+    residency::AllowedRegions residency;
     int priority = 0;
     TimePoint arrivedAt{};
     TimePoint objective{};         ///< A first event after this time counts as late.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -298,6 +298,9 @@
     // The daemon of the caller counts it.
     if (!exchange.fromPeer)
         retryBudget_.noteRequest(exchange.service, steadyNow());
+    // Before it waits behind others. If this daemon is cut off, a peer may have to place it.
+    if (!reach_.isCutOff(exchange.service) && refuseByRegion(exchange))
+        return;
     // A request for an engine must not overtake those that already wait.
     const bool mustQueue = engineFor(exchange) != nullptr && !waiting_.empty()
                            && !reach_.isCutOff(exchange.service);
@@ -328,8 +331,9 @@
         return reject(404, "no_route", std::nullopt);
     std::string workspaceName;
     int priority = route->priority;
+    const Workspace *workspace = nullptr;
     if (route->needsKey && config_->hasWorkspaces) {
-        const Workspace *workspace = findWorkspace(*config_, fields.apiKey);
+        workspace = findWorkspace(*config_, fields.apiKey);
         if (!workspace)
             return reject(401, "unknown_key", std::nullopt);
         workspaceName = workspace->name;
@@ -360,6 +364,7 @@
     exchange->service = pickService(*route, fields.requestId);
     exchange->workspace = std::move(workspaceName);
     exchange->priority = priority;
+    exchange->residency = regionsFor(*route, workspace, request, fromPeer);
     exchange->arrivedAt = arrivedAt;
     exchange->objective = exchange->arrivedAt + route->objective;
     exchange->deadline = deadline;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -121,6 +121,17 @@
     /// The endpoints to which the request has not been sent.
     std::vector<EndpointView> untriedViews(const Exchange &exchange) const;
     std::vector<EndpointView> viewsFor(const Exchange &exchange) const;
+    // Regions that routes and workspaces allow.
+    /// The regions of a request that arrives. Removes what a peer has added to its head.
+    static residency::AllowedRegions regionsFor(const Route &route, const Workspace *workspace,
+                                                HttpRequest &request, bool fromPeer);
+    /// Empty if any region may handle the request.
+    DomainFilter regionFilter(const Exchange &exchange) const;
+    /// Refuses a request for which no allowed region has an endpoint in service that this daemon
+    /// reaches. Returns false if there is one, or if events have gone to the caller.
+    bool refuseByRegion(Exchange &exchange);
+    bool reachesAllowedRegion(const Exchange &exchange) const;
+
     /// Cost model of the engines that serve the request; null for plain calls.
     const EngineModel *engineFor(const Exchange &exchange) const;
     PlacementRequest placementRequest(const Exchange &exchange) const;
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -33,8 +33,8 @@
 constexpr Millis kReaderRereadSpread{250};
 // The other daemons learn from the readers, and read again in case all messages of these are lost.
 constexpr Millis kStandbyRereadSpread{60'000};
-// What daemons add to the head of a request that they hand over.
-constexpr std::size_t kHandoverHeaderBytes = 512;
+// What daemons add to the head of a request that they hand over: two numbers and a list of regions.
+constexpr std::size_t kHandoverHeaderBytes = 2048;
 // In a new era of the store, all daemons write their member records again within this time.
 constexpr Millis kReregisterSpread{3000};
 
@@ -514,6 +514,7 @@
     json["member"] = settings_.member;
     json["ready"] = ready();
     json["draining"] = draining_;
+    json["region"] = settings_.regions.own;
     json["config_version"] = configs_.newest();
     json["store"] = {{"reached", storeReached_},
                      {"era", storeEra_.known()},
--- a/src/gateway/gatewayhandover.cpp
+++ b/src/gateway/gatewayhandover.cpp
@@ -87,7 +87,8 @@
     for (const auto &[ip, peer] : mesh_.peers()) {
         const bool tried = std::ranges::find(exchange.triedPeers, ip) != exchange.triedPeers.end();
         if (!peer.alive || peer.leaving || tried
-            || peer.servicesOutOfReach.contains(exchange.service))
+            || peer.servicesOutOfReach.contains(exchange.service)
+            || !mayReceiveBody(exchange.residency, settings_.regions, peer.failureDomain))
             continue;
         candidates.push_back({ip, peer.configVersion >= exchange.config->version,
                               peer.failureDomain == settings_.failureDomain, inProgress[ip]});
@@ -130,6 +131,10 @@
     headers.set(kHandoverAttempts,
                 std::to_string(exchange.route.maxEndpoints
                                - std::min(exchange.sendCount, exchange.route.maxEndpoints - 1)));
+    // What a caller writes there must not count at the peer.
+    headers.remove(kHandoverRegions);
+    if (!exchange.residency.any)
+        headers.add(kHandoverRegions, encodeRegions(exchange.residency));
     ++exchange.sendCount;
     startCall(exchange, std::move(headers));
     armTimer(exchange);
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -52,6 +52,9 @@
                                  "endpoints crash on them"))
     , servicesOutOfReach(metrics.gauge("cicadafork_gateway_services_out_of_reach",
                                        "Services to whose endpoints this daemon cannot connect"))
+    , regionRefusals(metrics.counter("cicadafork_gateway_region_refusals_total",
+                                     "Requests for which no allowed region had an endpoint in "
+                                     "service"))
     , metrics_(metrics)
 {
 }
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -39,6 +39,7 @@
     prometheus::Counter &endpointCrashes;
     prometheus::Gauge &blockedParts;
     prometheus::Gauge &servicesOutOfReach;
+    prometheus::Counter &regionRefusals;
 
 private:
     Metrics &metrics_;
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -37,6 +37,10 @@
 constexpr Millis kMaxCallRetryAfter{90};
 constexpr Millis kMinStreamRetryAfter{300};
 constexpr Millis kMaxStreamRetryAfter{900};
+// If no allowed region has an endpoint in service: an endpoint that could not be reached is tried
+// again after 250 ms at the earliest, and one that starts registers within seconds.
+constexpr Millis kMinRegionRetryAfter{500};
+constexpr Millis kMaxRegionRetryAfter{1500};
 // Callers wait for at most a third of their remaining time, which is 15 s for the longest prompts.
 constexpr Millis kMaxLongPromptRetryAfter{4000};
 // For a long prompt, the upper end of the range as a multiple of the mean prefill backlog.
@@ -69,7 +73,7 @@
     return withLimits(endpoints_.views(
             exchange.service, settings_.failureDomain, incarnation_, exchange.triedEndpoints,
             [this](const std::string &domain) { return mesh_.seemsCutOff(domain); }, loadTracker_,
-            steadyNow()));
+            steadyNow(), regionFilter(exchange)));
 }
 
 std::vector<EndpointView> Gateway::viewsFor(const Exchange &exchange) const
@@ -81,7 +85,7 @@
     // than not trying at all.
     return withLimits(endpoints_.views(
             exchange.service, settings_.failureDomain, incarnation_, {},
-            [](const auto &) { return false; }, loadTracker_, steadyNow()));
+            [](const auto &) { return false; }, loadTracker_, steadyNow(), regionFilter(exchange)));
 }
 
 const EngineModel *Gateway::engineFor(const Exchange &exchange) const
@@ -150,6 +154,8 @@
         handOver(exchange, peer);
         return true;
     }
+    if (refuseByRegion(exchange))
+        return false;
     const Placement placement = place(exchange);
     switch (placement.outcome) {
     case PlacementOutcome::Send:
@@ -161,10 +167,10 @@
     case PlacementOutcome::Wait:
         break;
     }
-    if (endpoints_.anyAccepts(exchange.service, limits_, now))
+    if (endpoints_.anyAccepts(exchange.service, limits_, now, regionFilter(exchange)))
         return false;
     const ServiceAvailability availability
-            = endpoints_.availability(exchange.service, limits_, now);
+            = endpoints_.availability(exchange.service, limits_, now, regionFilter(exchange));
     const WaitingFacts facts{.giveUp = giveUpTime(exchange, now),
                              .before = waitingFor(exchange.service),
                              .waits = std::ranges::find(waiting_, exchange.id) != waiting_.end()};
@@ -200,7 +206,7 @@
     if (const EngineModel *engine = engineFor(exchange))
         reasons = explainWait(placementRequest(exchange), *engine, viewsFor(exchange));
     const ServiceAvailability availability
-            = endpoints_.availability(exchange.service, limits_, now);
+            = endpoints_.availability(exchange.service, limits_, now, regionFilter(exchange));
     logEvent(LogLevel::Info, "queued",
              {{"request", exchange.requestId},
               {"route", exchange.route.name},
@@ -303,10 +309,12 @@
 
 Millis Gateway::suggestedRetryAfter(const Exchange &exchange) const
 {
+    if (!reachesAllowedRegion(exchange))
+        return randomMillis(kMinRegionRetryAfter, kMaxRegionRetryAfter);
     const bool stream = exchange.route.kind == RouteKind::Stream;
     const TimePoint now = steadyNow();
     const ServiceAvailability availability
-            = endpoints_.availability(exchange.service, limits_, now);
+            = endpoints_.availability(exchange.service, limits_, now, regionFilter(exchange));
     if (availability.accepting == 0 && availability.quiet + availability.limited > 0) {
         const RetryAfterRange range
                 = retryAfterQuiet(availability, stream ? kMaxStreamRetryAfter : kMaxCallRetryAfter,
--- a/src/gateway/handover.h
+++ b/src/gateway/handover.h
@@ -17,6 +17,9 @@
 inline constexpr const char *kHandoverAttempts = "Handover-Attempts";
 /// With an answer that the peer gives itself: to how many endpoints it has sent the request.
 inline constexpr const char *kHandoverSends = "Handover-Sends";
+/// With a request that only some regions may handle: which ones, by the configuration of the daemon
+/// to which its caller connected. The peer's own configuration may be another one.
+inline constexpr const char *kHandoverRegions = "Handover-Regions";
 
 /// A peer that reaches the service.
 struct HandoverPeer
--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -46,6 +46,7 @@
     int priority = 0;          ///< 0 is the most urgent.
     unsigned maxEndpoints = 1; ///< Endpoints that one request may be sent to.
     std::vector<WeightedService> services; ///< Requests are distributed by weight.
+    std::vector<std::string> regions;      ///< Where requests may be handled; empty: anywhere.
 };
 
 /// Cost model of the engines of a service. An engine works in passes: a pass prefills prompts and
@@ -79,7 +80,8 @@
 struct Workspace
 {
     std::string name;
-    std::optional<int> priority; ///< Overrides the priority of the route.
+    std::optional<int> priority;      ///< Overrides the priority of the route.
+    std::vector<std::string> regions; ///< Beside those of the route; empty: anywhere.
 };
 
 struct CallerLimits
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -41,12 +41,38 @@
     }
 }
 
+/// Reads the own region and those of the failure domains. Each of both gives the other for this
+/// daemon if that one is absent. If they contradict each other, its region counts as unknown, so
+/// that nothing is sent to a region by mistake, and requests without lists are served all the same.
+void readRegions(SectionReader &root, GatewaySettings &settings)
+{
+    residency::RegionMap &regions = settings.regions;
+    root.text("region", regions.own, Presence::MayBeEmpty);
+    root.texts("failure_domain_regions", regions.byFailureDomain);
+    const std::string ofDomain = regionOf(regions, settings.failureDomain);
+    if (regions.own.empty())
+        regions.own = ofDomain;
+    if (regions.own.empty())
+        return;
+    if (ofDomain.empty() || ofDomain == regions.own) {
+        regions.byFailureDomain[settings.failureDomain] = regions.own;
+        return;
+    }
+    logEvent(LogLevel::Warning, "region_contradicted",
+             {{"failure_domain", settings.failureDomain},
+              {"region", regions.own},
+              {"region_of_failure_domain", ofDomain}});
+    regions.own.clear();
+    regions.byFailureDomain.erase(settings.failureDomain);
+}
+
 GatewaySettings readSettings(const YAML::Node &document, SettingsProblems &problems)
 {
     GatewaySettings settings;
     SectionReader root(document, "", 1, problems);
     root.text("member", settings.member, Presence::Required);
     root.text("failure_domain", settings.failureDomain, Presence::Required);
+    readRegions(root, settings);
     root.address("caller_address", settings.callers, Presence::Required);
     root.address("readiness_address", settings.readiness, Presence::Required);
     root.address("control_address", settings.control, Presence::Required);
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -8,6 +8,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "http/address.h"
+#include "residency/residency.h"
 
 #include <string>
 #include <vector>
@@ -26,6 +27,7 @@
 {
     std::string member;
     std::string failureDomain;
+    residency::RegionMap regions; ///< Includes the own failure domain if the own region is known.
     Address callers;
     Address readiness;
     Address control;                ///< Serves the state dump, metrics and requests of peers.
--- a/src/settings/settingsreader.cpp
+++ b/src/settings/settingsreader.cpp
@@ -114,11 +114,30 @@
     const YAML::Node node = take(key, presence);
     if (!node)
         return;
+    const bool isEmpty = node.IsNull() || (node.IsScalar() && node.Scalar().empty());
+    if (isEmpty && presence == Presence::MayBeEmpty)
+        return;
     if (!node.IsScalar() || node.Scalar().empty())
         return report(node, key, "is not a string", "write a non-empty string");
     target = node.Scalar();
 }
 
+void SectionReader::texts(const std::string &key, std::map<std::string, std::string> &target)
+{
+    describe(key, "mapping of texts", "any", "empty");
+    const YAML::Node node = take(key, Presence::Optional);
+    if (!node || node.IsNull())
+        return;
+    if (!node.IsMap())
+        return report(node, key, "is not a mapping", "write one 'name: text' per line");
+    for (const auto &entry : node) {
+        if (!entry.first.IsScalar() || !(entry.second.IsScalar() || entry.second.IsNull()))
+            return report(node, key, "has an entry that is not a text", "write 'name: text'");
+        if (entry.second.IsScalar() && !entry.second.Scalar().empty())
+            target[entry.first.Scalar()] = entry.second.Scalar();
+    }
+}
+
 void SectionReader::address(const std::string &key, Address &target, Presence presence)
 {
     describe(key, "IPV4:PORT", "any",
--- a/src/settings/settingsreader.h
+++ b/src/settings/settingsreader.h
@@ -16,6 +16,7 @@
 #include <cstddef>
 #include <functional>
 #include <initializer_list>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,7 +32,11 @@
 
 using SettingsProblems = std::vector<SettingsProblem>;
 
-enum class Presence { Required, Optional };
+enum class Presence {
+    Required,
+    Optional,
+    MayBeEmpty, ///< Optional, and an empty value counts as absent.
+};
 
 class SectionReader
 {
@@ -42,6 +47,8 @@
                   std::vector<SettingDescription> *descriptions = nullptr);
 
     void text(const std::string &key, std::string &target, Presence presence);
+    /// Reads a mapping of names to texts. Entries without a text are left out.
+    void texts(const std::string &key, std::map<std::string, std::string> &target);
     void address(const std::string &key, Address &target, Presence presence);
     /// Accepts a whole number with the unit ms, s or min, for example "250ms".
     void duration(const std::string &key, Millis &target, Millis minimum, Millis maximum);
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -95,6 +95,9 @@
     /// Called for each endpoint that is added.
     virtual void prepare(EndpointStandin &) {}
 
+    /// Called for the settings of each daemon that is started.
+    virtual void configure(GatewaySettings &, unsigned) {}
+
     void addEndpoint(bool chunksStreams = true, const char *service = kPool)
     {
         endpoints.push_back(std::make_unique<EndpointStandin>(
@@ -103,9 +106,10 @@
         EndpointStandin &endpoint = *endpoints.back();
         prepare(endpoint);
         store.put(kEndpointsTopic, endpoint.id,
-                  fmt::format(R"({{"service":"{}","address":"{}","zone":"east","slots":4,
+                  fmt::format(R"({{"service":"{}","address":"{}","zone":"{}","slots":4,
                       "state":"ready","seq":1,"born":{}}})",
-                              service, toString(endpoint.address), endpoints.size()));
+                              service, toString(endpoint.address), endpointDomain,
+                              endpoints.size()));
     }
 
     /// Cuts a daemon off from all endpoints. New connections are refused, or hang.
@@ -133,7 +137,7 @@
 
     void start(unsigned daemonCount, unsigned endpointCount, const char *service = kPool)
     {
-        store.put("keyed.op", "config", kFleetConfig);
+        store.put("keyed.op", "config", config);
         for (unsigned i = 0; i < endpointCount; ++i)
             addEndpoint(true, service);
         // All members use the same ports, and the first one is the seed.
@@ -151,6 +155,7 @@
             settings.store = storeAddress;
             settings.seeds = {first.ip};
             settings.retries = {0.2, 1000, Millis(10'000)};
+            configure(settings, i);
             daemons.push_back(std::make_unique<Daemon>(context, settings));
             address = addresses.next();
         }
@@ -222,6 +227,8 @@
     std::vector<std::unique_ptr<UpstreamCall>> calls;
     std::vector<std::unique_ptr<Answer>> answers;
     unsigned requests = 0;
+    std::string config = kFleetConfig;
+    std::string endpointDomain = "east"; ///< Failure domain of the endpoints that are added.
 };
 
 } // namespace cicadafork::test
--- a/tests/unit/platformadapter_test.cpp
+++ b/tests/unit/platformadapter_test.cpp
@@ -82,6 +82,42 @@
     CHECK_FALSE(decoded.services.at("s2").engine.has_value());
 }
 
+// Guards against a list of regions that is ignored because it can't be read, so that any is
+// allowed.
+TEST(PlatformRecords, decodesTheRegionsOfRoutesAndWorkspaces)
+{
+    struct Case
+    {
+        const char *name;
+        const char *value;
+        std::vector<std::string> regions;
+    };
+    const Case cases[] = {
+            {"absent", "", {}},
+            {"null", R"("allowedRegions":null,)", {}},
+            {"empty", R"("allowedRegions":[],)", {}},
+            {"one", R"("allowedRegions":["a"],)", {"a"}},
+            {"several", R"("allowedRegions":["a","b"],)", {"a", "b"}},
+            {"no list", R"("allowedRegions":"a",)", {""}},
+            {"no text in the list", R"("allowedRegions":[1,"b"],)", {"", "b"}},
+            {"an empty text", R"("allowedRegions":[""],)", {""}},
+    };
+    setLogLevel(LogLevel::Error);
+    for (const Case &row : cases) {
+        const std::string ofRoute = replaced(kConfig, R"({"name":"r1",)",
+                                             fmt::format("{{{}\"name\":\"r1\",", row.value));
+        const std::string text = replaced(ofRoute, R"({"name":"t1",)",
+                                          fmt::format("{{{}\"name\":\"t1\",", row.value));
+        const auto decoded = capture([&] { return readConfig(text); });
+        CHECK_TRUE_TEXT(static_cast<bool>(decoded), row.name);
+        CHECK_TRUE_TEXT(findRoute(*decoded, "h.example", "/a/c")->regions == row.regions, row.name);
+        CHECK_TRUE_TEXT(findWorkspace(*decoded, "k2")->regions == row.regions, row.name);
+        CHECK_TRUE_TEXT(findRoute(*decoded, "h.example", "/a/b/c")->regions.empty(), row.name);
+        CHECK_TRUE_TEXT(findWorkspace(*decoded, "k3")->regions.empty(), row.name);
+    }
+    setLogLevel(LogLevel::Info);
+}
+
 TEST(PlatformRecords, splitsRequestsByWeight)
 {
     const RoutingConfig decoded = config();
@@ -357,11 +393,11 @@
 // Names of the platform's interface may be used only in the adapter (platform/).
 TEST(PlatformNames, areNotUsedInTheCore)
 {
-    const char *names[] = {"Response-Seal",   "Not-Run",     "Expect-Instance", "Token-Count",
-                           "Deadline-Ms",     "At-Server",   "log-newest",      "keyed.op",
-                           "targetLatencyMs", "gapGoalMs",   "pairs_per_m",     "coldLeftMs",
-                           "holdMs",          "apiKeys",     "Length-Hint",     "Prompt-Prefix",
-                           "Server-Leaving",  "Server-Limit"};
+    const char *names[] = {"Response-Seal",   "Not-Run",      "Expect-Instance", "Token-Count",
+                           "Deadline-Ms",     "At-Server",    "log-newest",      "keyed.op",
+                           "targetLatencyMs", "gapGoalMs",    "pairs_per_m",     "coldLeftMs",
+                           "holdMs",          "apiKeys",      "Length-Hint",     "Prompt-Prefix",
+                           "Server-Leaving",  "Server-Limit", "allowedRegions"};
     const std::filesystem::path source = CICADAFORK_SOURCE_DIR;
     int files = 0;
     for (const auto &entry : std::filesystem::recursive_directory_iterator(source / "src")) {
