--- a/src/gateway/gatewayhandover.cpp
+++ b/src/gateway/gatewayhandover.cpp
@@ -92,7 +92,8 @@
     std::vector<HandoverPeer> candidates;
     for (const auto &[ip, peer] : mesh_.peers()) {
         if (!peer.alive || peer.leaving || contains(exchange.triedPeers, ip)
-            || peer.servicesOutOfReach.contains(exchange.service))
+            || peer.servicesOutOfReach.contains(exchange.service)
+            || !mayReceiveBody(exchange.residency, settings_.regions, peer.failureDomain))
             continue;
         const bool hasConfig = peer.configVersion >= exchange.config->version
                                && !contains(exchange.peersBehind, ip);
@@ -152,6 +153,10 @@
                 std::to_string(exchange.route.maxEndpoints
                                - std::min(exchange.sendCount, exchange.route.maxEndpoints - 1)));
     headers.set(kHandoverConfig, std::to_string(exchange.config->version));
+    // What a caller writes there must not count at the peer.
+    headers.remove(kHandoverRegions);
+    if (!exchange.residency.any)
+        headers.add(kHandoverRegions, encodeRegions(exchange.residency));
     ++exchange.sendCount;
     startCall(exchange, std::move(headers));
     armTimer(exchange);
