Decode the limit of cold endpoints and how long an endpoint is cold

Cause: a service may state coldPerS and an endpoint Cold-Ms, and neither was read.

Change: Service has coldRequestsPerSecond, EndpointStatement has coldFor. Nothing uses either yet.

PlatformHeaders.readsHowLongAnEndpointIsCold and PlatformRecords.readsTheLimitOfColdEndpoints failed before and pass.

--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -74,6 +74,9 @@
     std::string healthPath;
     unsigned maxConnections = 64;      ///< To one endpoint, for all callers together.
     std::optional<EngineModel> engine; ///< Absent for plain services.
+    /// Requests a second that a cold endpoint takes from all daemons together; absent without a
+    /// limit of cold endpoints.
+    std::optional<double> coldRequestsPerSecond;
 };
 
 struct Workspace
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -59,6 +59,8 @@
     std::optional<Millis> quietFor; ///< With a refusal: it wants no requests for this time.
     /// Requests a second that it takes from all daemons together, for as long as it states it.
     std::optional<double> requestsPerSecond;
+    /// It is cold for this time, or no longer if it is 0; absent if it does not say.
+    std::optional<Millis> coldFor;
     bool answered = false; ///< False without an answer, or if another instance answered.
     /// Field with a value that has no meaning and was ignored, for the log; empty when there is
     /// none.
--- a/tests/unit/platformadapter_test.cpp
+++ b/tests/unit/platformadapter_test.cpp
@@ -92,6 +92,28 @@
     CHECK_TRUE(first > 860 && first < 940);
 }
 
+// Guards against a limit of cold endpoints that is not read, and against one in force that the
+// configuration does not state.
+TEST(PlatformRecords, readsTheLimitOfColdEndpoints)
+{
+    const std::pair<const char *, std::optional<double>> cases[] = {
+            {R"("maxConns":110)", {}},
+            {R"("maxConns":110,"coldPerS":17)", 17},
+            {R"("maxConns":110,"coldPerS":0.5)", 0.5},
+            {R"("maxConns":110,"coldPerS":0)", {}},
+            {R"("maxConns":110,"coldPerS":-3)", {}},
+            {R"("maxConns":110,"coldPerS":"17")", {}},
+            {R"("maxConns":110,"coldPerS":null)", {}},
+    };
+    for (const auto &[fields, limit] : cases) {
+        const std::string text = replaced(kConfig, R"("maxConns":110)", fields);
+        const auto decoded = capture([&] { return readConfig(text); });
+        CHECK_TRUE_TEXT(static_cast<bool>(decoded), fields);
+        CHECK_TRUE_TEXT(decoded->services.at("s2").coldRequestsPerSecond == limit, fields);
+        CHECK_FALSE_TEXT(decoded->services.at("s1").coldRequestsPerSecond.has_value(), fields);
+    }
+}
+
 // Guards against routing to an endpoint that was read from a malformed record.
 TEST(PlatformRecords, rejectsMalformedEndpointRecords)
 {
@@ -352,16 +374,52 @@
     }
 }
 
+// Guards against a cold endpoint that gets the full load because its statement was not read, and
+// against an unreadable statement that ends the limit of a cold endpoint.
+TEST(PlatformHeaders, readsHowLongAnEndpointIsCold)
+{
+    struct Case
+    {
+        int status;
+        const char *value; ///< Null without the field.
+        std::optional<Millis> coldFor;
+        bool unreadable;
+    };
+    const Case cases[] = {
+            {200, "2400", Millis(2400), false},
+            {503, "1", Millis(1), false},
+            {200, "0", Millis(0), false},
+            {200, nullptr, {}, false},
+            {421, "2400", {}, false},
+            {0, "2400", {}, false},
+            {200, "99999999999999999", Millis(600'000), false},
+            {200, "-1", {}, true},
+            {200, "2.5", {}, true},
+            {200, "soon", {}, true},
+            {200, "", {}, true},
+    };
+    for (const Case &row : cases) {
+        const std::string text = fmt::format("{}: {}", row.status, row.value ? row.value : "none");
+        HttpResponseHead head;
+        head.status = row.status;
+        if (row.value)
+            head.headers.add("Cold-Ms", row.value);
+        const EndpointStatement statement = protocol.readReply(head).statement;
+        CHECK_TRUE_TEXT(row.coldFor == statement.coldFor, text.c_str());
+        CHECK_EQUAL_TEXT(row.unreadable, !statement.unreadable.empty(), text.c_str());
+    }
+}
+
 TEST_GROUP(PlatformNames){};
 
 // Names of the platform's interface may be used only in the adapter (platform/).
 TEST(PlatformNames, areNotUsedInTheCore)
 {
-    const char *names[] = {"Response-Seal",   "Not-Run",     "Expect-Instance", "Token-Count",
-                           "Deadline-Ms",     "At-Server",   "log-newest",      "keyed.op",
-                           "targetLatencyMs", "gapGoalMs",   "pairs_per_m",     "coldLeftMs",
-                           "holdMs",          "apiKeys",     "Length-Hint",     "Prompt-Prefix",
-                           "Server-Leaving",  "Server-Limit"};
+    const char *names[] = {"Response-Seal",   "Not-Run",      "Expect-Instance", "Token-Count",
+                           "Deadline-Ms",     "At-Server",    "log-newest",      "keyed.op",
+                           "targetLatencyMs", "gapGoalMs",    "pairs_per_m",     "coldLeftMs",
+                           "holdMs",          "apiKeys",      "Length-Hint",     "Prompt-Prefix",
+                           "Server-Leaving",  "Server-Limit", "Cold-Ms",         "coldPerS"};
     const std::filesystem::path source = CICADAFORK_SOURCE_DIR;
     int files = 0;
     for (const auto &entry : std::filesystem::recursive_directory_iterator(source / "src")) {
