Divide the limit of a cold endpoint among daemons

Change: EndpointLimits also has limits of cold endpoints. They end with the cold time, and the lower of both limits is in force. Owners are chosen for each endpoint by rendezvous hashing alone, one for each request a second where the fleet is large enough, so that an owner sends no two requests within a second; they begin one after the other. An owner that has sent more than its part before it heard of the cold time begins later.

Ruled out: owners among the daemons that are heard, since each side of a partitioned fleet would use the whole limit; balanced owners as for stated limits, since daemons that have not heard of the same endpoints would choose others.

--- a/src/gateway/endpointlimits.cpp
+++ b/src/gateway/endpointlimits.cpp
@@ -20,6 +20,13 @@
 constexpr Millis kLimitLinger{1000};
 // A limit that no answer has stated for this long is forgotten.
 constexpr std::chrono::minutes kLimitLifetime{10};
+// A cold endpoint gets in any window at most its limit times the overage, and the slack; from the
+// bounds in docs/hard-load.md.
+constexpr Millis kColdWindow{1000};
+constexpr double kColdOverage = 1.5;
+constexpr double kColdSlack = 5;
+// Far more than a daemon sends in a window.
+constexpr std::size_t kMaxRecent = 4096;
 
 std::uint64_t weight(EndpointKey endpoint, DaemonKey daemon)
 {
@@ -67,6 +74,29 @@
     return owners;
 }
 
+std::size_t coldLimitOwners(double requestsPerSecond, std::size_t daemons)
+{
+    if (daemons == 0)
+        return 0;
+    // The fewest whole requests a second that each must send at most to use up the limit.
+    const double each = std::ceil(requestsPerSecond / static_cast<double>(daemons));
+    const double owners = std::ceil(requestsPerSecond / std::max(1.0, each));
+    return std::clamp(static_cast<std::size_t>(owners), std::size_t(1), daemons);
+}
+
+std::vector<DaemonKey> chooseColdLimitOwners(const ColdLimit &limit,
+                                             const std::vector<DaemonKey> &daemons)
+{
+    std::vector<DaemonKey> owners = daemons;
+    const auto count
+            = static_cast<std::ptrdiff_t>(coldLimitOwners(limit.requestsPerSecond, daemons.size()));
+    std::ranges::partial_sort(owners, owners.begin() + count, {}, [&](DaemonKey daemon) {
+        return std::pair(weight(limit.endpoint, daemon), daemon);
+    });
+    owners.resize(static_cast<std::size_t>(count));
+    return owners;
+}
+
 EndpointLimits::EndpointLimits(DaemonKey self, std::size_t maxEndpoints)
     : self_(self)
     , maxEndpoints_(maxEndpoints)
@@ -80,27 +110,80 @@
         const auto found = owners.find(endpoint);
         const bool owns = found != owners.end()
                           && std::ranges::find(found->second, self_) != found->second.end();
-        setPart(share,
+        setPart(share.part,
                 owns ? *share.limit.requestsPerSecond / static_cast<double>(found->second.size())
                      : 0,
                 now);
     }
 }
 
-double EndpointLimits::tokensAt(const Share &share, TimePoint now)
+double EndpointLimits::tokensAt(const Part &part, TimePoint now)
 {
-    const double elapsed = std::chrono::duration<double>(now - share.countedAt).count();
-    return std::min(kBurst, share.tokens + share.perSecond * elapsed);
+    const double elapsed = std::chrono::duration<double>(now - part.countedAt).count();
+    return std::min(kBurst, part.tokens + part.perSecond * elapsed);
 }
 
-void EndpointLimits::setPart(Share &share, double perSecond, TimePoint now)
+void EndpointLimits::setPart(Part &part, double perSecond, TimePoint now)
 {
-    share.tokens = tokensAt(share, now);
-    share.countedAt = now;
-    share.perSecond = perSecond;
+    part.tokens = tokensAt(part, now);
+    part.countedAt = now;
+    part.perSecond = perSecond;
     // Another daemon has this one's part now.
     if (perSecond <= 0)
-        share.tokens = 0;
+        part.tokens = 0;
+}
+
+void EndpointLimits::setColdLimits(const std::vector<ColdLimit> &limits,
+                                   const std::vector<DaemonKey> &daemons, TimePoint now)
+{
+    std::unordered_map<EndpointKey, ColdShare> before = std::move(cold_);
+    cold_.clear();
+    for (const ColdLimit &limit : limits) {
+        if (limit.until <= now || cold_.size() >= maxEndpoints_)
+            continue;
+        ColdShare share;
+        const auto found = before.find(limit.endpoint);
+        if (found != before.end() && found->second.limit.until > now)
+            share = found->second;
+        share.limit = limit;
+        assignColdOwners(share, daemons, now);
+        cold_.emplace(limit.endpoint, share);
+    }
+}
+
+void EndpointLimits::assignColdOwners(ColdShare &share, const std::vector<DaemonKey> &daemons,
+                                      TimePoint now) const
+{
+    const std::vector<DaemonKey> owners = chooseColdLimitOwners(share.limit, daemons);
+    const auto self = std::ranges::find(owners, self_);
+    const auto count = static_cast<double>(owners.size());
+    const bool isNew = !share.since && !owners.empty();
+    if (isNew)
+        share.since = now;
+    setPart(share.part, self == owners.end() ? 0 : share.limit.requestsPerSecond / count, now);
+    // Nobody has used this part yet. A later owner begins with nothing, as the one before it may
+    // have just used the part.
+    if (isNew && self != owners.end())
+        share.part.tokens = static_cast<double>(owners.end() - self - 1) / count
+                            - excessOf(share.limit, share.part.perSecond, count, now);
+}
+
+double EndpointLimits::excessOf(const ColdLimit &limit, double perSecond, double owners,
+                                TimePoint now) const
+{
+    const auto sent = std::ranges::count_if(recent_, [&](const SentRequest &request) {
+        return request.endpoint == limit.endpoint && now - request.at < kColdWindow;
+    });
+    const double headroom = (kColdOverage - 1) * perSecond + kColdSlack / owners;
+    // After a window without requests, nothing that was sent before counts any more.
+    return std::clamp(static_cast<double>(sent) - headroom, 0.0, perSecond);
+}
+
+const ColdLimit *EndpointLimits::coldLimit(EndpointKey endpoint, TimePoint now) const
+{
+    const auto found = cold_.find(endpoint);
+    return found == cold_.end() || found->second.limit.until <= now ? nullptr
+                                                                    : &found->second.limit;
 }
 
 bool EndpointLimits::note(const EndpointLimit &stated)
@@ -110,7 +193,7 @@
         if (!stated.requestsPerSecond || shares_.size() >= maxEndpoints_)
             return false;
         Share &share = shares_[stated.endpoint];
-        share.countedAt = stated.statedAt;
+        share.part.countedAt = stated.statedAt;
         replace(share, stated);
         return true;
     }
@@ -133,7 +216,7 @@
     const bool isNew = !share.limit.requestsPerSecond;
     share.limit = stated;
     if (isNew)
-        setPart(share, 0, std::max(stated.statedAt, share.countedAt));
+        setPart(share.part, 0, std::max(stated.statedAt, share.part.countedAt));
 }
 
 const EndpointLimits::Share *EndpointLimits::limited(EndpointKey endpoint) const
@@ -143,48 +226,94 @@
                                                                             : &found->second;
 }
 
+const EndpointLimits::ColdShare *EndpointLimits::coldShare(EndpointKey endpoint,
+                                                           TimePoint now) const
+{
+    const ColdLimit *cold = coldLimit(endpoint, now);
+    const Share *stated = limited(endpoint);
+    const bool isLower
+            = cold && (!stated || cold->requestsPerSecond < *stated->limit.requestsPerSecond);
+    return isLower ? &cold_.at(endpoint) : nullptr;
+}
+
+const EndpointLimits::Part *EndpointLimits::partInForce(EndpointKey endpoint, TimePoint now) const
+{
+    if (const ColdShare *cold = coldShare(endpoint, now))
+        return &cold->part;
+    const Share *stated = limited(endpoint);
+    return stated ? &stated->part : nullptr;
+}
+
+EndpointLimits::Part *EndpointLimits::partInForce(EndpointKey endpoint, TimePoint now)
+{
+    return const_cast<Part *>(std::as_const(*this).partInForce(endpoint, now));
+}
+
 bool EndpointLimits::allows(EndpointKey endpoint, TimePoint now) const
 {
-    const Share *share = limited(endpoint);
-    return !share || tokensAt(*share, now) >= 1;
+    const Part *part = partInForce(endpoint, now);
+    return !part || tokensAt(*part, now) >= 1;
 }
 
-double EndpointLimits::ownPerSecond(EndpointKey endpoint) const
+double EndpointLimits::ownPerSecond(EndpointKey endpoint, TimePoint now) const
 {
-    const Share *share = limited(endpoint);
-    return share ? share->perSecond : 0;
+    const Part *part = partInForce(endpoint, now);
+    return part ? part->perSecond : 0;
 }
 
 void EndpointLimits::take(EndpointKey endpoint, TimePoint now)
 {
-    const auto found = shares_.find(endpoint);
-    if (found == shares_.end())
-        return;
-    Share &share = found->second;
-    share.tokens = tokensAt(share, now) - 1;
-    share.countedAt = now;
+    while (!recent_.empty()
+           && (now - recent_.front().at >= kColdWindow || recent_.size() >= kMaxRecent))
+        recent_.pop_front();
+    recent_.push_back({endpoint, now});
+    if (Part *part = partInForce(endpoint, now)) {
+        part->tokens = tokensAt(*part, now) - 1;
+        part->countedAt = now;
+    }
 }
 
-void EndpointLimits::giveBack(EndpointKey endpoint)
+void EndpointLimits::giveBack(EndpointKey endpoint, TimePoint takenAt, TimePoint now)
 {
-    const auto found = shares_.find(endpoint);
-    if (found != shares_.end())
-        found->second.tokens += 1;
+    const auto sent = std::ranges::find_if(recent_, [&](const SentRequest &request) {
+        return request.endpoint == endpoint && request.at == takenAt;
+    });
+    if (sent != recent_.end())
+        recent_.erase(sent);
+    // A request from the time before the endpoint became cold has taken nothing.
+    const ColdShare *cold = coldShare(endpoint, now);
+    if (cold && (!cold->since || takenAt < *cold->since))
+        return;
+    if (Part *part = partInForce(endpoint, now))
+        part->tokens += 1;
 }
 
-std::optional<TimePoint> EndpointLimits::nextAt(EndpointKey endpoint, TimePoint now) const
+std::optional<TimePoint> EndpointLimits::nextAt(const Part &part, TimePoint now)
 {
-    const Share *share = limited(endpoint);
-    const double missing = share ? 1 - tokensAt(*share, now) : 0;
+    const double missing = 1 - tokensAt(part, now);
     if (missing <= 0)
         return now;
-    if (share->perSecond <= 0)
+    if (part.perSecond <= 0)
         return std::nullopt;
     const std::chrono::duration<double> longest = kLimitLifetime;
-    const std::chrono::duration<double> wait(missing / share->perSecond);
+    const std::chrono::duration<double> wait(missing / part.perSecond);
     return now + std::chrono::ceil<Millis>(std::min(wait, longest));
 }
 
+std::optional<TimePoint> EndpointLimits::nextAt(EndpointKey endpoint, TimePoint now) const
+{
+    const Share *stated = limited(endpoint);
+    const std::optional<TimePoint> byStated = stated ? nextAt(stated->part, now) : now;
+    const ColdShare *cold = coldShare(endpoint, now);
+    if (!cold)
+        return byStated;
+    const std::optional<TimePoint> own = nextAt(cold->part, now);
+    if (!byStated)
+        return own;
+    const TimePoint afterwards = std::max(cold->limit.until, *byStated);
+    return own ? std::min(*own, afterwards) : afterwards;
+}
+
 std::vector<EndpointLimit> EndpointLimits::limits() const
 {
     std::vector<EndpointLimit> limits;
--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -333,7 +333,7 @@
         if (row.record.service != service || row.record.state != EndpointState::Ready)
             continue;
         if (accepts(row.key, now)) {
-            availability.perSecond += limits.ownPerSecond(row.key);
+            availability.perSecond += limits.ownPerSecond(row.key, now);
             if (limits.allows(row.key, now))
                 ++availability.accepting;
             else if (const auto next = limits.nextAt(row.key, now))
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -358,7 +358,7 @@
 
 void Gateway::undoSend(Exchange &exchange, const Attempt &attempt)
 {
-    limits_.giveBack(attempt.endpoint);
+    limits_.giveBack(attempt.endpoint, attempt.sentAt, steadyNow());
     if (--exchange.sendCount > 0)
         retryBudget_.refund(exchange.service);
 }
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -552,7 +552,7 @@
                                      {"leaving", endpoints_.isLeaving(row.key)},
                                      {"accepts", endpoints_.accepts(row.key, now)},
                                      {"limited", !limits_.allows(row.key, now)},
-                                     {"own_per_s", limits_.ownPerSecond(row.key)},
+                                     {"own_per_s", limits_.ownPerSecond(row.key, now)},
                                      {"suspended", row.suspendedUntil > now},
                                      {"pace", row.slowdown},
                                      {"error_share", row.errorRate},
--- a/tests/unit/endpointlimits_test.cpp
+++ b/tests/unit/endpointlimits_test.cpp
@@ -136,7 +136,7 @@
         for (const auto &daemon : fleet) {
             double own = 0;
             for (EndpointKey endpoint = 1; endpoint <= row.endpoints; ++endpoint)
-                own += daemon->ownPerSecond(mix64(endpoint));
+                own += daemon->ownPerSecond(mix64(endpoint), kStart);
             served += std::min(own, demand);
         }
         CHECK_TRUE_TEXT(served >= kMinServed * demand * row.daemons,
@@ -177,7 +177,7 @@
     startFleet(8);
     noteAll({kEndpoint, 2.0, kStart});
     const auto owner = std::ranges::find_if(
-            fleet, [](const auto &daemon) { return daemon->ownPerSecond(kEndpoint) > 0; });
+            fleet, [](const auto &daemon) { return daemon->ownPerSecond(kEndpoint, kStart) > 0; });
     const DaemonKey leaving = 1 + static_cast<DaemonKey>(owner - fleet.begin());
     std::vector<DaemonKey> others;
     for (DaemonKey key = 1; key <= fleet.size(); ++key) {
@@ -187,7 +187,7 @@
     assign(others, at(2000));
     CHECK_FALSE((*owner)->allows(kEndpoint, at(10'000)));
     LONGS_EQUAL(1, std::ranges::count_if(fleet, [](const auto &daemon) {
-                    return daemon->ownPerSecond(kEndpoint) > 0;
+                    return daemon->ownPerSecond(kEndpoint, kStart) > 0;
                 }));
 }
 
@@ -220,7 +220,7 @@
         CHECK_EQUAL_TEXT(row.changed, fleet[0]->note({kEndpoint, row.stated, at(row.millis)}),
                          row.name);
         assign(all, at(row.millis));
-        DOUBLES_EQUAL_TEXT(row.inForce.value_or(0), fleet[0]->ownPerSecond(kEndpoint), 0.001,
+        DOUBLES_EQUAL_TEXT(row.inForce.value_or(0), fleet[0]->ownPerSecond(kEndpoint, at(row.millis)), 0.001,
                            row.name);
     }
 }
@@ -234,7 +234,7 @@
     fleet[0]->take(kEndpoint, at(500));
     CHECK_FALSE(fleet[0]->allows(kEndpoint, at(510)));
     CHECK_TRUE(fleet[0]->nextAt(kEndpoint, at(510)) == at(1000));
-    fleet[0]->giveBack(kEndpoint);
+    fleet[0]->giveBack(kEndpoint, at(500), at(510));
     CHECK_TRUE(fleet[0]->allows(kEndpoint, at(510)));
     CHECK_TRUE_TEXT(fleet[0]->allows(kEndpoint + 1, at(510)), "another endpoint");
 }
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -445,7 +445,7 @@
     }
     limits.assignOwners({kSelf, kOther}, kStart);
     for (const auto &[id, row] : table.rows())
-        own += limits.ownPerSecond(row.key) > 0 ? 1 : 0;
+        own += limits.ownPerSecond(row.key, kStart) > 0 ? 1 : 0;
     CHECK_TRUE(own > 0 && own < 6);
     const ServiceAvailability before = table.availability("maps", limits, kStart + Millis(499));
     LONGS_EQUAL(0, before.accepting);
