Keep all daemons within the limit of cold endpoints

Cause: the cold time of an endpoint was decoded and used nowhere, and datagrams between daemons did not have it.

Change: the gateway takes the cold time from records, answers and peers, and puts the limits of EndpointLimits in force for services with coldPerS. EndpointEntry has coldMs, the time that is left when it is sent; a reader also sends a record that changes nothing but this, and a daemon that learns it from an answer sends an entry with revision 0. Placement skips a cold endpoint of which nothing is left, and requests wait for the end of a cold time that comes before they give up. Log lines endpoint_cold and endpoint_warm, metrics cicadafork_gateway_cold_endpoints and cicadafork_gateway_endpoint_cold_total, cold_ms in the state dump.

--- a/src/gateway/availability.cpp
+++ b/src/gateway/availability.cpp
@@ -22,6 +22,8 @@
     }
     if (availability.firstAccepts >= facts.giveUp)
         return AvailabilityDecision::Refuse;
+    if (availability.limitEnds && *availability.limitEnds < facts.giveUp)
+        return AvailabilityDecision::Wait;
     if (availability.quiet > 0 || facts.waits)
         return AvailabilityDecision::Wait;
     const double left = std::chrono::duration<double>(facts.giveUp - now).count();
--- a/src/gateway/availability.h
+++ b/src/gateway/availability.h
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 
 #include <cstddef>
+#include <optional>
 
 namespace cicadafork::gateway {
 
@@ -27,6 +28,8 @@
     unsigned leftToOthers = 0; ///< Have a limit of which this daemon may use nothing.
     /// Requests a second that this daemon may send to all endpoints with a limit together.
     double perSecond = 0;
+    /// When the first of the cold endpoints may be sent any number of requests again.
+    std::optional<TimePoint> limitEnds = {};
 };
 
 enum class AvailabilityDecision {
@@ -45,7 +48,8 @@
 };
 
 /// A request waits for new endpoints if all known ones leave or are evacuated. With limits, no more
-/// requests wait than endpoints will accept from this daemon.
+/// requests wait than endpoints will accept from this daemon, unless the limit of a cold endpoint
+/// ends in time.
 AvailabilityDecision decideByAvailability(const ServiceAvailability &availability,
                                           const WaitingFacts &facts, TimePoint now);
 
--- a/src/gateway/endpointlimits.cpp
+++ b/src/gateway/endpointlimits.cpp
@@ -145,10 +145,15 @@
         const auto found = before.find(limit.endpoint);
         if (found != before.end() && found->second.limit.until > now)
             share = found->second;
+        // Endpoints come in bursts, and the daemons that share their limits seldom change.
+        const bool keepsOwners = share.since && daemons == coldDaemons_
+                                 && share.limit.requestsPerSecond == limit.requestsPerSecond;
         share.limit = limit;
-        assignColdOwners(share, daemons, now);
+        if (!keepsOwners)
+            assignColdOwners(share, daemons, now);
         cold_.emplace(limit.endpoint, share);
     }
+    coldDaemons_ = daemons;
 }
 
 void EndpointLimits::assignColdOwners(ColdShare &share, const std::vector<DaemonKey> &daemons,
@@ -226,6 +231,12 @@
                                                                             : &found->second;
 }
 
+std::optional<TimePoint> EndpointLimits::endsAt(EndpointKey endpoint, TimePoint now) const
+{
+    const ColdLimit *cold = limited(endpoint) ? nullptr : coldLimit(endpoint, now);
+    return cold ? std::optional(cold->until) : std::nullopt;
+}
+
 const EndpointLimits::ColdShare *EndpointLimits::coldShare(EndpointKey endpoint,
                                                            TimePoint now) const
 {
--- a/src/gateway/endpointlimits.h
+++ b/src/gateway/endpointlimits.h
@@ -79,6 +79,9 @@
                        TimePoint now);
     /// The limit of a cold endpoint; null if it is not cold now.
     const ColdLimit *coldLimit(EndpointKey endpoint, TimePoint now) const;
+    /// When the endpoint will be cold no longer, and without a limit; absent if it has none now or
+    /// states one.
+    std::optional<TimePoint> endsAt(EndpointKey endpoint, TimePoint now) const;
     /// Remembers what an endpoint has stated to this daemon or to a peer. Returns true if its limit
     /// is new, another one than before, or gone.
     bool note(const EndpointLimit &stated);
@@ -145,7 +148,8 @@
     std::size_t maxEndpoints_;
     std::unordered_map<EndpointKey, Share> shares_;
     std::unordered_map<EndpointKey, ColdShare> cold_;
-    std::deque<SentRequest> recent_; ///< Requests to all endpoints in the last second.
+    std::vector<DaemonKey> coldDaemons_; ///< Those among which the owners were chosen.
+    std::deque<SentRequest> recent_;     ///< Requests to all endpoints in the last second.
 };
 
 } // namespace cicadafork::gateway
--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -334,6 +334,8 @@
             continue;
         if (accepts(row.key, now)) {
             availability.perSecond += limits.ownPerSecond(row.key, now);
+            if (const auto end = limits.endsAt(row.key, now))
+                availability.limitEnds = std::min(availability.limitEnds.value_or(*end), *end);
             if (limits.allows(row.key, now))
                 ++availability.accepting;
             else if (const auto next = limits.nextAt(row.key, now))
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,12 +13,14 @@
 // sharedretrybudget, endpoints); this class performs the I/O.
 
 #include "base/metrics.h"
+#include "gateway/coldendpoints.h"
 #include "gateway/confighistory.h"
 #include "gateway/crashwatch.h"
 #include "gateway/departedendpoints.h"
 #include "gateway/endpoints.h"
 #include "gateway/exchange.h"
 #include "gateway/gatewaymetrics.h"
+#include "gateway/limitsharers.h"
 #include "gateway/mesh.h"
 #include "gateway/reachwatch.h"
 #include "gateway/settings.h"
@@ -34,6 +36,8 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -95,6 +99,8 @@
     void finish(Exchange &exchange, const char *outcome, int status);
 
     // Endpoints.
+    /// Its id, or its key if its record is not known.
+    std::string nameOf(EndpointKey endpoint) const;
     /// The orders, with a look at what the endpoints state about themselves in their answers.
     OrderCalls observed(OrderCalls orders);
     /// `requestId` is empty if the answer belongs to no request.
@@ -108,6 +114,23 @@
     void assignLimitOwners();
     /// A limit has changed.
     void assignLimitOwnersSoon();
+
+    // Cold endpoints.
+    /// Returns true if the end of its cold time has changed, and a limit depends on that.
+    bool noteColdRecord(const EndpointRecord &record);
+    void noteColdAnswer(EndpointKey endpoint, Millis left);
+    void noteColdFromPeer(const EndpointRecord &record);
+    /// The limit that the configuration sets for each cold endpoint of the service.
+    std::optional<double> coldLimitOf(const std::string &service) const;
+    /// Called once for all records of a message or a read, before any request is placed.
+    void updateColdLimitsIfChanged();
+    /// The endpoints that are cold, the configuration or the daemons that share limits have
+    /// changed.
+    void updateColdLimits();
+    std::vector<DaemonKey> coldLimitSharers(TimePoint now);
+    /// The record with the time for which the endpoint is still cold.
+    EndpointRecord withColdTime(EndpointRecord record) const;
+
     /// False if the endpoint of the attempt or one of its helpers has said that it leaves or wants
     /// no requests.
     bool mayStart(const Attempt &attempt) const;
@@ -311,6 +334,11 @@
     EndpointLimits limits_;
     asio::steady_timer limitTimer_;
     bool limitTimerArmed_ = false;
+    ColdEndpoints cold_;
+    LimitSharers limitSharers_;
+    bool coldChanged_ = false;          ///< Since the limits were last updated.
+    std::set<EndpointKey> coldLimited_; ///< Those with a limit because they are cold.
+    asio::steady_timer coldTimer_;
     SharedRetryBudget retryBudget_;
     CrashWatch crashWatch_;
     ReachWatch reach_;
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -1,6 +1,7 @@
 // How the gateway discovers configuration, endpoints and members through the platform's store, and
 // the handlers of its control port.
 
+#include "base/hash.h"
 #include "base/jitter.h"
 #include "base/log.h"
 #include "gateway/blockedrecord.h"
@@ -114,7 +115,11 @@
             readBlocks(record);
         else
             mesh_.addPeer(record.key, record.value.value_or(std::string()));
+        if (record.value && !isBlockedKey(record.key))
+            limitSharers_.noteListed(fnv1a64(*record.value), steadyNow());
     }
+    limitSharers_.noteListRead();
+    updateColdLimits();
 }
 
 bool Gateway::applyConfig(const std::string &text, const char *source)
@@ -141,6 +146,7 @@
               {"before", std::to_string(before)},
               {"source", source},
               {"keys", std::to_string(config_->workspaceByKey.size())}});
+    updateColdLimits();
     // If a standby reads a change before the readers have sent it, the readers have missed it.
     const bool missedByReaders = before != 0 && std::string_view(source) == kFromStore;
     if (announcesStoreChanges_ || missedByReaders) {
@@ -193,6 +199,11 @@
 
 void Gateway::announceEndpointChanges()
 {
+    updateColdLimitsIfChanged();
+    for (EndpointUpdate &update : pendingUpdates_) {
+        if (update.record)
+            update.record = withColdTime(std::move(*update.record));
+    }
     if (!pendingUpdates_.empty() && announcesStoreChanges_)
         mesh_.sendEndpointUpdates(pendingUpdates_);
     pendingUpdates_.clear();
@@ -313,7 +324,11 @@
     if (row && row->record.bornMs == record.bornMs)
         record.revision = std::max(record.revision, row->record.revision);
     departed_.forget(record.id);
-    noteEndpointChange(record.id, endpoints_.update(record, now), source);
+    const EndpointChange change = endpoints_.update(record, now);
+    noteEndpointChange(record.id, change, source);
+    const bool coldChanged = noteColdRecord(record);
+    if (coldChanged && change == EndpointChange::None && std::string_view(source) == kFromStore)
+        pendingUpdates_.push_back({record.id, record});
     return true;
 }
 
@@ -467,6 +482,8 @@
               {"failure_domain", peer.failureDomain},
               {"config", std::to_string(peer.configVersion)}});
     updateReaderRole();
+    if (peer.heard)
+        limitSharers_.noteHeard(fnv1a64(peer.ip), peer.lastHeard, peer.leaving);
     assignLimitOwners();
     if (!peer.alive) {
         scheduleDispatch();
@@ -552,6 +569,7 @@
                                      {"leaving", endpoints_.isLeaving(row.key)},
                                      {"accepts", endpoints_.accepts(row.key, now)},
                                      {"limited", !limits_.allows(row.key, now)},
+                                     {"cold_ms", cold_.left(row.key, now).count()},
                                      {"own_per_s", limits_.ownPerSecond(row.key, now)},
                                      {"suspended", row.suspendedUntil > now},
                                      {"pace", row.slowdown},
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -40,6 +40,10 @@
     , quietEndpoints(metrics.counter("cicadafork_gateway_endpoint_quiet_total",
                                      "Refusals with which an endpoint asked for some time without "
                                      "requests"))
+    , coldEndpoints(metrics.gauge("cicadafork_gateway_cold_endpoints",
+                                  "Endpoints with a limit because they are cold"))
+    , coldTimes(metrics.counter("cicadafork_gateway_endpoint_cold_total",
+                                "Times that an endpoint became cold and got a limit"))
     , storeEras(metrics.counter("cicadafork_gateway_store_eras_total",
                                 "Times that the store came back from an older copy"))
     , evacuatedDomains(metrics.gauge("cicadafork_gateway_evacuated_failure_domains",
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -34,6 +34,8 @@
     prometheus::Counter &silences;
     prometheus::Counter &cancelled;
     prometheus::Counter &quietEndpoints;
+    prometheus::Gauge &coldEndpoints;
+    prometheus::Counter &coldTimes;
     prometheus::Counter &storeEras;
     prometheus::Gauge &evacuatedDomains;
     prometheus::Counter &endpointCrashes;
--- a/src/gateway/gatewaypeersync.cpp
+++ b/src/gateway/gatewaypeersync.cpp
@@ -9,6 +9,7 @@
 #include <capnp/serialize.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstring>
 #include <set>
 
@@ -75,15 +76,27 @@
 void Gateway::onEndpointUpdates(const PeerInfo &peer, const std::vector<EndpointUpdate> &updates)
 {
     learnStoreEra(peer);
-    if (peer.endpointsPosition <= endpointsPosition())
+    // An endpoint may become cold between two records that say nothing else new.
+    const bool onlyCold = std::ranges::all_of(updates, [](const EndpointUpdate &item) {
+        return item.record && statesOnlyCold(*item.record);
+    });
+    for (const EndpointUpdate &item : updates) {
+        if (item.record)
+            noteColdFromPeer(*item.record);
+    }
+    updateColdLimitsIfChanged();
+    if (onlyCold || peer.endpointsPosition <= endpointsPosition())
         return;
     for (const EndpointUpdate &item : updates) {
+        if (item.record && statesOnlyCold(*item.record))
+            continue;
         if (item.record)
             updateEndpoint(*item.record, kFromPeer);
         else
             removeEndpoint(item.id, "reported as removed by a peer that reads the store", item.last,
                            item.goneFor);
     }
+    updateColdLimitsIfChanged();
     pendingUpdates_.clear();
     // More datagrams with the same position may follow, so this one does not complete it; the
     // digest shows whether one was lost.
@@ -252,7 +265,7 @@
     };
     for (const auto &[id, row] : endpoints_.rows()) {
         if (wanted(id))
-            entries.push_back({id, row.record});
+            entries.push_back({id, withColdTime(row.record)});
     }
     const TimePoint now = steadyNow();
     for (const auto &[id, departure] : departed_.rows()) {
@@ -310,6 +323,7 @@
             if (groups.contains(endpointGroup(id)) && !listed.contains(id))
                 onEndpointMissing(id, {.storeEra = position.era}, mayReturnUntil);
         }
+        updateColdLimitsIfChanged();
         pendingUpdates_.clear();
         positionFromPeers_ = position;
         endpointsKnown_ = true;
--- a/src/gateway/gatewaystatements.cpp
+++ b/src/gateway/gatewaystatements.cpp
@@ -18,15 +18,14 @@
 // Limits often change at several endpoints at a time.
 constexpr Millis kOwnerDelay{10};
 
-/// Endpoints whose record is not known are named by their key.
-std::string nameOf(const EndpointTable &endpoints, EndpointKey endpoint)
+} // namespace
+
+std::string Gateway::nameOf(EndpointKey endpoint) const
 {
-    const EndpointRow *row = endpoints.find(endpoint);
+    const EndpointRow *row = endpoints_.find(endpoint);
     return row ? row->record.id : fmt::format("{:016x}", endpoint);
 }
 
-} // namespace
-
 OrderCalls Gateway::observed(OrderCalls orders)
 {
     // The key is that of the instance which the order names; the address may have another one by
@@ -63,7 +62,7 @@
 void Gateway::noteStatement(EndpointKey endpoint, const EndpointStatement &statement,
                             const std::string &requestId)
 {
-    const std::string id = nameOf(endpoints_, endpoint);
+    const std::string id = nameOf(endpoint);
     if (statement.leaving && noteLeaving(endpoint, kFromAnswer, requestId))
         mesh_.sendLeavingEndpoints({endpoint});
     if (statement.quietFor) {
@@ -76,6 +75,8 @@
     }
     if (statement.answered)
         noteLimit({endpoint, statement.requestsPerSecond, steadyNow()}, kFromAnswer, requestId);
+    if (statement.coldFor)
+        noteColdAnswer(endpoint, *statement.coldFor);
     if (!statement.unreadable.empty() && endpoints_.noteUnreadable(endpoint)) {
         logEvent(LogLevel::Warning, "endpoint_statement_unreadable",
                  {{"endpoint", id}, {"request", requestId}, {"field", statement.unreadable}});
@@ -90,9 +91,7 @@
     if (const EndpointRow *row = endpoints_.find(endpoint))
         pool_.closeIdle(row->record.address);
     logEvent(LogLevel::Info, "endpoint_leaving",
-             {{"endpoint", nameOf(endpoints_, endpoint)},
-              {"request", requestId},
-              {"source", source}});
+             {{"endpoint", nameOf(endpoint)}, {"request", requestId}, {"source", source}});
     return true;
 }
 
@@ -102,7 +101,7 @@
     if (!limits_.note(limit))
         return;
     logEvent(LogLevel::Info, "endpoint_limit",
-             {{"endpoint", nameOf(endpoints_, limit.endpoint)},
+             {{"endpoint", nameOf(limit.endpoint)},
               {"request", requestId},
               {"source", source},
               {"per_s",
@@ -117,6 +116,7 @@
     limitTimer_.cancel();
     limitTimerArmed_ = false;
     limits_.assignOwners(daemonKeys(), steadyNow());
+    updateColdLimits();
     scheduleDispatch();
 }
 
--- a/src/gateway/mesh.capnp
+++ b/src/gateway/mesh.capnp
@@ -46,6 +46,9 @@
   storeEra @9 :UInt64;
   # Time since it was removed.
   goneMs @10 :UInt32;
+  # Time for which it is still cold when this is sent; 0 if it is not. With revision 0, it has just
+  # said so in an answer to the sender, and the entry says nothing else.
+  coldMs @11 :UInt32;
 }
 
 # Load of an endpoint of the sender's failure domain, as the sender knows it.
--- a/src/gateway/mesh.capnp.h
+++ b/src/gateway/mesh.capnp.h
@@ -655,6 +655,8 @@
 
     inline ::uint32_t getGoneMs() const;
 
+    inline ::uint32_t getColdMs() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -739,6 +741,9 @@
     inline ::uint32_t getGoneMs();
     inline void setGoneMs(::uint32_t value);
 
+    inline ::uint32_t getColdMs();
+    inline void setColdMs(::uint32_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -2482,6 +2487,20 @@
     _builder.setDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint32_t EndpointEntry::Reader::getColdMs() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t EndpointEntry::Builder::getColdMs()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void EndpointEntry::Builder::setColdMs(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::uint64_t EndpointLoad::Reader::getEndpoint() const
 {
     return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/meshwire.cpp
+++ b/src/gateway/meshwire.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t kMaxServicesOutOfReach = 16;
 // Slack of an endpoint without pending prefills.
 constexpr std::uint32_t kNoPrefill = std::numeric_limits<std::uint32_t>::max();
+// Longest time that fits a message.
+constexpr Millis::rep kLongestMillis = std::numeric_limits<std::uint32_t>::max();
 
 std::uint32_t toMicros(FloatMillis value)
 {
@@ -28,9 +30,8 @@
 
 std::uint32_t millisSince(TimePoint time, TimePoint now)
 {
-    constexpr Millis::rep kLongest = std::numeric_limits<std::uint32_t>::max();
     const auto elapsed = std::chrono::duration_cast<Millis>(now - time).count();
-    return static_cast<std::uint32_t>(std::clamp<Millis::rep>(elapsed, 0, kLongest));
+    return static_cast<std::uint32_t>(std::clamp<Millis::rep>(elapsed, 0, kLongestMillis));
 }
 
 std::vector<std::uint64_t> idsOf(const RequestParts &parts, RequestPartKind kind)
@@ -329,6 +330,11 @@
     return limit;
 }
 
+bool statesOnlyCold(const EndpointRecord &record)
+{
+    return record.revision == 0 && record.slowStartRemaining > Millis(0);
+}
+
 void fillConfigChange(wire::ConfigChange::Builder target, const ConfigChange &change)
 {
     target.setBase(change.base);
@@ -356,6 +362,8 @@
     entry.setDraining(record.state == EndpointState::Draining);
     entry.setRevision(record.revision);
     entry.setStoreEra(record.storeEra);
+    entry.setColdMs(static_cast<std::uint32_t>(
+            std::clamp<Millis::rep>(record.slowStartRemaining.count(), 0, kLongestMillis)));
 }
 
 std::optional<EndpointRecord> readEndpoint(wire::EndpointEntry::Reader entry)
@@ -368,6 +376,7 @@
     record.slots = entry.getSlots();
     record.revision = entry.getRevision();
     record.storeEra = entry.getStoreEra();
+    record.slowStartRemaining = Millis(entry.getColdMs());
     record.state = entry.getDraining() ? EndpointState::Draining : EndpointState::Ready;
     const auto address = capture([&] { return parseAddress(std::string(entry.getAddress())); });
     if (!address || record.id.empty())
--- a/src/gateway/meshwire.h
+++ b/src/gateway/meshwire.h
@@ -60,6 +60,8 @@
 /// Writes nothing if there are none.
 void fillLimits(wire::Datagram::Builder root, const std::vector<EndpointLimit> &limits,
                 TimePoint now);
+/// The entry says only for how long the endpoint is cold, as it has stated in an answer.
+bool statesOnlyCold(const EndpointRecord &record);
 EndpointLimit readLimit(wire::EndpointLimit::Reader source, TimePoint now);
 
 void fillConfigChange(wire::ConfigChange::Builder target, const ConfigChange &change);
--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -117,7 +117,7 @@
     std::string failureDomain;
     unsigned slots = 1;
     EndpointState state = EndpointState::Ready;
-    Millis slowStartRemaining{0}; ///< Time for which it is still slow after its start.
+    Millis slowStartRemaining{0}; ///< Time for which it was still cold when this was stated.
     std::uint64_t revision = 0;   ///< Rises with each write of the endpoint.
     std::uint64_t storeEra = 0;   ///< Era of the store in which the record was read.
 };
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -133,7 +133,7 @@
 
     void start(unsigned daemonCount, unsigned endpointCount, const char *service = kPool)
     {
-        store.put("keyed.op", "config", kFleetConfig);
+        store.put("keyed.op", "config", config);
         for (unsigned i = 0; i < endpointCount; ++i)
             addEndpoint(true, service);
         // All members use the same ports, and the first one is the seed.
@@ -212,6 +212,7 @@
         return answer;
     }
 
+    std::string config = kFleetConfig; ///< In force at the start.
     asio::io_context context;
     AddressPool addresses;
     Address storeAddress = addresses.next();
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -230,6 +230,8 @@
     headers.add(platform::kRequestId, requestId);
     if (leaving)
         headers.add(platform::kLeaving, "1");
+    if (coldFor)
+        headers.add(platform::kCold, std::to_string(coldFor->count()));
     if (limit)
         headers.add(platform::kLimit, fmt::format("{}", *limit));
     return headers;
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -150,6 +150,7 @@
     std::optional<Millis> quietFor; ///< Refuses every request and asks for this time without any.
     /// Named in all responses: the requests a second that it takes from all daemons together.
     std::optional<double> limit;
+    std::optional<Millis> coldFor; ///< Stated in all responses.
     /// Part of a prompt on which the endpoint crashes when it begins to write an answer, unless it
     /// is the last one: it sends the head, and then all its connections end and it listens no more.
     std::string crashingPart;
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -493,6 +493,36 @@
     }
 }
 
+// Guards against refusing requests because of the limit of a cold endpoint that ends in time, and
+// against requests that wait for one that does not.
+TEST(Availability, requestsWaitForTheEndOfAColdTime)
+{
+    struct Case
+    {
+        const char *name;
+        Millis coldFor;
+        std::size_t before;
+        AvailabilityDecision decision;
+    };
+    constexpr Millis kGiveUp{1000};
+    const Case cases[] = {
+            {"warm in time", Millis(999), 1000, AvailabilityDecision::Wait},
+            {"warm too late", kGiveUp, 0, AvailabilityDecision::Refuse},
+    };
+    for (const Case &row : cases) {
+        ServiceAvailability availability;
+        availability.limited = 1;
+        availability.firstAccepts = kStart + row.coldFor;
+        availability.lastAccepts = kStart + row.coldFor;
+        availability.limitEnds = kStart + row.coldFor;
+        CHECK_TRUE_TEXT(decideByAvailability(availability,
+                                             {.giveUp = kStart + kGiveUp, .before = row.before},
+                                             kStart)
+                                == row.decision,
+                        row.name);
+    }
+}
+
 // Guards against a queue that is longer than what endpoints with limits will take from it in time.
 TEST(Availability, noMoreRequestsWaitThanTheLimitsAllow)
 {
