--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -340,7 +340,9 @@
             || !counts(row, allowed))
             continue;
         if (accepts(row.key, now)) {
-            availability.perSecond += limits.ownPerSecond(row.key);
+            availability.perSecond += limits.ownPerSecond(row.key, now);
+            if (const auto end = limits.endsAt(row.key, now))
+                availability.limitEnds = std::min(availability.limitEnds.value_or(*end), *end);
             if (limits.allows(row.key, now))
                 ++availability.accepting;
             else if (const auto next = limits.nextAt(row.key, now))
--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -75,6 +75,9 @@
     std::string healthPath;
     unsigned maxConnections = 64;      ///< To one endpoint, for all callers together.
     std::optional<EngineModel> engine; ///< Absent for plain services.
+    /// Requests a second that a cold endpoint takes from all daemons together; absent without a
+    /// limit of cold endpoints.
+    std::optional<double> coldRequestsPerSecond;
 };
 
 struct Workspace
@@ -116,7 +119,7 @@
     std::string failureDomain;
     unsigned slots = 1;
     EndpointState state = EndpointState::Ready;
-    Millis slowStartRemaining{0}; ///< Time for which it is still slow after its start.
+    Millis slowStartRemaining{0}; ///< Time for which it was still cold when this was stated.
     std::uint64_t revision = 0;   ///< Rises with each write of the endpoint.
     std::uint64_t storeEra = 0;   ///< Era of the store in which the record was read.
 };
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -223,6 +223,7 @@
         return answer;
     }
 
+    std::string config = kFleetConfig; ///< In force at the start.
     asio::io_context context;
     AddressPool addresses;
     Address storeAddress = addresses.next();
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -445,7 +445,7 @@
     }
     limits.assignOwners({kSelf, kOther}, kStart);
     for (const auto &[id, row] : table.rows())
-        own += limits.ownPerSecond(row.key) > 0 ? 1 : 0;
+        own += limits.ownPerSecond(row.key, kStart) > 0 ? 1 : 0;
     CHECK_TRUE(own > 0 && own < 6);
     const ServiceAvailability before = table.availability("maps", limits, kStart + Millis(499));
     LONGS_EQUAL(0, before.accepting);
@@ -493,6 +493,36 @@
     }
 }
 
+// Guards against refusing requests because of the limit of a cold endpoint that ends in time, and
+// against requests that wait for one that does not.
+TEST(Availability, requestsWaitForTheEndOfAColdTime)
+{
+    struct Case
+    {
+        const char *name;
+        Millis coldFor;
+        std::size_t before;
+        AvailabilityDecision decision;
+    };
+    constexpr Millis kGiveUp{1000};
+    const Case cases[] = {
+            {"warm in time", Millis(999), 1000, AvailabilityDecision::Wait},
+            {"warm too late", kGiveUp, 0, AvailabilityDecision::Refuse},
+    };
+    for (const Case &row : cases) {
+        ServiceAvailability availability;
+        availability.limited = 1;
+        availability.firstAccepts = kStart + row.coldFor;
+        availability.lastAccepts = kStart + row.coldFor;
+        availability.limitEnds = kStart + row.coldFor;
+        CHECK_TRUE_TEXT(decideByAvailability(availability,
+                                             {.giveUp = kStart + kGiveUp, .before = row.before},
+                                             kStart)
+                                == row.decision,
+                        row.name);
+    }
+}
+
 // Guards against a queue that is longer than what endpoints with limits will take from it in time.
 TEST(Availability, noMoreRequestsWaitThanTheLimitsAllow)
 {
