Share the tags of start-time fair queueing

Cause: the gateway is to order the waiting requests of workspaces by start-time fair queueing too, and FairQueue has the arithmetic of its tags inline. Change: StartTags holds the virtual time and the finish tags of flows; FairQueue uses it. No change of behavior. Ruled out: FairQueue itself for the gateway. It fixes the tags when a request is queued and serves one queue, while usage at a gateway changes with what other daemons report between arrival and dispatch. Measured: Admission 10 tests, QueueAdmission 7 tests pass.

--- a/src/admission/fairqueue.cpp
+++ b/src/admission/fairqueue.cpp
@@ -34,10 +34,9 @@
         erase(*pushed.displaced, false);
     }
     ServiceQueue &queue = services_[entry.service];
-    Flow &flow = queue.flows[entry.priority];
-    double &finish = flow.finish[entry.workspace];
-    const double start = std::max(flow.virtualTime, finish);
-    finish = start + static_cast<double>(entry.promptTokens + entry.maxTokens + 1) / shareOf(entry);
+    const double start = queue.tags[entry.priority].next(
+            entry.workspace,
+            static_cast<double>(entry.promptTokens + entry.maxTokens + 1) / shareOf(entry));
     const Key key{entry.priority, start, entry.ticket};
     queue.order.insert(key);
     if (entry.group)
@@ -56,11 +55,9 @@
     ServiceQueue &queue = services_[entry.service];
     queue.order.erase(found->second.key);
     queue.groups.erase({entry.groupOrder, ticket});
-    Flow &flow = queue.flows[entry.priority];
     if (dispatched) {
         countDispatch(queue, entry.priority);
-        flow.virtualTime = std::max(flow.virtualTime, std::get<1>(found->second.key));
-        std::erase_if(flow.finish, [&](const auto &f) { return f.second <= flow.virtualTime; });
+        queue.tags[entry.priority].advance(std::get<1>(found->second.key));
     }
     if (queue.order.empty())
         services_.erase(entry.service);
--- a/src/admission/fairqueue.h
+++ b/src/admission/fairqueue.h
@@ -10,6 +10,7 @@
 // Not thread-safe; the caller must synchronize access.
 
 #include "admission/decisions.h"
+#include "admission/starttags.h"
 
 #include <cstdint>
 #include <map>
@@ -84,17 +85,12 @@
 
 private:
     using Key = std::tuple<Priority, double, std::uint64_t>; ///< Priority, start tag, ticket.
-    struct Flow
-    {
-        double virtualTime = 0;
-        std::map<std::string, double> finish; ///< Finish tags by workspace, above the virtual time.
-    };
     struct ServiceQueue
     {
         std::set<Key> order;
         std::set<std::pair<std::uint64_t, std::uint64_t>> groups; ///< Group order, ticket.
         unsigned normalSinceBackground = 0; ///< Counted while background requests wait.
-        std::map<Priority, Flow> flows;
+        std::map<Priority, StartTags<std::string>> tags; ///< Flows are workspaces.
     };
     struct Stored
     {
