--- a/src/gateway/loadtracker.cpp
+++ b/src/gateway/loadtracker.cpp
@@ -124,16 +124,12 @@
     const auto found = jobs_.find(id);
     if (found == jobs_.end())
         return;
-    if (id.owner != owner_) {
-        for (const JobPart &part : found->second.parts) {
-            if (!part.decodes)
-                continue;
-            auto &freed = freedSlots_[part.endpoint];
-            std::erase_if(freed, [&](const FreedSlot &slot) {
-                return now - slot.at > kMinReservation + kReservationSpread;
-            });
-            freed.push_back({id, now});
-        }
+    for (const JobPart &part : found->second.parts) {
+        if (!part.decodes)
+            continue;
+        auto &freed = freedSlots_[part.endpoint];
+        std::erase_if(freed, [&](const FreedSlot &slot) { return now - slot.at > kMaxKnownFree; });
+        freed.push_back({id, now});
     }
     remove(id);
 }
@@ -144,12 +140,27 @@
     if (row == freedSlots_.end())
         return 0;
     return static_cast<unsigned>(std::ranges::count_if(row->second, [&](const FreedSlot &slot) {
+        if (slot.job.owner == owner_)
+            return false;
         const std::uint64_t random = mix64(owner_ ^ mix64(slot.job.owner + slot.job.number));
         const Millis spread(static_cast<Millis::rep>(random % kReservationSpread.count()));
         return now < slot.at + kMinReservation + spread;
     }));
 }
 
+FloatMillis LoadTracker::freeFor(EndpointKey endpoint, unsigned free, TimePoint now) const
+{
+    const auto row = freedSlots_.find(endpoint);
+    if (row == freedSlots_.end())
+        return FloatMillis::max();
+    // Slots reserved for others are free too. The newest come last.
+    const std::size_t slots = free + reservedSlots(endpoint, now);
+    if (slots == 0 || slots > row->second.size())
+        return FloatMillis::max();
+    const FloatMillis age = now - row->second[row->second.size() - slots].at;
+    return age > FloatMillis(kMaxKnownFree) ? FloatMillis::max() : age;
+}
+
 void LoadTracker::remove(const JobId &id)
 {
     const auto found = jobs_.find(id);
--- a/src/gateway/loadtracker.h
+++ b/src/gateway/loadtracker.h
@@ -61,7 +61,8 @@
     TimePoint expectedPrefillEnd{}; ///< Afterwards the job counts as decoding.
     TimePoint dueBy{}; ///< Latest time for the first event; TimePoint{} if there is none.
     TimePoint expires{};
-    bool started = false; ///< The first event has arrived.
+    bool started = false;        ///< The first event has arrived.
+    std::uint32_t workspace = 0; ///< Hash of the workspace's name; 0 for none.
 };
 
 struct EndpointLoad
@@ -103,6 +104,11 @@
     void report(EndpointKey endpoint, const EndpointLoad &load, TimePoint now);
 
     EndpointLoad load(EndpointKey endpoint, TimePoint now) const;
+    /// Time for which an endpoint that could take `free` more jobs could have taken one already;
+    /// max() if it is longer than kMaxKnownFree.
+    FloatMillis freeFor(EndpointKey endpoint, unsigned free, TimePoint now) const;
+    /// Covers the longest time for which a slot is left to others.
+    static constexpr Millis kMaxKnownFree{250};
     const Job *find(const JobId &id) const;
     std::vector<Job> jobsOf(std::uint64_t owner) const;
     std::size_t size() const { return jobs_.size(); }
@@ -121,7 +127,7 @@
 
     void remove(const JobId &id);
     void unlink(const Job &job);
-    /// Freed slots that are still reserved for the daemons whose jobs used them.
+    /// Freed slots that are still reserved for the other daemons whose jobs used them.
     unsigned reservedSlots(EndpointKey endpoint, TimePoint now) const;
     void extendOverlappedPrefills(const Job &job);
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -375,6 +375,14 @@
     return passes * decodePassTime(engine, std::max(1U, decodingSequences), contextTokens);
 }
 
+bool canBeOnTime(const PlacementRequest &request, const EngineModel &engine)
+{
+    const FloatMillis earliestFirstEvent
+            = prefillTime(engine, request.promptTokens) / kPartCounts.back()
+              + decodePassTime(engine, 1, request.promptTokens) + kNetworkRoundTrip;
+    return kObjectiveShare * request.untilObjective > earliestFirstEvent;
+}
+
 Placement placeStream(const PlacementRequest &request, const EngineModel &engine,
                       std::span<const EndpointView> endpoints)
 {
@@ -396,9 +404,6 @@
         placement.reason = "too little time is left before the caller leaves";
         return placement;
     }
-    const FloatMillis earliestFirstEvent = wholePrefill / kPartCounts.back()
-                                           + decodePassTime(engine, 1, request.promptTokens)
-                                           + kNetworkRoundTrip;
     const FloatMillis limits[] = {kObjectiveShare * request.untilObjective, latestFirstEvent};
     for (const FloatMillis limit : limits) {
         const bool onTime = limit == limits[0];
@@ -413,7 +418,7 @@
         if (const auto found = planWithFewestParts(request, engine, endpoints, division, limit))
             return toPlacement(found->first, found->second, onTime);
         // A request that can still be on time waits for an endpoint instead of starting late.
-        if (limits[0] > earliestFirstEvent)
+        if (canBeOnTime(request, engine))
             break;
     }
     placement.reason = "no endpoint can take the request without delaying others";
@@ -464,6 +469,11 @@
     return reasons;
 }
 
+unsigned callCapacity(unsigned slots)
+{
+    return static_cast<unsigned>(std::ceil(slots * (1 + kCallQueuePerSlot)));
+}
+
 Placement placeCall(std::span<const EndpointView> endpoints, std::uint64_t tieBreaker)
 {
     Placement placement;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -78,6 +78,9 @@
 FloatMillis decodeTime(const EngineModel &engine, std::uint64_t answerTokens,
                        unsigned decodingSequences, std::uint64_t contextTokens);
 
+/// True unless the first event would be late even on idle endpoints.
+bool canBeOnTime(const PlacementRequest &request, const EngineModel &engine);
+
 Placement placeStream(const PlacementRequest &request, const EngineModel &engine,
                       std::span<const EndpointView> endpoints);
 
@@ -107,6 +110,9 @@
 WaitReasons explainWait(const PlacementRequest &request, const EngineModel &engine,
                         std::span<const EndpointView> endpoints);
 
+/// Calls that a plain endpoint may have at once, in its slots and its queue.
+unsigned callCapacity(unsigned slots);
+
 /// Chooses the endpoint with the fewest requests per slot, for services without an engine model.
 /// The outcome is Wait if every endpoint has all its slots and a short queue occupied. The tie
 /// breaker must differ between daemons.
