Count the usage of workspaces over all daemons

Cause: daemons know what they have placed for a workspace, not what others have. Change: jobs carry a hash of their workspace's name. Each daemon adds the cost of a job to the usage of its workspace when it places the job or first hears of it; a window of job numbers for each owner keeps full lists, late and repeated datagrams from counting twice. Dispatch passes usage and cost to dispatchOrder(), placement passes mustYield() the number of requests that wait at other daemons, which is 0 until daemons tell. The line queued names the workspace and its share of the usage, the state dump lists the usage. Ruled out: counting at the end of a job, since lost ends would be lost usage and a running job would not count.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -68,6 +68,7 @@
     Route route;
     std::string service;
     std::string workspace;
+    std::uint32_t workspaceKey = 0; ///< Hash of the workspace's name; 0 for none.
     int priority = 0;
     TimePoint arrivedAt{};
     TimePoint objective{};         ///< A first event after this time counts as late.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -123,6 +123,7 @@
                                            .servicesOutOfReach = reach_.cutOffServices()};
                      },
              .loadChanged = [this] { scheduleDispatch(); },
+             .workspaceJobReceived = [this](const Job &job) { countUsage(job); },
              .peerChanged = [this](const PeerInfo &peer) { onPeerChanged(peer); },
              .messageReceived = [this](const PeerInfo &peer) { onPeerMessage(peer); },
              .endpointUpdatesReceived =
@@ -359,6 +360,7 @@
         exchange->route.maxEndpoints = std::min(route->maxEndpoints, *peerAttempts);
     exchange->service = pickService(*route, fields.requestId);
     exchange->workspace = std::move(workspaceName);
+    exchange->workspaceKey = overload::workspaceKey(exchange->workspace);
     exchange->priority = priority;
     exchange->arrivedAt = arrivedAt;
     exchange->objective = exchange->arrivedAt + route->objective;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,6 +28,7 @@
 #include "gateway/topicfollower.h"
 #include "net/server.h"
 #include "net/upstream.h"
+#include "overload/workspaceusage.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -230,6 +231,18 @@
     void dispatchWaiting();
     /// Number of requests for the service that wait.
     std::size_t waitingFor(const std::string &service) const;
+    /// Longest time between two dispatches while requests wait.
+    Millis maxDispatchDelay() const;
+    /// Excludes the endpoints that the request must leave to those of other daemons, whose
+    /// workspaces have used less. `waitingElsewhere` is the number of these requests. Returns the
+    /// number of endpoints excluded.
+    unsigned leaveToOthers(const Exchange &exchange, unsigned waitingElsewhere,
+                           std::vector<EndpointView> &views) const;
+    /// Counts the cost of a job of this daemon or a peer as usage of its workspace.
+    void countUsage(const Job &job);
+    double costOf(const Exchange &exchange) const;
+    /// True if the request can no longer be on time.
+    bool isLate(const Exchange &exchange, TimePoint now) const;
     Millis suggestedRetryAfter(const Exchange &exchange) const;
 
     // Reports of the endpoints' load to other failure domains of a large fleet, by the daemons that
@@ -308,6 +321,7 @@
     GatewayMetrics counters_;
     LoadTracker loadTracker_;
     EndpointTable endpoints_;
+    overload::WorkspaceUsage workspaceUsage_;
     EndpointLimits limits_;
     asio::steady_timer limitTimer_;
     bool limitTimerArmed_ = false;
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -126,9 +126,12 @@
     for (std::size_t i = 0; i < placement.helpers.size(); ++i)
         job.parts.push_back({placement.helpers[i], placement.prefillTime, false,
                              i < placement.holders ? memory : 0});
+    job.workspace = exchange.workspaceKey;
     const EngineModel *engine = engineFor(exchange);
     const bool isLong = engine && isLongPrefill(*engine, exchange.fields.promptTokens);
     loadTracker_.place(job);
+    if (job.workspace != 0)
+        countUsage(job);
     mesh_.placed(job, isLong ? endpoints_.failureDomains() : endpoints_.failureDomainsOf(job));
 }
 
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -1,6 +1,7 @@
 // How the gateway discovers configuration, endpoints and members through the platform's store, and
 // the handlers of its control port.
 
+#include "base/hash.h"
 #include "base/jitter.h"
 #include "base/log.h"
 #include "gateway/blockedrecord.h"
@@ -528,6 +529,18 @@
     for (const BlockedParts &blocked : crashWatch_.blocked())
         json["blocked_parts"].push_back(
                 {{"parts", toString(blocked.parts)}, {"crashes", blocked.crashes}});
+    if (config_ && config_->hasWorkspaces) {
+        std::map<overload::WorkspaceKey, std::string> names;
+        for (const auto &[key, workspace] : config_->workspaceByKey)
+            names.emplace(overload::workspaceKey(workspace.name), workspace.name);
+        for (const auto &[service, usage] : workspaceUsage_.all(now)) {
+            for (const auto &[key, used] : usage) {
+                const auto name = names.find(key);
+                json["workspace_usage"][service][name == names.end() ? hex64(key) : name->second]
+                        = used;
+            }
+        }
+    }
     json["known_crashes"] = crashWatch_.evidence().crashes.size();
     json["services_out_of_reach"] = reach_.cutOffServices();
     json["requests"] = exchanges_.size();
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -37,6 +37,12 @@
                                "Attempts that made no progress for longer than expected"))
     , cancelled(metrics.counter("cicadafork_gateway_cancelled_total",
                                 "Requests whose caller left before the answer was complete"))
+    , yields(metrics.counter("cicadafork_gateway_yields_total",
+                             "Attempts to place a request that left endpoints to requests of "
+                             "other daemons, because its workspace is far above its share"))
+    , unknownUsage(metrics.counter("cicadafork_gateway_usage_unknown_total",
+                                   "Jobs that were not counted for their workspace, because their "
+                                   "endpoint was not known"))
     , quietEndpoints(metrics.counter("cicadafork_gateway_endpoint_quiet_total",
                                      "Refusals with which an endpoint asked for some time without "
                                      "requests"))
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -33,6 +33,8 @@
     prometheus::Counter &resumes;
     prometheus::Counter &silences;
     prometheus::Counter &cancelled;
+    prometheus::Counter &yields;
+    prometheus::Counter &unknownUsage;
     prometheus::Counter &quietEndpoints;
     prometheus::Counter &storeEras;
     prometheus::Gauge &evacuatedDomains;
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "gateway/dispatchorder.h"
 #include "gateway/gateway.h"
+#include "overload/fairorder.h"
 
 #include <fmt/format.h>
 
@@ -42,6 +43,9 @@
 // For a long prompt, the upper end of the range as a multiple of the mean prefill backlog.
 constexpr double kRetryAfterBacklogFactor = 1.5;
 
+// Requests that wait at other daemons, which do not tell yet.
+constexpr unsigned kWaitingElsewhere = 0;
+
 WaitFacts waitFacts(const Exchange &exchange)
 {
     return {.stream = exchange.route.kind == RouteKind::Stream,
@@ -111,7 +115,9 @@
 
 Placement Gateway::place(const Exchange &exchange) const
 {
-    const std::vector<EndpointView> views = viewsFor(exchange);
+    std::vector<EndpointView> views = viewsFor(exchange);
+    if (leaveToOthers(exchange, kWaitingElsewhere, views) > 0)
+        counters_.yields.Increment();
     if (views.empty()) {
         Placement none;
         none.reason = "no endpoint is known";
@@ -182,6 +188,79 @@
     }));
 }
 
+Millis Gateway::maxDispatchDelay() const
+{
+    return std::max(kMaxDispatchDelay,
+                    kDispatchDelayPerDaemon * static_cast<int>(domainDaemonCount()));
+}
+
+unsigned Gateway::leaveToOthers(const Exchange &exchange, unsigned waitingElsewhere,
+                                std::vector<EndpointView> &views) const
+{
+    // The caller of a stream that goes on waits for its next event.
+    if (waitingElsewhere == 0 || exchange.workspaceKey == 0
+        || exchange.state == ExchangeState::Relaying)
+        return 0;
+    const TimePoint now = steadyNow();
+    const bool plain = engineFor(exchange) == nullptr;
+    overload::YieldFacts facts{
+            .share = workspaceUsage_.share(exchange.service, exchange.workspaceKey, now),
+            .waitingElsewhere = waitingElsewhere,
+            .dispatchInterval = maxDispatchDelay()};
+    unsigned left = 0;
+    for (EndpointView &view : views) {
+        const unsigned capacity = plain ? callCapacity(view.slots) : view.slots;
+        if (!view.receives || view.load.sequences >= capacity)
+            continue;
+        const unsigned free = capacity - view.load.sequences;
+        facts.freeFor = view.inOwnDomain || mesh_.announcesJobsGlobally()
+                                ? loadTracker_.freeFor(view.key, free, now)
+                                : overload::assumedFreeFor(free, capacity);
+        if (!overload::mustYield(facts))
+            continue;
+        view.receives = false;
+        ++left;
+    }
+    return left;
+}
+
+bool Gateway::isLate(const Exchange &exchange, TimePoint now) const
+{
+    const EngineModel *engine = engineFor(exchange);
+    return engine ? !canBeOnTime(placementRequest(exchange), *engine) : exchange.objective <= now;
+}
+
+double Gateway::costOf(const Exchange &exchange) const
+{
+    const auto service = exchange.config->services.find(exchange.service);
+    const EngineModel *engine = service != exchange.config->services.end() && service->second.engine
+                                        ? &*service->second.engine
+                                        : nullptr;
+    return overload::requestCost(
+            engine, exchange.fields.promptTokens,
+            exchange.fields.answerHint.value_or(exchange.fields.maxAnswerTokens));
+}
+
+void Gateway::countUsage(const Job &job)
+{
+    if (workspaceUsage_.isCounted(job.id))
+        return;
+    const auto head = std::ranges::find_if(job.parts, &JobPart::decodes);
+    const EndpointRow *row = head == job.parts.end() ? nullptr : endpoints_.find(head->endpoint);
+    if (!row || !config_) {
+        // A full list names the job again if it still runs when the endpoint is known.
+        counters_.unknownUsage.Increment();
+        return;
+    }
+    const auto service = config_->services.find(row->record.service);
+    const EngineModel *engine = service != config_->services.end() && service->second.engine
+                                        ? &*service->second.engine
+                                        : nullptr;
+    workspaceUsage_.add(job.id, row->record.service, job.workspace,
+                        overload::requestCost(engine, job.promptTokens, job.answerTokens),
+                        steadyNow());
+}
+
 void Gateway::enqueue(Exchange &exchange)
 {
     if (std::ranges::find(waiting_, exchange.id) != waiting_.end())
@@ -201,9 +280,13 @@
         reasons = explainWait(placementRequest(exchange), *engine, viewsFor(exchange));
     const ServiceAvailability availability
             = endpoints_.availability(exchange.service, limits_, now);
+    const double usageShare
+            = workspaceUsage_.share(exchange.service, exchange.workspaceKey, now).fraction();
     logEvent(LogLevel::Info, "queued",
              {{"request", exchange.requestId},
               {"route", exchange.route.name},
+              {"workspace", exchange.workspace},
+              {"usage_share", fmt::format("{:.3f}", usageShare)},
               {"waiting", std::to_string(waiting_.size())},
               {"prompt_tokens", std::to_string(exchange.fields.promptTokens)},
               {"endpoints", std::to_string(reasons.endpoints)},
@@ -224,10 +307,8 @@
         return;
     // Every daemon learns of a slot that a peer has freed. A random delay makes the daemons
     // dispatch at different times: the placement of the first reaches the others within 2 ms.
-    const Millis maxDelay = std::max(
-            kMaxDispatchDelay, kDispatchDelayPerDaemon * static_cast<int>(domainDaemonCount()));
-    const Millis delay
-            = ownSlotFreed ? kMinDispatchDelay : randomMillis(kMinDispatchDelay, maxDelay);
+    const Millis delay = ownSlotFreed ? kMinDispatchDelay
+                                      : randomMillis(kMinDispatchDelay, maxDispatchDelay());
     const TimePoint next = steadyNow() + delay;
     if (dispatchScheduled_ && dispatchTimer_.expiry() <= next)
         return;
@@ -245,6 +326,7 @@
 {
     const TimePoint now = steadyNow();
     std::vector<WaitingRequest> waiting;
+    const bool shared = waiting_.size() > 1;
     for (const std::uint64_t id : waiting_) {
         const Exchange *exchange = find(id);
         if (!exchange || now < exchange->notBefore)
@@ -252,12 +334,17 @@
         waiting.push_back({.id = id,
                            .service = exchange->service,
                            .priority = exchange->priority,
-                           .late = exchange->objective <= now,
+                           .late = isLate(*exchange, now),
                            .objective = exchange->objective});
+        if (!shared || exchange->workspaceKey == 0)
+            continue;
+        waiting.back().workspace = exchange->workspaceKey;
+        waiting.back().used = workspaceUsage_.used(exchange->service, exchange->workspaceKey, now);
+        waiting.back().cost = costOf(*exchange);
     }
     std::unordered_set<std::string> servicesWithStream;
     for (const std::uint64_t id :
-         dispatchOrder(std::move(waiting), lastDispatchedService_, kMaxRequestsPerDispatch)) {
+         dispatchOrder(waiting, lastDispatchedService_, kMaxRequestsPerDispatch)) {
         Exchange *exchange = find(id);
         if (!exchange || servicesWithStream.contains(exchange->service))
             continue;
--- a/src/gateway/mesh.capnp
+++ b/src/gateway/mesh.capnp
@@ -23,6 +23,8 @@
   parts @6 :List(Part);
   # Time until its first event is due, counted likewise.
   dueInMicros @7 :UInt32;
+  # Hash of the name of the workspace that it belongs to; 0 for none.
+  workspace @8 :UInt32;
 }
 
 struct Member {
--- a/src/gateway/mesh.capnp.h
+++ b/src/gateway/mesh.capnp.h
@@ -401,6 +401,8 @@
 
     inline ::uint32_t getDueInMicros() const;
 
+    inline ::uint32_t getWorkspace() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template <typename, ::capnp::Kind>
@@ -470,6 +472,9 @@
     inline ::uint32_t getDueInMicros();
     inline void setDueInMicros(::uint32_t value);
 
+    inline ::uint32_t getWorkspace();
+    inline void setWorkspace(::uint32_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template <typename, ::capnp::Kind>
@@ -2150,6 +2155,20 @@
     _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint32_t Job::Reader::getWorkspace() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t Job::Builder::getWorkspace()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Job::Builder::setWorkspace(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Member::Reader::hasName() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -569,6 +569,8 @@
             const Job job = readJob(source, incarnation, now);
             listed.push_back(job.id.number);
             loadTracker_.place(job);
+            if (job.workspace != 0)
+                hooks_.workspaceJobReceived(job);
         }
         for (const std::uint32_t number : root.getStarted())
             loadTracker_.started({incarnation, number}, now);
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -115,6 +115,8 @@
     std::function<MeshStatus()> status;
     /// The load of endpoints changed.
     std::function<void()> loadChanged;
+    /// A peer named a job that belongs to a workspace; full lists name the same jobs again.
+    std::function<void(const Job &)> workspaceJobReceived = [](const Job &) {};
     /// A peer was discovered, failed, came back, or changed its leaving or storeLost status.
     std::function<void(const PeerInfo &)> peerChanged;
     /// Called for every valid datagram of a peer, after its contents have been applied.
--- a/src/gateway/meshwire.cpp
+++ b/src/gateway/meshwire.cpp
@@ -81,6 +81,7 @@
     target.setReadInMicros(toMicros(FloatMillis(job.expectedPrefillEnd - now)));
     target.setDueInMicros(toMicros(FloatMillis(job.dueBy - now)));
     target.setStarted(job.started);
+    target.setWorkspace(job.workspace);
     auto parts = target.initParts(static_cast<unsigned>(job.parts.size()));
     for (unsigned i = 0; i < job.parts.size(); ++i) {
         parts[i].setEndpoint(job.parts[i].endpoint);
@@ -132,6 +133,7 @@
     job.expectedPrefillEnd = now + Micros(source.getReadInMicros());
     job.dueBy = now + Micros(source.getDueInMicros());
     job.started = source.getStarted();
+    job.workspace = source.getWorkspace();
     job.expires = now + kJobLifetime;
     for (const auto part : source.getParts()) {
         if (job.parts.size() >= kMaxParts)
