--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -71,6 +71,7 @@
     std::string workspace;
     /// Where it may be handled, by the configuration in force when it arrived at its first daemon.
     residency::AllowedRegions residency;
+    std::uint32_t workspaceKey = 0; ///< Hash of the workspace's name; 0 for none.
     int priority = 0;
     TimePoint arrivedAt{};
     TimePoint objective{};         ///< A first event after this time counts as late.
