Keep late duplicates of answers from other calls of a connection

An endpoint may send a complete answer twice. One that arrived after the connection carried the next request was taken for that request's answer if it named no request, or named the same id: a refused request that came again with its id and ran was answered with the copy of the refusal, and ran a second time. Orders and reads of the store shared the connections of callers' requests.

Ruled out: a connection for each request, which costs a round trip for every call.

--- a/src/gateway/gatewaypeersync.cpp
+++ b/src/gateway/gatewaypeersync.cpp
@@ -185,7 +185,7 @@
     UpstreamHandlers handlers;
     handlers.head = [this](HttpResponseHead &&head) {
         pullStatus_ = head.status;
-        return HeadAction::Accept;
+        return HeadAction::AcceptLast; // It does not name its request.
     };
     handlers.body = [this](std::string_view bytes) {
         if (pullBody_.size() + bytes.size() <= kMaxSharedBytes)
