Count whole events, not bytes, as progress of a stream

Any byte ended the silence of an attempt, so a stalled stream whose endpoint sent a byte now and then went on until its deadline. Only an event with a field is progress now; comments are not. A whole answer still counts bytes and is bounded by its deadline.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -46,7 +46,8 @@
     bool silent = false;
     TimePoint nextSilenceCheck{};
     bool reachChecked = false;  ///< The way to the endpoints was asked for, as nothing came.
-    TimePoint lastProgressAt{}; ///< Time of the send, or of the last bytes received.
+    TimePoint lastProgressAt{}; ///< Time of the send, or of the last event or bytes of a whole
+                                ///< answer.
     TimePoint firstEventAt{};   ///< Unset until the endpoint has sent a whole event.
     unsigned events = 0;        ///< Whole events that the endpoint has sent.
     HttpResponseHead head;
@@ -157,6 +158,10 @@
 /// returns it; returns an empty string when the buffer holds no complete event.
 std::string takeEvent(std::string &buffer);
 
+/// True if the event has a field. One that consists of comments shows that the connection is open,
+/// not that the stream goes on.
+bool isProgress(std::string_view event);
+
 /// Numeric id of a server-sent event; nullopt when it has none.
 std::optional<std::uint64_t> eventId(std::string_view event);
 
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -232,12 +232,12 @@
     Attempt *attempt = exchange ? findAttempt(*exchange, job) : nullptr;
     if (!attempt)
         return;
-    noteProgress(*exchange, *attempt);
     attempt->body += bytes;
     if (attempt->streams) {
         relayEvents(*exchange, *attempt);
         return;
     }
+    noteProgress(*exchange, *attempt);
     if (attempt->body.size() > kMaxWholeAnswerBytes)
         failAttempt(*exchange, *attempt, EndpointFailure::Broken, true, "answer_too_large");
 }
@@ -246,6 +246,9 @@
 {
     for (std::string event = takeEvent(attempt.body); !event.empty();
          event = takeEvent(attempt.body)) {
+        // An endpoint that has stalled may go on sending single bytes or comments.
+        if (isProgress(event))
+            noteProgress(exchange, attempt);
         const auto id = eventId(event);
         if (attempt.events++ == 0)
             attempt.firstEventAt = steadyNow();
