Send nothing on the strength of what ended while a daemon was paused

After a pause of some seconds all timers are due at once and sockets hold what arrived meanwhile.

After: FailureModes and Reservation pass.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -37,7 +37,8 @@
     Address address;
     JobId job;
     TimePoint sentAt{};
-    FloatMillis expected{0}; ///< Expected time to the first event or the answer.
+    TimePoint sendBy = TimePoint::max(); ///< Nothing of it is written first after this time.
+    FloatMillis expected{0};             ///< Expected time to the first event or the answer.
     bool headSeen = false;
     bool notRun = false;  ///< The endpoint states that it did not run the request.
     bool streams = false; ///< The answer is relayed event by event.
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -34,6 +34,9 @@
 // connected to. It doubles with each attempt.
 constexpr Millis kMinReconnectDelay{20};
 constexpr Millis kMaxReconnectDelay{160};
+// A request is written within this time of its placement or not at all: connecting takes 150 ms at
+// most, and what the placement relied on, such as a share of a limit, may have ended later.
+constexpr Millis kMaxSendDelay{500};
 // Expected time of a call to a service without an engine model.
 constexpr FloatMillis kExpectedCallTime{30};
 
@@ -182,6 +185,10 @@
     request.head = serializeRequestHead(exchange.request.method, exchange.request.target, headers);
     request.body = exchange.request.body;
     request.idHash = fnv1a64(exchange.requestId);
+    request.sendBy = std::min(exchange.deadline, steadyNow() + kMaxSendDelay);
+    if (attempt.reservation)
+        request.sendBy = std::min(request.sendBy, attempt.reservation->heldUntil());
+    attempt.sendBy = request.sendBy;
     if (!isRepeatable(exchange.route))
         request.maxIdleTime = kMaxIdleIfUnrepeatable;
     const std::uint64_t id = exchange.id;
@@ -329,6 +336,11 @@
     switch (end) {
     case UpstreamOutcome::NotSent:
         undoSend(*exchange, attempt);
+        if (steadyNow() >= attempt.sendBy) {
+            // Says nothing about the endpoint: this process was paused.
+            failAttempt(*exchange, attempt, EndpointFailure::Refused, false, "not_sent_in_time");
+            return;
+        }
         if (!attempt.peer.empty()) {
             failAttempt(*exchange, attempt, EndpointFailure::NoConnection, false, "no_peer");
             return;
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -35,6 +35,7 @@
     prometheus::Counter &cancelled;
     prometheus::Counter &quietEndpoints;
     prometheus::Counter &storeEras;
+    prometheus::Counter &pauses;
     prometheus::Gauge &evacuatedDomains;
     prometheus::Counter &endpointCrashes;
     prometheus::Gauge &blockedParts;
--- a/tests/unit/failuremodes_test.cpp
+++ b/tests/unit/failuremodes_test.cpp
@@ -419,3 +419,98 @@
     }
     LONGS_EQUAL(0, unanswered);
 }
+
+// Guards against work that a daemon sends after a pause although its caller has left.
+TEST(FailureModes, waitingRequestsOfAPausedDaemonAreNotSentAfterTheirDeadline)
+{
+    startWithRawEndpoint(kPool);
+    raw->onRequest = [](const RawServer::Received &) {};
+    // Fills the slots, so that the last ones wait.
+    for (unsigned i = 0; i < 6; ++i)
+        send(*daemons[0], "a:10");
+    serveFor(Millis(100));
+    const std::size_t before = raw->received.size();
+    CHECK_TRUE(daemons[0]->state()["waiting"].get<unsigned>() > 0);
+    std::this_thread::sleep_for(Millis(4200));
+    for (const auto &request : raw->received)
+        RawServer::write(request.connection, RawServer::answer(request.requestId, "x", "500 No"));
+    serveFor(Millis(400));
+    LONGS_EQUAL(before, raw->received.size());
+    for (const auto &answer : answers)
+        CHECK_TRUE(answer->status >= 500);
+}
+
+// Guards against a daemon that runs a request which waited in its socket during a pause, for longer
+// than its caller waits.
+TEST(FailureModes, requestsThatWaitedInTheSocketDuringAPauseAreNotSentAfterTheirDeadline)
+{
+    startWithRawEndpoint(kPlain);
+    raw->onRequest = [](const RawServer::Received &request) {
+        RawServer::write(request.connection, RawServer::answer(request.requestId, "late"));
+    };
+    sendAndWait("/once/x");
+    const std::size_t before = raw->received.size();
+    asio::ip::tcp::socket caller(context);
+    caller.connect({asio::ip::make_address_v4(daemons[0]->ip), daemons[0]->callers.port});
+    asio::write(caller, asio::buffer(serializeRequestHead("POST", "/once/x", callerHeaders("p"))));
+    std::this_thread::sleep_for(Millis(2200));
+    CHECK_TRUE(runUntil([&] { return caller.available() > 12; }));
+    std::string text(12, '\0');
+    asio::read(caller, asio::buffer(text));
+    STRCMP_EQUAL("HTTP/1.1 503", text.c_str());
+    LONGS_EQUAL(before, raw->received.size());
+}
+
+// Guards against a daemon that takes its own pause for the end of all others, and then uses the
+// whole of limits, trials and the reader's role that it shares with them.
+TEST(FailureModes, aPausedDaemonDoesNotTakeItsPeersForFailed)
+{
+    addEndpoint(true, kPlain);
+    start(3, 0);
+    const auto shared = [&] {
+        unsigned owners = 0;
+        for (const auto &daemon : daemons)
+            owners += daemon->state()["endpoints"][0]["own_per_s"].get<double>() > 0 ? 1 : 0;
+        return owners;
+    };
+    endpoints[0]->limit = 4;
+    for (const auto &daemon : daemons) {
+        const Answer &answer = sendRequest(*daemon, "/safe/x", {});
+        CHECK_TRUE(runUntil([&] { return answer.ended; }));
+    }
+    CHECK_TRUE(runUntil([&] { return shared() == 2; }));
+    for (int pause = 0; pause < 3; ++pause) {
+        std::this_thread::sleep_for(Millis(2500));
+        const TimePoint end = steadyNow() + Millis(100);
+        bool failed = false;
+        runUntil(
+                [&] {
+                    for (const auto &daemon : daemons) {
+                        const auto state = daemon->state();
+                        for (const auto &peer : state["peers"])
+                            failed = failed || !peer["alive"].get<bool>();
+                    }
+                    return failed || steadyNow() > end;
+                },
+                Millis(200));
+        CHECK_FALSE(failed);
+        serveFor(Millis(700));
+    }
+}
+
+// Guards against a request that is written after a pause, on the strength of a place in a limit, a
+// trial or a deadline that has run out since it was placed.
+TEST(FailureModes, aRequestIsNotWrittenAfterAPauseDuringItsConnecting)
+{
+    startWithRawEndpoint(kPlain);
+    raw->onRequest = [](const RawServer::Received &request) {
+        RawServer::write(request.connection, RawServer::answer(request.requestId, "late"));
+    };
+    const Answer &answer = sendRequest(*daemons[0], "/once/x", {});
+    CHECK_TRUE(runUntil([&] { return daemons[0]->state()["requests"].get<unsigned>() == 1; }));
+    CHECK_EQUAL(0U, raw->received.size());
+    std::this_thread::sleep_for(Millis(2000));
+    CHECK_TRUE(runUntil([&] { return answer.ended; }));
+    LONGS_EQUAL(503, answer.status);
+    LONGS_EQUAL(0, raw->received.size());
+}
