--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -38,7 +38,8 @@
     Address address;
     JobId job;
     TimePoint sentAt{};
-    FloatMillis expected{0}; ///< Expected time to the first event or the answer.
+    TimePoint sendBy = TimePoint::max(); ///< Nothing of it is written first after this time.
+    FloatMillis expected{0};             ///< Expected time to the first event or the answer.
     bool headSeen = false;
     bool notRun = false;  ///< The endpoint states that it did not run the request.
     bool streams = false; ///< The answer is relayed event by event.
@@ -47,7 +48,8 @@
     bool silent = false;
     TimePoint nextSilenceCheck{};
     bool reachChecked = false;  ///< The way to the endpoints was asked for, as nothing came.
-    TimePoint lastProgressAt{}; ///< Time of the send, or of the last bytes received.
+    TimePoint lastProgressAt{}; ///< Time of the send, or of the last event or bytes of a whole
+                                ///< answer.
     TimePoint firstEventAt{};   ///< Unset until the endpoint has sent a whole event.
     unsigned events = 0;        ///< Whole events that the endpoint has sent.
     HttpResponseHead head;
@@ -163,6 +165,10 @@
 /// returns it; returns an empty string when the buffer holds no complete event.
 std::string takeEvent(std::string &buffer);
 
+/// True if the event has a field. One that consists of comments shows that the connection is open,
+/// not that the stream goes on.
+bool isProgress(std::string_view event);
+
 /// Numeric id of a server-sent event; nullopt when it has none.
 std::optional<std::uint64_t> eventId(std::string_view event);
 
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -39,6 +39,7 @@
     prometheus::Gauge &coldEndpoints;
     prometheus::Counter &coldTimes;
     prometheus::Counter &storeEras;
+    prometheus::Counter &pauses;
     prometheus::Gauge &evacuatedDomains;
     prometheus::Counter &endpointCrashes;
     prometheus::Gauge &blockedParts;
