--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -163,6 +163,9 @@
     const EngineModel *engineFor(const Exchange &exchange) const;
     PlacementRequest placementRequest(const Exchange &exchange) const;
     Placement place(const Exchange &exchange) const;
+    /// True for a request that waits for a slot. Long prompts wait for several endpoints without
+    /// pending prefills, so they neither take turns with short ones nor hold them up.
+    bool sharesQueue(const Exchange &exchange) const;
     /// The rank of a request among all that wait for its service.
     overload::WaitingRank rankOf(const Exchange &exchange) const;
     /// While requests of other daemons wait too, leaves the request only the endpoints at which it
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -77,7 +77,7 @@
     const bool isSettling = pauseWatch_.isSettling(now);
     for (EndpointView &view : views)
         view.receives = limits_.allows(view.key, now)
-                        && !(isSettling && limits_.ownPerSecond(view.key) > 0);
+                        && !(isSettling && limits_.ownPerSecond(view.key, now) > 0);
     return views;
 }
 
@@ -149,6 +149,13 @@
     return placement;
 }
 
+bool Gateway::sharesQueue(const Exchange &exchange) const
+{
+    const EngineModel *engine = engineFor(exchange);
+    return settings_.queueScope == QueueScope::Fleet && engine
+           && !isLongPrefill(*engine, exchange.fields.promptTokens);
+}
+
 overload::WaitingRank Gateway::rankOf(const Exchange &exchange) const
 {
     return {.priority = exchange.priority,
@@ -159,7 +166,7 @@
 unsigned Gateway::restrictToTurn(const Exchange &exchange, std::vector<EndpointView> &views) const
 {
     // A stream that goes on needs its slot sooner than any request that waits.
-    if (settings_.queueScope != QueueScope::Fleet || exchange.state == ExchangeState::Relaying)
+    if (!sharesQueue(exchange) || exchange.state == ExchangeState::Relaying)
         return 0;
     const TimePoint now = steadyNow();
     const std::vector<overload::WaitingRank> others
@@ -190,7 +197,7 @@
     if (settings_.queueScope == QueueScope::Fleet) {
         for (const std::uint64_t id : waiting_) {
             const auto found = exchanges_.find(id);
-            if (found != exchanges_.end() && engineFor(*found->second) != nullptr)
+            if (found != exchanges_.end() && sharesQueue(*found->second))
                 byService[found->second->service].push_back(found->second.get());
         }
     }
