Let PrefixIndex find prefixes of stated length

Callers of the gateway name parts of prompts with their tokens, so the fixed lengths in bytes do not apply. The number of holders of a prefix becomes a parameter.

--- a/src/routing/prefixindex.cpp
+++ b/src/routing/prefixindex.cpp
@@ -13,8 +13,6 @@
 constexpr std::size_t kFirstPrefixBytes = 1024;
 constexpr std::size_t kPrefixesPerDoubling = 4;
 constexpr std::size_t kBytesPerToken = 4;
-/// Endpoints recorded for each prefix. More of them do not improve the choice.
-constexpr std::size_t kHoldersPerEntry = 4;
 
 std::size_t prefixBytes(std::size_t index)
 {
@@ -50,8 +48,9 @@
     return prefixBytes(index) / kBytesPerToken;
 }
 
-PrefixIndex::PrefixIndex(std::size_t limit)
+PrefixIndex::PrefixIndex(std::size_t limit, std::size_t holdersPerPrefix)
     : limit_(std::max<std::size_t>(limit, 1))
+    , holdersPerPrefix_(std::max<std::size_t>(holdersPerPrefix, 1))
 {
 }
 
@@ -60,24 +59,56 @@
 {
     std::vector<PrefixHit> hits;
     const std::shared_lock lock(mutex_);
-    for (std::size_t index = 0; index < hashes.size(); ++index) {
-        const auto found = byHash_.find(hashes[index]);
+    for (std::size_t index = 0; index < hashes.size(); ++index)
+        addHits(hits, {hashes[index], prefixTokens(index)}, now);
+    return hits;
+}
+
+std::vector<PrefixHit> PrefixIndex::find(std::span<const Prefix> prefixes, TimePoint now) const
+{
+    std::vector<PrefixHit> hits;
+    const std::shared_lock lock(mutex_);
+    for (const Prefix &prefix : prefixes)
+        addHits(hits, prefix, now);
+    return hits;
+}
+
+void PrefixIndex::addHits(std::vector<PrefixHit> &hits, const Prefix &prefix, TimePoint now) const
+{
+    const auto found = byHash_.find(prefix.hash);
+    if (found == byHash_.end())
+        return;
+    for (const Holder &holder : found->second->holders) {
+        const double discounted
+                = static_cast<double>(prefix.tokens) * decayFactor(holder.lastRecorded, now);
+        auto hit = std::find_if(hits.begin(), hits.end(),
+                                [&](const PrefixHit &h) { return h.endpoint == holder.endpoint; });
+        if (hit == hits.end())
+            hits.push_back({holder.endpoint, prefix.tokens, discounted});
+        else if (discounted > hit->discountedTokens)
+            *hit = {holder.endpoint, prefix.tokens, discounted};
+    }
+}
+
+std::optional<PrefixHit> PrefixIndex::findAt(const std::string &endpoint,
+                                             std::span<const Prefix> prefixes, TimePoint now) const
+{
+    std::optional<PrefixHit> best;
+    const std::shared_lock lock(mutex_);
+    for (const Prefix &prefix : prefixes) {
+        const auto found = byHash_.find(prefix.hash);
         if (found == byHash_.end())
             continue;
-        const std::uint64_t tokens = prefixTokens(index);
         for (const Holder &holder : found->second->holders) {
+            if (holder.endpoint != endpoint)
+                continue;
             const double discounted
-                    = static_cast<double>(tokens) * decayFactor(holder.lastRecorded, now);
-            auto hit = std::find_if(hits.begin(), hits.end(), [&](const PrefixHit &h) {
-                return h.endpoint == holder.endpoint;
-            });
-            if (hit == hits.end())
-                hits.push_back({holder.endpoint, tokens, discounted});
-            else if (discounted > hit->discountedTokens)
-                *hit = {holder.endpoint, tokens, discounted};
+                    = static_cast<double>(prefix.tokens) * decayFactor(holder.lastRecorded, now);
+            if (!best || discounted > best->discountedTokens)
+                best = PrefixHit{endpoint, prefix.tokens, discounted};
         }
     }
-    return hits;
+    return best;
 }
 
 void PrefixIndex::recordDispatch(const std::string &endpoint,
@@ -88,6 +119,14 @@
         add(endpoint, hash, now);
 }
 
+void PrefixIndex::recordDispatch(const std::string &endpoint, std::span<const Prefix> prefixes,
+                                 TimePoint now)
+{
+    const std::unique_lock lock(mutex_);
+    for (const Prefix &prefix : prefixes)
+        add(endpoint, prefix.hash, now);
+}
+
 void PrefixIndex::recordAdded(const std::string &endpoint, std::uint64_t hash, TimePoint now)
 {
     const std::unique_lock lock(mutex_);
@@ -159,7 +198,7 @@
         known->lastRecorded = std::max(known->lastRecorded, now);
         return;
     }
-    if (holders.size() >= kHoldersPerEntry) {
+    if (holders.size() >= holdersPerPrefix_) {
         holders.erase(
                 std::min_element(holders.begin(), holders.end(), [](const auto &a, const auto &b) {
                     return a.lastRecorded < b.lastRecorded;
--- a/src/routing/prefixindex.h
+++ b/src/routing/prefixindex.h
@@ -6,10 +6,16 @@
 //   index.recordDispatch(endpointId, request.prefixHashes, now);
 //   std::vector<PrefixHit> hits = index.find(request.prefixHashes, now);
 //
-// Prefix lengths are 1, 1.25, 1.5, 1.75, 2, 2.5, 3, 3.5, 4, 5, ... KiB, four for each doubling.
-// Hash i is FNV-1a 64 over the i-th prefix, the same digest that engines compute. A 4 MiB prompt
-// has 49 hashes, which are computed in one pass. The recorded length of a shared prefix is at most
-// a fifth below its true length.
+// A caller that names the parts of its prompts passes prefixes with their tokens instead of hashes
+// at fixed lengths:
+//
+//   index.recordDispatch(endpoint, prefixes, now);
+//   std::vector<PrefixHit> hits = index.find(prefixes, now);
+//
+// Prefix lengths at fixed lengths are 1, 1.25, 1.5, 1.75, 2, 2.5, 3, 3.5, 4, 5, ... KiB, four for
+// each doubling. Hash i is FNV-1a 64 over the i-th prefix, the same digest that engines compute. A
+// 4 MiB prompt has 49 hashes, which are computed in one pass. The recorded length of a shared
+// prefix is at most a fifth below its true length.
 //
 // Entries are hints, because cache events may be late or lost. The weight of an entry halves every
 // minute.
@@ -18,7 +24,9 @@
 
 #include <cstdint>
 #include <list>
+#include <optional>
 #include <shared_mutex>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -35,6 +43,19 @@
 /// Half-life of the weight of an entry.
 inline constexpr Millis kPrefixHalfLife{60'000};
 
+/// A prefix of known length.
+struct Prefix
+{
+    std::uint64_t hash = 0;
+    std::uint64_t tokens = 0;
+
+    bool operator==(const Prefix &) const = default;
+};
+
+/// Endpoints recorded for each prefix by default. More of them do not improve a choice among
+/// sampled endpoints.
+inline constexpr std::size_t kHoldersPerPrefix = 4;
+
 struct PrefixHit
 {
     std::string endpoint;
@@ -46,15 +67,22 @@
 class PrefixIndex
 {
 public:
-    explicit PrefixIndex(std::size_t limit = 65'536);
+    explicit PrefixIndex(std::size_t limit = 65'536,
+                         std::size_t holdersPerPrefix = kHoldersPerPrefix);
 
     /// Endpoints that may have a prefix of the prompt in their cache, each with the prefix that has
     /// the most discounted tokens.
     std::vector<PrefixHit> find(const std::vector<std::uint64_t> &hashes, TimePoint now) const;
+    std::vector<PrefixHit> find(std::span<const Prefix> prefixes, TimePoint now) const;
+    /// The same for one endpoint; absent if it has none of the prefixes.
+    std::optional<PrefixHit> findAt(const std::string &endpoint, std::span<const Prefix> prefixes,
+                                    TimePoint now) const;
 
     /// Records that a prompt was sent to the endpoint, whose cache contains it after the prefill.
     void recordDispatch(const std::string &endpoint, const std::vector<std::uint64_t> &hashes,
                         TimePoint now);
+    void recordDispatch(const std::string &endpoint, std::span<const Prefix> prefixes,
+                        TimePoint now);
 
     /// Apply the cache events of an engine.
     void recordAdded(const std::string &endpoint, std::uint64_t hash, TimePoint now);
@@ -82,12 +110,14 @@
     };
     using Entries = std::list<Entry>;
 
+    void addHits(std::vector<PrefixHit> &hits, const Prefix &prefix, TimePoint now) const;
     void add(const std::string &endpoint, std::uint64_t hash, TimePoint now);
 
     mutable std::shared_mutex mutex_;
     Entries entries_; ///< Least recently recorded first.
     std::unordered_map<std::uint64_t, Entries::iterator> byHash_;
     std::size_t limit_;
+    std::size_t holdersPerPrefix_;
 };
 
 } // namespace cicadafork
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -419,6 +419,26 @@
     LONGS_EQUAL(0, index.size());
 }
 
+// Guards against a prefix of stated length that is found with another length or at another
+// endpoint, and against more holders than the limit.
+TEST(PrefixIndexTest, prefixesOfStatedLengthAreFoundAtTheirLatestHolders)
+{
+    PrefixIndex index(100, 2);
+    const std::vector<Prefix> prefixes = {{11, 700}, {12, 9000}};
+    const std::vector<Prefix> shorter = {{11, 700}};
+    index.recordDispatch("e1", std::span<const Prefix>(prefixes), now);
+    index.recordDispatch("e2", std::span<const Prefix>(shorter), now + Millis(1));
+    LONGS_EQUAL(2, index.find(std::span<const Prefix>(prefixes), now).size());
+    LONGS_EQUAL(9000, index.findAt("e1", prefixes, now)->tokens);
+    LONGS_EQUAL(700, index.findAt("e2", prefixes, now)->tokens);
+    CHECK_FALSE(index.findAt("e3", prefixes, now).has_value());
+    index.recordDispatch("e3", std::span<const Prefix>(shorter), now + Millis(2));
+    CHECK_FALSE(index.findAt("e1", shorter, now).has_value());
+    DOUBLES_EQUAL(350,
+                  index.findAt("e3", shorter, now + Millis(2) + kPrefixHalfLife)->discountedTokens,
+                  0.01);
+}
+
 // Guards against unbounded memory use with many prompts.
 TEST(PrefixIndexTest, oldestEntriesAreEvictedAtTheLimit)
 {
