--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -31,6 +31,8 @@
     std::optional<std::uint64_t> lastEventId; ///< Resume the stream after this event.
     /// The parts of the prompt that other requests may share, in order: all but the last one.
     std::vector<PromptPartId> sharedPromptParts;
+    /// Tokens of each shared part; absent where the caller states none that can be read.
+    std::vector<std::optional<std::uint64_t>> sharedPromptTokens;
     std::string prompt; ///< All parts of the prompt, as the caller names them.
 };
 
--- a/tests/unit/platformadapter_test.cpp
+++ b/tests/unit/platformadapter_test.cpp
@@ -11,6 +11,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <string>
@@ -208,20 +209,25 @@
     {
         const char *text;
         std::vector<PromptPartId> parts;
+        std::vector<std::optional<std::uint64_t>> tokens;
     };
     const Case cases[] = {
-            {"5c1e07a2:800,91bd3f06:410,e4402b7d:250", {0x5c1e07a2, 0x91bd3f06}},
-            {"5C1E07A2:800, 91bd3f06:410 ,e4402b7d", {0x5c1e07a2, 0x91bd3f06}},
-            {"005c1e07a2:800,e4402b7d:250", {0x5c1e07a2}},
-            {"5c1e07a2,e4402b7d:250", {0x5c1e07a2}},
-            {"5c1e07a2:800", {}},
-            {"", {}},
-            {"not-hexadecimal:1,e4402b7d:250", {fnv1a64("not-hexadecimal")}},
+            {"5c1e07a2:800,91bd3f06:410,e4402b7d:250", {0x5c1e07a2, 0x91bd3f06}, {800, 410}},
+            {"5C1E07A2:800, 91bd3f06:410 ,e4402b7d", {0x5c1e07a2, 0x91bd3f06}, {800, 410}},
+            {"005c1e07a2:800,e4402b7d:250", {0x5c1e07a2}, {800}},
+            {"5c1e07a2,e4402b7d:250", {0x5c1e07a2}, {std::nullopt}},
+            {"5c1e07a2:,91bd3f06:-4,c1:x,e4402b7d:250",
+             {0x5c1e07a2, 0x91bd3f06, 0xc1},
+             {std::nullopt, std::nullopt, std::nullopt}},
+            {"5c1e07a2:800", {}, {}},
+            {"", {}, {}},
+            {"not-hexadecimal:1,e4402b7d:250", {fnv1a64("not-hexadecimal")}, {1}},
     };
     for (const Case &row : cases) {
         HttpRequest result = request();
         result.headers.add("Prompt-Prefix", row.text);
         CHECK_TRUE_TEXT(protocol.readCaller(result).sharedPromptParts == row.parts, row.text);
+        CHECK_TRUE_TEXT(protocol.readCaller(result).sharedPromptTokens == row.tokens, row.text);
     }
 }
 
