Learn what held prefixes save, and weigh it against the wait

Engines may keep the KV cache of a prompt. Each daemon compares hits with misses in pairs and moves a request to a holder only if placement allows that endpoint without the saving. Probing was ruled out, as it changes placements where nothing is saved.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -277,6 +277,14 @@
     return best;
 }
 
+FloatMillis latestFirstEvent(const PlacementRequest &request, const EngineModel &engine)
+{
+    const FloatMillis minDecodeTime
+            = kAssumedDecodeShare
+              * decodeTime(engine, request.answerTokens, 1, request.promptTokens);
+    return std::min(request.untilDeadline - minDecodeTime, request.untilCallerLeaves);
+}
+
 /// Divides the KV memory among as few endpoints as can hold it.
 Division memoryDivision(const EngineModel &engine, std::uint64_t tokens)
 {
@@ -386,12 +394,8 @@
         return placement;
     }
     const FloatMillis wholePrefill = prefillTime(engine, request.promptTokens);
-    const FloatMillis minDecodeTime
-            = kAssumedDecodeShare
-              * decodeTime(engine, request.answerTokens, 1, request.promptTokens);
-    const FloatMillis latestFirstEvent
-            = std::min(request.untilDeadline - minDecodeTime, request.untilCallerLeaves);
-    if (wholePrefill / kPartCounts.back() > latestFirstEvent) {
+    const FloatMillis latest = latestFirstEvent(request, engine);
+    if (wholePrefill / kPartCounts.back() > latest) {
         placement.outcome = PlacementOutcome::Reject;
         placement.reason = "too little time is left before the caller leaves";
         return placement;
@@ -399,7 +403,7 @@
     const FloatMillis earliestFirstEvent = wholePrefill / kPartCounts.back()
                                            + decodePassTime(engine, 1, request.promptTokens)
                                            + kNetworkRoundTrip;
-    const FloatMillis limits[] = {kObjectiveShare * request.untilObjective, latestFirstEvent};
+    const FloatMillis limits[] = {kObjectiveShare * request.untilObjective, latest};
     for (const FloatMillis limit : limits) {
         const bool onTime = limit == limits[0];
         division.late = !onTime;
@@ -431,6 +435,33 @@
     return placeStream(request, engine, endpoints);
 }
 
+std::optional<FloatMillis> firstEventIfHead(const PlacementRequest &request,
+                                            const EngineModel &engine, const Placement &placement,
+                                            const EndpointView &from, const EndpointView &to)
+{
+    const bool shortGap = request.maxEventGap < kShortEventGap;
+    const auto takesSpareSlot = [](const EndpointView &endpoint) {
+        return endpoint.load.sequences + kSpareSlots >= endpoint.slots;
+    };
+    if ((from.inOwnDomain && !to.inOwnDomain) || (takesSpareSlot(to) && !takesSpareSlot(from)))
+        return std::nullopt;
+    if (shortGap ? hasShortEventGap(from) && !hasShortEventGap(to)
+                 : hasShortEventGap(to) && !hasShortEventGap(from))
+        return std::nullopt;
+    // Not to a less full endpoint than the range of the tie breaker allows.
+    if (shortGap && to.load.sequences + kPackingTieShare * to.slots / 2 < from.load.sequences)
+        return std::nullopt;
+    const bool late = !placement.onTime;
+    if (!canPrefill(engine, to, placement.prefillTime, false)
+        || !canBeHead(request, engine, to, placement.kvTokensPerHolder, false, late))
+        return std::nullopt;
+    const FloatMillis limit
+            = late ? latestFirstEvent(request, engine) : kObjectiveShare * request.untilObjective;
+    const FloatMillis expected = expectedFirstEvent(request, engine, to, backlog(engine, to, false),
+                                                    placement.prefillTime);
+    return expected <= limit ? std::optional(expected) : std::nullopt;
+}
+
 bool isLongPrefill(const EngineModel &engine, std::uint64_t promptTokens)
 {
     return prefillTime(engine, promptTokens) > kLongPrefill;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -19,6 +19,7 @@
 
 #include "gateway/loadtracker.h"
 
+#include <optional>
 #include <span>
 #include <string>
 
@@ -67,6 +68,9 @@
     FloatMillis firstEvent{0};           ///< Expected time to the first event.
     bool onTime = false;                 ///< The first event is expected within the objective.
     const char *reason = "";
+    /// Expected saving at the head, which holds a prefix of the prompt; not part of firstEvent.
+    FloatMillis prefixSaving{0};
+    std::uint64_t prefixTokens = 0; ///< Expected to be saved.
 };
 
 /// Time to prefill a whole prompt on one idle endpoint.
@@ -86,6 +90,15 @@
 Placement placeStreamInDomainFirst(const PlacementRequest &request, const EngineModel &engine,
                                    std::span<const EndpointView> endpoints);
 
+/// Expected time to the first event if `to` replaces `from` as the head of the placement, which
+/// must not divide the prompt. Absent if the rules of placement forbid it: those for every
+/// endpoint, the time limit that the placement keeps, and the preferences that separate groups of
+/// endpoints (own failure domain, streams with short event gaps packed together and away from other
+/// prefills, a spare slot).
+std::optional<FloatMillis> firstEventIfHead(const PlacementRequest &request,
+                                            const EngineModel &engine, const Placement &placement,
+                                            const EndpointView &from, const EndpointView &to);
+
 /// The prefill is so long that it occupies endpoints which other long prompts need.
 bool isLongPrefill(const EngineModel &engine, std::uint64_t promptTokens);
 
--- a/tests/support/fleetsimulation.cpp
+++ b/tests/support/fleetsimulation.cpp
@@ -16,6 +16,18 @@
 // Waiting requests are tried again this often.
 constexpr Millis kRetryInterval{10};
 constexpr std::size_t kMaxJobs = 32'768;
+constexpr const char *kService = "pool";
+
+CallerFields callerFields(const SimulatedRequest &request)
+{
+    CallerFields fields;
+    fields.promptTokens = request.promptTokens;
+    if (request.prefixTokens > 0) {
+        fields.sharedPromptParts = {request.prefix};
+        fields.sharedPromptTokens = {request.prefixTokens};
+    }
+    return fields;
+}
 
 SteadyClock::duration toTicks(FloatMillis time)
 {
@@ -30,6 +42,8 @@
 {
     for (unsigned daemon = 0; daemon < options_.daemons; ++daemon)
         trackers_.push_back(std::make_unique<LoadTracker>(kMaxJobs, daemon + 1));
+    if (options_.observesPrefixes)
+        prefixCaches_ = std::vector<PrefixCache>(options_.daemons);
 }
 
 std::vector<SimulatedRequest> FleetSimulation::run(std::vector<SimulatedRequest> requests)
@@ -45,6 +59,7 @@
     std::size_t next = 0;
     for (now_ = start; now_ < end; now_ += kTick) {
         deliverAnnouncements();
+        losePrefixes(start);
         for (Engine &engine : engines_) {
             if (engine.busy && engine.passEnd <= now_)
                 endPass(engine);
@@ -109,7 +124,10 @@
     wanted.maxEventGap = request.maxEventGap;
     wanted.untilObjective = arrived + request.objective - now_;
     wanted.untilDeadline = arrived + request.deadline - now_;
-    const Placement placement = placeStream(wanted, options_.engine, views);
+    Placement placement = placeStream(wanted, options_.engine, views);
+    if (!prefixCaches_.empty())
+        placement = prefixCaches_[daemon].prefer(kService, callerFields(request), placement, wanted,
+                                                 options_.engine, views, now_);
     if (placement.outcome == PlacementOutcome::Reject)
         request.rejected = true;
     if (placement.outcome != PlacementOutcome::Send)
@@ -143,6 +161,13 @@
     active->passesLeft = static_cast<unsigned>(std::max(
             1.0, std::ceil(static_cast<double>(request.answerTokens) / options_.engine.stride)));
     active->arrived = arrived;
+    active->whole = placement.helpers.empty();
+    active->expected = placement.firstEvent;
+    active->sentAt = now_;
+    request.head = active->head;
+    if (!prefixCaches_.empty())
+        active->prefixUse = prefixCaches_[daemon].noteSent(callerFields(request), placement,
+                                                           options_.engine, now_);
     for (const JobPart &part : job.parts) {
         Engine &engine = engines_[part.endpoint - 1];
         const Read read{active.get(), part.prefillTime, job.parts.size() > 1};
@@ -195,6 +220,12 @@
     FloatMillis reading{0};
     while (!engine.reads.empty() && budget > FloatMillis(0)) {
         Read &read = engine.reads.front();
+        SimulatedRequest &begun = *read.request->request;
+        if (!read.begun && read.request->whole && usePrefix(engine, begun)) {
+            begun.prefixKept = true;
+            read.left -= prefillTime(model, begun.prefixTokens);
+        }
+        read.begun = true;
         const FloatMillis done = std::min(read.left, budget);
         read.left -= done;
         budget -= done;
@@ -203,6 +234,8 @@
             break;
         Active *request = read.request;
         engine.reads.pop_front();
+        if (request->whole)
+            keepPrefix(engine, *request->request);
         // A prompt that is prefilled by this engine alone is decoded in the same pass.
         if (request->partsLeft == 1 && &engines_[request->head] == &engine) {
             request->partsLeft = 0;
@@ -257,6 +290,10 @@
     } else {
         active.decoding = true;
         request.firstEvent = now_ - active.arrived;
+        if (!prefixCaches_.empty())
+            prefixCaches_[active.daemon].noteFirstEvent(kService, active.head + 1, active.prefixUse,
+                                                        now_ - active.sentAt, active.expected,
+                                                        now_);
         Job job;
         job.id = active.id;
         trackers_[active.daemon]->started(active.id, now_);
@@ -265,6 +302,45 @@
     active.lastEvent = now_;
 }
 
+void FleetSimulation::losePrefixes(TimePoint start)
+{
+    for (; nextLoss_ < options_.losses.size() && start + options_.losses[nextLoss_].at <= now_;
+         ++nextLoss_) {
+        const FleetSimulationOptions::Loss &loss = options_.losses[nextLoss_];
+        Engine &engine = engines_[loss.endpoint];
+        engine.kept.clear();
+        engine.keptTokens = 0;
+        if (!loss.restart)
+            continue;
+        for (PrefixCache &cache : prefixCaches_)
+            cache.forget(loss.endpoint + 1);
+    }
+}
+
+bool FleetSimulation::usePrefix(Engine &engine, const SimulatedRequest &request)
+{
+    const auto found = std::ranges::find_if(engine.kept, [&](const KeptPrefix &kept) {
+        return kept.prefix == request.prefix && kept.tokens == request.prefixTokens;
+    });
+    if (found == engine.kept.end())
+        return false;
+    engine.kept.splice(engine.kept.end(), engine.kept, found);
+    return true;
+}
+
+void FleetSimulation::keepPrefix(Engine &engine, const SimulatedRequest &request) const
+{
+    if (request.prefixTokens == 0 || request.prefixTokens > options_.prefixMemoryTokens
+        || usePrefix(engine, request))
+        return;
+    engine.kept.push_back({request.prefix, request.prefixTokens});
+    engine.keptTokens += request.prefixTokens;
+    while (engine.keptTokens > options_.prefixMemoryTokens) {
+        engine.keptTokens -= engine.kept.front().tokens;
+        engine.kept.pop_front();
+    }
+}
+
 void FleetSimulation::announce(unsigned from, Announcement::Kind kind, const Job &job)
 {
     announcements_.push_back({now_ + options_.announcementDelay, from, kind, job});
--- a/tests/support/fleetsimulation.h
+++ b/tests/support/fleetsimulation.h
@@ -11,14 +11,19 @@
 // event of a request arrives at the end of the pass after which all parts of its prefill are done.
 // Each daemon knows its own placements at once and those of the others after the announcement
 // delay.
+//
+// An engine can keep the prefixes of the prompts that it has prefilled alone in a memory of bounded
+// size, from which the least recently used ones are evicted. It does not prefill them again.
 
 #include "gateway/availability.h"
 #include "gateway/loadtracker.h"
 #include "gateway/placement.h"
+#include "prefixcache/prefixcache.h"
 
 #include <cstdint>
 #include <deque>
 #include <limits>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,8 +39,13 @@
     Millis maxEventGap{1000};
     Millis objective{1000};
     Millis deadline{10'000};
+    /// The part of the prompt that other requests may share; none if it has no tokens.
+    gateway::PromptPartId prefix = 0;
+    std::uint64_t prefixTokens = 0;
 
     // Results.
+    unsigned head = 0;       ///< Index of the endpoint that decodes it.
+    bool prefixKept = false; ///< The engine did not prefill the prefix again.
     bool rejected = false;
     gateway::FloatMillis firstEvent{-1}; ///< Since its arrival; negative if there was none.
     gateway::FloatMillis longestGap{0};
@@ -63,6 +73,16 @@
     /// Time for which a daemon sends nothing to an engine that has refused a request, if it does
     /// not honour quietTime.
     std::optional<Millis> suspension = std::nullopt;
+    std::uint64_t prefixMemoryTokens = 0; ///< Of each engine; 0 if it keeps no prefixes.
+    bool observesPrefixes = false;        ///< Daemons use PrefixCache.
+    /// The engine loses its prefixes at this time; if it is a restart, the daemons hear of it.
+    struct Loss
+    {
+        Millis at{0};
+        unsigned endpoint = 0;
+        bool restart = false;
+    };
+    std::vector<Loss> losses = {}; ///< In order of time.
 };
 
 class FleetSimulation
@@ -77,6 +97,8 @@
     unsigned refusals() const { return refusals_; }
     /// Requests that an engine got in its quietTime, after the 0.5 s that the users allow.
     unsigned unwanted() const { return unwanted_; }
+    /// What the daemons know of prefixes; empty unless they observe them.
+    const std::vector<gateway::PrefixCache> &prefixCaches() const { return prefixCaches_; }
 
 private:
     struct Active;
@@ -85,6 +107,12 @@
         Active *request = nullptr;
         gateway::FloatMillis left{0};
         bool split = false;
+        bool begun = false;
+    };
+    struct KeptPrefix
+    {
+        gateway::PromptPartId prefix = 0;
+        std::uint64_t tokens = 0;
     };
     struct Engine
     {
@@ -98,6 +126,8 @@
         std::vector<Active *> finishedReads; ///< Prefilled in the current pass.
         gateway::FloatMillis passTime{0};
         std::map<unsigned, TimePoint> refusedAt; ///< Last refusal to each daemon.
+        std::list<KeptPrefix> kept;              ///< Least recently used first.
+        std::uint64_t keptTokens = 0;
     };
     /// A request that is placed.
     struct Active
@@ -111,6 +141,10 @@
         TimePoint arrived{};
         TimePoint lastEvent{};
         bool decoding = false;
+        bool whole = false; ///< Prefilled by the head alone.
+        gateway::PrefixUse prefixUse;
+        gateway::FloatMillis expected{0};
+        TimePoint sentAt{};
     };
     struct Announcement
     {
@@ -129,10 +163,16 @@
     void beginPass(Engine &engine);
     void endPass(Engine &engine);
     void emitEvent(Active &active);
+    void losePrefixes(TimePoint start);
+    /// True if the engine keeps the prefix of the request, which becomes the most recently used.
+    static bool usePrefix(Engine &engine, const SimulatedRequest &request);
+    void keepPrefix(Engine &engine, const SimulatedRequest &request) const;
 
     FleetSimulationOptions options_;
     TimePoint now_{};
     std::vector<std::unique_ptr<gateway::LoadTracker>> trackers_;
+    std::vector<gateway::PrefixCache> prefixCaches_; ///< One for each daemon, or none.
+    std::size_t nextLoss_ = 0;
     std::vector<Engine> engines_;
     std::map<std::pair<std::uint64_t, std::uint32_t>, std::unique_ptr<Active>> active_;
     std::deque<Announcement> announcements_;
