Place by held prefixes in the gateway if prefix_placement is on

Prefixes are recorded at the first event and forgotten when the instance restarts, crashes or leaves. Jobs are still announced with the whole prefill.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -12,6 +12,7 @@
 #include "gateway/reservation.h"
 #include "net/server.h"
 #include "net/upstream.h"
+#include "prefixcache/prefixcache.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -37,7 +38,10 @@
     Address address;
     JobId job;
     TimePoint sentAt{};
-    FloatMillis expected{0}; ///< Expected time to the first event or the answer.
+    FloatMillis expected{0};        ///< Expected time to the first event or the answer.
+    PrefixUse prefixUse;            ///< Empty unless prefixes are observed.
+    FloatMillis prefixSaving{0};    ///< Expected saving by a held prefix; not part of `expected`.
+    std::uint64_t prefixTokens = 0; ///< Expected to be saved.
     bool headSeen = false;
     bool notRun = false;  ///< The endpoint states that it did not run the request.
     bool streams = false; ///< The answer is relayed event by event.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -581,6 +581,7 @@
     settings_.retries = settings.retries;
     settings_.shutdownGrace = settings.shutdownGrace;
     settings_.logLevel = settings.logLevel;
+    settings_.prefixPlacement = settings.prefixPlacement;
     retryBudget_.setLimits(settings.retries);
     setLogLevel(settings.logLevel);
     logEvent(LogLevel::Info, "reloaded");
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,6 +28,7 @@
 #include "gateway/topicfollower.h"
 #include "net/server.h"
 #include "net/upstream.h"
+#include "prefixcache/prefixcache.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -58,8 +59,8 @@
     /// error.
     void shutDown(std::function<void()> done);
 
-    /// Applies the settings that may change while the process runs: retries, shutdown grace and
-    /// log level.
+    /// Applies the settings that may change while the process runs: retries, shutdown grace, log
+    /// level and placement by prefixes.
     void reload(const GatewaySettings &settings);
 
     /// True when a configuration and the endpoints are known and the daemon is not draining.
@@ -156,6 +157,8 @@
     /// Sends the endpoint's answer to the caller, unchanged except for hop-by-hop headers.
     void forwardAnswer(Exchange &exchange, Attempt &attempt, const char *outcome);
     void noteFirstAnswer(Exchange &exchange);
+    /// The endpoint has prefilled the prompt alone, and now holds its prefixes.
+    void notePrefilled(const Exchange &exchange, const Attempt &attempt, FloatMillis took);
     void armTimer(Exchange &exchange);
     /// Sends the request to another endpoint if one can take it now. The attempt stays open, until
     /// one of both has the next event or the answer, or until the deadline: a silent endpoint may
@@ -312,6 +315,7 @@
     asio::steady_timer limitTimer_;
     bool limitTimerArmed_ = false;
     SharedRetryBudget retryBudget_;
+    PrefixCache prefixCache_;
     CrashWatch crashWatch_;
     ReachWatch reach_;
     asio::steady_timer crashTimer_;
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -62,6 +62,12 @@
     attempt->lastProgressAt = now;
     attempt->expected
             = placement.firstEvent > FloatMillis(0) ? placement.firstEvent : kExpectedCallTime;
+    attempt->prefixSaving = placement.prefixSaving;
+    attempt->prefixTokens = placement.prefixTokens;
+    const EngineModel *engine = settings_.prefixPlacement ? engineFor(exchange) : nullptr;
+    // The first event of a stream that goes on is not the first one of its prefill.
+    if (engine && !exchange.lastEventId)
+        attempt->prefixUse = prefixCache_.noteSent(exchange.fields, placement, *engine, now);
     attempt->job = {incarnation_, ++nextJob_};
     const std::string ticket = fmt::format("{:016x}-{}", incarnation_, attempt->job.number);
     std::string helperIds;
@@ -297,7 +303,9 @@
         loadTracker_.started(attempt.job, now);
         mesh_.started(attempt.job);
         const bool hasPrompt = exchange.fields.promptTokens > 0;
-        endpoints_.noteSuccess(attempt.endpoint, hasPrompt ? took / attempt.expected : 1.0);
+        endpoints_.noteSuccess(attempt.endpoint,
+                               hasPrompt ? took / (attempt.expected - attempt.prefixSaving) : 1.0);
+        notePrefilled(exchange, attempt, took);
     }
     if (exchange.eventsRelayed == 0)
         counters_.firstEventSeconds.Observe(
@@ -310,6 +318,34 @@
     scheduleDispatch();
 }
 
+void Gateway::notePrefilled(const Exchange &exchange, const Attempt &attempt, FloatMillis took)
+{
+    // Of an endpoint that has left or was restarted, nothing is recorded.
+    if (attempt.prefixUse.prefixes.empty() || !endpoints_.find(attempt.endpoint)
+        || endpoints_.isLeaving(attempt.endpoint))
+        return;
+    if (attempt.prefixUse.hit) {
+        counters_.prefixHits.Increment();
+        counters_.prefixTokensSaved.Increment(static_cast<double>(attempt.prefixTokens));
+        logEvent(LogLevel::Info, "prefix_hit",
+                 {{"request", exchange.requestId},
+                  {"endpoint", attempt.endpointId},
+                  {"saving_ms", fmt::format("{:.0f}", attempt.prefixSaving.count())},
+                  {"tokens", std::to_string(attempt.prefixTokens)}});
+    }
+    const bool saved = prefixCache_.saves(exchange.service);
+    prefixCache_.noteFirstEvent(exchange.service, attempt.endpoint, attempt.prefixUse, took,
+                                attempt.expected, steadyNow());
+    if (prefixCache_.saves(exchange.service) == saved)
+        return;
+    const SavingEstimate estimate = prefixCache_.estimate(exchange.service);
+    logEvent(LogLevel::Info, "prefix_saving_changed",
+             {{"service", exchange.service},
+              {"share", fmt::format("{:.2f}", estimate.share)},
+              {"confidence", fmt::format("{:.1f}", estimate.confidence)},
+              {"pairs", fmt::format("{:.0f}", estimate.pairs)}});
+}
+
 void Gateway::onEnd(std::uint64_t id, JobId job, UpstreamOutcome end)
 {
     Exchange *exchange = find(id);
--- a/src/gateway/gatewaycrashes.cpp
+++ b/src/gateway/gatewaycrashes.cpp
@@ -128,6 +128,7 @@
         suspects += toString(parts);
     }
     counters_.endpointCrashes.Increment();
+    prefixCache_.forget(crash.endpoint);
     logEvent(LogLevel::Warning, "endpoint_crashed",
              {{"endpoint", row ? row->record.id : fmt::format("{:016x}", crash.endpoint)},
               {"suspects", suspects}});
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -313,7 +313,11 @@
     if (row && row->record.bornMs == record.bornMs)
         record.revision = std::max(record.revision, row->record.revision);
     departed_.forget(record.id);
-    noteEndpointChange(record.id, endpoints_.update(record, now), source);
+    const EndpointKey before = row ? row->key : 0;
+    const EndpointChange change = endpoints_.update(record, now);
+    if (change == EndpointChange::Restarted)
+        prefixCache_.forget(before);
+    noteEndpointChange(record.id, change, source);
     return true;
 }
 
@@ -357,6 +361,7 @@
     if (!row)
         return;
     pool_.closeIdle(row->record.address);
+    prefixCache_.forget(row->key);
     endpoints_.remove(id);
     pendingUpdates_.push_back({id, std::nullopt, version, goneFor});
     logEvent(LogLevel::Info, "endpoint_changed",
@@ -559,6 +564,13 @@
                                      {"requests", load.sequences},
                                      {"pending_read_ms", load.pendingPrefill.count()}});
     }
+    for (const auto &[service, history] : prefixCache_.histories()) {
+        const SavingEstimate saving = estimateSaving(history);
+        json["prefix_saving"].push_back({{"service", service},
+                                         {"share", saving.share},
+                                         {"confidence", saving.confidence},
+                                         {"pairs", saving.pairs}});
+    }
     for (const auto &[id, exchange] : exchanges_) {
         json["in_progress"].push_back(
                 {{"request", exchange->requestId},
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -52,6 +52,12 @@
                                  "endpoints crash on them"))
     , servicesOutOfReach(metrics.gauge("cicadafork_gateway_services_out_of_reach",
                                        "Services to whose endpoints this daemon cannot connect"))
+    , prefixHits(metrics.counter("cicadafork_gateway_prefix_hits_total",
+                                 "First events from endpoints that had prefilled a prefix of the "
+                                 "prompt for this daemon"))
+    , prefixTokensSaved(metrics.counter("cicadafork_gateway_prefix_tokens_saved_total",
+                                        "Prompt tokens that such endpoints had not to prefill "
+                                        "again, by estimate"))
     , metrics_(metrics)
 {
 }
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -39,6 +39,8 @@
     prometheus::Counter &endpointCrashes;
     prometheus::Gauge &blockedParts;
     prometheus::Gauge &servicesOutOfReach;
+    prometheus::Counter &prefixHits;
+    prometheus::Counter &prefixTokensSaved;
 
 private:
     Metrics &metrics_;
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -122,8 +122,13 @@
         return placeCall(views, incarnation_ + exchange.id);
     const PlacementRequest request = placementRequest(exchange);
     // The load of endpoints in other failure domains is known only with a delay.
-    return mesh_.announcesJobsGlobally() ? placeStream(request, *engine, views)
-                                         : placeStreamInDomainFirst(request, *engine, views);
+    const Placement placement = mesh_.announcesJobsGlobally()
+                                        ? placeStream(request, *engine, views)
+                                        : placeStreamInDomainFirst(request, *engine, views);
+    if (!settings_.prefixPlacement)
+        return placement;
+    return prefixCache_.prefer(exchange.service, exchange.fields, placement, request, *engine,
+                               views, steadyNow());
 }
 
 TimePoint Gateway::giveUpTime(const Exchange &exchange, TimePoint now) const
--- a/src/gateway/gatewaystatements.cpp
+++ b/src/gateway/gatewaystatements.cpp
@@ -87,6 +87,7 @@
     if (!endpoints_.noteLeaving(endpoint))
         return false;
     counters_.leavingEndpoints(source).Increment();
+    prefixCache_.forget(endpoint);
     if (const EndpointRow *row = endpoints_.find(endpoint))
         pool_.closeIdle(row->record.address);
     logEvent(LogLevel::Info, "endpoint_leaving",
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -60,6 +60,7 @@
     retries.reportUnknownKeys();
     readSeconds(root, "shutdown_grace_s", settings.shutdownGrace);
     root.size("max_descriptors", settings.maxDescriptors, 256, 10'000'000);
+    root.choice("prefix_placement", settings.prefixPlacement, {{"off", false}, {"on", true}});
     std::size_t metricsPort = settings.metricsPort;
     root.size("metrics_port", metricsPort, 0, 65'535);
     settings.metricsPort = static_cast<std::uint16_t>(metricsPort);
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -36,6 +36,8 @@
     Millis shutdownGrace{8000};    ///< From SIGTERM to the forced end of the process.
     std::uint16_t metricsPort = 0; ///< On the IP address of peers; 0: metrics only at control.
     std::size_t maxDescriptors = 4096;
+    /// Learns whether engines keep the KV cache of prompts and places by it.
+    bool prefixPlacement = false;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -151,6 +151,7 @@
             settings.store = storeAddress;
             settings.seeds = {first.ip};
             settings.retries = {0.2, 1000, Millis(10'000)};
+            settings.prefixPlacement = prefixPlacement;
             daemons.push_back(std::make_unique<Daemon>(context, settings));
             address = addresses.next();
         }
@@ -222,6 +223,7 @@
     std::vector<std::unique_ptr<UpstreamCall>> calls;
     std::vector<std::unique_ptr<Answer>> answers;
     unsigned requests = 0;
+    bool prefixPlacement = false; ///< Setting of the daemons that are started.
 };
 
 } // namespace cicadafork::test
