--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -13,6 +13,7 @@
 #include "net/server.h"
 #include "net/upstream.h"
 #include "prefixcache/prefixcache.h"
+#include "residency/residency.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -38,8 +39,9 @@
     Address address;
     JobId job;
     TimePoint sentAt{};
-    FloatMillis expected{0};        ///< Expected time to the first event or the answer.
-    PrefixUse prefixUse;            ///< Empty unless prefixes are observed.
+    TimePoint sendBy = TimePoint::max(); ///< Nothing of it is written first after this time.
+    FloatMillis expected{0};             ///< Expected time to the first event or the answer.
+    PrefixUse prefixUse;                 ///< Empty unless prefixes are observed.
     FloatMillis prefixSaving{0};    ///< Expected saving by a held prefix; not part of `expected`.
     std::uint64_t prefixTokens = 0; ///< Expected to be saved.
     bool headSeen = false;
@@ -50,7 +52,8 @@
     bool silent = false;
     TimePoint nextSilenceCheck{};
     bool reachChecked = false;  ///< The way to the endpoints was asked for, as nothing came.
-    TimePoint lastProgressAt{}; ///< Time of the send, or of the last bytes received.
+    TimePoint lastProgressAt{}; ///< Time of the send, or of the last event or bytes of a whole
+                                ///< answer.
     TimePoint firstEventAt{};   ///< Unset until the endpoint has sent a whole event.
     unsigned events = 0;        ///< Whole events that the endpoint has sent.
     HttpResponseHead head;
@@ -72,6 +75,9 @@
     Route route;
     std::string service;
     std::string workspace;
+    /// Where it may be handled, by the configuration in force when it arrived at its first daemon.
+    residency::AllowedRegions residency;
+    std::uint32_t workspaceKey = 0; ///< Hash of the workspace's name; 0 for none.
     int priority = 0;
     TimePoint arrivedAt{};
     TimePoint objective{};         ///< A first event after this time counts as late.
@@ -87,6 +93,8 @@
     std::vector<std::unique_ptr<Attempt>> silentAttempts;
     std::vector<EndpointKey> triedEndpoints;
     std::vector<std::string> triedPeers; ///< IP addresses.
+    /// Those that turned the request away, as they lack the configuration it was accepted with.
+    std::vector<std::string> peersBehind;
     bool fromPeer = false;               ///< A peer has handed it over.
     bool refusedByPeer = false;
     std::optional<Millis> peerRetryAfter; ///< What the peer that refused it has said.
@@ -161,6 +169,10 @@
 /// returns it; returns an empty string when the buffer holds no complete event.
 std::string takeEvent(std::string &buffer);
 
+/// True if the event has a field. One that consists of comments shows that the connection is open,
+/// not that the stream goes on.
+bool isProgress(std::string_view event);
+
 /// Numeric id of a server-sent event; nullopt when it has none.
 std::optional<std::uint64_t> eventId(std::string_view event);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -105,6 +105,9 @@
     , endpoints_(kMaxEndpoints)
     , limits_(fnv1a64(settings_.peers.ip), kMaxEndpoints)
     , limitTimer_(context)
+    , cold_(kMaxEndpoints)
+    , limitSharers_(fnv1a64(settings_.peers.ip), steadyNow())
+    , coldTimer_(context)
     , retryBudget_(settings_.retries)
     , crashWatch_(context, pool.dialer(), crashWatchHooks())
     , reach_(context, pool.dialer(), reachHooks())
@@ -120,9 +123,11 @@
                                            .storeEra = storeEra_.known(),
                                            .leaving = draining_,
                                            .storeLost = storeLost_,
-                                           .servicesOutOfReach = reach_.cutOffServices()};
+                                           .servicesOutOfReach = reach_.cutOffServices(),
+                                           .demands = ownDemands()};
                      },
              .loadChanged = [this] { scheduleDispatch(); },
+             .workspaceJobReceived = [this](const Job &job) { countUsage(job); },
              .peerChanged = [this](const PeerInfo &peer) { onPeerChanged(peer); },
              .messageReceived = [this](const PeerInfo &peer) { onPeerMessage(peer); },
              .endpointUpdatesReceived =
@@ -152,6 +157,10 @@
                      },
              .limitReceived
              = [this](const EndpointLimit &limit) { noteLimit(limit, kFromPeer, {}); },
+             .demandsReceived =
+                     [this](std::uint64_t daemon, std::vector<overload::ServiceDemand> demands) {
+                         demands_.note(daemon, std::move(demands), steadyNow());
+                     },
              .configChangeReceived
              = [this](const PeerInfo &peer,
                       const ConfigChange &change) { onConfigChange(peer, change); },
@@ -199,7 +208,9 @@
                      onHandedOver(caller, std::move(request));
                  })
     , dispatchTimer_(context)
+    , demands_(kMaxEndpoints)
     , loadReportTimer_(context)
+    , pauseTimer_(context)
     , drainTimer_(context)
 {
 }
@@ -239,6 +250,7 @@
     for (AsyncHttpServer *server : {&callers_, &readiness_, &control_, &handovers_})
         BOOST_LEAF_CHECK(server->start());
     startedAt_ = steadyNow();
+    armPauseTimer();
     BOOST_LEAF_CHECK(mesh_.start());
     if (settings_.metricsPort != 0) {
         metricsServer_ = std::make_unique<AsyncHttpServer>(
@@ -298,6 +310,9 @@
     // The daemon of the caller counts it.
     if (!exchange.fromPeer)
         retryBudget_.noteRequest(exchange.service, steadyNow());
+    // Before it waits behind others. If this daemon is cut off, a peer may have to place it.
+    if (!reach_.isCutOff(exchange.service) && refuseByRegion(exchange))
+        return;
     // A request for an engine must not overtake those that already wait.
     const bool mustQueue = engineFor(exchange) != nullptr && !waiting_.empty()
                            && !reach_.isCutOff(exchange.service);
@@ -328,8 +343,9 @@
         return reject(404, "no_route", std::nullopt);
     std::string workspaceName;
     int priority = route->priority;
+    const Workspace *workspace = nullptr;
     if (route->needsKey && config_->hasWorkspaces) {
-        const Workspace *workspace = findWorkspace(*config_, fields.apiKey);
+        workspace = findWorkspace(*config_, fields.apiKey);
         if (!workspace)
             return reject(401, "unknown_key", std::nullopt);
         workspaceName = workspace->name;
@@ -340,11 +356,12 @@
     if (!crashWatch_.onTrial().empty() && !mayTry(partsOf(request, fields, workspaceName), nullptr))
         return reject(503, "on_trial", kTrialRetryAfter);
     const TimePoint now = steadyNow();
+    notePause(now);
     if (draining_ && now - drainStartedAt_ > kLoadBalancerDelay)
         return reject(503, "shutting_down", Millis(20));
     if (exchanges_.size() >= kMaxExchanges)
         return reject(503, "too_many_requests", kOverloadRetryAfter);
-    const TimePoint arrivedAt = caller->requestStart();
+    const TimePoint arrivedAt = pauseWatch_.earliestArrival(caller->requestStart());
     const TimePoint deadline = arrivedAt + std::min(fields.deadline, route->timeout);
     if (now >= deadline)
         return reject(503, "arrived_too_late", std::nullopt);
@@ -359,7 +376,9 @@
         exchange->route.maxEndpoints = std::min(route->maxEndpoints, *peerAttempts);
     exchange->service = pickService(*route, fields.requestId);
     exchange->workspace = std::move(workspaceName);
+    exchange->workspaceKey = overload::workspaceKey(exchange->workspace);
     exchange->priority = priority;
+    exchange->residency = regionsFor(*route, workspace, request, fromPeer);
     exchange->arrivedAt = arrivedAt;
     exchange->objective = exchange->arrivedAt + route->objective;
     exchange->deadline = deadline;
@@ -405,6 +424,27 @@
     return headers;
 }
 
+void Gateway::armPauseTimer()
+{
+    notePause(steadyNow());
+    pauseTimer_.expires_after(PauseWatch::kInterval);
+    pauseTimer_.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            armPauseTimer();
+    });
+}
+
+void Gateway::notePause(TimePoint now)
+{
+    const auto pause = pauseWatch_.note(now);
+    if (!pause)
+        return;
+    counters_.pauses.Increment();
+    logEvent(LogLevel::Warning, "resumed_after_pause",
+             {{"paused_ms", std::to_string(pause->count())},
+              {"requests", std::to_string(exchanges_.size())}});
+}
+
 void Gateway::onDeadline(std::uint64_t id)
 {
     Exchange *exchange = find(id);
@@ -514,7 +554,8 @@
         noteJobEnded(*silent);
     exchange.caller->onDisconnect(nullptr);
     exchange.timer.cancel();
-    std::erase(waiting_, exchange.id);
+    if (std::erase(waiting_, exchange.id) > 0)
+        tellDemands();
     // Destroys the exchange on a later turn of the event loop: one of its own handlers may be
     // running now.
     const auto found = exchanges_.find(exchange.id);
@@ -569,6 +610,7 @@
     logEvent(LogLevel::Info, "stopped",
              {{"cut", std::to_string(left.size())},
               {"unsent", std::to_string(callers_.connectionsWithUnsentBytes())}});
+    pauseTimer_.cancel();
     mesh_.stop();
     configFollower_.stop();
     endpointFollower_.stop();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,13 +13,17 @@
 // sharedretrybudget, endpoints); this class performs the I/O.
 
 #include "base/metrics.h"
+#include "gateway/coldendpoints.h"
 #include "gateway/confighistory.h"
 #include "gateway/crashwatch.h"
 #include "gateway/departedendpoints.h"
 #include "gateway/endpoints.h"
 #include "gateway/exchange.h"
 #include "gateway/gatewaymetrics.h"
+#include "gateway/handover.h"
+#include "gateway/limitsharers.h"
 #include "gateway/mesh.h"
+#include "gateway/pausewatch.h"
 #include "gateway/reachwatch.h"
 #include "gateway/settings.h"
 #include "gateway/sharedretrybudget.h"
@@ -28,6 +32,8 @@
 #include "gateway/topicfollower.h"
 #include "net/server.h"
 #include "net/upstream.h"
+#include "overload/demand.h"
+#include "overload/workspaceusage.h"
 #include "prefixcache/prefixcache.h"
 
 #include <asio/io_context.hpp>
@@ -35,6 +41,8 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -96,6 +104,8 @@
     void finish(Exchange &exchange, const char *outcome, int status);
 
     // Endpoints.
+    /// Its id, or its key if its record is not known.
+    std::string nameOf(EndpointKey endpoint) const;
     /// The orders, with a look at what the endpoints state about themselves in their answers.
     OrderCalls observed(OrderCalls orders);
     /// `requestId` is empty if the answer belongs to no request.
@@ -109,6 +119,23 @@
     void assignLimitOwners();
     /// A limit has changed.
     void assignLimitOwnersSoon();
+
+    // Cold endpoints.
+    /// Returns true if the end of its cold time has changed, and a limit depends on that.
+    bool noteColdRecord(const EndpointRecord &record);
+    void noteColdAnswer(EndpointKey endpoint, Millis left);
+    void noteColdFromPeer(const EndpointRecord &record);
+    /// The limit that the configuration sets for each cold endpoint of the service.
+    std::optional<double> coldLimitOf(const std::string &service) const;
+    /// Called once for all records of a message or a read, before any request is placed.
+    void updateColdLimitsIfChanged();
+    /// The endpoints that are cold, the configuration or the daemons that share limits have
+    /// changed.
+    void updateColdLimits();
+    std::vector<DaemonKey> coldLimitSharers(TimePoint now);
+    /// The record with the time for which the endpoint is still cold.
+    EndpointRecord withColdTime(EndpointRecord record) const;
+
     /// False if the endpoint of the attempt or one of its helpers has said that it leaves or wants
     /// no requests.
     bool mayStart(const Attempt &attempt) const;
@@ -122,10 +149,32 @@
     /// The endpoints to which the request has not been sent.
     std::vector<EndpointView> untriedViews(const Exchange &exchange) const;
     std::vector<EndpointView> viewsFor(const Exchange &exchange) const;
+    // Regions that routes and workspaces allow.
+    /// The regions of a request that arrives. Removes what a peer has added to its head.
+    static residency::AllowedRegions regionsFor(const Route &route, const Workspace *workspace,
+                                                HttpRequest &request, bool fromPeer);
+    /// Empty if any region may handle the request.
+    DomainFilter regionFilter(const Exchange &exchange) const;
+    /// Refuses a request for which no allowed region has an endpoint in service that this daemon
+    /// reaches. Returns false if there is one, or if events have gone to the caller.
+    bool refuseByRegion(Exchange &exchange);
+    bool reachesAllowedRegion(const Exchange &exchange) const;
+
     /// Cost model of the engines that serve the request; null for plain calls.
     const EngineModel *engineFor(const Exchange &exchange) const;
     PlacementRequest placementRequest(const Exchange &exchange) const;
     Placement place(const Exchange &exchange) const;
+    /// The rank of a request among all that wait for its service.
+    overload::WaitingRank rankOf(const Exchange &exchange) const;
+    /// While requests of other daemons wait too, leaves the request only the endpoints at which it
+    /// is its turn. Returns the number of these requests.
+    unsigned restrictToTurn(const Exchange &exchange, std::vector<EndpointView> &views) const;
+    /// What waits here, for the other daemons.
+    std::vector<overload::ServiceDemand> ownDemands();
+    /// Tells the others what waits here if they are to know.
+    void tellDemands();
+    /// True if requests of other daemons wait for a service for which one waits here.
+    bool othersWait() const;
     void send(Exchange &exchange, const Placement &placement);
     void announceJob(const Exchange &exchange, const Placement &placement);
     void reserve(Exchange &exchange, const Placement &placement);
@@ -178,9 +227,11 @@
     ReachHooks reachHooks();
     void onReachChanged(const std::string &service, bool cutOff);
     static bool isHandedOver(const Exchange &exchange);
-    /// IP address of the peer to hand the request over to; empty if this daemon reaches the
-    /// endpoints, or no peer does.
-    std::string peerFor(const Exchange &exchange) const;
+    /// The peers that the request may be handed over to; none if this daemon reaches the endpoints.
+    std::vector<HandoverPeer> handoverCandidates(const Exchange &exchange) const;
+    /// Hands the request over, or lets it wait for a peer to get its configuration. Returns whether
+    /// it was handed over, or nothing if no peer can take it and it must be placed here.
+    std::optional<bool> tryHandOver(Exchange &exchange);
     void handOver(Exchange &exchange, const std::string &peer);
     /// The head of an answer has come from a peer, which may have answered itself.
     void noteAnswerOfPeer(Exchange &exchange, Attempt &attempt);
@@ -213,6 +264,7 @@
     void onBlockedPartsChanged(const BlockedParts &parts, bool blocked);
     /// Writes what has been blocked or unblocked to the store, if that is this daemon's task.
     void saveBlocks();
+    void saveLater();
     void readBlocks(const StoreRecord &record);
     void endCrashingRequests();
     /// Ends a request with blocked parts, unless its answer is being written.
@@ -233,6 +285,18 @@
     void dispatchWaiting();
     /// Number of requests for the service that wait.
     std::size_t waitingFor(const std::string &service) const;
+    /// Longest time between two dispatches while requests wait.
+    Millis maxDispatchDelay() const;
+    /// Excludes the endpoints that the request must leave to those of other daemons, whose
+    /// workspaces have used less. `waitingElsewhere` is the number of these requests. Returns the
+    /// number of endpoints excluded.
+    unsigned leaveToOthers(const Exchange &exchange, unsigned waitingElsewhere,
+                           std::vector<EndpointView> &views) const;
+    /// Counts the cost of a job of this daemon or a peer as usage of its workspace.
+    void countUsage(const Job &job);
+    double costOf(const Exchange &exchange) const;
+    /// True if the request can no longer be on time.
+    bool isLate(const Exchange &exchange, TimePoint now) const;
     Millis suggestedRetryAfter(const Exchange &exchange) const;
 
     // Reports of the endpoints' load to other failure domains of a large fleet, by the daemons that
@@ -296,6 +360,9 @@
     /// Daemons in this failure domain, including this one.
     std::size_t domainDaemonCount() const;
     void checkDrain();
+    /// To be called before anything is done on the strength of what may have ended meanwhile.
+    void notePause(TimePoint now);
+    void armPauseTimer();
 
     asio::io_context &context_;
     GatewaySettings settings_;
@@ -311,9 +378,15 @@
     GatewayMetrics counters_;
     LoadTracker loadTracker_;
     EndpointTable endpoints_;
+    overload::WorkspaceUsage workspaceUsage_;
     EndpointLimits limits_;
     asio::steady_timer limitTimer_;
     bool limitTimerArmed_ = false;
+    ColdEndpoints cold_;
+    LimitSharers limitSharers_;
+    bool coldChanged_ = false;          ///< Since the limits were last updated.
+    std::set<EndpointKey> coldLimited_; ///< Those with a limit because they are cold.
+    asio::steady_timer coldTimer_;
     SharedRetryBudget retryBudget_;
     PrefixCache prefixCache_;
     CrashWatch crashWatch_;
@@ -372,9 +445,14 @@
     asio::steady_timer dispatchTimer_;
     bool dispatchScheduled_ = false;
     std::string lastDispatchedService_; ///< Of the request that was tried last.
+    overload::DemandTable demands_;     ///< What waits at other daemons.
+    TimePoint demandsToldAt_{};         ///< Last datagram with what waits here.
+    bool toldDemands_ = false;          ///< That datagram named waiting requests.
     asio::steady_timer loadReportTimer_;
     unsigned loadReportRound_ = 0;
 
+    PauseWatch pauseWatch_;
+    asio::steady_timer pauseTimer_;
     bool draining_ = false;
     TimePoint drainStartedAt_{};
     std::function<void()> onDrained_;
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -4,6 +4,7 @@
 #include "base/jitter.h"
 #include "base/log.h"
 #include "gateway/gateway.h"
+#include "gateway/handover.h"
 #include "gateway/requestparts.h"
 
 #include <asio/post.hpp>
@@ -33,6 +34,9 @@
 // connected to. It doubles with each attempt.
 constexpr Millis kMinReconnectDelay{20};
 constexpr Millis kMaxReconnectDelay{160};
+// A request is written within this time of its placement or not at all: connecting takes 150 ms at
+// most, and what the placement relied on, such as a share of a limit, may have ended later.
+constexpr Millis kMaxSendDelay{500};
 // Expected time of a call to a service without an engine model.
 constexpr FloatMillis kExpectedCallTime{30};
 
@@ -95,6 +99,7 @@
               {"expected_ms", fmt::format("{:.0f}", placement.firstEvent.count())},
               {"waited_ms", fmt::format("{:.1f}", FloatMillis(now - exchange.arrivedAt).count())},
               {"reason", placement.reason},
+              {"waiting_elsewhere", std::to_string(placement.waitingElsewhere)},
               {"send", std::to_string(exchange.sendCount + 1)},
               {"config", std::to_string(exchange.config->version)}});
     ++exchange.sendCount;
@@ -132,9 +137,12 @@
     for (std::size_t i = 0; i < placement.helpers.size(); ++i)
         job.parts.push_back({placement.helpers[i], placement.prefillTime, false,
                              i < placement.holders ? memory : 0});
+    job.workspace = exchange.workspaceKey;
     const EngineModel *engine = engineFor(exchange);
     const bool isLong = engine && isLongPrefill(*engine, exchange.fields.promptTokens);
     loadTracker_.place(job);
+    if (job.workspace != 0)
+        countUsage(job);
     mesh_.placed(job, isLong ? endpoints_.failureDomains() : endpoints_.failureDomainsOf(job));
 }
 
@@ -186,6 +194,11 @@
     UpstreamRequest request;
     request.head = serializeRequestHead(exchange.request.method, exchange.request.target, headers);
     request.body = exchange.request.body;
+    request.idHash = fnv1a64(exchange.requestId);
+    request.sendBy = std::min(exchange.deadline, steadyNow() + kMaxSendDelay);
+    if (attempt.reservation)
+        request.sendBy = std::min(request.sendBy, attempt.reservation->heldUntil());
+    attempt.sendBy = request.sendBy;
     if (!isRepeatable(exchange.route))
         request.maxIdleTime = kMaxIdleIfUnrepeatable;
     const std::uint64_t id = exchange.id;
@@ -218,6 +231,7 @@
                   {"answer_of", reply.requestId}});
         return HeadAction::Skip;
     }
+    const bool namesRequest = !reply.requestId.empty();
     attempt.headSeen = true;
     attempt.notRun = reply.notRun;
     attempt.streams
@@ -226,7 +240,7 @@
     attempt.head = std::move(head);
     if (!attempt.peer.empty())
         noteAnswerOfPeer(*exchange, attempt);
-    return HeadAction::Accept;
+    return namesRequest ? HeadAction::Accept : HeadAction::AcceptLast;
 }
 
 void Gateway::onBody(std::uint64_t id, JobId job, std::string_view bytes)
@@ -235,12 +249,12 @@
     Attempt *attempt = exchange ? findAttempt(*exchange, job) : nullptr;
     if (!attempt)
         return;
-    noteProgress(*exchange, *attempt);
     attempt->body += bytes;
     if (attempt->streams) {
         relayEvents(*exchange, *attempt);
         return;
     }
+    noteProgress(*exchange, *attempt);
     if (attempt->body.size() > kMaxWholeAnswerBytes)
         failAttempt(*exchange, *attempt, EndpointFailure::Broken, true, "answer_too_large");
 }
@@ -249,6 +263,9 @@
 {
     for (std::string event = takeEvent(attempt.body); !event.empty();
          event = takeEvent(attempt.body)) {
+        // An endpoint that has stalled may go on sending single bytes or comments.
+        if (isProgress(event))
+            noteProgress(exchange, attempt);
         const auto id = eventId(event);
         if (attempt.events++ == 0)
             attempt.firstEventAt = steadyNow();
@@ -359,6 +376,11 @@
     switch (end) {
     case UpstreamOutcome::NotSent:
         undoSend(*exchange, attempt);
+        if (steadyNow() >= attempt.sendBy) {
+            // Says nothing about the endpoint: this process was paused.
+            failAttempt(*exchange, attempt, EndpointFailure::Refused, false, "not_sent_in_time");
+            return;
+        }
         if (!attempt.peer.empty()) {
             failAttempt(*exchange, attempt, EndpointFailure::NoConnection, false, "no_peer");
             return;
@@ -394,7 +416,7 @@
 
 void Gateway::undoSend(Exchange &exchange, const Attempt &attempt)
 {
-    limits_.giveBack(attempt.endpoint);
+    limits_.giveBack(attempt.endpoint, attempt.sentAt, steadyNow());
     if (--exchange.sendCount > 0)
         retryBudget_.refund(exchange.service);
 }
@@ -444,6 +466,12 @@
     if (attempt.reply.sealed && crashWatch_.knowsCrashes())
         crashWatch_.noteCompleted({wholeRequest(
                 requestDigest(exchange.request, exchange.fields, exchange.workspace))});
+    // Without Not-Run the request may have run, so its caller must not get a status that promises
+    // otherwise.
+    if (isPromiseOfNotRun(status)) {
+        failAttempt(exchange, attempt, EndpointFailure::Refused, true, "refused_without_promise");
+        return;
+    }
     if (status >= 500 && isRepeatable(exchange.route)) {
         failAttempt(exchange, attempt, EndpointFailure::Error, true, "endpoint_error");
         return;
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -1,6 +1,7 @@
 // How the gateway discovers configuration, endpoints and members through the platform's store, and
 // the handlers of its control port.
 
+#include "base/hash.h"
 #include "base/jitter.h"
 #include "base/log.h"
 #include "gateway/blockedrecord.h"
@@ -33,8 +34,8 @@
 constexpr Millis kReaderRereadSpread{250};
 // The other daemons learn from the readers, and read again in case all messages of these are lost.
 constexpr Millis kStandbyRereadSpread{60'000};
-// What daemons add to the head of a request that they hand over.
-constexpr std::size_t kHandoverHeaderBytes = 512;
+// What daemons add to the head of a request that they hand over: two numbers and a list of regions.
+constexpr std::size_t kHandoverHeaderBytes = 2048;
 // In a new era of the store, all daemons write their member records again within this time.
 constexpr Millis kReregisterSpread{3000};
 
@@ -114,7 +115,11 @@
             readBlocks(record);
         else
             mesh_.addPeer(record.key, record.value.value_or(std::string()));
+        if (record.value && !isBlockedKey(record.key))
+            limitSharers_.noteListed(fnv1a64(*record.value), steadyNow());
     }
+    limitSharers_.noteListRead();
+    updateColdLimits();
 }
 
 bool Gateway::applyConfig(const std::string &text, const char *source)
@@ -141,6 +146,7 @@
               {"before", std::to_string(before)},
               {"source", source},
               {"keys", std::to_string(config_->workspaceByKey.size())}});
+    updateColdLimits();
     // If a standby reads a change before the readers have sent it, the readers have missed it.
     const bool missedByReaders = before != 0 && std::string_view(source) == kFromStore;
     if (announcesStoreChanges_ || missedByReaders) {
@@ -193,6 +199,11 @@
 
 void Gateway::announceEndpointChanges()
 {
+    updateColdLimitsIfChanged();
+    for (EndpointUpdate &update : pendingUpdates_) {
+        if (update.record)
+            update.record = withColdTime(std::move(*update.record));
+    }
     if (!pendingUpdates_.empty() && announcesStoreChanges_)
         mesh_.sendEndpointUpdates(pendingUpdates_);
     pendingUpdates_.clear();
@@ -318,6 +329,9 @@
     if (change == EndpointChange::Restarted)
         prefixCache_.forget(before);
     noteEndpointChange(record.id, change, source);
+    const bool coldChanged = noteColdRecord(record);
+    if (coldChanged && change == EndpointChange::None && std::string_view(source) == kFromStore)
+        pendingUpdates_.push_back({record.id, record});
     return true;
 }
 
@@ -472,6 +486,8 @@
               {"failure_domain", peer.failureDomain},
               {"config", std::to_string(peer.configVersion)}});
     updateReaderRole();
+    if (peer.heard)
+        limitSharers_.noteHeard(fnv1a64(peer.ip), peer.lastHeard, peer.leaving);
     assignLimitOwners();
     if (!peer.alive) {
         scheduleDispatch();
@@ -519,6 +535,7 @@
     json["member"] = settings_.member;
     json["ready"] = ready();
     json["draining"] = draining_;
+    json["region"] = settings_.regions.own;
     json["config_version"] = configs_.newest();
     json["store"] = {{"reached", storeReached_},
                      {"era", storeEra_.known()},
@@ -533,6 +550,18 @@
     for (const BlockedParts &blocked : crashWatch_.blocked())
         json["blocked_parts"].push_back(
                 {{"parts", toString(blocked.parts)}, {"crashes", blocked.crashes}});
+    if (config_ && config_->hasWorkspaces) {
+        std::map<overload::WorkspaceKey, std::string> names;
+        for (const auto &[key, workspace] : config_->workspaceByKey)
+            names.emplace(overload::workspaceKey(workspace.name), workspace.name);
+        for (const auto &[service, usage] : workspaceUsage_.all(now)) {
+            for (const auto &[key, used] : usage) {
+                const auto name = names.find(key);
+                json["workspace_usage"][service][name == names.end() ? hex64(key) : name->second]
+                        = used;
+            }
+        }
+    }
     json["known_crashes"] = crashWatch_.evidence().crashes.size();
     json["services_out_of_reach"] = reach_.cutOffServices();
     json["requests"] = exchanges_.size();
@@ -557,7 +586,8 @@
                                      {"leaving", endpoints_.isLeaving(row.key)},
                                      {"accepts", endpoints_.accepts(row.key, now)},
                                      {"limited", !limits_.allows(row.key, now)},
-                                     {"own_per_s", limits_.ownPerSecond(row.key)},
+                                     {"cold_ms", cold_.left(row.key, now).count()},
+                                     {"own_per_s", limits_.ownPerSecond(row.key, now)},
                                      {"suspended", row.suspendedUntil > now},
                                      {"pace", row.slowdown},
                                      {"error_share", row.errorRate},
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -37,11 +37,23 @@
                                "Attempts that made no progress for longer than expected"))
     , cancelled(metrics.counter("cicadafork_gateway_cancelled_total",
                                 "Requests whose caller left before the answer was complete"))
+    , yields(metrics.counter("cicadafork_gateway_yields_total",
+                             "Attempts to place a request that left endpoints to requests of "
+                             "other daemons, because its workspace is far above its share"))
+    , unknownUsage(metrics.counter("cicadafork_gateway_usage_unknown_total",
+                                   "Jobs that were not counted for their workspace, because their "
+                                   "endpoint was not known"))
     , quietEndpoints(metrics.counter("cicadafork_gateway_endpoint_quiet_total",
                                      "Refusals with which an endpoint asked for some time without "
                                      "requests"))
+    , coldEndpoints(metrics.gauge("cicadafork_gateway_cold_endpoints",
+                                  "Endpoints with a limit because they are cold"))
+    , coldTimes(metrics.counter("cicadafork_gateway_endpoint_cold_total",
+                                "Times that an endpoint became cold and got a limit"))
     , storeEras(metrics.counter("cicadafork_gateway_store_eras_total",
                                 "Times that the store came back from an older copy"))
+    , pauses(metrics.counter("cicadafork_gateway_pauses_total",
+                             "Times that this process stood still for more than a second"))
     , evacuatedDomains(metrics.gauge("cicadafork_gateway_evacuated_failure_domains",
                                      "Failure domains whose endpoints get no new requests because "
                                      "the operators have evacuated them"))
@@ -58,6 +70,9 @@
     , prefixTokensSaved(metrics.counter("cicadafork_gateway_prefix_tokens_saved_total",
                                         "Prompt tokens that such endpoints had not to prefill "
                                         "again, by estimate"))
+    , regionRefusals(metrics.counter("cicadafork_gateway_region_refusals_total",
+                                     "Requests for which no allowed region had an endpoint in "
+                                     "service"))
     , metrics_(metrics)
 {
 }
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -33,14 +33,20 @@
     prometheus::Counter &resumes;
     prometheus::Counter &silences;
     prometheus::Counter &cancelled;
+    prometheus::Counter &yields;
+    prometheus::Counter &unknownUsage;
     prometheus::Counter &quietEndpoints;
+    prometheus::Gauge &coldEndpoints;
+    prometheus::Counter &coldTimes;
     prometheus::Counter &storeEras;
+    prometheus::Counter &pauses;
     prometheus::Gauge &evacuatedDomains;
     prometheus::Counter &endpointCrashes;
     prometheus::Gauge &blockedParts;
     prometheus::Gauge &servicesOutOfReach;
     prometheus::Counter &prefixHits;
     prometheus::Counter &prefixTokensSaved;
+    prometheus::Counter &regionRefusals;
 
 private:
     Metrics &metrics_;
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -1,9 +1,12 @@
 // Gateway: placement of requests and the queue of requests that wait for an endpoint.
 
+#include "base/hash.h"
 #include "base/jitter.h"
 #include "base/log.h"
 #include "gateway/dispatchorder.h"
 #include "gateway/gateway.h"
+#include "overload/fairorder.h"
+#include "overload/turn.h"
 
 #include <fmt/format.h>
 
@@ -37,11 +40,22 @@
 constexpr Millis kMaxCallRetryAfter{90};
 constexpr Millis kMinStreamRetryAfter{300};
 constexpr Millis kMaxStreamRetryAfter{900};
+// If no allowed region has an endpoint in service: an endpoint that could not be reached is tried
+// again after 250 ms at the earliest, and one that starts registers within seconds.
+constexpr Millis kMinRegionRetryAfter{500};
+constexpr Millis kMaxRegionRetryAfter{1500};
 // Callers wait for at most a third of their remaining time, which is 15 s for the longest prompts.
 constexpr Millis kMaxLongPromptRetryAfter{4000};
 // For a long prompt, the upper end of the range as a multiple of the mean prefill backlog.
 constexpr double kRetryAfterBacklogFactor = 1.5;
 
+overload::ServiceId serviceId(std::string_view service)
+{
+    return static_cast<overload::ServiceId>(fnv1a64(service));
+}
+// Requests that wait at other daemons, which do not tell yet.
+constexpr unsigned kWaitingElsewhere = 0;
+
 WaitFacts waitFacts(const Exchange &exchange)
 {
     return {.stream = exchange.route.kind == RouteKind::Stream,
@@ -59,8 +73,11 @@
 std::vector<EndpointView> Gateway::withLimits(std::vector<EndpointView> views) const
 {
     const TimePoint now = steadyNow();
+    // Peers may have shared this daemon's part of the limits among them.
+    const bool isSettling = pauseWatch_.isSettling(now);
     for (EndpointView &view : views)
-        view.receives = limits_.allows(view.key, now);
+        view.receives = limits_.allows(view.key, now)
+                        && !(isSettling && limits_.ownPerSecond(view.key) > 0);
     return views;
 }
 
@@ -69,7 +86,7 @@
     return withLimits(endpoints_.views(
             exchange.service, settings_.failureDomain, incarnation_, exchange.triedEndpoints,
             [this](const std::string &domain) { return mesh_.seemsCutOff(domain); }, loadTracker_,
-            steadyNow()));
+            steadyNow(), regionFilter(exchange)));
 }
 
 std::vector<EndpointView> Gateway::viewsFor(const Exchange &exchange) const
@@ -81,7 +98,7 @@
     // than not trying at all.
     return withLimits(endpoints_.views(
             exchange.service, settings_.failureDomain, incarnation_, {},
-            [](const auto &) { return false; }, loadTracker_, steadyNow()));
+            [](const auto &) { return false; }, loadTracker_, steadyNow(), regionFilter(exchange)));
 }
 
 const EngineModel *Gateway::engineFor(const Exchange &exchange) const
@@ -111,7 +128,9 @@
 
 Placement Gateway::place(const Exchange &exchange) const
 {
-    const std::vector<EndpointView> views = viewsFor(exchange);
+    std::vector<EndpointView> views = viewsFor(exchange);
+    if (leaveToOthers(exchange, kWaitingElsewhere, views) > 0)
+        counters_.yields.Increment();
     if (views.empty()) {
         Placement none;
         none.reason = "no endpoint is known";
@@ -121,14 +140,96 @@
     if (!engine)
         return placeCall(views, incarnation_ + exchange.id);
     const PlacementRequest request = placementRequest(exchange);
+    const unsigned waitingElsewhere = restrictToTurn(exchange, views);
     // The load of endpoints in other failure domains is known only with a delay.
-    const Placement placement = mesh_.announcesJobsGlobally()
-                                        ? placeStream(request, *engine, views)
-                                        : placeStreamInDomainFirst(request, *engine, views);
-    if (!settings_.prefixPlacement)
-        return placement;
-    return prefixCache_.prefer(exchange.service, exchange.fields, placement, request, *engine,
-                               views, steadyNow());
+    Placement placement = mesh_.announcesJobsGlobally()
+                                  ? placeStream(request, *engine, views)
+                                  : placeStreamInDomainFirst(request, *engine, views);
+    if (settings_.prefixPlacement)
+        placement = prefixCache_.prefer(exchange.service, exchange.fields, placement, request,
+                                        *engine, views, steadyNow());
+    placement.waitingElsewhere = waitingElsewhere;
+    return placement;
+}
+
+overload::WaitingRank Gateway::rankOf(const Exchange &exchange) const
+{
+    return {.priority = exchange.priority,
+            .objective = exchange.objective,
+            .tie = static_cast<std::uint32_t>(mix64(incarnation_ ^ exchange.id))};
+}
+
+unsigned Gateway::restrictToTurn(const Exchange &exchange, std::vector<EndpointView> &views) const
+{
+    // A stream that goes on needs its slot sooner than any request that waits.
+    if (settings_.queueScope != QueueScope::Fleet || exchange.state == ExchangeState::Relaying)
+        return 0;
+    const TimePoint now = steadyNow();
+    const std::vector<overload::WaitingRank> others
+            = demands_.waiting(serviceId(exchange.service), now);
+    if (others.empty())
+        return 0;
+    const overload::OwnRequest own{rankOf(exchange),
+                                   std::ranges::find(waiting_, exchange.id) != waiting_.end()};
+    // In a large fleet, daemons know what waits in their own failure domain only.
+    const bool allDomains = mesh_.announcesJobsGlobally();
+    const double draw = randomShare();
+    for (EndpointView &view : views) {
+        if (!allDomains && !view.inOwnDomain)
+            continue;
+        const overload::Turn turn = overload::turnAt(view.key, own, others, now);
+        const auto sinceChange = std::chrono::duration_cast<Millis>(now - view.load.lastChange);
+        // Slots are not left to the daemon whose request has ended there, as for requests that wait
+        // at one daemon only.
+        view.load.sequences -= view.load.reserved;
+        view.receives = view.receives && overload::mayTake(turn, sinceChange, draw);
+    }
+    return static_cast<unsigned>(others.size());
+}
+
+std::vector<overload::ServiceDemand> Gateway::ownDemands()
+{
+    std::map<std::string_view, std::vector<const Exchange *>> byService;
+    if (settings_.queueScope == QueueScope::Fleet) {
+        for (const std::uint64_t id : waiting_) {
+            const auto found = exchanges_.find(id);
+            if (found != exchanges_.end() && engineFor(*found->second) != nullptr)
+                byService[found->second->service].push_back(found->second.get());
+        }
+    }
+    const TimePoint now = steadyNow();
+    std::vector<overload::ServiceDemand> demands;
+    for (auto &[service, waiting] : byService) {
+        std::ranges::sort(waiting, [&](const Exchange *left, const Exchange *right) {
+            return overload::comesBefore(rankOf(*left), rankOf(*right), now);
+        });
+        overload::ServiceDemand demand{.service = serviceId(service),
+                                       .waiting = static_cast<std::uint32_t>(waiting.size())};
+        for (std::size_t i = 0; i < std::min(waiting.size(), overload::kMaxRanks); ++i)
+            demand.first.push_back(rankOf(*waiting[i]));
+        demands.push_back(std::move(demand));
+    }
+    demandsToldAt_ = now;
+    toldDemands_ = !demands.empty();
+    return demands;
+}
+
+void Gateway::tellDemands()
+{
+    if (settings_.queueScope == QueueScope::Fleet && (toldDemands_ || !waiting_.empty()))
+        mesh_.sendDemands();
+}
+
+bool Gateway::othersWait() const
+{
+    if (settings_.queueScope != QueueScope::Fleet)
+        return false;
+    const TimePoint now = steadyNow();
+    return std::ranges::any_of(waiting_, [&](std::uint64_t id) {
+        const auto found = exchanges_.find(id);
+        return found != exchanges_.end()
+               && demands_.countWaiting(serviceId(found->second->service), now) > 0;
+    });
 }
 
 TimePoint Gateway::giveUpTime(const Exchange &exchange, TimePoint now) const
@@ -141,8 +242,14 @@
 bool Gateway::tryPlace(Exchange &exchange)
 {
     const TimePoint now = steadyNow();
+    notePause(now);
     if (now < exchange.notBefore)
         return false;
+    // After a pause of this process, the dispatch may run before the timer of the request.
+    if (now >= exchange.deadline) {
+        endWithError(exchange, 504, "deadline");
+        return false;
+    }
     // A stream that goes on has not crashed the endpoint which wrote its first events.
     if (!crashWatch_.onTrial().empty() && exchange.state != ExchangeState::Relaying
         && !mayTry(partsOf(exchange), &exchange)) {
@@ -151,10 +258,10 @@
     }
     if (returnToPeer(exchange))
         return false;
-    if (const std::string peer = peerFor(exchange); !peer.empty()) {
-        handOver(exchange, peer);
-        return true;
-    }
+    if (const std::optional<bool> handedOver = tryHandOver(exchange))
+        return *handedOver;
+    if (refuseByRegion(exchange))
+        return false;
     const Placement placement = place(exchange);
     switch (placement.outcome) {
     case PlacementOutcome::Send:
@@ -166,10 +273,10 @@
     case PlacementOutcome::Wait:
         break;
     }
-    if (endpoints_.anyAccepts(exchange.service, limits_, now))
+    if (endpoints_.anyAccepts(exchange.service, limits_, now, regionFilter(exchange)))
         return false;
     const ServiceAvailability availability
-            = endpoints_.availability(exchange.service, limits_, now);
+            = endpoints_.availability(exchange.service, limits_, now, regionFilter(exchange));
     const WaitingFacts facts{.giveUp = giveUpTime(exchange, now),
                              .before = waitingFor(exchange.service),
                              .waits = std::ranges::find(waiting_, exchange.id) != waiting_.end()};
@@ -187,6 +294,79 @@
     }));
 }
 
+Millis Gateway::maxDispatchDelay() const
+{
+    return std::max(kMaxDispatchDelay,
+                    kDispatchDelayPerDaemon * static_cast<int>(domainDaemonCount()));
+}
+
+unsigned Gateway::leaveToOthers(const Exchange &exchange, unsigned waitingElsewhere,
+                                std::vector<EndpointView> &views) const
+{
+    // The caller of a stream that goes on waits for its next event.
+    if (waitingElsewhere == 0 || exchange.workspaceKey == 0
+        || exchange.state == ExchangeState::Relaying)
+        return 0;
+    const TimePoint now = steadyNow();
+    const bool plain = engineFor(exchange) == nullptr;
+    overload::YieldFacts facts{
+            .share = workspaceUsage_.share(exchange.service, exchange.workspaceKey, now),
+            .waitingElsewhere = waitingElsewhere,
+            .dispatchInterval = maxDispatchDelay()};
+    unsigned left = 0;
+    for (EndpointView &view : views) {
+        const unsigned capacity = plain ? callCapacity(view.slots) : view.slots;
+        if (!view.receives || view.load.sequences >= capacity)
+            continue;
+        const unsigned free = capacity - view.load.sequences;
+        facts.freeFor = view.inOwnDomain || mesh_.announcesJobsGlobally()
+                                ? loadTracker_.freeFor(view.key, free, now)
+                                : overload::assumedFreeFor(free, capacity);
+        if (!overload::mustYield(facts))
+            continue;
+        view.receives = false;
+        ++left;
+    }
+    return left;
+}
+
+bool Gateway::isLate(const Exchange &exchange, TimePoint now) const
+{
+    const EngineModel *engine = engineFor(exchange);
+    return engine ? !canBeOnTime(placementRequest(exchange), *engine) : exchange.objective <= now;
+}
+
+double Gateway::costOf(const Exchange &exchange) const
+{
+    const auto service = exchange.config->services.find(exchange.service);
+    const EngineModel *engine = service != exchange.config->services.end() && service->second.engine
+                                        ? &*service->second.engine
+                                        : nullptr;
+    return overload::requestCost(
+            engine, exchange.fields.promptTokens,
+            exchange.fields.answerHint.value_or(exchange.fields.maxAnswerTokens));
+}
+
+void Gateway::countUsage(const Job &job)
+{
+    if (workspaceUsage_.isCounted(job.id))
+        return;
+    const auto head = std::ranges::find_if(job.parts, &JobPart::decodes);
+    const EndpointRow *row = head == job.parts.end() ? nullptr : endpoints_.find(head->endpoint);
+    if (!row || !config_) {
+        // A full list names the job again if it still runs when the endpoint is known.
+        counters_.unknownUsage.Increment();
+        return;
+    }
+    const auto service = config_->services.find(row->record.service);
+    const EngineModel *engine = service != config_->services.end() && service->second.engine
+                                        ? &*service->second.engine
+                                        : nullptr;
+    workspaceUsage_.add(job.id, row->record.service, job.workspace,
+                        overload::requestCost(engine, job.promptTokens, job.answerTokens),
+                        steadyNow());
+}
+
 void Gateway::enqueue(Exchange &exchange)
 {
     if (std::ranges::find(waiting_, exchange.id) != waiting_.end())
@@ -205,10 +385,14 @@
     if (const EngineModel *engine = engineFor(exchange))
         reasons = explainWait(placementRequest(exchange), *engine, viewsFor(exchange));
     const ServiceAvailability availability
-            = endpoints_.availability(exchange.service, limits_, now);
+            = endpoints_.availability(exchange.service, limits_, now, regionFilter(exchange));
+    const double usageShare
+            = workspaceUsage_.share(exchange.service, exchange.workspaceKey, now).fraction();
     logEvent(LogLevel::Info, "queued",
              {{"request", exchange.requestId},
               {"route", exchange.route.name},
+              {"workspace", exchange.workspace},
+              {"usage_share", fmt::format("{:.3f}", usageShare)},
               {"waiting", std::to_string(waiting_.size())},
               {"prompt_tokens", std::to_string(exchange.fields.promptTokens)},
               {"endpoints", std::to_string(reasons.endpoints)},
@@ -220,6 +404,7 @@
               {"others_would_pause", std::to_string(reasons.gap)},
               {"heads", std::to_string(reasons.heads)}});
     armTimer(exchange);
+    tellDemands();
     scheduleDispatch();
 }
 
@@ -229,10 +414,10 @@
         return;
     // Every daemon learns of a slot that a peer has freed. A random delay makes the daemons
     // dispatch at different times: the placement of the first reaches the others within 2 ms.
-    const Millis maxDelay = std::max(
-            kMaxDispatchDelay, kDispatchDelayPerDaemon * static_cast<int>(domainDaemonCount()));
-    const Millis delay
-            = ownSlotFreed ? kMinDispatchDelay : randomMillis(kMinDispatchDelay, maxDelay);
+    // If the daemons know what waits at the others, they take turns.
+    const Millis delay = ownSlotFreed || othersWait()
+                                 ? kMinDispatchDelay
+                                 : randomMillis(kMinDispatchDelay, maxDispatchDelay());
     const TimePoint next = steadyNow() + delay;
     if (dispatchScheduled_ && dispatchTimer_.expiry() <= next)
         return;
@@ -250,6 +435,7 @@
 {
     const TimePoint now = steadyNow();
     std::vector<WaitingRequest> waiting;
+    const bool shared = waiting_.size() > 1;
     for (const std::uint64_t id : waiting_) {
         const Exchange *exchange = find(id);
         if (!exchange || now < exchange->notBefore)
@@ -257,12 +443,17 @@
         waiting.push_back({.id = id,
                            .service = exchange->service,
                            .priority = exchange->priority,
-                           .late = exchange->objective <= now,
+                           .late = isLate(*exchange, now),
                            .objective = exchange->objective});
+        if (!shared || exchange->workspaceKey == 0)
+            continue;
+        waiting.back().workspace = exchange->workspaceKey;
+        waiting.back().used = workspaceUsage_.used(exchange->service, exchange->workspaceKey, now);
+        waiting.back().cost = costOf(*exchange);
     }
     std::unordered_set<std::string> servicesWithStream;
     for (const std::uint64_t id :
-         dispatchOrder(std::move(waiting), lastDispatchedService_, kMaxRequestsPerDispatch)) {
+         dispatchOrder(waiting, lastDispatchedService_, kMaxRequestsPerDispatch)) {
         Exchange *exchange = find(id);
         if (!exchange || servicesWithStream.contains(exchange->service))
             continue;
@@ -275,6 +466,8 @@
         if (engineFor(*exchange) != nullptr && !isHandedOver(*exchange))
             servicesWithStream.insert(exchange->service);
     }
+    if (!waiting_.empty() && steadyNow() - demandsToldAt_ >= overload::kDemandInterval)
+        tellDemands();
     // What can be placed also changes with time alone, for example when a request becomes late.
     scheduleDispatch(false);
 }
@@ -289,7 +482,9 @@
         const bool sends
                 = isPrimaryReader_
                   || (announcesStoreChanges_ && loadReportRound_ % kRoundsPerSecondaryReport == 0);
-        if (sends && !mesh_.announcesJobsGlobally())
+        const TimePoint now = steadyNow();
+        notePause(now);
+        if (sends && !mesh_.announcesJobsGlobally() && !pauseWatch_.isSettling(now))
             sendLoads();
         armLoadReports();
     });
@@ -308,10 +503,12 @@
 
 Millis Gateway::suggestedRetryAfter(const Exchange &exchange) const
 {
+    if (!reachesAllowedRegion(exchange))
+        return randomMillis(kMinRegionRetryAfter, kMaxRegionRetryAfter);
     const bool stream = exchange.route.kind == RouteKind::Stream;
     const TimePoint now = steadyNow();
     const ServiceAvailability availability
-            = endpoints_.availability(exchange.service, limits_, now);
+            = endpoints_.availability(exchange.service, limits_, now, regionFilter(exchange));
     if (availability.accepting == 0 && availability.quiet + availability.limited > 0) {
         const RetryAfterRange range
                 = retryAfterQuiet(availability, stream ? kMaxStreamRetryAfter : kMaxCallRetryAfter,
--- a/src/gateway/handover.cpp
+++ b/src/gateway/handover.cpp
@@ -15,7 +15,13 @@
                           mix64(fnv1a64(peer.ip) ^ tieBreaker));
     };
     const auto best = std::ranges::min_element(candidates, {}, rank);
-    return best == candidates.end() ? nullptr : &*best;
+    return best == candidates.end() || !best->hasConfig ? nullptr : &*best;
+}
+
+bool isPromiseOfNotRun(int status)
+{
+    // Misdirected Request, Service Unavailable, Too Many Requests and Request Timeout.
+    return status == 421 || status == 503 || status == 429 || status == 408;
 }
 
 } // namespace cicadafork::gateway
--- a/src/gateway/loadtracker.h
+++ b/src/gateway/loadtracker.h
@@ -61,12 +61,15 @@
     TimePoint expectedPrefillEnd{}; ///< Afterwards the job counts as decoding.
     TimePoint dueBy{}; ///< Latest time for the first event; TimePoint{} if there is none.
     TimePoint expires{};
-    bool started = false; ///< The first event has arrived.
+    bool started = false;        ///< The first event has arrived.
+    std::uint32_t workspace = 0; ///< Hash of the workspace's name; 0 for none.
 };
 
 struct EndpointLoad
 {
     unsigned sequences = 0; ///< In prefill or decode, plus slots reserved for other daemons.
+    unsigned reserved = 0;  ///< Of these, the slots reserved for other daemons.
+    TimePoint lastChange{}; ///< A job was last placed or ended; unset if long ago or unknown.
     unsigned decodingSequences = 0;
     unsigned helperPrefills = 0; ///< Parts in prefill for requests of other endpoints.
     FloatMillis pendingPrefill{0};
@@ -103,6 +106,11 @@
     void report(EndpointKey endpoint, const EndpointLoad &load, TimePoint now);
 
     EndpointLoad load(EndpointKey endpoint, TimePoint now) const;
+    /// Time for which an endpoint that could take `free` more jobs could have taken one already;
+    /// max() if it is longer than kMaxKnownFree.
+    FloatMillis freeFor(EndpointKey endpoint, unsigned free, TimePoint now) const;
+    /// Covers the longest time for which a slot is left to others.
+    static constexpr Millis kMaxKnownFree{250};
     const Job *find(const JobId &id) const;
     std::vector<Job> jobsOf(std::uint64_t owner) const;
     std::size_t size() const { return jobs_.size(); }
@@ -121,13 +129,14 @@
 
     void remove(const JobId &id);
     void unlink(const Job &job);
-    /// Freed slots that are still reserved for the daemons whose jobs used them.
+    /// Freed slots that are still reserved for the other daemons whose jobs used them.
     unsigned reservedSlots(EndpointKey endpoint, TimePoint now) const;
     void extendOverlappedPrefills(const Job &job);
 
     std::size_t limit_;
     std::uint64_t owner_;
     std::unordered_map<EndpointKey, std::vector<FreedSlot>> freedSlots_;
+    std::unordered_map<EndpointKey, TimePoint> lastChange_; ///< A job was placed or ended there.
     std::unordered_map<EndpointKey, Report> reports_;
     std::unordered_map<JobId, Job, JobIdHash> jobs_;
     std::unordered_map<EndpointKey, std::vector<JobId>> byEndpoint_;
--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -172,6 +172,12 @@
     flushSoon();
 }
 
+void Mesh::sendDemands()
+{
+    // They are part of the status.
+    sendWithStatus({.allRemote = announcesJobsGlobally()}, [](wire::Datagram::Builder) {});
+}
+
 void Mesh::sendStatus()
 {
     flush();
@@ -559,6 +565,7 @@
         info->storeLost = root.getStoreLost();
         info->servicesOutOfReach = readServicesOutOfReach(root);
         info->leaving = root.getLeaving();
+        hooks_.demandsReceived(incarnation, readDemands(root, now));
         info->returned = info->heard && !info->alive;
         info->heard = true;
         info->alive = true;
@@ -569,6 +576,8 @@
             const Job job = readJob(source, incarnation, now);
             listed.push_back(job.id.number);
             loadTracker_.place(job);
+            if (job.workspace != 0)
+                hooks_.workspaceJobReceived(job);
         }
         for (const std::uint32_t number : root.getStarted())
             loadTracker_.started({incarnation, number}, now);
@@ -617,6 +626,15 @@
 
 void Mesh::detectFailedPeers(TimePoint now)
 {
+    // Nobody is heard while this process is paused, and what peers have sent is read only after it.
+    const auto pause
+            = lastDetection_ == TimePoint() ? SteadyClock::duration(0) : now - lastDetection_;
+    lastDetection_ = now;
+    if (pause > failureTimeout()) {
+        for (auto &[ip, peer] : peers_)
+            peer.lastHeard = std::min(now, peer.lastHeard + pause);
+        lastHeard_ = std::min(now, lastHeard_ + pause);
+    }
     for (auto peer = peers_.begin(); peer != peers_.end();) {
         PeerInfo &info = peer->second;
         const auto silence = now - info.lastHeard;
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -21,6 +21,7 @@
 #include "gateway/loadtracker.h"
 #include "gateway/storeera.h"
 #include "http/address.h"
+#include "overload/demand.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
@@ -92,6 +93,7 @@
     bool leaving = false;
     bool storeLost = false;
     std::vector<std::string> servicesOutOfReach = {};
+    std::vector<overload::ServiceDemand> demands = {}; ///< What waits at this daemon.
 };
 
 /// Load of an endpoint, for daemons that are not told of all its jobs.
@@ -115,6 +117,8 @@
     std::function<MeshStatus()> status;
     /// The load of endpoints changed.
     std::function<void()> loadChanged;
+    /// A peer named a job that belongs to a workspace; full lists name the same jobs again.
+    std::function<void(const Job &)> workspaceJobReceived = [](const Job &) {};
     /// A peer was discovered, failed, came back, or changed its leaving or storeLost status.
     std::function<void(const PeerInfo &)> peerChanged;
     /// Called for every valid datagram of a peer, after its contents have been applied.
@@ -140,6 +144,8 @@
     std::function<std::vector<EndpointLimit>()> limits;
     /// A peer sent a limit that it knows.
     std::function<void(const EndpointLimit &)> limitReceived;
+    /// All that waits at a daemon, given by its incarnation.
+    std::function<void(std::uint64_t, std::vector<overload::ServiceDemand>)> demandsReceived;
     /// A peer sent a change of the configuration that it read from the store.
     std::function<void(const PeerInfo &, const ConfigChange &)> configChangeReceived;
     /// No peer was heard for the isolation timeout, so this daemon may be cut off from all of
@@ -194,6 +200,8 @@
     /// Sends all peers a change of the configuration. If it does not fit a datagram, only the new
     /// version number is sent, and the peers pull the change.
     void sendConfigChange(const ConfigChange &change);
+    /// Tells the peers what waits here. In a large fleet only the own failure domain is told.
+    void sendDemands();
     /// Sends a heartbeat to all peers now, for example after a status change.
     void sendStatus();
 
@@ -268,7 +276,8 @@
     unsigned heartbeatsSent_ = 0;
     Millis lastInterval_; ///< Heartbeat interval at the last heartbeat.
     unsigned relayRound_ = 0;
-    TimePoint lastHeard_{}; ///< Of any peer.
+    TimePoint lastHeard_{};     ///< Of any peer.
+    TimePoint lastDetection_{}; ///< Last call of detectFailedPeers().
     MeshCounters counters_;
 };
 
--- a/src/gateway/meshwire.cpp
+++ b/src/gateway/meshwire.cpp
@@ -17,8 +17,14 @@
 constexpr std::size_t kMaxParts = 32;
 // They are in every datagram. Requests for further services are not handed over.
 constexpr std::size_t kMaxServicesOutOfReach = 16;
+// Bounds for what a malformed datagram may state: the waiting requests of a daemon, and the time
+// until the first event of one is late.
+constexpr std::uint32_t kMaxWaiting = 10'000;
+constexpr std::chrono::microseconds kLongestDue = std::chrono::minutes(10);
 // Slack of an endpoint without pending prefills.
 constexpr std::uint32_t kNoPrefill = std::numeric_limits<std::uint32_t>::max();
+// Longest time that fits a message.
+constexpr Millis::rep kLongestMillis = std::numeric_limits<std::uint32_t>::max();
 
 std::uint32_t toMicros(FloatMillis value)
 {
@@ -28,9 +34,8 @@
 
 std::uint32_t millisSince(TimePoint time, TimePoint now)
 {
-    constexpr Millis::rep kLongest = std::numeric_limits<std::uint32_t>::max();
     const auto elapsed = std::chrono::duration_cast<Millis>(now - time).count();
-    return static_cast<std::uint32_t>(std::clamp<Millis::rep>(elapsed, 0, kLongest));
+    return static_cast<std::uint32_t>(std::clamp<Millis::rep>(elapsed, 0, kLongestMillis));
 }
 
 std::vector<std::uint64_t> idsOf(const RequestParts &parts, RequestPartKind kind)
@@ -81,6 +86,7 @@
     target.setReadInMicros(toMicros(FloatMillis(job.expectedPrefillEnd - now)));
     target.setDueInMicros(toMicros(FloatMillis(job.dueBy - now)));
     target.setStarted(job.started);
+    target.setWorkspace(job.workspace);
     auto parts = target.initParts(static_cast<unsigned>(job.parts.size()));
     for (unsigned i = 0; i < job.parts.size(); ++i) {
         parts[i].setEndpoint(job.parts[i].endpoint);
@@ -90,6 +96,49 @@
     }
 }
 
+void fillDemands(wire::Datagram::Builder root, const std::vector<overload::ServiceDemand> &demands,
+                 TimePoint now)
+{
+    const std::size_t count = std::min(demands.size(), overload::kMaxDemands);
+    if (count == 0)
+        return;
+    auto list = root.initDemands(static_cast<unsigned>(count));
+    for (unsigned i = 0; i < count; ++i) {
+        const overload::ServiceDemand &demand = demands[i];
+        list[i].setService(demand.service);
+        list[i].setWaiting(demand.waiting);
+        const std::size_t told = std::min(demand.first.size(), overload::kMaxRanks);
+        auto first = list[i].initFirst(static_cast<unsigned>(told));
+        for (unsigned j = 0; j < told; ++j) {
+            first[j].setPriority(demand.first[j].priority);
+            first[j].setTie(demand.first[j].tie);
+            first[j].setDueInMicros(std::chrono::duration_cast<std::chrono::microseconds>(
+                                            demand.first[j].objective - now)
+                                            .count());
+        }
+    }
+}
+
+std::vector<overload::ServiceDemand> readDemands(wire::Datagram::Reader root, TimePoint now)
+{
+    std::vector<overload::ServiceDemand> demands;
+    for (const auto source : root.getDemands()) {
+        if (demands.size() >= overload::kMaxDemands)
+            break;
+        overload::ServiceDemand demand{.service = source.getService(),
+                                       .waiting = std::min(source.getWaiting(), kMaxWaiting)};
+        for (const auto rank : source.getFirst()) {
+            if (demand.first.size() >= overload::kMaxRanks)
+                break;
+            const std::chrono::microseconds dueIn(
+                    std::clamp(rank.getDueInMicros(), -kLongestDue.count(), kLongestDue.count()));
+            demand.first.push_back({rank.getPriority(), now + dueIn, rank.getTie()});
+        }
+        demands.push_back(std::move(demand));
+    }
+    return demands;
+}
+
 void fillStatus(wire::Datagram::Builder root, const MeshOptions &options, const MeshStatus &status)
 {
     root.setIp(options.ip);
@@ -102,6 +151,7 @@
     root.setEndpointsDigest(status.endpointsDigest);
     root.setLeaving(status.leaving);
     root.setStoreLost(status.storeLost);
+    fillDemands(root, status.demands, steadyNow());
     const std::size_t count = std::min(status.servicesOutOfReach.size(), kMaxServicesOutOfReach);
     if (count == 0)
         return;
@@ -132,6 +182,7 @@
     job.expectedPrefillEnd = now + Micros(source.getReadInMicros());
     job.dueBy = now + Micros(source.getDueInMicros());
     job.started = source.getStarted();
+    job.workspace = source.getWorkspace();
     job.expires = now + kJobLifetime;
     for (const auto part : source.getParts()) {
         if (job.parts.size() >= kMaxParts)
@@ -329,6 +380,11 @@
     return limit;
 }
 
+bool statesOnlyCold(const EndpointRecord &record)
+{
+    return record.revision == 0 && record.slowStartRemaining > Millis(0);
+}
+
 void fillConfigChange(wire::ConfigChange::Builder target, const ConfigChange &change)
 {
     target.setBase(change.base);
@@ -356,6 +412,8 @@
     entry.setDraining(record.state == EndpointState::Draining);
     entry.setRevision(record.revision);
     entry.setStoreEra(record.storeEra);
+    entry.setColdMs(static_cast<std::uint32_t>(
+            std::clamp<Millis::rep>(record.slowStartRemaining.count(), 0, kLongestMillis)));
 }
 
 std::optional<EndpointRecord> readEndpoint(wire::EndpointEntry::Reader entry)
@@ -368,6 +426,7 @@
     record.slots = entry.getSlots();
     record.revision = entry.getRevision();
     record.storeEra = entry.getStoreEra();
+    record.slowStartRemaining = Millis(entry.getColdMs());
     record.state = entry.getDraining() ? EndpointState::Draining : EndpointState::Ready;
     const auto address = capture([&] { return parseAddress(std::string(entry.getAddress())); });
     if (!address || record.id.empty())
--- a/src/gateway/meshwire.h
+++ b/src/gateway/meshwire.h
@@ -27,6 +27,8 @@
 
 void fillStatus(wire::Datagram::Builder root, const MeshOptions &options, const MeshStatus &status);
 
+std::vector<overload::ServiceDemand> readDemands(wire::Datagram::Reader root, TimePoint now);
+
 /// At most kMaxServicesOutOfReach.
 std::set<std::string> readServicesOutOfReach(wire::Datagram::Reader root);
 
@@ -60,6 +62,8 @@
 /// Writes nothing if there are none.
 void fillLimits(wire::Datagram::Builder root, const std::vector<EndpointLimit> &limits,
                 TimePoint now);
+/// The entry says only for how long the endpoint is cold, as it has stated in an answer.
+bool statesOnlyCold(const EndpointRecord &record);
 EndpointLimit readLimit(wire::EndpointLimit::Reader source, TimePoint now);
 
 void fillConfigChange(wire::ConfigChange::Builder target, const ConfigChange &change);
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -71,6 +71,7 @@
     /// Expected saving at the head, which holds a prefix of the prompt; not part of firstEvent.
     FloatMillis prefixSaving{0};
     std::uint64_t prefixTokens = 0; ///< Expected to be saved.
+    unsigned waitingElsewhere = 0; ///< Requests for the service that waited at other daemons.
 };
 
 /// Time to prefill a whole prompt on one idle endpoint.
@@ -82,6 +83,9 @@
 FloatMillis decodeTime(const EngineModel &engine, std::uint64_t answerTokens,
                        unsigned decodingSequences, std::uint64_t contextTokens);
 
+/// True unless the first event would be late even on idle endpoints.
+bool canBeOnTime(const PlacementRequest &request, const EngineModel &engine);
+
 Placement placeStream(const PlacementRequest &request, const EngineModel &engine,
                       std::span<const EndpointView> endpoints);
 
@@ -120,6 +124,9 @@
 WaitReasons explainWait(const PlacementRequest &request, const EngineModel &engine,
                         std::span<const EndpointView> endpoints);
 
+/// Calls that a plain endpoint may have at once, in its slots and its queue.
+unsigned callCapacity(unsigned slots);
+
 /// Chooses the endpoint with the fewest requests per slot, for services without an engine model.
 /// The outcome is Wait if every endpoint has all its slots and a short queue occupied. The tie
 /// breaker must differ between daemons.
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -8,6 +8,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "http/address.h"
+#include "residency/residency.h"
 
 #include <string>
 #include <vector>
@@ -22,10 +23,17 @@
     Millis window{10'000};
 };
 
+/// Which of the requests that wait for an engine are put into one order.
+enum class QueueScope {
+    Daemon, ///< Those of each daemon by themselves.
+    Fleet,  ///< Those of all daemons.
+};
+
 struct GatewaySettings
 {
     std::string member;
     std::string failureDomain;
+    residency::RegionMap regions; ///< Includes the own failure domain if the own region is known.
     Address callers;
     Address readiness;
     Address control;                ///< Serves the state dump, metrics and requests of peers.
@@ -38,6 +46,7 @@
     std::size_t maxDescriptors = 4096;
     /// Learns whether engines keep the KV cache of prompts and places by it.
     bool prefixPlacement = false;
+    QueueScope queueScope = QueueScope::Daemon;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- /dev/null
+++ b/tests/unit/failuremodes_test.cpp
@@ -0,0 +1,516 @@
+// Failures that operators of similar systems have reported, with the real parser, connection pool
+// and daemon over loopback: late duplicates of answers, streams that stall byte by byte, malformed
+// messages, and daemons that act on what has run out while they were paused.
+
+#include "support/gatewayfleet.h"
+#include "support/mutate.h"
+
+#include <CppUTest/TestHarness.h>
+#include <asio/read.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+#include <fmt/format.h>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace cicadafork;
+using namespace cicadafork::gateway;
+using namespace cicadafork::test;
+
+namespace {
+
+using Socket = std::shared_ptr<asio::ip::tcp::socket>;
+
+/// An endpoint or store whose bytes the test writes. Requests may have a body with a length.
+class RawServer
+{
+public:
+    struct Received
+    {
+        Socket connection;
+        std::string text;
+        std::string requestId;
+    };
+
+    RawServer(asio::io_context &context, const Address &address)
+        : acceptor_(context, {asio::ip::make_address_v4(address.ip), address.port})
+    {
+        accept();
+    }
+
+    /// An answer to the request, or to another one.
+    static std::string answer(const std::string &requestId, const std::string &body,
+                              const std::string &status = "200 OK", bool sealed = true)
+    {
+        return fmt::format("HTTP/1.1 {}\r\n{}{}Content-Length: {}\r\n\r\n{}", status,
+                           requestId.empty() ? "" : "Request-Id: " + requestId + "\r\n",
+                           sealed ? "Response-Seal: s\r\n" : "", body.size(), body);
+    }
+
+    static void write(const Socket &connection, const std::string &bytes)
+    {
+        asio::error_code ignored;
+        asio::write(*connection, asio::buffer(bytes), ignored);
+    }
+
+    std::function<void(const Received &)> onRequest;
+    std::vector<Received> received;
+    unsigned connections = 0;
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
+            if (error)
+                return;
+            ++connections;
+            sockets_.push_back(std::make_shared<asio::ip::tcp::socket>(std::move(socket)));
+            read(sockets_.back(), std::make_shared<std::string>());
+            accept();
+        });
+    }
+
+    void read(const Socket &socket, const std::shared_ptr<std::string> &input)
+    {
+        asio::async_read_until(
+                *socket, asio::dynamic_buffer(*input), "\r\n\r\n",
+                [this, socket, input](const asio::error_code &error, std::size_t size) {
+                    if (error)
+                        return;
+                    Received request{socket, input->substr(0, size), {}};
+                    input->erase(0, size);
+                    constexpr std::string_view kName = "Request-Id: ";
+                    const std::size_t at = request.text.find(kName);
+                    if (at != std::string::npos)
+                        request.requestId = request.text.substr(
+                                at + kName.size(), request.text.find('\r', at) - at - kName.size());
+                    received.push_back(request);
+                    if (onRequest)
+                        onRequest(request);
+                    read(socket, input);
+                });
+    }
+
+    asio::ip::tcp::acceptor acceptor_;
+    std::vector<Socket> sockets_;
+};
+
+constexpr Millis kShortRun{60};
+
+} // namespace
+
+TEST_GROUP_BASE(FailureModes, GatewayFleet)
+{
+    std::unique_ptr<RawServer> raw;
+
+    /// One daemon, and one endpoint of the service whose bytes the test writes.
+    void startWithRawEndpoint(const char *service)
+    {
+        const Address address = addresses.next();
+        raw = std::make_unique<RawServer>(context, address);
+        start(1, 0);
+        store.put(kEndpointsTopic, "raw",
+                  fmt::format(R"({{"service":"{}","address":"{}","zone":"east","slots":4,
+                      "state":"ready","seq":1,"born":1}})",
+                              service, toString(address)));
+        CHECK_TRUE(runUntil([&] { return daemons[0]->endpoints() == 1; }));
+    }
+
+    const Answer &sendAndWait(const std::string &target)
+    {
+        const Answer &answer = sendRequest(*daemons[0], target, {});
+        CHECK_TRUE(runUntil([&] { return answer.ended; }));
+        return answer;
+    }
+
+    HeaderList callerHeaders(const std::string &requestId)
+    {
+        HeaderList headers;
+        headers.add("Host", "h");
+        headers.add("Request-Id", requestId);
+        headers.add("Authorization", "Token key");
+        headers.add("Deadline-Ms", "1500");
+        headers.add("Content-Length", "0");
+        return headers;
+    }
+};
+
+// Guards against a caller that gets the answer to another request, which its endpoint sends twice.
+TEST(FailureModes, lateDuplicatesOfAnswersReachNoOtherCaller)
+{
+    enum class Arrives { SameSegment, WhileIdle, AfterNextRequest };
+    struct Case
+    {
+        const char *name;
+        Arrives arrives;
+        bool namesRequest;
+    };
+    const Case cases[] = {
+            {"same segment, with id", Arrives::SameSegment, true},
+            {"same segment, without id", Arrives::SameSegment, false},
+            {"while the connection is idle, with id", Arrives::WhileIdle, true},
+            {"while the connection is idle, without id", Arrives::WhileIdle, false},
+            {"after the next request, with id", Arrives::AfterNextRequest, true},
+            {"after the next request, without id", Arrives::AfterNextRequest, false},
+    };
+    startWithRawEndpoint(kPlain);
+    for (const Case &row : cases) {
+        raw->received.clear();
+        const auto answerTo = [&](const RawServer::Received &request) {
+            return RawServer::answer(row.namesRequest ? request.requestId : std::string(),
+                                     "answer of " + request.requestId);
+        };
+        raw->onRequest = [&](const RawServer::Received &request) {
+            const bool first = raw->received.size() == 1;
+            const RawServer::Received &original = raw->received.front();
+            const bool twice = first && row.arrives == Arrives::SameSegment;
+            const bool late = !first && row.arrives == Arrives::AfterNextRequest
+                              && request.connection == original.connection;
+            RawServer::write(request.connection,
+                             (twice || late ? answerTo(original) : std::string())
+                                     + answerTo(request));
+        };
+        sendAndWait("/once/x");
+        serveFor(kShortRun);
+        if (row.arrives == Arrives::WhileIdle)
+            RawServer::write(raw->received.front().connection, answerTo(raw->received.front()));
+        const Answer &second = sendAndWait("/once/x");
+        LONGS_EQUAL_TEXT(200, second.status, row.name);
+        STRCMP_EQUAL_TEXT(fmt::format("answer of r{}", requests).c_str(), second.body.c_str(),
+                          row.name);
+        serveFor(kShortRun);
+    }
+}
+
+// Guards against a second run of a request that may run only once: it is refused, comes again with
+// the same id and runs, and a late duplicate of the refusal says that it has not.
+TEST(FailureModes, lateDuplicateOfARefusalSaysNothingAboutTheRepetition)
+{
+    startWithRawEndpoint(kPlain);
+    raw->onRequest = [&](const RawServer::Received &request) {
+        const std::string refusal = RawServer::answer("again", {}, "503 Busy\r\nNot-Run: 1", false);
+        if (raw->received.size() == 1) {
+            RawServer::write(request.connection, refusal);
+            return;
+        }
+        if (request.connection == raw->received.front().connection)
+            RawServer::write(request.connection, refusal);
+        RawServer::write(request.connection, RawServer::answer("again", "done"));
+    };
+    const Answer &answer = call(daemons[0]->callers, "/once/x", callerHeaders("again"), {});
+    CHECK_TRUE(runUntil([&] { return answer.ended; }));
+    if (answer.status == 503) {
+        const Answer &second = call(daemons[0]->callers, "/once/x", callerHeaders("again"), {});
+        CHECK_TRUE(runUntil([&] { return second.ended; }));
+        LONGS_EQUAL(200, second.status);
+    } else {
+        LONGS_EQUAL(200, answer.status);
+    }
+    LONGS_EQUAL(2, raw->received.size());
+}
+
+// Guards against a connection on which an order of the daemon was answered twice, and the second
+// answer becomes that of a caller.
+TEST(FailureModes, duplicatesOfAnswersToOrdersAndReadsReachNoCaller)
+{
+    startWithRawEndpoint(kPlain);
+    raw->onRequest = [&](const RawServer::Received &request) {
+        const bool order = request.requestId.empty();
+        RawServer::write(request.connection,
+                         order ? RawServer::answer({}, "order")
+                               : RawServer::answer(request.requestId, "caller's"));
+    };
+    bool ordered = false;
+    const auto state = daemons[0]->state();
+    const std::string address = state["endpoints"][0]["address"];
+    const auto target = capture([&] { return parseAddress(address); });
+    CHECK_TRUE(static_cast<bool>(target));
+    daemons[0]->calls.start(*target, "POST", "/order", {}, {}, Millis(500),
+                            [&](const platform::CallResult &) { ordered = true; });
+    CHECK_TRUE(runUntil([&] { return ordered; }));
+    const Socket orders = raw->received.front().connection;
+    raw->onRequest = [&](const RawServer::Received &request) {
+        if (request.connection == orders)
+            RawServer::write(request.connection, RawServer::answer({}, "order"));
+        RawServer::write(request.connection, RawServer::answer(request.requestId, "caller's"));
+    };
+    STRCMP_EQUAL("caller's", sendAndWait("/once/x").body.c_str());
+}
+
+// Guards against an endpoint's refusal without a promise that reaches the caller as the promise
+// that its request has not run.
+TEST(FailureModes, answersThatPromiseNothingAreNotForwardedAsPromises)
+{
+    startWithRawEndpoint(kPlain);
+    for (const char *status : {"503 Busy", "429 Many", "408 Late"}) {
+        for (const bool sealed : {true, false}) {
+            raw->onRequest = [&](const RawServer::Received &request) {
+                RawServer::write(request.connection,
+                                 RawServer::answer(request.requestId, "ran", status, sealed));
+            };
+            LONGS_EQUAL_TEXT(502, sendAndWait("/once/x").status, status);
+            serveFor(Millis(300)); // Lets the suspension of the endpoint end.
+        }
+    }
+}
+
+// Guards against a stream that never ends because its endpoint sends a byte, or a comment, now and
+// then, and against the end of a slow stream that goes on.
+TEST(FailureModes, onlyWholeEventsAreProgressOfAStream)
+{
+    struct Case
+    {
+        const char *name;
+        const char *trickle; ///< Sent again and again after the first event.
+        bool moves;
+    };
+    const Case cases[] = {{"bytes of an event", "x", true},
+                          {"comments", ": wait\n\n", true},
+                          {"regular events", nullptr, false}};
+    constexpr Millis kTrickle{150};
+    constexpr Millis kSlowEvent{700};
+    startWithRawEndpoint(kPool);
+    addEndpoint();
+    CHECK_TRUE(runUntil([&] { return daemons[0]->endpoints() == 2; }));
+    for (const Case &row : cases) {
+        // Streams go to the raw endpoint while the other one takes none.
+        raw->received.clear();
+        bool other = true;
+        raw->onRequest = [&](const RawServer::Received &request) {
+            other = false;
+            RawServer::write(request.connection,
+                             fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: "
+                                         "s\r\n\r\nid: 1\ndata: event 1\n\n",
+                                         request.requestId));
+        };
+        const Answer *answer = nullptr;
+        for (unsigned i = 0; other; ++i) {
+            CHECK_TRUE_TEXT(i < 20, "a stream reaches the raw endpoint");
+            answer = &send(*daemons[0], "a:10");
+            CHECK_TRUE(runUntil([&] { return !answer->body.empty(); }));
+        }
+        serveFor(kShortRun);
+        endpoints[0]->runs.clear();
+        const TimePoint begun = steadyNow();
+        unsigned next = 2;
+        while (!answer->ended && steadyNow() - begun < Millis(3300)) {
+            const Socket &connection = raw->received.back().connection;
+            if (row.trickle)
+                RawServer::write(connection, row.trickle);
+            else
+                RawServer::write(connection, fmt::format("id: {0}\ndata: event {0}\n\n", next++));
+            serveFor(row.trickle ? kTrickle : kSlowEvent);
+            if (next > EndpointStandin::kStreamEvents) {
+                connection->close();
+                serveFor(kShortRun);
+            }
+        }
+        CHECK_TRUE_TEXT(answer->ended && answer->complete, row.name);
+        LONGS_EQUAL_TEXT(row.moves ? 1 : 0, endpoints[0]->runs.size() > 0 ? 1 : 0, row.name);
+        CHECK_TRUE_TEXT(answer->body.find(": wait") == std::string::npos || row.moves, row.name);
+        CHECK_TRUE_TEXT(answer->body.ends_with("id: 6\ndata: event 6\n\n"), row.name);
+        serveFor(Millis(300));
+    }
+}
+
+// Guards against a message that ends the process or makes it deaf.
+TEST(FailureModes, malformedMessagesEndNoDaemon)
+{
+    constexpr unsigned kMessages = 150;
+    addEndpoint(true, kPlain);
+    start(2, 0);
+    addEndpoint();
+    std::mt19937_64 random(41);
+    const std::string request = "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                                "Authorization: Token key\r\nDeadline-Ms: 200\r\n"
+                                "Token-Count: 10,5\r\nPrompt-Prefix: a:1,b:2\r\n"
+                                "Handover-Attempts: 1\r\nContent-Length: 2\r\n\r\nxx";
+    const std::string pull = "GET /v1/shared?config=1&groups=00 HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string record = R"({"service":"plain","address":"127.0.0.1:9","zone":"east",
+                                   "slots":4,"state":"ready","seq":1,"born":3,"coldLeftMs":5})";
+    const Address &own = daemons[0]->callers;
+    asio::ip::udp::socket datagrams(context, asio::ip::udp::v4());
+    std::vector<std::unique_ptr<asio::ip::tcp::socket>> callers;
+    for (unsigned i = 0; i < kMessages; ++i) {
+        const std::string target = i % 2 == 0 ? request : pull;
+        for (const std::uint16_t offset : {0, 1, 2, 3}) {
+            callers.push_back(std::make_unique<asio::ip::tcp::socket>(context));
+            callers.back()->connect({asio::ip::make_address_v4(own.ip),
+                                     static_cast<std::uint16_t>(own.port + offset)});
+            asio::error_code ignored;
+            asio::write(*callers.back(), asio::buffer(mutate(target, random)), ignored);
+        }
+        std::string datagram(1 + random() % 200, '\0');
+        for (char &byte : datagram)
+            byte = static_cast<char>(random() % 4 == 0 ? random() : 0);
+        datagram[0] = static_cast<char>(random() % 3);
+        asio::error_code ignored;
+        datagrams.send_to(
+                asio::buffer(datagram),
+                {asio::ip::make_address_v4(own.ip), static_cast<std::uint16_t>(own.port + 3)}, 0,
+                ignored);
+        store.put(kEndpointsTopic, fmt::format("x-{}", i), mutate(record, random));
+        store.put("keyed.op", i % 2 == 0 ? "config" : "evacuate/west",
+                  mutate(kFleetConfig, random));
+        store.put("keyed.gateways", i % 2 == 0 ? "block/x" : "front-9",
+                  mutate("127.0.0.1", random));
+        serveFor(Millis(2));
+        if (callers.size() > 40)
+            callers.erase(callers.begin(), callers.begin() + 20);
+    }
+    callers.clear();
+    std::string config = kFleetConfig;
+    config.replace(config.find("\"version\":3"), 11, "\"version\":18446744073709551615");
+    store.put("keyed.op", "config", config);
+    for (unsigned i = 0; i < kMessages; ++i)
+        store.put(kEndpointsTopic, fmt::format("x-{}", i), std::nullopt);
+    CHECK_TRUE(runUntil([&] { return daemons[0]->endpoints() == 2; }, Millis(8000)));
+    for (const auto &daemon : daemons) {
+        const Answer &answer = sendRequest(*daemon, "/safe/x", {});
+        CHECK_TRUE(runUntil([&] { return answer.ended; }));
+        LONGS_EQUAL(200, answer.status);
+    }
+}
+
+// Guards against requests that a stopping daemon under load leaves without a whole answer.
+TEST(FailureModes, aPlannedStopUnderLoadAnswersEveryRequest)
+{
+    addEndpoint(true, kPlain);
+    start(1, 0);
+    const Address entry = daemons[0]->callers;
+    const asio::ip::tcp::endpoint target{asio::ip::make_address_v4(entry.ip), entry.port};
+    const std::string request = "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n"
+                                "Authorization: Token key\r\nDeadline-Ms: 1500\r\n"
+                                "Content-Length: 2\r\n\r\nxx";
+    std::vector<std::unique_ptr<asio::ip::tcp::socket>> callers;
+    const auto open = [&](const std::string &bytes) {
+        callers.push_back(std::make_unique<asio::ip::tcp::socket>(context));
+        callers.back()->connect(target);
+        asio::write(*callers.back(), asio::buffer(bytes));
+    };
+    bool done = false;
+    daemons[0]->gateway.shutDown([&] { done = true; });
+    // Until the daemon ends: requests in the accept queue, half read, and on kept connections.
+    open(request);
+    serveFor(kShortRun);
+    const TimePoint end = steadyNow() + Millis(6000);
+    while (!done && steadyNow() < end && callers.size() < 200) {
+        for (unsigned i = 0; i < 3 && !done; ++i)
+            open(request);
+        open(request.substr(0, request.size() - 1));
+        serveFor(Millis(20));
+        asio::error_code ignored;
+        asio::write(*callers.back(), asio::buffer(std::string("x")), ignored);
+        serveFor(Millis(25));
+    }
+    CHECK_TRUE(runUntil([&] { return done; }, Millis(8000)));
+    unsigned unanswered = 0;
+    for (const auto &caller : callers) {
+        const std::size_t size = caller->available();
+        std::string text(size, '\0');
+        asio::error_code ignored;
+        asio::read(*caller, asio::buffer(text), ignored);
+        unanswered += text.starts_with("HTTP/1.1 200") || text.starts_with("HTTP/1.1 503") ? 0 : 1;
+    }
+    LONGS_EQUAL(0, unanswered);
+}
+
+// Guards against work that a daemon sends after a pause although its caller has left.
+TEST(FailureModes, waitingRequestsOfAPausedDaemonAreNotSentAfterTheirDeadline)
+{
+    startWithRawEndpoint(kPool);
+    raw->onRequest = [](const RawServer::Received &) {};
+    // Fills the slots, so that the last ones wait.
+    for (unsigned i = 0; i < 6; ++i)
+        send(*daemons[0], "a:10");
+    serveFor(Millis(100));
+    const std::size_t before = raw->received.size();
+    CHECK_TRUE(daemons[0]->state()["waiting"].get<unsigned>() > 0);
+    std::this_thread::sleep_for(Millis(4200));
+    for (const auto &request : raw->received)
+        RawServer::write(request.connection, RawServer::answer(request.requestId, "x", "500 No"));
+    serveFor(Millis(400));
+    LONGS_EQUAL(before, raw->received.size());
+    for (const auto &answer : answers)
+        CHECK_TRUE(answer->status >= 500);
+}
+
+// Guards against a daemon that runs a request which waited in its socket during a pause, for longer
+// than its caller waits.
+TEST(FailureModes, requestsThatWaitedInTheSocketDuringAPauseAreNotSentAfterTheirDeadline)
+{
+    startWithRawEndpoint(kPlain);
+    raw->onRequest = [](const RawServer::Received &request) {
+        RawServer::write(request.connection, RawServer::answer(request.requestId, "late"));
+    };
+    sendAndWait("/once/x");
+    const std::size_t before = raw->received.size();
+    asio::ip::tcp::socket caller(context);
+    caller.connect({asio::ip::make_address_v4(daemons[0]->ip), daemons[0]->callers.port});
+    asio::write(caller, asio::buffer(serializeRequestHead("POST", "/once/x", callerHeaders("p"))));
+    std::this_thread::sleep_for(Millis(2200));
+    CHECK_TRUE(runUntil([&] { return caller.available() > 12; }));
+    std::string text(12, '\0');
+    asio::read(caller, asio::buffer(text));
+    STRCMP_EQUAL("HTTP/1.1 503", text.c_str());
+    LONGS_EQUAL(before, raw->received.size());
+}
+
+// Guards against a daemon that takes its own pause for the end of all others, and then uses the
+// whole of limits, trials and the reader's role that it shares with them.
+TEST(FailureModes, aPausedDaemonDoesNotTakeItsPeersForFailed)
+{
+    addEndpoint(true, kPlain);
+    start(3, 0);
+    const auto shared = [&] {
+        unsigned owners = 0;
+        for (const auto &daemon : daemons)
+            owners += daemon->state()["endpoints"][0]["own_per_s"].get<double>() > 0 ? 1 : 0;
+        return owners;
+    };
+    endpoints[0]->limit = 4;
+    for (const auto &daemon : daemons) {
+        const Answer &answer = sendRequest(*daemon, "/safe/x", {});
+        CHECK_TRUE(runUntil([&] { return answer.ended; }));
+    }
+    CHECK_TRUE(runUntil([&] { return shared() == 2; }));
+    for (int pause = 0; pause < 3; ++pause) {
+        std::this_thread::sleep_for(Millis(2500));
+        const TimePoint end = steadyNow() + Millis(100);
+        bool failed = false;
+        runUntil(
+                [&] {
+                    for (const auto &daemon : daemons) {
+                        const auto state = daemon->state();
+                        for (const auto &peer : state["peers"])
+                            failed = failed || !peer["alive"].get<bool>();
+                    }
+                    return failed || steadyNow() > end;
+                },
+                Millis(200));
+        CHECK_FALSE(failed);
+        serveFor(Millis(700));
+    }
+}
+
+// Guards against a request that is written after a pause, on the strength of a place in a limit, a
+// trial or a deadline that has run out since it was placed.
+TEST(FailureModes, aRequestIsNotWrittenAfterAPauseDuringItsConnecting)
+{
+    startWithRawEndpoint(kPlain);
+    raw->onRequest = [](const RawServer::Received &request) {
+        RawServer::write(request.connection, RawServer::answer(request.requestId, "late"));
+    };
+    const Answer &answer = sendRequest(*daemons[0], "/once/x", {});
+    CHECK_TRUE(runUntil([&] { return daemons[0]->state()["requests"].get<unsigned>() == 1; }));
+    CHECK_EQUAL(0U, raw->received.size());
+    std::this_thread::sleep_for(Millis(2000));
+    CHECK_TRUE(runUntil([&] { return answer.ended; }));
+    LONGS_EQUAL(503, answer.status);
+    LONGS_EQUAL(0, raw->received.size());
+}
