--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -12,6 +12,7 @@
 #include "gateway/reservation.h"
 #include "net/server.h"
 #include "net/upstream.h"
+#include "prefixcache/prefixcache.h"
 #include "residency/residency.h"
 
 #include <asio/steady_timer.hpp>
@@ -40,6 +41,9 @@
     TimePoint sentAt{};
     TimePoint sendBy = TimePoint::max(); ///< Nothing of it is written first after this time.
     FloatMillis expected{0};             ///< Expected time to the first event or the answer.
+    PrefixUse prefixUse;                 ///< Empty unless prefixes are observed.
+    FloatMillis prefixSaving{0};    ///< Expected saving by a held prefix; not part of `expected`.
+    std::uint64_t prefixTokens = 0; ///< Expected to be saved.
     bool headSeen = false;
     bool notRun = false;  ///< The endpoint states that it did not run the request.
     bool streams = false; ///< The answer is relayed event by event.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -34,6 +34,7 @@
 #include "net/upstream.h"
 #include "overload/demand.h"
 #include "overload/workspaceusage.h"
+#include "prefixcache/prefixcache.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -66,8 +67,8 @@
     /// error.
     void shutDown(std::function<void()> done);
 
-    /// Applies the settings that may change while the process runs: retries, shutdown grace and
-    /// log level.
+    /// Applies the settings that may change while the process runs: retries, shutdown grace, log
+    /// level and placement by prefixes.
     void reload(const GatewaySettings &settings);
 
     /// True when a configuration and the endpoints are known and the daemon is not draining.
@@ -208,6 +209,8 @@
     /// Sends the endpoint's answer to the caller, unchanged except for hop-by-hop headers.
     void forwardAnswer(Exchange &exchange, Attempt &attempt, const char *outcome);
     void noteFirstAnswer(Exchange &exchange);
+    /// The endpoint has prefilled the prompt alone, and now holds its prefixes.
+    void notePrefilled(const Exchange &exchange, const Attempt &attempt, FloatMillis took);
     void armTimer(Exchange &exchange);
     /// Sends the request to another endpoint if one can take it now. The attempt stays open, until
     /// one of both has the next event or the answer, or until the deadline: a silent endpoint may
@@ -388,6 +391,7 @@
     std::set<EndpointKey> coldLimited_; ///< Those with a limit because they are cold.
     asio::steady_timer coldTimer_;
     SharedRetryBudget retryBudget_;
+    PrefixCache prefixCache_;
     CrashWatch crashWatch_;
     ReachWatch reach_;
     asio::steady_timer crashTimer_;
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -324,7 +324,10 @@
     if (row && row->record.bornMs == record.bornMs)
         record.revision = std::max(record.revision, row->record.revision);
     departed_.forget(record.id);
+    const EndpointKey before = row ? row->key : 0;
     const EndpointChange change = endpoints_.update(record, now);
+    if (change == EndpointChange::Restarted)
+        prefixCache_.forget(before);
     noteEndpointChange(record.id, change, source);
     const bool coldChanged = noteColdRecord(record);
     if (coldChanged && change == EndpointChange::None && std::string_view(source) == kFromStore)
@@ -372,6 +375,7 @@
     if (!row)
         return;
     pool_.closeIdle(row->record.address);
+    prefixCache_.forget(row->key);
     endpoints_.remove(id);
     pendingUpdates_.push_back({id, std::nullopt, version, goneFor});
     logEvent(LogLevel::Info, "endpoint_changed",
@@ -590,6 +594,13 @@
                                      {"requests", load.sequences},
                                      {"pending_read_ms", load.pendingPrefill.count()}});
     }
+    for (const auto &[service, history] : prefixCache_.histories()) {
+        const SavingEstimate saving = estimateSaving(history);
+        json["prefix_saving"].push_back({{"service", service},
+                                         {"share", saving.share},
+                                         {"confidence", saving.confidence},
+                                         {"pairs", saving.pairs}});
+    }
     for (const auto &[id, exchange] : exchanges_) {
         json["in_progress"].push_back(
                 {{"request", exchange->requestId},
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -44,6 +44,8 @@
     prometheus::Counter &endpointCrashes;
     prometheus::Gauge &blockedParts;
     prometheus::Gauge &servicesOutOfReach;
+    prometheus::Counter &prefixHits;
+    prometheus::Counter &prefixTokensSaved;
     prometheus::Counter &regionRefusals;
 
 private:
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -145,6 +145,9 @@
     Placement placement = mesh_.announcesJobsGlobally()
                                   ? placeStream(request, *engine, views)
                                   : placeStreamInDomainFirst(request, *engine, views);
+    if (settings_.prefixPlacement)
+        placement = prefixCache_.prefer(exchange.service, exchange.fields, placement, request,
+                                        *engine, views, steadyNow());
     placement.waitingElsewhere = waitingElsewhere;
     return placement;
 }
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -86,6 +86,7 @@
     retries.reportUnknownKeys();
     readSeconds(root, "shutdown_grace_s", settings.shutdownGrace);
     root.size("max_descriptors", settings.maxDescriptors, 256, 10'000'000);
+    root.choice("prefix_placement", settings.prefixPlacement, {{"off", false}, {"on", true}});
     root.choice("queue_scope", settings.queueScope,
                 {{"daemon", QueueScope::Daemon}, {"fleet", QueueScope::Fleet}});
     std::size_t metricsPort = settings.metricsPort;
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -155,6 +155,7 @@
             settings.store = storeAddress;
             settings.seeds = {first.ip};
             settings.retries = {0.2, 1000, Millis(10'000)};
+            settings.prefixPlacement = prefixPlacement;
             configure(settings, i);
             daemons.push_back(std::make_unique<Daemon>(context, settings));
             address = addresses.next();
@@ -234,6 +235,7 @@
     std::vector<std::unique_ptr<UpstreamCall>> calls;
     std::vector<std::unique_ptr<Answer>> answers;
     unsigned requests = 0;
+    bool prefixPlacement = false; ///< Setting of the daemons that are started.
     std::string config = kFleetConfig;
     std::string endpointDomain = "east"; ///< Failure domain of the endpoints that are added.
 };
