--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -95,7 +95,7 @@
     std::vector<std::string> triedPeers; ///< IP addresses.
     /// Those that turned the request away, as they lack the configuration it was accepted with.
     std::vector<std::string> peersBehind;
-    bool fromPeer = false;               ///< A peer has handed it over.
+    bool fromPeer = false; ///< A peer has handed it over.
     bool refusedByPeer = false;
     std::optional<Millis> peerRetryAfter; ///< What the peer that refused it has said.
     unsigned sendCount = 0;  ///< Attempts of which something may have reached an endpoint.
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -71,7 +71,7 @@
     /// Expected saving at the head, which holds a prefix of the prompt; not part of firstEvent.
     FloatMillis prefixSaving{0};
     std::uint64_t prefixTokens = 0; ///< Expected to be saved.
-    unsigned waitingElsewhere = 0; ///< Requests for the service that waited at other daemons.
+    unsigned waitingElsewhere = 0;  ///< Requests for the service that waited at other daemons.
 };
 
 /// Time to prefill a whole prompt on one idle endpoint.
--- a/tests/support/fleetsimulation.cpp
+++ b/tests/support/fleetsimulation.cpp
@@ -321,9 +321,8 @@
         wanted.untilCallerLeaves = callerLeavesAt(facts, now_) - now_;
     }
     leaveToOthers(daemon, request, views);
-    Placement placement = isLargeFleet()
-                                  ? placeStreamInDomainFirst(wanted, options_.engine, views)
-                                  : placeStream(wanted, options_.engine, views);
+    Placement placement = isLargeFleet() ? placeStreamInDomainFirst(wanted, options_.engine, views)
+                                         : placeStream(wanted, options_.engine, views);
     if (!prefixCaches_.empty())
         placement = prefixCaches_[daemon].prefer(kService, callerFields(request), placement, wanted,
                                                  options_.engine, views, now_);
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -235,8 +235,7 @@
     std::vector<std::unique_ptr<UpstreamCall>> calls;
     std::vector<std::unique_ptr<Answer>> answers;
     unsigned requests = 0;
-    bool prefixPlacement = false; ///< Setting of the daemons that are started.
-    std::string config = kFleetConfig;
+    bool prefixPlacement = false;        ///< Setting of the daemons that are started.
     std::string endpointDomain = "east"; ///< Failure domain of the endpoints that are added.
 };
 
--- a/tests/unit/endpointlimits_test.cpp
+++ b/tests/unit/endpointlimits_test.cpp
@@ -220,8 +220,8 @@
         CHECK_EQUAL_TEXT(row.changed, fleet[0]->note({kEndpoint, row.stated, at(row.millis)}),
                          row.name);
         assign(all, at(row.millis));
-        DOUBLES_EQUAL_TEXT(row.inForce.value_or(0), fleet[0]->ownPerSecond(kEndpoint, at(row.millis)), 0.001,
-                           row.name);
+        DOUBLES_EQUAL_TEXT(row.inForce.value_or(0),
+                           fleet[0]->ownPerSecond(kEndpoint, at(row.millis)), 0.001, row.name);
     }
 }
 
--- a/tests/unit/failuremodes_test.cpp
+++ b/tests/unit/failuremodes_test.cpp
@@ -289,7 +289,8 @@
                                          request.requestId));
         };
         const Answer *answer = nullptr;
-        for (unsigned i = 0; other; ++i) {
+        const auto isAtOther = [&other] { return other; };
+        for (unsigned i = 0; isAtOther(); ++i) {
             CHECK_TRUE_TEXT(i < 20, "a stream reaches the raw endpoint");
             answer = &send(*daemons[0], "a:10");
             CHECK_TRUE(runUntil([&] { return !answer->body.empty(); }));
@@ -311,7 +312,7 @@
             }
         }
         CHECK_TRUE_TEXT(answer->ended && answer->complete, row.name);
-        LONGS_EQUAL_TEXT(row.moves ? 1 : 0, endpoints[0]->runs.size() > 0 ? 1 : 0, row.name);
+        LONGS_EQUAL_TEXT(row.moves ? 1 : 0, endpoints[0]->runs.empty() ? 0 : 1, row.name);
         CHECK_TRUE_TEXT(answer->body.find(": wait") == std::string::npos || row.moves, row.name);
         CHECK_TRUE_TEXT(answer->body.ends_with("id: 6\ndata: event 6\n\n"), row.name);
         serveFor(Millis(300));
--- a/tests/unit/gatewayhandover_test.cpp
+++ b/tests/unit/gatewayhandover_test.cpp
@@ -194,8 +194,8 @@
 }
 
 // Guards against a peer with an older configuration than the daemon that accepted the request: it
-// would answer 404 for a route that was added, accept a key that was revoked, use a service that the
-// route has left, or apply an old timeout.
+// would answer 404 for a route that was added, accept a key that was revoked, use a service that
+// the route has left, or apply an old timeout.
 TEST(GatewayHandover, aPeerWithAnOlderConfigurationDoesNotJudgeARequest)
 {
     constexpr std::uint64_t kVersionOfPeer = 3; // Of kFleetConfig.
