--- a/src/overload/demand.h
+++ b/src/overload/demand.h
@@ -2,7 +2,7 @@
 
 // The requests that wait at all daemons for the endpoints of a service, as each daemon tells them.
 //
-//   DemandTable demands;
+//   DemandTable demands(kMaxDaemons);
 //   demands.note(peer, demandsOfPeer, now);
 //   const std::vector<WaitingRank> others = demands.waiting(service, now);
 //
@@ -11,7 +11,6 @@
 
 #include "base/clock.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <unordered_map>
--- a/src/overload/fairorder.cpp
+++ b/src/overload/fairorder.cpp
@@ -15,8 +15,7 @@
 // Covers several dispatches of the daemons whose requests wait, and the time for which a slot is
 // reserved for one of them at first (see LoadTracker).
 constexpr double kYieldIntervals = 12;
-// In a simulation at 1.2 times the capacity, 88 daemons did 0.94 of the work of a single queue with
-// 250 ms, and at least the targeted 0.95 with 200 ms.
+// A slot that is left to others for longer may stay unused, if none of them can take it.
 constexpr gateway::FloatMillis kMaxYield{200};
 // Share of the longest time for a workspace that is only just far above its share.
 constexpr double kMinYieldShare = 0.5;
--- a/src/prefixcache/prefixcache.h
+++ b/src/prefixcache/prefixcache.h
@@ -5,8 +5,9 @@
 // saved, prefixplacement where a request goes.
 //
 //   PrefixCache cache;
-//   const Placement preferred = cache.prefer("maps", fields, placement, request, engine, views,
-//   now); const PrefixUse use = cache.noteSent("maps", fields, placement, engine, now);
+//   const Placement preferred
+//           = cache.prefer("maps", fields, placement, request, engine, views, now);
+//   const PrefixUse use = cache.noteSent(fields, placement, engine, now);
 //   cache.noteFirstEvent("maps", placement.head, use, took, expected, now);
 //   cache.forget(endpoint);     // the instance has restarted, crashed or left
 //
