Release memory that the request it was reserved for does not use

Cause: a reservation is renewed as long as its attempt is open. An attempt at a head that hangs, or keeps the request in its queue, stays open until its deadline, 15 s, if no other endpoint can take over. Nobody asked whether the memory was in use.

From 2.5 s after the reservation until the first event, the first holder is asked each second whether the ticket is in use. Memory that is not used for 6 s, that was used before, or of which a holder says nothing for 7.5 s ends its attempt, which is repeated elsewhere if it may be. Ruled out: a bound on the time alone, as a late prompt may need more than 9 s to its first event and uses its memory all the while.

Before: GatewayMemory.isReleasedIfTheHeadNeverBeginsToUseIt failed (memory reserved for over 9 s). After: it passes, and so do GatewayPath and Reservation.

--- a/src/cli/explaincommand.cpp
+++ b/src/cli/explaincommand.cpp
@@ -56,7 +56,7 @@
     const char *text;
 };
 
-constexpr std::array<ReasonText, 22> kReasons = {{
+constexpr std::array<ReasonText, 23> kReasons = {{
         {"no_endpoint",
          "no endpoint could take it in time; its queued line counts what was in the way"},
         {"no_connection", "the endpoint could not be reached"},
@@ -70,6 +70,8 @@
          "could wait"},
         {"endpoint_withdrew",
          "while memory was reserved for it, an endpoint said that it leaves or wants no requests"},
+        {"memory_unused",
+         "the endpoint did not begin the request, or dropped it, while memory was reserved for it"},
         {"memory_not_reserved", "memory for a large prompt was not free at the endpoints"},
         {"deadline", "its deadline, or the route's timeout, passed"},
         {"shutting_down", "the daemon's grace period ended"},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -180,6 +180,8 @@
     void send(Exchange &exchange, const Placement &placement);
     void announceJob(const Exchange &exchange, const Placement &placement);
     void reserve(Exchange &exchange, const Placement &placement);
+    /// Ends an attempt that does not use the memory reserved for it.
+    void onMemoryUnused(std::uint64_t id, JobId job);
     void startCall(Exchange &exchange);
     void startCall(Exchange &exchange, HeaderList headers);
     HeadAction onHead(std::uint64_t id, JobId job, HttpResponseHead &&head);
@@ -191,6 +193,7 @@
     /// Delays the next attempt if every endpoint that could serve the request was tried.
     void delayReconnect(Exchange &exchange);
     void relayEvents(Exchange &exchange, Attempt &attempt);
+    static void noteFirstEvent(Attempt &attempt);
     void beginRelay(Exchange &exchange);
     void forwardWholeAnswer(Exchange &exchange, Attempt &attempt);
     void finishRelay(Exchange &exchange, Attempt &attempt);
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -158,6 +158,7 @@
             return;
         const bool accepted = mayStart(*waiting->attempt);
         if (held && accepted) {
+            waiting->attempt->reservation->watchUse([this, id, job] { onMemoryUnused(id, job); });
             startCall(*waiting);
             return;
         }
@@ -168,6 +169,13 @@
     });
 }
 
+void Gateway::onMemoryUnused(std::uint64_t id, JobId job)
+{
+    Exchange *exchange = find(id);
+    if (Attempt *attempt = exchange ? findAttempt(*exchange, job) : nullptr)
+        failAttempt(*exchange, *attempt, EndpointFailure::NoAnswer, true, "memory_unused");
+}
+
 void Gateway::startCall(Exchange &exchange)
 {
     Attempt &attempt = *exchange.attempt;
@@ -255,7 +263,7 @@
          event = takeEvent(attempt.body)) {
         const auto id = eventId(event);
         if (attempt.events++ == 0)
-            attempt.firstEventAt = steadyNow();
+            noteFirstEvent(attempt);
         // Drops events that the caller already has. An endpoint that was given the last event id
         // sends only later events; one that starts from the beginning repeats the earlier ones.
         if (id && exchange.lastEventId && *id <= *exchange.lastEventId)
@@ -289,6 +297,13 @@
         abortStream(exchange, "slow_caller");
 }
 
+void Gateway::noteFirstEvent(Attempt &attempt)
+{
+    attempt.firstEventAt = steadyNow();
+    if (attempt.reservation)
+        attempt.reservation->endWatch();
+}
+
 void Gateway::beginRelay(Exchange &exchange)
 {
     exchange.state = ExchangeState::Relaying;
--- a/src/gateway/gatewaystatements.cpp
+++ b/src/gateway/gatewaystatements.cpp
@@ -56,6 +56,7 @@
         release(address, endpointId, ticket, timeout,
                 observe(endpointId, address, std::move(done)));
     };
+    calls.askUse = std::move(orders.askUse);
     return calls;
 }
 
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -153,6 +153,13 @@
     EndpointStatement statement;
 };
 
+/// Whether a request uses memory that is reserved under a ticket.
+enum class MemoryUse {
+    Unknown, ///< The endpoint did not answer, or does not list the ticket.
+    Unused,
+    Used,
+};
+
 /// Orders to endpoints. Each callback runs exactly once, and never before the call has returned.
 struct OrderCalls
 {
@@ -165,6 +172,10 @@
                        const std::string &ticket, Millis timeout,
                        std::function<void(const OrderReply &)> done)>
             release;
+    /// Asks for the use of a ticket. The answer may be some hundred milliseconds old.
+    std::function<void(const Address &address, const std::string &ticket, Millis timeout,
+                       std::function<void(MemoryUse)> done)>
+            askUse;
 };
 
 /// Topics of the store and parsers for their records.
--- a/src/gateway/reservation.cpp
+++ b/src/gateway/reservation.cpp
@@ -1,6 +1,7 @@
 #include "gateway/reservation.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cicadafork::gateway {
 
@@ -21,6 +22,15 @@
 // what it has received.
 constexpr Millis kOpenOrderTimeout = kLeaseDuration;
 
+// Most prompts have their first event before the first check.
+constexpr Millis kFirstUseCheck{2500};
+constexpr Millis kUseCheckInterval{1000};
+// The users' rules allow memory to be unused for 9 s. The rest is for a silence of the holder and
+// for the release.
+constexpr Millis kMaxUnused{6000};
+// The same if the holder does not tell. It may be silent for kLongestSilence.
+constexpr Millis kMaxUnconfirmed = kMaxUnused + kLongestSilence;
+
 static_assert(kRenewalInterval + kLongestSilence < kLeaseDuration);
 static_assert(kRenewalInterval + 2 * kRepeatInterval < kLeaseDuration);
 
@@ -36,10 +46,24 @@
     return last > facts.lastSent ? std::min(last, facts.quietUntil) : facts.quietUntil;
 }
 
+bool isUnused(MemoryUse use, bool wasUsed, Millis sinceReserved)
+{
+    switch (use) {
+    case MemoryUse::Used:
+        return false;
+    case MemoryUse::Unused:
+        return wasUsed || sinceReserved >= kMaxUnused;
+    case MemoryUse::Unknown:
+        break;
+    }
+    return !wasUsed && sinceReserved >= kMaxUnconfirmed;
+}
+
 Reservation::Reservation(asio::io_context &context, const OrderCalls &orders, std::string ticket,
                          std::vector<ReservationTarget> targets)
     : orders_(orders)
     , ticket_(std::move(ticket))
+    , useTimer_(context)
 {
     leases_.reserve(targets.size());
     for (ReservationTarget &target : targets)
@@ -63,6 +87,45 @@
                     [this](OrderOutcome outcome) { onOrderOutcome(outcome); });
 }
 
+void Reservation::watchUse(std::function<void()> unused)
+{
+    unused_ = std::move(unused);
+    watchedSince_ = steadyNow();
+    scheduleUseCheck(kFirstUseCheck);
+}
+
+void Reservation::endWatch()
+{
+    unused_ = nullptr;
+    useTimer_.cancel();
+}
+
+void Reservation::scheduleUseCheck(Millis delay)
+{
+    useTimer_.expires_after(delay);
+    useTimer_.async_wait([this, weak = std::weak_ptr(alive_)](const asio::error_code &error) {
+        if (error || weak.expired() || !unused_)
+            return;
+        orders_.askUse(leases_.front().target.address, ticket_, kUseCheckInterval,
+                       [this, weak](MemoryUse use) {
+                           if (!weak.expired() && unused_)
+                               onUse(use);
+                       });
+    });
+}
+
+void Reservation::onUse(MemoryUse use)
+{
+    const auto sinceReserved = std::chrono::duration_cast<Millis>(steadyNow() - watchedSince_);
+    if (isUnused(use, wasUsed_, sinceReserved)) {
+        const auto unused = std::exchange(unused_, nullptr);
+        unused();
+        return;
+    }
+    wasUsed_ = wasUsed_ || use == MemoryUse::Used;
+    scheduleUseCheck(kUseCheckInterval);
+}
+
 void Reservation::sendReserve(Lease &lease, Millis timeout, std::function<void(OrderOutcome)> done)
 {
     const TimePoint sentAt = steadyNow();
--- a/src/gateway/reservation.h
+++ b/src/gateway/reservation.h
@@ -4,6 +4,7 @@
 //
 //   Reservation reservation(context, orders, "t-7", targets);
 //   reservation.acquire([&](bool held) { ... });   // held: every target has reserved its memory
+//   reservation.watchUse([&] { ... });             // no request uses the memory any more
 //   ...                                            // renewed until it is destroyed
 //
 // Leases are short, so that memory is soon free again when this process dies or an endpoint carries
@@ -40,6 +41,10 @@
 /// Time of the next renewal.
 TimePoint nextRenewal(const LeaseFacts &facts);
 
+/// True if memory is to be released, of which a holder has just said this. An endpoint that has
+/// received a request may never begin it, or may drop it without a word.
+bool isUnused(MemoryUse use, bool wasUsed, Millis sinceReserved);
+
 class Reservation
 {
 public:
@@ -54,6 +59,12 @@
     /// has reserved its memory.
     void acquire(std::function<void(bool)> done);
 
+    /// Asks the first holder, whose memory is used first, again and again for the use of it. Calls
+    /// unused once if no request uses it; the reservation may be destroyed by that.
+    void watchUse(std::function<void()> unused);
+    /// The first event shows that the memory is in use.
+    void endWatch();
+
     const std::string &ticket() const { return ticket_; }
 
 private:
@@ -67,6 +78,8 @@
     void sendReserve(Lease &lease, Millis timeout, std::function<void(OrderOutcome)> done);
     void onOrderOutcome(OrderOutcome outcome);
     void scheduleRenewal(Lease &lease);
+    void scheduleUseCheck(Millis delay);
+    void onUse(MemoryUse use);
 
     const OrderCalls &orders_;
     std::string ticket_;
@@ -74,6 +87,10 @@
     std::function<void(bool)> done_;
     std::size_t pending_ = 0;
     bool refused_ = false;
+    asio::steady_timer useTimer_;
+    std::function<void()> unused_; ///< Empty unless the use is watched.
+    TimePoint watchedSince_{};
+    bool wasUsed_ = false;
     /// Lets callbacks that run after the destruction detect it.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -286,6 +286,10 @@
         return;
     }
     const bool isOrder = request.target == platform::kOrderPath;
+    if (request.target == platform::kReportPath) {
+        caller->respond(200, plainHeaders({}), report());
+        return;
+    }
     // An order that its sender has given up may not be carried out.
     if (isOrder && !caller->open())
         return;
@@ -305,6 +309,10 @@
         caller->respond(421, std::move(plain), {});
         return;
     }
+    if (!isOrder && hangs && hangs()) {
+        held_.push_back(caller);
+        return;
+    }
     const EndpointBehaviour behaviour = script.empty() ? EndpointBehaviour::Answer : script.front();
     if (!script.empty())
         script.pop_front();
@@ -369,7 +377,13 @@
         runAt(steadyNow() + crashDelay, [this] { crash(); });
         return;
     }
-    stream(caller, next, behaviour == EndpointBehaviour::BreaksStream);
+    const bool breaks = behaviour == EndpointBehaviour::BreaksStream;
+    if (prefillTime == Millis(0)) {
+        stream(caller, next, breaks);
+        return;
+    }
+    runAt(steadyNow() + prefillTime,
+          [this, caller, next, breaks] { stream(caller, next, breaks); });
 }
 
 bool EndpointStandin::crashesOn(const HttpRequest &request) const
@@ -414,6 +428,16 @@
     });
 }
 
+std::string EndpointStandin::report() const
+{
+    nlohmann::json tickets = nlohmann::json::array();
+    for (const auto &[ticket, end] : leases) {
+        const bool used = usesMemory && usesMemory(ticket);
+        tickets.push_back({{"id", ticket}, {"state", used ? "used" : "held"}});
+    }
+    return nlohmann::json{{"tickets", tickets}}.dump();
+}
+
 void EndpointStandin::endLease(const std::string &ticket, TimePoint expected)
 {
     const auto found = leases.find(ticket);
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -137,6 +137,12 @@
 
     const Address address;
     const std::string id;
+    /// Asked for each request of a caller: true to take it and neither run nor answer it. Orders are
+    /// carried out all the same.
+    std::function<bool()> hangs;
+    Millis prefillTime{0}; ///< Before the first event of a stream.
+    /// Asked for each ticket that a report lists: true if a request uses its memory.
+    std::function<bool(const std::string &ticket)> usesMemory;
     std::deque<EndpointBehaviour> script; ///< For the next requests; Answer once it is empty.
     std::vector<Run> runs;                ///< Requests that were executed, at least in part.
     std::vector<Arrival> log;
@@ -167,6 +173,7 @@
     /// Reserves or releases memory. Leases run out during a silence too.
     void carryOutOrder(const std::string &body);
     void endLease(const std::string &ticket, TimePoint expected);
+    std::string report() const;
     bool crashesOn(const HttpRequest &request) const;
     void crash();
     void stream(const std::shared_ptr<HttpServerConnection> &caller, unsigned next, bool breaks);
