Keep late duplicates of answers from other calls of a connection

Reported by operators of similar systems: a replica wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run that had, or it ran a second time (REFUSED, TWICE). Here it was the same: an answer without an id, or with the id of the same request, was taken for that of the connection's next call, and orders shared the connections of callers' requests.

Ruled out: a connection for each request, which costs a round trip for every call.

Before: three tests of FailureModes failed (the answer of another caller, three arrivals instead of two, the answer to an order). After: they pass.

--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -199,6 +199,7 @@
     UpstreamRequest request;
     request.head = serializeRequestHead(exchange.request.method, exchange.request.target, headers);
     request.body = exchange.request.body;
+    request.idHash = fnv1a64(exchange.requestId);
     if (!isRepeatable(exchange.route))
         request.maxIdleTime = kMaxIdleIfUnrepeatable;
     const std::uint64_t id = exchange.id;
@@ -231,6 +232,7 @@
                   {"answer_of", reply.requestId}});
         return HeadAction::Skip;
     }
+    const bool namesRequest = !reply.requestId.empty();
     attempt.headSeen = true;
     attempt.notRun = reply.notRun;
     attempt.streams
@@ -239,7 +241,7 @@
     attempt.head = std::move(head);
     if (!attempt.peer.empty())
         noteAnswerOfPeer(*exchange, attempt);
-    return HeadAction::Accept;
+    return namesRequest ? HeadAction::Accept : HeadAction::AcceptLast;
 }
 
 void Gateway::onBody(std::uint64_t id, JobId job, std::string_view bytes)
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -16,6 +16,9 @@
 // Subtracted from the idle timeout that a server advertises, so that a request in transit does not
 // meet a connection that the server is closing.
 constexpr Millis kIdleMargin{500};
+// Ids of the latest calls that a connection remembers. Repetitions of a request follow each other
+// within seconds, and a connection carries some ten requests a second.
+constexpr std::size_t kRememberedIds = 64;
 
 /// The `timeout` parameter of the Keep-Alive field, or nullopt if it is missing or invalid.
 std::optional<Millis> advertisedIdleTimeout(const HeaderList &headers)
@@ -60,6 +63,11 @@
         output_ = std::move(request.head);
         output_ += request.body;
         written_ = 0;
+        if (request.idHash != 0) {
+            if (idHashes_.size() >= kRememberedIds)
+                idHashes_.erase(idHashes_.begin());
+            idHashes_.push_back(request.idHash);
+        }
         inCall_ = true;
         parser_.reset();
         reused_ = socket_.is_open();
@@ -95,6 +103,11 @@
         return socket_.is_open() && steadyNow() - idleSince_ < std::min(maxIdleTime, idleLimit_);
     }
 
+    bool hasCarried(std::uint64_t idHash) const
+    {
+        return idHash != 0 && std::ranges::find(idHashes_, idHash) != idHashes_.end();
+    }
+
     void close()
     {
         timer_.cancel();
@@ -262,7 +275,8 @@
     void complete(std::size_t bytesLeft)
     {
         // If the request is not fully sent, its remaining bytes would corrupt the next one.
-        reusable_ = parser_.keepAlive() && bytesLeft == 0 && written_ == output_.size();
+        reusable_
+                = parser_.keepAlive() && bytesLeft == 0 && written_ == output_.size() && !lastCall_;
         end(UpstreamOutcome::Complete);
     }
 
@@ -272,14 +286,13 @@
             idleLimit_ = std::min(pool_.options_.idleTimeout, *idle - kIdleMargin);
         if (!handlers_.head)
             return;
-        const bool bodyEndsAtClose = head.bodyEndsAtClose;
-        if (handlers_.head(std::move(head)) == HeadAction::Skip) {
+        const HeadAction action = handlers_.head(std::move(head));
+        // After a response to another request, more of them may follow.
+        lastCall_ = lastCall_ || action != HeadAction::Accept;
+        if (action == HeadAction::Skip)
             skipping_ = true;
-            if (bodyEndsAtClose)
-                reusable_ = false;
-        } else {
+        else
             headAccepted_ = true;
-        }
     }
 
     void onBody(std::string_view bytes)
@@ -332,6 +345,8 @@
     bool headAccepted_ = false;
     bool skipping_ = false; ///< The current response belongs to another request.
     bool reusable_ = false;
+    bool lastCall_ = false;               ///< The connection is not reused after this call.
+    std::vector<std::uint64_t> idHashes_; ///< Of the latest calls, the newest last.
 };
 
 UpstreamCall::UpstreamCall(std::shared_ptr<UpstreamConnection> connection, std::uint64_t number)
@@ -368,7 +383,7 @@
 std::unique_ptr<UpstreamCall> UpstreamPool::call(const Address &address, UpstreamRequest request,
                                                  UpstreamHandlers handlers)
 {
-    auto connection = takeIdle(address, request.maxIdleTime);
+    auto connection = takeIdle(address, request.maxIdleTime, request.idHash);
     if (!connection)
         connection = std::make_shared<UpstreamConnection>(*this, address);
     const std::uint64_t number = connection->begin(std::move(request), std::move(handlers));
@@ -376,7 +391,7 @@
 }
 
 std::shared_ptr<UpstreamConnection> UpstreamPool::takeIdle(const Address &address,
-                                                           Millis maxIdleTime)
+                                                           Millis maxIdleTime, std::uint64_t idHash)
 {
     const auto found = idle_.find(toString(address));
     if (found == idle_.end())
@@ -386,7 +401,7 @@
     while (!connections.empty()) {
         const auto connection = std::move(connections.back());
         connections.pop_back();
-        if (connection->usable(maxIdleTime))
+        if (connection->usable(maxIdleTime) && !connection->hasCarried(idHash))
             return connection;
         connection->close();
     }
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -63,6 +63,9 @@
 /// What to do with a response whose head has arrived.
 enum class HeadAction {
     Accept,
+    /// Accept it, and close the connection after it. For responses that do not name their request:
+    /// a late duplicate could not be told from the response to the connection's next call.
+    AcceptLast,
     /// The response belongs to another request: discard it and wait for the next one.
     Skip,
 };
@@ -73,6 +76,9 @@
     std::string body = {};
     /// Only connections idle for less than this are reused; 0 always opens a new connection.
     Millis maxIdleTime = Millis::max();
+    /// Hash of the id that the response names. A connection that has carried the same id recently
+    /// is not reused: a late duplicate of that response would look like this one's. 0 for none.
+    std::uint64_t idHash = 0;
 };
 
 struct UpstreamHandlers
@@ -125,7 +131,8 @@
 private:
     friend class UpstreamConnection;
 
-    std::shared_ptr<UpstreamConnection> takeIdle(const Address &address, Millis maxIdleTime);
+    std::shared_ptr<UpstreamConnection> takeIdle(const Address &address, Millis maxIdleTime,
+                                                 std::uint64_t idHash);
     void returnIdle(const std::shared_ptr<UpstreamConnection> &connection);
     void dropIdle(UpstreamConnection &connection);
 
