Forward no refusal of an endpoint that may have run the request

Reported by operators of similar systems: callers were told 'not run, try again' for requests that a replica had run (REFUSED). 503, 429, 408 and 421 promise callers that their request has not run. An endpoint's answer with such a status and without Not-Run was forwarded as it was.

It counts as an attempt that may have run: a repeatable request goes to another endpoint, any other gets 502.

Before: FailureModes.answersThatPromiseNothingAreNotForwardedAsPromises failed (503 for /once/). After: it passes.

--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -4,6 +4,7 @@
 #include "base/jitter.h"
 #include "base/log.h"
 #include "gateway/gateway.h"
+#include "gateway/handover.h"
 #include "gateway/requestparts.h"
 
 #include <asio/post.hpp>
@@ -466,6 +467,12 @@
     if (attempt.reply.sealed && crashWatch_.knowsCrashes())
         crashWatch_.noteCompleted({wholeRequest(
                 requestDigest(exchange.request, exchange.fields, exchange.workspace))});
+    // Without Not-Run the request may have run, so its caller must not get a status that promises
+    // otherwise.
+    if (isPromiseOfNotRun(status)) {
+        failAttempt(exchange, attempt, EndpointFailure::Refused, true, "refused_without_promise");
+        return;
+    }
     if (status >= 500 && isRepeatable(exchange.route)) {
         failAttempt(exchange, attempt, EndpointFailure::Error, true, "endpoint_error");
         return;
--- a/src/gateway/gatewayhandover.cpp
+++ b/src/gateway/gatewayhandover.cpp
@@ -22,11 +22,6 @@
 // Misdirected Request: this daemon can do nothing for the request, and another one may.
 constexpr int kMisdirected = 421;
 
-bool isPromiseOfNotRun(int status)
-{
-    return status == 503 || status == kMisdirected || status == 429 || status == 408;
-}
-
 } // namespace
 
 ReachHooks Gateway::reachHooks()
--- a/src/gateway/handover.cpp
+++ b/src/gateway/handover.cpp
@@ -18,4 +18,10 @@
     return best == candidates.end() || !best->hasConfig ? nullptr : &*best;
 }
 
+bool isPromiseOfNotRun(int status)
+{
+    // Misdirected Request, Service Unavailable, Too Many Requests and Request Timeout.
+    return status == 421 || status == 503 || status == 429 || status == 408;
+}
+
 } // namespace cicadafork::gateway
--- a/src/gateway/handover.h
+++ b/src/gateway/handover.h
@@ -44,4 +44,7 @@
 const HandoverPeer *choosePeer(const std::vector<HandoverPeer> &candidates,
                                std::uint64_t tieBreaker);
 
+/// True if the status promises a caller that its request has not run and never will.
+bool isPromiseOfNotRun(int status);
+
 } // namespace cicadafork::gateway
--- a/tests/unit/failuremodes_test.cpp
+++ b/tests/unit/failuremodes_test.cpp
@@ -236,3 +236,20 @@
     };
     STRCMP_EQUAL("caller's", sendAndWait("/once/x").body.c_str());
 }
+
+// Guards against an endpoint's refusal without a promise that reaches the caller as the promise
+// that its request has not run.
+TEST(FailureModes, answersThatPromiseNothingAreNotForwardedAsPromises)
+{
+    startWithRawEndpoint(kPlain);
+    for (const char *status : {"503 Busy", "429 Many", "408 Late"}) {
+        for (const bool sealed : {true, false}) {
+            raw->onRequest = [&](const RawServer::Received &request) {
+                RawServer::write(request.connection,
+                                 RawServer::answer(request.requestId, "ran", status, sealed));
+            };
+            LONGS_EQUAL_TEXT(502, sendAndWait("/once/x").status, status);
+            serveFor(Millis(300)); // Lets the suspension of the endpoint end.
+        }
+    }
+}
