Book endpoints only for prompts that can no longer be on time

Large prompts that would have found endpoints in time kept others from work, and late ones that could book nothing waited for nothing and were refused late.

A prompt books once it can no longer be on time. Without a booking it is refused at once, as before; with one it waits until the endpoints are to be free, beyond the usual end of the wait.

--- a/src/gateway/gatewaybookings.cpp
+++ b/src/gateway/gatewaybookings.cpp
@@ -67,6 +67,8 @@
               {"expected_ms", fmt::format("{:.0f}", placement->firstEvent.count())},
               {"waited_ms", fmt::format("{:.0f}", FloatMillis(now - exchange.arrivedAt).count())}});
     exchange.booking = std::move(booking);
+    exchange.queueDeadline
+            = std::max(exchange.queueDeadline, std::min(exchange.deadline, now + kMaxBookingWait));
 }
 
 void Gateway::endBooking(Exchange &exchange, const char *reason)
--- a/src/gateway/gatewayqueue.cpp
+++ b/src/gateway/gatewayqueue.cpp
@@ -268,7 +268,9 @@
         send(exchange, placement);
         return true;
     case PlacementOutcome::Reject:
-        endWithError(exchange, 502, placement.reason);
+        book(exchange);
+        if (!exchange.booking)
+            endWithError(exchange, 502, placement.reason);
         return false;
     case PlacementOutcome::Wait:
         book(exchange);
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -72,8 +72,6 @@
 // A prompt may book endpoints if its prefill takes longer at one endpoint than so many times its
 // objective. Smaller ones need few endpoints, which they find.
 constexpr double kMinBookingObjectives = 2;
-// Longest time for which an endpoint is kept free for a prompt while it finishes other work.
-constexpr FloatMillis kMaxBookingWait{3000};
 // Time that the streams of an endpoint are assumed to need to end; a typical answer.
 constexpr FloatMillis kAnswerTime{1500};
 // Share of the time left within which the first event of a prompt with a booking is to be expected.
@@ -453,8 +451,6 @@
         const bool divided = division.holders > 0;
         if (!onTime && isLongPrefill(engine, request.promptTokens)
             && !hasIdleEndpoints(endpoints, divided ? kMinIdleShareIfDivided : kMinIdleShare)) {
-            if (mayBook(request, engine))
-                break;
             placement.outcome = PlacementOutcome::Reject;
             placement.reason = "too late for the objective, and too few endpoints are idle";
             return placement;
@@ -483,14 +479,14 @@
 std::optional<Placement> bookEndpoints(const PlacementRequest &request, const EngineModel &engine,
                                        std::span<const EndpointView> endpoints)
 {
-    Division division = memoryDivision(engine, request.promptTokens + request.answerTokens);
-    const FloatMillis wholePrefill = prefillTime(engine, request.promptTokens);
-    if (!mayBook(request, engine))
+    if (!mayBook(request, engine) || canBeOnTime(request, engine))
         return std::nullopt;
+    const Division division = memoryDivision(engine, request.promptTokens + request.answerTokens);
+    const FloatMillis wholePrefill = prefillTime(engine, request.promptTokens);
     std::vector<Bookable> candidates;
     for (const EndpointView &endpoint : endpoints) {
         const FloatMillis clear = timeUntilClear(endpoint);
-        if (endpoint.usable && endpoint.receives && clear <= kMaxBookingWait
+        if (endpoint.usable && endpoint.receives && clear <= FloatMillis(kMaxBookingWait)
             && !hasShortEventGap(endpoint)
             && hasMemory(engine, endpoint, division.kvTokensPerHolder))
             candidates.push_back(
@@ -528,9 +524,9 @@
         job.promptTokens = static_cast<std::uint32_t>(request.promptTokens);
         job.answerTokens = static_cast<std::uint32_t>(request.answerTokens);
         job.placed = now;
-        job.expectedPrefillEnd = now + toDuration(kMaxBookingWait + booking.prefillTime);
+        job.expectedPrefillEnd = now + kMaxBookingWait + toDuration(booking.prefillTime);
         job.dueBy = now;
-        job.expires = now + toDuration(2 * kMaxBookingWait);
+        job.expires = now + 2 * kMaxBookingWait;
         const bool holds = i <= booking.holders;
         job.parts = {{endpoints[i], booking.prefillTime, false,
                       holds ? static_cast<std::uint32_t>(booking.kvTokensPerHolder) : 0}};
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -55,8 +55,8 @@
 enum class PlacementOutcome {
     Send,
     Wait, ///< No endpoint can take it now without delaying others; try again later.
-    /// Cannot be served by its deadline, or only late while too few endpoints are idle and it may
-    /// not book any.
+    /// Cannot be served by its deadline, or only late while too few endpoints are idle. It may
+    /// still book endpoints.
     Reject,
 };
 
@@ -97,11 +97,14 @@
 Placement placeStreamInDomainFirst(const PlacementRequest &request, const EngineModel &engine,
                                    std::span<const EndpointView> endpoints);
 
+/// Longest time for which endpoints are kept free for a prompt while they finish other work.
+inline constexpr Millis kMaxBookingWait{3000};
+
 /// The endpoints that are to be kept free for a prompt which finds none: the first ones that will
 /// be without other work, as few as meet the deadline. Load: long prompts without room for all, of
 /// which smaller ones take each endpoint that becomes free. The outcome is Send, for the time when
 /// isClear() holds, from which firstEvent counts. Absent if the prompt is small for its objective,
-/// or could not be served in time.
+/// can still be on time, or could not be served by its deadline.
 std::optional<Placement> bookEndpoints(const PlacementRequest &request, const EngineModel &engine,
                                        std::span<const EndpointView> endpoints);
 
--- a/tests/support/fleetsimulation.cpp
+++ b/tests/support/fleetsimulation.cpp
@@ -156,7 +156,8 @@
     own.nextDispatch = TimePoint::max();
     std::erase_if(own.waiting, [&](Waiting &entry) {
         const Millis limit = std::max(options_.queueLimit, entry.request->objective);
-        entry.request->rejected = now_ - entry.arrived > limit;
+        const bool booked = entry.booking && now_ - entry.bookedAt <= kMaxBookingWait;
+        entry.request->rejected = now_ - entry.arrived > limit && !booked;
         if (entry.request->rejected)
             endBooking(daemon, entry);
         return entry.request->rejected;
@@ -283,6 +284,7 @@
     waiting.booking = bookEndpoints(wanted, options_.engine, known);
     if (!waiting.booking)
         return;
+    waiting.bookedAt = now_;
     waiting.bookingJobs = bookingJobs(*waiting.booking, wanted, daemon + 1, nextJob_, now_);
     for (const Job &job : waiting.bookingJobs) {
         trackers_[daemon]->place(job);
@@ -366,12 +368,12 @@
     if (!prefixCaches_.empty())
         placement = prefixCaches_[daemon].prefer(kService, callerFields(request), placement, wanted,
                                                  options_.engine, views, now_);
-    if (placement.outcome == PlacementOutcome::Reject)
-        request.rejected = true;
-    if (placement.outcome == PlacementOutcome::Wait && options_.gatewayDispatch)
-        book(daemon, waiting, wanted, views);
-    if (placement.outcome != PlacementOutcome::Send)
-        return placement.outcome == PlacementOutcome::Reject;
+    if (placement.outcome != PlacementOutcome::Send) {
+        if (options_.gatewayDispatch)
+            book(daemon, waiting, wanted, views);
+        request.rejected = placement.outcome == PlacementOutcome::Reject && !waiting.booking;
+        return request.rejected;
+    }
     if (!accepts(daemon, static_cast<unsigned>(placement.head) - 1))
         return false;
 
--- a/tests/support/fleetsimulation.h
+++ b/tests/support/fleetsimulation.h
@@ -126,6 +126,7 @@
         TimePoint arrived{};
         std::optional<gateway::Placement> booking = std::nullopt;
         std::vector<gateway::Job> bookingJobs = {};
+        TimePoint bookedAt{};
     };
     struct Daemon
     {
