Keep answers without events out of a stream that goes on at another endpoint

Here errors, error pages, redirects and unsigned answers stayed out, but a signed 200 with a body that is no stream of events was relayed piece by piece.

An attempt that goes on after an event counts as broken if its first event has no id and is no comment: ids tell where the stream goes on. Ruled out: to require ids of all events, as a stream that begins may have none.

--- a/src/cli/explaincommand.cpp
+++ b/src/cli/explaincommand.cpp
@@ -56,7 +56,7 @@
     const char *text;
 };
 
-constexpr std::array<ReasonText, 24> kReasons = {{
+constexpr std::array<ReasonText, 25> kReasons = {{
         {"no_endpoint",
          "no endpoint could take it in time; its queued line counts what was in the way"},
         {"no_connection", "the endpoint could not be reached"},
@@ -65,6 +65,8 @@
         {"silent", "the endpoint sent nothing for longer than its silence limit"},
         {"endpoint_error", "the endpoint answered with a failure of its own"},
         {"endpoint_refused", "the endpoint stated that it did not run the request"},
+        {"event_without_id",
+         "the endpoint that was to go on with the stream answered something else"},
         {"refused_without_promise",
          "the endpoint refused it without stating that it has not run, so it may have"},
         {"endpoints_quiet",
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -97,6 +97,18 @@
     return event;
 }
 
+bool isComment(std::string_view event)
+{
+    while (!event.empty()) {
+        const char first = event.front();
+        if (first != ':' && first != '\r' && first != '\n')
+            return false;
+        const std::size_t end = event.find('\n');
+        event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
+    }
+    return true;
+}
+
 std::optional<std::uint64_t> eventId(std::string_view event)
 {
     while (!event.empty()) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -178,6 +178,9 @@
 /// returns it; returns an empty string when the buffer holds no complete event.
 std::string takeEvent(std::string &buffer);
 
+/// True if the event consists of comments.
+bool isComment(std::string_view event);
+
 /// Numeric id of a server-sent event; nullopt when it has none.
 std::optional<std::uint64_t> eventId(std::string_view event);
 
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -266,6 +266,13 @@
     for (std::string event = takeEvent(attempt.body); !event.empty();
          event = takeEvent(attempt.body)) {
         const auto id = eventId(event);
+        const bool resumes = exchange.lastEventId && attempt.events == 0;
+        if (resumes && !id && !isComment(event)) {
+            // Ids tell where a stream goes on, so this belongs to another kind of answer.
+            noteBrokenAnswer(exchange, attempt);
+            failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_without_id");
+            return;
+        }
         if (attempt.events++ == 0)
             noteFirstEvent(attempt);
         // Drops events that the caller already has. An endpoint that was given the last event id
--- a/tests/unit/failuremodes_test.cpp
+++ b/tests/unit/failuremodes_test.cpp
@@ -253,3 +253,48 @@
         }
     }
 }
+
+// Guards against the text of an error, or the end of an answer without events, that reaches the
+// caller within a stream as if it were a part of it.
+TEST(FailureModes, anErrorAfterAStreamHasBrokenOffStaysOutOfTheStream)
+{
+    struct Case
+    {
+        const char *name;
+        const char *status;
+        bool sealed;
+        const char *body;
+    };
+    const Case cases[] = {
+            {"error", "500 Internal Server Error", true, "failed\n\n"},
+            {"error page", "500 Internal Server Error", false, "<html>\n\nfailed</html>\n\n"},
+            {"not found", "404 Not Found", true, "none\n\n"},
+            {"redirect", "302 Found", false, ""},
+            {"unsigned answer", "200 OK", false, "id: 2\ndata: other\n\n"},
+            {"whole answer without events", "200 OK", true, "whole\n\nanswer\n\n"},
+            {"refusal", "503 Busy\r\nNot-Run: 1", false, "busy\n\n"},
+    };
+    const std::string event = "id: 1\ndata: event 1\n\n";
+    startWithRawEndpoint(kPool);
+    for (const Case &row : cases) {
+        raw->received.clear();
+        raw->onRequest = [&](const RawServer::Received &request) {
+            if (raw->received.size() == 1) {
+                RawServer::write(request.connection,
+                                 fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: "
+                                             "s\r\nContent-Length: 500\r\n\r\n{}",
+                                             request.requestId, event));
+                request.connection->close();
+                return;
+            }
+            RawServer::write(request.connection, RawServer::answer(request.requestId, row.body,
+                                                                   row.status, row.sealed));
+        };
+        const Answer &answer = send(*daemons[0], "a:10");
+        CHECK_TRUE_TEXT(runUntil([&] { return answer.ended; }), row.name);
+        CHECK_TRUE_TEXT(raw->received.size() > 1, row.name);
+        STRCMP_EQUAL_TEXT(event.c_str(), answer.body.c_str(), row.name);
+        CHECK_FALSE_TEXT(answer.complete, row.name);
+        serveFor(Millis(300)); // Lets the suspension of the endpoint end.
+    }
+}
