Test answers whose head ends in the middle

It does not happen here: at each byte of the head, with a length, chunks and neither, closed and reset, the caller gets 502.

--- a/tests/unit/failuremodes_test.cpp
+++ b/tests/unit/failuremodes_test.cpp
@@ -298,3 +298,35 @@
         serveFor(Millis(300)); // Lets the suspension of the endpoint end.
     }
 }
+
+// Guards against an answer whose head ends in the middle and that reaches the caller as a success.
+TEST(FailureModes, answersWhoseHeadEndsInTheMiddleAreNoSuccess)
+{
+    struct Case
+    {
+        const char *name;
+        const char *framing;
+        bool resets;
+    };
+    const Case cases[] = {
+            {"length, closed", "Content-Length: 4\r\n", false},
+            {"length, reset", "Content-Length: 4\r\n", true},
+            {"chunks, closed", "Transfer-Encoding: chunked\r\n", false},
+            {"no length, closed", "", false},
+    };
+    startWithRawEndpoint(kPlain);
+    for (const Case &row : cases) {
+        const std::string head
+                = fmt::format("HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n{}\r\n", row.framing);
+        for (std::size_t size = 0; size < head.size(); ++size) {
+            raw->onRequest = [&](const RawServer::Received &request) {
+                RawServer::write(request.connection, head.substr(0, size));
+                if (row.resets)
+                    request.connection->set_option(asio::socket_base::linger(true, 0));
+                request.connection->close();
+            };
+            const std::string text = fmt::format("{}, {} bytes", row.name, size);
+            LONGS_EQUAL_TEXT(502, sendAndWait("/once/x").status, text.c_str());
+        }
+    }
+}
