--- a/tests/unit/failuremodes_test.cpp
+++ b/tests/unit/failuremodes_test.cpp
@@ -2,15 +2,19 @@
 // and daemon over loopback.
 
 #include "support/gatewayfleet.h"
+#include "support/mutate.h"
 
 #include <CppUTest/TestHarness.h>
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace cicadafork;
@@ -330,3 +334,260 @@
         }
     }
 }
+
+// Guards against a stream that never ends because its endpoint sends a byte, or a comment, now and
+// then, and against the end of a slow stream that goes on.
+TEST(FailureModes, onlyWholeEventsAreProgressOfAStream)
+{
+    struct Case
+    {
+        const char *name;
+        const char *trickle; ///< Sent again and again after the first event.
+        bool moves;
+    };
+    const Case cases[] = {{"bytes of an event", "x", true},
+                          {"comments", ": wait\n\n", true},
+                          {"regular events", nullptr, false}};
+    constexpr Millis kTrickle{150};
+    constexpr Millis kSlowEvent{700};
+    startWithRawEndpoint(kPool);
+    addEndpoint();
+    CHECK_TRUE(runUntil([&] { return daemons[0]->endpoints() == 2; }));
+    for (const Case &row : cases) {
+        // Streams go to the raw endpoint while the other one takes none.
+        raw->received.clear();
+        bool other = true;
+        raw->onRequest = [&](const RawServer::Received &request) {
+            other = false;
+            RawServer::write(request.connection,
+                             fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: "
+                                         "s\r\n\r\nid: 1\ndata: event 1\n\n",
+                                         request.requestId));
+        };
+        const Answer *answer = nullptr;
+        const auto isAtOther = [&other] { return other; };
+        for (unsigned i = 0; isAtOther(); ++i) {
+            CHECK_TRUE_TEXT(i < 20, "a stream reaches the raw endpoint");
+            answer = &send(*daemons[0], "a:10");
+            CHECK_TRUE(runUntil([&] { return !answer->body.empty(); }));
+        }
+        serveFor(kShortRun);
+        endpoints[0]->runs.clear();
+        const TimePoint begun = steadyNow();
+        unsigned next = 2;
+        while (!answer->ended && steadyNow() - begun < Millis(3300)) {
+            const Socket &connection = raw->received.back().connection;
+            if (row.trickle)
+                RawServer::write(connection, row.trickle);
+            else
+                RawServer::write(connection, fmt::format("id: {0}\ndata: event {0}\n\n", next++));
+            serveFor(row.trickle ? kTrickle : kSlowEvent);
+            if (next > EndpointStandin::kStreamEvents) {
+                connection->close();
+                serveFor(kShortRun);
+            }
+        }
+        CHECK_TRUE_TEXT(answer->ended && answer->complete, row.name);
+        LONGS_EQUAL_TEXT(row.moves ? 1 : 0, endpoints[0]->runs.empty() ? 0 : 1, row.name);
+        CHECK_TRUE_TEXT(answer->body.find(": wait") == std::string::npos || row.moves, row.name);
+        CHECK_TRUE_TEXT(answer->body.ends_with("id: 6\ndata: event 6\n\n"), row.name);
+        serveFor(Millis(300));
+    }
+}
+
+// Guards against a message that ends the process or makes it deaf.
+TEST(FailureModes, malformedMessagesEndNoDaemon)
+{
+    constexpr unsigned kMessages = 150;
+    addEndpoint(true, kPlain);
+    start(2, 0);
+    addEndpoint();
+    std::mt19937_64 random(41);
+    const std::string request = "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                                "Authorization: Token key\r\nDeadline-Ms: 200\r\n"
+                                "Token-Count: 10,5\r\nPrompt-Prefix: a:1,b:2\r\n"
+                                "Handover-Attempts: 1\r\nContent-Length: 2\r\n\r\nxx";
+    const std::string pull = "GET /v1/shared?config=1&groups=00 HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string record = R"({"service":"plain","address":"127.0.0.1:9","zone":"east",
+                                   "slots":4,"state":"ready","seq":1,"born":3,"coldLeftMs":5})";
+    const Address &own = daemons[0]->callers;
+    asio::ip::udp::socket datagrams(context, asio::ip::udp::v4());
+    std::vector<std::unique_ptr<asio::ip::tcp::socket>> callers;
+    for (unsigned i = 0; i < kMessages; ++i) {
+        const std::string target = i % 2 == 0 ? request : pull;
+        for (const std::uint16_t offset : {0, 1, 2, 3}) {
+            callers.push_back(std::make_unique<asio::ip::tcp::socket>(context));
+            callers.back()->connect({asio::ip::make_address_v4(own.ip),
+                                     static_cast<std::uint16_t>(own.port + offset)});
+            asio::error_code ignored;
+            asio::write(*callers.back(), asio::buffer(mutate(target, random)), ignored);
+        }
+        std::string datagram(1 + random() % 200, '\0');
+        for (char &byte : datagram)
+            byte = static_cast<char>(random() % 4 == 0 ? random() : 0);
+        datagram[0] = static_cast<char>(random() % 3);
+        asio::error_code ignored;
+        datagrams.send_to(
+                asio::buffer(datagram),
+                {asio::ip::make_address_v4(own.ip), static_cast<std::uint16_t>(own.port + 3)}, 0,
+                ignored);
+        store.put(kEndpointsTopic, fmt::format("x-{}", i), mutate(record, random));
+        store.put("keyed.op", i % 2 == 0 ? "config" : "evacuate/west",
+                  mutate(kFleetConfig, random));
+        store.put("keyed.gateways", i % 2 == 0 ? "block/x" : "front-9",
+                  mutate("127.0.0.1", random));
+        serveFor(Millis(2));
+        if (callers.size() > 40)
+            callers.erase(callers.begin(), callers.begin() + 20);
+    }
+    callers.clear();
+    std::string config = kFleetConfig;
+    config.replace(config.find("\"version\":3"), 11, "\"version\":18446744073709551615");
+    store.put("keyed.op", "config", config);
+    for (unsigned i = 0; i < kMessages; ++i)
+        store.put(kEndpointsTopic, fmt::format("x-{}", i), std::nullopt);
+    CHECK_TRUE(runUntil([&] { return daemons[0]->endpoints() == 2; }, Millis(8000)));
+    for (const auto &daemon : daemons) {
+        const Answer &answer = sendRequest(*daemon, "/safe/x", {});
+        CHECK_TRUE(runUntil([&] { return answer.ended; }));
+        LONGS_EQUAL(200, answer.status);
+    }
+}
+
+// Guards against requests that a stopping daemon under load leaves without a whole answer.
+TEST(FailureModes, aPlannedStopUnderLoadAnswersEveryRequest)
+{
+    addEndpoint(true, kPlain);
+    start(1, 0);
+    const Address entry = daemons[0]->callers;
+    const asio::ip::tcp::endpoint target{asio::ip::make_address_v4(entry.ip), entry.port};
+    const std::string request = "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n"
+                                "Authorization: Token key\r\nDeadline-Ms: 1500\r\n"
+                                "Content-Length: 2\r\n\r\nxx";
+    std::vector<std::unique_ptr<asio::ip::tcp::socket>> callers;
+    const auto open = [&](const std::string &bytes) {
+        callers.push_back(std::make_unique<asio::ip::tcp::socket>(context));
+        callers.back()->connect(target);
+        asio::write(*callers.back(), asio::buffer(bytes));
+    };
+    bool done = false;
+    daemons[0]->gateway.shutDown([&] { done = true; });
+    // Until the daemon ends: requests in the accept queue, half read, and on kept connections.
+    open(request);
+    serveFor(kShortRun);
+    const TimePoint end = steadyNow() + Millis(6000);
+    while (!done && steadyNow() < end && callers.size() < 200) {
+        for (unsigned i = 0; i < 3 && !done; ++i)
+            open(request);
+        open(request.substr(0, request.size() - 1));
+        serveFor(Millis(20));
+        asio::error_code ignored;
+        asio::write(*callers.back(), asio::buffer(std::string("x")), ignored);
+        serveFor(Millis(25));
+    }
+    CHECK_TRUE(runUntil([&] { return done; }, Millis(8000)));
+    unsigned unanswered = 0;
+    for (const auto &caller : callers) {
+        const std::size_t size = caller->available();
+        std::string text(size, '\0');
+        asio::error_code ignored;
+        asio::read(*caller, asio::buffer(text), ignored);
+        unanswered += text.starts_with("HTTP/1.1 200") || text.starts_with("HTTP/1.1 503") ? 0 : 1;
+    }
+    LONGS_EQUAL(0, unanswered);
+}
+
+// Guards against work that a daemon sends after a pause although its caller has left.
+TEST(FailureModes, waitingRequestsOfAPausedDaemonAreNotSentAfterTheirDeadline)
+{
+    startWithRawEndpoint(kPool);
+    raw->onRequest = [](const RawServer::Received &) {};
+    // Fills the slots, so that the last ones wait.
+    for (unsigned i = 0; i < 6; ++i)
+        send(*daemons[0], "a:10");
+    serveFor(Millis(100));
+    const std::size_t before = raw->received.size();
+    CHECK_TRUE(daemons[0]->state()["waiting"].get<unsigned>() > 0);
+    std::this_thread::sleep_for(Millis(4200));
+    for (const auto &request : raw->received)
+        RawServer::write(request.connection, RawServer::answer(request.requestId, "x", "500 No"));
+    serveFor(Millis(400));
+    LONGS_EQUAL(before, raw->received.size());
+    for (const auto &answer : answers)
+        CHECK_TRUE(answer->status >= 500);
+}
+
+// Guards against a daemon that runs a request which waited in its socket during a pause, for longer
+// than its caller waits.
+TEST(FailureModes, requestsThatWaitedInTheSocketDuringAPauseAreNotSentAfterTheirDeadline)
+{
+    startWithRawEndpoint(kPlain);
+    raw->onRequest = [](const RawServer::Received &request) {
+        RawServer::write(request.connection, RawServer::answer(request.requestId, "late"));
+    };
+    sendAndWait("/once/x");
+    const std::size_t before = raw->received.size();
+    asio::ip::tcp::socket caller(context);
+    caller.connect({asio::ip::make_address_v4(daemons[0]->ip), daemons[0]->callers.port});
+    asio::write(caller, asio::buffer(serializeRequestHead("POST", "/once/x", callerHeaders("p"))));
+    std::this_thread::sleep_for(Millis(2200));
+    CHECK_TRUE(runUntil([&] { return caller.available() > 12; }));
+    std::string text(12, '\0');
+    asio::read(caller, asio::buffer(text));
+    STRCMP_EQUAL("HTTP/1.1 503", text.c_str());
+    LONGS_EQUAL(before, raw->received.size());
+}
+
+// Guards against a daemon that takes its own pause for the end of all others, and then uses the
+// whole of limits, trials and the reader's role that it shares with them.
+TEST(FailureModes, aPausedDaemonDoesNotTakeItsPeersForFailed)
+{
+    addEndpoint(true, kPlain);
+    start(3, 0);
+    const auto shared = [&] {
+        unsigned owners = 0;
+        for (const auto &daemon : daemons)
+            owners += daemon->state()["endpoints"][0]["own_per_s"].get<double>() > 0 ? 1 : 0;
+        return owners;
+    };
+    endpoints[0]->limit = 4;
+    for (const auto &daemon : daemons) {
+        const Answer &answer = sendRequest(*daemon, "/safe/x", {});
+        CHECK_TRUE(runUntil([&] { return answer.ended; }));
+    }
+    CHECK_TRUE(runUntil([&] { return shared() == 2; }));
+    for (int pause = 0; pause < 3; ++pause) {
+        std::this_thread::sleep_for(Millis(2500));
+        const TimePoint end = steadyNow() + Millis(100);
+        bool failed = false;
+        runUntil(
+                [&] {
+                    for (const auto &daemon : daemons) {
+                        const auto state = daemon->state();
+                        for (const auto &peer : state["peers"])
+                            failed = failed || !peer["alive"].get<bool>();
+                    }
+                    return failed || steadyNow() > end;
+                },
+                Millis(200));
+        CHECK_FALSE(failed);
+        serveFor(Millis(700));
+    }
+}
+
+// Guards against a request that is written after a pause, on the strength of a place in a limit, a
+// trial or a deadline that has run out since it was placed.
+TEST(FailureModes, aRequestIsNotWrittenAfterAPauseDuringItsConnecting)
+{
+    startWithRawEndpoint(kPlain);
+    raw->onRequest = [](const RawServer::Received &request) {
+        RawServer::write(request.connection, RawServer::answer(request.requestId, "late"));
+    };
+    const Answer &answer = sendRequest(*daemons[0], "/once/x", {});
+    CHECK_TRUE(runUntil([&] { return daemons[0]->state()["requests"].get<unsigned>() == 1; }));
+    CHECK_EQUAL(0U, raw->received.size());
+    std::this_thread::sleep_for(Millis(2000));
+    CHECK_TRUE(runUntil([&] { return answer.ended; }));
+    LONGS_EQUAL(503, answer.status);
+    LONGS_EQUAL(0, raw->received.size());
+}
