--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -474,8 +474,8 @@
     if (attempt.reply.sealed && crashWatch_.knowsCrashes())
         crashWatch_.noteCompleted({wholeRequest(
                 requestDigest(exchange.request, exchange.fields, exchange.workspace))});
-    // Without Not-Run the request may have run, so its caller must not get a status that promises
-    // otherwise.
+    // Without a statement that it has not run, the request may have run, so its caller must not get
+    // a status that promises otherwise.
     if (isPromiseOfNotRun(status)) {
         failAttempt(exchange, attempt, EndpointFailure::Refused, true, "refused_without_promise");
         return;
