Count whole events, not bytes, as progress of a stream

Callers waited until their deadline for a stream whose endpoint had stalled but sent a byte or a comment now and then: any byte ended the silence of the attempt. Only an event with a field is progress now. A whole answer still counts bytes and is bounded by its deadline.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -53,7 +53,8 @@
     bool silent = false;
     TimePoint nextSilenceCheck{};
     bool reachChecked = false;  ///< The way to the endpoints was asked for, as nothing came.
-    TimePoint lastProgressAt{}; ///< Time of the send, or of the last bytes received.
+    TimePoint lastProgressAt{}; ///< Time of the send, or of the last event or bytes of a whole
+                                ///< answer.
     TimePoint firstEventAt{};   ///< Unset until the endpoint has sent a whole event.
     unsigned events = 0;        ///< Whole events that the endpoint has sent.
     HttpResponseHead head;
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -251,12 +251,12 @@
     Attempt *attempt = exchange ? findAttempt(*exchange, job) : nullptr;
     if (!attempt)
         return;
-    noteProgress(*exchange, *attempt);
     attempt->body += bytes;
     if (attempt->streams) {
         relayEvents(*exchange, *attempt);
         return;
     }
+    noteProgress(*exchange, *attempt);
     if (attempt->body.size() > kMaxWholeAnswerBytes)
         failAttempt(*exchange, *attempt, EndpointFailure::Broken, true, "answer_too_large");
 }
@@ -265,9 +265,13 @@
 {
     for (std::string event = takeEvent(attempt.body); !event.empty();
          event = takeEvent(attempt.body)) {
+        // An endpoint that has stalled may go on sending single bytes or comments.
+        const bool hasField = !isComment(event);
+        if (hasField)
+            noteProgress(exchange, attempt);
         const auto id = eventId(event);
         const bool resumes = exchange.lastEventId && attempt.events == 0;
-        if (resumes && !id && !isComment(event)) {
+        if (resumes && !id && hasField) {
             // Ids tell where a stream goes on, so this belongs to another kind of answer.
             noteBrokenAnswer(exchange, attempt);
             failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_without_id");
