Write no request to an endpoint after its deadline, or long after its placement

A daemon that was paused while it connected wrote the request afterwards, on the strength of a deadline or a place in a limit that had ended, or answered 504 for a request of which nothing had been written. The time is compared with the clock before the first byte.

--- a/src/cli/explaincommand.cpp
+++ b/src/cli/explaincommand.cpp
@@ -56,10 +56,11 @@
     const char *text;
 };
 
-constexpr std::array<ReasonText, 25> kReasons = {{
+constexpr std::array<ReasonText, 26> kReasons = {{
         {"no_endpoint",
          "no endpoint could take it in time; its queued line counts what was in the way"},
         {"no_connection", "the endpoint could not be reached"},
+        {"not_sent_in_time", "the daemon was paused before it could write it to the endpoint"},
         {"no_answer", "the connection to the endpoint broke before an answer"},
         {"broken_answer", "the endpoint's answer broke off"},
         {"silent", "the endpoint sent nothing for longer than its silence limit"},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -41,6 +41,8 @@
     Address address;
     JobId job;
     TimePoint sentAt{};
+    /// It is written before this time or not at all.
+    TimePoint sendBy = TimePoint::max();
     FloatMillis expected{0};        ///< Expected time to the first event or the answer.
     PrefixUse prefixUse;            ///< Empty unless prefixes are observed.
     FloatMillis prefixSaving{0};    ///< Expected saving by a held prefix; not part of `expected`.
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -34,6 +34,9 @@
 // connected to. It doubles with each attempt.
 constexpr Millis kMinReconnectDelay{20};
 constexpr Millis kMaxReconnectDelay{160};
+// A request is written within this time of its placement or not at all, as its place in a limit may
+// have ended since. Connecting takes 150 ms at most.
+constexpr Millis kMaxSendDelay{500};
 // Expected time of a call to a service without an engine model.
 constexpr FloatMillis kExpectedCallTime{30};
 
@@ -201,6 +204,8 @@
     request.head = serializeRequestHead(exchange.request.method, exchange.request.target, headers);
     request.body = exchange.request.body;
     request.idHash = fnv1a64(exchange.requestId);
+    request.sendBy = std::min(exchange.deadline, steadyNow() + kMaxSendDelay);
+    attempt.sendBy = request.sendBy;
     if (!isRepeatable(exchange.route))
         request.maxIdleTime = kMaxIdleIfUnrepeatable;
     const std::uint64_t id = exchange.id;
@@ -393,6 +398,11 @@
     switch (end) {
     case UpstreamOutcome::NotSent:
         undoSend(*exchange, attempt);
+        if (steadyNow() >= attempt.sendBy) {
+            // This process was paused, so it does not show that the endpoint is unreachable.
+            failAttempt(*exchange, attempt, EndpointFailure::Refused, false, "not_sent_in_time");
+            return;
+        }
         if (!attempt.peer.empty()) {
             failAttempt(*exchange, attempt, EndpointFailure::NoConnection, false, "no_peer");
             return;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -62,6 +62,7 @@
         handlers_ = std::move(handlers);
         output_ = std::move(request.head);
         output_ += request.body;
+        sendBy_ = request.sendBy;
         written_ = 0;
         if (request.idHash != 0) {
             if (idHashes_.size() >= kRememberedIds)
@@ -150,6 +151,10 @@
     {
         if (!inCall_ || !connected_)
             return;
+        if (written_ == 0 && steadyNow() >= sendBy_) {
+            end(UpstreamOutcome::NotSent);
+            return;
+        }
         if (written_ == 0 && reused_ && isStale()) {
             reconnect();
             return;
@@ -335,6 +340,7 @@
     std::uint64_t callNumber_ = 0;
     std::string output_;
     std::size_t written_ = 0;
+    TimePoint sendBy_ = TimePoint::max();
     Millis idleLimit_;
     TimePoint idleSince_{};
     bool connected_ = false;
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -79,6 +79,9 @@
     /// Hash of the id that the response names. A connection that has carried the same id recently
     /// is not reused: a late duplicate of that response would look like this one's. 0 for none.
     std::uint64_t idHash = 0;
+    /// The call ends with NotSent if nothing of it could be written before this time, for example
+    /// because the process was paused while it connected.
+    TimePoint sendBy = TimePoint::max();
 };
 
 struct UpstreamHandlers
