Let a paused daemon hear its peers before it takes them for failed

After a pause longer than the failure timeout a daemon took all its peers for failed, and so itself for the owner of all limits, trials and roles, until their next datagrams were read.

--- a/src/gateway/mesh.cpp
+++ b/src/gateway/mesh.cpp
@@ -626,6 +626,10 @@
 
 void Mesh::detectFailedPeers(TimePoint now)
 {
+    // After a pause of this process, what peers have sent meanwhile is still unread.
+    const TimePoint previous = std::exchange(lastDetection_, now);
+    if (previous != TimePoint() && now - previous > failureTimeout())
+        return;
     for (auto peer = peers_.begin(); peer != peers_.end();) {
         PeerInfo &info = peer->second;
         const auto silence = now - info.lastHeard;
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -276,7 +276,8 @@
     unsigned heartbeatsSent_ = 0;
     Millis lastInterval_; ///< Heartbeat interval at the last heartbeat.
     unsigned relayRound_ = 0;
-    TimePoint lastHeard_{}; ///< Of any peer.
+    TimePoint lastHeard_{};     ///< Of any peer.
+    TimePoint lastDetection_{}; ///< Last call of detectFailedPeers().
     MeshCounters counters_;
 };
 
