--- a/review/standins/largebodies.cpp
+++ b/review/standins/largebodies.cpp
@@ -19,7 +19,7 @@
 constexpr const char *kKey = "n2ctnfzs989anu6wsjnb";
 constexpr const char *kHost = "ficu95.example";
 constexpr unsigned kDaemons = 3;
-constexpr unsigned kReplicas = 9;
+constexpr unsigned kReplicas = 23;
 // The rule LOST allows three requests.
 constexpr unsigned kLostAllowed = 3;
 constexpr unsigned kFewestRequests = 20;
@@ -30,7 +30,7 @@
 constexpr std::size_t kBodyBytes = 4 * 1024 * 1024;
 constexpr std::size_t kUploadBytesPerSecond = 2 * 1024 * 1024;
 // Callers of each daemon, and the factor and the times of the burst.
-constexpr unsigned kCallers = 12;
+constexpr unsigned kCallers = 14;
 constexpr double kBurst = 2.5;
 constexpr Millis kBurstAt{10'000};
 constexpr Millis kBurstLength{9500};
@@ -137,8 +137,8 @@
             options.requestId = newRequestId();
             options.headers = {
                     {"Model", "m"},
-                    {"Token-Count", "20000,780"},
-                    {"Prompt-Prefix", "5c1e07a2:40," + options.requestId.substr(0, 8) + ":19960"}};
+                    {"Token-Count", "130000,780"},
+                    {"Prompt-Prefix", "5c1e07a2:40," + options.requestId.substr(0, 8) + ":129960"}};
             options.body = body_;
             options.deadline = Millis(15'000);
             options.patience = Millis(12'000);
