--- a/review/faultyreplicas.cpp
+++ b/review/faultyreplicas.cpp
@@ -66,10 +66,9 @@
     chosen.faulty = 1;
     chosen.outOf = 20;
     chosen.wrong = 9;
-    chosen.windows = {{Millis(3000), Millis(6500)},
-                      {Millis(20'000), Millis(6500)},
-                      {Millis(37'000), Millis(6500)},
-                      {Millis(54'000), Millis(6500)}};
+    chosen.windows.clear();
+    for (Millis at(3000); at < Millis(60'000); at += Millis(10'000))
+        chosen.windows.push_back({at, Millis(6500)});
     chosen.length = Millis(64'000);
     chosen.clients = 24;
     chosen.pause = Millis(1500);
