--- a/src/gateway/gatewayhandover.cpp
+++ b/src/gateway/gatewayhandover.cpp
@@ -133,11 +133,15 @@
     exchange.triedPeers.push_back(peer);
     if (exchange.state == ExchangeState::Waiting)
         exchange.state = ExchangeState::Sent;
+    const std::string attempts
+            = std::to_string(exchange.route.maxEndpoints
+                             - std::min(exchange.sendCount, exchange.route.maxEndpoints - 1));
     logEvent(LogLevel::Info, "handed_over",
              {{"request", exchange.requestId},
               {"route", exchange.route.name},
               {"peer", peer},
               {"send", std::to_string(exchange.sendCount + 1)},
+              {"attempts", attempts},
               {"config", std::to_string(exchange.config->version)}});
     counters_.handovers("to_peer").Increment();
     DispatchFields dispatch;
@@ -145,9 +149,7 @@
     dispatch.lastEventId = exchange.lastEventId;
     HeaderList headers = exchange.request.headers;
     protocol_.prepareForPeer(headers, dispatch);
-    headers.set(kHandoverAttempts,
-                std::to_string(exchange.route.maxEndpoints
-                               - std::min(exchange.sendCount, exchange.route.maxEndpoints - 1)));
+    headers.set(kHandoverAttempts, attempts);
     headers.set(kHandoverConfig, std::to_string(exchange.config->version));
     // What a caller writes there must not count at the peer.
     headers.remove(kHandoverRegions);
@@ -161,6 +163,11 @@
 void Gateway::noteAnswerOfPeer(Exchange &exchange, Attempt &attempt)
 {
     const std::string *sends = attempt.head.headers.find(kHandoverSends);
+    logEvent(LogLevel::Info, "peer_answered",
+             {{"request", exchange.requestId},
+              {"peer", attempt.peer},
+              {"status", std::to_string(attempt.head.status)},
+              {"sends", sends ? *sends : "not stated"}});
     if (!sends)
         return; // The endpoint's answer.
     const unsigned used = parseNumber<unsigned>(*sends).value_or(1);
