--- a/tests/unit/failuremodes_test.cpp
+++ b/tests/unit/failuremodes_test.cpp
@@ -454,6 +454,65 @@
     }
 }
 
+// Guards against a record of another writer that ends daemons again and again, hides the records
+// beside it, or keeps them from following the list.
+TEST(FailureModes, oddRecordsAmongThoseOfEndpointsHideNoOther)
+{
+    constexpr std::size_t kLargestRecord = 262'144;
+    const auto nested = [](const char *open, std::size_t depth) {
+        std::string text;
+        for (std::size_t i = 0; i < depth; ++i)
+            text += open;
+        return text;
+    };
+    const auto withField = [](const std::string &field) {
+        return R"({"service":"plain","address":"127.0.0.1:9","zone":"east","state":"ready",)"
+               + field + "}";
+    };
+    struct Case
+    {
+        const char *name;
+        std::string key;
+        std::string value;
+    };
+    const Case cases[] = {
+            {"nested lists", "odd", nested("[", kLargestRecord)},
+            {"nested objects", "odd", nested("{\"a\":", kLargestRecord / 5)},
+            {"a field of nested lists", "odd",
+             withField(R"("slots":4,"seq":1,"born":)" + nested("[", 100'000)
+                       + nested("]", 100'000))},
+            {"number too large", "odd", withField(R"("slots":1e999,"seq":1,"born":3)")},
+            {"slots too large", "odd", withField(R"("slots":4294967295,"seq":1,"born":3)")},
+            {"cold time too large", "odd",
+             withField(R"("slots":4,"seq":1,"born":3,"coldLeftMs":1e300)")},
+            {"port out of range", "odd",
+             R"({"service":"plain","address":"127.0.0.1:70000","zone":"east","slots":4,
+                 "state":"ready","seq":1,"born":3})"},
+            {"line break in its name", "odd\r\nX: y", withField(R"("slots":4,"seq":1,"born":3)")},
+            {"in the place of an endpoint's record", "i-1",
+             withField(R"("slots":4,"seq":18446744073709551615,"born":1)")},
+    };
+    for (const Case &row : cases) {
+        reset();
+        addEndpoint(true, kPlain);
+        addEndpoint(true, kPlain);
+        start(1, 0);
+        store.put(kEndpointsTopic, row.key, row.value);
+        addEndpoint(true, kPlain);
+        const std::size_t hidden = row.key == "i-1" ? 1 : 0;
+        CHECK_TRUE_TEXT(runUntil([&] { return daemons[0]->endpoints() == 3 - hidden; }), row.name);
+        if (hidden == 0) {
+            // A daemon that starts reads the record with all others.
+            endDaemons();
+            start(1, 0);
+        }
+        const Answer &answer = sendRequest(*daemons[0], "/safe/x", {});
+        CHECK_TRUE_TEXT(runUntil([&] { return answer.ended; }), row.name);
+        LONGS_EQUAL_TEXT(200, answer.status, row.name);
+        store.put(kEndpointsTopic, row.key, std::nullopt);
+    }
+}
+
 // Guards against requests that a stopping daemon under load leaves without a whole answer.
 TEST(FailureModes, aPlannedStopUnderLoadAnswersEveryRequest)
 {
--- a/tests/unit/platformadapter_test.cpp
+++ b/tests/unit/platformadapter_test.cpp
@@ -204,6 +204,45 @@
         CHECK_FALSE_TEXT(readNewest(body).has_value(), body);
 }
 
+// Guards against numbers of another writer that overflow the types of a record, disable an endpoint
+// for good or draw all requests to one, and against names that end a line of a request's head.
+TEST(PlatformRecords, rejectsNumbersOutOfRangeAndUnprintableNames)
+{
+    struct Case
+    {
+        const char *name;
+        std::string what;
+        std::string with;
+    };
+    const Case cases[] = {
+            {"port 0", "10.0.0.9:8080", "10.0.0.9:0"},
+            {"port beyond 16 bits", "10.0.0.9:8080", "10.0.0.9:65536"},
+            {"port that wraps to a valid one", "10.0.0.9:8080", "10.0.0.9:4294975376"},
+            {"negative port", "10.0.0.9:8080", "10.0.0.9:-1"},
+            {"slots beyond 32 bits", "\"slots\":16", "\"slots\":4294967312"},
+            {"slots that no endpoint has", "\"slots\":16", "\"slots\":4294967295"},
+            {"largest slots", "\"slots\":16", "\"slots\":18446744073709551615"},
+            {"slots too large for any type", "\"slots\":16", "\"slots\":1e400"},
+            {"revision that no later one exceeds", "\"seq\":4", "\"seq\":18446744073709551615"},
+            {"revision too large for any type", "\"seq\":4", "\"seq\":99999999999999999999999999"},
+            {"start beyond signed 64 bits", "1700000000000", "18446744073709551615"},
+            {"negative start", "1700000000000", "-9223372036854775808"},
+            {"cold time beyond 64 bits", "\"seq\":4", "\"seq\":4,\"coldLeftMs\":1e300"},
+            {"negative cold time", "\"seq\":4", "\"seq\":4,\"coldLeftMs\":-1e300"},
+            {"line break in a service", "\"service\":\"s1\"", "\"service\":\"s1\\r\\nX: y\""},
+            {"zero byte in a zone", "\"zone\":\"", "\"zone\":\"\\u0000"},
+    };
+    for (const Case &row : cases) {
+        const std::string text = replaced(kEndpoint, row.what, row.with);
+        CHECK_TRUE_TEXT(text != kEndpoint, row.name);
+        CHECK_FALSE_TEXT(static_cast<bool>(capture([&] { return readEndpoint("i", text); })),
+                         row.name);
+    }
+    for (const char *id : {"", "i\r\nX: y", "i j", "\x01"})
+        CHECK_FALSE_TEXT(static_cast<bool>(capture([&] { return readEndpoint(id, kEndpoint); })),
+                         id);
+}
+
 // Fuzzing with a fixed seed and 4000 rounds: corrupt input must be decoded or rejected, not crash.
 TEST(PlatformRecords, survivesCorruptInput)
 {
