Take requests for at most half of the grace period of a planned stop

A stopping daemon took requests for 3 s whatever its grace period was. It now takes them for half of the grace period at most, and refuses later ones with 503 at once.

Failed before: FailureModes.aStoppingDaemonCutsNoCallThatItHasTaken, row of 4 s; the row of 8 s passed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -354,7 +354,7 @@
     if (!crashWatch_.onTrial().empty() && !mayTry(partsOf(request, fields, workspaceName), nullptr))
         return reject(503, "on_trial", kTrialRetryAfter);
     const TimePoint now = steadyNow();
-    if (draining_ && now - drainStartedAt_ > kLoadBalancerDelay)
+    if (draining_ && now - drainStartedAt_ > lastArrivalDelay())
         return reject(503, "shutting_down", Millis(20));
     if (exchanges_.size() >= kMaxExchanges)
         return reject(503, "too_many_requests", kOverloadRetryAfter);
@@ -546,6 +546,11 @@
     scheduleDispatch(true);
 }
 
+Millis Gateway::lastArrivalDelay() const
+{
+    return std::min(kLoadBalancerDelay, settings_.shutdownGrace / 2);
+}
+
 void Gateway::shutDown(std::function<void()> done)
 {
     if (draining_)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -378,6 +378,9 @@
     /// Daemons in this failure domain, including this one.
     std::size_t domainDaemonCount() const;
     void checkDrain();
+    /// Time after the begin of a shutdown for which requests are taken. The rest of the grace
+    /// period is for their answers.
+    Millis lastArrivalDelay() const;
 
     asio::io_context &context_;
     GatewaySettings settings_;
--- a/tests/unit/failuremodes_test.cpp
+++ b/tests/unit/failuremodes_test.cpp
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -106,6 +107,13 @@
 TEST_GROUP_BASE(FailureModes, GatewayFleet)
 {
     std::unique_ptr<RawServer> raw;
+    std::optional<Millis> shutdownGrace; ///< Of the daemons that are started.
+
+    void configure(GatewaySettings & settings, unsigned) override
+    {
+        if (shutdownGrace)
+            settings.shutdownGrace = *shutdownGrace;
+    }
 
     /// One daemon, and one endpoint of the service whose bytes the test writes.
     void startWithRawEndpoint(const char *service)
@@ -513,6 +521,51 @@
     }
 }
 
+// Guards against requests that a stopping daemon takes so late that it cuts them off, although they
+// may have run.
+TEST(FailureModes, aStoppingDaemonCutsNoCallThatItHasTaken)
+{
+    constexpr Millis kInterval{50};
+    struct Case
+    {
+        Millis grace;
+        Millis callTime;
+    };
+    const Case cases[] = {
+            {Millis(8000), Millis(800)}, {Millis(4000), Millis(800)}, {Millis(2000), Millis(400)}};
+    for (const auto &[grace, callTime] : cases) {
+        const std::string name = fmt::format("grace of {} ms", grace.count());
+        reset();
+        shutdownGrace = grace;
+        startWithRawEndpoint(kPlain);
+        std::vector<std::unique_ptr<asio::steady_timer>> timers;
+        raw->onRequest = [&, callTime = callTime](const RawServer::Received &request) {
+            timers.push_back(std::make_unique<asio::steady_timer>(context, callTime));
+            timers.back()->async_wait([request](const asio::error_code &) {
+                RawServer::write(request.connection, RawServer::answer(request.requestId, "x"));
+            });
+        };
+        bool done = false;
+        daemons[0]->gateway.shutDown([&] { done = true; });
+        std::vector<const Answer *> sent;
+        for (const TimePoint end = steadyNow() + grace; !done && steadyNow() < end;) {
+            sent.push_back(&sendRequest(*daemons[0], "/once/x", {}));
+            serveFor(kInterval);
+        }
+        CHECK_TRUE_TEXT(runUntil([&] { return done; }, grace), name.c_str());
+        unsigned taken = 0;
+        for (const Answer *answer : sent) {
+            taken += answer->status == 200;
+            // A connection that was refused has taken no request.
+            const bool served = answer->status == 200 && answer->complete;
+            CHECK_TRUE_TEXT(served || answer->status == 503 || answer->status == 0, name.c_str());
+        }
+        CHECK_TRUE_TEXT(taken > 0, name.c_str());
+        LONGS_EQUAL_TEXT(taken, raw->received.size(), name.c_str());
+        store.put(kEndpointsTopic, "raw", std::nullopt);
+    }
+}
+
 // Guards against requests that a stopping daemon under load leaves without a whole answer.
 TEST(FailureModes, aPlannedStopUnderLoadAnswersEveryRequest)
 {
