Turn down streams that are not the endpoint's whole body

Whole answers were checked for the field, streams were not.

It also turns down Content-Range, status 206 and, on streaming routes, another Content-Type. Such an answer ends its attempt with the first byte of its body, with a log line invalid_answer.

Failed before: FailureModes.successesThatAreNotTheWholeBodyReachNoCaller.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -50,6 +50,8 @@
     bool headSeen = false;
     bool notRun = false;  ///< The endpoint states that it did not run the request.
     bool streams = false; ///< The answer is relayed event by event.
+    /// Why a success cannot be the endpoint's whole body; null if nothing shows that.
+    const char *bodyFault = nullptr;
     /// The endpoint has made no progress for longer than expected. The attempt goes on, since a
     /// sound endpoint may pause, but it is replaced as soon as another endpoint can take over.
     bool silent = false;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -203,6 +203,8 @@
     static void noteFirstEvent(Attempt &attempt);
     void beginRelay(Exchange &exchange);
     void forwardWholeAnswer(Exchange &exchange, Attempt &attempt);
+    /// The success is unsigned, or not the endpoint's whole body.
+    void failInvalidAnswer(Exchange &exchange, Attempt &attempt);
     void finishRelay(Exchange &exchange, Attempt &attempt);
     /// Handles the failure of any open attempt of the request.
     void failAttempt(Exchange &exchange, Attempt &attempt, EndpointFailure failure, bool mayHaveRun,
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -6,6 +6,7 @@
 #include "gateway/gateway.h"
 #include "gateway/handover.h"
 #include "gateway/requestparts.h"
+#include "net/wholebody.h"
 
 #include <asio/post.hpp>
 #include <fmt/format.h>
@@ -241,8 +242,10 @@
     const bool namesRequest = !reply.requestId.empty();
     attempt.headSeen = true;
     attempt.notRun = reply.notRun;
-    attempt.streams
-            = head.status == 200 && reply.sealed && exchange->route.kind == RouteKind::Stream;
+    const bool isStream = exchange->route.kind == RouteKind::Stream;
+    if (head.status / 100 == 2)
+        attempt.bodyFault = bodyFault(head, isStream ? BodyKind::Events : BodyKind::Any);
+    attempt.streams = head.status == 200 && reply.sealed && isStream && !attempt.bodyFault;
     attempt.reply = std::move(reply);
     attempt.head = std::move(head);
     if (!attempt.peer.empty())
@@ -256,6 +259,10 @@
     Attempt *attempt = exchange ? findAttempt(*exchange, job) : nullptr;
     if (!attempt)
         return;
+    if (attempt->bodyFault) {
+        failInvalidAnswer(*exchange, *attempt);
+        return;
+    }
     attempt->body += bytes;
     if (attempt->streams) {
         relayEvents(*exchange, *attempt);
@@ -480,12 +487,21 @@
     finish(exchange, "completed", 200);
 }
 
+void Gateway::failInvalidAnswer(Exchange &exchange, Attempt &attempt)
+{
+    logEvent(LogLevel::Info, "invalid_answer",
+             {{"request", exchange.requestId},
+              {"endpoint", attempt.endpointId},
+              {"fault", attempt.bodyFault ? attempt.bodyFault : "unsigned"}});
+    failAttempt(exchange, attempt, EndpointFailure::Broken, true, "invalid_answer");
+}
+
 void Gateway::forwardWholeAnswer(Exchange &exchange, Attempt &attempt)
 {
     const int status = attempt.head.status;
     const bool success = status / 100 == 2;
-    if (success && (!attempt.reply.sealed || attempt.head.headers.find("content-encoding"))) {
-        failAttempt(exchange, attempt, EndpointFailure::Broken, true, "invalid_answer");
+    if (success && (!attempt.reply.sealed || attempt.bodyFault)) {
+        failInvalidAnswer(exchange, attempt);
         return;
     }
     // Whether endpoints crash on its prompt, only an answer that was begun shows.
--- a/tests/unit/failuremodes_test.cpp
+++ b/tests/unit/failuremodes_test.cpp
@@ -403,6 +403,58 @@
     }
 }
 
+// Guards against a success that is not the endpoint's whole body, and against its being joined with
+// another answer.
+TEST(FailureModes, successesThatAreNotTheWholeBodyReachNoCaller)
+{
+    struct Case
+    {
+        const char *name;
+        const char *status;
+        const char *fields;
+        bool onlyStreams; ///< The damage shows on a route of streams only.
+    };
+    const Case cases[] = {
+            {"encoding", "200 OK", "Content-Encoding: gzip\r\n", false},
+            {"encoding in other letters", "200 OK", "cOnTeNt-EnCoDiNg: br\r\n", false},
+            {"identity", "200 OK", "Content-Encoding: identity\r\n", false},
+            {"empty encoding", "200 OK", "Content-Encoding:\r\n", false},
+            {"two encodings", "200 OK", "Content-Encoding: a\r\nContent-Encoding: b\r\n", false},
+            {"part", "200 OK", "Content-Range: bytes 0-3/9\r\n", false},
+            {"status of a part", "206 Partial Content", "", false},
+            {"another type", "200 OK", "Content-Type: text/html\r\n", true},
+            {"a type that begins alike", "200 OK", "Content-Type: text/event-streams\r\n", true},
+            {"empty type", "200 OK", "Content-Type:\r\n", true},
+    };
+    for (const bool streams : {false, true}) {
+        reset();
+        startWithRawEndpoint(streams ? kPool : kPlain);
+        for (const Case &row : cases) {
+            const std::string name
+                    = fmt::format("{}, {}", row.name, streams ? "stream" : "whole answer");
+            const bool damaged = streams || !row.onlyStreams;
+            const std::string body = streams ? "id: 1\ndata: event 1\n\n" : "answer";
+            raw->received.clear();
+            raw->onRequest = [&](const RawServer::Received &request) {
+                const bool first = raw->received.size() == 1;
+                RawServer::write(
+                        request.connection,
+                        RawServer::answer(request.requestId, first ? "bad\n\n" : body,
+                                          fmt::format("{}\r\n{}X: y", first ? row.status : "200 OK",
+                                                      first ? row.fields : "")));
+            };
+            const Answer &answer
+                    = streams ? send(*daemons[0], "a:10") : sendRequest(*daemons[0], "/safe/x", {});
+            CHECK_TRUE_TEXT(runUntil([&] { return answer.ended; }), name.c_str());
+            LONGS_EQUAL_TEXT(damaged ? 2 : 1, raw->received.size(), name.c_str());
+            LONGS_EQUAL_TEXT(200, answer.status, name.c_str());
+            STRCMP_EQUAL_TEXT(damaged ? body.c_str() : "bad\n\n", answer.body.c_str(),
+                              name.c_str());
+        }
+        store.put(kEndpointsTopic, "raw", std::nullopt);
+    }
+}
+
 // Guards against a message that ends the process or makes it deaf.
 TEST(FailureModes, malformedMessagesEndNoDaemon)
 {
