Let only events decide between the attempts of a stream

A comment counted as the first event in relayEvents(), so it settled the exchange, began the answer and ended the watch for unused memory of a divided prompt.

Comments are now held back until an event of the same attempt, or the end of its answer, has decided; they go to the caller with it, so that the body stays whole. Once a stream is decided they pass at once, as before. They count neither as events nor as use of memory.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -60,7 +60,8 @@
     TimePoint lastProgressAt{}; ///< Time of the send, or of the last event or bytes of a whole
                                 ///< answer.
     TimePoint firstEventAt{};   ///< Unset until the endpoint has sent a whole event.
-    unsigned events = 0;        ///< Whole events that the endpoint has sent.
+    unsigned events = 0;        ///< Whole events that the endpoint has sent, without comments.
+    std::string comments;       ///< Those that go to the caller with the next event.
     HttpResponseHead head;
     ReplyFields reply;
     std::string body; ///< The whole answer, or for a stream the received part of the next event.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -200,6 +200,9 @@
     /// Delays the next attempt if every endpoint that could serve the request was tried.
     void delayReconnect(Exchange &exchange);
     void relayEvents(Exchange &exchange, Attempt &attempt);
+    /// Holds comments back until an event shows which attempt answers. Returns false if the attempt
+    /// or the exchange has ended.
+    bool relayComment(Exchange &exchange, Attempt &attempt, std::string comment);
     static void noteFirstEvent(Attempt &attempt);
     void beginRelay(Exchange &exchange);
     void forwardWholeAnswer(Exchange &exchange, Attempt &attempt);
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -278,12 +278,15 @@
     for (std::string event = takeEvent(attempt.body); !event.empty();
          event = takeEvent(attempt.body)) {
         // An endpoint that has stalled may go on sending single bytes or comments.
-        const bool hasField = !isComment(event);
-        if (hasField)
-            noteProgress(exchange, attempt);
+        if (isComment(event)) {
+            if (!relayComment(exchange, attempt, std::move(event)))
+                return;
+            continue;
+        }
+        noteProgress(exchange, attempt);
         const auto id = eventId(event);
         const bool resumes = exchange.lastEventId && attempt.events == 0;
-        if (resumes && !id && hasField) {
+        if (resumes && !id) {
             // Ids tell where a stream goes on, so this belongs to another kind of answer.
             noteBrokenAnswer(exchange, attempt);
             failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_without_id");
@@ -312,9 +315,10 @@
         ++exchange.eventsRelayed;
         if (first)
             armTimer(exchange); // The limit of a silence is lower from now on.
-        exchange.caller->write(event);
+        exchange.caller->write(attempt.comments + event);
         if (!exchange.attempt)
             return; // The caller has disconnected.
+        attempt.comments.clear();
     }
     if (attempt.body.size() > kMaxEventBytes) {
         failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_too_large");
@@ -324,6 +328,21 @@
         abortStream(exchange, "slow_caller");
 }
 
+bool Gateway::relayComment(Exchange &exchange, Attempt &attempt, std::string comment)
+{
+    const bool isDecided = exchange.state == ExchangeState::Relaying
+                           && exchange.silentAttempts.empty() && attempt.comments.empty();
+    if (isDecided) {
+        exchange.caller->write(comment);
+        return exchange.attempt != nullptr; // Null if the caller has disconnected.
+    }
+    attempt.comments += comment;
+    if (attempt.comments.size() <= kMaxEventBytes)
+        return true;
+    failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_too_large");
+    return false;
+}
+
 void Gateway::noteFirstEvent(Attempt &attempt)
 {
     attempt.firstEventAt = steadyNow();
@@ -483,6 +502,10 @@
         beginRelay(exchange);
     if (attempt.events > 0)
         crashWatch_.noteCompleted(partsOf(exchange));
+    if (!attempt.comments.empty())
+        exchange.caller->write(attempt.comments);
+    if (!exchange.attempt)
+        return; // The caller has disconnected.
     exchange.caller->finish();
     finish(exchange, "completed", 200);
 }
--- a/tests/unit/failuremodes_test.cpp
+++ b/tests/unit/failuremodes_test.cpp
@@ -455,6 +455,50 @@
     }
 }
 
+// Guards against an endpoint that has stalled, but goes on sending comments or the head of an
+// answer, and so ends the attempt that is to replace it.
+TEST(FailureModes, onlyEventsDecideBetweenTheAttemptsOfAStream)
+{
+    struct Case
+    {
+        const char *name;
+        const char *first;   ///< What the stalled endpoint sends at first.
+        const char *trickle; ///< What it sends again and again.
+    };
+    const Case cases[] = {{"comments", "", ":\n\n"},
+                          {"comments with text", ": wait\n\n", ": wait\n\n"},
+                          {"comments with other line ends", "", ":\r\n\r\n"},
+                          {"blank lines", "", "\n\n"},
+                          {"half an event", "id: 1\n", "data: x\n"}};
+    constexpr Millis kTrickle{150};
+    constexpr Millis kLimit{3900};
+    for (const Case &row : cases) {
+        reset();
+        startWithRawEndpoint(kPool);
+        raw->onRequest = [&](const RawServer::Received &request) {
+            RawServer::write(request.connection,
+                             fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: "
+                                         "s\r\n\r\n{}",
+                                         request.requestId, row.first));
+        };
+        const Answer &answer = send(*daemons[0], "a:10");
+        CHECK_TRUE_TEXT(runUntil([&] { return !raw->received.empty(); }), row.name);
+        addEndpoint();
+        // The endpoint that takes over is sound, and has not begun to write when a comment comes.
+        endpoints.back()->prefillTime = Millis(800);
+        const TimePoint begun = steadyNow();
+        while (!answer.ended && steadyNow() - begun < kLimit) {
+            RawServer::write(raw->received.back().connection, row.trickle);
+            serveFor(kTrickle);
+        }
+        CHECK_TRUE_TEXT(answer.ended && answer.complete, row.name);
+        LONGS_EQUAL_TEXT(1, endpoints.back()->runs.size(), row.name);
+        CHECK_TRUE_TEXT(answer.body.ends_with("id: 6\ndata: event 6\n\n"), row.name);
+        STRCMP_CONTAINS_TEXT("data: event 1\n\n", answer.body.c_str(), row.name);
+        store.put(kEndpointsTopic, "raw", std::nullopt);
+    }
+}
+
 // Guards against a message that ends the process or makes it deaf.
 TEST(FailureModes, malformedMessagesEndNoDaemon)
 {
