Check the heads of answers as strictly as those of requests

Only requests were checked; the packaged http_parser is built without its strict mode and lets spaces in names, "HTTQ/1.1" and further damage pass.

isWellFormed() now checks the fields of both: names are tokens, values hold no control characters, and the length has one meaning, with chunks as the only transfer coding. Answers also need a status line that begins as RFC 9112 has it, with a status from 100 to 599. The parser of answers joins the fuzzed ones.

Failed before: ResponseParser.rejectsDamagedHeads (from the row "space in a name").

--- a/src/net/parser.cpp
+++ b/src/net/parser.cpp
@@ -10,6 +10,10 @@
 constexpr int kStopParsing = 1;
 // No service sends a response head larger than this.
 constexpr std::size_t kMaxResponseHeaderBytes = 64 * 1024;
+// How a status line begins; '#' stands for a digit and '|' for a space or the end of the line.
+constexpr std::string_view kStatusLineBegin = "HTTP/1.# ###|";
+constexpr unsigned kLeastStatus = 100;
+constexpr unsigned kLargestStatus = 599;
 // http_parser's content_length for a message without Content-Length.
 constexpr std::uint64_t kNoLength = std::numeric_limits<std::uint64_t>::max();
 // In on_headers_complete, 0 makes http_parser read the body as usual; 1 and 2 skip it.
@@ -62,6 +66,22 @@
     });
 }
 
+/// True if every recipient reads the same fields and determines the same length of the body.
+bool isWellFormed(const HeaderList &headers)
+{
+    for (const HeaderField &field : headers.fields()) {
+        if (field.name.empty() || !std::ranges::all_of(field.name, isTokenCharacter)
+            || !hasNoControlCharacters(field.value))
+            return false;
+    }
+    const std::string *coding = headers.find("transfer-encoding");
+    const std::size_t lengths = headers.count("content-length");
+    if (!coding)
+        return lengths <= 1;
+    return lengths == 0 && headers.count("transfer-encoding") == 1
+           && equalsIgnoringCase(*coding, "chunked");
+}
+
 } // namespace
 
 RequestParser::RequestParser(RequestLimits limits)
@@ -121,17 +141,7 @@
 int RequestParser::checkHead()
 {
     const HeaderList &headers = request_.headers;
-    for (const HeaderField &field : headers.fields()) {
-        if (field.name.empty() || !std::ranges::all_of(field.name, isTokenCharacter)
-            || !hasNoControlCharacters(field.value))
-            return 400;
-    }
-    const std::string *coding = headers.find("transfer-encoding");
-    const bool atMostOneLength = headers.count("content-length") <= 1;
-    const bool chunkedOnly = !coding
-                             || (headers.count("transfer-encoding") == 1
-                                 && equalsIgnoringCase(*coding, "chunked"));
-    if (!atMostOneLength || !chunkedOnly || (coding && headers.count("content-length") > 0))
+    if (!isWellFormed(headers))
         return 400;
     if (headers.count("host") != 1 || request_.target.empty() || request_.target.front() != '/')
         return 400;
@@ -223,6 +233,7 @@
     parser_.data = this;
     head_ = {};
     state_ = ParseState::Reading;
+    statusLineRead_ = 0;
     headerBytes_ = 0;
     informational_ = false;
     started_ = false;
@@ -235,6 +246,10 @@
     std::size_t used = 0;
     while (state_ == ParseState::Reading && used < bytes.size()) {
         started_ = true;
+        if (!readStatusLine(bytes.substr(used))) {
+            state_ = ParseState::Failed;
+            break;
+        }
         used += http_parser_execute(&parser_, &callbacks(), bytes.data() + used,
                                     bytes.size() - used);
         if (state_ == ParseState::Complete) {
@@ -249,6 +264,21 @@
     return used;
 }
 
+// The package of http_parser is built without its strict mode, which checks the protocol's name.
+bool ResponseParser::readStatusLine(std::string_view bytes)
+{
+    for (const char character : bytes.substr(0, kStatusLineBegin.size() - statusLineRead_)) {
+        const char expected = kStatusLineBegin[statusLineRead_++];
+        const bool matches = expected == '#' ? character >= '0' && character <= '9'
+                             : expected == '|'
+                                     ? character == ' ' || character == '\r' || character == '\n'
+                                     : character == expected;
+        if (!matches)
+            return false;
+    }
+    return true;
+}
+
 void ResponseParser::finish()
 {
     if (state_ != ParseState::Reading)
@@ -279,6 +309,10 @@
 int ResponseParser::onHeadersComplete(http_parser *parser)
 {
     auto &self = *static_cast<ResponseParser *>(parser->data);
+    const bool isKnownStatus
+            = parser->status_code >= kLeastStatus && parser->status_code <= kLargestStatus;
+    if (!isKnownStatus || !isWellFormed(self.head_.headers))
+        return -1;
     self.informational_ = parser->status_code / 100 == 1;
     if (self.informational_)
         return kContinueParsing;
--- a/src/net/parser.h
+++ b/src/net/parser.h
@@ -111,10 +111,14 @@
     static int onMessageComplete(http_parser *parser);
     static const http_parser_settings &callbacks();
 
+    /// Checks the bytes that belong to the begin of the status line. Returns false if they cannot.
+    bool readStatusLine(std::string_view bytes);
+
     ResponseEvents events_;
     http_parser parser_{};
     HttpResponseHead head_;
     ParseState state_ = ParseState::Reading;
+    std::size_t statusLineRead_ = 0; ///< Bytes of its begin that have been checked.
     std::size_t headerBytes_ = 0;
     bool informational_ = false;
     bool started_ = false;
--- a/tests/unit/fuzz_test.cpp
+++ b/tests/unit/fuzz_test.cpp
@@ -10,6 +10,7 @@
 #include "http/server.h"
 #include "logservice/logclient.h"
 #include "logservice/vmlist.h"
+#include "net/parser.h"
 #include "query/configrows.h"
 #include "query/statement.h"
 #include "settings/settings.h"
@@ -21,6 +22,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <mutex>
 
 #include <CppUTest/TestHarness.h>
@@ -115,6 +117,40 @@
     LONGS_EQUAL(200, fixture.post("/v1/completions", completionBody(false))->status);
 }
 
+// Guards against heads of answers that are passed on although strict recipients cannot read them.
+TEST(Fuzz, endpointAnswers)
+{
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::vector<std::string> inputs = {
+            status
+                    + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "2\r\nab\r\n0\r\n\r\n",
+            status + "Request-Id: r\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nab",
+            status + "Content Type: text/event-stream\r\nContent-Length: 2\r\n\r\nab",
+            "HTTP/1.1 100 Continue\r\n\r\n" + status + "X: y\r\n\r\nab",
+    };
+    const auto isPlain = [](const std::string &text, char least) {
+        return std::ranges::all_of(text, [&](char character) {
+            const auto code = static_cast<unsigned char>(character);
+            return (character == '\t' && least == ' ') || (character >= least && code < 0x7f)
+                   || (code > 0x7f && least == ' ');
+        });
+    };
+    const std::size_t runs = fuzz(43, inputs, [&](const std::string &bytes) {
+        ResponseParser parser({[&](HttpResponseHead &&head) {
+                                   CHECK_TRUE(head.status >= 100 && head.status < 600);
+                                   for (const HeaderField &field : head.headers.fields()) {
+                                       CHECK_TRUE(!field.name.empty() && isPlain(field.name, '!'));
+                                       CHECK_TRUE(isPlain(field.value, ' '));
+                                   }
+                               },
+                               [](std::string_view) {}, [] {}});
+        parser.feed(bytes);
+        parser.finish();
+    });
+    CHECK_TRUE(runs > 20);
+}
+
 TEST(Fuzz, operatorStatements)
 {
     const std::vector<std::string> inputs
--- a/tests/unit/netparser_test.cpp
+++ b/tests/unit/netparser_test.cpp
@@ -29,7 +29,8 @@
 }
 
 /// Feeds the text in pieces of the given size, as it arrives from a slow caller.
-std::size_t feedInPieces(RequestParser &parser, const std::string &text, std::size_t pieceSize)
+template <class Parser>
+std::size_t feedInPieces(Parser &parser, const std::string &text, std::size_t pieceSize)
 {
     std::size_t used = 0;
     while (used < text.size() && parser.state() == ParseState::Reading)
@@ -173,6 +174,59 @@
     }
 }
 
+// Guards against passing on a response that strict recipients cannot read, or whose length two
+// recipients could determine differently.
+TEST(ResponseParser, rejectsDamagedHeads)
+{
+    struct Case
+    {
+        const char *name;
+        std::string statusLine;
+        std::string fields;
+        bool sound;
+    };
+    const std::string status = "HTTP/1.1 200 OK";
+    const Case cases[] = {
+            {"sound", status, "Content-Type: a/b; c=\"d\"\r\nX: \ty\r\n", true},
+            {"bytes beyond ASCII in a value", status, "X: \xc3\xa9\r\n", true},
+            {"no reason phrase", "HTTP/1.1 200", "", true},
+            {"earlier version", "HTTP/1.0 200 OK", "", true},
+            {"space in a name", status, "Content Type: text/event-stream\r\n", false},
+            {"space before the colon", status, "X : y\r\n", false},
+            {"control character in a name", status, "X\x01: y\r\n", false},
+            {"byte beyond ASCII in a name", status, "X\xe9: y\r\n", false},
+            {"empty name", status, ": y\r\n", false},
+            {"no colon", status, "X y\r\n", false},
+            {"control character in a value", status, "X: a\x01y\r\n", false},
+            {"zero byte in a value", status, std::string("X: a\0y\r\n", 8), false},
+            {"delete character in a value", status, "X: a\x7f\r\n", false},
+            {"two lengths", status, "Content-Length: 2\r\n", false},
+            {"another version", "HTTP/2.0 200 OK", "", false},
+            {"status of two digits", "HTTP/1.1 20 OK", "", false},
+            {"status of four digits", "HTTP/1.1 2000 OK", "", false},
+            {"status below 100", "HTTP/1.1 099 OK", "", false},
+            {"no protocol", "HTTQ/1.1 200 OK", "", false},
+            {"coding besides chunks", status, "Transfer-Encoding: gzip, chunked\r\n", false},
+            {"length and chunks", status, "Transfer-Encoding: chunked\r\n", false},
+            {"damaged informational head", "HTTP/1.1 100 Continue\r\nX Y: z\r\n\r\n" + status, "",
+             false},
+    };
+    for (const Case &row : cases) {
+        const std::string text
+                = row.statusLine + "\r\n" + row.fields + "Content-Length: 2\r\n\r\nab";
+        for (const std::size_t pieceSize : {std::size_t{1}, text.size()}) {
+            ReceivedResponse response;
+            ResponseParser parser(recordInto(response));
+            feedInPieces(parser, text, pieceSize);
+            CHECK_EQUAL_TEXT(row.sound, response.complete, row.name);
+            LONGS_EQUAL_TEXT(row.sound ? 200 : 0, response.status, row.name);
+            if (!row.sound)
+                LONGS_EQUAL_TEXT(static_cast<int>(ParseState::Failed),
+                                 static_cast<int>(parser.state()), row.name);
+        }
+    }
+}
+
 // Guards against treating bytes after a response as its body or as the next response.
 TEST(ResponseParser, ignoresBytesAfterAResponse)
 {
