--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -50,6 +50,8 @@
     bool headSeen = false;
     bool notRun = false;  ///< The endpoint states that it did not run the request.
     bool streams = false; ///< The answer is relayed event by event.
+    /// Why a success cannot be the endpoint's whole body; null if nothing shows that.
+    const char *bodyFault = nullptr;
     /// The endpoint has made no progress for longer than expected. The attempt goes on, since a
     /// sound endpoint may pause, but it is replaced as soon as another endpoint can take over.
     bool silent = false;
@@ -58,7 +60,8 @@
     TimePoint lastProgressAt{}; ///< Time of the send, or of the last event or bytes of a whole
                                 ///< answer.
     TimePoint firstEventAt{};   ///< Unset until the endpoint has sent a whole event.
-    unsigned events = 0;        ///< Whole events that the endpoint has sent.
+    unsigned events = 0;        ///< Whole events that the endpoint has sent, without comments.
+    std::string comments;       ///< Those that go to the caller with the next event.
     HttpResponseHead head;
     ReplyFields reply;
     std::string body; ///< The whole answer, or for a stream the received part of the next event.
@@ -104,10 +107,13 @@
     /// until one of all of them has the next event or the answer.
     std::vector<std::unique_ptr<Attempt>> silentAttempts;
     std::vector<EndpointKey> triedEndpoints;
-    std::vector<std::string> triedPeers; ///< IP addresses.
+    std::vector<std::string> triedPeers;     ///< IP addresses; without those of answeringPeers.
+    std::vector<std::string> answeringPeers; ///< Those that have returned it after an attempt.
     /// Those that turned the request away, as they lack the configuration it was accepted with.
     std::vector<std::string> peersBehind;
-    bool fromPeer = false; ///< A peer has handed it over.
+    bool fromPeer = false;         ///< A peer has handed it over.
+    unsigned retriesOfLender = 0;  ///< Attempts that the peer can make if it gets it back.
+    bool lenderReadsTried = false; ///< The peer is told which endpoints were tried.
     bool refusedByPeer = false;
     std::optional<Millis> peerRetryAfter; ///< What the peer that refused it has said.
     unsigned sendCount = 0;  ///< Attempts of which something may have reached an endpoint.
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -6,6 +6,7 @@
 #include "gateway/gateway.h"
 #include "gateway/handover.h"
 #include "gateway/requestparts.h"
+#include "net/wholebody.h"
 
 #include <asio/post.hpp>
 #include <fmt/format.h>
@@ -241,8 +242,10 @@
     const bool namesRequest = !reply.requestId.empty();
     attempt.headSeen = true;
     attempt.notRun = reply.notRun;
-    attempt.streams
-            = head.status == 200 && reply.sealed && exchange->route.kind == RouteKind::Stream;
+    const bool isStream = exchange->route.kind == RouteKind::Stream;
+    if (head.status / 100 == 2)
+        attempt.bodyFault = bodyFault(head, isStream ? BodyKind::Events : BodyKind::Any);
+    attempt.streams = head.status == 200 && reply.sealed && isStream && !attempt.bodyFault;
     attempt.reply = std::move(reply);
     attempt.head = std::move(head);
     if (!attempt.peer.empty())
@@ -256,6 +259,10 @@
     Attempt *attempt = exchange ? findAttempt(*exchange, job) : nullptr;
     if (!attempt)
         return;
+    if (attempt->bodyFault) {
+        failInvalidAnswer(*exchange, *attempt);
+        return;
+    }
     attempt->body += bytes;
     if (attempt->streams) {
         relayEvents(*exchange, *attempt);
@@ -271,12 +278,15 @@
     for (std::string event = takeEvent(attempt.body); !event.empty();
          event = takeEvent(attempt.body)) {
         // An endpoint that has stalled may go on sending single bytes or comments.
-        const bool hasField = !isComment(event);
-        if (hasField)
-            noteProgress(exchange, attempt);
+        if (isComment(event)) {
+            if (!relayComment(exchange, attempt, std::move(event)))
+                return;
+            continue;
+        }
+        noteProgress(exchange, attempt);
         const auto id = eventId(event);
         const bool resumes = exchange.lastEventId && attempt.events == 0;
-        if (resumes && !id && hasField) {
+        if (resumes && !id) {
             // Ids tell where a stream goes on, so this belongs to another kind of answer.
             noteBrokenAnswer(exchange, attempt);
             failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_without_id");
@@ -305,9 +315,10 @@
         ++exchange.eventsRelayed;
         if (first)
             armTimer(exchange); // The limit of a silence is lower from now on.
-        exchange.caller->write(event);
+        exchange.caller->write(attempt.comments + event);
         if (!exchange.attempt)
             return; // The caller has disconnected.
+        attempt.comments.clear();
     }
     if (attempt.body.size() > kMaxEventBytes) {
         failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_too_large");
@@ -317,6 +328,21 @@
         abortStream(exchange, "slow_caller");
 }
 
+bool Gateway::relayComment(Exchange &exchange, Attempt &attempt, std::string comment)
+{
+    const bool isDecided = exchange.state == ExchangeState::Relaying
+                           && exchange.silentAttempts.empty() && attempt.comments.empty();
+    if (isDecided) {
+        exchange.caller->write(comment);
+        return exchange.attempt != nullptr; // Null if the caller has disconnected.
+    }
+    attempt.comments += comment;
+    if (attempt.comments.size() <= kMaxEventBytes)
+        return true;
+    failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_too_large");
+    return false;
+}
+
 void Gateway::noteFirstEvent(Attempt &attempt)
 {
     attempt.firstEventAt = steadyNow();
@@ -330,6 +356,10 @@
     HeaderList headers = exchange.attempt->head.headers;
     headers.removeHopByHop();
     headers.remove("Content-Length");
+    if (exchange.fromPeer) {
+        removeHandoverFields(headers); // What an endpoint writes there is no statement of a peer.
+        stateTried(exchange, headers);
+    }
     exchange.caller->beginStream(exchange.attempt->head.status, std::move(headers));
 }
 
@@ -472,16 +502,29 @@
         beginRelay(exchange);
     if (attempt.events > 0)
         crashWatch_.noteCompleted(partsOf(exchange));
+    if (!attempt.comments.empty())
+        exchange.caller->write(attempt.comments);
+    if (!exchange.attempt)
+        return; // The caller has disconnected.
     exchange.caller->finish();
     finish(exchange, "completed", 200);
 }
 
+void Gateway::failInvalidAnswer(Exchange &exchange, Attempt &attempt)
+{
+    logEvent(LogLevel::Info, "invalid_answer",
+             {{"request", exchange.requestId},
+              {"endpoint", attempt.endpointId},
+              {"fault", attempt.bodyFault ? attempt.bodyFault : "unsigned"}});
+    failAttempt(exchange, attempt, EndpointFailure::Broken, true, "invalid_answer");
+}
+
 void Gateway::forwardWholeAnswer(Exchange &exchange, Attempt &attempt)
 {
     const int status = attempt.head.status;
     const bool success = status / 100 == 2;
-    if (success && (!attempt.reply.sealed || attempt.head.headers.find("content-encoding"))) {
-        failAttempt(exchange, attempt, EndpointFailure::Broken, true, "invalid_answer");
+    if (success && (!attempt.reply.sealed || attempt.bodyFault)) {
+        failInvalidAnswer(exchange, attempt);
         return;
     }
     // Whether endpoints crash on its prompt, only an answer that was begun shows.
@@ -617,6 +660,7 @@
     const int status = attempt.head.status;
     HeaderList headers = std::move(attempt.head.headers);
     headers.removeHopByHop();
+    stateSends(exchange, headers);
     exchange.caller->respond(status, std::move(headers), attempt.body);
     finish(exchange, outcome, status);
 }
--- a/tests/unit/failuremodes_test.cpp
+++ b/tests/unit/failuremodes_test.cpp
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -106,6 +107,13 @@
 TEST_GROUP_BASE(FailureModes, GatewayFleet)
 {
     std::unique_ptr<RawServer> raw;
+    std::optional<Millis> shutdownGrace; ///< Of the daemons that are started.
+
+    void configure(GatewaySettings & settings, unsigned) override
+    {
+        if (shutdownGrace)
+            settings.shutdownGrace = *shutdownGrace;
+    }
 
     /// One daemon, and one endpoint of the service whose bytes the test writes.
     void startWithRawEndpoint(const char *service)
@@ -395,6 +403,102 @@
     }
 }
 
+// Guards against a success that is not the endpoint's whole body, and against its being joined with
+// another answer.
+TEST(FailureModes, successesThatAreNotTheWholeBodyReachNoCaller)
+{
+    struct Case
+    {
+        const char *name;
+        const char *status;
+        const char *fields;
+        bool onlyStreams; ///< The damage shows on a route of streams only.
+    };
+    const Case cases[] = {
+            {"encoding", "200 OK", "Content-Encoding: gzip\r\n", false},
+            {"encoding in other letters", "200 OK", "cOnTeNt-EnCoDiNg: br\r\n", false},
+            {"identity", "200 OK", "Content-Encoding: identity\r\n", false},
+            {"empty encoding", "200 OK", "Content-Encoding:\r\n", false},
+            {"two encodings", "200 OK", "Content-Encoding: a\r\nContent-Encoding: b\r\n", false},
+            {"part", "200 OK", "Content-Range: bytes 0-3/9\r\n", false},
+            {"status of a part", "206 Partial Content", "", false},
+            {"another type", "200 OK", "Content-Type: text/html\r\n", true},
+            {"a type that begins alike", "200 OK", "Content-Type: text/event-streams\r\n", true},
+            {"empty type", "200 OK", "Content-Type:\r\n", true},
+    };
+    for (const bool streams : {false, true}) {
+        reset();
+        startWithRawEndpoint(streams ? kPool : kPlain);
+        for (const Case &row : cases) {
+            const std::string name
+                    = fmt::format("{}, {}", row.name, streams ? "stream" : "whole answer");
+            const bool damaged = streams || !row.onlyStreams;
+            const std::string body = streams ? "id: 1\ndata: event 1\n\n" : "answer";
+            raw->received.clear();
+            raw->onRequest = [&](const RawServer::Received &request) {
+                const bool first = raw->received.size() == 1;
+                RawServer::write(
+                        request.connection,
+                        RawServer::answer(request.requestId, first ? "bad\n\n" : body,
+                                          fmt::format("{}\r\n{}X: y", first ? row.status : "200 OK",
+                                                      first ? row.fields : "")));
+            };
+            const Answer &answer
+                    = streams ? send(*daemons[0], "a:10") : sendRequest(*daemons[0], "/safe/x", {});
+            CHECK_TRUE_TEXT(runUntil([&] { return answer.ended; }), name.c_str());
+            LONGS_EQUAL_TEXT(damaged ? 2 : 1, raw->received.size(), name.c_str());
+            LONGS_EQUAL_TEXT(200, answer.status, name.c_str());
+            STRCMP_EQUAL_TEXT(damaged ? body.c_str() : "bad\n\n", answer.body.c_str(),
+                              name.c_str());
+        }
+        store.put(kEndpointsTopic, "raw", std::nullopt);
+    }
+}
+
+// Guards against an endpoint that has stalled, but goes on sending comments or the head of an
+// answer, and so ends the attempt that is to replace it.
+TEST(FailureModes, onlyEventsDecideBetweenTheAttemptsOfAStream)
+{
+    struct Case
+    {
+        const char *name;
+        const char *first;   ///< What the stalled endpoint sends at first.
+        const char *trickle; ///< What it sends again and again.
+    };
+    const Case cases[] = {{"comments", "", ":\n\n"},
+                          {"comments with text", ": wait\n\n", ": wait\n\n"},
+                          {"comments with other line ends", "", ":\r\n\r\n"},
+                          {"blank lines", "", "\n\n"},
+                          {"half an event", "id: 1\n", "data: x\n"}};
+    constexpr Millis kTrickle{150};
+    constexpr Millis kLimit{3900};
+    for (const Case &row : cases) {
+        reset();
+        startWithRawEndpoint(kPool);
+        raw->onRequest = [&](const RawServer::Received &request) {
+            RawServer::write(request.connection,
+                             fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: "
+                                         "s\r\n\r\n{}",
+                                         request.requestId, row.first));
+        };
+        const Answer &answer = send(*daemons[0], "a:10");
+        CHECK_TRUE_TEXT(runUntil([&] { return !raw->received.empty(); }), row.name);
+        addEndpoint();
+        // The endpoint that takes over is sound, and has not begun to write when a comment comes.
+        endpoints.back()->prefillTime = Millis(800);
+        const TimePoint begun = steadyNow();
+        while (!answer.ended && steadyNow() - begun < kLimit) {
+            RawServer::write(raw->received.back().connection, row.trickle);
+            serveFor(kTrickle);
+        }
+        CHECK_TRUE_TEXT(answer.ended && answer.complete, row.name);
+        LONGS_EQUAL_TEXT(1, endpoints.back()->runs.size(), row.name);
+        CHECK_TRUE_TEXT(answer.body.ends_with("id: 6\ndata: event 6\n\n"), row.name);
+        STRCMP_CONTAINS_TEXT("data: event 1\n\n", answer.body.c_str(), row.name);
+        store.put(kEndpointsTopic, "raw", std::nullopt);
+    }
+}
+
 // Guards against a message that ends the process or makes it deaf.
 TEST(FailureModes, malformedMessagesEndNoDaemon)
 {
@@ -454,6 +558,110 @@
     }
 }
 
+// Guards against a record of another writer that ends daemons again and again, hides the records
+// beside it, or keeps them from following the list.
+TEST(FailureModes, oddRecordsAmongThoseOfEndpointsHideNoOther)
+{
+    constexpr std::size_t kLargestRecord = 262'144;
+    const auto nested = [](const char *open, std::size_t depth) {
+        std::string text;
+        for (std::size_t i = 0; i < depth; ++i)
+            text += open;
+        return text;
+    };
+    const auto withField = [](const std::string &field) {
+        return R"({"service":"plain","address":"127.0.0.1:9","zone":"east","state":"ready",)"
+               + field + "}";
+    };
+    struct Case
+    {
+        const char *name;
+        std::string key;
+        std::string value;
+    };
+    const Case cases[] = {
+            {"nested lists", "odd", nested("[", kLargestRecord)},
+            {"nested objects", "odd", nested("{\"a\":", kLargestRecord / 5)},
+            {"a field of nested lists", "odd",
+             withField(R"("slots":4,"seq":1,"born":)" + nested("[", 100'000)
+                       + nested("]", 100'000))},
+            {"number too large", "odd", withField(R"("slots":1e999,"seq":1,"born":3)")},
+            {"slots too large", "odd", withField(R"("slots":4294967295,"seq":1,"born":3)")},
+            {"cold time too large", "odd",
+             withField(R"("slots":4,"seq":1,"born":3,"coldLeftMs":1e300)")},
+            {"port out of range", "odd",
+             R"({"service":"plain","address":"127.0.0.1:70000","zone":"east","slots":4,
+                 "state":"ready","seq":1,"born":3})"},
+            {"line break in its name", "odd\r\nX: y", withField(R"("slots":4,"seq":1,"born":3)")},
+            {"in the place of an endpoint's record", "i-1",
+             withField(R"("slots":4,"seq":18446744073709551615,"born":1)")},
+    };
+    for (const Case &row : cases) {
+        reset();
+        addEndpoint(true, kPlain);
+        addEndpoint(true, kPlain);
+        start(1, 0);
+        store.put(kEndpointsTopic, row.key, row.value);
+        addEndpoint(true, kPlain);
+        const std::size_t hidden = row.key == "i-1" ? 1 : 0;
+        CHECK_TRUE_TEXT(runUntil([&] { return daemons[0]->endpoints() == 3 - hidden; }), row.name);
+        if (hidden == 0) {
+            // A daemon that starts reads the record with all others.
+            endDaemons();
+            start(1, 0);
+        }
+        const Answer &answer = sendRequest(*daemons[0], "/safe/x", {});
+        CHECK_TRUE_TEXT(runUntil([&] { return answer.ended; }), row.name);
+        LONGS_EQUAL_TEXT(200, answer.status, row.name);
+        store.put(kEndpointsTopic, row.key, std::nullopt);
+    }
+}
+
+// Guards against requests that a stopping daemon takes so late that it cuts them off, although they
+// may have run.
+TEST(FailureModes, aStoppingDaemonCutsNoCallThatItHasTaken)
+{
+    constexpr Millis kInterval{50};
+    struct Case
+    {
+        Millis grace;
+        Millis callTime;
+    };
+    const Case cases[] = {
+            {Millis(8000), Millis(800)}, {Millis(4000), Millis(800)}, {Millis(2000), Millis(400)}};
+    for (const auto &[grace, callTime] : cases) {
+        const std::string name = fmt::format("grace of {} ms", grace.count());
+        reset();
+        shutdownGrace = grace;
+        startWithRawEndpoint(kPlain);
+        std::vector<std::unique_ptr<asio::steady_timer>> timers;
+        raw->onRequest = [&, callTime = callTime](const RawServer::Received &request) {
+            timers.push_back(std::make_unique<asio::steady_timer>(context, callTime));
+            timers.back()->async_wait([request](const asio::error_code &) {
+                RawServer::write(request.connection, RawServer::answer(request.requestId, "x"));
+            });
+        };
+        bool done = false;
+        daemons[0]->gateway.shutDown([&] { done = true; });
+        std::vector<const Answer *> sent;
+        for (const TimePoint end = steadyNow() + grace; !done && steadyNow() < end;) {
+            sent.push_back(&sendRequest(*daemons[0], "/once/x", {}));
+            serveFor(kInterval);
+        }
+        CHECK_TRUE_TEXT(runUntil([&] { return done; }, grace), name.c_str());
+        unsigned taken = 0;
+        for (const Answer *answer : sent) {
+            taken += answer->status == 200;
+            // A connection that was refused has taken no request.
+            const bool served = answer->status == 200 && answer->complete;
+            CHECK_TRUE_TEXT(served || answer->status == 503 || answer->status == 0, name.c_str());
+        }
+        CHECK_TRUE_TEXT(taken > 0, name.c_str());
+        LONGS_EQUAL_TEXT(taken, raw->received.size(), name.c_str());
+        store.put(kEndpointsTopic, "raw", std::nullopt);
+    }
+}
+
 // Guards against requests that a stopping daemon under load leaves without a whole answer.
 TEST(FailureModes, aPlannedStopUnderLoadAnswersEveryRequest)
 {
