Test what daemons of earlier builds are told of a handover

In a rolling stop, a daemon of an earlier build lends all attempts, reads the sends of whole answers, and would hold a stream back until its end if its head stated them.

--- a/tests/unit/gatewayhandover_test.cpp
+++ b/tests/unit/gatewayhandover_test.cpp
@@ -210,6 +210,53 @@
     LONGS_EQUAL(0, runsOf("stranger"));
 }
 
+// Guards against a daemon of an earlier build that lends all attempts and is not told what was
+// used, that passes fields which it does not know on to callers, or that holds a stream back until
+// its end.
+TEST(GatewayHandover, daemonsOfEarlierBuildsAreToldOnlyWhatTheyRead)
+{
+    struct Case
+    {
+        const char *name;
+        const char *target;
+        const char *prompt; ///< Null for a request that is no stream.
+        EndpointBehaviour behaviour;
+        int status;
+        const char *sends; ///< Null if none may be stated.
+    };
+    const Case cases[] = {
+            {"success", "/safe/x", nullptr, EndpointBehaviour::Answer, 200, "1"},
+            {"errors of endpoints", "/safe/x", nullptr, EndpointBehaviour::Fails, 500, "2"},
+            {"no answers", "/safe/x", nullptr, EndpointBehaviour::Resets, 502, "2"},
+            {"stream", "/r/x", "a1:40,c1:20,1:10", EndpointBehaviour::Answer, 200, nullptr},
+    };
+    for (const Case &row : cases) {
+        reset();
+        startBoth(2);
+        serveEachOnce();
+        for (const auto &endpoint : endpoints)
+            endpoint->script.assign(3, row.behaviour);
+        HeaderList headers;
+        headers.add("Host", "h");
+        headers.add("Request-Id", "earlier");
+        headers.add("Authorization", "Token key");
+        headers.add("Deadline-Ms", "1500");
+        headers.add("Handover-Attempts", "2");
+        headers.add("Handover-Config", "3");
+        headers.add("Content-Length", "0");
+        if (row.prompt) {
+            headers.add("Token-Count", "1000,24");
+            headers.add("Prompt-Prefix", row.prompt);
+        }
+        const Answer &answer = callFrom(*daemons[0], daemons[1]->handovers, row.target, headers);
+        CHECK_TRUE_TEXT(haveEnded({&answer}), row.name);
+        LONGS_EQUAL_TEXT(row.status, answer.status, row.name);
+        const std::string *sends = answer.headers.find("Handover-Sends");
+        STRCMP_EQUAL_TEXT(row.sends, sends ? sends->c_str() : nullptr, row.name);
+        POINTERS_EQUAL_TEXT(nullptr, answer.headers.find("Handover-Tried"), row.name);
+    }
+}
+
 // Guards against a peer with an older configuration than the daemon that accepted the request: it
 // would answer 404 for a route that was added, accept a key that was revoked, use a service that
 // the route has left, or apply an old timeout.
