Check line ends, folded lines and the chunked coding of messages

Callers could get a success with another body, or a body with bytes missing.

Cause: http_parser, as Debian builds it, takes any byte for the line feed after a status line, after a chunk's size and at the end of a head, any two bytes for the end of a chunk's data, and joins a line that begins with a space to the value before it. One damaged byte so ends a head early ("200 \rK"), hides a field, or goes unnoticed within the coding.

Change: both parsers pass all bytes through admit() (net/framing.h), which checks what the library does not: lines end with CR and LF, none is folded, chunks and trailers follow RFC 9112, section 7.1. Requests get 400, responses fail.

Ruled out: checks in the callbacks of the library, as it does not report these bytes; another parser with strict checks is not among the Debian packages that the project uses.

--- a/src/net/parser.cpp
+++ b/src/net/parser.cpp
@@ -48,30 +48,12 @@
     return settings;
 }
 
-bool isTokenCharacter(char character)
-{
-    const bool alphanumeric = (character >= 'a' && character <= 'z')
-                              || (character >= 'A' && character <= 'Z')
-                              || (character >= '0' && character <= '9');
-    return alphanumeric
-           || std::string_view("!#$%&'*+-.^_`|~").find(character) != std::string_view::npos;
-}
-
-/// Control characters other than tab could make another parser see additional header fields.
-bool hasNoControlCharacters(std::string_view value)
-{
-    return std::ranges::none_of(value, [](char character) {
-        return (static_cast<unsigned char>(character) < ' ' && character != '\t')
-               || character == 0x7f;
-    });
-}
-
 /// True if every recipient reads the same fields and determines the same length of the body.
 bool isWellFormed(const HeaderList &headers)
 {
     for (const HeaderField &field : headers.fields()) {
         if (field.name.empty() || !std::ranges::all_of(field.name, isTokenCharacter)
-            || !hasNoControlCharacters(field.value))
+            || std::ranges::any_of(field.value, isControlCharacter))
             return false;
     }
     const std::string *coding = headers.find("transfer-encoding");
@@ -95,6 +77,7 @@
     http_parser_init(&parser_, HTTP_REQUEST);
     parser_.data = this;
     request_ = {};
+    framing_ = {};
     state_ = ParseState::Reading;
     headerBytes_ = 0;
     started_ = false;
@@ -108,16 +91,22 @@
     if (state_ != ParseState::Reading || bytes.empty())
         return 0;
     started_ = true;
-    const std::size_t used
-            = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
-    if (state_ == ParseState::Complete) {
-        http_parser_pause(&parser_, 0);
-        return used;
-    }
-    if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
-        state_ = ParseState::Failed;
-        if (failureStatus_ == 0)
-            failureStatus_ = HTTP_PARSER_ERRNO(&parser_) == HPE_HEADER_OVERFLOW ? 431 : 400;
+    std::size_t used = 0;
+    while (state_ == ParseState::Reading && used < bytes.size()) {
+        const auto next = admit(framing_, bytes.substr(used));
+        if (!next) {
+            state_ = ParseState::Failed;
+            failureStatus_ = 400;
+            break;
+        }
+        used += http_parser_execute(&parser_, &callbacks(), next->data(), next->size());
+        if (state_ == ParseState::Complete) {
+            http_parser_pause(&parser_, 0);
+        } else if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
+            state_ = ParseState::Failed;
+            if (failureStatus_ == 0)
+                failureStatus_ = HTTP_PARSER_ERRNO(&parser_) == HPE_HEADER_OVERFLOW ? 431 : 400;
+        }
     }
     return used;
 }
@@ -186,6 +175,7 @@
             = parser->http_major > 1 || (parser->http_major == 1 && parser->http_minor >= 1);
     self.request_.keepAlive = http_should_keep_alive(parser) != 0 && parser->upgrade == 0;
     const std::string *expect = self.request_.headers.find("expect");
+    self.framing_.isChunked = (parser->flags & F_CHUNKED) != 0;
     self.awaitsContinue_ = expect && equalsIgnoringCase(*expect, "100-continue");
     self.headComplete_ = true;
     return kContinueParsing;
@@ -232,6 +222,7 @@
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
     head_ = {};
+    framing_ = {};
     state_ = ParseState::Reading;
     statusLineRead_ = 0;
     headerBytes_ = 0;
@@ -246,12 +237,12 @@
     std::size_t used = 0;
     while (state_ == ParseState::Reading && used < bytes.size()) {
         started_ = true;
-        if (!readStatusLine(bytes.substr(used))) {
+        const auto next = admit(framing_, bytes.substr(used));
+        if (!next || !readStatusLine(*next)) {
             state_ = ParseState::Failed;
             break;
         }
-        used += http_parser_execute(&parser_, &callbacks(), bytes.data() + used,
-                                    bytes.size() - used);
+        used += http_parser_execute(&parser_, &callbacks(), next->data(), next->size());
         if (state_ == ParseState::Complete) {
             if (!informational_)
                 break;
@@ -313,6 +304,7 @@
             = parser->status_code >= kLeastStatus && parser->status_code <= kLargestStatus;
     if (!isKnownStatus || !isWellFormed(self.head_.headers))
         return -1;
+    self.framing_.isChunked = (parser->flags & F_CHUNKED) != 0;
     self.informational_ = parser->status_code / 100 == 1;
     if (self.informational_)
         return kContinueParsing;
--- a/src/net/parser.h
+++ b/src/net/parser.h
@@ -10,6 +10,7 @@
 // Framing is strict, to prevent request smuggling: a message whose length two parsers could
 // determine differently is rejected.
 
+#include "net/framing.h"
 #include "net/message.h"
 
 #include <http_parser.h>
@@ -66,6 +67,7 @@
 
     RequestLimits limits_;
     http_parser parser_{};
+    MessageFraming framing_;
     HttpRequest request_;
     ParseState state_ = ParseState::Reading;
     int failureStatus_ = 0;
@@ -116,6 +118,7 @@
 
     ResponseEvents events_;
     http_parser parser_{};
+    MessageFraming framing_;
     HttpResponseHead head_;
     ParseState state_ = ParseState::Reading;
     std::size_t statusLineRead_ = 0; ///< Bytes of its begin that have been checked.
