Turn down responses whose head has lost how long the body is

With one letter of the name Transfer-Encoding damaged, an endpoint's chunked answer counted as one without length: the sizes of its chunks passed as lines between the events, the endpoint then fell silent, and after a resumption elsewhere the caller got a complete answer.

Cause: each field was checked by itself. A damaged name leaves a field that nobody knows, and a head that is valid without it.

Change: headFault() (net/headrules.h) looks at the head as a whole. A response with neither length nor chunks has to announce that its connection ends with it; 1xx and 204 have no length; 101 is never asked for; HTTP/1.0 has no chunks; a length is a number. A body without a length that turns out to be in chunked coding fails at its end. The log says invalid_response with the fault; such an answer could not be told from a connection that broke.

Two rows of ResponseParser.detectsTheEndOfAResponse took a response without length on a kept connection for whole. They now announce the end of the connection, and a row says that the same response without it is turned down.

--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -41,11 +41,6 @@
 // Expected time of a call to a service without an engine model.
 constexpr FloatMillis kExpectedCallTime{30};
 
-bool endsWithItsConnection(const HttpResponseHead &head)
-{
-    return !head.headers.find("content-length") && !head.headers.find("transfer-encoding");
-}
-
 } // namespace
 
 void Gateway::send(Exchange &exchange, const Placement &placement)
@@ -485,7 +480,7 @@
 
 void Gateway::finishRelay(Exchange &exchange, Attempt &attempt)
 {
-    if (attempt.events == 0 && attempt.body.empty() && endsWithItsConnection(attempt.head)) {
+    if (attempt.events == 0 && attempt.body.empty() && attempt.head.bodyEndsAtClose) {
         // Nothing shows that the answer is whole: an endpoint that crashes may end it like this.
         noteBrokenAnswer(exchange, attempt);
         failAttempt(exchange, attempt, EndpointFailure::Broken, true, "no_events");
--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -39,6 +39,17 @@
     return text;
 }
 
+std::vector<std::string_view> tokensOf(std::string_view list)
+{
+    std::vector<std::string_view> tokens;
+    while (!list.empty()) {
+        const std::size_t comma = list.find(',');
+        tokens.push_back(trimmed(list.substr(0, comma)));
+        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+    }
+    return tokens;
+}
+
 } // namespace
 
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
@@ -68,6 +79,16 @@
     }));
 }
 
+bool HeaderList::listsToken(std::string_view name, std::string_view token) const
+{
+    return std::ranges::any_of(fields_, [&](const HeaderField &field) {
+        return equalsIgnoringCase(field.name, name)
+               && std::ranges::any_of(tokensOf(field.value), [&](std::string_view listed) {
+                      return equalsIgnoringCase(listed, token);
+                  });
+    });
+}
+
 void HeaderList::remove(std::string_view name)
 {
     std::erase_if(fields_,
@@ -86,12 +107,8 @@
     for (const HeaderField &field : fields_) {
         if (!equalsIgnoringCase(field.name, "connection"))
             continue;
-        std::string_view rest = field.value;
-        while (!rest.empty()) {
-            const std::size_t comma = rest.find(',');
-            named.emplace_back(trimmed(rest.substr(0, comma)));
-            rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
-        }
+        for (const std::string_view name : tokensOf(field.value))
+            named.emplace_back(name);
     }
     for (std::string_view name : kHopByHopFields)
         remove(name);
--- a/src/net/message.h
+++ b/src/net/message.h
@@ -33,6 +33,8 @@
     const std::string *find(std::string_view name) const;
     /// Number of fields with this name.
     std::size_t count(std::string_view name) const;
+    /// True if one of the fields with this name lists the token; values are separated by commas.
+    bool listsToken(std::string_view name, std::string_view token) const;
     /// Removes all fields with this name.
     void remove(std::string_view name);
     /// Replaces all fields with this name by a single one.
@@ -64,6 +66,7 @@
     /// The response has neither Content-Length nor chunked encoding, so its body extends to the end
     /// of the connection.
     bool bodyEndsAtClose = false;
+    bool isHttp10 = false;
 };
 
 /// Reason phrase of a status code; "Status" for codes that are not in the table.
--- a/src/net/parser.cpp
+++ b/src/net/parser.cpp
@@ -1,5 +1,7 @@
 #include "net/parser.h"
 
+#include "net/headrules.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -12,8 +14,6 @@
 constexpr std::size_t kMaxResponseHeaderBytes = 64 * 1024;
 // How a status line begins; '#' stands for a digit and '|' for a space or the end of the line.
 constexpr std::string_view kStatusLineBegin = "HTTP/1.# ###|";
-constexpr unsigned kLeastStatus = 100;
-constexpr unsigned kLargestStatus = 599;
 // http_parser's content_length for a message without Content-Length.
 constexpr std::uint64_t kNoLength = std::numeric_limits<std::uint64_t>::max();
 // In on_headers_complete, 0 makes http_parser read the body as usual; 1 and 2 skip it.
@@ -48,22 +48,6 @@
     return settings;
 }
 
-/// True if every recipient reads the same fields and determines the same length of the body.
-bool isWellFormed(const HeaderList &headers)
-{
-    for (const HeaderField &field : headers.fields()) {
-        if (field.name.empty() || !std::ranges::all_of(field.name, isTokenCharacter)
-            || std::ranges::any_of(field.value, isControlCharacter))
-            return false;
-    }
-    const std::string *coding = headers.find("transfer-encoding");
-    const std::size_t lengths = headers.count("content-length");
-    if (!coding)
-        return lengths <= 1;
-    return lengths == 0 && headers.count("transfer-encoding") == 1
-           && equalsIgnoringCase(*coding, "chunked");
-}
-
 } // namespace
 
 RequestParser::RequestParser(RequestLimits limits)
@@ -130,7 +114,8 @@
 int RequestParser::checkHead()
 {
     const HeaderList &headers = request_.headers;
-    if (!isWellFormed(headers))
+    const bool isHttp10 = parser_.http_major == 1 && parser_.http_minor == 0;
+    if (!isWellFormed(headers) || (isHttp10 && headers.find("transfer-encoding")))
         return 400;
     if (headers.count("host") != 1 || request_.target.empty() || request_.target.front() != '/')
         return 400;
@@ -223,6 +208,8 @@
     parser_.data = this;
     head_ = {};
     framing_ = {};
+    undeclaredChunks_.reset();
+    fault_ = nullptr;
     state_ = ParseState::Reading;
     statusLineRead_ = 0;
     headerBytes_ = 0;
@@ -238,8 +225,12 @@
     while (state_ == ParseState::Reading && used < bytes.size()) {
         started_ = true;
         const auto next = admit(framing_, bytes.substr(used));
-        if (!next || !readStatusLine(*next)) {
-            state_ = ParseState::Failed;
+        if (!next) {
+            fail("framing");
+            break;
+        }
+        if (!readStatusLine(*next)) {
+            fail("status_line");
             break;
         }
         used += http_parser_execute(&parser_, &callbacks(), next->data(), next->size());
@@ -250,11 +241,18 @@
             continue;
         }
         if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK)
-            state_ = ParseState::Failed;
+            fail(http_errno_name(HTTP_PARSER_ERRNO(&parser_)));
     }
     return used;
 }
 
+void ResponseParser::fail(const char *fault)
+{
+    state_ = ParseState::Failed;
+    if (!fault_)
+        fault_ = fault;
+}
+
 // The package of http_parser is built without its strict mode, which checks the protocol's name.
 bool ResponseParser::readStatusLine(std::string_view bytes)
 {
@@ -274,6 +272,10 @@
 {
     if (state_ != ParseState::Reading)
         return;
+    if (undeclaredChunks_ && undeclaredChunks_->phase == ChunkPhase::Done) {
+        fail("undeclared_chunks");
+        return;
+    }
     http_parser_execute(&parser_, &callbacks(), nullptr, 0);
     if (state_ == ParseState::Reading)
         state_ = ParseState::Failed;
@@ -300,18 +302,18 @@
 int ResponseParser::onHeadersComplete(http_parser *parser)
 {
     auto &self = *static_cast<ResponseParser *>(parser->data);
-    const bool isKnownStatus
-            = parser->status_code >= kLeastStatus && parser->status_code <= kLargestStatus;
-    if (!isKnownStatus || !isWellFormed(self.head_.headers))
-        return -1;
-    self.framing_.isChunked = (parser->flags & F_CHUNKED) != 0;
     self.informational_ = parser->status_code / 100 == 1;
+    self.framing_.isChunked = (parser->flags & F_CHUNKED) != 0;
+    self.head_.status = static_cast<int>(parser->status_code);
+    self.head_.isHttp10 = parser->http_minor == 0;
+    self.head_.bodyEndsAtClose = statesNoLength(self.head_);
+    self.fault_ = headFault(self.head_);
+    if (self.fault_)
+        return -1;
     if (self.informational_)
         return kContinueParsing;
-    self.head_.status = static_cast<int>(parser->status_code);
-    self.head_.bodyEndsAtClose = (parser->flags & F_CHUNKED) == 0
-                                 && parser->content_length == kNoLength
-                                 && parser->status_code != 204 && parser->status_code != 304;
+    if (self.head_.bodyEndsAtClose)
+        self.undeclaredChunks_.emplace();
     self.events_.head(std::move(self.head_));
     return kContinueParsing;
 }
@@ -319,6 +321,8 @@
 int ResponseParser::onBody(http_parser *parser, const char *at, std::size_t length)
 {
     auto &self = *static_cast<ResponseParser *>(parser->data);
+    if (self.undeclaredChunks_ && advance(*self.undeclaredChunks_, {at, length}) < length)
+        self.undeclaredChunks_.reset();
     if (!self.informational_)
         self.events_.body({at, length});
     return kContinueParsing;
--- a/src/net/parser.h
+++ b/src/net/parser.h
@@ -17,6 +17,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string_view>
 
 namespace cicadafork {
@@ -94,12 +95,15 @@
     /// Returns the number of bytes consumed; stops at the end of a response.
     std::size_t feed(std::string_view bytes);
     /// To be called after an orderly close of the connection. Completes a response whose body
-    /// extends to the end of the connection; any other unfinished response fails.
+    /// extends to the end of the connection. Any other unfinished response fails, and so does a
+    /// body in chunked coding if the head does not state the coding.
     void finish();
     /// Prepares for the next response of the connection.
     void reset();
 
     ParseState state() const { return state_; }
+    /// Why the response was turned down, for the log; null if it is whole or merely breaks off.
+    const char *fault() const { return fault_; }
     /// Whether any byte of the response has arrived.
     bool started() const { return started_; }
     /// Whether the connection may be reused. Valid only in the state Complete.
@@ -113,6 +117,7 @@
     static int onMessageComplete(http_parser *parser);
     static const http_parser_settings &callbacks();
 
+    void fail(const char *fault);
     /// Checks the bytes that belong to the begin of the status line. Returns false if they cannot.
     bool readStatusLine(std::string_view bytes);
 
@@ -120,6 +125,10 @@
     http_parser parser_{};
     MessageFraming framing_;
     HttpResponseHead head_;
+    /// Position in the body if it were chunked. Set while a body that its head says nothing of can
+    /// be one.
+    std::optional<ChunkFraming> undeclaredChunks_;
+    const char *fault_ = nullptr;
     ParseState state_ = ParseState::Reading;
     std::size_t statusLineRead_ = 0; ///< Bytes of its begin that have been checked.
     std::size_t headerBytes_ = 0;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -1,5 +1,6 @@
 #include "net/upstream.h"
 
+#include "base/log.h"
 #include "net/sockets.h"
 
 #include <asio/error.hpp>
@@ -250,6 +251,7 @@
                 end(UpstreamOutcome::Complete);
                 return;
             }
+            logFault();
         }
         end(headAccepted_ ? UpstreamOutcome::Broken : UpstreamOutcome::NoAnswer);
     }
@@ -262,6 +264,7 @@
             if (!inCall_)
                 return; // A handler cancelled the call.
             if (parser_.state() == ParseState::Failed) {
+                logFault();
                 end(headAccepted_ ? UpstreamOutcome::Broken : UpstreamOutcome::NoAnswer);
                 return;
             }
@@ -277,6 +280,13 @@
         armRead();
     }
 
+    void logFault() const
+    {
+        if (const char *fault = parser_.fault())
+            logEvent(LogLevel::Warning, "invalid_response",
+                     {{"address", toString(address)}, {"fault", fault}});
+    }
+
     void complete(std::size_t bytesLeft)
     {
         // If the request is not fully sent, its remaining bytes would corrupt the next one.
--- a/tests/unit/fuzz_test.cpp
+++ b/tests/unit/fuzz_test.cpp
@@ -128,6 +128,7 @@
             status + "Request-Id: r\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nab",
             status + "Content Type: text/event-stream\r\nContent-Length: 2\r\n\r\nab",
             "HTTP/1.1 100 Continue\r\n\r\n" + status + "X: y\r\n\r\nab",
+            status + "Connection: close\r\n\r\n2\r\nab\r\n0\r\n\r\n",
     };
     const auto isPlain = [](const std::string &text, char least) {
         return std::ranges::all_of(text, [&](char character) {
--- a/tests/unit/netparser_test.cpp
+++ b/tests/unit/netparser_test.cpp
@@ -83,6 +83,9 @@
              400},
             {"a folded line", withHeaders("Name: v\r\n w\r\n"), ParseState::Failed, 400},
             {"a line without a return", withHeaders("Name: v\n"), ParseState::Failed, 400},
+            {"chunks in the earlier version",
+             "POST / HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+             ParseState::Failed, 400},
             {"other bytes in place of a chunk's end",
              withHeaders("Transfer-Encoding: chunked\r\n", "2\r\nabXY1\r\nc\r\n0\r\n\r\n"),
              ParseState::Failed, 400},
@@ -161,8 +164,10 @@
         bool connectionCloses;
         bool complete;
         std::string body;
+        int status = 200;
     };
     const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string closing = head + "Connection: keep-alive, Close\r\n";
     const Case cases[] = {
             {"a length", head + "Content-Length: 2\r\n\r\nab", false, true, "ab"},
             {"chunks", head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", false, true,
@@ -171,8 +176,10 @@
              head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", true, false, "ab"},
             {"a body shorter than its length", head + "Content-Length: 3\r\n\r\nab", true, false,
              "ab"},
-            {"neither length nor chunks, connection open", head + "\r\nab", false, false, "ab"},
-            {"neither length nor chunks, connection closed", head + "\r\nab", true, true, "ab"},
+            {"neither length nor chunks, connection open", closing + "\r\nab", false, false, "ab"},
+            {"neither length nor chunks, connection closed", closing + "\r\nab", true, true, "ab"},
+            {"neither length nor chunks, end not announced", head + "\r\nab", true, false, "", 0},
+            {"an earlier version without a length", "HTTP/1.0 200 OK\r\n\r\nab", true, true, "ab"},
             {"chunks with an extension and trailers",
              head + "Transfer-Encoding: chunked\r\n\r\n2;a=b\r\nab\r\n0\r\nX: y\r\n\r\n", false,
              true, "ab"},
@@ -188,7 +195,7 @@
             parser.finish();
         CHECK_EQUAL_TEXT(row.complete, response.complete, row.name);
         STRCMP_EQUAL_TEXT(row.body.c_str(), response.body.c_str(), row.name);
-        LONGS_EQUAL_TEXT(200, response.status, row.name);
+        LONGS_EQUAL_TEXT(row.status, response.status, row.name);
     }
 }
 
@@ -226,10 +233,19 @@
             {"no protocol", "HTTQ/1.1 200 OK", "", false},
             {"coding besides chunks", status, "Transfer-Encoding: gzip, chunked\r\n", false},
             {"length and chunks", status, "Transfer-Encoding: chunked\r\n", false},
+            {"length with a letter", status, "Content-Length: 2x\r\n", false},
             {"folded line", status, "X: y\r\n z\r\n", false},
             {"line without a return", status, "X: y\n", false},
             {"line without a line feed", status, "X: y\rZ", false},
             {"status line without a line feed", status + "\rX", "", false},
+            {"informational head with a length",
+             "HTTP/1.1 103 Hints\r\nContent-Length: 2\r\n\r\n" + status, "", false},
+            {"change of the protocol",
+             "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+             "Connection: upgrade\r\n\r\n"
+                     + status,
+             "", false},
+            {"length of a body that the status excludes", "HTTP/1.1 204 No Content", "", false},
             {"damaged informational head", "HTTP/1.1 100 Continue\r\nX Y: z\r\n\r\n" + status, "",
              false},
     };
@@ -249,6 +265,41 @@
     }
 }
 
+// Guards against a success with another body: a damaged byte of the head or of the chunked coding
+// once made the sizes of chunks a part of the body.
+TEST(ResponseParser, oneDamagedByteNeverChangesAChunkedBody)
+{
+    struct Case
+    {
+        const char *name;
+        std::string fields;
+    };
+    const Case cases[] = {{"kept connection", ""}, {"closed connection", "Connection: close\r\n"}};
+    const std::string body = "id: 1\n\nid: 2\n\n";
+    for (const Case &row : cases) {
+        const std::string head = "HTTP/1.1 200 OK\r\n" + row.fields
+                                 + "Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::string text = head + "7\r\nid: 1\n\n\r\n7\r\nid: 2\n\n\r\n0\r\n\r\n";
+        for (std::size_t at = 0; at < text.size(); ++at) {
+            // Nothing tells the data of a chunk from other data.
+            const std::size_t inBody = at - std::min(at, head.size());
+            const bool isData
+                    = at >= head.size() && inBody % 12 >= 3 && inBody % 12 < 10 && inBody < 24;
+            for (int byte = 0; byte < 256 && !isData; ++byte) {
+                std::string damaged = text;
+                damaged[at] = static_cast<char>(byte);
+                ReceivedResponse response;
+                ResponseParser parser(recordInto(response));
+                feedInPieces(parser, damaged, damaged.size());
+                parser.finish();
+                if (response.complete)
+                    STRCMP_EQUAL_TEXT(body.c_str(), response.body.c_str(),
+                                      fmt::format("{}, byte {} at {}", row.name, byte, at).c_str());
+            }
+        }
+    }
+}
+
 // Guards against treating bytes after a response as its body or as the next response.
 TEST(ResponseParser, ignoresBytesAfterAResponse)
 {
