Pass on no event that holds lines of another framing

The head alone cannot show it: an answer whose connection is announced to end has no length either, and a chunk's size that is too large takes in the framing of the chunks after it.

Cause: everything up to a blank line was taken for an event. Unknown lines are valid there, as recipients ignore them, but they are not the endpoint's body.

Change: a line that is neither a comment, nor a field with a colon, nor one of the four fields without a value fails the attempt (event_malformed) before anything of the event is passed on. Fields with other names still pass.

--- a/src/cli/explaincommand.cpp
+++ b/src/cli/explaincommand.cpp
@@ -56,7 +56,7 @@
     const char *text;
 };
 
-constexpr std::array<ReasonText, 26> kReasons = {{
+constexpr std::array<ReasonText, 27> kReasons = {{
         {"no_endpoint",
          "no endpoint could take it in time; its queued line counts what was in the way"},
         {"no_connection", "the endpoint could not be reached"},
@@ -68,6 +68,7 @@
         {"endpoint_refused", "the endpoint stated that it did not run the request"},
         {"event_without_id",
          "the endpoint that was to go on with the stream answered something else"},
+        {"event_malformed", "the endpoint's stream held lines that belong to no event"},
         {"refused_without_promise",
          "the endpoint refused it without stating that it has not run, so it may have"},
         {"endpoints_quiet",
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/exchange.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace cicadafork::gateway {
@@ -22,6 +23,25 @@
 // Time for a refusal to reach the caller.
 constexpr Millis kRefusalMargin{100};
 
+/// Removes the first line from the text and returns it, without its end.
+std::string_view takeLine(std::string_view &text)
+{
+    const std::size_t end = text.find('\n');
+    std::string_view line = text.substr(0, end);
+    text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    return line;
+}
+
+/// A line without a colon names a field that has an empty value.
+bool isEventLine(std::string_view line)
+{
+    constexpr std::array<std::string_view, 4> kFields = {"data", "event", "id", "retry"};
+    return line.empty() || line.find(':') != std::string_view::npos
+           || std::ranges::find(kFields, line) != kFields.end();
+}
+
 } // namespace
 
 Attempt *findAttempt(Exchange &exchange, const JobId &job)
@@ -109,12 +129,19 @@
     return true;
 }
 
+bool isWellFormedEvent(std::string_view event)
+{
+    while (!event.empty()) {
+        if (!isEventLine(takeLine(event)))
+            return false;
+    }
+    return true;
+}
+
 std::optional<std::uint64_t> eventId(std::string_view event)
 {
     while (!event.empty()) {
-        const std::size_t end = event.find('\n');
-        std::string_view line = event.substr(0, end);
-        event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
+        std::string_view line = takeLine(event);
         if (!line.starts_with("id:"))
             continue;
         line.remove_prefix(3);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -190,6 +190,10 @@
 /// True if the event consists of comments.
 bool isComment(std::string_view event);
 
+/// True if every line of the event is a field or a comment. Other lines are bytes of a framing that
+/// was not recognized, such as the sizes of chunks.
+bool isWellFormedEvent(std::string_view event);
+
 /// Numeric id of a server-sent event; nullopt when it has none.
 std::optional<std::uint64_t> eventId(std::string_view event);
 
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -278,6 +278,11 @@
                 return;
             continue;
         }
+        if (!isWellFormedEvent(event)) {
+            noteBrokenAnswer(exchange, attempt);
+            failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_malformed");
+            return;
+        }
         noteProgress(exchange, attempt);
         const auto id = eventId(event);
         const bool resumes = exchange.lastEventId && attempt.events == 0;
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -274,6 +274,26 @@
     CHECK_FALSE(eventId("data: id: 7\n\n").has_value());
 }
 
+// Guards against passing on the sizes of chunks as a part of the events.
+TEST(Events, holdOnlyFieldsAndComments)
+{
+    const std::pair<const char *, bool> cases[] = {
+            {"id: 3\ndata: a\n\n", true},
+            {"id:3\r\nevent:e\r\nretry: 9\r\ndata:a\r\n\r\n", true},
+            {"data\n\n", true},
+            {": comment\ndata: a\n\n", true},
+            {"extension: x\ndata: a\n\n", true},
+            {"\r\n\ndata: a\n\n", true},
+            {"1f4\r\nid: 3\ndata: a\n\n", false},
+            {"id: 3\ndata: a\r\n2\r\nbc\n\n", false},
+            {"\r\n0\r\n\r\n", false},
+            {"datas\n\n", false},
+            {"<html>\n\n", false},
+    };
+    for (const auto &[event, isWellFormed] : cases)
+        CHECK_EQUAL_TEXT(isWellFormed, isWellFormedEvent(event), event);
+}
+
 TEST_GROUP(SharedRetryBudget){};
 
 // Guards against every daemon spending the whole allowance.
