--- a/src/endpoint/attempt.cpp
+++ b/src/endpoint/attempt.cpp
@@ -1,5 +1,8 @@
 #include "endpoint/attempt.h"
 
+#include "base/log.h"
+#include "http/client.h"
+
 #include <algorithm>
 
 namespace cicadafork {
@@ -56,6 +59,7 @@
 {
     bool sending = false;
     bool receiverEnded = false;
+    ResponseCheck check;
     httplib::Request message;
     message.method = request.method;
     message.path = request.path;
@@ -85,6 +89,8 @@
                   };
     }
     message.response_handler = [&](const httplib::Response &response) {
+        if (!check.checkHead(response))
+            return false;
         receiverEnded
                 = stop.stopped()
                   || (request.onStatus && !request.onStatus(response.status, response.headers));
@@ -92,6 +98,7 @@
     };
     message.content_receiver = [&](const char *data, std::size_t length, std::uint64_t,
                                    std::uint64_t) {
+        check.noteBody({data, length});
         receiverEnded = stop.stopped()
                         || (request.onBytes && !request.onBytes(std::string_view(data, length)));
         return !receiverEnded;
@@ -103,6 +110,10 @@
     stop.detach();
     if (receiverEnded)
         return CallEnd::ReceiverEnded;
+    if (const char *fault = check.fault()) {
+        logEvent(LogLevel::Warning, "invalid_answer", {{"call", request.path}, {"fault", fault}});
+        return CallEnd::Broken;
+    }
     if (!sending) {
         return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
                        ? CallEnd::NotConnected
--- a/src/endpoint/enginecontrol.cpp
+++ b/src/endpoint/enginecontrol.cpp
@@ -20,19 +20,6 @@
             "check the engine's log");
 }
 
-Result<HttpReply> httpDelete(const Address &address, const std::string &path, Millis timeout)
-{
-    const auto client = makeHttpClient(address, {timeout, timeout, timeout});
-    const auto result = client->Delete(path);
-    if (!result) {
-        return fail(
-                ErrorCode::Unavailable,
-                fmt::format("engine {}: {}", toString(address), httplib::to_string(result.error())),
-                "check that the engine runs and can be reached");
-    }
-    return HttpReply{result->status, result->body, result->headers};
-}
-
 nlohmann::json holdOwner(const std::string &requestId, const std::string &holder,
                          const std::string &incarnation)
 {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,8 @@
 #include "http/client.h"
 
 #include "base/json.h"
+#include "net/headrules.h"
+#include "net/wholebody.h"
 
 #include <fmt/format.h>
 
@@ -13,11 +15,30 @@
     return {timeout, timeout, timeout};
 }
 
+HttpResponseHead toHead(const httplib::Response &response)
+{
+    HttpResponseHead head;
+    head.status = response.status;
+    for (const auto &[name, value] : response.headers)
+        head.headers.add(name, value);
+    head.bodyEndsAtClose = statesNoLength(head);
+    head.isHttp10 = response.version == "HTTP/1.0";
+    return head;
+}
+
 Result<HttpReply> toReply(const Address &address, const std::string &path,
                           const httplib::Result &result)
 {
-    if (result)
-        return HttpReply{result->status, result->body, result->headers};
+    if (result) {
+        ResponseCheck check;
+        if (check.checkHead(*result))
+            check.noteBody(result->body);
+        if (!check.fault())
+            return HttpReply{result->status, result->body, result->headers};
+        return fail(ErrorCode::Unavailable,
+                    fmt::format("{}{}: invalid answer: {}", toString(address), path, check.fault()),
+                    "check the server at this address; it sends damaged responses");
+    }
     const bool timedOut = result.error() == httplib::Error::Read
                           || result.error() == httplib::Error::ConnectionTimeout;
     return fail(
@@ -64,6 +85,32 @@
 
 } // namespace
 
+bool ResponseCheck::checkHead(const httplib::Response &response)
+{
+    const HttpResponseHead head = toHead(response);
+    headFault_ = headFault(head);
+    const bool isSuccess = head.status / 100 == 2;
+    if (!headFault_ && isSuccess)
+        headFault_ = bodyFault(head, BodyKind::Any);
+    if (head.bodyEndsAtClose)
+        undeclaredChunks_.emplace();
+    return !headFault_;
+}
+
+void ResponseCheck::noteBody(std::string_view bytes)
+{
+    if (undeclaredChunks_ && advance(*undeclaredChunks_, bytes) < bytes.size())
+        undeclaredChunks_.reset();
+}
+
+const char *ResponseCheck::fault() const
+{
+    if (headFault_)
+        return headFault_;
+    const bool isChunked = undeclaredChunks_ && undeclaredChunks_->phase == ChunkPhase::Done;
+    return isChunked ? "undeclared_chunks" : nullptr;
+}
+
 std::unique_ptr<httplib::Client> makeHttpClient(const Address &address, HttpTimeouts timeouts)
 {
     auto client = std::make_unique<httplib::Client>(address.ip, address.port);
@@ -94,6 +141,11 @@
     return toReply(address, path, result);
 }
 
+Result<HttpReply> httpDelete(const Address &address, const std::string &path, Millis timeout)
+{
+    return toReply(address, path, makeHttpClient(address, singleTimeout(timeout))->Delete(path));
+}
+
 Result<nlohmann::json> getJson(const Address &address, const std::string &path, Millis timeout,
                                const TrafficMeter &meter)
 {
--- a/tests/unit/endpoint_test.cpp
+++ b/tests/unit/endpoint_test.cpp
@@ -1,8 +1,11 @@
 #include "endpoint/engineclient.h"
 #include "endpoint/plainserviceclient.h"
+#include "net/sockets.h"
 #include "support/fakeengine.h"
 
 #include <CppUTest/TestHarness.h>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
 
 #include <string>
 #include <thread>
@@ -235,3 +238,53 @@
     STRCMP_EQUAL("not_run", toString(result.execution));
     CHECK_FALSE(result.dispatched);
 }
+
+// Guards against a success with another body than the service's: a damaged byte had hidden that it
+// was chunked, and nothing looked at codings and names.
+TEST(Endpoint, damagedAnswersOfPlainServicesAreNoSuccess)
+{
+    struct Case
+    {
+        const char *name;
+        std::string fields;
+        std::string body;
+        bool sound;
+    };
+    const std::string chunks = "6\r\nanswer\r\n0\r\n\r\n";
+    const Case cases[] = {
+            {"length", "Content-Length: 6\r\n", "answer", true},
+            {"chunks", "Transfer-Encoding: chunked\r\n", chunks, true},
+            {"end of the connection", "Connection: close\r\n", "answer", true},
+            {"end of the connection, not announced", "", "answer", false},
+            {"coding hidden", "Transfqr-Encoding: chunked\r\n", chunks, false},
+            {"coding hidden, connection closed",
+             "Transfqr-Encoding: chunked\r\nConnection: close\r\n", chunks, false},
+            {"coding of the content", "Content-Encoding: br\r\nContent-Length: 6\r\n", "answer",
+             false},
+            {"space in a name", "Content Type: a/b\r\nContent-Length: 6\r\n", "answer", false},
+            {"length with a letter", "Content-Length: 6x\r\n", "answer", false},
+    };
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    for (const Case &row : cases) {
+        std::thread service([&] {
+            asio::ip::tcp::socket socket = acceptor.accept();
+            std::string request;
+            asio::error_code ignored;
+            asio::read_until(socket, asio::dynamic_buffer(request), "{}", ignored);
+            asio::write(socket,
+                        asio::buffer("HTTP/1.1 200 OK\r\n" + row.fields + "\r\n" + row.body),
+                        ignored);
+        });
+        PlainRequest request;
+        request.operation = "open-gate";
+        request.body = "{}";
+        request.deadline = steadyNow() + Millis(2000);
+        const PlainServiceClient serviceClient({"127.0.0.1", acceptor.local_endpoint().port()});
+        const PlainResult result = serviceClient.call(request, stop);
+        service.join();
+        STRCMP_EQUAL_TEXT(toString(row.sound ? Execution::Ran : Execution::MayHaveRun),
+                          toString(result.execution), row.name);
+        STRCMP_EQUAL_TEXT(row.sound ? "answer" : "", result.body.c_str(), row.name);
+    }
+}
