Hold the body of a request once

Cause: a daemon held each body up to three times: the string that had grown by doubling while it was read, the copy in the request, and the copy that the connection to the endpoint kept until the answer had ended.

Change: the body's length is reserved when the head states it, and a connection writes a body of more than 64 KiB from the request itself. Smaller ones are copied behind the head as before, which saves a write for each call.

Ruled out: shared ownership of the body, as calls never outlive their request; releasing sent bytes early, as a repeat needs them.

What is held in all has no bound yet.

--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -198,7 +198,7 @@
         headers.set("Content-Length", std::to_string(exchange.request.body.size()));
     UpstreamRequest request;
     request.head = serializeRequestHead(exchange.request.method, exchange.request.target, headers);
-    request.body = exchange.request.body;
+    request.borrowedBody = exchange.request.body;
     request.idHash = fnv1a64(exchange.requestId);
     request.sendBy = std::min(exchange.deadline, steadyNow() + kMaxSendDelay);
     attempt.sendBy = request.sendBy;
--- a/src/net/parser.cpp
+++ b/src/net/parser.cpp
@@ -161,6 +161,8 @@
     self.request_.keepAlive = http_should_keep_alive(parser) != 0 && parser->upgrade == 0;
     const std::string *expect = self.request_.headers.find("expect");
     self.framing_.isChunked = (parser->flags & F_CHUNKED) != 0;
+    if (parser->content_length != kNoLength)
+        self.request_.body.reserve(static_cast<std::size_t>(parser->content_length));
     self.awaitsContinue_ = expect && equalsIgnoringCase(*expect, "100-continue");
     self.headComplete_ = true;
     return kContinueParsing;
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -49,7 +49,7 @@
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
-asio::error_code writeWithoutBlocking(asio::ip::tcp::socket &socket, const std::string &output,
+asio::error_code writeWithoutBlocking(asio::ip::tcp::socket &socket, std::string_view output,
                                       std::size_t &written)
 {
     asio::error_code error;
--- a/src/net/sockets.h
+++ b/src/net/sockets.h
@@ -9,7 +9,7 @@
 #include <asio/ip/tcp.hpp>
 
 #include <cstddef>
-#include <string>
+#include <string_view>
 
 namespace cicadafork {
 
@@ -33,7 +33,7 @@
 /// Writes as much of `output` as possible without blocking, starting at offset `written`, which is
 /// advanced. Returns would_block if bytes are left because the socket's send buffer is full, or the
 /// error of the connection.
-asio::error_code writeWithoutBlocking(asio::ip::tcp::socket &socket, const std::string &output,
+asio::error_code writeWithoutBlocking(asio::ip::tcp::socket &socket, std::string_view output,
                                       std::size_t &written);
 
 } // namespace cicadafork
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -20,6 +20,8 @@
 // Ids of the latest calls that a connection remembers. Repetitions of a request follow each other
 // within seconds, and a connection carries some ten requests a second.
 constexpr std::size_t kRememberedIds = 64;
+// A copy of a body up to this size costs less than a second write.
+constexpr std::size_t kMaxCopiedBody = 64 * 1024;
 
 /// The `timeout` parameter of the Keep-Alive field, or nullopt if it is missing or invalid.
 std::optional<Millis> advertisedIdleTimeout(const HeaderList &headers)
@@ -63,8 +65,14 @@
         handlers_ = std::move(handlers);
         output_ = std::move(request.head);
         output_ += request.body;
+        body_ = request.borrowedBody;
+        if (body_.size() <= kMaxCopiedBody) {
+            output_ += body_;
+            body_ = {};
+        }
         sendBy_ = request.sendBy;
         written_ = 0;
+        bodyWritten_ = 0;
         if (request.idHash != 0) {
             if (idHashes_.size() >= kRememberedIds)
                 idHashes_.erase(idHashes_.begin());
@@ -116,6 +124,7 @@
         asio::error_code ignored;
         socket_.close(ignored);
         inCall_ = false;
+        body_ = {};
     }
 
     const Address address;
@@ -163,7 +172,10 @@
         armRead();
         // Other write errors are ignored here: the server may have responded before it closed the
         // connection. The read side delivers that response and then reports the end.
-        if (writeWithoutBlocking(socket_, output_, written_) == asio::error::would_block)
+        asio::error_code error = writeWithoutBlocking(socket_, output_, written_);
+        if (!error)
+            error = writeWithoutBlocking(socket_, body_, bodyWritten_);
+        if (error == asio::error::would_block)
             armWrite();
     }
 
@@ -290,8 +302,8 @@
     void complete(std::size_t bytesLeft)
     {
         // If the request is not fully sent, its remaining bytes would corrupt the next one.
-        reusable_
-                = parser_.keepAlive() && bytesLeft == 0 && written_ == output_.size() && !lastCall_;
+        const bool isSent = written_ == output_.size() && bodyWritten_ == body_.size();
+        reusable_ = parser_.keepAlive() && bytesLeft == 0 && isSent && !lastCall_;
         end(UpstreamOutcome::Complete);
     }
 
@@ -331,6 +343,8 @@
         output_.clear();
         output_.shrink_to_fit();
         written_ = 0;
+        body_ = {};
+        bodyWritten_ = 0;
         if (keep) {
             idleSince_ = steadyNow();
             armRead();
@@ -350,6 +364,8 @@
     std::uint64_t callNumber_ = 0;
     std::string output_;
     std::size_t written_ = 0;
+    std::string_view body_; ///< The rest of the request, which belongs to the caller of the pool.
+    std::size_t bodyWritten_ = 0;
     TimePoint sendBy_ = TimePoint::max();
     Millis idleLimit_;
     TimePoint idleSince_{};
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -74,6 +74,9 @@
 {
     std::string head; ///< Request line and header fields, including the blank line.
     std::string body = {};
+    /// Sent after `body`, without a copy if it is large: it must stay valid until the call has
+    /// ended or is destroyed.
+    std::string_view borrowedBody = {};
     /// Only connections idle for less than this are reused; 0 always opens a new connection.
     Millis maxIdleTime = Millis::max();
     /// Hash of the id that the response names. A connection that has carried the same id recently
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -17,6 +17,7 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
+#include <malloc.h>
 
 #include <algorithm>
 #include <array>
@@ -78,6 +79,13 @@
     bool complete = false;
 };
 
+/// Bytes that are allocated and not freed, whatever the process keeps for later allocations.
+std::size_t bytesInUse()
+{
+    const struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
 } // namespace
 
 TEST_GROUP(GatewayPath)
@@ -1313,6 +1321,48 @@
     CHECK_TRUE(answered);
 }
 
+// Guards against a burst of large bodies that takes the daemon over its memory, as it held each
+// body twice.
+TEST(GatewayPath, holdsTheBodyOfARequestOnce)
+{
+    constexpr std::size_t kBody = 4 * 1024 * 1024;
+    constexpr std::size_t kCallers = 4;
+    const Address address = addresses.next();
+    // Accepts connections, but reads nothing.
+    const asio::ip::tcp::acceptor acceptor(context,
+                                           {asio::ip::make_address_v4(address.ip), address.port});
+    store.put("keyed.servers", "i-9",
+              fmt::format(R"({{"service":"plain","address":"{}","zone":"east","slots":4,
+                      "state":"ready","seq":1,"born":5}})",
+                          toString(address)));
+    publishConfig();
+    const std::string body(kBody, 'b');
+    std::vector<std::string> heads;
+    std::vector<asio::ip::tcp::socket> callers;
+    const std::size_t before = bytesInUse();
+    for (std::size_t i = 0; i < kCallers; ++i) {
+        HeaderList headers;
+        headers.add("Host", "h");
+        headers.add("Request-Id", fmt::format("large-{}", i));
+        headers.add("Authorization", "Token key");
+        headers.add("Deadline-Ms", "1200");
+        headers.add("Content-Length", std::to_string(kBody));
+        heads.push_back(serializeRequestHead("POST", "/once/x", headers));
+        callers.emplace_back(context);
+        callers.back().connect({asio::ip::make_address_v4(entry.ip), entry.port});
+    }
+    std::size_t sent = 0;
+    for (std::size_t i = 0; i < kCallers; ++i)
+        asio::async_write(
+                callers[i],
+                std::array<asio::const_buffer, 2>{asio::buffer(heads[i]), asio::buffer(body)},
+                [&sent](const asio::error_code &, std::size_t) { ++sent; });
+    CHECK_TRUE(runUntil([&] { return sent == kCallers && requestsInProgress() == kCallers; }));
+    const std::size_t held = bytesInUse() - before;
+    CHECK_TRUE_TEXT(held < kCallers * kBody * 3 / 2, fmt::format("{} bytes", held).c_str());
+    CHECK_TRUE_TEXT(held >= kCallers * kBody, fmt::format("{} bytes", held).c_str());
+}
+
 // Guards against a daemon that ends when an operator looks at it.
 TEST(GatewayPath, stateCanBeShownWhateverACallerNamesItsRequest)
 {
