Bound the memory for large bodies of requests

Callers with large bodies could take a daemon over the memory of its VM, and all requests at work there ended with it.

Cause: a daemon reads bodies on thousands of connections and takes 2,048 requests, whatever their bodies hold.

Change: bodies over 64 KiB take room (net/bodyroom.h) from the head of the request to the end of its answer, in chunks as much as the largest body allowed. The limit is half of the memory that the machine reports, or of the new setting memory_mb. Without room the request is refused from its head on: 503, not run, and Retry-After by the rate at which bodies end.

Partial: what is held for slow callers, whole answers, bodies that peers hand over and small bodies do not count yet.

Evidence: NetServer.largeBodiesFindRoomOrAreRefused and BodyRoom.tellsWhenRoomCanBeExpected (new functions).

--- a/src/cli/explaincommand.cpp
+++ b/src/cli/explaincommand.cpp
@@ -56,7 +56,7 @@
     const char *text;
 };
 
-constexpr std::array<ReasonText, 27> kReasons = {{
+constexpr std::array<ReasonText, 28> kReasons = {{
         {"no_endpoint",
          "no endpoint could take it in time; its queued line counts what was in the way"},
         {"no_connection", "the endpoint could not be reached"},
@@ -89,6 +89,8 @@
         {"incomplete_request", "it did not arrive in full within the limits"},
         {"too_many_connections",
          "the daemon had too many callers' connections, or no file descriptors left"},
+        {"no_room_for_body",
+         "the bodies of other requests took the memory that the daemon has for them"},
         {"body_too_large", "its body is larger than the configuration allows"},
         {"head_too_large", "its head is larger than the configuration allows"},
         {"malformed_request", "it was not valid HTTP"},
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -27,7 +27,10 @@
 constexpr std::size_t kMaxEndpoints = 4096;
 // Many times the age of a copy from which the store may come back.
 constexpr Millis kDepartedLifetime{120'000};
-// Concurrent requests of one daemon; each holds a body of up to a few hundred kB.
+// Large bodies take this part of the memory (1/2). The rest is for answers, small bodies, buffers
+// of connections, and about 20 MB of the process itself.
+constexpr std::size_t kBodyShare = 2;
+// Concurrent requests of one daemon.
 constexpr std::size_t kMaxExchanges = 2048;
 // Added to the time for which a store call itself may wait for records.
 constexpr Millis kStoreCallTimeout{900};
@@ -190,6 +193,7 @@
     , departed_(kMaxEndpoints, kDepartedLifetime)
     , unconfirmedTimer_(context)
     , roleTimer_(context)
+    , bodyRoom_({.limit = settings_.memoryBytes / kBodyShare})
     , callers_(context, callerOptions(),
                [this](const auto &caller, HttpRequest request) {
                    onRequest(caller, std::move(request), std::nullopt);
@@ -232,10 +236,14 @@
     options.connectionEnded = [this](ConnectionEnd end, std::size_t unusedBytes) {
         onCallerConnectionEnded(end, unusedBytes);
     };
-    options.serverAnswers = [this](int status, const HttpRequest &head) {
-        return noteRejected(
-                protocol_.readCaller(head).requestId, status, serverAnswerReason(status),
-                status == 503 ? std::optional(kOverloadRetryAfter) : std::nullopt, false);
+    options.bodyRoom = &bodyRoom_;
+    options.serverAnswers = [this](const ServerAnswer &answer) {
+        const std::optional<Millis> retryAfter
+                = answer.status == 503 ? std::optional(answer.roomIn.value_or(kOverloadRetryAfter))
+                                       : std::nullopt;
+        return noteRejected(protocol_.readCaller(answer.head).requestId, answer.status,
+                            answer.roomIn ? "no_room_for_body" : serverAnswerReason(answer.status),
+                            retryAfter, false);
     };
     options.acceptFailed = [this](const std::string &error) {
         logEvent(LogLevel::Error, "accept_failed",
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -456,6 +456,7 @@
     bool announcesStoreChanges_ = false;         ///< Primary or secondary reader.
     asio::steady_timer roleTimer_;
 
+    BodyRoom bodyRoom_;
     AsyncHttpServer callers_;
     AsyncHttpServer readiness_;
     AsyncHttpServer control_;
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -516,6 +516,7 @@
         answerPull(caller, request.target);
     } else if (request.target == kMetricsPath) {
         headers.add("Content-Type", "text/plain; version=0.0.4");
+        counters_.bodyBytes.Set(static_cast<double>(bodyRoom_.used));
         caller->respond(200, std::move(headers), metrics_.serialize());
     } else if (request.target == kDumpPath) {
         headers.add("Content-Type", "application/json");
--- a/src/gateway/gatewayhandover.cpp
+++ b/src/gateway/gatewayhandover.cpp
@@ -226,9 +226,9 @@
     ServerOptions options;
     options.address = settings_.peers;
     options.maxConnections = kMaxHandoverConnections;
-    options.serverAnswers = [this](int status, const HttpRequest &head) {
-        return noteRejected(protocol_.readCaller(head).requestId, status, "handover_unreadable",
-                            std::nullopt, true);
+    options.serverAnswers = [this](const ServerAnswer &answer) {
+        return noteRejected(protocol_.readCaller(answer.head).requestId, answer.status,
+                            "handover_unreadable", std::nullopt, true);
     };
     return options;
 }
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -73,6 +73,8 @@
     , regionRefusals(metrics.counter("cicadafork_gateway_region_refusals_total",
                                      "Requests for which no allowed region had an endpoint in "
                                      "service"))
+    , bodyBytes(metrics.gauge("cicadafork_gateway_body_bytes",
+                              "Bytes that the large bodies of requests take"))
     , metrics_(metrics)
 {
 }
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -47,6 +47,7 @@
     prometheus::Counter &prefixHits;
     prometheus::Counter &prefixTokensSaved;
     prometheus::Counter &regionRefusals;
+    prometheus::Gauge &bodyBytes;
 
 private:
     Metrics &metrics_;
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -3,6 +3,7 @@
 #include "settings/settingsreader.h"
 
 #include <fmt/format.h>
+#include <sys/sysinfo.h>
 
 #include <cmath>
 #include <sstream>
@@ -20,6 +21,13 @@
     target = Millis(std::llround(seconds * 1000));
 }
 
+/// Memory of the machine in bytes; 0 if it is not known.
+std::size_t machineMemory()
+{
+    struct sysinfo info = {};
+    return sysinfo(&info) == 0 ? static_cast<std::size_t>(info.totalram) * info.mem_unit : 0;
+}
+
 /// Reads seeds as a comma-separated list of IP:PORT and keeps the IP addresses only, since all
 /// members use the same peer port.
 void readSeeds(SectionReader &root, GatewaySettings &settings, SettingsProblems &problems)
@@ -86,6 +94,10 @@
     retries.reportUnknownKeys();
     readSeconds(root, "shutdown_grace_s", settings.shutdownGrace);
     root.size("max_descriptors", settings.maxDescriptors, 256, 10'000'000);
+    constexpr std::size_t kMegabyte = 1024 * 1024;
+    std::size_t memoryMegabytes = 0;
+    root.size("memory_mb", memoryMegabytes, 0, 1'000'000);
+    settings.memoryBytes = memoryMegabytes > 0 ? memoryMegabytes * kMegabyte : machineMemory();
     root.choice("prefix_placement", settings.prefixPlacement, {{"off", false}, {"on", true}});
     root.choice("queue_scope", settings.queueScope,
                 {{"daemon", QueueScope::Daemon}, {"fleet", QueueScope::Fleet}});
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -44,6 +44,9 @@
     Millis shutdownGrace{8000};    ///< From SIGTERM to the forced end of the process.
     std::uint16_t metricsPort = 0; ///< On the IP address of peers; 0: metrics only at control.
     std::size_t maxDescriptors = 4096;
+    /// Memory that the process may take, by default all of the machine's; 0: unlimited. Half of
+    /// it is for large bodies of requests.
+    std::size_t memoryBytes = 256 * 1024 * 1024;
     /// Learns whether engines keep the KV cache of prompts and places by it.
     bool prefixPlacement = false;
     QueueScope queueScope = QueueScope::Daemon;
--- a/src/net/message.h
+++ b/src/net/message.h
@@ -7,7 +7,10 @@
 //   if (const std::string *host = headers.find("host"))
 //       ...
 
+#include "net/bodyroom.h"
+
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -56,7 +59,8 @@
     HeaderList headers;
     std::string body;
     bool keepAlive = true;
-    bool acceptsChunked = true; ///< False for HTTP/1.0 callers.
+    bool acceptsChunked = true;           ///< False for HTTP/1.0 callers.
+    std::shared_ptr<const BodyHold> hold; ///< Room for the body; null if it needs none.
 };
 
 struct HttpResponseHead
--- a/src/net/parser.cpp
+++ b/src/net/parser.cpp
@@ -68,6 +68,7 @@
     headComplete_ = false;
     lastWasValue_ = false;
     awaitsContinue_ = false;
+    announcedBytes_ = 0;
 }
 
 std::size_t RequestParser::feed(std::string_view bytes)
@@ -111,6 +112,14 @@
     return false;
 }
 
+std::size_t RequestParser::bodyBytes() const
+{
+    if (announcedBytes_ > 0)
+        return announcedBytes_;
+    const std::size_t received = request_.body.size();
+    return received > kSmallBody ? std::max(received, limits_.maxBodyBytes) : received;
+}
+
 int RequestParser::checkHead()
 {
     const HeaderList &headers = request_.headers;
@@ -162,7 +171,8 @@
     const std::string *expect = self.request_.headers.find("expect");
     self.framing_.isChunked = (parser->flags & F_CHUNKED) != 0;
     if (parser->content_length != kNoLength)
-        self.request_.body.reserve(static_cast<std::size_t>(parser->content_length));
+        self.announcedBytes_ = static_cast<std::size_t>(parser->content_length);
+    self.request_.body.reserve(self.announcedBytes_);
     self.awaitsContinue_ = expect && equalsIgnoringCase(*expect, "100-continue");
     self.headComplete_ = true;
     return kContinueParsing;
--- a/src/net/parser.h
+++ b/src/net/parser.h
@@ -46,6 +46,9 @@
     void setLimits(RequestLimits limits) { limits_ = limits; }
     /// The request as far as it has arrived, with a complete head; null while the head is not.
     const HttpRequest *head() const { return headComplete_ ? &request_ : nullptr; }
+    /// Bytes that the body takes at most. Once more than a small body has come in chunks, that is
+    /// the limit of all bodies.
+    std::size_t bodyBytes() const;
     /// The head is complete and the caller expects "100 Continue" before it sends the body.
     bool awaitsContinue() const { return awaitsContinue_; }
     void continueSent() { awaitsContinue_ = false; }
@@ -77,6 +80,7 @@
     bool headComplete_ = false;
     bool lastWasValue_ = false;
     bool awaitsContinue_ = false;
+    std::size_t announcedBytes_ = 0; ///< As the head states; 0 for chunks.
 };
 
 /// Callbacks of ResponseParser. Informational (1xx) responses are not reported.
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -149,6 +149,11 @@
             failRequest(kServiceUnavailable);
             return;
         }
+        if (!takeRoom()) {
+            const BodyRoom &room = *server_.options_.bodyRoom;
+            failRequest(kServiceUnavailable, timeUntilRoom(room, parser_.bodyBytes(), steadyNow()));
+            return;
+        }
         // The head has a limit as a whole, and a body must make progress.
         const bool progress = begins || parser_.head();
         if (parser_.state() == ParseState::Reading && role_ == Role::Serve && progress)
@@ -164,22 +169,36 @@
         return;
     timer_.cancel();
     HttpRequest request = parser_.take();
+    request.hold = std::move(hold_);
     handlingRequest_ = true;
     keepAlive_ = request.keepAlive;
     acceptsChunked_ = request.acceptsChunked;
     server_.handler_(shared_from_this(), std::move(request));
 }
 
-void HttpServerConnection::failRequest(int status)
+bool HttpServerConnection::takeRoom()
+{
+    BodyRoom *room = server_.options_.bodyRoom;
+    if (!room || hold_ || !parser_.head() || parser_.bodyBytes() <= kSmallBody)
+        return true;
+    if (!hasRoom(*room, parser_.bodyBytes()))
+        return false;
+    hold_ = std::make_shared<const BodyHold>(*room, parser_.bodyBytes());
+    return true;
+}
+
+void HttpServerConnection::failRequest(int status, std::optional<Millis> roomIn)
 {
     // The start of the next request is unknown, so the connection must close.
     keepAlive_ = false;
     handlingRequest_ = true;
     input_.clear();
+    hold_.reset();
     HeaderList headers;
     if (server_.options_.serverAnswers) {
         const HttpRequest *head = parser_.head();
-        headers = server_.options_.serverAnswers(status, head ? *head : HttpRequest{});
+        const HttpRequest empty;
+        headers = server_.options_.serverAnswers({status, head ? *head : empty, roomIn});
     }
     respond(status, std::move(headers), {});
 }
@@ -417,6 +436,7 @@
         server_.options_.connectionEnded(end, input_.size() + unread);
     }
     socket_.close(ignored);
+    hold_.reset();
     handlingRequest_ = false;
     server_.onConnectionClosed(id_, role_);
 }
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -24,6 +24,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -44,6 +45,15 @@
 
 const char *toString(ConnectionEnd end);
 
+/// A request that the server answers itself.
+struct ServerAnswer
+{
+    int status = 0;
+    const HttpRequest &head; ///< Empty unless the request's head is complete.
+    /// When room for the body can be expected; unset unless the request is refused for lack of it.
+    std::optional<Millis> roomIn = std::nullopt;
+};
+
 struct ServerOptions
 {
     Address address;
@@ -63,8 +73,11 @@
     /// no complete request.
     std::function<void(ConnectionEnd end, std::size_t unusedBytes)> connectionEnded = {};
     /// Called when the server itself answers a request that the handler does not get; returns the
-    /// header fields of the answer. `head` is empty unless the request's head is complete.
-    std::function<HeaderList(int status, const HttpRequest &head)> serverAnswers = {};
+    /// header fields of the answer.
+    std::function<HeaderList(const ServerAnswer &answer)> serverAnswers = {};
+    /// Requests whose body finds no room are refused with 503. Must outlive the server and all
+    /// requests; null: unlimited.
+    BodyRoom *bodyRoom = nullptr;
     /// Called when accepting begins to fail, for example for lack of descriptors.
     std::function<void(const std::string &error)> acceptFailed = {};
 };
@@ -115,7 +128,9 @@
     void onReadable();
     void consume();
     /// Answers a request that has not arrived in full, and closes the connection.
-    void failRequest(int status);
+    void failRequest(int status, std::optional<Millis> roomIn = std::nullopt);
+    /// Takes room for the body that arrives. Returns false if there is none.
+    bool takeRoom();
     /// When the part of a request that is awaited has to be here.
     TimePoint inputDeadline() const;
     void awaitInput();
@@ -137,7 +152,8 @@
     asio::steady_timer timer_;
     TimePoint inputAwaitedSince_{};
     RequestParser parser_;
-    std::string input_; ///< Received bytes that are not parsed yet.
+    std::shared_ptr<const BodyHold> hold_; ///< Room for the body that arrives.
+    std::string input_;                    ///< Received bytes that are not parsed yet.
     std::string output_;
     std::size_t written_ = 0;
     std::function<void()> disconnectHandler_;
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -361,6 +361,58 @@
     STRCMP_EQUAL("HTTP/1.1 413", statusOf(large).c_str());
 }
 
+// Guards against large bodies that take the process over its memory, and against small requests
+// that are refused beside them.
+TEST(NetServer, largeBodiesFindRoomOrAreRefused)
+{
+    struct Case
+    {
+        const char *name;
+        std::size_t limit;
+        std::size_t used; ///< By other requests.
+        std::size_t body;
+        bool chunks;
+        bool served;
+    };
+    constexpr std::size_t kLarge = 100'000;
+    const Case cases[] = {
+            {"within the limit", 250'000, 100'000, kLarge, false, true},
+            {"beyond the limit", 250'000, 200'000, kLarge, false, false},
+            {"chunks within the limit", 400'000, 100'000, kLarge, true, true},
+            {"chunks that may pass the limit", 400'000, 200'000, kLarge, true, false},
+            {"small", 250'000, 250'000, 600, false, true},
+            {"small, in chunks", 250'000, 250'000, 600, true, true},
+            {"no limit", 0, 250'000, kLarge, false, true},
+    };
+    for (const Case &row : cases) {
+        BodyRoom room{.limit = row.limit, .used = row.used};
+        std::optional<Millis> roomIn;
+        start({.address = address,
+               .limits = {.maxBodyBytes = 250'000},
+               .serverAnswers =
+                       [&](const ServerAnswer &answer) {
+                           roomIn = answer.roomIn;
+                           return HeaderList();
+                       },
+               .bodyRoom = &room});
+        const std::string content(row.body, 'x');
+        const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n";
+        connectAndSend(row.chunks
+                               ? fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n0"
+                                             "\r\n\r\n",
+                                             head, content.size(), content)
+                               : fmt::format("{}Content-Length: {}\r\n\r\n{}", head, content.size(),
+                                             content));
+        const std::string answer = readAllWhileServing(callers.back());
+        STRCMP_EQUAL_TEXT(row.served ? "HTTP/1.1 200" : "HTTP/1.1 503",
+                          answer.substr(0, 12).c_str(), row.name);
+        CHECK_EQUAL_TEXT(!row.served, roomIn.has_value(), row.name);
+        LONGS_EQUAL_TEXT(row.used, room.used, row.name);
+        callers.clear();
+        server.reset();
+    }
+}
+
 // Guards against a caller that gets neither an answer nor a refusal because its request is slow.
 TEST(NetServer, requestThatDoesNotArriveInFullIsAnswered)
 {
@@ -565,3 +617,30 @@
         CHECK_TRUE_TEXT(received >= body.size(), callerHalfCloses ? "half-closed" : "open");
     }
 }
+
+TEST_GROUP(BodyRoom){};
+
+// Guards against callers that come back at once, or much too late, for room that others free.
+TEST(BodyRoom, tellsWhenRoomCanBeExpected)
+{
+    struct Case
+    {
+        const char *name;
+        std::size_t used;
+        double freedBytes; ///< By now, with the fading of five seconds.
+        Millis expected;
+    };
+    const TimePoint now(std::chrono::seconds(1000));
+    const Case cases[] = {
+            {"room is left", 500, 0, Millis(0)},
+            {"nothing is known", 1000, 0, Millis(5000)},
+            {"500 bytes at 250 a second", 1000, 1250, Millis(2000)},
+            {"at a high rate", 1000, 1'000'000, Millis(200)},
+            {"at a low rate", 1000, 10, Millis(5000)},
+    };
+    for (const Case &row : cases) {
+        const BodyRoom room{
+                .limit = 1000, .used = row.used, .freedBytes = row.freedBytes, .freedAt = now};
+        LONGS_EQUAL_TEXT(row.expected.count(), timeUntilRoom(room, 500, now).count(), row.name);
+    }
+}
