--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -41,11 +41,6 @@
 // Expected time of a call to a service without an engine model.
 constexpr FloatMillis kExpectedCallTime{30};
 
-bool endsWithItsConnection(const HttpResponseHead &head)
-{
-    return !head.headers.find("content-length") && !head.headers.find("transfer-encoding");
-}
-
 } // namespace
 
 void Gateway::send(Exchange &exchange, const Placement &placement)
@@ -203,7 +198,7 @@
         headers.set("Content-Length", std::to_string(exchange.request.body.size()));
     UpstreamRequest request;
     request.head = serializeRequestHead(exchange.request.method, exchange.request.target, headers);
-    request.body = exchange.request.body;
+    request.borrowedBody = exchange.request.body;
     request.idHash = fnv1a64(exchange.requestId);
     request.sendBy = std::min(exchange.deadline, steadyNow() + kMaxSendDelay);
     attempt.sendBy = request.sendBy;
@@ -283,6 +278,11 @@
                 return;
             continue;
         }
+        if (!isWellFormedEvent(event)) {
+            noteBrokenAnswer(exchange, attempt);
+            failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_malformed");
+            return;
+        }
         noteProgress(exchange, attempt);
         const auto id = eventId(event);
         const bool resumes = exchange.lastEventId && attempt.events == 0;
@@ -485,7 +485,7 @@
 
 void Gateway::finishRelay(Exchange &exchange, Attempt &attempt)
 {
-    if (attempt.events == 0 && attempt.body.empty() && endsWithItsConnection(attempt.head)) {
+    if (attempt.events == 0 && attempt.body.empty() && attempt.head.bodyEndsAtClose) {
         // Nothing shows that the answer is whole: an endpoint that crashes may end it like this.
         noteBrokenAnswer(exchange, attempt);
         failAttempt(exchange, attempt, EndpointFailure::Broken, true, "no_events");
--- a/src/net/message.h
+++ b/src/net/message.h
@@ -7,7 +7,10 @@
 //   if (const std::string *host = headers.find("host"))
 //       ...
 
+#include "net/bodyroom.h"
+
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -33,6 +36,8 @@
     const std::string *find(std::string_view name) const;
     /// Number of fields with this name.
     std::size_t count(std::string_view name) const;
+    /// True if one of the fields with this name lists the token; values are separated by commas.
+    bool listsToken(std::string_view name, std::string_view token) const;
     /// Removes all fields with this name.
     void remove(std::string_view name);
     /// Replaces all fields with this name by a single one.
@@ -54,7 +59,8 @@
     HeaderList headers;
     std::string body;
     bool keepAlive = true;
-    bool acceptsChunked = true; ///< False for HTTP/1.0 callers.
+    bool acceptsChunked = true;           ///< False for HTTP/1.0 callers.
+    std::shared_ptr<const BodyHold> hold; ///< Room for the body; null if it needs none.
 };
 
 struct HttpResponseHead
@@ -64,6 +70,7 @@
     /// The response has neither Content-Length nor chunked encoding, so its body extends to the end
     /// of the connection.
     bool bodyEndsAtClose = false;
+    bool isHttp10 = false;
 };
 
 /// Reason phrase of a status code; "Status" for codes that are not in the table.
--- a/src/net/parser.cpp
+++ b/src/net/parser.cpp
@@ -1,5 +1,7 @@
 #include "net/parser.h"
 
+#include "net/headrules.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -12,8 +14,6 @@
 constexpr std::size_t kMaxResponseHeaderBytes = 64 * 1024;
 // How a status line begins; '#' stands for a digit and '|' for a space or the end of the line.
 constexpr std::string_view kStatusLineBegin = "HTTP/1.# ###|";
-constexpr unsigned kLeastStatus = 100;
-constexpr unsigned kLargestStatus = 599;
 // http_parser's content_length for a message without Content-Length.
 constexpr std::uint64_t kNoLength = std::numeric_limits<std::uint64_t>::max();
 // In on_headers_complete, 0 makes http_parser read the body as usual; 1 and 2 skip it.
@@ -48,40 +48,6 @@
     return settings;
 }
 
-bool isTokenCharacter(char character)
-{
-    const bool alphanumeric = (character >= 'a' && character <= 'z')
-                              || (character >= 'A' && character <= 'Z')
-                              || (character >= '0' && character <= '9');
-    return alphanumeric
-           || std::string_view("!#$%&'*+-.^_`|~").find(character) != std::string_view::npos;
-}
-
-/// Control characters other than tab could make another parser see additional header fields.
-bool hasNoControlCharacters(std::string_view value)
-{
-    return std::ranges::none_of(value, [](char character) {
-        return (static_cast<unsigned char>(character) < ' ' && character != '\t')
-               || character == 0x7f;
-    });
-}
-
-/// True if every recipient reads the same fields and determines the same length of the body.
-bool isWellFormed(const HeaderList &headers)
-{
-    for (const HeaderField &field : headers.fields()) {
-        if (field.name.empty() || !std::ranges::all_of(field.name, isTokenCharacter)
-            || !hasNoControlCharacters(field.value))
-            return false;
-    }
-    const std::string *coding = headers.find("transfer-encoding");
-    const std::size_t lengths = headers.count("content-length");
-    if (!coding)
-        return lengths <= 1;
-    return lengths == 0 && headers.count("transfer-encoding") == 1
-           && equalsIgnoringCase(*coding, "chunked");
-}
-
 } // namespace
 
 RequestParser::RequestParser(RequestLimits limits)
@@ -95,12 +61,14 @@
     http_parser_init(&parser_, HTTP_REQUEST);
     parser_.data = this;
     request_ = {};
+    framing_ = {};
     state_ = ParseState::Reading;
     headerBytes_ = 0;
     started_ = false;
     headComplete_ = false;
     lastWasValue_ = false;
     awaitsContinue_ = false;
+    announcedBytes_ = 0;
 }
 
 std::size_t RequestParser::feed(std::string_view bytes)
@@ -108,16 +76,22 @@
     if (state_ != ParseState::Reading || bytes.empty())
         return 0;
     started_ = true;
-    const std::size_t used
-            = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
-    if (state_ == ParseState::Complete) {
-        http_parser_pause(&parser_, 0);
-        return used;
-    }
-    if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
-        state_ = ParseState::Failed;
-        if (failureStatus_ == 0)
-            failureStatus_ = HTTP_PARSER_ERRNO(&parser_) == HPE_HEADER_OVERFLOW ? 431 : 400;
+    std::size_t used = 0;
+    while (state_ == ParseState::Reading && used < bytes.size()) {
+        const auto next = admit(framing_, bytes.substr(used));
+        if (!next) {
+            state_ = ParseState::Failed;
+            failureStatus_ = 400;
+            break;
+        }
+        used += http_parser_execute(&parser_, &callbacks(), next->data(), next->size());
+        if (state_ == ParseState::Complete) {
+            http_parser_pause(&parser_, 0);
+        } else if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
+            state_ = ParseState::Failed;
+            if (failureStatus_ == 0)
+                failureStatus_ = HTTP_PARSER_ERRNO(&parser_) == HPE_HEADER_OVERFLOW ? 431 : 400;
+        }
     }
     return used;
 }
@@ -138,10 +112,19 @@
     return false;
 }
 
+std::size_t RequestParser::bodyBytes() const
+{
+    if (announcedBytes_ > 0)
+        return announcedBytes_;
+    const std::size_t received = request_.body.size();
+    return received > kSmallBody ? std::max(received, limits_.maxBodyBytes) : received;
+}
+
 int RequestParser::checkHead()
 {
     const HeaderList &headers = request_.headers;
-    if (!isWellFormed(headers))
+    const bool isHttp10 = parser_.http_major == 1 && parser_.http_minor == 0;
+    if (!isWellFormed(headers) || (isHttp10 && headers.find("transfer-encoding")))
         return 400;
     if (headers.count("host") != 1 || request_.target.empty() || request_.target.front() != '/')
         return 400;
@@ -186,6 +169,10 @@
             = parser->http_major > 1 || (parser->http_major == 1 && parser->http_minor >= 1);
     self.request_.keepAlive = http_should_keep_alive(parser) != 0 && parser->upgrade == 0;
     const std::string *expect = self.request_.headers.find("expect");
+    self.framing_.isChunked = (parser->flags & F_CHUNKED) != 0;
+    if (parser->content_length != kNoLength)
+        self.announcedBytes_ = static_cast<std::size_t>(parser->content_length);
+    self.request_.body.reserve(self.announcedBytes_);
     self.awaitsContinue_ = expect && equalsIgnoringCase(*expect, "100-continue");
     self.headComplete_ = true;
     return kContinueParsing;
@@ -232,6 +219,9 @@
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
     head_ = {};
+    framing_ = {};
+    undeclaredChunks_.reset();
+    fault_ = nullptr;
     state_ = ParseState::Reading;
     statusLineRead_ = 0;
     headerBytes_ = 0;
@@ -246,12 +236,16 @@
     std::size_t used = 0;
     while (state_ == ParseState::Reading && used < bytes.size()) {
         started_ = true;
-        if (!readStatusLine(bytes.substr(used))) {
-            state_ = ParseState::Failed;
+        const auto next = admit(framing_, bytes.substr(used));
+        if (!next) {
+            fail("framing");
             break;
         }
-        used += http_parser_execute(&parser_, &callbacks(), bytes.data() + used,
-                                    bytes.size() - used);
+        if (!readStatusLine(*next)) {
+            fail("status_line");
+            break;
+        }
+        used += http_parser_execute(&parser_, &callbacks(), next->data(), next->size());
         if (state_ == ParseState::Complete) {
             if (!informational_)
                 break;
@@ -259,11 +253,18 @@
             continue;
         }
         if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK)
-            state_ = ParseState::Failed;
+            fail(http_errno_name(HTTP_PARSER_ERRNO(&parser_)));
     }
     return used;
 }
 
+void ResponseParser::fail(const char *fault)
+{
+    state_ = ParseState::Failed;
+    if (!fault_)
+        fault_ = fault;
+}
+
 // The package of http_parser is built without its strict mode, which checks the protocol's name.
 bool ResponseParser::readStatusLine(std::string_view bytes)
 {
@@ -283,6 +284,10 @@
 {
     if (state_ != ParseState::Reading)
         return;
+    if (undeclaredChunks_ && undeclaredChunks_->phase == ChunkPhase::Done) {
+        fail("undeclared_chunks");
+        return;
+    }
     http_parser_execute(&parser_, &callbacks(), nullptr, 0);
     if (state_ == ParseState::Reading)
         state_ = ParseState::Failed;
@@ -309,17 +314,18 @@
 int ResponseParser::onHeadersComplete(http_parser *parser)
 {
     auto &self = *static_cast<ResponseParser *>(parser->data);
-    const bool isKnownStatus
-            = parser->status_code >= kLeastStatus && parser->status_code <= kLargestStatus;
-    if (!isKnownStatus || !isWellFormed(self.head_.headers))
-        return -1;
     self.informational_ = parser->status_code / 100 == 1;
+    self.framing_.isChunked = (parser->flags & F_CHUNKED) != 0;
+    self.head_.status = static_cast<int>(parser->status_code);
+    self.head_.isHttp10 = parser->http_minor == 0;
+    self.head_.bodyEndsAtClose = statesNoLength(self.head_);
+    self.fault_ = headFault(self.head_);
+    if (self.fault_)
+        return -1;
     if (self.informational_)
         return kContinueParsing;
-    self.head_.status = static_cast<int>(parser->status_code);
-    self.head_.bodyEndsAtClose = (parser->flags & F_CHUNKED) == 0
-                                 && parser->content_length == kNoLength
-                                 && parser->status_code != 204 && parser->status_code != 304;
+    if (self.head_.bodyEndsAtClose)
+        self.undeclaredChunks_.emplace();
     self.events_.head(std::move(self.head_));
     return kContinueParsing;
 }
@@ -327,6 +333,8 @@
 int ResponseParser::onBody(http_parser *parser, const char *at, std::size_t length)
 {
     auto &self = *static_cast<ResponseParser *>(parser->data);
+    if (self.undeclaredChunks_ && advance(*self.undeclaredChunks_, {at, length}) < length)
+        self.undeclaredChunks_.reset();
     if (!self.informational_)
         self.events_.body({at, length});
     return kContinueParsing;
--- a/src/net/parser.h
+++ b/src/net/parser.h
@@ -10,12 +10,14 @@
 // Framing is strict, to prevent request smuggling: a message whose length two parsers could
 // determine differently is rejected.
 
+#include "net/framing.h"
 #include "net/message.h"
 
 #include <http_parser.h>
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string_view>
 
 namespace cicadafork {
@@ -44,6 +46,9 @@
     void setLimits(RequestLimits limits) { limits_ = limits; }
     /// The request as far as it has arrived, with a complete head; null while the head is not.
     const HttpRequest *head() const { return headComplete_ ? &request_ : nullptr; }
+    /// Bytes that the body takes at most. Once more than a small body has come in chunks, that is
+    /// the limit of all bodies.
+    std::size_t bodyBytes() const;
     /// The head is complete and the caller expects "100 Continue" before it sends the body.
     bool awaitsContinue() const { return awaitsContinue_; }
     void continueSent() { awaitsContinue_ = false; }
@@ -66,6 +71,7 @@
 
     RequestLimits limits_;
     http_parser parser_{};
+    MessageFraming framing_;
     HttpRequest request_;
     ParseState state_ = ParseState::Reading;
     int failureStatus_ = 0;
@@ -74,6 +80,7 @@
     bool headComplete_ = false;
     bool lastWasValue_ = false;
     bool awaitsContinue_ = false;
+    std::size_t announcedBytes_ = 0; ///< As the head states; 0 for chunks.
 };
 
 /// Callbacks of ResponseParser. Informational (1xx) responses are not reported.
@@ -92,12 +99,15 @@
     /// Returns the number of bytes consumed; stops at the end of a response.
     std::size_t feed(std::string_view bytes);
     /// To be called after an orderly close of the connection. Completes a response whose body
-    /// extends to the end of the connection; any other unfinished response fails.
+    /// extends to the end of the connection. Any other unfinished response fails, and so does a
+    /// body in chunked coding if the head does not state the coding.
     void finish();
     /// Prepares for the next response of the connection.
     void reset();
 
     ParseState state() const { return state_; }
+    /// Why the response was turned down, for the log; null if it is whole or merely breaks off.
+    const char *fault() const { return fault_; }
     /// Whether any byte of the response has arrived.
     bool started() const { return started_; }
     /// Whether the connection may be reused. Valid only in the state Complete.
@@ -111,12 +121,18 @@
     static int onMessageComplete(http_parser *parser);
     static const http_parser_settings &callbacks();
 
+    void fail(const char *fault);
     /// Checks the bytes that belong to the begin of the status line. Returns false if they cannot.
     bool readStatusLine(std::string_view bytes);
 
     ResponseEvents events_;
     http_parser parser_{};
+    MessageFraming framing_;
     HttpResponseHead head_;
+    /// Position in the body if it were chunked. Set while a body that its head says nothing of can
+    /// be one.
+    std::optional<ChunkFraming> undeclaredChunks_;
+    const char *fault_ = nullptr;
     ParseState state_ = ParseState::Reading;
     std::size_t statusLineRead_ = 0; ///< Bytes of its begin that have been checked.
     std::size_t headerBytes_ = 0;
