--- a/review/endlessorders.cpp
+++ b/review/endlessorders.cpp
@@ -16,11 +16,11 @@
 
 namespace {
 
-constexpr Millis kRun{30'000};
+constexpr Millis kRun{45'000};
 constexpr unsigned kCallConnections = 8; // At each daemon.
 constexpr Millis kCallWork{90};
 constexpr Millis kCallPause{30};
-constexpr Millis kReportInterval{1000};
+constexpr Millis kReportInterval{700};
 constexpr Millis kFirstEvent{400};
 constexpr Millis kEventGap{46};
 constexpr unsigned kEvents = 20;
@@ -190,10 +190,10 @@
 };
 
 void sendCalls(const Daemon &daemon, Lost &lost, Runs &runs, Journal &journal,
-               Clock::time_point end)
+               const std::atomic<bool> &stopping)
 {
     Client client(daemon.front());
-    while (Clock::now() < end) {
+    while (!stopping) {
         Message call = request("/alerts/2f", "1500");
         call.body = std::string(600, 'b');
         const std::string id = *call.find("Request-Id");
@@ -275,13 +275,16 @@
     }
     std::this_thread::sleep_for(Millis(3500)); // Until the daemons are in touch.
     const auto end = Clock::now() + kRun;
+    std::atomic<bool> stopping{false};
     std::vector<Lost> lost(daemons.size());
     std::vector<std::thread> clients;
     for (std::size_t i = 0; i < daemons.size(); ++i) {
         for (unsigned j = 0; j < kCallConnections; ++j)
-            clients.emplace_back([&, i] { sendCalls(*daemons[i], lost[i], runs, journal, end); });
+            clients.emplace_back(
+                    [&, i] { sendCalls(*daemons[i], lost[i], runs, journal, stopping); });
     }
     sendReports(daemons, journal, end);
+    stopping = true;
     for (std::thread &client : clients)
         client.join();
     bool broken = false;
--- a/review/testbed.cpp
+++ b/review/testbed.cpp
@@ -405,9 +405,34 @@
     grown_.notify_all();
 }
 
+void Store::turnAway(std::set<std::string> ips)
+{
+    const std::lock_guard lock(mutex_);
+    turnedAway_ = std::move(ips);
+    grown_.notify_all();
+}
+
+std::map<std::string, unsigned> Store::takeReads()
+{
+    const std::lock_guard lock(mutex_);
+    return std::exchange(reads_, {});
+}
+
 bool Store::onRequest(Connection &connection, const Message &request)
 {
     const std::string topic = parameter(request.target, "topic");
+    const std::string caller = connection.remoteIp();
+    const auto isTurnedAway = [&] {
+        const std::lock_guard lock(mutex_);
+        return turnedAway_.contains(caller);
+    };
+    const std::string refusal = response(503, {{"Store-Era", "1"}}, {});
+    if (isTurnedAway())
+        return connection.write(refusal);
+    if (topic == "keyed.servers") {
+        const std::lock_guard lock(mutex_);
+        ++reads_[caller];
+    }
     std::string body;
     std::string type = "application/json";
     if (request.target.starts_with("/cicadafork/log-newest")) {
@@ -423,6 +448,8 @@
     } else {
         return connection.write(response(404, {}, {}));
     }
+    if (isTurnedAway())
+        return connection.write(refusal);
     return connection.write(response(200, {{"Store-Era", "1"}, {"Content-Type", type}}, body));
 }
 
--- a/review/testbed.h
+++ b/review/testbed.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <sys/types.h>
@@ -132,6 +133,10 @@
 
     /// An empty value deletes the key.
     void put(const std::string &topic, const std::string &key, const std::string &value);
+    /// Answers 503 to the calls of these hosts.
+    void turnAway(std::set<std::string> ips);
+    /// Calls for the records of the replicas since the last time that this was asked, by host.
+    std::map<std::string, unsigned> takeReads();
 
 private:
     struct Record
@@ -148,6 +153,8 @@
     std::mutex mutex_;
     std::condition_variable grown_;
     std::map<std::string, std::vector<Record>> topics_;
+    std::set<std::string> turnedAway_;
+    std::map<std::string, unsigned> reads_;
     std::unique_ptr<Server> server_;
 };
 
