Remove the fields that a Connection field names in one pass

HeaderList::removeHopByHop() went through all fields once for each name that the Connection field lists, so the work grew with the product of both. Heads of endpoints may have 64 KiB, those of callers what the configuration allows.

--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <unordered_set>
 
 namespace cicadafork {
 
@@ -15,6 +16,14 @@
                                                 : character;
 }
 
+std::string toLowerAscii(std::string_view text)
+{
+    std::string lower(text);
+    for (char &character : lower)
+        character = toLowerAscii(character);
+    return lower;
+}
+
 constexpr std::array<std::string_view, 8> kHopByHopFields
         = {"connection", "keep-alive",        "proxy-connection", "te",
            "trailer",    "transfer-encoding", "upgrade",          "expect"};
@@ -103,17 +112,19 @@
 
 void HeaderList::removeHopByHop()
 {
-    std::vector<std::string> named;
+    // Both the fields and the names that they list may be many.
+    std::unordered_set<std::string> names;
+    for (const std::string_view name : kHopByHopFields)
+        names.emplace(name);
     for (const HeaderField &field : fields_) {
         if (!equalsIgnoringCase(field.name, "connection"))
             continue;
         for (const std::string_view name : tokensOf(field.value))
-            named.emplace_back(name);
+            names.insert(toLowerAscii(name));
     }
-    for (std::string_view name : kHopByHopFields)
-        remove(name);
-    for (const std::string &name : named)
-        remove(name);
+    std::erase_if(fields_, [&](const HeaderField &field) {
+        return names.contains(toLowerAscii(field.name));
+    });
 }
 
 const char *reasonPhrase(int status)
--- a/tests/unit/netparser_test.cpp
+++ b/tests/unit/netparser_test.cpp
@@ -345,3 +345,23 @@
         remaining += field.name + " ";
     STRCMP_EQUAL("Host Kept ", remaining.c_str());
 }
+
+// Guards against work that grows with the product of a head's fields and the names that it lists.
+TEST(HeaderList, removesManyListedFieldsAtOnce)
+{
+    // As many as a head of the largest size holds.
+    constexpr unsigned kFields = 8000;
+    constexpr Millis kLongestPause{50};
+    HeaderList headers;
+    std::string listed;
+    for (unsigned i = 0; i < kFields; ++i) {
+        headers.add(fmt::format("a{:04x}", i), {});
+        listed += fmt::format("b{:04x},", i);
+    }
+    headers.add("Connection", listed);
+    const TimePoint begin = steadyNow();
+    headers.removeHopByHop();
+    const auto took = std::chrono::ceil<Millis>(steadyNow() - begin);
+    CHECK_TRUE_TEXT(took < kLongestPause, fmt::format("{} ms", took.count()).c_str());
+    LONGS_EQUAL(kFields, headers.fields().size());
+}
