Search the bytes of a stream for the end of an event only once

Cause: takeEvent() searched the whole received part of the event, up to 1 MiB, for three kinds of blank line, for each piece that arrived. The limit of an event's size bounds the memory, not this work.

EventBuffer keeps the position up to which it has searched, and moves its bytes only when others arrive after an event was taken, which costs no more than receiving them did. The events of one read are written to the caller together: short ones took a write each.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -102,21 +102,6 @@
     return facts.relaying ? end : std::min(end, refusal);
 }
 
-std::string takeEvent(std::string &buffer)
-{
-    std::size_t end = std::string::npos;
-    for (const std::string_view blankLine : {"\n\n", "\r\n\r\n", "\n\r\n"}) {
-        const std::size_t at = buffer.find(blankLine);
-        if (at != std::string::npos)
-            end = std::min(end, at + blankLine.size());
-    }
-    if (end == std::string::npos)
-        return {};
-    std::string event = buffer.substr(0, end);
-    buffer.erase(0, end);
-    return event;
-}
-
 bool isComment(std::string_view event)
 {
     while (!event.empty()) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -7,6 +7,7 @@
 //
 // The gateway owns the exchanges and acts on the decisions.
 
+#include "gateway/eventbuffer.h"
 #include "gateway/loadtracker.h"
 #include "gateway/placement.h"
 #include "gateway/protocol.h"
@@ -64,7 +65,8 @@
     std::string comments;       ///< Those that go to the caller with the next event.
     HttpResponseHead head;
     ReplyFields reply;
-    std::string body; ///< The whole answer, or for a stream the received part of the next event.
+    std::string body;          ///< The whole answer; empty if it is a stream.
+    EventBuffer pendingEvents; ///< What has arrived of a stream and is not relayed.
     std::vector<DispatchHelper> helpers;
     std::unique_ptr<Reservation> reservation; ///< Memory at helpers; null if none is needed.
     std::unique_ptr<UpstreamCall> call;       ///< Null until the memory is reserved.
@@ -183,10 +185,6 @@
 /// whose answer has not begun is refused before its caller leaves.
 TimePoint endOfWait(const WaitFacts &facts, TimePoint now);
 
-/// Removes the first complete server-sent event, including its blank line, from the buffer and
-/// returns it; returns an empty string when the buffer holds no complete event.
-std::string takeEvent(std::string &buffer);
-
 /// True if the event consists of comments.
 bool isComment(std::string_view event);
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -199,10 +199,15 @@
     void undoSend(Exchange &exchange, const Attempt &attempt);
     /// Delays the next attempt if every endpoint that could serve the request was tried.
     void delayReconnect(Exchange &exchange);
+    /// Relays the complete events that have arrived.
     void relayEvents(Exchange &exchange, Attempt &attempt);
-    /// Holds comments back until an event shows which attempt answers. Returns false if the attempt
-    /// or the exchange has ended.
-    bool relayComment(Exchange &exchange, Attempt &attempt, std::string comment);
+    /// Adds the event to what goes to the caller. Returns why the attempt fails; null if it does
+    /// not.
+    const char *relayEvent(Exchange &exchange, Attempt &attempt, const std::string &event,
+                           std::string &relayed);
+    /// The same for a comment, which is held back until an event shows which attempt answers.
+    static const char *relayComment(const Exchange &exchange, Attempt &attempt,
+                                    const std::string &comment, std::string &relayed);
     static void noteFirstEvent(Attempt &attempt);
     void beginRelay(Exchange &exchange);
     void forwardWholeAnswer(Exchange &exchange, Attempt &attempt);
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -258,11 +258,12 @@
         failInvalidAnswer(*exchange, *attempt);
         return;
     }
-    attempt->body += bytes;
     if (attempt->streams) {
+        append(attempt->pendingEvents, bytes);
         relayEvents(*exchange, *attempt);
         return;
     }
+    attempt->body += bytes;
     noteProgress(*exchange, *attempt);
     if (attempt->body.size() > kMaxWholeAnswerBytes)
         failAttempt(*exchange, *attempt, EndpointFailure::Broken, true, "answer_too_large");
@@ -270,77 +271,83 @@
 
 void Gateway::relayEvents(Exchange &exchange, Attempt &attempt)
 {
-    for (std::string event = takeEvent(attempt.body); !event.empty();
-         event = takeEvent(attempt.body)) {
+    // Written together, as a write for each of many short events would hold up the event loop.
+    std::string relayed;
+    const char *fault = nullptr;
+    while (!fault) {
+        const std::string event = takeEvent(attempt.pendingEvents);
+        if (event.empty())
+            break;
         // An endpoint that has stalled may go on sending single bytes or comments.
-        if (isComment(event)) {
-            if (!relayComment(exchange, attempt, std::move(event)))
-                return;
-            continue;
-        }
-        if (!isWellFormedEvent(event)) {
-            noteBrokenAnswer(exchange, attempt);
-            failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_malformed");
-            return;
-        }
-        noteProgress(exchange, attempt);
-        const auto id = eventId(event);
-        const bool resumes = exchange.lastEventId && attempt.events == 0;
-        if (resumes && !id) {
-            // Ids tell where a stream goes on, so this belongs to another kind of answer.
-            noteBrokenAnswer(exchange, attempt);
-            failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_without_id");
-            return;
-        }
-        if (attempt.events++ == 0)
-            noteFirstEvent(attempt);
-        // Drops events that the caller already has. An endpoint that was given the last event id
-        // sends only later events; one that starts from the beginning repeats the earlier ones.
-        if (id && exchange.lastEventId && *id <= *exchange.lastEventId)
-            continue;
-        settleOn(exchange, attempt);
-        if (exchange.state != ExchangeState::Relaying)
-            beginRelay(exchange);
-        if (id)
-            exchange.lastEventId = id;
-        const Job *job = loadTracker_.find(attempt.job);
-        const bool first = exchange.eventsRelayed == 0 || !job || !job->started;
-        if (first)
-            noteFirstAnswer(exchange);
-        const TimePoint now = steadyNow();
-        if (exchange.eventsRelayed > 0)
-            exchange.longestGap
-                    = std::max(exchange.longestGap, FloatMillis(now - exchange.lastEventAt));
-        exchange.lastEventAt = now;
-        ++exchange.eventsRelayed;
-        if (first)
-            armTimer(exchange); // The limit of a silence is lower from now on.
-        exchange.caller->write(attempt.comments + event);
-        if (!exchange.attempt)
-            return; // The caller has disconnected.
-        attempt.comments.clear();
+        fault = isComment(event) ? relayComment(exchange, attempt, event, relayed)
+                                 : relayEvent(exchange, attempt, event, relayed);
     }
-    if (attempt.body.size() > kMaxEventBytes) {
-        failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_too_large");
-        return;
-    }
-    if (exchange.caller->unsentBytes() > kMaxUnsentBytes)
+    if (!fault && rest(attempt.pendingEvents).size() > kMaxEventBytes)
+        fault = "event_too_large";
+    exchange.caller->write(relayed);
+    if (!exchange.attempt)
+        return; // The caller has disconnected.
+    if (fault)
+        failAttempt(exchange, attempt, EndpointFailure::Broken, true, fault);
+    else if (exchange.caller->unsentBytes() > kMaxUnsentBytes)
         abortStream(exchange, "slow_caller");
 }
 
-bool Gateway::relayComment(Exchange &exchange, Attempt &attempt, std::string comment)
+const char *Gateway::relayEvent(Exchange &exchange, Attempt &attempt, const std::string &event,
+                                std::string &relayed)
+{
+    if (!isWellFormedEvent(event)) {
+        noteBrokenAnswer(exchange, attempt);
+        return "event_malformed";
+    }
+    noteProgress(exchange, attempt);
+    const auto id = eventId(event);
+    const bool resumes = exchange.lastEventId && attempt.events == 0;
+    if (resumes && !id) {
+        // Ids tell where a stream goes on, so this belongs to another kind of answer.
+        noteBrokenAnswer(exchange, attempt);
+        return "event_without_id";
+    }
+    if (attempt.events++ == 0)
+        noteFirstEvent(attempt);
+    // Drops events that the caller already has. An endpoint that was given the last event id
+    // sends only later events; one that starts from the beginning repeats the earlier ones.
+    if (id && exchange.lastEventId && *id <= *exchange.lastEventId)
+        return nullptr;
+    settleOn(exchange, attempt);
+    if (exchange.state != ExchangeState::Relaying)
+        beginRelay(exchange);
+    if (id)
+        exchange.lastEventId = id;
+    const Job *job = loadTracker_.find(attempt.job);
+    const bool first = exchange.eventsRelayed == 0 || !job || !job->started;
+    if (first)
+        noteFirstAnswer(exchange);
+    const TimePoint now = steadyNow();
+    if (exchange.eventsRelayed > 0)
+        exchange.longestGap
+                = std::max(exchange.longestGap, FloatMillis(now - exchange.lastEventAt));
+    exchange.lastEventAt = now;
+    ++exchange.eventsRelayed;
+    if (first)
+        armTimer(exchange); // The limit of a silence is lower from now on.
+    relayed += attempt.comments;
+    relayed += event;
+    attempt.comments.clear();
+    return nullptr;
+}
+
+const char *Gateway::relayComment(const Exchange &exchange, Attempt &attempt,
+                                  const std::string &comment, std::string &relayed)
 {
     const bool isDecided = exchange.state == ExchangeState::Relaying
                            && exchange.silentAttempts.empty() && attempt.comments.empty();
     if (isDecided) {
-        exchange.caller->write(comment);
-        return exchange.attempt != nullptr; // Null if the caller has disconnected.
+        relayed += comment;
+        return nullptr;
     }
     attempt.comments += comment;
-    if (attempt.comments.size() <= kMaxEventBytes)
-        return true;
-    failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_too_large");
-    return false;
+    return attempt.comments.size() <= kMaxEventBytes ? nullptr : "event_too_large";
 }
 
 void Gateway::noteFirstEvent(Attempt &attempt)
@@ -485,14 +492,14 @@
 
 void Gateway::finishRelay(Exchange &exchange, Attempt &attempt)
 {
-    if (attempt.events == 0 && attempt.body.empty() && attempt.head.bodyEndsAtClose) {
+    const bool endsWithinEvent = !rest(attempt.pendingEvents).empty();
+    if (attempt.events == 0 && !endsWithinEvent && attempt.head.bodyEndsAtClose) {
         // Nothing shows that the answer is whole: an endpoint that crashes may end it like this.
         noteBrokenAnswer(exchange, attempt);
         failAttempt(exchange, attempt, EndpointFailure::Broken, true, "no_events");
         return;
     }
-    if (!attempt.body.empty()) {
-        // Every event ends with a blank line, so the answer ended within an event.
+    if (endsWithinEvent) {
         noteBrokenAnswer(exchange, attempt);
         failAttempt(exchange, attempt, EndpointFailure::Broken, true, "event_incomplete");
         return;
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -361,6 +361,14 @@
                         + "\r\nResponse-Seal: s\r\nContent-Length: "
                         + std::to_string(name.size() + 10) + "\r\n\r\nanswer of " + name);
         return;
+    case EndpointBehaviour::Endless: {
+        std::string head = endless.head;
+        for (std::size_t at = head.find('$'); at != std::string::npos; at = head.find('$', at))
+            head.replace(at, 1, name);
+        caller->sendRaw(head);
+        sendEndlessly(caller, steadyNow(), 0);
+        return;
+    }
     case EndpointBehaviour::Answer:
     case EndpointBehaviour::BreaksStream:
     case EndpointBehaviour::NotRun:
@@ -386,6 +394,27 @@
           [this, caller, next, breaks] { stream(caller, next, breaks); });
 }
 
+void EndpointStandin::sendEndlessly(const std::shared_ptr<HttpServerConnection> &caller,
+                                    TimePoint begin, std::size_t sent)
+{
+    constexpr Millis kInterval{10};
+    constexpr std::size_t kMaxUnsent = 1024 * 1024;
+    if (!caller->open())
+        return;
+    const std::chrono::duration<double> elapsed = steadyNow() - begin;
+    const auto due = static_cast<std::size_t>(elapsed.count()
+                                              * static_cast<double>(endless.bytesPerSecond));
+    std::string pieces;
+    while (sent + pieces.size() < due && pieces.size() < kMaxUnsent)
+        pieces += endless.piece;
+    if (caller->unsentBytes() < kMaxUnsent) {
+        caller->sendRaw(pieces);
+        sent += pieces.size();
+    }
+    runAt(steadyNow() + kInterval,
+          [this, caller, begin, sent] { sendEndlessly(caller, begin, sent); });
+}
+
 bool EndpointStandin::crashesOn(const HttpRequest &request) const
 {
     const std::string *parts = request.headers.find(platform::kPromptParts);
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -94,6 +94,15 @@
     StrayFirst,   ///< Response to another request before the right one.
     Cut,          ///< Closes in the middle of the body.
     Silent,       ///< Never responds.
+    Endless,      ///< The head and then bytes without end, both from `endless`.
+};
+
+/// An answer that goes on until its connection is closed.
+struct EndlessAnswer
+{
+    std::string head;  ///< The request id takes the place of each `$`.
+    std::string piece; ///< Sent again and again.
+    std::size_t bytesPerSecond = 0;
 };
 
 /// What becomes of the open connections of a daemon that is cut off from an endpoint.
@@ -148,6 +157,7 @@
     std::vector<Arrival> log;
     unsigned arrivals = 0;
     Millis eventGap{3};
+    EndlessAnswer endless;
     std::size_t padding = 0;                 ///< Bytes added to an answer that is no stream.
     bool leaving = false;                    ///< Says in all its responses that it leaves.
     std::map<std::string, TimePoint> leases; ///< End of each lease of memory, by ticket.
@@ -177,6 +187,8 @@
     bool crashesOn(const HttpRequest &request) const;
     void crash();
     void stream(const std::shared_ptr<HttpServerConnection> &caller, unsigned next, bool breaks);
+    void sendEndlessly(const std::shared_ptr<HttpServerConnection> &caller, TimePoint begin,
+                       std::size_t sent);
     /// Runs the step at the given time, or when the silence ends if that is later.
     void runAt(TimePoint time, std::function<void()> step);
     HeaderList plainHeaders(const std::string &requestId) const;
--- a/tests/unit/gatewaydecisions_test.cpp
+++ b/tests/unit/gatewaydecisions_test.cpp
@@ -265,15 +265,52 @@
 
 TEST(Events, areSplitAtBlankLines)
 {
-    std::string buffer = "id: 3\ndata: a\n\nid:4\r\ndata: b\r\n\r\nid: 5\nda";
+    EventBuffer buffer;
+    append(buffer, "id: 3\ndata: a\n\nid:4\r\ndata: b\r\n\r\nid: 5\nda");
     STRCMP_EQUAL("id: 3\ndata: a\n\n", takeEvent(buffer).c_str());
     const std::string second = takeEvent(buffer);
     LONGS_EQUAL(4, eventId(second).value_or(0));
     STRCMP_EQUAL("", takeEvent(buffer).c_str());
-    STRCMP_EQUAL("id: 5\nda", buffer.c_str());
+    STRCMP_EQUAL("id: 5\nda", std::string(rest(buffer)).c_str());
     CHECK_FALSE(eventId("data: id: 7\n\n").has_value());
 }
 
+// Guards against a search that goes on after a piece and misses a blank line that two pieces share.
+TEST(Events, areTheSameHoweverTheirBytesAreDivided)
+{
+    struct Case
+    {
+        const char *bytes;
+        std::vector<std::string> events;
+        const char *rest;
+    };
+    const Case cases[] = {
+            {"data: a\n\ndata: b\n\n", {"data: a\n\n", "data: b\n\n"}, ""},
+            {"data: a\r\n\r\ndata: b\r\n\r\nd", {"data: a\r\n\r\n", "data: b\r\n\r\n"}, "d"},
+            {"data: a\n\r\n:\n\n", {"data: a\n\r\n", ":\n\n"}, ""},
+            {"data: a\r\n\ndata: b", {"data: a\r\n\n"}, "data: b"},
+            {"data: a\n\rdata: b\n\n", {"data: a\n\rdata: b\n\n"}, ""},
+            {"\n\n\n\n\r\n", {"\n\n", "\n\n"}, "\r\n"},
+            {"\ndata: a\n\n", {"\ndata: a\n\n"}, ""},
+            {"data: a\ndata: b\ndata: c\n", {}, "data: a\ndata: b\ndata: c\n"},
+    };
+    for (const Case &row : cases) {
+        const std::string_view bytes = row.bytes;
+        for (std::size_t size = 1; size <= bytes.size(); ++size) {
+            EventBuffer buffer;
+            std::vector<std::string> events;
+            for (std::size_t at = 0; at < bytes.size(); at += size) {
+                append(buffer, bytes.substr(at, size));
+                for (std::string event = takeEvent(buffer); !event.empty();
+                     event = takeEvent(buffer))
+                    events.push_back(event);
+            }
+            CHECK_TRUE_TEXT(events == row.events, row.bytes);
+            STRCMP_EQUAL_TEXT(row.rest, std::string(rest(buffer)).c_str(), row.bytes);
+        }
+    }
+}
+
 // Guards against passing on the sizes of chunks as a part of the events.
 TEST(Events, holdOnlyFieldsAndComments)
 {
