Bound what any answer of a server may hold

Cause: each reader of answers sets a limit for itself. Whole answers, events and the state of peers had one; HttpCallClient, which carries orders, reports and the calls to the store, kept everything until the timeout of its call.

The pool of connections counts the bytes of a body that a call holds, and ends the call beyond UpstreamRequest::maxHeldBytes. All answers of endpoints, peers and the store come through it, and a reader that states no limit has one too. Readers that pass bytes on say what they still hold.

--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -18,8 +18,6 @@
 
 namespace {
 
-// An answer that is not a stream is held in memory until it is complete.
-constexpr std::size_t kMaxWholeAnswerBytes = 8 * 1024 * 1024;
 // The stream is aborted when the caller has not read this much of it.
 constexpr std::size_t kMaxUnsentBytes = 4 * 1024 * 1024;
 // Typical events are a few hundred bytes.
@@ -265,8 +263,6 @@
     }
     attempt->body += bytes;
     noteProgress(*exchange, *attempt);
-    if (attempt->body.size() > kMaxWholeAnswerBytes)
-        failAttempt(*exchange, *attempt, EndpointFailure::Broken, true, "answer_too_large");
 }
 
 void Gateway::relayEvents(Exchange &exchange, Attempt &attempt)
@@ -284,6 +280,7 @@
     }
     if (!fault && rest(attempt.pendingEvents).size() > kMaxEventBytes)
         fault = "event_too_large";
+    attempt.call->setHeldBytes(rest(attempt.pendingEvents).size() + attempt.comments.size());
     exchange.caller->write(relayed);
     if (!exchange.attempt)
         return; // The caller has disconnected.
@@ -459,6 +456,10 @@
         // if the body is truncated.
         failAttempt(*exchange, attempt, EndpointFailure::Broken, !attempt.notRun, "broken_answer");
         return;
+    case UpstreamOutcome::TooLarge:
+        failAttempt(*exchange, attempt, EndpointFailure::Broken, !attempt.notRun,
+                    "answer_too_large");
+        return;
     case UpstreamOutcome::Complete:
         break;
     }
--- a/src/gateway/gatewaypeersync.cpp
+++ b/src/gateway/gatewaypeersync.cpp
@@ -200,10 +200,7 @@
         pullStatus_ = head.status;
         return HeadAction::Accept;
     };
-    handlers.body = [this](std::string_view bytes) {
-        if (pullBody_.size() + bytes.size() <= kMaxSharedBytes)
-            pullBody_ += bytes;
-    };
+    handlers.body = [this](std::string_view bytes) { pullBody_ += bytes; };
     handlers.end = [this, name = peer.name](UpstreamOutcome end) {
         const auto call = std::move(pull_);
         if (end == UpstreamOutcome::Complete && pullStatus_ == 200)
@@ -215,8 +212,10 @@
     const std::string target
             = fmt::format("{}{}{}&{}{}", kPullPath, kConfigParameter, configs_.newest(),
                           kGroupsParameter, toHex(endpoints_.groupDigests()));
-    pull_ = pool_.call(address, {.head = serializeRequestHead("GET", target, headers)},
-                       std::move(handlers));
+    pull_ = pool_.call(
+            address,
+            {.head = serializeRequestHead("GET", target, headers), .maxHeldBytes = kMaxSharedBytes},
+            std::move(handlers));
 }
 
 void Gateway::answerPull(const std::shared_ptr<HttpServerConnection> &caller,
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -57,8 +57,8 @@
     {
     }
 
-    /// Returns the call's number, to be passed to cancel() and pauseReading(): they do nothing if
-    /// the connection has moved on to another call.
+    /// Returns the call's number, to be passed to cancel(), pauseReading() and setHeldBytes(): they
+    /// do nothing if the connection has moved on to another call.
     std::uint64_t begin(UpstreamRequest request, UpstreamHandlers handlers)
     {
         const std::uint64_t number = ++callNumber_;
@@ -71,6 +71,8 @@
             body_ = {};
         }
         sendBy_ = request.sendBy;
+        maxHeldBytes_ = request.maxHeldBytes;
+        heldBytes_ = 0;
         written_ = 0;
         bodyWritten_ = 0;
         if (request.idHash != 0) {
@@ -108,6 +110,12 @@
             armRead();
     }
 
+    void setHeldBytes(std::uint64_t number, std::size_t bytes)
+    {
+        if (number == callNumber_ && inCall_)
+            heldBytes_ = bytes;
+    }
+
     bool usable(Millis maxIdleTime) const
     {
         return socket_.is_open() && steadyNow() - idleSince_ < std::min(maxIdleTime, idleLimit_);
@@ -324,8 +332,16 @@
 
     void onBody(std::string_view bytes)
     {
-        if (!skipping_ && handlers_.body)
-            handlers_.body(bytes);
+        if (skipping_ || !handlers_.body)
+            return;
+        heldBytes_ += bytes.size();
+        if (heldBytes_ > maxHeldBytes_) {
+            logEvent(LogLevel::Warning, "answer_too_large",
+                     {{"address", toString(address)}, {"limit", std::to_string(maxHeldBytes_)}});
+            end(UpstreamOutcome::TooLarge);
+            return;
+        }
+        handlers_.body(bytes);
     }
 
     void end(UpstreamOutcome outcome)
@@ -366,6 +382,8 @@
     std::size_t written_ = 0;
     std::string_view body_; ///< The rest of the request, which belongs to the caller of the pool.
     std::size_t bodyWritten_ = 0;
+    std::size_t heldBytes_ = 0; ///< Of the body of the current response.
+    std::size_t maxHeldBytes_ = 0;
     TimePoint sendBy_ = TimePoint::max();
     Millis idleLimit_;
     TimePoint idleSince_{};
@@ -397,6 +415,11 @@
     connection_->pauseReading(callNumber_, paused);
 }
 
+void UpstreamCall::setHeldBytes(std::size_t bytes)
+{
+    connection_->setHeldBytes(callNumber_, bytes);
+}
+
 UpstreamPool::UpstreamPool(asio::io_context &context, UpstreamOptions options, Dialer dialer)
     : context_(context)
     , options_(options)
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -11,6 +11,9 @@
 //
 // A connection carries one call at a time. It is reused only if the response was complete and no
 // further bytes followed it.
+//
+// The bytes of a body that its handler has received count as held until the call ends, unless
+// UpstreamCall::setHeldBytes() says otherwise. A call that holds more than it may ends.
 
 #include "base/clock.h"
 #include "http/address.h"
@@ -58,6 +61,8 @@
     NoAnswer,
     /// The connection ended, or the response was not valid HTTP, after its head was accepted.
     Broken,
+    /// More bytes of the body were held than UpstreamRequest::maxHeldBytes.
+    TooLarge,
 };
 
 /// What to do with a response whose head has arrived.
@@ -70,6 +75,9 @@
     Skip,
 };
 
+// The largest answer that a caller of the gateway gets whole.
+inline constexpr std::size_t kMaxWholeAnswerBytes = 8 * 1024 * 1024;
+
 struct UpstreamRequest
 {
     std::string head; ///< Request line and header fields, including the blank line.
@@ -85,6 +93,8 @@
     /// The call ends with NotSent if nothing of it could be written before this time, for example
     /// because the process was paused while it connected.
     TimePoint sendBy = TimePoint::max();
+    /// Limit of the bytes of the body that are held at a time.
+    std::size_t maxHeldBytes = kMaxWholeAnswerBytes;
 };
 
 struct UpstreamHandlers
@@ -110,6 +120,8 @@
 
     /// Pauses or resumes reading the response, for backpressure from a slow receiver.
     void pauseReading(bool paused);
+    /// Of the bytes of the body that have been received, only this many are still held.
+    void setHeldBytes(std::size_t bytes);
 
 private:
     std::shared_ptr<UpstreamConnection> connection_;
--- a/tests/unit/gatewaypath_test.cpp
+++ b/tests/unit/gatewaypath_test.cpp
@@ -8,6 +8,7 @@
 #include "platform/records.h"
 #include "platform/storeclient.h"
 #include "support/eventually.h"
+#include "support/heap.h"
 #include "support/network.h"
 #include "support/platformstandin.h"
 #include "support/resettinglink.h"
@@ -17,7 +18,6 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
-#include <malloc.h>
 
 #include <algorithm>
 #include <array>
@@ -79,13 +79,6 @@
     bool complete = false;
 };
 
-/// Bytes that are allocated and not freed, whatever the process keeps for later allocations.
-std::size_t bytesInUse()
-{
-    const struct mallinfo2 info = mallinfo2();
-    return info.uordblks + info.hblkhd;
-}
-
 } // namespace
 
 TEST_GROUP(GatewayPath)
