Give all answers that a daemon holds one room

Cause: each answer had a limit, their sum had none. Thirty calls hold 30 x 8 MiB.

AnswerRoom is the one account of the bytes that calls of the connection pool hold and of those that callers have not taken, a sixth of memory_mb. Beyond it the largest answer is given up. Answers without an end are the largest, so those of sound endpoints go on. To stop reading at the bound was ruled out: it holds up sound answers, and the others keep their room until their deadline.

--- a/src/cli/gatewaycommand.cpp
+++ b/src/cli/gatewaycommand.cpp
@@ -106,7 +106,8 @@
     LogQueue logs(context, STDOUT_FILENO);
     setLogLevel(settings->logLevel);
     setLogContext(fmt::format("member={}", settings->member));
-    UpstreamPool pool(context, {}, localDialer(settings->peers.ip));
+    UpstreamPool pool(context, {.answerRoom = gateway::answerRoomOf(*settings)},
+                      localDialer(settings->peers.ip));
     platform::HttpCallClient calls(context, pool);
     platform::StoreClient store(calls, settings->store);
     platform::OrderClient orders(calls);
--- a/src/gateway/eventbuffer.cpp
+++ b/src/gateway/eventbuffer.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+// Typical events are a few hundred bytes; the memory of a larger one is freed after it.
+constexpr std::size_t kKeptCapacity = 64 * 1024;
+
 /// Length of the blank line at the begin of the text; 0 if there is none.
 std::size_t blankLineSize(std::string_view text)
 {
@@ -29,6 +32,8 @@
     buffer.bytes.erase(0, buffer.taken);
     buffer.searched -= buffer.taken;
     buffer.taken = 0;
+    if (buffer.bytes.empty() && buffer.bytes.capacity() > kKeptCapacity)
+        buffer.bytes.shrink_to_fit();
     buffer.bytes += bytes;
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -27,9 +27,6 @@
 constexpr std::size_t kMaxEndpoints = 4096;
 // Many times the age of a copy from which the store may come back.
 constexpr Millis kDepartedLifetime{120'000};
-// Large bodies take this part of the memory (1/2). The rest is for answers, small bodies, buffers
-// of connections, and about 20 MB of the process itself.
-constexpr std::size_t kBodyShare = 2;
 // Concurrent requests of one daemon.
 constexpr std::size_t kMaxExchanges = 2048;
 // Added to the time for which a store call itself may wait for records.
@@ -193,17 +190,17 @@
     , departed_(kMaxEndpoints, kDepartedLifetime)
     , unconfirmedTimer_(context)
     , roleTimer_(context)
-    , bodyRoom_({.limit = settings_.memoryBytes / kBodyShare})
+    , bodyRoom_({.limit = bodyRoomOf(settings_)})
     , callers_(context, callerOptions(),
                [this](const auto &caller, HttpRequest request) {
                    onRequest(caller, std::move(request), std::nullopt);
                })
-    , readiness_(context, {.address = settings_.readiness},
+    , readiness_(context, {.address = settings_.readiness, .answerRoom = &pool_.answerRoom()},
                  [this](const auto &caller, const HttpRequest &request) {
                      const bool known = request.target == protocol_.readinessPath;
                      respondWithStatus(caller, !known ? 404 : ready() ? 200 : 503);
                  })
-    , control_(context, {.address = settings_.control},
+    , control_(context, {.address = settings_.control, .answerRoom = &pool_.answerRoom()},
                [this](const auto &caller, const HttpRequest &request) {
                    onControl(caller, request);
                })
@@ -237,6 +234,7 @@
         onCallerConnectionEnded(end, unusedBytes);
     };
     options.bodyRoom = &bodyRoom_;
+    options.answerRoom = &pool_.answerRoom();
     options.serverAnswers = [this](const ServerAnswer &answer) {
         const std::optional<Millis> retryAfter
                 = answer.status == 503 ? std::optional(answer.roomIn.value_or(kOverloadRetryAfter))
@@ -260,7 +258,9 @@
     BOOST_LEAF_CHECK(mesh_.start());
     if (settings_.metricsPort != 0) {
         metricsServer_ = std::make_unique<AsyncHttpServer>(
-                context_, ServerOptions{.address = {settings_.peers.ip, settings_.metricsPort}},
+                context_,
+                ServerOptions{.address = {settings_.peers.ip, settings_.metricsPort},
+                              .answerRoom = &pool_.answerRoom()},
                 [this](const auto &caller, const HttpRequest &request) {
                     onControl(caller, request);
                 });
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -457,8 +457,9 @@
         failAttempt(*exchange, attempt, EndpointFailure::Broken, !attempt.notRun, "broken_answer");
         return;
     case UpstreamOutcome::TooLarge:
+    case UpstreamOutcome::NoRoom:
         failAttempt(*exchange, attempt, EndpointFailure::Broken, !attempt.notRun,
-                    "answer_too_large");
+                    end == UpstreamOutcome::TooLarge ? "answer_too_large" : "no_room_for_answer");
         return;
     case UpstreamOutcome::Complete:
         break;
--- a/src/gateway/gatewaydiscovery.cpp
+++ b/src/gateway/gatewaydiscovery.cpp
@@ -517,6 +517,8 @@
     } else if (request.target == kMetricsPath) {
         headers.add("Content-Type", "text/plain; version=0.0.4");
         counters_.bodyBytes.Set(static_cast<double>(bodyRoom_.used));
+        counters_.answerBytes.Set(static_cast<double>(pool_.answerRoom().used()));
+        counters_.answersGivenUp.Set(static_cast<double>(pool_.answerRoom().givenUp()));
         caller->respond(200, std::move(headers), metrics_.serialize());
     } else if (request.target == kDumpPath) {
         headers.add("Content-Type", "application/json");
--- a/src/gateway/gatewayhandover.cpp
+++ b/src/gateway/gatewayhandover.cpp
@@ -226,6 +226,7 @@
     ServerOptions options;
     options.address = settings_.peers;
     options.maxConnections = kMaxHandoverConnections;
+    options.answerRoom = &pool_.answerRoom();
     options.serverAnswers = [this](const ServerAnswer &answer) {
         return noteRejected(protocol_.readCaller(answer.head).requestId, answer.status,
                             "handover_unreadable", std::nullopt, true);
--- a/src/gateway/gatewaymetrics.cpp
+++ b/src/gateway/gatewaymetrics.cpp
@@ -75,6 +75,10 @@
                                      "service"))
     , bodyBytes(metrics.gauge("cicadafork_gateway_body_bytes",
                               "Bytes that the large bodies of requests take"))
+    , answerBytes(metrics.gauge("cicadafork_gateway_answer_bytes",
+                                "Bytes of answers that wait for their end or for their callers"))
+    , answersGivenUp(metrics.gauge("cicadafork_gateway_answers_given_up",
+                                   "Answers that were given up for lack of room"))
     , metrics_(metrics)
 {
 }
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -48,6 +48,8 @@
     prometheus::Counter &prefixTokensSaved;
     prometheus::Counter &regionRefusals;
     prometheus::Gauge &bodyBytes;
+    prometheus::Gauge &answerBytes;
+    prometheus::Gauge &answersGivenUp; ///< Since the start.
 
 private:
     Metrics &metrics_;
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -13,6 +13,10 @@
 namespace {
 
 constexpr double kDaySeconds = 86'400;
+// Parts of the memory. Answers take up to twice their room, as strings grow by doubling. The rest
+// is for small bodies, buffers of connections and the process itself, which takes about 20 MB.
+constexpr std::size_t kBodyShare = 2;
+constexpr std::size_t kAnswerShare = 6;
 
 void readSeconds(SectionReader &section, const std::string &key, Millis &target)
 {
@@ -111,6 +115,16 @@
 
 } // namespace
 
+std::size_t bodyRoomOf(const GatewaySettings &settings)
+{
+    return settings.memoryBytes / kBodyShare;
+}
+
+std::size_t answerRoomOf(const GatewaySettings &settings)
+{
+    return settings.memoryBytes / kAnswerShare;
+}
+
 Result<GatewaySettings> parseGatewaySettings(const std::string &text, const std::string &name)
 {
     GatewaySettings settings;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -44,8 +44,7 @@
     Millis shutdownGrace{8000};    ///< From SIGTERM to the forced end of the process.
     std::uint16_t metricsPort = 0; ///< On the IP address of peers; 0: metrics only at control.
     std::size_t maxDescriptors = 4096;
-    /// Memory that the process may take, by default all of the machine's; 0: unlimited. Half of
-    /// it is for large bodies of requests.
+    /// Memory that the process may take, by default all of the machine's; 0: unlimited.
     std::size_t memoryBytes = 256 * 1024 * 1024;
     /// Learns whether engines keep the KV cache of prompts and places by it.
     bool prefixPlacement = false;
@@ -53,6 +52,11 @@
     LogLevel logLevel = LogLevel::Info;
 };
 
+/// Limit of the large bodies of requests in bytes: half of the memory. 0: unlimited.
+std::size_t bodyRoomOf(const GatewaySettings &settings);
+/// Limit of the answers that a daemon holds in bytes: a sixth of the memory. 0: unlimited.
+std::size_t answerRoomOf(const GatewaySettings &settings);
+
 /// Fails with InvalidArgument; the message lists every problem with file, line and remedy.
 Result<GatewaySettings> loadGatewaySettings(const std::string &path);
 Result<GatewaySettings> parseGatewaySettings(const std::string &text, const std::string &name);
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -73,6 +73,10 @@
 void HttpServerConnection::start()
 {
     tuneSocket(socket_, {.userTimeout = kCallerUserTimeout, .keepAliveIdle = kCallerKeepAliveIdle});
+    outputHold_.emplace(server_.options_.answerRoom, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->giveUpAnswer();
+    });
     awaitInput();
     armRead();
 }
@@ -351,10 +355,12 @@
         written_ = 0;
         if (output_.capacity() > kMaxBufferedBytes)
             output_.shrink_to_fit();
+        outputHold_->resize(0);
         if (closing_)
             shutdownAndLinger();
         return;
     }
+    outputHold_->resize(unsentBytes());
     writing_ = true;
     socket_.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](
                                                                   const asio::error_code &error) {
@@ -424,9 +430,18 @@
         handler();
 }
 
+void HttpServerConnection::giveUpAnswer()
+{
+    const auto handler = std::move(disconnectHandler_);
+    abort();
+    if (handler)
+        handler();
+}
+
 void HttpServerConnection::close(ConnectionEnd end)
 {
     timer_.cancel();
+    outputHold_.reset();
     if (!socket_.is_open())
         return;
     asio::error_code ignored;
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -14,6 +14,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "http/address.h"
+#include "net/answerroom.h"
 #include "net/parser.h"
 
 #include <asio/io_context.hpp>
@@ -78,6 +79,9 @@
     /// Requests whose body finds no room are refused with 503. Must outlive the server and all
     /// requests; null: unlimited.
     BodyRoom *bodyRoom = nullptr;
+    /// Room for answers that callers have not taken; a connection that has to give its answer up is
+    /// aborted. Must outlive the server; null: unlimited.
+    AnswerRoom *answerRoom = nullptr;
     /// Called when accepting begins to fail, for example for lack of descriptors.
     std::function<void(const std::string &error)> acceptFailed = {};
 };
@@ -141,6 +145,8 @@
     void shutdownAndLinger();
     void close(ConnectionEnd end);
     void notifyDisconnect();
+    /// Aborts the connection, as its caller takes the answer too slowly.
+    void giveUpAnswer();
     bool hasUnreadInput() const;
     /// True if the connection is to end with the answer that begins now.
     bool mustClose() const;
@@ -154,8 +160,9 @@
     RequestParser parser_;
     std::shared_ptr<const BodyHold> hold_; ///< Room for the body that arrives.
     std::string input_;                    ///< Received bytes that are not parsed yet.
-    std::string output_;
+    std::string output_;                   ///< Begins with the bytes that are written.
     std::size_t written_ = 0;
+    std::optional<AnswerHold> outputHold_; ///< Unset until start().
     std::function<void()> disconnectHandler_;
     TimePoint requestStart_{};
     bool handlingRequest_ = false; ///< The response to the current request is not complete.
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <utility>
 
 namespace cicadafork {
@@ -73,6 +74,10 @@
         sendBy_ = request.sendBy;
         maxHeldBytes_ = request.maxHeldBytes;
         heldBytes_ = 0;
+        hold_.emplace(&pool_.answerRoom_, [weak = weak_from_this(), number] {
+            if (const auto self = weak.lock(); self && self->callNumber_ == number)
+                self->end(UpstreamOutcome::NoRoom);
+        });
         written_ = 0;
         bodyWritten_ = 0;
         if (request.idHash != 0) {
@@ -112,8 +117,10 @@
 
     void setHeldBytes(std::uint64_t number, std::size_t bytes)
     {
-        if (number == callNumber_ && inCall_)
-            heldBytes_ = bytes;
+        if (number != callNumber_ || !inCall_)
+            return;
+        heldBytes_ = bytes;
+        hold_->resize(bytes);
     }
 
     bool usable(Millis maxIdleTime) const
@@ -133,6 +140,7 @@
         socket_.close(ignored);
         inCall_ = false;
         body_ = {};
+        hold_.reset();
     }
 
     const Address address;
@@ -341,6 +349,7 @@
             end(UpstreamOutcome::TooLarge);
             return;
         }
+        hold_->resize(heldBytes_);
         handlers_.body(bytes);
     }
 
@@ -349,6 +358,7 @@
         if (!inCall_)
             return;
         inCall_ = false;
+        hold_.reset();
         const auto handler = std::move(handlers_.end);
         handlers_ = {};
         const bool keep = outcome == UpstreamOutcome::Complete && reusable_ && socket_.is_open();
@@ -384,6 +394,7 @@
     std::size_t bodyWritten_ = 0;
     std::size_t heldBytes_ = 0; ///< Of the body of the current response.
     std::size_t maxHeldBytes_ = 0;
+    std::optional<AnswerHold> hold_; ///< Of the held bytes; unset between calls.
     TimePoint sendBy_ = TimePoint::max();
     Millis idleLimit_;
     TimePoint idleSince_{};
@@ -423,6 +434,7 @@
 UpstreamPool::UpstreamPool(asio::io_context &context, UpstreamOptions options, Dialer dialer)
     : context_(context)
     , options_(options)
+    , answerRoom_(context, options.answerRoom)
     , dialer_(std::move(dialer))
 {
 }
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -13,10 +13,12 @@
 // further bytes followed it.
 //
 // The bytes of a body that its handler has received count as held until the call ends, unless
-// UpstreamCall::setHeldBytes() says otherwise. A call that holds more than it may ends.
+// UpstreamCall::setHeldBytes() says otherwise. A call that holds more than it may ends, and so does
+// the one that holds the most when all together hold more than the pool's room.
 
 #include "base/clock.h"
 #include "http/address.h"
+#include "net/answerroom.h"
 #include "net/dialer.h"
 #include "net/parser.h"
 
@@ -50,6 +52,8 @@
     /// Keep-Alive field takes precedence.
     Millis idleTimeout{3500};
     std::size_t maxIdleConnectionsPerAddress = 16;
+    /// Limit of the bytes that all answers hold; 0: unlimited.
+    std::size_t answerRoom = 0;
 };
 
 /// How a call ended.
@@ -63,6 +67,8 @@
     Broken,
     /// More bytes of the body were held than UpstreamRequest::maxHeldBytes.
     TooLarge,
+    /// Of all answers that exceeded the room together, it was the largest.
+    NoRoom,
 };
 
 /// What to do with a response whose head has arrived.
@@ -142,6 +148,8 @@
                                        UpstreamHandlers handlers);
 
     const Dialer &dialer() const { return dialer_; }
+    /// Also for those who hold answers that calls of the pool have received.
+    AnswerRoom &answerRoom() { return answerRoom_; }
 
     /// Closes the idle connections to an address, for example when its server has been removed.
     void closeIdle(const Address &address);
@@ -156,6 +164,7 @@
 
     asio::io_context &context_;
     UpstreamOptions options_;
+    AnswerRoom answerRoom_;
     Dialer dialer_;
     /// Keyed by the address as text.
     std::unordered_map<std::string, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
--- a/tests/support/gatewaydaemon.h
+++ b/tests/support/gatewaydaemon.h
@@ -73,7 +73,8 @@
         : ip(settings.peers.ip)
         , callers(settings.callers)
         , handovers(settings.peers)
-        , pool(context, {}, cuttableDialer(settings.peers.ip, links))
+        , pool(context, {.answerRoom = answerRoomOf(settings)},
+               cuttableDialer(settings.peers.ip, links))
         , calls(context, pool)
         , store(calls, settings.store)
         , orders(calls)
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -398,16 +398,15 @@
                                     TimePoint begin, std::size_t sent)
 {
     constexpr Millis kInterval{10};
-    constexpr std::size_t kMaxUnsent = 1024 * 1024;
     if (!caller->open())
         return;
     const std::chrono::duration<double> elapsed = steadyNow() - begin;
     const auto due = static_cast<std::size_t>(elapsed.count()
                                               * static_cast<double>(endless.bytesPerSecond));
     std::string pieces;
-    while (sent + pieces.size() < due && pieces.size() < kMaxUnsent)
+    while (sent + pieces.size() < due && pieces.size() < endless.maxUnsentBytes)
         pieces += endless.piece;
-    if (caller->unsentBytes() < kMaxUnsent) {
+    if (caller->unsentBytes() < endless.maxUnsentBytes) {
         caller->sendRaw(pieces);
         sent += pieces.size();
     }
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -103,6 +103,7 @@
     std::string head;  ///< The request id takes the place of each `$`.
     std::string piece; ///< Sent again and again.
     std::size_t bytesPerSecond = 0;
+    std::size_t maxUnsentBytes = 1024 * 1024; ///< Of one answer, held by the endpoint.
 };
 
 /// What becomes of the open connections of a daemon that is cut off from an endpoint.
--- a/tests/unit/gatewayendless_test.cpp
+++ b/tests/unit/gatewayendless_test.cpp
@@ -1,6 +1,7 @@
 // Endpoints whose answers have no end, and what becomes of the requests at sound ones.
 
 #include "support/gatewayfleet.h"
+#include "support/heap.h"
 
 using namespace cicadafork;
 using namespace cicadafork::gateway;
@@ -25,7 +26,15 @@
 
 } // namespace
 
-TEST_GROUP_BASE(GatewayEndless, GatewayFleet){};
+TEST_GROUP_BASE(GatewayEndless, GatewayFleet)
+{
+    std::size_t memoryBytes = GatewaySettings().memoryBytes; ///< Setting of the daemons.
+
+    void configure(GatewaySettings & settings, unsigned) override
+    {
+        settings.memoryBytes = memoryBytes;
+    }
+};
 
 // Guards against work on a stream that grows faster than its bytes and so stops the event loop.
 TEST(GatewayEndless, aStreamWithoutEndDoesNotHoldUpCallsToOtherServices)
@@ -76,3 +85,71 @@
         }
     }
 }
+
+// Guards against answers that are each within their limit and together exceed the memory.
+TEST(GatewayEndless, aServiceWithoutASoundEndpointTakesNoMoreThanItsRoom)
+{
+    constexpr unsigned kEndpoints = 6;
+    constexpr unsigned kCallers = 30;
+    constexpr unsigned kSoundRequests = 10;
+    constexpr std::size_t kMegabyte = 1024 * 1024;
+    // Of all callers together; an answer of 8 MiB takes a second.
+    constexpr std::size_t kRate = 8 * kMegabyte;
+    constexpr std::size_t kEndpointBuffer = 64 * 1024;
+    struct Case
+    {
+        const char *name;
+        const char *target;
+        std::string head;
+        std::string piece;
+    };
+    const std::string bytes(1024, 'x');
+    const std::string sealed = "HTTP/1.1 200 OK\r\nRequest-Id: $\r\nResponse-Seal: s\r\n";
+    const Case cases[] = {
+            {"until the connection ends", "/once/x", sealed + "Connection: close\r\n\r\n", bytes},
+            {"of a large length", "/once/x", sealed + "Content-Length: 1000000000\r\n\r\n", bytes},
+            {"in chunks, repeatable", "/safe/x", sealed + "Transfer-Encoding: chunked\r\n\r\n",
+             fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes)},
+    };
+    memoryBytes = 64 * kMegabyte;
+    for (const Case &row : cases) {
+        reset();
+        start(1, 1);
+        for (unsigned i = 0; i < kEndpoints; ++i)
+            addEndpoint(true, kPlain);
+        CHECK_TRUE(runUntil([&] { return daemons[0]->endpoints() == 1 + kEndpoints; }));
+        for (unsigned i = 1; i <= kEndpoints; ++i) {
+            endpoints[i]->endless = {row.head, row.piece, kRate, kEndpointBuffer};
+            endpoints[i]->script.assign(1000, EndpointBehaviour::Endless);
+        }
+        const std::size_t before = bytesInUse();
+        std::size_t peak = before;
+        std::vector<const Answer *> endless;
+        for (unsigned i = 0; i < kCallers; ++i)
+            endless.push_back(&sendRequest(*daemons[0], row.target, "body"));
+        const auto watch = [&](const auto &condition) {
+            return runUntil([&] {
+                peak = std::max(peak, bytesInUse());
+                return condition();
+            });
+        };
+        for (unsigned i = 0; i < kSoundRequests; ++i) {
+            const Answer &sound = send(*daemons[0], "a1:40");
+            CHECK_TRUE_TEXT(watch([&] { return sound.ended; }), row.name);
+            CHECK_TRUE_TEXT(sound.status == 200 && sound.complete, row.name);
+        }
+        CHECK_TRUE_TEXT(watch([&] {
+                            return std::ranges::all_of(
+                                    endless, [](const Answer *answer) { return answer->ended; });
+                        }),
+                        row.name);
+        for (const Answer *answer : endless) {
+            const std::string text = fmt::format("{}: {}", row.name, answer->status);
+            CHECK_TRUE_TEXT(answer->complete, text.c_str());
+            // The requests have run, so no status may promise otherwise.
+            CHECK_TRUE_TEXT(answer->status == 502 || answer->status == 504, text.c_str());
+        }
+        CHECK_TRUE_TEXT(peak - before < memoryBytes / 2,
+                        fmt::format("{}: {} bytes", row.name, peak - before).c_str());
+    }
+}
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -3,6 +3,7 @@
 #include "net/server.h"
 #include "net/upstream.h"
 #include "support/eventually.h"
+#include "support/heap.h"
 #include "support/network.h"
 
 #include <CppUTest/TestHarness.h>
@@ -15,6 +16,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -644,3 +646,41 @@
         LONGS_EQUAL_TEXT(row.expected.count(), timeUntilRoom(room, 500, now).count(), row.name);
     }
 }
+
+// Guards against keeping what callers do not take until the process is out of memory.
+TEST(NetServer, answersThatCallersDoNotTakeKeepWithinTheirRoom)
+{
+    constexpr std::size_t kAnswer = 8 * 1024 * 1024;
+    constexpr std::size_t kRoom = 20 * 1024 * 1024;
+    constexpr unsigned kSlowCallers = 8;
+    AnswerRoom room(context, kRoom);
+    start({.address = address, .answerRoom = &room});
+    body.assign(kAnswer, 'x');
+    for (unsigned i = 0; i < kSlowCallers; ++i) {
+        connectAndSend(kRequest);
+        eventually(context, Millis(50), [] { return false; });
+        CHECK_TRUE(room.used() <= kRoom);
+    }
+    UNSIGNED_LONGS_EQUAL(kSlowCallers, server->connections() + room.givenUp());
+    const std::size_t kept = server->connections();
+    CHECK_TRUE(kept >= 2);
+    // Answers that found room are whole, and others are served beside them.
+    body = "answer";
+    connectAndSend("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    CHECK_TRUE(readAllWhileServing(callers.back()).ends_with("answer"));
+    unsigned whole = 0;
+    for (unsigned i = 0; i < kSlowCallers; ++i) {
+        std::size_t received = 0;
+        bool ended = false;
+        std::vector<char> answer(kAnswer);
+        asio::async_read(callers[i], asio::buffer(answer),
+                         [&](const asio::error_code &, std::size_t count) {
+                             received = count;
+                             ended = true;
+                         });
+        CHECK_TRUE(eventually(context, kWaitLimit, [&] { return ended; }));
+        whole += received == kAnswer ? 1 : 0;
+    }
+    UNSIGNED_LONGS_EQUAL(kept, whole);
+    UNSIGNED_LONGS_EQUAL(0, room.used());
+}
