Release what is written of an answer before all of it is

A caller that always had a part of a stream still to take let the daemon keep the whole stream: HttpServerConnection cleared its output only when all of it was written. The limit of 4 MiB counts the rest only.

The written part is removed when it is more than half of the output, which moves fewer bytes than were written.

NetServer.whatIsWrittenOfAnAnswerIsReleasedBeforeItsEnd, a stream of 64 MiB with 4 MiB unsent: 67 MB held before, where 16 MiB are allowed; passes now.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -360,6 +360,11 @@
             shutdownAndLinger();
         return;
     }
+    // Moves fewer bytes than were written since the last time.
+    if (written_ > output_.size() / 2) {
+        output_.erase(0, written_);
+        written_ = 0;
+    }
     outputHold_->resize(unsentBytes());
     writing_ = true;
     socket_.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -684,3 +684,43 @@
     UNSIGNED_LONGS_EQUAL(kept, whole);
     UNSIGNED_LONGS_EQUAL(0, room.used());
 }
+
+// Guards against keeping all of a stream whose caller always has a part of it still to take.
+TEST(NetServer, whatIsWrittenOfAnAnswerIsReleasedBeforeItsEnd)
+{
+    constexpr std::size_t kStream = 64 * 1024 * 1024;
+    constexpr std::size_t kUnsent = 4 * 1024 * 1024;
+    // As much again may be written, and a string that grows by doubling takes twice its bytes.
+    constexpr std::size_t kMaxHeld = 4 * kUnsent;
+    const std::string piece(64 * 1024, 'x');
+    std::shared_ptr<HttpServerConnection> caller;
+    AsyncHttpServer streams(context, {.address = addresses.next()},
+                            [&](const auto &connection, const HttpRequest &) {
+                                caller = connection;
+                                caller->beginStream(200, {});
+                            });
+    CHECK_TRUE(static_cast<bool>(capture([&] { return streams.start(); })));
+    address = streams.options().address;
+    connectAndSend(kRequest);
+    CHECK_TRUE(eventually(context, kWaitLimit, [&] { return caller != nullptr; }));
+    const std::size_t before = bytesInUse();
+    std::size_t peak = before;
+    std::size_t sent = 0;
+    std::size_t received = 0;
+    std::vector<char> part(256 * 1024);
+    const TimePoint limit = steadyNow() + kWaitLimit;
+    while (sent < kStream && steadyNow() < limit) {
+        while (caller->unsentBytes() < kUnsent) {
+            caller->write(piece);
+            sent += piece.size();
+        }
+        peak = std::max(peak, bytesInUse());
+        received += callers.back().read_some(asio::buffer(part));
+        context.restart();
+        context.poll();
+    }
+    CHECK_TRUE(sent >= kStream);
+    CHECK_TRUE(received > kStream / 2);
+    CHECK_TRUE_TEXT(peak - before < kMaxHeld, fmt::format("{} bytes", peak - before).c_str());
+    caller->abort();
+}
