--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -395,16 +395,21 @@
 void HttpServerConnection::abort()
 {
     disconnectHandler_ = nullptr;
-    if (socket_.is_open() && handlingRequest_ && !chunked_) {
-        // Close with a TCP reset: after an orderly close, a response that is delimited by the end
-        // of the connection would look complete. A complete response is not reset, since that would
-        // discard what the caller has not received yet.
-        asio::error_code ignored;
-        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-    }
+    // A complete response is not reset, since that would discard what the caller has not received
+    // yet.
+    if (handlingRequest_ && !chunked_)
+        resetOnClose();
     close(ConnectionEnd::Aborted);
 }
 
+void HttpServerConnection::resetOnClose()
+{
+    // After an orderly close, a response that is delimited by the end of the connection would look
+    // complete.
+    asio::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 void HttpServerConnection::closeWhenIdle()
 {
     if (!inUse())
@@ -438,7 +443,9 @@
 void HttpServerConnection::giveUpAnswer()
 {
     const auto handler = std::move(disconnectHandler_);
-    abort();
+    disconnectHandler_ = nullptr;
+    resetOnClose();
+    close(ConnectionEnd::Aborted);
     if (handler)
         handler();
 }
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -145,7 +145,9 @@
     void shutdownAndLinger();
     void close(ConnectionEnd end);
     void notifyDisconnect();
-    /// Aborts the connection, as its caller takes the answer too slowly.
+    /// Makes the caller see that the answer is not whole, also if all of it is buffered here.
+    void resetOnClose();
+    /// Ends the connection, as its caller takes the answer too slowly.
     void giveUpAnswer();
     bool hasUnreadInput() const;
     /// True if the connection is to end with the answer that begins now.
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -685,6 +685,36 @@
     UNSIGNED_LONGS_EQUAL(0, room.used());
 }
 
+// Guards against a cut answer that its caller takes for a whole one.
+TEST(NetServer, anAnswerThatIsGivenUpDoesNotLookComplete)
+{
+    constexpr std::size_t kRoom = 1024 * 1024;
+    constexpr std::size_t kAnswer = 16 * 1024 * 1024;
+    for (const bool isFinished : {false, true}) {
+        AnswerRoom room(context, kRoom);
+        // The answer has no length, so only the way in which its connection ends tells.
+        AsyncHttpServer streams(
+                context, {.address = addresses.next(), .chunksStreams = false, .answerRoom = &room},
+                [&](const auto &caller, const HttpRequest &) {
+                    caller->beginStream(200, {});
+                    caller->write(std::string(kAnswer, 'x'));
+                    if (isFinished)
+                        caller->finish();
+                });
+        CHECK_TRUE(static_cast<bool>(capture([&] { return streams.start(); })));
+        address = streams.options().address;
+        connectAndSend(kRequest);
+        CHECK_TRUE(eventually(context, kWaitLimit, [&] { return room.givenUp() == 1; }));
+        eventually(context, Millis(20), [] { return false; });
+        std::string text;
+        asio::error_code error;
+        asio::read(callers.back(), asio::dynamic_buffer(text), error);
+        CHECK_TRUE_TEXT(error == asio::error::connection_reset,
+                        isFinished ? "finished" : "in progress");
+        CHECK_TRUE(text.size() < kAnswer);
+    }
+}
+
 // Guards against keeping all of a stream whose caller always has a part of it still to take.
 TEST(NetServer, whatIsWrittenOfAnAnswerIsReleasedBeforeItsEnd)
 {
