--- a/src/gateway/gatewaypeersync.cpp
+++ b/src/gateway/gatewaypeersync.cpp
@@ -207,7 +207,7 @@
             applySharedState(pullBody_, name);
         else
             logEvent(LogLevel::Debug, "peer_state_not_given", {{"peer", name}});
-        pullBody_.clear();
+        pullBody_ = {};
     };
     const std::string target
             = fmt::format("{}{}{}&{}{}", kPullPath, kConfigParameter, configs_.newest(),
--- a/src/net/answerroom.h
+++ b/src/net/answerroom.h
@@ -58,7 +58,6 @@
 
     /// Does nothing once the answer is given up.
     void resize(std::size_t bytes);
-    bool isGivenUp() const { return isGivenUp_; }
 
 private:
     friend class AnswerRoom;
