--- a/tests/unit/gatewayendless_test.cpp
+++ b/tests/unit/gatewayendless_test.cpp
@@ -110,7 +110,7 @@
     constexpr unsigned kCallers = 30;
     constexpr unsigned kSoundRequests = 10;
     constexpr std::size_t kMegabyte = 1024 * 1024;
-    // Of all callers together; an answer of 8 MiB takes a second.
+    // Of each answer, which reaches the limit for one answer within a second.
     constexpr std::size_t kRate = 8 * kMegabyte;
     constexpr std::size_t kEndpointBuffer = 64 * 1024;
     struct Case
