Turn down answers that a reset cuts off amid the upload

What callers saw: an endpoint answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is still written. The caller gets the part as a complete answer. Of a stream that breaks off between two events it gets the first ones as all of it, and no other endpoint continues it.

Cause: an answer without a length ends with its connection, and it is whole only after an orderly end. The system reports a reset to one call only, whichever comes first. Amid an upload that is a write: the event loop runs the handlers of a writable socket before those of a readable one. UpstreamConnection ignored the errors of writes and left it to the read side to report the end, but after the failed write a read reports an orderly end.

Change: ResponseParser::finish() takes how the connection ended, so that no reader can complete such an answer without stating it, and a connection counts as failed once any read or write on it has failed. All answers in the gateway come through UpstreamConnection: those of endpoints, of peers, of the store, and to orders and reports.

A reset after the upload was handled already; its rows stay.

Weighed: an endpoint that ends its answer in an orderly way and then resets the connection, all before the daemon reads the end, now counts as failed. The error of a write does not tell this from a reset alone on all systems, and a caller can make up for a failure but not for half of an answer.

--- a/src/net/parser.cpp
+++ b/src/net/parser.cpp
@@ -280,10 +280,14 @@
     return true;
 }
 
-void ResponseParser::finish()
+void ResponseParser::finish(ConnectionClose close)
 {
     if (state_ != ParseState::Reading)
         return;
+    if (close == ConnectionClose::Failed) {
+        state_ = ParseState::Failed;
+        return;
+    }
     if (undeclaredChunks_ && undeclaredChunks_->phase == ChunkPhase::Done) {
         fail("undeclared_chunks");
         return;
--- a/src/net/parser.h
+++ b/src/net/parser.h
@@ -83,6 +83,11 @@
     std::size_t announcedBytes_ = 0; ///< As the head states; 0 for chunks.
 };
 
+/// How a connection has ended for its reader. A failed write takes the error of the connection, so
+/// that a read after it reports an orderly end: a connection is Failed once any read or write on it
+/// has failed.
+enum class ConnectionClose { Orderly, Failed };
+
 /// Callbacks of ResponseParser. Informational (1xx) responses are not reported.
 struct ResponseEvents
 {
@@ -98,10 +103,10 @@
 
     /// Returns the number of bytes consumed; stops at the end of a response.
     std::size_t feed(std::string_view bytes);
-    /// To be called after an orderly close of the connection. Completes a response whose body
-    /// extends to the end of the connection. Any other unfinished response fails, and so does a
-    /// body in chunked coding if the head does not state the coding.
-    void finish();
+    /// To be called when the connection has ended. Completes a response whose body extends to an
+    /// orderly end of the connection. Any other unfinished response fails, and so does a body in
+    /// chunked coding if the head does not state the coding.
+    void finish(ConnectionClose close);
     /// Prepares for the next response of the connection.
     void reset();
 
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -186,13 +186,16 @@
             return;
         }
         armRead();
-        // Other write errors are ignored here: the server may have responded before it closed the
-        // connection. The read side delivers that response and then reports the end.
         asio::error_code error = writeWithoutBlocking(socket_, output_, written_);
         if (!error)
             error = writeWithoutBlocking(socket_, body_, bodyWritten_);
-        if (error == asio::error::would_block)
+        if (error == asio::error::would_block) {
             armWrite();
+        } else if (error) {
+            // The server may have responded before it closed the connection. The read side delivers
+            // that response and then reports the end.
+            close_ = ConnectionClose::Failed;
+        }
     }
 
     /// True if the server has closed an idle connection or sent bytes that belong to no request.
@@ -211,6 +214,7 @@
         socket_.close(ignored);
         connected_ = false;
         reused_ = false;
+        close_ = ConnectionClose::Orderly;
         connect();
     }
 
@@ -271,10 +275,10 @@
 
     void onConnectionEnd(const asio::error_code &error)
     {
-        // A response that is delimited by the end of the connection is complete only after an
-        // orderly close.
-        if (error == asio::error::eof && headAccepted_ && !skipping_) {
-            parser_.finish();
+        if (error != asio::error::eof)
+            close_ = ConnectionClose::Failed;
+        if (headAccepted_ && !skipping_) {
+            parser_.finish(close_);
             if (parser_.state() == ParseState::Complete) {
                 end(UpstreamOutcome::Complete);
                 return;
@@ -399,6 +403,7 @@
     Millis idleLimit_;
     TimePoint idleSince_{};
     bool connected_ = false;
+    ConnectionClose close_ = ConnectionClose::Orderly; ///< What its end will be, as far as known.
     bool reused_ = false; ///< The connection has served an earlier call.
     bool inCall_ = false;
     bool readArmed_ = false;
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -158,8 +158,8 @@
         return;
     }
     if (error) {
-        if (error == asio::error::eof)
-            parser_.finish();
+        parser_.finish(error == asio::error::eof ? ConnectionClose::Orderly
+                                                 : ConnectionClose::Failed);
         if (parser_.state() == ParseState::Complete)
             endCall(CallEnd::Complete);
         else
--- a/tests/support/cutlinks.cpp
+++ b/tests/support/cutlinks.cpp
@@ -14,11 +14,13 @@
         const std::string target = toString(address);
         if (links.silent.contains(target))
             return;
+        const auto other = links.redirected.find(target);
         if (links.refusing.contains(target))
             asio::post(socket.get_executor(),
                        [done = std::move(done)] { done(asio::error::connection_refused); });
         else
-            direct.connect(socket, address, std::move(done));
+            direct.connect(socket, other == links.redirected.end() ? address : other->second,
+                           std::move(done));
     }};
 }
 
--- a/tests/support/cutlinks.h
+++ b/tests/support/cutlinks.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Links from one daemon to endpoints that a test can cut.
+// Links from one daemon to endpoints and peers that a test can cut or redirect.
 //
 //   CutLinks links;
 //   UpstreamPool pool(context, {}, cuttableDialer("127.3.4.5", links));
@@ -8,6 +8,7 @@
 
 #include "net/dialer.h"
 
+#include <map>
 #include <set>
 #include <string>
 
@@ -18,6 +19,8 @@
 {
     std::set<std::string> refusing;
     std::set<std::string> silent; ///< Connecting gets no answer.
+    /// Connections to the key are made to another address.
+    std::map<std::string, Address> redirected;
 };
 
 /// Connects from the local IP address, as long as the links exist. They must outlive the dialer.
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// An endpoint or store whose bytes the test writes.
+// An endpoint, peer or store whose bytes the test writes.
 //
 //   RawServer server(context, addresses.next());
 //   server.onRequest = [](const RawServer::Received &request) {
@@ -58,7 +58,16 @@
         asio::write(*connection, asio::buffer(bytes), ignored);
     }
 
+    /// Ends the connection with a TCP reset.
+    static void reset(const Socket &connection)
+    {
+        asio::error_code ignored;
+        connection->set_option(asio::socket_base::linger(true, 0), ignored);
+        connection->close(ignored);
+    }
+
     std::function<void(const Received &)> onRequest;
+    bool readsBodies = true; ///< Else nothing is read of a connection after the head of a request.
     std::vector<Received> received;
     unsigned connections = 0;
 
@@ -92,7 +101,8 @@
                     received.push_back(request);
                     if (onRequest)
                         onRequest(request);
-                    read(socket, input);
+                    if (readsBodies)
+                        read(socket, input);
                 });
     }
 
--- a/tests/unit/fuzz_test.cpp
+++ b/tests/unit/fuzz_test.cpp
@@ -147,7 +147,7 @@
                                },
                                [](std::string_view) {}, [] {}});
         parser.feed(bytes);
-        parser.finish();
+        parser.finish(ConnectionClose::Orderly);
     });
     CHECK_TRUE(runs > 20);
 }
--- a/tests/unit/netparser_test.cpp
+++ b/tests/unit/netparser_test.cpp
@@ -192,7 +192,7 @@
         ResponseParser parser(recordInto(response));
         parser.feed(row.text);
         if (row.connectionCloses)
-            parser.finish();
+            parser.finish(ConnectionClose::Orderly);
         CHECK_EQUAL_TEXT(row.complete, response.complete, row.name);
         STRCMP_EQUAL_TEXT(row.body.c_str(), response.body.c_str(), row.name);
         LONGS_EQUAL_TEXT(row.status, response.status, row.name);
@@ -291,7 +291,7 @@
                 ReceivedResponse response;
                 ResponseParser parser(recordInto(response));
                 feedInPieces(parser, damaged, damaged.size());
-                parser.finish();
+                parser.finish(ConnectionClose::Orderly);
                 if (response.complete)
                     STRCMP_EQUAL_TEXT(body.c_str(), response.body.c_str(),
                                       fmt::format("{}, byte {} at {}", row.name, byte, at).c_str());
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -6,11 +6,15 @@
 #include "support/network.h"
 
 #include <CppUTest/TestHarness.h>
+#include <asio/post.hpp>
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
+#include <fmt/format.h>
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 
 using namespace cicadafork;
@@ -39,11 +43,13 @@
         std::optional<UpstreamOutcome> outcome;
     };
 
-    std::unique_ptr<Call> begin()
+    std::unique_ptr<Call> begin(std::string_view upload = {})
     {
         auto call = std::make_unique<Call>();
         Call &target = *call;
-        call->handle = pool.call(address, {.head = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
+        const std::string head = fmt::format(
+                "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", upload.size());
+        call->handle = pool.call(address, {.head = head, .borrowedBody = upload},
                                  {.head = [](HttpResponseHead &&) { return HeadAction::Accept; },
                                   .body = [&](std::string_view bytes) { target.body += bytes; },
                                   .end = [&](UpstreamOutcome end) { target.outcome = end; }});
@@ -62,12 +68,41 @@
     }
 
     void answer(asio::ip::tcp::socket & server)
+    {
+        readHead(server);
+        write(server, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    }
+
+    void readHead(asio::ip::tcp::socket & server)
     {
         std::string request;
         asio::read_until(server, asio::dynamic_buffer(request), "\r\n\r\n");
-        asio::write(server,
-                    asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")));
     }
+
+    /// Reads the head and a body of a known size while the pool sends them.
+    void readRequest(asio::ip::tcp::socket & server, std::size_t bodyBytes)
+    {
+        requestRead = false;
+        std::thread reader([&] {
+            std::string request;
+            asio::error_code ignored;
+            const std::size_t head
+                    = asio::read_until(server, asio::dynamic_buffer(request), "\r\n\r\n", ignored);
+            const std::size_t rest = head + bodyBytes - request.size();
+            asio::read(server, asio::dynamic_buffer(request), asio::transfer_exactly(rest),
+                       ignored);
+            asio::post(context, [this] { requestRead = true; });
+        });
+        eventually(context, kWaitLimit, [this] { return requestRead; });
+        reader.join();
+    }
+
+    static void write(asio::ip::tcp::socket & server, std::string_view bytes)
+    {
+        asio::write(server, asio::buffer(bytes));
+    }
+
+    bool requestRead = false;
 };
 
 // Guards against giving up a request that may run only once and of which nothing was sent.
@@ -89,3 +124,66 @@
     CHECK_TRUE(second->outcome == UpstreamOutcome::Complete);
     STRCMP_EQUAL("ok", second->body.c_str());
 }
+
+// Guards against an answer that breaks off and passes for a whole one: a failed write of the
+// request takes the error of the connection, after which its end looks orderly.
+TEST(Upstream, answersWithoutALengthAreWholeOnlyAfterAnOrderlyEnd)
+{
+    enum class End { Reset, Orderly };
+    struct Case
+    {
+        const char *name;
+        bool kept;       ///< The connection has served a call before.
+        bool readsAll;   ///< The answer begins after the whole request has been read.
+        bool partIsRead; ///< The caller has the part of the answer before the connection ends.
+        End end;
+    };
+    const Case cases[] = {
+            {"amid the upload", false, false, true, End::Reset},
+            {"amid the upload, at once", false, false, false, End::Reset},
+            {"amid the upload, kept", true, false, true, End::Reset},
+            {"amid the upload, kept, at once", true, false, false, End::Reset},
+            {"after the upload", false, true, true, End::Reset},
+            {"after the upload, at once", false, true, false, End::Reset},
+            {"after the upload, kept", true, true, true, End::Reset},
+            {"amid the upload, orderly", false, false, true, End::Orderly},
+            {"amid the upload, kept, orderly", true, false, false, End::Orderly},
+            {"after the upload, orderly", false, true, true, End::Orderly},
+            {"after the upload, kept, orderly", true, true, false, End::Orderly},
+    };
+    // More than the buffers of both sides take.
+    const std::string upload(32 * 1024 * 1024, 'x');
+    for (const Case &row : cases) {
+        std::unique_ptr<Call> call;
+        std::optional<asio::ip::tcp::socket> server;
+        if (row.kept) {
+            const auto first = begin();
+            server.emplace(accept());
+            answer(*server);
+            CHECK_TRUE_TEXT(ended(*first), row.name);
+            call = begin(upload);
+            eventually(context, Millis(50), [] { return false; });
+        } else {
+            call = begin(upload);
+            server.emplace(accept());
+        }
+        if (row.readsAll)
+            readRequest(*server, upload.size());
+        else
+            readHead(*server);
+        write(*server, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
+        if (row.partIsRead)
+            CHECK_TRUE_TEXT(eventually(context, kWaitLimit, [&] { return call->body == "part"; }),
+                            row.name);
+        if (row.end == End::Reset) {
+            server->set_option(asio::socket_base::linger(true, 0));
+            server->close();
+        } else {
+            server->shutdown(asio::ip::tcp::socket::shutdown_send);
+        }
+        CHECK_TRUE_TEXT(ended(*call), row.name);
+        const auto expected
+                = row.end == End::Reset ? UpstreamOutcome::Broken : UpstreamOutcome::Complete;
+        LONGS_EQUAL_TEXT(static_cast<int>(expected), static_cast<int>(*call->outcome), row.name);
+    }
+}
