Show that answers with status 000 reach no caller

Reported of similar systems: an endpoint sends an answer whose status is 000, and the caller gets it as an answer.

The case is handled, and nothing is changed for it: headFault(), which every head passes that ResponseParser reads, turns down each status below 100 and above 599. BrokenAnswers.answersWithStatusZeroReachNoCaller sends such answers whole, in chunks, without a length, amid an upload and with the statement that the request has not run, on new and on kept connections, from endpoints and from peers.

--- a/tests/unit/brokenanswers_test.cpp
+++ b/tests/unit/brokenanswers_test.cpp
@@ -37,6 +37,17 @@
 
 const std::string kOk = "HTTP/1.1 200 OK\r\n";
 const std::string kClosing = "Connection: close\r\n";
+const std::string kChunked = "Transfer-Encoding: chunked\r\n";
+
+std::string lengthField(const std::string &body)
+{
+    return fmt::format("Content-Length: {}\r\n", body.size());
+}
+
+std::string inChunks(const std::string &body)
+{
+    return fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", body.size(), body);
+}
 
 /// Answers that have no length, which a reset follows.
 std::vector<BrokenAnswer> resetAnswers(const std::string &body)
@@ -55,6 +66,22 @@
     };
 }
 
+std::vector<BrokenAnswer> answersWithStatusZero(const std::string &body)
+{
+    const std::string status = "HTTP/1.1 000 OK\r\n";
+    const std::string length = lengthField(body);
+    return {
+            {"length", status + fields(length), body},
+            {"chunks", status + fields(kChunked), inChunks(body)},
+            {"no length", status + fields(kClosing), body, Ending::Close},
+            {"no reason", "HTTP/1.1 000\r\n" + fields(length), body},
+            {"earlier version", "HTTP/1.0 000 OK\r\n" + fields(""), body, Ending::Close},
+            {"not run", status + fields("Not-Run: 1\r\nContent-Length: 0\r\n"), ""},
+            {"before a sound answer", status + "\r\n" + kOk + fields(length), body},
+            {"amid the upload", status + fields(length), body, Ending::None, true},
+    };
+}
+
 struct Target
 {
     const char *name;
@@ -232,3 +259,9 @@
     checkAnswersOfEndpoints(resetAnswers);
     checkAnswersOfPeers(resetAnswers);
 }
+
+TEST(BrokenAnswers, answersWithStatusZeroReachNoCaller)
+{
+    checkAnswersOfEndpoints(answersWithStatusZero);
+    checkAnswersOfPeers(answersWithStatusZero);
+}
