Show that answers with malformed names of fields reach no caller

Reported of similar systems: the name of a field in the head of an answer holds a blank or a control byte, and the caller gets that line passed on, or a body that is not the endpoint's.

The case is handled in the gateway, and nothing is changed for it: isWellFormed() and the check of the framing, which all heads and trailers pass that ResponseParser reads, take only tokens for names. ResponseParser.namesOfFieldsAreTokens puts each byte at each place of a name, in heads and in trailers; BrokenAnswers.answersWithMalformedFieldNamesReachNoCaller plays such answers from endpoints and from peers, amid an upload too.

--- a/tests/unit/brokenanswers_test.cpp
+++ b/tests/unit/brokenanswers_test.cpp
@@ -82,6 +82,45 @@
     };
 }
 
+/// Answers with a blank or a control byte in the name of a field, or that hides how the body ends.
+std::vector<BrokenAnswer> answersWithMalformedNames(const std::string &body)
+{
+    const std::string chunks = inChunks(body);
+    std::vector<BrokenAnswer> answers = {
+            {"blank in a length", kOk + fields("Content Length: 4\r\n" + kClosing), body,
+             Ending::Close},
+            {"blank in a coding", kOk + fields("Transfer Encoding: chunked\r\n" + kClosing), chunks,
+             Ending::Close},
+            {"control byte in a coding",
+             kOk
+                     + fields("Transfer\x01"
+                              "Encoding: chunked\r\n"
+                              + kClosing),
+             chunks, Ending::Close},
+            {"blank in a trailer", kOk + fields(kChunked),
+             chunks.substr(0, chunks.size() - 2) + "X A: y\r\n\r\n"},
+            {"blank in an error",
+             "HTTP/1.1 500 Failed\r\n" + fields("X A: y\r\n" + lengthField(body)), body},
+            {"blank in an informational head",
+             "HTTP/1.1 103 Hints\r\nX A: y\r\n\r\n" + kOk + fields(lengthField(body)), body},
+            {"blank, amid the upload", kOk + fields("X A: y\r\n" + lengthField(body)), body,
+             Ending::None, true},
+    };
+    const std::string names[]
+            = {"X A",   " X",    "X ",   "X\tA", "\tX", "X\x01",    "\x01X",
+               "X\x1f", "X\x7f", "X\rA", "X\nA", "\nX", "X\r\nA B", std::string("X\0A", 3)};
+    for (const std::string &name : names) {
+        std::string shown;
+        for (const char character : name)
+            shown += fmt::format("{:02x} ", character);
+        answers.push_back(
+                {"bytes " + shown, kOk + fields(name + ": y\r\n" + lengthField(body)), body});
+        answers.push_back({"first field, bytes " + shown, kOk + name + ": y\r\n" + fields(kClosing),
+                           body, Ending::Close});
+    }
+    return answers;
+}
+
 struct Target
 {
     const char *name;
@@ -171,6 +210,7 @@
         LONGS_EQUAL_TEXT(target.repeatable ? 200 : 502, answer.status, name.c_str());
         STRCMP_EQUAL_TEXT(target.repeatable ? soundBody(target).c_str() : "", answer.body.c_str(),
                           name.c_str());
+        CHECK_FALSE_TEXT(answer.headers.find("X"), name.c_str());
     }
 
     /// A whole answer, also to keep a connection for the next request.
@@ -265,3 +305,10 @@
     checkAnswersOfEndpoints(answersWithStatusZero);
     checkAnswersOfPeers(answersWithStatusZero);
 }
+
+// Guards against answers in which a damaged line is passed on, or hides how the body ends.
+TEST(BrokenAnswers, answersWithMalformedFieldNamesReachNoCaller)
+{
+    checkAnswersOfEndpoints(answersWithMalformedNames);
+    checkAnswersOfPeers(answersWithMalformedNames);
+}
--- a/tests/unit/netparser_test.cpp
+++ b/tests/unit/netparser_test.cpp
@@ -7,6 +7,7 @@
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
 
+#include <cctype>
 #include <string>
 #include <vector>
 
@@ -270,6 +271,36 @@
     }
 }
 
+// Guards against passing on a field whose name is none, in a head or in a trailer.
+TEST(ResponseParser, namesOfFieldsAreTokens)
+{
+    const std::string_view others = "!#$%&'*+-.^_`|~";
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    for (int byte = 0; byte < 256; ++byte) {
+        const char character = static_cast<char>(byte);
+        const bool alphanumeric = byte < 0x80 && std::isalnum(byte) != 0;
+        for (const std::size_t at : {0, 1, 2}) {
+            std::string name = "XA";
+            name.insert(at, 1, character);
+            // A colon ends a name, which may not be empty.
+            const bool sound = alphanumeric || others.find(character) != std::string_view::npos
+                               || (character == ':' && at > 0);
+            const std::string field = name + ": y\r\n";
+            const std::string texts[] = {
+                    status + field + "Content-Length: 2\r\n\r\nab",
+                    status + "Content-Length: 2\r\n" + field + "\r\nab",
+                    status + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n" + field + "\r\n"};
+            for (const std::string &text : texts) {
+                ReceivedResponse response;
+                ResponseParser parser(recordInto(response));
+                feedInPieces(parser, text, text.size());
+                CHECK_EQUAL_TEXT(sound, response.complete,
+                                 fmt::format("byte {} at {} of {}", byte, at, name).c_str());
+            }
+        }
+    }
+}
+
 // Guards against a success with another body: a damaged byte of the head or of the chunked coding
 // once made the sizes of chunks a part of the body.
 TEST(ResponseParser, oneDamagedByteNeverChangesAChunkedBody)
