Reset connections whose answer is given up, however they end

What callers see: a caller of HTTP/1.0 gets a streamed answer without a length; it ends with its connection. If the daemon gives it up, the caller has to see a reset. It saw an orderly end, and so a part of the answer that looked whole, when - the answer was finished, but a part of it had not been written when the daemon stopped, - the caller had closed its sending side, which counts as leaving, and still read, - the process was killed.

Cause: each way to end a connection had to remember the reset, and only two did. abort() took an answer that had been finished for one that had been written.

Change: the socket is set to reset when it is closed as soon as such an answer begins, and the setting is taken back when the last byte is written. So every close shows it, also the one that the system makes for a process that ends.

Answers with a length or in chunks show by themselves that they break off.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -293,6 +293,10 @@
         headers.set("Transfer-Encoding", "chunked");
     if (!keepAlive_)
         headers.set("Connection", "close");
+    // Until all of it is written, any end of the connection, also that of the process, has to show
+    // that the response is not whole.
+    if (!chunked_)
+        resetOnClose(true);
     output_ += serializeResponseHead(status, headers);
 }
 
@@ -386,6 +390,7 @@
     // Closing a socket with unread input sends a TCP reset, which could discard the response before
     // the caller has read it.
     lingering_ = true;
+    resetOnClose(false);
     asio::error_code ignored;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     armTimer(kLingerTimeout);
@@ -398,16 +403,14 @@
     // A complete response is not reset, since that would discard what the caller has not received
     // yet.
     if (handlingRequest_ && !chunked_)
-        resetOnClose();
+        resetOnClose(true);
     close(ConnectionEnd::Aborted);
 }
 
-void HttpServerConnection::resetOnClose()
+void HttpServerConnection::resetOnClose(bool resets)
 {
-    // After an orderly close, a response that is delimited by the end of the connection would look
-    // complete.
     asio::error_code ignored;
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_.set_option(asio::socket_base::linger(resets, 0), ignored);
 }
 
 void HttpServerConnection::closeWhenIdle()
@@ -444,7 +447,7 @@
 {
     const auto handler = std::move(disconnectHandler_);
     disconnectHandler_ = nullptr;
-    resetOnClose();
+    resetOnClose(true);
     close(ConnectionEnd::Aborted);
     if (handler)
         handler();
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -145,8 +145,9 @@
     void shutdownAndLinger();
     void close(ConnectionEnd end);
     void notifyDisconnect();
-    /// Makes the caller see that the answer is not whole, also if all of it is buffered here.
-    void resetOnClose();
+    /// Whether a close ends the connection with a TCP reset. After an orderly close, a response
+    /// that ends with its connection looks complete.
+    void resetOnClose(bool resets);
     /// Ends the connection, as its caller takes the answer too slowly.
     void giveUpAnswer();
     bool hasUnreadInput() const;
--- a/tests/unit/netserver_test.cpp
+++ b/tests/unit/netserver_test.cpp
@@ -11,12 +11,15 @@
 #include <asio/local/connect_pair.hpp>
 #include <asio/local/stream_protocol.hpp>
 #include <asio/read.hpp>
+#include <asio/read_until.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
 #include <sys/resource.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <string>
@@ -715,6 +718,106 @@
     }
 }
 
+// Guards against a part of an answer that passes for all of it, as only the end of its connection
+// tells them apart.
+TEST(NetServer, anAnswerWithoutALengthLooksWholeOnlyIfItIs)
+{
+    constexpr std::size_t kAnswer = 16 * 1024 * 1024; // More than the buffers of a connection take.
+    enum class Event { None, CallerSendsNoMore, CloseAll, Abort };
+    struct Case
+    {
+        const char *name;
+        bool isFinished;
+        Event event;
+        bool whole;
+    };
+    const Case cases[] = {
+            {"finished", true, Event::None, true},
+            {"finished, caller sends nothing more", true, Event::CallerSendsNoMore, true},
+            {"finished, all connections closed", true, Event::CloseAll, false},
+            {"finished, aborted", true, Event::Abort, false},
+            {"in progress, caller sends nothing more", false, Event::CallerSendsNoMore, false},
+            {"in progress, all connections closed", false, Event::CloseAll, false},
+            {"in progress, aborted", false, Event::Abort, false},
+    };
+    for (const bool earlierVersion : {false, true}) {
+        for (const Case &row : cases) {
+            const std::string name
+                    = fmt::format("{}{}", row.name, earlierVersion ? ", earlier version" : "");
+            std::shared_ptr<HttpServerConnection> connection;
+            AsyncHttpServer streams(context,
+                                    {.address = addresses.next(), .chunksStreams = earlierVersion},
+                                    [&](const auto &caller, const HttpRequest &) {
+                                        connection = caller;
+                                        caller->beginStream(200, {});
+                                        caller->write(std::string(kAnswer, 'x'));
+                                        if (row.isFinished)
+                                            caller->finish();
+                                    });
+            CHECK_TRUE(static_cast<bool>(capture([&] { return streams.start(); })));
+            address = streams.options().address;
+            connectAndSend(earlierVersion ? "GET / HTTP/1.0\r\nHost: h\r\n\r\n" : kRequest);
+            CHECK_TRUE(eventually(context, kWaitLimit, [&] { return connection != nullptr; }));
+            if (row.event == Event::CallerSendsNoMore)
+                callers.back().shutdown(asio::ip::tcp::socket::shutdown_send);
+            if (row.event == Event::CloseAll)
+                streams.closeAll();
+            if (row.event == Event::Abort)
+                connection->abort();
+            eventually(context, Millis(20), [] { return false; });
+            std::string text;
+            asio::error_code end;
+            bool ended = false;
+            asio::async_read(callers.back(), asio::dynamic_buffer(text),
+                             [&](const asio::error_code &error, std::size_t) {
+                                 end = error;
+                                 ended = true;
+                             });
+            CHECK_TRUE_TEXT(eventually(context, kWaitLimit, [&] { return ended; }), name.c_str());
+            CHECK_EQUAL_TEXT(row.whole, text.size() > kAnswer, name.c_str());
+            CHECK_TRUE_TEXT(end
+                                    == (row.whole
+                                                ? asio::error_code(asio::error::eof)
+                                                : asio::error_code(asio::error::connection_reset)),
+                            fmt::format("{}: {}", name, end.message()).c_str());
+        }
+    }
+}
+
+// Guards against the same when the process is killed.
+TEST(NetServer, anAnswerWithoutALengthOfAKilledProcessDoesNotLookWhole)
+{
+    const Address own = addresses.next();
+    const pid_t child = fork();
+    if (child == 0) {
+        asio::io_context childContext;
+        AsyncHttpServer streams(childContext, {.address = own, .chunksStreams = false},
+                                [](const auto &caller, const HttpRequest &) {
+                                    caller->beginStream(200, {});
+                                    caller->write("part");
+                                });
+        if (capture([&] { return streams.start(); }))
+            childContext.run();
+        _exit(1);
+    }
+    address = own;
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address_v4(own.ip), own.port);
+    callers.emplace_back(context);
+    asio::error_code error = asio::error::connection_refused;
+    CHECK_TRUE(eventually(kWaitLimit, [&] {
+        callers.back() = asio::ip::tcp::socket(context);
+        callers.back().connect(endpoint, error);
+        return !error;
+    }));
+    asio::write(callers.back(), asio::buffer(kRequest));
+    std::string text;
+    asio::read_until(callers.back(), asio::dynamic_buffer(text), "part");
+    kill(child, SIGKILL);
+    waitpid(child, nullptr, 0);
+    asio::read(callers.back(), asio::dynamic_buffer(text), error);
+    CHECK_TRUE_TEXT(error == asio::error::connection_reset, error.message().c_str());
+}
+
 // Guards against keeping all of a stream whose caller always has a part of it still to take.
 TEST(NetServer, whatIsWrittenOfAnAnswerIsReleasedBeforeItsEnd)
 {
