Read answers of the product's own interface with the parser of the gateway

What callers saw: a plain service sends an answer in whose head the name of a field holds a line feed, or in which a blank or a control byte stands in a name without a value or in place of the colon. The caller of /v1/services gets it as the service's answer; of a coding that is hidden like this, with a body that is not the service's.

Cause: cpp-httplib passes over the lines that it does not understand, and hands on a head in which they are missing.

Change: BlockingCall (src/http) reads with ResponseParser, so that all answers of the program go through one parser and one set of rules; ResponseCheck, which repeated a part of them, is gone. Calls to plain services and engines, orders, reports, polls, the log, the list of VMs and `dump` use it. An answer that comes amid an upload is read at once instead of after the write has failed or ended. cpp-httplib's client is left to the load generator and to tests.

Two differences: beforeSend is asked before the head of a request is written, no longer between head and body; the error of a call that was sent and got no whole answer is always DeadlineExceeded, as cpp-httplib reported it for most of them, since a caller must not take it for a call that was not sent.

--- a/src/cli/ctlcommand.cpp
+++ b/src/cli/ctlcommand.cpp
@@ -352,10 +352,11 @@
     const auto address = capture([&] { return parseAddress(argument); });
     if (!address)
         return reportError(address.error().message, address.error().remedy, ExitUsage);
-    auto client = makeHttpClient(*address, {});
-    const auto result = client->Get(
-            "/debug/dump",
-            {{"Authorization", "Bearer " + environmentValue("CICADAFORK_CREDENTIAL")}});
+    constexpr Millis kDumpTimeout{1000};
+    const httplib::Headers headers
+            = {{"Authorization", "Bearer " + environmentValue("CICADAFORK_CREDENTIAL")}};
+    const auto result
+            = capture([&] { return httpGet(*address, "/debug/dump", kDumpTimeout, {}, headers); });
     if (!result) {
         return reportError("the daemon did not answer", "check the address and that it runs",
                            ExitUnreachable);
--- a/src/endpoint/attempt.cpp
+++ b/src/endpoint/attempt.cpp
@@ -1,10 +1,5 @@
 #include "endpoint/attempt.h"
 
-#include "base/log.h"
-#include "http/client.h"
-
-#include <algorithm>
-
 namespace cicadafork {
 
 const char *toString(AttemptStatus status)
@@ -26,8 +21,8 @@
 {
     const std::lock_guard lock(mutex_);
     stopped_ = true;
-    if (client_)
-        client_->stop();
+    if (call_)
+        call_->interrupt();
 }
 
 bool AttemptStop::stopped() const
@@ -39,89 +34,46 @@
 void AttemptStop::interrupt()
 {
     const std::lock_guard lock(mutex_);
-    if (client_)
-        client_->stop();
+    if (call_)
+        call_->interrupt();
 }
 
-void AttemptStop::attach(httplib::Client *client)
+void AttemptStop::attach(BlockingCall *call)
 {
     const std::lock_guard lock(mutex_);
-    client_ = client;
+    call_ = call;
 }
 
 void AttemptStop::detach()
 {
     const std::lock_guard lock(mutex_);
-    client_ = nullptr;
+    call_ = nullptr;
 }
 
-CallEnd runStoppable(httplib::Client &client, AttemptStop &stop, const StoppableRequest &request)
+CallEnd runStoppable(const Address &address, HttpTimeouts timeouts, AttemptStop &stop,
+                     const StoppableRequest &request)
 {
-    bool sending = false;
-    bool receiverEnded = false;
-    ResponseCheck check;
-    httplib::Request message;
-    message.method = request.method;
-    message.path = request.path;
-    message.headers = request.headers;
-    const auto maySend = [&] {
-        // Client::stop() has no effect before the connection is open; this check comes after.
-        if (stop.stopped() || (request.beforeSend && !request.beforeSend()))
-            return false;
-        sending = true;
-        return true;
+    BlockingHandlers handlers;
+    handlers.beforeSend = [&] {
+        // A stop before the call was attached has not ended it.
+        return !stop.stopped() && (!request.beforeSend || request.beforeSend());
     };
-    if (request.body.empty()) {
-        if (!maySend())
-            return CallEnd::NotSent;
-    } else {
-        // The library's POST with a content provider cannot receive a stream; send() with these
-        // two fields can.
-        message.set_header("Content-Type", "application/json");
-        message.content_length_ = request.body.size();
-        message.content_provider_
-                = [&](std::size_t offset, std::size_t length, httplib::DataSink &sink) {
-                      if (!sending && !maySend())
-                          return false;
-                      sink.write(request.body.data() + offset,
-                                 std::min(length, request.body.size() - offset));
-                      return true;
-                  };
-    }
-    message.response_handler = [&](const httplib::Response &response) {
-        if (!check.checkHead(response))
-            return false;
-        receiverEnded
-                = stop.stopped()
-                  || (request.onStatus && !request.onStatus(response.status, response.headers));
-        return !receiverEnded;
+    handlers.head = [&](const HttpResponseHead &head) {
+        return !stop.stopped()
+               && (!request.onStatus || request.onStatus(head.status, head.headers));
     };
-    message.content_receiver = [&](const char *data, std::size_t length, std::uint64_t,
-                                   std::uint64_t) {
-        check.noteBody({data, length});
-        receiverEnded = stop.stopped()
-                        || (request.onBytes && !request.onBytes(std::string_view(data, length)));
-        return !receiverEnded;
+    handlers.body = [&](std::string_view bytes) {
+        return !stop.stopped() && (!request.onBytes || request.onBytes(bytes));
     };
-    httplib::Response response;
-    httplib::Error error = httplib::Error::Success;
-    stop.attach(&client);
-    const bool answered = client.send(message, response, error);
+    BlockingCall call(address, timeouts);
+    stop.attach(&call);
+    const CallEnd end = call.run({.method = request.method,
+                                  .path = request.path,
+                                  .headers = request.headers,
+                                  .body = request.body},
+                                 handlers);
     stop.detach();
-    if (receiverEnded)
-        return CallEnd::ReceiverEnded;
-    if (const char *fault = check.fault()) {
-        logEvent(LogLevel::Warning, "invalid_answer", {{"call", request.path}, {"fault", fault}});
-        return CallEnd::Broken;
-    }
-    if (!sending) {
-        return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
-                       ? CallEnd::NotConnected
-                       : CallEnd::NotSent;
-    }
-    if (answered)
-        return CallEnd::Answered;
-    return error == httplib::Error::Read && !stop.stopped() ? CallEnd::TimedOut : CallEnd::Broken;
+    return end;
 }
 
 } // namespace cicadafork
--- a/src/endpoint/attempt.h
+++ b/src/endpoint/attempt.h
@@ -9,13 +9,13 @@
 
 #include "base/clock.h"
 #include "base/error.h"
-
-#include <httplib.h>
+#include "http/blockingcall.h"
 
 #include <cstdint>
 #include <functional>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 namespace cicadafork {
 
@@ -56,40 +56,32 @@
     /// resumed.
     void interrupt();
 
-    /// Binds the client in use; only the HTTP clients call these two.
-    void attach(httplib::Client *client);
+    /// Binds the call in progress; only runStoppable() calls these two.
+    void attach(BlockingCall *call);
     void detach();
 
 private:
     mutable std::mutex mutex_;
-    httplib::Client *client_ = nullptr;
+    BlockingCall *call_ = nullptr;
     bool stopped_ = false;
 };
 
 /// Runs one HTTP request that can be stopped. beforeSend is called when the connection is open and
-/// before any byte of the body is written; when it returns false, the body is not sent, so that the
-/// endpoint cannot execute the request.
+/// before any byte is written; when it returns false, nothing is sent, so that the endpoint cannot
+/// execute the request.
 struct StoppableRequest
 {
     std::string method = "POST";
     std::string path;
-    httplib::Headers headers;
+    HeaderList headers;
     std::string body;
     std::function<bool()> beforeSend;
     /// Called with the status; false ends the call.
-    std::function<bool(int status, const httplib::Headers &headers)> onStatus;
+    std::function<bool(int status, const HeaderList &headers)> onStatus;
     std::function<bool(std::string_view bytes)> onBytes;
 };
 
-enum class CallEnd {
-    NotConnected,  ///< The connection could not be opened: nothing was sent.
-    NotSent,       ///< beforeSend refused or the call was stopped before: the body was not sent.
-    Answered,      ///< The whole response arrived.
-    TimedOut,      ///< Sent; silence for longer than the read timeout.
-    Broken,        ///< Sent, possibly in part; the connection ended early.
-    ReceiverEnded, ///< onStatus or onBytes returned false.
-};
-
-CallEnd runStoppable(httplib::Client &client, AttemptStop &stop, const StoppableRequest &request);
+CallEnd runStoppable(const Address &address, HttpTimeouts timeouts, AttemptStop &stop,
+                     const StoppableRequest &request);
 
 } // namespace cicadafork
--- a/src/endpoint/engineclient.cpp
+++ b/src/endpoint/engineclient.cpp
@@ -2,7 +2,6 @@
 
 #include "base/json.h"
 #include "endpoint/enginestream.h"
-#include "http/client.h"
 
 #include <fmt/format.h>
 
@@ -18,17 +17,16 @@
 constexpr std::size_t kMaxEventBytes = 1 << 20;
 constexpr std::size_t kMaxErrorBodyBytes = 64 * 1024;
 
-/// Time until the deadline, at least 1 ms, since the library takes 0 as no timeout.
+/// Time until the deadline, at least 1 ms.
 Millis remaining(TimePoint deadline)
 {
     return std::max(Millis(1), std::chrono::duration_cast<Millis>(deadline - steadyNow()));
 }
 
-std::unique_ptr<httplib::Client> clientUntil(const Address &address, TimePoint deadline)
+HttpTimeouts timeoutsUntil(TimePoint deadline)
 {
     const Millis left = remaining(deadline);
-    return makeHttpClient(address, {std::min(kConnectTimeout, left), left + kDeadlineGrace,
-                                    std::min(kWriteTimeout, left)});
+    return {std::min(kConnectTimeout, left), left + kDeadlineGrace, std::min(kWriteTimeout, left)};
 }
 
 nlohmann::json priorJson(const std::vector<PriorHold> &prior)
@@ -71,26 +69,25 @@
     {
     }
 
-    AttemptResult run(httplib::Client &client, AttemptStop &stop, StoppableRequest request)
+    AttemptResult run(TimePoint deadline, AttemptStop &stop, StoppableRequest request)
     {
         request.beforeSend = handlers_.beforeSend;
-        request.onStatus = [this](int status, const httplib::Headers &headers) {
+        request.onStatus = [this](int status, const HeaderList &headers) {
             return onStatus(status, headers);
         };
         request.onBytes = [this](std::string_view bytes) { return onBytes(bytes); };
-        const CallEnd end = runStoppable(client, stop, request);
+        const CallEnd end = runStoppable(address_, timeoutsUntil(deadline), stop, request);
         result_.nextSeq = check_.nextSeq();
         finish(end, stop.stopped());
         return std::move(result_);
     }
 
 private:
-    bool onStatus(int status, const httplib::Headers &headers)
+    bool onStatus(int status, const HeaderList &headers)
     {
         result_.httpStatus = status;
-        if (const auto found = headers.find("Retry-After"); found != headers.end())
-            result_.retryAfter
-                    = Millis(1000 * std::clamp(std::atoi(found->second.c_str()), 0, 3600));
+        if (const std::string *delay = headers.find("Retry-After"))
+            result_.retryAfter = Millis(1000 * std::clamp(std::atoi(delay->c_str()), 0, 3600));
         if (status == 200) {
             result_.accepted = true;
             if (handlers_.accepted)
@@ -193,11 +190,10 @@
     call.path = "/v1/completions";
     call.body = completionBody(request);
     if (!request.traceparent.empty())
-        call.headers.emplace("traceparent", request.traceparent);
-    const auto client = clientUntil(address_, request.deadline);
+        call.headers.add("traceparent", request.traceparent);
     StreamCall stream(address_, EngineStreamCheck(request.requestId, request.attempt, 0), handlers,
                       onMismatch_);
-    return stream.run(*client, stop, std::move(call));
+    return stream.run(request.deadline, stop, std::move(call));
 }
 
 AttemptResult EngineClient::resume(const std::string &requestId,
@@ -208,9 +204,8 @@
     StoppableRequest call;
     call.method = "GET";
     call.path = fmt::format("/v1/streams/{}?from={}", requestId, from);
-    const auto client = clientUntil(address_, deadline);
     StreamCall stream(address_, EngineStreamCheck(requestId, attempt, from), handlers, onMismatch_);
-    AttemptResult result = stream.run(*client, stop, std::move(call));
+    AttemptResult result = stream.run(deadline, stop, std::move(call));
     if (result.httpStatus == 404) {
         result.status = AttemptStatus::Refused;
         result.error = {ErrorCode::NotFound, "the stream is not at the engine any more",
--- a/src/endpoint/enginecontrol.cpp
+++ b/src/endpoint/enginecontrol.cpp
@@ -118,14 +118,12 @@
         body["prior"].push_back({{"address", toString(hold.address)}, {"hold_id", hold.holdId}});
     const Millis left = std::max(
             Millis(1), std::chrono::duration_cast<Millis>(request.deadline - steadyNow()));
-    const auto client
-            = makeHttpClient(address_, {std::min(Millis(500), left), left + kDeadlineGrace, left});
     std::string answer;
     int status = 0;
     StoppableRequest call;
     call.path = "/v1/prefill";
     call.body = body.dump();
-    call.onStatus = [&](int value, const httplib::Headers &) {
+    call.onStatus = [&](int value, const HeaderList &) {
         status = value;
         return true;
     };
@@ -133,7 +131,8 @@
         answer += bytes;
         return answer.size() < 64 * 1024;
     };
-    const CallEnd end = runStoppable(*client, stop, call);
+    const CallEnd end = runStoppable(
+            address_, {std::min(Millis(500), left), left + kDeadlineGrace, left}, stop, call);
     const auto parsed = parseJson(answer);
     if (end == CallEnd::Answered && status == 200 && parsed.is_object()
         && parsed.contains("digest"))
--- a/src/endpoint/plainserviceclient.cpp
+++ b/src/endpoint/plainserviceclient.cpp
@@ -1,7 +1,6 @@
 #include "endpoint/plainserviceclient.h"
 
 #include "base/json.h"
-#include "http/client.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -21,18 +20,18 @@
            && !parsed["executed"].get<bool>();
 }
 
-httplib::Headers headersOf(const PlainRequest &request)
+HeaderList headersOf(const PlainRequest &request)
 {
-    httplib::Headers headers;
+    HeaderList headers;
     if (request.fencingNumber)
-        headers.emplace("X-Fencing-Number", std::to_string(*request.fencingNumber));
+        headers.add("X-Fencing-Number", std::to_string(*request.fencingNumber));
     const std::pair<const char *, const std::string &> fields[]
             = {{"Idempotency-Key", request.idempotencyKey},
                {"X-Request-Id", request.requestId},
                {"traceparent", request.traceparent}};
     for (const auto &[name, value] : fields) {
         if (!value.empty())
-            headers.emplace(name, value);
+            headers.add(name, value);
     }
     return headers;
 }
@@ -62,8 +61,6 @@
 {
     const Millis left = std::max(
             Millis(1), std::chrono::duration_cast<Millis>(request.deadline - steadyNow()));
-    const auto client = makeHttpClient(
-            address_, {std::min(kConnectTimeout, left), left + kDeadlineGrace, left});
     PlainResult result;
     StoppableRequest call;
     call.path = "/v1/call/" + request.operation;
@@ -73,17 +70,18 @@
         result.dispatched = !request.beforeSend || request.beforeSend();
         return result.dispatched;
     };
-    call.onStatus = [&](int status, const httplib::Headers &headers) {
+    call.onStatus = [&](int status, const HeaderList &headers) {
         result.status = status;
-        const auto type = headers.find("Content-Type");
-        result.contentType = type == headers.end() ? "application/json" : type->second;
+        const std::string *type = headers.find("Content-Type");
+        result.contentType = type ? *type : "application/json";
         return true;
     };
     call.onBytes = [&](std::string_view bytes) {
         result.body += bytes;
         return result.body.size() <= maxAnswerBytes_;
     };
-    const CallEnd end = runStoppable(*client, stop, call);
+    const CallEnd end = runStoppable(
+            address_, {std::min(kConnectTimeout, left), left + kDeadlineGrace, left}, stop, call);
     const std::string name = fmt::format("service {}", toString(address_));
     if (end == CallEnd::NotConnected || end == CallEnd::NotSent) {
         result.error
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,8 +1,6 @@
 #include "http/client.h"
 
 #include "base/json.h"
-#include "net/headrules.h"
-#include "net/wholebody.h"
 
 #include <fmt/format.h>
 
@@ -15,38 +13,6 @@
     return {timeout, timeout, timeout};
 }
 
-HttpResponseHead toHead(const httplib::Response &response)
-{
-    HttpResponseHead head;
-    head.status = response.status;
-    for (const auto &[name, value] : response.headers)
-        head.headers.add(name, value);
-    head.bodyEndsAtClose = statesNoLength(head);
-    head.isHttp10 = response.version == "HTTP/1.0";
-    return head;
-}
-
-Result<HttpReply> toReply(const Address &address, const std::string &path,
-                          const httplib::Result &result)
-{
-    if (result) {
-        ResponseCheck check;
-        if (check.checkHead(*result))
-            check.noteBody(result->body);
-        if (!check.fault())
-            return HttpReply{result->status, result->body, result->headers};
-        return fail(ErrorCode::Unavailable,
-                    fmt::format("{}{}: invalid answer: {}", toString(address), path, check.fault()),
-                    "check the server at this address; it sends damaged responses");
-    }
-    const bool timedOut = result.error() == httplib::Error::Read
-                          || result.error() == httplib::Error::ConnectionTimeout;
-    return fail(
-            timedOut ? ErrorCode::DeadlineExceeded : ErrorCode::Unavailable,
-            fmt::format("{}{}: {}", toString(address), path, httplib::to_string(result.error())),
-            "check that the server at this address runs and can be reached");
-}
-
 /// Bytes of header lines: name, colon, space, value, line end.
 std::size_t headerBytes(const httplib::Headers &headers)
 {
@@ -56,20 +22,60 @@
     return bytes;
 }
 
-/// Counts a call; an answer that did not arrive whole counts with the request only.
+/// Counts a call; an answer that did not arrive whole, so that there is no reply, counts with the
+/// request only.
 void count(const TrafficMeter &meter, const std::string &path, const std::string &body,
-           const httplib::Result &result, const httplib::Headers &headers)
+           const HttpReply *reply, const httplib::Headers &headers)
 {
-    // Request line, and the headers that the library adds: Host, User-Agent, Accept, Connection
-    // and, with a body, Content-Type and Content-Length.
-    constexpr std::size_t kRequestBytes = 120;
+    // Request line, and the headers that are added: Host, Connection and, with a body, Content-Type
+    // and Content-Length.
+    constexpr std::size_t kRequestBytes = 60;
     constexpr std::size_t kBodyHeaderBytes = 55;
     constexpr std::size_t kStatusLineBytes = 19;
     meter.addMessage();
     meter.addSent(kRequestBytes + path.size() + headerBytes(headers)
                   + (body.empty() ? 0 : kBodyHeaderBytes + body.size()));
-    if (result)
-        meter.addReceived(kStatusLineBytes + headerBytes(result->headers) + result->body.size());
+    if (reply)
+        meter.addReceived(kStatusLineBytes + headerBytes(reply->headers) + reply->body.size());
+}
+
+Result<HttpReply> call(const Address &address, const std::string &method, const std::string &path,
+                       const std::string &body, Millis timeout,
+                       const httplib::Headers &headers = {}, const TrafficMeter &meter = {})
+{
+    BlockingRequest request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    for (const auto &[name, value] : headers)
+        request.headers.add(name, value);
+    HttpReply reply;
+    BlockingHandlers handlers;
+    handlers.head = [&reply](const HttpResponseHead &head) {
+        reply.status = head.status;
+        for (const HeaderField &field : head.headers.fields())
+            reply.headers.emplace(field.name, field.value);
+        return true;
+    };
+    handlers.body = [&reply](std::string_view bytes) {
+        reply.body += bytes;
+        return true;
+    };
+    BlockingCall blockingCall(address, singleTimeout(timeout));
+    const CallEnd end = blockingCall.run(request, handlers);
+    const bool answered = end == CallEnd::Answered;
+    count(meter, path, body, answered ? &reply : nullptr, headers);
+    if (answered)
+        return reply;
+    const std::string name = toString(address) + path;
+    if (const char *fault = blockingCall.fault())
+        return fail(ErrorCode::Unavailable, fmt::format("{}: invalid answer: {}", name, fault),
+                    "check the server at this address; it sends damaged responses");
+    const bool isSent = end != CallEnd::NotConnected;
+    return fail(isSent ? ErrorCode::DeadlineExceeded : ErrorCode::Unavailable,
+                fmt::format("{}: {}", name,
+                            isSent ? "no whole answer arrived" : "no connection could be opened"),
+                "check that the server at this address runs and can be reached");
 }
 
 Result<nlohmann::json> toJson(const Address &address, const std::string &path,
@@ -85,32 +91,6 @@
 
 } // namespace
 
-bool ResponseCheck::checkHead(const httplib::Response &response)
-{
-    const HttpResponseHead head = toHead(response);
-    headFault_ = headFault(head);
-    const bool isSuccess = head.status / 100 == 2;
-    if (!headFault_ && isSuccess)
-        headFault_ = bodyFault(head, BodyKind::Any);
-    if (head.bodyEndsAtClose)
-        undeclaredChunks_.emplace();
-    return !headFault_;
-}
-
-void ResponseCheck::noteBody(std::string_view bytes)
-{
-    if (undeclaredChunks_ && advance(*undeclaredChunks_, bytes) < bytes.size())
-        undeclaredChunks_.reset();
-}
-
-const char *ResponseCheck::fault() const
-{
-    if (headFault_)
-        return headFault_;
-    const bool isChunked = undeclaredChunks_ && undeclaredChunks_->phase == ChunkPhase::Done;
-    return isChunked ? "undeclared_chunks" : nullptr;
-}
-
 std::unique_ptr<httplib::Client> makeHttpClient(const Address &address, HttpTimeouts timeouts)
 {
     auto client = std::make_unique<httplib::Client>(address.ip, address.port);
@@ -125,25 +105,19 @@
 Result<HttpReply> httpGet(const Address &address, const std::string &path, Millis timeout,
                           const TrafficMeter &meter, const httplib::Headers &headers)
 {
-    auto client = makeHttpClient(address, singleTimeout(timeout));
-    const auto result = client->Get(path, headers);
-    count(meter, path, "", result, headers);
-    return toReply(address, path, result);
+    return call(address, "GET", path, {}, timeout, headers, meter);
 }
 
 Result<HttpReply> httpPost(const Address &address, const std::string &path, const std::string &body,
                            Millis timeout, const httplib::Headers &headers,
                            const TrafficMeter &meter)
 {
-    auto client = makeHttpClient(address, singleTimeout(timeout));
-    const auto result = client->Post(path, headers, body, "application/json");
-    count(meter, path, body, result, headers);
-    return toReply(address, path, result);
+    return call(address, "POST", path, body, timeout, headers, meter);
 }
 
 Result<HttpReply> httpDelete(const Address &address, const std::string &path, Millis timeout)
 {
-    return toReply(address, path, makeHttpClient(address, singleTimeout(timeout))->Delete(path));
+    return call(address, "DELETE", path, {}, timeout);
 }
 
 Result<nlohmann::json> getJson(const Address &address, const std::string &path, Millis timeout,
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -4,52 +4,24 @@
 //
 //   Result<nlohmann::json> vms = getJson(address, "/vms", Millis(500));
 //
-// For streams use makeHttpClient() and the library's content receiver.
+// For streams use http/blockingcall.
 
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/traffic.h"
 #include "http/address.h"
-#include "net/framing.h"
-#include "net/message.h"
+#include "http/blockingcall.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <memory>
-#include <optional>
 #include <string>
-#include <string_view>
 
 namespace cicadafork {
 
-struct HttpTimeouts
-{
-    Millis connect{500};
-    Millis read{1000}; ///< Longest silence while a response is read.
-    Millis write{1000};
-};
-
-/// Applies the rules for the head and the body of a response, which the library does not check, to
-/// one response as it arrives.
-class ResponseCheck
-{
-public:
-    /// Returns false if the response has to be dropped.
-    bool checkHead(const httplib::Response &response);
-    void noteBody(std::string_view bytes);
-
-    /// What is wrong with the response as far as it has arrived, for the log; null if nothing is.
-    const char *fault() const;
-
-private:
-    const char *headFault_ = nullptr;
-    /// Position in the body if it were chunked. Set while a body that its head says nothing of can
-    /// be one.
-    std::optional<ChunkFraming> undeclaredChunks_;
-};
-
-/// A client without keep-alive and with TCP_NODELAY.
+/// The library's client without keep-alive and with TCP_NODELAY, for tools and tests. It checks
+/// less of an answer than the calls below: what it gets must not reach a caller.
 std::unique_ptr<httplib::Client> makeHttpClient(const Address &address, HttpTimeouts timeouts);
 
 struct HttpReply
@@ -59,8 +31,8 @@
     httplib::Headers headers;
 };
 
-/// GET; fails with Unavailable (no connection, connection lost, damaged response) or
-/// DeadlineExceeded (no answer). Any HTTP status is a success.
+/// GET; fails with Unavailable (no connection, damaged response) or DeadlineExceeded (no whole
+/// answer, also if the connection was lost). Any HTTP status is a success.
 Result<HttpReply> httpGet(const Address &address, const std::string &path, Millis timeout,
                           const TrafficMeter &meter = {}, const httplib::Headers &headers = {});
 
--- a/tests/unit/endpoint_test.cpp
+++ b/tests/unit/endpoint_test.cpp
@@ -288,3 +288,73 @@
         STRCMP_EQUAL_TEXT(row.sound ? "answer" : "", result.body.c_str(), row.name);
     }
 }
+
+// Guards against a part of an answer, or one whose head is no HTTP, that passes for the service's.
+TEST(Endpoint, answersThatBreakOffOrAreNoHttpAreNoSuccess)
+{
+    enum class End { Orderly, Reset };
+    struct Case
+    {
+        const char *name;
+        std::string text;
+        End end = End::Orderly;
+        bool amidUpload = false; ///< Sent when only the head of a large request has been read.
+        bool sound = false;
+    };
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string length = "Content-Length: 6\r\n\r\nanswer";
+    const std::string closing = "Connection: close\r\n\r\nanswer";
+    const Case cases[] = {
+            {"sound", ok + length, End::Orderly, false, true},
+            {"sound, no length", ok + closing, End::Orderly, false, true},
+            {"reset", ok + closing, End::Reset},
+            {"reset, earlier version", "HTTP/1.0 200 OK\r\n\r\nanswer", End::Reset},
+            {"reset amid the upload", ok + closing, End::Reset, true},
+            {"reset amid the upload, earlier version", "HTTP/1.0 200 OK\r\n\r\nanswer", End::Reset,
+             true},
+            {"status 000", "HTTP/1.1 000 OK\r\n" + length},
+            {"status 000, no length", "HTTP/1.1 000 OK\r\n" + closing},
+            {"status 000, no reason", "HTTP/1.1 000\r\n" + length},
+            {"status 000 before a sound answer", "HTTP/1.1 000 OK\r\n\r\n" + ok + length},
+            {"blank in a name", ok + "X A: y\r\n" + length},
+            {"blank in a name without a value", ok + "X A:\r\n" + length},
+            {"blank in place of the colon", ok + "X y\r\n" + length},
+            {"blank before a name", ok + " X: y\r\n" + length},
+            {"blank after a name", ok + "X : y\r\n" + length},
+            {"control byte in a name", ok + "X\x01: y\r\n" + length},
+            {"control byte in a name without a value", ok + "X\x01:\r\n" + length},
+            {"zero byte in a name", ok + std::string("X\0A: y\r\n", 8) + length},
+            {"tab in a name", ok + "X\tA: y\r\n" + length},
+            {"line feed in a name", ok + "X\nA: y\r\n" + length},
+            {"line feed in the name of a coding", ok + "Content\nEncoding: br\r\n" + length},
+            {"return in a name", ok + "X\rA: y\r\n" + length},
+    };
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    const Address address{"127.0.0.1", acceptor.local_endpoint().port()};
+    for (const Case &row : cases) {
+        PlainRequest request;
+        request.operation = "open-gate";
+        request.body = row.amidUpload ? std::string(16 * 1024 * 1024, 'x') : "{}";
+        request.deadline = steadyNow() + Millis(2000);
+        std::thread service([&] {
+            asio::ip::tcp::socket socket = acceptor.accept();
+            std::string received;
+            asio::error_code ignored;
+            asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", ignored);
+            if (!row.amidUpload && !received.ends_with("{}"))
+                asio::read_until(socket, asio::dynamic_buffer(received), "{}", ignored);
+            asio::write(socket, asio::buffer(row.text), ignored);
+            if (row.end != End::Reset)
+                return;
+            std::this_thread::sleep_for(Millis(20));
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            socket.close(ignored);
+        });
+        const PlainResult result = PlainServiceClient(address).call(request, stop);
+        service.join();
+        STRCMP_EQUAL_TEXT(toString(row.sound ? Execution::Ran : Execution::MayHaveRun),
+                          toString(result.execution), row.name);
+        STRCMP_EQUAL_TEXT(row.sound ? "answer" : "", result.body.c_str(), row.name);
+    }
+}
