Take no answer of a call that was stopped for a whole one

What callers saw: a call to a plain service is stopped, or interrupted, while its answer arrives, which has no length. The part counts as the service's answer, and that of a call that may run only once is kept as its outcome: who repeats the call gets the part as a complete answer.

Cause: the connection is shut down from this side, after which the reading thread sees an orderly end.

Change: the interruption is noted before the connection is shut down, and an end that follows it is no orderly one.

--- a/src/http/blockingcall.cpp
+++ b/src/http/blockingcall.cpp
@@ -79,6 +79,7 @@
 
 void BlockingCall::interrupt()
 {
+    // Set first, as the connection seems to end in an orderly way for the reading thread.
     interrupted_ = true;
     if (const int socket = socket_; socket >= 0)
         ::shutdown(socket, SHUT_RDWR);
@@ -161,7 +162,7 @@
     if (count > 0) {
         parser_.feed({buffer.data(), static_cast<std::size_t>(count)});
     } else {
-        if (count < 0)
+        if (count < 0 || interrupted_)
             close_ = ConnectionClose::Failed;
         parser_.finish(close_);
     }
--- a/tests/unit/endpoint_test.cpp
+++ b/tests/unit/endpoint_test.cpp
@@ -358,3 +358,41 @@
         STRCMP_EQUAL_TEXT(row.sound ? "answer" : "", result.body.c_str(), row.name);
     }
 }
+
+// Guards against a part of an answer that is kept as the outcome of a call: ending the connection
+// from this side looks like an orderly end of it.
+TEST(Endpoint, aCallThatIsStoppedAmidItsAnswerIsNoSuccess)
+{
+    struct Case
+    {
+        const char *name;
+        void (AttemptStop::*end)();
+    };
+    const Case cases[]
+            = {{"stopped", &AttemptStop::stop}, {"interrupted", &AttemptStop::interrupt}};
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    const Address address{"127.0.0.1", acceptor.local_endpoint().port()};
+    for (const Case &row : cases) {
+        AttemptStop attempt;
+        PlainRequest request;
+        request.operation = "open-gate";
+        request.body = "{}";
+        request.deadline = steadyNow() + Millis(2000);
+        std::thread service([&] {
+            asio::ip::tcp::socket socket = acceptor.accept();
+            std::string received;
+            asio::error_code ignored;
+            asio::read_until(socket, asio::dynamic_buffer(received), "{}", ignored);
+            asio::write(socket, asio::buffer("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart"),
+                        ignored);
+            std::this_thread::sleep_for(Millis(50));
+            (attempt.*row.end)();
+            std::this_thread::sleep_for(Millis(50));
+        });
+        const PlainResult result = PlainServiceClient(address).call(request, attempt);
+        service.join();
+        STRCMP_EQUAL_TEXT(toString(Execution::MayHaveRun), toString(result.execution), row.name);
+        STRCMP_EQUAL_TEXT("", result.body.c_str(), row.name);
+    }
+}
