Read what has arrived before a request is written on

What callers would see since: an endpoint that answers a long upload at once, without a length, closes its connection in an orderly way and then resets it, since more of the upload arrives. The whole answer is taken for one that broke off.

Cause: the write that fails comes before the read of the end, and the error of a write does not tell on all systems what came before it.

Change: a connection that can be written on is read first, until nothing is left. So a write fails in place of a read only if the reset arrives between the two; that still counts as no orderly end. BlockingCall reads first already; its log line for what is no HTTP now has the name that it has in the gateway.

Evidence: the new rows of Upstream.answersWithoutALengthAreWholeOnlyAfterAnOrderlyEnd fail on ("amid the upload, orderly, then reset": Broken instead of Complete) and pass now, as do the rows with a reset alone.

--- a/src/http/blockingcall.cpp
+++ b/src/http/blockingcall.cpp
@@ -94,7 +94,7 @@
         return CallEnd::NotSent;
     const CallEnd end = exchange(requestHead(address_, request), request.body);
     if (fault_)
-        logEvent(LogLevel::Warning, "invalid_answer",
+        logEvent(LogLevel::Warning, "invalid_response",
                  {{"address", toString(address_)}, {"call", request.path}, {"fault", fault_}});
     return end;
 }
@@ -133,8 +133,8 @@
         if (events == 0)
             return writes ? CallEnd::Broken : CallEnd::TimedOut;
         lastProgress = steadyNow();
-        // A response may arrive before the request is written, and then its end tells more than a
-        // write that fails.
+        // A response may arrive before the request is written. Only a read tells an orderly end
+        // that a reset follows from a reset alone.
         if (events & ~POLLOUT) {
             if (const auto end = receive())
                 return *end;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -223,10 +223,21 @@
         socket_.async_wait(asio::ip::tcp::socket::wait_write,
                            [self = shared_from_this()](const asio::error_code &error) {
                                if (!error)
-                                   self->send();
+                                   self->onWritable();
                            });
     }
 
+    /// Reads what has arrived before it writes: only the read side tells an orderly end that a
+    /// reset follows from a reset alone.
+    void onWritable()
+    {
+        const std::uint64_t number = callNumber_;
+        if (paused_ || !readSome())
+            send();
+        else if (inCall_ && connected_ && number == callNumber_)
+            armWrite();
+    }
+
     void armRead()
     {
         if (readArmed_ || paused_ || !socket_.is_open())
@@ -244,33 +255,38 @@
 
     void onReadable()
     {
-        if (!connected_ || !socket_.is_open() || paused_)
-            return;
+        if (!paused_)
+            readSome();
+    }
+
+    /// Handles the bytes or the end of the connection that can be read. Returns false if there is
+    /// nothing.
+    bool readSome()
+    {
+        if (!connected_ || !socket_.is_open())
+            return false;
         asio::error_code error;
         const std::size_t count = socket_.read_some(asio::buffer(pool_.readBuffer_), error);
         if (error == asio::error::would_block || error == asio::error::interrupted) {
             armRead();
-            return;
+            return false;
         }
         if (!inCall_) {
             // An idle connection was closed by the server or received unsolicited bytes.
             pool_.dropIdle(*this);
             close();
-            return;
-        }
-        if (written_ == 0) {
+        } else if (written_ == 0) {
             // Only a kept connection may have ended while it was idle.
             if (reused_)
                 reconnect();
             else
                 end(UpstreamOutcome::NotSent);
-            return;
-        }
-        if (error) {
+        } else if (error) {
             onConnectionEnd(error);
-            return;
+        } else {
+            onBytes({pool_.readBuffer_.data(), count});
         }
-        onBytes({pool_.readBuffer_.data(), count});
+        return true;
     }
 
     void onConnectionEnd(const asio::error_code &error)
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -129,7 +129,7 @@
 // request takes the error of the connection, after which its end looks orderly.
 TEST(Upstream, answersWithoutALengthAreWholeOnlyAfterAnOrderlyEnd)
 {
-    enum class End { Reset, Orderly };
+    enum class End { Reset, Orderly, OrderlyThenReset };
     struct Case
     {
         const char *name;
@@ -148,6 +148,9 @@
             {"after the upload, kept", true, true, true, End::Reset},
             {"amid the upload, orderly", false, false, true, End::Orderly},
             {"amid the upload, kept, orderly", true, false, false, End::Orderly},
+            {"amid the upload, orderly, then reset", false, false, true, End::OrderlyThenReset},
+            {"amid the upload, kept, orderly, then reset", true, false, false,
+             End::OrderlyThenReset},
             {"after the upload, orderly", false, true, true, End::Orderly},
             {"after the upload, kept, orderly", true, true, false, End::Orderly},
     };
@@ -175,11 +178,11 @@
         if (row.partIsRead)
             CHECK_TRUE_TEXT(eventually(context, kWaitLimit, [&] { return call->body == "part"; }),
                             row.name);
-        if (row.end == End::Reset) {
+        if (row.end != End::Reset)
+            server->shutdown(asio::ip::tcp::socket::shutdown_send);
+        if (row.end != End::Orderly) {
             server->set_option(asio::socket_base::linger(true, 0));
             server->close();
-        } else {
-            server->shutdown(asio::ip::tcp::socket::shutdown_send);
         }
         CHECK_TRUE_TEXT(ended(*call), row.name);
         const auto expected
