Show that each part of the fixes for broken answers is needed

A new row resets the connection while reading is paused, so that only a write can see it. Without the mark that a failed write leaves, no row failed any more since connections are read before they are written.

--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -137,12 +137,14 @@
         bool readsAll;   ///< The answer begins after the whole request has been read.
         bool partIsRead; ///< The caller has the part of the answer before the connection ends.
         End end;
+        bool pauses = false; ///< Reading is paused while the connection ends.
     };
     const Case cases[] = {
             {"amid the upload", false, false, true, End::Reset},
             {"amid the upload, at once", false, false, false, End::Reset},
             {"amid the upload, kept", true, false, true, End::Reset},
             {"amid the upload, kept, at once", true, false, false, End::Reset},
+            {"amid the upload, reading paused", false, false, true, End::Reset, true},
             {"after the upload", false, true, true, End::Reset},
             {"after the upload, at once", false, true, false, End::Reset},
             {"after the upload, kept", true, true, true, End::Reset},
@@ -178,12 +180,17 @@
         if (row.partIsRead)
             CHECK_TRUE_TEXT(eventually(context, kWaitLimit, [&] { return call->body == "part"; }),
                             row.name);
+        call->handle->pauseReading(row.pauses);
         if (row.end != End::Reset)
             server->shutdown(asio::ip::tcp::socket::shutdown_send);
         if (row.end != End::Orderly) {
             server->set_option(asio::socket_base::linger(true, 0));
             server->close();
         }
+        if (row.pauses) {
+            eventually(context, Millis(50), [] { return false; });
+            call->handle->pauseReading(false);
+        }
         CHECK_TRUE_TEXT(ended(*call), row.name);
         const auto expected
                 = row.end == End::Reset ? UpstreamOutcome::Broken : UpstreamOutcome::Complete;
