--- a/src/net/parser.h
+++ b/src/net/parser.h
@@ -83,9 +83,9 @@
     std::size_t announcedBytes_ = 0; ///< As the head states; 0 for chunks.
 };
 
-/// How a connection has ended for its reader. A failed write takes the error of the connection, so
-/// that a read after it reports an orderly end: a connection is Failed once any read or write on it
-/// has failed.
+/// How a connection has ended. A read reports an orderly end also after a failed write, which takes
+/// the error of the connection, and after a shutdown by this process. So it is Failed once any read
+/// or write has failed, or this process has shut it down.
 enum class ConnectionClose { Orderly, Failed };
 
 /// Callbacks of ResponseParser. Informational (1xx) responses are not reported.
