--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -17,6 +17,6 @@
   objects+=("$object")
 done
 wait
-for program in blockedsound flappingreplica rolledfleet lostblock; do
+for program in blockedsound flappingreplica rolledfleet lostblock olderentry; do
   g++ "${flags[@]}" "review/$program.cpp" "${objects[@]}" "${libraries[@]}" -o "$out/$program"
 done
