Review case 11: equal requests of a tenant are refused after the replicas have crashed at once

They are put on trial, and the one daemon that may send them is not one that their callers reach: Starved. The cases of the review are in a new order, the gravest first; the case of the drill that loses the record of a blocked request has made way.

--- a/review/bed3.cpp
+++ b/review/bed3.cpp
@@ -153,7 +153,7 @@
     if (!replica.reachesStore || store_.refuses)
         return;
     store_.put(kServers, replica.id,
-               fmt::format(R"({{"service":"{}","address":"{}","zone":"hall-a","version":"1",
+               fmt::format(R"({{"service":"{}","address":"{}","zone":"hall-1","version":"1",
                    "slots":16,"state":"{}","coldLeftMs":0,"seq":{},"born":{}}})",
                            replica.service, toString(replica.address), replica.state, ++replica.seq,
                            replica.born));
@@ -165,11 +165,14 @@
     std::string seeds;
     for (std::size_t i = 0; i < std::min<std::size_t>(3, daemons_.size()); ++i)
         seeds += fmt::format("{}{}:{}", seeds.empty() ? "" : ",", daemons_[i].ip, kControlPort);
-    const char *zone = options_.ownZones && number % 2 == 1 ? "hall-b" : "hall-a";
+    const auto zoneName = [](std::size_t zone) { return fmt::format("hall-{}", zone + 1); };
+    nlohmann::json zones;
+    for (std::size_t i = 0; i < options_.zones; ++i)
+        zones[zoneName(i)] = "south";
     const nlohmann::json values = {{"nodeName", fmt::format("front-{}", number + 1)},
-                                   {"zone", zone},
+                                   {"zone", zoneName(number % options_.zones)},
                                    {"region", "south"},
-                                   {"zones", {{"hall-a", "south"}, {"hall-b", "south"}}},
+                                   {"zones", zones},
                                    {"listen",
                                     {{"front", listen(kFrontPort)},
                                      {"ready", listen(kReadyPort)},
@@ -304,7 +307,7 @@
     HeaderList headers;
     headers.add("Host", "h.example");
     headers.add("Request-Id", call.id);
-    headers.add("Authorization", "Token k1");
+    headers.add("Authorization", "Token " + options.key);
     headers.add("Deadline-Ms", std::to_string(options.deadline.count()));
     headers.add("Content-Length", std::to_string(options.body.size()));
     if (!options.prompt.empty()) {
--- a/review/bed3.h
+++ b/review/bed3.h
@@ -36,10 +36,10 @@
 struct BedOptions
 {
     unsigned daemons = 2;
-    bool ownZones = false; ///< Each daemon is in a zone of its own, else all are in one.
-    std::string config;    ///< The operator's first configuration.
-    double slack = 104;    ///< bounds.budgetSlack
-    bool trouble = false;  ///< Set from TROUBLE in the environment.
+    unsigned zones = 1;   ///< The daemons are in them by turns.
+    std::string config;   ///< The operator's first configuration.
+    double slack = 104;   ///< bounds.budgetSlack
+    bool trouble = false; ///< Set from TROUBLE in the environment.
 };
 
 struct SendOptions
@@ -48,6 +48,7 @@
     std::string body = {};
     std::string prompt = {}; ///< Prompt-Prefix; none if it is empty.
     unsigned promptTokens = 2000;
+    std::string key = "k1";
     Millis deadline{2000};
     std::optional<std::size_t> daemon = {}; ///< Else the next one in rotation.
 };
--- a/review/blockedsound.cpp
+++ b/review/blockedsound.cpp
@@ -1,4 +1,4 @@
-// Case 11: a replica that goes down and up makes a new part of sound prompts look like one on which
+// Case 12: a replica that goes down and up makes a new part of sound prompts look like one on which
 // replicas crash. Requests with it are refused, and those in progress are ended.
 
 #include "bed3.h"
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -11,12 +11,16 @@
 shared=(review/bed3.cpp tests/support/platformstandin.cpp tests/support/process.cpp
         tests/support/network.cpp tests/support/settingstemplate.cpp)
 objects=()
+jobs=()
 for source in "${shared[@]}"; do
   object="$out/$(basename "$source" .cpp).o"
   g++ "${flags[@]}" -c "$source" -o "$object" &
+  jobs+=("$!")
   objects+=("$object")
 done
-wait
-for program in blockedsound flappingreplica rolledfleet lostblock olderentry; do
+for job in "${jobs[@]}"; do
+  wait "$job"
+done
+for program in starvedtenant blockedsound flappingreplica rolledfleet olderentry; do
   g++ "${flags[@]}" "review/$program.cpp" "${objects[@]}" "${libraries[@]}" -o "$out/$program"
 done
