--- a/review/flappingreplica.cpp
+++ b/review/flappingreplica.cpp
@@ -16,7 +16,7 @@
 constexpr Millis kPeriod{1500};
 // "The replica is back after some seconds."
 constexpr Millis kBackAfter{3000};
-constexpr Millis kCrashingInterval{6000};
+constexpr Millis kCrashingInterval{7500};
 constexpr Millis kSoundInterval{25};
 // stabilityWindowMs of the site.
 constexpr Millis kStabilityWindow{3000};
--- a/review/olderentry.cpp
+++ b/review/olderentry.cpp
@@ -22,9 +22,9 @@
 // It begins to leave.
 constexpr Millis kLeavesAt{5500};
 // The drill: the store is away for a moment and comes back from a copy some seconds old.
-constexpr Millis kAwayAt{9200};
-constexpr Millis kBackAt{9500};
-constexpr Millis kCopyAge{5700};
+constexpr Millis kAwayAt{9150};
+constexpr Millis kBackAt{9300};
+constexpr Millis kCopyAge{5500};
 // "It continues serving for drainMs ... and a little longer (at times many seconds), and then
 // exits."
 constexpr Millis kExitsAt{14'000};
