Review case 15: a drill of the store loses the record of a blocked request

It takes the place of the case on sound requests that are refused as deadly, as case 9 of the second review already shows that fault. The cases are numbered anew.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -21,6 +21,6 @@
 for job in "${jobs[@]}"; do
   wait "$job"
 done
-for program in starvedtenant blockedsound flappingreplica rolledfleet olderentry; do
+for program in starvedtenant flappingreplica rolledfleet olderentry lostblock; do
   g++ "${flags[@]}" "review/$program.cpp" "${objects[@]}" "${libraries[@]}" -o "$out/$program"
 done
--- a/review/flappingreplica.cpp
+++ b/review/flappingreplica.cpp
@@ -1,4 +1,4 @@
-// Case 13: a replica that goes down and up hides a part of prompts on which replicas crash.
+// Case 12: a replica that goes down and up hides a part of prompts on which replicas crash.
 
 #include "bed3.h"
 
--- a/review/olderentry.cpp
+++ b/review/olderentry.cpp
@@ -1,4 +1,4 @@
-// Case 15: a store that comes back from an older copy brings back the earlier incarnation of a
+// Case 14: a store that comes back from an older copy brings back the earlier incarnation of a
 // replica, and with it requests to the replica that has said that it leaves.
 
 #include "bed3.h"
--- a/review/rolledfleet.cpp
+++ b/review/rolledfleet.cpp
@@ -1,4 +1,4 @@
-// Case 14: a rolling restart of the daemons forgets the crashes of a request that is not blocked
+// Case 13: a rolling restart of the daemons forgets the crashes of a request that is not blocked
 // yet.
 
 #include "bed3.h"
